--- /dev/null
+++ b/Makefile
@@ -0,0 +1,16 @@
+# Entry points for people and CI. Each target does its own set-up.
+
+.PHONY: setup fmt lint test demo bench capacity model-check
+
+setup:
+	@command -v cmake >/dev/null || (apt-get update -qq && apt-get install -y -qq cmake)
+
+fmt: setup
+	cargo fmt --all --check
+
+lint: setup
+	cargo clippy --workspace --all-targets --locked -- -D warnings
+
+test: setup
+	cargo test --workspace --locked
+
--- /dev/null
+++ b/crates/oleander-daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/oleander-link/src/lib.rs
@@ -0,0 +1,3 @@
+//! Messages and links between the processes of oleanderlock.
+
+pub mod wire;
--- /dev/null
+++ b/crates/oleanderctl/src/main.rs
@@ -0,0 +1,3 @@
+//! Operator command line of oleanderlock.
+
+fn main() {}
--- /dev/null
+++ b/crates/oleanderlock/src/lib.rs
@@ -0,0 +1,18 @@
+//! Coordination parts of the oleanderlock rollout service.
+//!
+//! Every part is a plain struct that takes the current time and an event and returns typed
+//! actions. Nothing here performs I/O, starts threads or reads a clock, so the daemons, the model
+//! checker, the differential tests and the load tool run the same code.
+
+pub mod answer;
+pub mod class_terms;
+pub mod clock;
+pub mod contract;
+pub mod error_kind;
+pub mod keys;
+pub mod limits;
+pub mod prelude;
+pub mod ran;
+pub mod service_terms;
+pub mod weigh;
+pub mod work_kind;
--- /dev/null
+++ b/crates/oleanderlock/tests/answers.rs
@@ -0,0 +1,12 @@
+//! The table from error kind to answer covers every kind.
+
+use oleanderlock::prelude::*;
+use strum::VariantArray;
+
+#[test]
+fn every_kind_has_an_error_status_and_a_name_that_parses_back() {
+    for kind in ErrorKind::VARIANTS {
+        assert!((400..600).contains(&kind.answer().status), "{kind}");
+        assert_eq!(kind.to_string().parse(), Ok(*kind));
+    }
+}
