--- /dev/null
+++ b/crates/oleander-daemon/src/engine_client.rs
@@ -0,0 +1,174 @@
+//! Client of a model engine.
+
+use crate::attempt::{Attempt, AttemptEnd};
+use crate::prelude::*;
+use crate::sse::{EngineEvent, EventReader};
+use crate::store_client::within;
+use bytes::Bytes;
+use serde::Deserialize;
+use serde_json::{Value, json};
+use trillium_client::Client;
+use trillium_smol::ClientConfig;
+
+/// Longest wait for calls that are no streams, in milliseconds.
+const CALL_TIMEOUT_MS: u64 = 2000;
+/// Longest wait for a weight swap, in milliseconds.
+const SWAP_TIMEOUT_MS: u64 = 120_000;
+
+/// Load as an engine reports it, with the engine's lag.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq)]
+pub struct EngineLoad {
+    /// Requests in the batch.
+    pub running: u32,
+    /// Requests that wait.
+    pub queued: u32,
+    /// Greatest batch.
+    pub capacity: u32,
+}
+
+/// What an engine says it serves.
+#[derive(Clone, Debug, Deserialize, PartialEq, Eq)]
+pub struct EngineVersion {
+    /// The model.
+    pub model: String,
+    /// The weight version; `None` while the engine does not know.
+    pub version: Option<u64>,
+}
+
+/// What became of an order to load a version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SwapEnd {
+    /// The engine serves the version.
+    Loaded,
+    /// The engine refused an old fencing number.
+    OldFence,
+    /// The swap failed or did not answer; the version is unknown until asked.
+    Unknown,
+}
+
+/// A client of one engine; cheap to clone.
+#[derive(Clone, Debug)]
+pub struct EngineClient {
+    client: Client,
+    base: String,
+}
+
+impl EngineClient {
+    /// Creates a client for the engine at `base`.
+    pub fn new(base: &str) -> Self {
+        // Without a pool each call has its own connection, so none is sent again by itself.
+        let client = Client::new(ClientConfig::default());
+        Self {
+            client,
+            base: base.trim_end_matches('/').to_owned(),
+        }
+    }
+
+    /// Runs one attempt and hands each chunk to `on_chunk`.
+    pub async fn run(&self, attempt: &Attempt, on_chunk: impl Fn(wire::Chunk)) -> AttemptEnd {
+        let ticket = attempt.ticket;
+        let Some(body) = generate_body(attempt) else {
+            return AttemptEnd::failed(ticket, ErrorKind::BadRequest, Ran::No);
+        };
+        let request = self.client.post(self.url("/v1/generate"));
+        let request = request.with_request_header("content-type", "application/json");
+        let Ok(mut conn) = request.with_body(body).await else {
+            return AttemptEnd::failed(ticket, ErrorKind::EndpointFailed, Ran::Unknown);
+        };
+        if !conn.status().is_some_and(|status| status.is_success()) {
+            return AttemptEnd::failed(ticket, ErrorKind::EndpointFailed, Ran::Unknown);
+        }
+        let mut events = EventReader::new(conn.response_body());
+        loop {
+            match events.next().await {
+                Ok(EngineEvent::Done { total, .. }) => return AttemptEnd::whole(ticket, total),
+                Ok(EngineEvent::Tokens {
+                    offset,
+                    tokens,
+                    text,
+                    version,
+                }) => {
+                    on_chunk(chunk(ticket, offset, tokens, text, version));
+                }
+                Err(_) => {
+                    return AttemptEnd::failed(ticket, ErrorKind::EndpointFailed, Ran::Unknown);
+                }
+            }
+        }
+    }
+
+    /// Tells the engine that nobody waits for the attempt any more.
+    pub async fn cancel(&self, ticket: Ticket) {
+        let body = json!({ "request": ticket.to_string() }).to_string();
+        let call = self.client.post(self.url("/v1/cancel")).with_body(body);
+        // A lost cancellation costs work, not correctness.
+        let _ = within(CALL_TIMEOUT_MS, call).await;
+    }
+
+    /// Asks for the load; `None` when no good answer came.
+    pub async fn load(&self) -> Option<EngineLoad> {
+        self.get("/v1/load").await
+    }
+
+    /// Asks for the version served; `None` when no good answer came.
+    pub async fn version(&self) -> Option<EngineVersion> {
+        self.get("/v1/version").await
+    }
+
+    /// Orders the engine to load a version, and waits until it has.
+    pub async fn swap(&self, fence: Fence, model: &str, version: Version) -> SwapEnd {
+        let body = json!({ "fence": fence.0, "model": model, "version": version.0 }).to_string();
+        let call = self.client.post(self.url("/v1/weights")).with_body(body);
+        let answer = within(SWAP_TIMEOUT_MS, call).await;
+        let status = answer.and_then(Result::ok).and_then(|conn| conn.status());
+        match status.map(|status| status as u16) {
+            Some(200) => SwapEnd::Loaded,
+            Some(409) => SwapEnd::OldFence,
+            _ => SwapEnd::Unknown,
+        }
+    }
+
+    async fn get<T: serde::de::DeserializeOwned>(&self, path: &str) -> Option<T> {
+        let exchange = async {
+            let mut conn = self.client.get(self.url(path)).await.ok()?;
+            let body = conn.response_body().read_string().await.ok()?;
+            serde_json::from_str(&body).ok()
+        };
+        within(CALL_TIMEOUT_MS, exchange).await.flatten()
+    }
+
+    fn url(&self, path: &str) -> String {
+        format!("{}{path}", self.base)
+    }
+}
+
+fn generate_body(attempt: &Attempt) -> Option<String> {
+    let mut body: Value = serde_json::from_slice(&attempt.payload).ok()?;
+    let fields = body.as_object_mut()?;
+    fields.insert("request".to_owned(), json!(attempt.ticket.to_string()));
+    fields.insert("priority".to_owned(), json!(attempt.priority));
+    fields.insert("resume_from".to_owned(), json!(attempt.resume_offset));
+    Some(body.to_string())
+}
+
+fn chunk(
+    ticket: Ticket,
+    offset: u64,
+    tokens: u64,
+    text: String,
+    version: Option<u64>,
+) -> wire::Chunk {
+    let segment = wire::Segment {
+        version: version.unwrap_or_default(),
+        first: offset,
+        end: offset + tokens,
+        unknown: version.is_none(),
+    };
+    wire::Chunk {
+        ticket: Some(ticket.into()),
+        offset,
+        tokens,
+        data: Bytes::from(text),
+        segments: vec![segment],
+    }
+}
--- /dev/null
+++ b/crates/oleander-daemon/src/logging.rs
@@ -0,0 +1,33 @@
+//! Structured logs: one line of key=value pairs for each event.
+
+use log::LevelFilter;
+use std::time::SystemTime;
+
+/// Starts logging to standard error.
+///
+/// Lines start with time in milliseconds since the Unix epoch, level and process name; the rest
+/// is the event's own pairs, for example `event=refused request=… kind=overloaded`.
+pub fn start(process: &str, level: LevelFilter) {
+    let process = process.to_owned();
+    let dispatch = fern::Dispatch::new()
+        .format(move |out, message, record| {
+            let level = record.level();
+            let time = unix_ms();
+            out.finish(format_args!(
+                "time={time} level={level} process={process} {message}"
+            ));
+        })
+        .level(LevelFilter::Warn)
+        .level_for("oleander_daemon", level)
+        .level_for("oleander_link", level)
+        .chain(std::io::stderr());
+    // A second start in one process, as in tests, keeps the first.
+    let _ = dispatch.apply();
+}
+
+/// Returns the wall time in milliseconds since the Unix epoch.
+pub fn unix_ms() -> u128 {
+    SystemTime::now()
+        .duration_since(SystemTime::UNIX_EPOCH)
+        .map_or(0, |passed| passed.as_millis())
+}
--- /dev/null
+++ b/crates/oleander-daemon/src/node_settings.rs
@@ -0,0 +1,71 @@
+//! Settings that every daemon has.
+
+use crate::settings::Settings;
+use log::LevelFilter;
+use std::net::SocketAddr;
+
+/// Who a process is, where it listens, and whom it asks.
+#[derive(Clone, Debug)]
+pub struct NodeConfig {
+    /// Name of the instance; unique in the deployment.
+    pub name: String,
+    /// Failure domain.
+    pub domain: String,
+    /// Region.
+    pub region: String,
+    /// Address for HTTP.
+    pub http: SocketAddr,
+    /// Address for messages of other processes, `tcp://IP:PORT`.
+    pub link: String,
+    /// Pass phrases of the link keys; the first signs.
+    pub link_keys: Vec<String>,
+    /// Base URL of the object API.
+    pub store: String,
+    /// Base URL of the list of instances.
+    pub list: String,
+    /// Least severe level that is logged.
+    pub log_level: LevelFilter,
+    /// Threads for traffic.
+    pub traffic_threads: usize,
+}
+
+/// Reads the common sections `[node]`, `[platform]` and `[log]`.
+pub fn read_node(settings: &mut Settings) -> NodeConfig {
+    let unset = SocketAddr::from(([127, 0, 0, 1], 0));
+    let config = NodeConfig {
+        name: settings.required("node", "name"),
+        domain: settings.required("node", "failure-domain"),
+        region: settings
+            .text("node", "region")
+            .unwrap_or_else(|| "default".to_owned()),
+        http: settings.parsed("node", "http", unset, "IP:PORT"),
+        link: settings.required("node", "link"),
+        link_keys: settings.list("node", "link-keys"),
+        store: settings.required("platform", "store"),
+        list: settings.required("platform", "list"),
+        log_level: settings.parsed(
+            "log",
+            "level",
+            LevelFilter::Info,
+            "off, error, warn, info, debug or trace",
+        ),
+        traffic_threads: settings.parsed("node", "traffic-threads", 2, "a whole number"),
+    };
+    check_node(settings, &config);
+    config
+}
+
+fn check_node(settings: &mut Settings, config: &NodeConfig) {
+    if config.http.port() == 0 {
+        settings.fault("node", "http", "must be set to IP:PORT with a port above 0");
+    }
+    if !config.link.starts_with("tcp://") {
+        settings.fault("node", "link", "must have the form tcp://IP:PORT");
+    }
+    if config.link_keys.is_empty() {
+        settings.fault("node", "link-keys", "must name at least one key");
+    }
+    if config.traffic_threads == 0 {
+        settings.fault("node", "traffic-threads", "must be at least 1");
+    }
+}
--- /dev/null
+++ b/crates/oleander-daemon/src/prelude.rs
@@ -0,0 +1,7 @@
+//! The types that almost every module of the daemons uses.
+
+pub use crate::http_fault::HttpFault;
+pub use crate::monotonic::now;
+pub use oleander_link::{LinkError, PeerChange, Peers, wire};
+pub use oleanderlock::prelude::*;
+pub use wire::frame::Body;
--- /dev/null
+++ b/crates/oleander-daemon/src/service_client.rs
@@ -0,0 +1,74 @@
+//! Client of a plain service.
+
+use crate::attempt::{Attempt, AttemptEnd};
+use crate::prelude::*;
+use bytes::Bytes;
+use trillium_client::{Client, Conn};
+use trillium_smol::ClientConfig;
+
+/// A client of one plain service; cheap to clone.
+#[derive(Clone, Debug)]
+pub struct ServiceClient {
+    client: Client,
+    base: String,
+}
+
+impl ServiceClient {
+    /// Creates a client for the service at `base`.
+    pub fn new(base: &str) -> Self {
+        // Without a pool each call has its own connection, so none is sent again by itself.
+        let client = Client::new(ClientConfig::default());
+        Self {
+            client,
+            base: base.trim_end_matches('/').to_owned(),
+        }
+    }
+
+    /// Runs one attempt.
+    ///
+    /// Once the connection stands the service may have run the work, whatever comes back.
+    pub async fn run(&self, attempt: &Attempt) -> AttemptEnd {
+        match self.exchange(attempt).await {
+            Ok(end) => end,
+            Err(fault) => {
+                let ran = ran_after(&fault);
+                AttemptEnd::failed(attempt.ticket, ErrorKind::EndpointFailed, ran)
+            }
+        }
+    }
+
+    async fn exchange(&self, attempt: &Attempt) -> Result<AttemptEnd, trillium_client::Error> {
+        let mut conn = self.call(attempt).await?;
+        let status = conn.status().map_or(0, |status| status as u16);
+        let data = Bytes::from(conn.response_body().read_bytes().await?);
+        Ok(AttemptEnd {
+            ticket: attempt.ticket,
+            ran: Ran::Yes,
+            error: None,
+            total: data.len() as u64,
+            status,
+            data,
+        })
+    }
+
+    fn call(&self, attempt: &Attempt) -> Conn {
+        let path = attempt.route.strip_prefix("POST ").unwrap_or("/");
+        self.client
+            .post(format!("{}{path}", self.base))
+            .with_request_header("content-type", "application/json")
+            .with_request_header("x-request-id", attempt.ticket.request.to_string())
+            .with_body(attempt.payload.to_vec())
+    }
+}
+
+/// Only a connection that was refused proves that nothing ran.
+fn ran_after(fault: &trillium_client::Error) -> Ran {
+    match fault {
+        trillium_client::Error::Io(fault)
+            if fault.kind() == std::io::ErrorKind::ConnectionRefused =>
+        {
+            Ran::No
+        }
+        _ => Ran::Unknown,
+    }
+}
