--- a/crates/oleander-daemon/src/metrics.rs
+++ b/crates/oleander-daemon/src/metrics.rs
@@ -69,12 +69,12 @@
 
     /// Counts a refusal.
     pub fn refused(&self, kind: ErrorKind) {
-        self.refusals.with_label_values(&[kind.into()]).inc();
+        self.refusals.with_label_values(&[<&str>::from(kind)]).inc();
     }
 
     /// Counts a repeated attempt.
     pub fn retried(&self, kind: ErrorKind) {
-        self.retries.with_label_values(&[kind.into()]).inc();
+        self.retries.with_label_values(&[<&str>::from(kind)]).inc();
     }
 
     /// Counts another event.
