--- /dev/null
+++ b/crates/oleanderlock/src/ini_lines.rs
@@ -0,0 +1,59 @@
+//! Line numbers of sections and keys, which the INI reader does not report.
+
+/// Where one section header or one key stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct IniLine {
+    section: String,
+    /// Empty for a section header.
+    key: String,
+    /// Counted from one.
+    line: usize,
+}
+
+/// Finds the line of a section header or key.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct IniLines {
+    lines: Vec<IniLine>,
+}
+
+impl IniLines {
+    /// Lists the section headers and keys of `text`.
+    pub fn of(text: &str) -> Self {
+        let mut lines = Vec::new();
+        let mut section = String::new();
+        for (at, row) in text.lines().enumerate() {
+            let row = row.trim();
+            let Some(key) = key_of(row, &mut section) else {
+                continue;
+            };
+            lines.push(IniLine {
+                section: section.clone(),
+                key,
+                line: at + 1,
+            });
+        }
+        Self { lines }
+    }
+
+    /// Returns the line where `key` of `section` stands for the `nth` time, counted from zero; an
+    /// empty `key` asks for the section header. Returns 1 for what was not found.
+    pub fn line(&self, section: &str, key: &str, nth: usize) -> usize {
+        let same = |found: &&IniLine| found.section == section && found.key == key;
+        let found = self.lines.iter().filter(same).nth(nth);
+        found.map_or(1, |found| found.line)
+    }
+}
+
+/// Returns the key of a row, or an empty key for a section header, which becomes the section.
+fn key_of(row: &str, section: &mut String) -> Option<String> {
+    if row.starts_with([';', '#']) {
+        return None;
+    }
+    if let Some(header) = row.strip_prefix('[') {
+        let end = header.find(']').unwrap_or(header.len());
+        *section = header[..end].trim().to_owned();
+        return Some(String::new());
+    }
+    let end = row.find(['=', ':'])?;
+    Some(row[..end].trim().to_owned())
+}
--- /dev/null
+++ b/crates/oleanderlock/src/units.rs
@@ -0,0 +1,227 @@
+//! Values with units, as they stand in INI files.
+
+use crate::prelude::*;
+use derive_more::{Display, Error};
+use std::str::FromStr;
+use strum::VariantArray;
+
+/// Units of a length of time, with their length in milliseconds; greatest first.
+const TIME_UNITS: [(&str, u64); 4] = [("h", 3_600_000), ("min", 60_000), ("s", 1000), ("ms", 1)];
+/// Spelling of the time units in messages.
+const TIME_UNIT_NAMES: &str = "ms, s, min, h, for example 250ms";
+/// Spelling of the percent unit in messages.
+const PERCENT_UNIT_NAMES: &str = "%, for example 30%";
+/// Spelling of the version unit in messages.
+const VERSION_UNIT_NAMES: &str = "versions, for example 2 versions";
+/// Longest length of time that a value may give.
+const MAX_TIME_MS: u64 = 7 * 24 * 3_600_000;
+/// Greatest plain number, and greatest number of versions.
+const MAX_NUMBER: u64 = 1_000_000;
+/// Longest name.
+const MAX_NAME_BYTES: usize = 64;
+
+/// Why a value can't be read.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+pub enum ValueFault {
+    /// The number stands alone.
+    #[display("has no unit; valid units: {valid}")]
+    MissingUnit {
+        /// The units that may follow the number.
+        valid: &'static str,
+    },
+    /// The number is followed by something else.
+    #[display("has unknown unit `{unit}`; valid units: {valid}")]
+    UnknownUnit {
+        /// What follows the number.
+        unit: String,
+        /// The units that may follow the number.
+        valid: &'static str,
+    },
+    /// The value does not start with a whole number.
+    #[display("must be {expected}")]
+    NotANumber {
+        /// The form of a valid value.
+        expected: String,
+    },
+    /// The number is greater than the limit.
+    #[display("is too large; at most {max}")]
+    TooLarge {
+        /// The limit, with its unit.
+        max: String,
+    },
+    /// The value is none of a closed list.
+    #[display("must be one of: {valid}")]
+    NotOneOf {
+        /// The closed list.
+        valid: String,
+    },
+    /// The name is empty, too long, or has characters that names can't have.
+    #[display("must be 1 to 64 of the characters a-z A-Z 0-9 - _ .")]
+    BadName,
+}
+
+/// Splits a value into its whole number and what follows, which is the unit.
+fn split_number<'a>(text: &'a str, expected: &str) -> Result<(u64, &'a str), ValueFault> {
+    let end = text
+        .find(|c: char| !c.is_ascii_digit())
+        .unwrap_or(text.len());
+    let (digits, unit) = text.split_at(end);
+    if digits.is_empty() {
+        return Err(ValueFault::NotANumber {
+            expected: expected.to_owned(),
+        });
+    }
+    // More digits than a u64 holds is a number too, only a large one.
+    let number = digits.parse().unwrap_or(u64::MAX);
+    Ok((number, unit.trim()))
+}
+
+fn unknown_unit(unit: &str, valid: &'static str) -> ValueFault {
+    if unit.is_empty() {
+        return ValueFault::MissingUnit { valid };
+    }
+    ValueFault::UnknownUnit {
+        unit: unit.to_owned(),
+        valid,
+    }
+}
+
+/// Reads a length of time such as `250ms`, `1s` or `31min`.
+///
+/// # Errors
+///
+/// The number or its unit is missing or unknown, or the length is above a week.
+pub fn parse_time(text: &str) -> Result<Millis, ValueFault> {
+    let (number, unit) = split_number(text, "a whole number with a time unit")?;
+    let found = TIME_UNITS.iter().find(|(name, _)| *name == unit);
+    let (_, length) = found.ok_or_else(|| unknown_unit(unit, TIME_UNIT_NAMES))?;
+    let total = number.saturating_mul(*length);
+    if total > MAX_TIME_MS {
+        return Err(ValueFault::TooLarge {
+            max: format_time(Millis(MAX_TIME_MS)),
+        });
+    }
+    Ok(Millis(total))
+}
+
+/// Writes a length of time in the greatest unit that keeps the number whole.
+pub fn format_time(length: Millis) -> String {
+    let fits = |(_, unit): &&(&str, u64)| length.0 != 0 && length.0.is_multiple_of(*unit);
+    match TIME_UNITS.iter().find(fits) {
+        Some((name, unit)) => format!("{}{name}", length.0 / unit),
+        None => format!("{}ms", length.0),
+    }
+}
+
+/// Reads a share such as `30%`.
+///
+/// # Errors
+///
+/// The number or its unit is missing or unknown, or the share is above 100%.
+pub fn parse_percent(text: &str) -> Result<u32, ValueFault> {
+    let (number, unit) = split_number(text, "a whole number with %")?;
+    if unit != "%" {
+        return Err(unknown_unit(unit, PERCENT_UNIT_NAMES));
+    }
+    match u32::try_from(number) {
+        Ok(percent) if percent <= 100 => Ok(percent),
+        _ => Err(ValueFault::TooLarge {
+            max: "100%".to_owned(),
+        }),
+    }
+}
+
+/// Reads a number of weight versions such as `2 versions`.
+///
+/// # Errors
+///
+/// The number or its unit is missing or unknown, or the number is above a million.
+pub fn parse_versions(text: &str) -> Result<u64, ValueFault> {
+    let (number, unit) = split_number(text, "a whole number with `versions`")?;
+    if unit != "versions" && unit != "version" {
+        return Err(unknown_unit(unit, VERSION_UNIT_NAMES));
+    }
+    limited(number, "versions")
+}
+
+/// Writes a number of weight versions.
+pub fn format_versions(versions: u64) -> String {
+    let unit = if versions == 1 { "version" } else { "versions" };
+    format!("{versions} {unit}")
+}
+
+/// Reads a plain whole number.
+///
+/// # Errors
+///
+/// The value is no whole number or is above a million.
+pub fn parse_number(text: &str) -> Result<u32, ValueFault> {
+    const EXPECTED: &str = "a whole number without a unit";
+    let (number, unit) = split_number(text, EXPECTED)?;
+    if !unit.is_empty() {
+        return Err(ValueFault::NotANumber {
+            expected: EXPECTED.to_owned(),
+        });
+    }
+    limited(number, "").map(|number| number as u32)
+}
+
+fn limited(number: u64, unit: &str) -> Result<u64, ValueFault> {
+    if number > MAX_NUMBER {
+        return Err(ValueFault::TooLarge {
+            max: format!("{MAX_NUMBER} {unit}").trim_end().to_owned(),
+        });
+    }
+    Ok(number)
+}
+
+/// Reads `yes` or `no`.
+///
+/// # Errors
+///
+/// The value is neither.
+pub fn parse_yes_no(text: &str) -> Result<bool, ValueFault> {
+    match text {
+        "yes" => Ok(true),
+        "no" => Ok(false),
+        _ => Err(ValueFault::NotOneOf {
+            valid: "yes, no".to_owned(),
+        }),
+    }
+}
+
+/// Writes `yes` or `no`.
+pub fn format_yes_no(value: bool) -> &'static str {
+    if value { "yes" } else { "no" }
+}
+
+/// Reads a name: 1 to 64 letters, digits, `-`, `_` and `.`.
+///
+/// # Errors
+///
+/// The name is empty, too long, or has other characters.
+pub fn parse_name(text: &str) -> Result<String, ValueFault> {
+    let is_valid = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+    let fits = (1..=MAX_NAME_BYTES).contains(&text.len());
+    if fits && text.chars().all(is_valid) {
+        return Ok(text.to_owned());
+    }
+    Err(ValueFault::BadName)
+}
+
+/// Reads the name of a variant of a closed list.
+///
+/// # Errors
+///
+/// No variant has the name; the fault lists those that exist.
+pub fn parse_variant<T>(text: &str) -> Result<T, ValueFault>
+where
+    T: FromStr + VariantArray + Copy + Into<&'static str>,
+{
+    text.parse().map_err(|_| {
+        let names = T::VARIANTS.iter().map(|variant| (*variant).into());
+        ValueFault::NotOneOf {
+            valid: names.collect::<Vec<&str>>().join(", "),
+        }
+    })
+}
