Add admission: slots, queue by share and priority, early refusal

Shares follow WF2Q+ in tokens; work of a class within its share goes first, and among such classes interactive work, then priority.

--- a/crates/oleanderlock/src/lib.rs
+++ b/crates/oleanderlock/src/lib.rs
@@ -4,6 +4,8 @@
 //! actions. Nothing here performs I/O, starts threads or reads a clock, so the daemons, the model
 //! checker, the differential tests and the load tool run the same code.
 
+pub mod admission;
+pub mod admission_queue;
 pub mod answer;
 pub mod class_terms;
 pub mod clock;
@@ -11,8 +13,13 @@
 pub mod error_kind;
 pub mod keys;
 pub mod limits;
+pub mod load;
+pub mod policy;
 pub mod prelude;
 pub mod ran;
 pub mod service_terms;
+pub mod service_time;
+pub mod shares;
 pub mod weigh;
+pub mod work;
 pub mod work_kind;
