--- a/crates/oleanderlock/src/contract_check.rs
+++ b/crates/oleanderlock/src/contract_check.rs
@@ -1,10 +1,9 @@
 //! Checks that the bounds of a contract can be met.
 
 use crate::class_terms::ClassTerms;
+use crate::contract_draft::{ContractDraft, Read};
 use crate::contract_fault::{ContractFault, FaultKind};
-use crate::contract_file::{ContractDraft, Read};
 use crate::contract_section::ContractSection;
-use crate::limits::Limits;
 use crate::prelude::*;
 use indexmap::IndexMap;
 
--- /dev/null
+++ b/crates/oleanderlock/src/contract_draft.rs
@@ -0,0 +1,248 @@
+//! The sections of a contract file, read one by one before they are checked together.
+
+use crate::class_terms::ClassTerms;
+use crate::contract::Contract;
+use crate::contract_fault::{ContractFault, FaultKind};
+use crate::contract_section::ContractSection;
+use crate::ini_lines::IniLines;
+use crate::limits::Limits;
+use crate::service_terms::ServiceTerms;
+use crate::units::*;
+use indexmap::IndexMap;
+use ini::{Ini, Properties};
+
+/// Most classes, and most services, of one contract.
+const MAX_SECTIONS: usize = 64;
+/// The sections of a contract, for messages.
+const VALID_SECTIONS: &str = "[contract], [class NAME], [service NAME], [limits]";
+
+const CONTRACT_KEYS: [&str; 2] = ["customer", "weigh"];
+const CLASS_KEYS: [&str; 6] = [
+    "kind",
+    "share",
+    "priority",
+    "latency-bound",
+    "deadline",
+    "staleness",
+];
+const SERVICE_KEYS: [&str; 2] = ["class", "idempotent"];
+const LIMITS_KEYS: [&str; 3] = ["retries", "hedges", "drain"];
+
+/// A section of which the terms could or could not be read.
+#[derive(Debug)]
+pub(crate) struct Read<T> {
+    pub(crate) section: ContractSection,
+    pub(crate) terms: Option<T>,
+}
+
+/// All sections of a contract file.
+#[derive(Debug)]
+pub(crate) struct ContractDraft {
+    pub(crate) head: Option<Read<Contract>>,
+    pub(crate) classes: IndexMap<String, Read<ClassTerms>>,
+    pub(crate) services: IndexMap<String, Read<ServiceTerms>>,
+    pub(crate) limits: Option<Read<Limits>>,
+    pub(crate) faults: Vec<ContractFault>,
+}
+
+impl ContractDraft {
+    /// Reads all sections.
+    pub(crate) fn read(ini: &Ini, lines: &IniLines) -> Self {
+        let mut draft = Self {
+            head: None,
+            classes: IndexMap::new(),
+            services: IndexMap::new(),
+            limits: None,
+            faults: Vec::new(),
+        };
+        let mut seen = IndexMap::<&str, usize>::new();
+        for (name, properties) in ini.iter() {
+            let Some(name) = name else {
+                draft.report_outside(properties, lines);
+                continue;
+            };
+            let nth = seen.entry(name).or_default();
+            if *nth > 0 {
+                let first_line = lines.line(name, "", 0);
+                let line = lines.line(name, "", *nth);
+                draft.report(line, name, FaultKind::DuplicateSection { first_line });
+            } else {
+                draft.read_section(name, properties, lines);
+            }
+            *nth += 1;
+        }
+        draft
+    }
+
+    fn report(&mut self, line: usize, section: &str, kind: FaultKind) {
+        self.faults.push(ContractFault {
+            line,
+            section: section.to_owned(),
+            key: String::new(),
+            kind,
+        });
+    }
+
+    fn report_outside(&mut self, properties: &Properties, lines: &IniLines) {
+        for (key, _) in properties.iter() {
+            self.faults.push(ContractFault {
+                line: lines.line("", key, 0),
+                section: String::new(),
+                key: key.to_owned(),
+                kind: FaultKind::OutsideSection {
+                    valid: VALID_SECTIONS,
+                },
+            });
+        }
+    }
+
+    fn read_section(&mut self, name: &str, properties: &Properties, lines: &IniLines) {
+        let open = |valid: &[&str]| ContractSection::open(name, 0, properties, lines, valid);
+        let line = lines.line(name, "", 0);
+        let mut words = name.split_whitespace();
+        let words = (words.next(), words.next(), words.next());
+        match words {
+            (Some("contract"), None, _) => self.head = Some(read_head(open(&CONTRACT_KEYS))),
+            (Some("limits"), None, _) => self.limits = Some(read_limits(open(&LIMITS_KEYS))),
+            (Some("class"), Some(class), None) if self.classes.len() < MAX_SECTIONS => {
+                let read = read_class(class, open(&CLASS_KEYS));
+                insert_new(&mut self.classes, class, read, &mut self.faults, line);
+            }
+            (Some("service"), Some(service), None) if self.services.len() < MAX_SECTIONS => {
+                let read = read_service(service, open(&SERVICE_KEYS));
+                insert_new(&mut self.services, service, read, &mut self.faults, line);
+            }
+            (Some("class" | "service"), Some(_), None) => {
+                self.report(line, name, FaultKind::TooManySections { max: MAX_SECTIONS });
+            }
+            _ => {
+                let valid = VALID_SECTIONS;
+                self.report(line, name, FaultKind::UnknownSection { valid });
+            }
+        }
+    }
+
+    /// Returns the contract, or all faults ordered by line.
+    pub(crate) fn finish(self) -> Result<Contract, Vec<ContractFault>> {
+        let mut faults = self.faults;
+        let head = take(self.head, &mut faults);
+        let limits = take(self.limits, &mut faults);
+        let classes = take_all(self.classes, &mut faults);
+        let services = take_all(self.services, &mut faults);
+        faults.sort_by_key(|fault| fault.line);
+        match head {
+            Some(head) if faults.is_empty() => Ok(Contract {
+                classes,
+                services,
+                limits: limits.unwrap_or_default(),
+                ..head
+            }),
+            _ => Err(faults),
+        }
+    }
+}
+
+/// Inserts what was read, unless another spelling of the same section came before it.
+fn insert_new<T>(
+    sections: &mut IndexMap<String, Read<T>>,
+    name: &str,
+    read: Read<T>,
+    faults: &mut Vec<ContractFault>,
+    line: usize,
+) {
+    if let Some(first) = sections.get(name) {
+        let first_line = first.section.line_of("");
+        faults.push(ContractFault {
+            line,
+            section: name.to_owned(),
+            key: String::new(),
+            kind: FaultKind::DuplicateSection { first_line },
+        });
+        return;
+    }
+    sections.insert(name.to_owned(), read);
+}
+
+fn take<T>(read: Option<Read<T>>, faults: &mut Vec<ContractFault>) -> Option<T> {
+    let read = read?;
+    faults.extend(read.section.into_faults());
+    read.terms
+}
+
+fn take_all<T>(
+    reads: IndexMap<String, Read<T>>,
+    faults: &mut Vec<ContractFault>,
+) -> IndexMap<String, T> {
+    let mut all = IndexMap::new();
+    for (name, read) in reads {
+        if let Some(terms) = take(Some(read), faults) {
+            all.insert(name, terms);
+        }
+    }
+    all
+}
+
+fn read_head(mut section: ContractSection) -> Read<Contract> {
+    let customer = section.required("customer", parse_name);
+    let weigh = section.required("weigh", parse_variant);
+    let terms = customer.zip(weigh).map(|(customer, weigh)| Contract {
+        customer,
+        weigh,
+        classes: IndexMap::new(),
+        services: IndexMap::new(),
+        limits: Limits::default(),
+    });
+    Read { section, terms }
+}
+
+fn read_class(name: &str, mut section: ContractSection) -> Read<ClassTerms> {
+    report_bad_name(name, &mut section);
+    let kind = section.required("kind", parse_variant);
+    let share = section.required("share", parse_percent);
+    let priority = section.required("priority", parse_number);
+    let bound = section.required("latency-bound", parse_time);
+    let deadline = section.required("deadline", parse_time);
+    let staleness_versions = section.optional("staleness", parse_versions);
+    let terms = || {
+        Some(ClassTerms {
+            kind: kind?,
+            share_percent: share?,
+            priority: priority?,
+            latency_bound: bound?,
+            deadline: deadline?,
+            staleness_versions,
+        })
+    };
+    let terms = terms();
+    Read { section, terms }
+}
+
+fn read_service(name: &str, mut section: ContractSection) -> Read<ServiceTerms> {
+    report_bad_name(name, &mut section);
+    let class = section.required("class", parse_name);
+    let idempotent = section.required("idempotent", parse_yes_no);
+    let terms = class
+        .zip(idempotent)
+        .map(|(class, idempotent)| ServiceTerms { class, idempotent });
+    Read { section, terms }
+}
+
+fn read_limits(mut section: ContractSection) -> Read<Limits> {
+    let default = Limits::default();
+    let retries = section.optional("retries", parse_percent);
+    let hedges = section.optional("hedges", parse_percent);
+    let drain = section.optional("drain", parse_time);
+    let terms = Some(Limits {
+        retry_percent: retries.unwrap_or(default.retry_percent),
+        hedge_percent: hedges.unwrap_or(default.hedge_percent),
+        drain: drain.unwrap_or(default.drain),
+    });
+    Read { section, terms }
+}
+
+fn report_bad_name(name: &str, section: &mut ContractSection) {
+    if let Err(reason) = parse_name(name) {
+        let value = name.to_owned();
+        section.fault_at("", FaultKind::Value { value, reason });
+    }
+}
--- a/crates/oleanderlock/src/lib.rs
+++ b/crates/oleanderlock/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod contract;
 mod contract_check;
 pub mod contract_diff;
+mod contract_draft;
 pub mod contract_fault;
 pub mod contract_file;
 mod contract_section;
