--- /dev/null
+++ b/crates/oleander-daemon/src/agent.rs
@@ -0,0 +1,79 @@
+//! The agent daemon.
+
+use crate::agent_control::AgentControl;
+use crate::agent_cx::AgentCx;
+use crate::agent_event::AgentEvent;
+use crate::agent_http;
+use crate::agent_settings::AgentConfig;
+use crate::metrics::Metrics;
+use crate::open_fault::OpenFault;
+use crate::prelude::*;
+use crate::runtime;
+use oleander_link::{Delivery, LinkKeys, Mailbox};
+use std::sync::Arc;
+use std::sync::mpsc::{Sender, channel};
+use std::thread::JoinHandle;
+use trillium_smol::Stopper;
+
+/// A running agent.
+pub struct Agent {
+    events: Sender<AgentEvent>,
+    control: JoinHandle<()>,
+    mailbox: Mailbox,
+    stopper: Stopper,
+}
+
+impl Agent {
+    /// Binds the addresses and starts all threads.
+    ///
+    /// # Errors
+    ///
+    /// An address that can't be bound, or a thread that can't be started.
+    pub fn open(cfg: AgentConfig) -> Result<Self, OpenFault> {
+        runtime::start_traffic_threads(cfg.node.traffic_threads);
+        let incarnation = Incarnation(rand::random());
+        let metrics = Metrics::new("oleander_agent");
+        let keys = LinkKeys::derive(&cfg.node.link_keys);
+        let (events, inbox) = channel();
+        let mailbox = bind_mailbox(&cfg, keys.clone(), events.clone())?;
+        let peers = Peers::new(&cfg.node.link, incarnation, keys, |_| ());
+        let stopper = runtime::serve(cfg.node.http, {
+            agent_http::handler(events.clone(), metrics.clone())
+        })?;
+        let cx = AgentCx::new(Arc::new(cfg), metrics, peers, events.clone());
+        cx.start_probes();
+        log::info!("event=open role=agent incarnation={incarnation}");
+        let mut state = AgentControl::new(cx, incarnation);
+        let control = runtime::spawn_control(inbox, move |event| state.handle(event))?;
+        Ok(Self { events, control, mailbox, stopper })
+    }
+
+    /// Returns a sender for events such as [`AgentEvent::Stop`].
+    pub fn events(&self) -> Sender<AgentEvent> {
+        self.events.clone()
+    }
+
+    /// Waits until the agent has stopped gracefully.
+    pub fn wait(self) {
+        let _ = self.control.join();
+        self.stopper.stop();
+        // Closing the sockets waits until what is buffered has gone out.
+        drop(self.mailbox);
+        log::info!("event=closed role=agent");
+    }
+}
+
+fn bind_mailbox(
+    cfg: &AgentConfig,
+    keys: LinkKeys,
+    events: Sender<AgentEvent>,
+) -> Result<Mailbox, OpenFault> {
+    let deliver = move |delivery| {
+        let event = match delivery {
+            Delivery::Frame(frame) => AgentEvent::Frame(frame),
+            Delivery::Refused(fault) => AgentEvent::FrameRefused(fault),
+        };
+        let _ = events.send(event);
+    };
+    Ok(Mailbox::bind(&cfg.node.link, keys, deliver)?)
+}
--- a/crates/oleander-daemon/src/attempt.rs
+++ b/crates/oleander-daemon/src/attempt.rs
@@ -2,94 +2,91 @@
 
 use crate::prelude::*;
 use bytes::Bytes;
+use oleanderlock::outcome::Outcome;
+use oleanderlock::submission::Submission;
 
 /// Work that an entry asked this agent to do.
 #[derive(Clone, Debug)]
 pub struct Attempt {
-    /// Names the attempt.
-    pub ticket: Ticket,
-    /// Link address of the entry that waits.
-    pub entry: String,
+    /// Identity, deadline and horizon.
+    pub submission: Submission,
+    /// Those that get the outcome.
+    pub waiters: Vec<Waiter>,
     /// Class of the contract.
-    pub class: String,
+    pub class: Bytes,
     /// Model or service.
     pub target: String,
     /// Who waits for the work.
     pub kind: WorkKind,
-    /// Whether the work may be repeated.
-    pub idempotent: bool,
-    /// When nobody waits any more, on this process's clock.
-    pub deadline: Millis,
     /// Request body as the endpoint expects it.
     pub payload: Bytes,
     /// Tokens that the caller already has.
     pub resume_offset: u64,
     /// Method and path for a plain service.
     pub route: String,
-    /// Priority towards the engine.
-    pub priority: u32,
+    /// Estimated tokens; 1 for a plain call.
+    pub cost: u64,
 }
 
-/// How an attempt ended at its endpoint.
+/// One sender of a submission; its outcome names its own ticket.
 #[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Waiter {
+    /// Link address of the entry.
+    pub entry: String,
+    /// The ticket that the entry knows.
+    pub ticket: Ticket,
+}
+
+/// How an attempt ended at its endpoint.
+#[derive(Clone, Debug)]
 pub struct AttemptEnd {
     /// Names the attempt.
     pub ticket: Ticket,
-    /// Whether the work ran.
-    pub ran: Ran,
-    /// Why it failed; `None` for success.
-    pub error: Option<ErrorKind>,
-    /// Tokens, or bytes of a plain answer.
-    pub total: u64,
-    /// HTTP status of a plain service; 0 for engines.
-    pub status: u16,
-    /// Answer of a plain service.
-    pub data: Bytes,
+    /// What became of it.
+    pub outcome: Outcome,
 }
 
 impl Attempt {
-    /// Reads a submission that arrived at `now`; `None` when its ticket or kind is malformed.
-    pub fn read(now: Millis, entry: String, submit: wire::Submit) -> Option<Self> {
+    /// Reads a submission; `None` when its ticket or its texts are malformed.
+    pub fn read(entry: String, submit: wire::Submit) -> Option<Self> {
         let ticket = submit.ticket.as_ref()?.typed()?;
         let kind = submit.kind().into();
-        Some(Self {
+        let submission = Submission {
             ticket,
-            entry,
-            class: String::from_utf8(submit.class.into()).ok()?,
+            idempotent: submit.idempotent,
+            deadline: Millis(submit.deadline_ms),
+            horizon: Millis(submit.horizon_ms),
+            fingerprint: submit.fingerprint,
+        };
+        Some(Self {
+            submission,
+            waiters: vec![Waiter { entry, ticket }],
+            class: submit.class,
             target: String::from_utf8(submit.target.into()).ok()?,
             kind,
-            idempotent: submit.idempotent,
-            deadline: now.plus(Millis(submit.deadline_in_ms)),
             payload: submit.payload,
             resume_offset: submit.resume_offset,
             route: submit.route,
-            priority: 0,
+            cost: submit.cost.max(1),
         })
     }
+
+    /// Names the attempt.
+    pub fn ticket(&self) -> Ticket {
+        self.submission.ticket
+    }
 }
 
 impl AttemptEnd {
     /// Creates the end of an attempt that failed.
     pub fn failed(ticket: Ticket, error: ErrorKind, ran: Ran) -> Self {
-        Self {
-            ticket,
-            ran,
-            error: Some(error),
-            total: 0,
-            status: 0,
-            data: Bytes::new(),
-        }
+        Self { ticket, outcome: Outcome::failed(error, ran) }
     }
 
     /// Creates the end of an engine's whole answer.
     pub fn whole(ticket: Ticket, total: u64) -> Self {
-        Self {
-            ticket,
-            ran: Ran::Yes,
-            error: None,
-            total,
-            status: 0,
-            data: Bytes::new(),
-        }
+        let mut outcome = Outcome::answered(0, Bytes::new());
+        outcome.total = total;
+        Self { ticket, outcome }
     }
 }
--- a/crates/oleander-daemon/src/engine_client.rs
+++ b/crates/oleander-daemon/src/engine_client.rs
@@ -66,7 +66,7 @@
 
     /// Runs one attempt and hands each chunk to `on_chunk`.
     pub async fn run(&self, attempt: &Attempt, on_chunk: impl Fn(wire::Chunk)) -> AttemptEnd {
-        let ticket = attempt.ticket;
+        let ticket = attempt.ticket();
         let Some(body) = generate_body(attempt) else {
             return AttemptEnd::failed(ticket, ErrorKind::BadRequest, Ran::No);
         };
@@ -145,12 +145,20 @@
 fn generate_body(attempt: &Attempt) -> Option<String> {
     let mut body: Value = serde_json::from_slice(&attempt.payload).ok()?;
     let fields = body.as_object_mut()?;
-    fields.insert("request".to_owned(), json!(attempt.ticket.to_string()));
-    fields.insert("priority".to_owned(), json!(attempt.priority));
+    fields.insert("request".to_owned(), json!(attempt.ticket().to_string()));
+    fields.insert("priority".to_owned(), json!(priority_of(attempt.kind)));
     fields.insert("resume_from".to_owned(), json!(attempt.resume_offset));
     Some(body.to_string())
 }
 
+/// Engines serve a greater number first.
+fn priority_of(kind: WorkKind) -> u32 {
+    match kind {
+        WorkKind::Interactive => 1,
+        WorkKind::Samples => 0,
+    }
+}
+
 fn chunk(
     ticket: Ticket,
     offset: u64,
--- a/crates/oleander-daemon/src/runtime.rs
+++ b/crates/oleander-daemon/src/runtime.rs
@@ -1,9 +1,13 @@
 //! Threads of a process: one for control state, a fixed number for traffic.
 
 use std::future::Future;
+use std::net::SocketAddr;
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::thread::JoinHandle;
 use std::time::Duration;
+use trillium::Handler;
+use trillium_http::HttpConfig;
+use trillium_smol::Stopper;
 use trillium_smol::async_global_executor::{self as executor, GlobalExecutorConfig};
 
 /// Time between two ticks of a control thread.
@@ -52,3 +56,33 @@
             }
         })
 }
+
+/// Greatest request head, in bytes.
+const HEAD_MAX_BYTES: usize = 16 << 10;
+/// Greatest request body that is read, in bytes.
+pub const BODY_MAX_BYTES: u64 = 4 << 20;
+/// Connections that are served at once.
+const CONNECTIONS_MAX: usize = 8192;
+
+/// Serves HTTP on the traffic threads until the stopper is told to stop.
+///
+/// # Errors
+///
+/// The system's fault when the address can't be bound.
+pub fn serve(address: SocketAddr, handler: impl Handler) -> std::io::Result<Stopper> {
+    let listener = std::net::TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    let stopper = Stopper::new();
+    let limits = HttpConfig::default()
+        .with_head_max_len(HEAD_MAX_BYTES)
+        .with_received_body_max_len(BODY_MAX_BYTES);
+    trillium_smol::config()
+        .without_signals()
+        .with_nodelay()
+        .with_http_config(limits)
+        .with_max_connections(Some(CONNECTIONS_MAX))
+        .with_stopper(stopper.clone())
+        .with_prebound_server(listener)
+        .spawn(handler);
+    Ok(stopper)
+}
--- a/crates/oleander-daemon/src/service_client.rs
+++ b/crates/oleander-daemon/src/service_client.rs
@@ -3,6 +3,7 @@
 use crate::attempt::{Attempt, AttemptEnd};
 use crate::prelude::*;
 use bytes::Bytes;
+use oleanderlock::outcome::Outcome;
 use trillium_client::{Client, Conn};
 use trillium_smol::ClientConfig;
 
@@ -32,7 +33,7 @@
             Ok(end) => end,
             Err(fault) => {
                 let ran = ran_after(&fault);
-                AttemptEnd::failed(attempt.ticket, ErrorKind::EndpointFailed, ran)
+                AttemptEnd::failed(attempt.ticket(), ErrorKind::EndpointFailed, ran)
             }
         }
     }
@@ -41,14 +42,7 @@
         let mut conn = self.call(attempt).await?;
         let status = conn.status().map_or(0, |status| status as u16);
         let data = Bytes::from(conn.response_body().read_bytes().await?);
-        Ok(AttemptEnd {
-            ticket: attempt.ticket,
-            ran: Ran::Yes,
-            error: None,
-            total: data.len() as u64,
-            status,
-            data,
-        })
+        Ok(AttemptEnd { ticket: attempt.ticket(), outcome: Outcome::answered(status, data) })
     }
 
     fn call(&self, attempt: &Attempt) -> Conn {
@@ -56,7 +50,7 @@
         self.client
             .post(format!("{}{path}", self.base))
             .with_request_header("content-type", "application/json")
-            .with_request_header("x-request-id", attempt.ticket.request.to_string())
+            .with_request_header("x-request-id", attempt.ticket().request.to_string())
             .with_body(attempt.payload.to_vec())
     }
 }
