--- /dev/null
+++ b/crates/oleanderlock/src/attempt_ledger.rs
@@ -0,0 +1,379 @@
+//! Duplicate suppression at an agent, for one incarnation.
+//!
+//! A non-idempotent request has one record and one outcome per incarnation, whatever the attempt
+//! number and whichever entry sent it. "Not run" is an outcome too and is as final as the others.
+//! An idempotent request has a record for each ticket.
+
+use crate::guards::Guards;
+use crate::request_outcome::Outcome;
+use crate::prelude::*;
+use crate::submission::Submission;
+use indexmap::IndexMap;
+use std::collections::BTreeSet;
+use std::hash::{Hash, Hasher};
+
+/// Bounds of an [`AttemptLedger`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct LedgerLimits {
+    /// Records kept at most; new work is refused beyond.
+    pub capacity: usize,
+    /// Bytes of plain answers kept at most; outcomes beyond are kept without their answer.
+    pub answer_bytes: usize,
+    /// Time for which a record outlives its horizon, so that late copies meet the true outcome.
+    pub grace: Millis,
+    /// Longest time from now to a horizon.
+    pub longest: Millis,
+    /// Number of floors, which stand in for tombstones while the table is full.
+    pub floors: usize,
+}
+
+impl Default for LedgerLimits {
+    fn default() -> Self {
+        Self {
+            capacity: 16_384,
+            answer_bytes: 16 << 20,
+            grace: Millis::from_secs(30),
+            longest: Millis::from_secs(3600),
+            floors: 1024,
+        }
+    }
+}
+
+/// What an agent does with a submission.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum SubmitAction {
+    /// New: hand it to admission; then call `start`, or `finish` with a refusal.
+    Start,
+    /// Queued or running already: send the outcome to this sender as well when it is known.
+    Attach,
+    /// Known: send this outcome; nothing runs.
+    Repeat(Outcome),
+    /// Refused; nothing runs.
+    Refuse(ErrorKind, Ran),
+}
+
+/// Answer to a request that an attempt never start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Burial {
+    /// `No`: it did not run and never will. `Unknown`: it is running, or the agent can't tell.
+    pub ran: Ran,
+    /// The attempt was queued: take it out and send its outcome to all senders.
+    pub dequeued: bool,
+}
+
+/// Identity under which a record is kept.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+struct RecordKey {
+    request: RequestId,
+    /// Set for idempotent requests only.
+    attempt: Option<u32>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+enum RecordState {
+    Queued,
+    Running,
+    Done(Outcome),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Record {
+    state: RecordState,
+    deadline: Millis,
+    forget_at: Millis,
+    fingerprint: u64,
+}
+
+/// Remembers what became of the attempts of one agent incarnation.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AttemptLedger {
+    incarnation: Incarnation,
+    limits: LedgerLimits,
+    guards: Guards,
+    records: IndexMap<RecordKey, Record>,
+    expiry: BTreeSet<Expiry>,
+    /// By hash of the request: no unknown attempt with a horizon up to this may start.
+    floors: Vec<Millis>,
+    answer_bytes: usize,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+struct Expiry {
+    at: Millis,
+    key: RecordKey,
+}
+
+impl AttemptLedger {
+    /// Returns an empty ledger for a new incarnation.
+    pub fn new(incarnation: Incarnation, limits: LedgerLimits) -> Self {
+        Self::with_guards(incarnation, limits, Guards::ALL)
+    }
+
+    /// As [`Self::new`], with guards that may be off; for model checking.
+    pub fn with_guards(incarnation: Incarnation, limits: LedgerLimits, guards: Guards) -> Self {
+        Self {
+            incarnation,
+            limits,
+            guards,
+            records: IndexMap::new(),
+            expiry: BTreeSet::new(),
+            floors: vec![Millis::ZERO; limits.floors.max(1)],
+            answer_bytes: 0,
+        }
+    }
+
+    /// The incarnation whose tickets are accepted.
+    pub const fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// Number of records kept.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Whether no record is kept.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Takes a submission at time `now`, or a copy of one.
+    pub fn submit(&mut self, now: Millis, submission: &Submission) -> SubmitAction {
+        if self.is_foreign(submission.ticket) {
+            return SubmitAction::Refuse(ErrorKind::WrongIncarnation, Ran::Unknown);
+        }
+        self.forget(now);
+        let key = self.key(submission.ticket, submission.idempotent);
+        if let Some(record) = self.records.get(&key) {
+            return self.submit_known(record, submission);
+        }
+        self.submit_new(now, key, submission)
+    }
+
+    /// Asks to run a queued attempt now; an error is its outcome, and it must not run.
+    pub fn start(&mut self, now: Millis, ticket: Ticket, idempotent: bool) -> Result<(), Outcome> {
+        let key = self.key(ticket, idempotent);
+        let Some(record) = self.records.get_mut(&key) else {
+            return Err(Outcome::failed(ErrorKind::Cancelled, Ran::Unknown));
+        };
+        match &record.state {
+            RecordState::Queued if now < record.deadline => {
+                record.state = RecordState::Running;
+                Ok(())
+            }
+            RecordState::Queued => {
+                let outcome = Outcome::failed(ErrorKind::DeadlineBeforeStart, Ran::No);
+                record.state = RecordState::Done(outcome.clone());
+                Err(outcome)
+            }
+            RecordState::Running => Err(Outcome::failed(ErrorKind::KeyInProgress, Ran::Unknown)),
+            RecordState::Done(outcome) => Err(outcome.clone()),
+        }
+    }
+
+    /// Records the outcome of a queued or running attempt; returns false if it had one already.
+    pub fn finish(&mut self, ticket: Ticket, idempotent: bool, outcome: Outcome) -> bool {
+        let key = self.key(ticket, idempotent);
+        let tombstone = self.guards.tombstone || outcome.ran != Ran::No;
+        let kept = self.within_budget(outcome);
+        let Some(record) = self.records.get_mut(&key) else {
+            return false;
+        };
+        if matches!(record.state, RecordState::Done(_)) {
+            return false;
+        }
+        self.answer_bytes += kept.data.as_ref().map_or(0, |data| data.len());
+        record.state = RecordState::Done(kept);
+        if !tombstone {
+            self.remove(key);
+        }
+        true
+    }
+
+    /// Makes sure that an attempt never starts, unless it has started already.
+    pub fn bury(&mut self, now: Millis, submission: &Submission) -> Burial {
+        let ticket = submission.ticket;
+        if self.is_foreign(ticket) {
+            return Burial::kept(Ran::Unknown);
+        }
+        self.forget(now);
+        let key = self.key(ticket, submission.idempotent);
+        let buried = Outcome::failed(ErrorKind::Cancelled, Ran::No);
+        match self.records.get(&key).map(|record| &record.state) {
+            Some(RecordState::Done(outcome)) => Burial::kept(outcome.ran),
+            Some(RecordState::Running) => Burial::kept(Ran::Unknown),
+            Some(RecordState::Queued) => {
+                self.finish(ticket, submission.idempotent, buried);
+                Burial {
+                    ran: Ran::No,
+                    dequeued: true,
+                }
+            }
+            None if self.may_have_forgotten(now, submission.horizon) => Burial::kept(Ran::Unknown),
+            None => {
+                self.tombstone(key, submission, buried);
+                Burial::kept(Ran::No)
+            }
+        }
+    }
+
+    /// Drops records whose horizon and grace have passed and that have an outcome.
+    pub fn forget(&mut self, now: Millis) {
+        while let Some(first) = self.expiry.first().copied() {
+            if first.at > now {
+                return;
+            }
+            self.expiry.pop_first();
+            self.forget_or_keep(now, first.key);
+        }
+    }
+
+    /// Time at which `forget` next has something to do.
+    pub fn wake_at(&self) -> Option<Millis> {
+        self.expiry.first().map(|expiry| expiry.at)
+    }
+
+    fn is_foreign(&self, ticket: Ticket) -> bool {
+        self.guards.incarnation && ticket.incarnation != self.incarnation
+    }
+
+    fn key(&self, ticket: Ticket, idempotent: bool) -> RecordKey {
+        let whole = !idempotent && self.guards.request_identity;
+        RecordKey {
+            request: ticket.request,
+            attempt: (!whole).then_some(ticket.attempt),
+        }
+    }
+
+    fn submit_known(&self, record: &Record, submission: &Submission) -> SubmitAction {
+        if self.guards.fingerprint && record.fingerprint != submission.fingerprint {
+            return SubmitAction::Refuse(ErrorKind::KeyReused, Ran::No);
+        }
+        match &record.state {
+            RecordState::Done(outcome) => SubmitAction::Repeat(outcome.clone()),
+            RecordState::Queued | RecordState::Running => SubmitAction::Attach,
+        }
+    }
+
+    fn submit_new(&mut self, now: Millis, key: RecordKey, submission: &Submission) -> SubmitAction {
+        if self.may_have_forgotten(now, submission.horizon) {
+            return SubmitAction::Refuse(ErrorKind::DeadlineBeforeStart, Ran::Unknown);
+        }
+        if submission.horizon.since(now) > self.limits.longest {
+            return SubmitAction::Refuse(ErrorKind::BadRequest, Ran::Unknown);
+        }
+        if submission.horizon <= self.floors[self.floor_index(key)] {
+            return SubmitAction::Refuse(ErrorKind::Cancelled, Ran::No);
+        }
+        if self.is_late(now, submission) {
+            let outcome = Outcome::failed(ErrorKind::DeadlineBeforeStart, Ran::No);
+            self.tombstone(key, submission, outcome);
+            return SubmitAction::Refuse(ErrorKind::DeadlineBeforeStart, Ran::No);
+        }
+        if self.records.len() >= self.limits.capacity {
+            self.raise_floor(key, submission.horizon);
+            return SubmitAction::Refuse(ErrorKind::Overloaded, Ran::No);
+        }
+        self.insert(key, submission, RecordState::Queued);
+        SubmitAction::Start
+    }
+
+    fn is_late(&self, now: Millis, submission: &Submission) -> bool {
+        now >= submission.deadline || (self.guards.horizon && now >= submission.horizon)
+    }
+
+    /// Whether a record with this horizon could have been dropped.
+    fn may_have_forgotten(&self, now: Millis, horizon: Millis) -> bool {
+        self.guards.forgotten && now >= horizon.plus(self.limits.grace)
+    }
+
+    fn tombstone(&mut self, key: RecordKey, submission: &Submission, outcome: Outcome) {
+        if !self.guards.tombstone {
+            return;
+        }
+        if self.records.len() >= self.limits.capacity {
+            return self.raise_floor(key, submission.horizon);
+        }
+        self.insert(key, submission, RecordState::Done(outcome));
+    }
+
+    fn raise_floor(&mut self, key: RecordKey, horizon: Millis) {
+        if !self.guards.floor {
+            return;
+        }
+        let index = self.floor_index(key);
+        self.floors[index] = self.floors[index].max(horizon);
+    }
+
+    fn floor_index(&self, key: RecordKey) -> usize {
+        let id = key.request.0;
+        ((id ^ (id >> 64)) as u64 % self.floors.len() as u64) as usize
+    }
+
+    fn insert(&mut self, key: RecordKey, submission: &Submission, state: RecordState) {
+        let forget_at = submission.horizon.plus(self.limits.grace);
+        let record = Record {
+            state,
+            deadline: submission.deadline.min(submission.horizon),
+            forget_at,
+            fingerprint: submission.fingerprint,
+        };
+        self.records.insert(key, record);
+        self.expiry.insert(Expiry { at: forget_at, key });
+    }
+
+    fn remove(&mut self, key: RecordKey) {
+        let Some(record) = self.records.swap_remove(&key) else {
+            return;
+        };
+        self.expiry.remove(&Expiry {
+            at: record.forget_at,
+            key,
+        });
+        if let RecordState::Done(outcome) = record.state {
+            self.answer_bytes -= outcome.data.map_or(0, |data| data.len());
+        }
+    }
+
+    fn forget_or_keep(&mut self, now: Millis, key: RecordKey) {
+        let Some(record) = self.records.get_mut(&key) else {
+            return;
+        };
+        if matches!(record.state, RecordState::Done(_)) {
+            return self.remove(key);
+        }
+        record.forget_at = now.plus(self.limits.grace).plus(Millis(1));
+        self.expiry.insert(Expiry {
+            at: record.forget_at,
+            key,
+        });
+    }
+
+    fn within_budget(&self, mut outcome: Outcome) -> Outcome {
+        let len = outcome.data.as_ref().map_or(0, |data| data.len());
+        if self.answer_bytes + len > self.limits.answer_bytes {
+            outcome.data = None;
+        }
+        outcome
+    }
+}
+
+impl Burial {
+    const fn kept(ran: Ran) -> Self {
+        Self {
+            ran,
+            dequeued: false,
+        }
+    }
+}
+
+impl Hash for AttemptLedger {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.incarnation.hash(state);
+        self.floors.hash(state);
+        for expiry in &self.expiry {
+            expiry.hash(state);
+            self.records.get(&expiry.key).hash(state);
+        }
+    }
+}
--- /dev/null
+++ b/crates/oleanderlock/src/issued_key.rs
@@ -0,0 +1,139 @@
+//! Idempotency keys that name the agent incarnation at which their request runs.
+//!
+//! Any entry can route such a key by itself, so that two calls with one key meet the same attempt
+//! ledger without a write to the platform's store. A keyed BLAKE3 hash shows that the key was
+//! issued by an entry of this system.
+
+use crate::prelude::*;
+use derive_more::{Display, Error};
+
+/// Purpose string under which request identities are derived from keys.
+const REQUEST_ID_CONTEXT: &str = "oleanderlock 2026 request identity of an issued key";
+/// Purpose string under which key secrets are derived.
+const SECRET_CONTEXT: &str = "oleanderlock 2026 secret of issued keys";
+/// First characters of every issued key.
+const PREFIX: &str = "ok1";
+
+/// An idempotency key as it was issued.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct IssuedKey {
+    /// Model or service that the key may be used with.
+    pub target: String,
+    /// Name of the agent's instance, for finding its link.
+    pub agent: String,
+    /// The only incarnation that may run the request.
+    pub incarnation: Incarnation,
+    /// End of use on that agent's clock; the horizon of every submission with the key.
+    pub expires: Millis,
+    /// Makes the key unique; drawn at random.
+    pub nonce: u128,
+}
+
+/// Why a text is no valid key.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq, Hash)]
+pub enum KeyError {
+    /// The text does not have the form of an issued key.
+    #[display("not an issued key")]
+    Malformed,
+    /// No known secret made the hash in the key.
+    #[display("the key was not issued by this system")]
+    Forged,
+    /// A name can't be written into a key.
+    #[display("a name in the key is empty or has a reserved character")]
+    BadName,
+}
+
+/// The secrets under which keys are issued and verified.
+#[derive(Clone)]
+pub struct KeySecrets {
+    current: [u8; 32],
+    previous: Vec<[u8; 32]>,
+}
+
+impl KeySecrets {
+    /// Takes the shared secret of the deployment, and older ones that still verify.
+    pub fn new(current: &[u8], previous: &[&[u8]]) -> Self {
+        Self {
+            current: derive(current),
+            previous: previous.iter().map(|secret| derive(secret)).collect(),
+        }
+    }
+
+    /// Writes a key as the text that the caller sends back.
+    pub fn issue(&self, key: &IssuedKey) -> Result<String, KeyError> {
+        let valid = is_name(&key.target) && is_name(&key.agent);
+        if !valid {
+            return Err(KeyError::BadName);
+        }
+        let body = key.body();
+        let mac = blake3::keyed_hash(&self.current, body.as_bytes());
+        Ok(format!("{body}.{}", mac.to_hex()))
+    }
+
+    /// Reads the text of a key and checks that it was issued here.
+    pub fn verify(&self, text: &str) -> Result<IssuedKey, KeyError> {
+        let (body, mac) = text.rsplit_once('.').ok_or(KeyError::Malformed)?;
+        let mac = blake3::Hash::from_hex(mac).map_err(|_| KeyError::Malformed)?;
+        let key = parse(body).ok_or(KeyError::Malformed)?;
+        let is_ours = |secret| blake3::keyed_hash(secret, body.as_bytes()) == mac;
+        match is_ours(&self.current) || self.previous.iter().any(is_ours) {
+            true => Ok(key),
+            false => Err(KeyError::Forged),
+        }
+    }
+}
+
+impl IssuedKey {
+    /// Whether a text looks like an issued key, as against one that the caller chose.
+    pub fn is_issued(text: &str) -> bool {
+        text.split('~').next() == Some(PREFIX)
+    }
+
+    /// The identity of the only request that runs under this key.
+    pub fn request_id(&self) -> RequestId {
+        let hash = blake3::derive_key(REQUEST_ID_CONTEXT, self.body().as_bytes());
+        RequestId(u128::from_be_bytes(first_half(hash)))
+    }
+
+    /// Whether the key may not be used any more, at time `now` of its agent's clock.
+    pub fn is_expired(&self, now: Millis) -> bool {
+        now >= self.expires
+    }
+
+    fn body(&self) -> String {
+        format!(
+            "{PREFIX}~{}~{}~{}~{:x}~{:x}",
+            self.target, self.agent, self.incarnation, self.expires.0, self.nonce
+        )
+    }
+}
+
+fn parse(body: &str) -> Option<IssuedKey> {
+    let mut fields = body.split('~');
+    if fields.next()? != PREFIX {
+        return None;
+    }
+    let key = IssuedKey {
+        target: fields.next()?.to_owned(),
+        agent: fields.next()?.to_owned(),
+        incarnation: Incarnation(u64::from_str_radix(fields.next()?, 16).ok()?),
+        expires: Millis(u64::from_str_radix(fields.next()?, 16).ok()?),
+        nonce: u128::from_str_radix(fields.next()?, 16).ok()?,
+    };
+    let canonical = fields.next().is_none() && key.body() == body;
+    canonical.then_some(key)
+}
+
+fn is_name(name: &str) -> bool {
+    !name.is_empty() && name.bytes().all(|b| b.is_ascii_graphic() && b != b'~')
+}
+
+fn derive(secret: &[u8]) -> [u8; 32] {
+    blake3::derive_key(SECRET_CONTEXT, secret)
+}
+
+fn first_half(hash: [u8; 32]) -> [u8; 16] {
+    let mut half = [0; 16];
+    half.copy_from_slice(&hash[..16]);
+    half
+}
--- a/crates/oleanderlock/src/lib.rs
+++ b/crates/oleanderlock/src/lib.rs
@@ -4,15 +4,23 @@
 //! actions. Nothing here performs I/O, starts threads or reads a clock, so the daemons, the model
 //! checker, the differential tests and the load tool run the same code.
 
+pub mod agent_clock;
 pub mod answer;
+pub mod attempt_ledger;
 pub mod class_terms;
 pub mod clock;
 pub mod contract;
 pub mod error_kind;
+pub mod guards;
+pub mod issued_key;
+pub mod key_binding;
 pub mod keys;
 pub mod limits;
 pub mod prelude;
 pub mod ran;
+pub mod request_outcome;
+pub mod request_track;
 pub mod service_terms;
+pub mod submission;
 pub mod weigh;
 pub mod work_kind;
--- /dev/null
+++ b/crates/oleanderlock/src/request_track.rs
@@ -0,0 +1,395 @@
+//! One request's life at an entry: its attempts, and what the caller is told.
+
+use crate::guards::Guards;
+use crate::prelude::*;
+use crate::request_outcome::Outcome;
+
+/// Limits of a request's life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct TrackConfig {
+    /// Attempts at most, the first one included.
+    pub max_attempts: u32,
+    /// Sends of one ticket at most, the first one included.
+    pub max_sends: u32,
+    /// How long before the deadline the agent is asked to bury an attempt that has not started.
+    pub bury_margin: Millis,
+}
+
+impl Default for TrackConfig {
+    fn default() -> Self {
+        Self {
+            max_attempts: 3,
+            max_sends: 3,
+            bury_margin: Millis(50),
+        }
+    }
+}
+
+/// Where a request may run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Placement {
+    /// At any endpoint that routing chooses.
+    Free,
+    /// At one agent incarnation only, because of its idempotency key.
+    Bound {
+        /// The only incarnation that may run it.
+        incarnation: Incarnation,
+        /// The caller vouches that it has sent this key in no earlier call.
+        first_call: bool,
+    },
+}
+
+/// A request as an entry accepts it; times are on the entry's clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct RequestSpec {
+    /// Identity; derived from the key if there is one.
+    pub id: RequestId,
+    /// Whether the work may be repeated.
+    pub idempotent: bool,
+    /// When the caller is answered at the latest.
+    pub deadline: Millis,
+    /// Where it may run.
+    pub placement: Placement,
+}
+
+/// What happened to a request.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum TrackEvent {
+    /// Routing chose this agent incarnation, and the retry budget allows the attempt.
+    Route(Incarnation),
+    /// Routing found no endpoint or the retry budget is spent; the kind says which.
+    NoRoute(ErrorKind),
+    /// The link proves that the last send of the ticket left this process in no form.
+    NotSent(Ticket),
+    /// The link to the agent broke after a send; the agent may still be there.
+    Disconnected(Ticket),
+    /// The incarnation is gone: it was replaced, or its failure is established.
+    AgentGone(Incarnation),
+    /// Part of the answer came, so the attempt has started.
+    Started(Ticket),
+    /// The agent's final word on a ticket.
+    Finished(Ticket, Outcome),
+    /// The agent's answer to a burial.
+    Buried(Ticket, Ran),
+    /// Time has passed.
+    Tick,
+    /// The caller is gone.
+    CallerGone,
+}
+
+/// What the entry does next.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum TrackAction {
+    /// Choose an endpoint other than those of earlier attempts, then report `Route` or `NoRoute`.
+    Choose,
+    /// Send the submission of this ticket; sending it again is safe.
+    Send(Ticket),
+    /// Ask the agent to bury this ticket.
+    Bury(Ticket),
+    /// Answer the caller; the track is done.
+    Answer(Outcome),
+}
+
+/// One attempt, as far as the entry knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Attempt {
+    ticket: Ticket,
+    sends: u32,
+    started: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Phase {
+    Choosing,
+    Waiting(Attempt),
+    Burying(Attempt),
+    Done,
+}
+
+/// Follows one request until its caller has an answer.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct RequestTrack {
+    spec: RequestSpec,
+    cfg: TrackConfig,
+    guards: Guards,
+    phase: Phase,
+    attempts: u32,
+    /// What is known of all attempts that are over.
+    past: Ran,
+}
+
+impl RequestTrack {
+    /// Starts to follow a request and returns the first action.
+    pub fn open(spec: RequestSpec, cfg: TrackConfig) -> (Self, TrackAction) {
+        Self::with_guards(spec, cfg, Guards::ALL)
+    }
+
+    /// As [`Self::open`], with guards that may be off; for model checking.
+    pub fn with_guards(
+        spec: RequestSpec,
+        cfg: TrackConfig,
+        guards: Guards,
+    ) -> (Self, TrackAction) {
+        let mut track = Self {
+            spec,
+            cfg,
+            guards,
+            phase: Phase::Choosing,
+            attempts: 0,
+            past: Ran::No,
+        };
+        if let Placement::Bound {
+            incarnation,
+            first_call,
+        } = spec.placement
+        {
+            if guards.earlier_calls && !first_call {
+                track.past = Ran::Unknown;
+            }
+            let action = track.attempt(incarnation);
+            return (track, action);
+        }
+        (track, TrackAction::Choose)
+    }
+
+    /// The request that is followed.
+    pub const fn spec(&self) -> &RequestSpec {
+        &self.spec
+    }
+
+    /// Whether the caller has its answer or is gone.
+    pub const fn is_done(&self) -> bool {
+        matches!(self.phase, Phase::Done)
+    }
+
+    /// Attempts made so far.
+    pub const fn attempts(&self) -> u32 {
+        self.attempts
+    }
+
+    /// Ticket of the attempt under way.
+    pub const fn current(&self) -> Option<Ticket> {
+        match self.phase {
+            Phase::Waiting(attempt) | Phase::Burying(attempt) => Some(attempt.ticket),
+            Phase::Choosing | Phase::Done => None,
+        }
+    }
+
+    /// Time of the next `Tick` that matters.
+    pub fn wake_at(&self) -> Option<Millis> {
+        match self.phase {
+            Phase::Waiting(attempt) if !attempt.started => Some(self.bury_at()),
+            Phase::Done => None,
+            _ => Some(self.spec.deadline),
+        }
+    }
+
+    /// Takes an event at time `now` and returns what to do, if anything.
+    pub fn step(&mut self, now: Millis, event: TrackEvent) -> Option<TrackAction> {
+        match (self.phase, event) {
+            (Phase::Done, _) => None,
+            (_, TrackEvent::CallerGone) => self.abandon(),
+            (_, _) if now >= self.spec.deadline => Some(self.expire()),
+            (phase, TrackEvent::Tick) => self.tick(now, phase),
+            (Phase::Choosing, TrackEvent::Route(incarnation)) => Some(self.attempt(incarnation)),
+            (Phase::Choosing, TrackEvent::NoRoute(kind)) => Some(self.fail(kind, self.past)),
+            (Phase::Choosing, _) => None,
+            (Phase::Waiting(attempt) | Phase::Burying(attempt), event) => {
+                self.step_attempt(attempt, event)
+            }
+        }
+    }
+
+    fn step_attempt(&mut self, attempt: Attempt, event: TrackEvent) -> Option<TrackAction> {
+        let current = |ticket| ticket == attempt.ticket || !self.guards.ticket;
+        match event {
+            TrackEvent::NotSent(ticket) if current(ticket) => self.on_not_sent(attempt),
+            TrackEvent::Disconnected(ticket) if current(ticket) => self.on_disconnect(attempt),
+            TrackEvent::AgentGone(incarnation) if incarnation == attempt.ticket.incarnation => {
+                Some(self.on_lost(attempt))
+            }
+            TrackEvent::Started(ticket) if current(ticket) => {
+                self.phase = Phase::Waiting(Attempt {
+                    started: true,
+                    ..attempt
+                });
+                None
+            }
+            TrackEvent::Finished(ticket, outcome) if current(ticket) => {
+                Some(self.on_finished(outcome))
+            }
+            TrackEvent::Buried(ticket, ran) if current(ticket) => self.on_buried(attempt, ran),
+            _ => None,
+        }
+    }
+
+    fn attempt(&mut self, incarnation: Incarnation) -> TrackAction {
+        let ticket = Ticket {
+            request: self.spec.id,
+            attempt: self.attempts,
+            incarnation,
+        };
+        self.attempts += 1;
+        self.phase = Phase::Waiting(Attempt {
+            ticket,
+            sends: 1,
+            started: false,
+        });
+        TrackAction::Send(ticket)
+    }
+
+    fn tick(&mut self, now: Millis, phase: Phase) -> Option<TrackAction> {
+        let Phase::Waiting(attempt) = phase else {
+            return None;
+        };
+        if attempt.started || now < self.bury_at() {
+            return None;
+        }
+        self.phase = Phase::Burying(attempt);
+        Some(TrackAction::Bury(attempt.ticket))
+    }
+
+    fn bury_at(&self) -> Millis {
+        self.spec.deadline.since(self.cfg.bury_margin)
+    }
+
+    fn on_not_sent(&mut self, attempt: Attempt) -> Option<TrackAction> {
+        if attempt.sends == 1 && !attempt.started {
+            return Some(self.retry_or_fail(ErrorKind::NoEndpoint, self.past));
+        }
+        Some(self.on_lost(attempt))
+    }
+
+    /// Sends the same ticket again, which attaches to the attempt or fetches its outcome.
+    fn on_disconnect(&mut self, attempt: Attempt) -> Option<TrackAction> {
+        if self.spec.idempotent || attempt.sends >= self.cfg.max_sends {
+            return Some(self.on_lost(attempt));
+        }
+        self.phase = Phase::Waiting(Attempt {
+            sends: attempt.sends + 1,
+            ..attempt
+        });
+        Some(TrackAction::Send(attempt.ticket))
+    }
+
+    fn on_lost(&mut self, attempt: Attempt) -> TrackAction {
+        let ran = match attempt.started {
+            true => Ran::Yes,
+            false if self.guards.lost => Ran::Unknown,
+            false => Ran::No,
+        };
+        self.retry_or_fail(ErrorKind::AgentLost, ran)
+    }
+
+    fn on_finished(&mut self, outcome: Outcome) -> TrackAction {
+        match outcome.error {
+            Some(kind) if is_transient(kind) => self.retry_or_answer(kind, outcome),
+            Some(_) => self.answer(outcome),
+            None => self.answer(outcome),
+        }
+    }
+
+    fn on_buried(&mut self, attempt: Attempt, ran: Ran) -> Option<TrackAction> {
+        match (self.phase, ran) {
+            (Phase::Burying(_), Ran::No) => {
+                let ran = self.settled(Ran::No);
+                Some(self.fail(ErrorKind::DeadlineBeforeStart, ran))
+            }
+            (Phase::Burying(_), _) => {
+                self.phase = Phase::Waiting(Attempt {
+                    started: attempt.started || ran == Ran::Yes,
+                    ..attempt
+                });
+                None
+            }
+            _ => None,
+        }
+    }
+
+    fn retry_or_fail(&mut self, kind: ErrorKind, ran: Ran) -> TrackAction {
+        self.retry_or_answer(kind, Outcome::failed(kind, ran))
+    }
+
+    fn retry_or_answer(&mut self, kind: ErrorKind, outcome: Outcome) -> TrackAction {
+        if !self.may_retry(outcome.ran) {
+            return self.answer(outcome);
+        }
+        self.past = self.settled(outcome.ran);
+        if self.attempts >= self.cfg.max_attempts {
+            return self.answer(Outcome {
+                error: Some(kind),
+                ..outcome
+            });
+        }
+        self.phase = Phase::Choosing;
+        TrackAction::Choose
+    }
+
+    fn may_retry(&self, ran: Ran) -> bool {
+        let free = self.spec.placement == Placement::Free;
+        let safe = self.spec.idempotent || ran == Ran::No || !self.guards.retry;
+        free && safe
+    }
+
+    /// Joins what an attempt did with what earlier ones did.
+    fn settled(&self, ran: Ran) -> Ran {
+        match (self.spec.placement, self.past, ran) {
+            // One agent holds the one outcome of a bound request, so its word covers earlier calls.
+            (Placement::Bound { .. }, _, ran) if !self.spec.idempotent => ran,
+            (_, Ran::Yes, _) | (_, _, Ran::Yes) => Ran::Yes,
+            (_, Ran::Unknown, _) | (_, _, Ran::Unknown) => Ran::Unknown,
+            (_, Ran::No, Ran::No) => Ran::No,
+        }
+    }
+
+    fn expire(&mut self) -> TrackAction {
+        let Some(attempt) = self.waiting() else {
+            return self.fail(ErrorKind::DeadlineBeforeStart, self.past);
+        };
+        let ran = match attempt.started {
+            true => Ran::Yes,
+            false => Ran::Unknown,
+        };
+        self.fail(ErrorKind::DeadlineWhileRunning, ran)
+    }
+
+    const fn waiting(&self) -> Option<Attempt> {
+        match self.phase {
+            Phase::Waiting(attempt) | Phase::Burying(attempt) => Some(attempt),
+            Phase::Choosing | Phase::Done => None,
+        }
+    }
+
+    fn abandon(&mut self) -> Option<TrackAction> {
+        let ticket = self.current();
+        self.phase = Phase::Done;
+        ticket.map(TrackAction::Bury)
+    }
+
+    fn fail(&mut self, kind: ErrorKind, ran: Ran) -> TrackAction {
+        self.phase = Phase::Done;
+        TrackAction::Answer(Outcome::failed(kind, ran))
+    }
+
+    fn answer(&mut self, outcome: Outcome) -> TrackAction {
+        let ran = self.settled(outcome.ran);
+        self.phase = Phase::Done;
+        TrackAction::Answer(Outcome { ran, ..outcome })
+    }
+}
+
+/// Whether another endpoint may do better.
+const fn is_transient(kind: ErrorKind) -> bool {
+    matches!(
+        kind,
+        ErrorKind::Overloaded
+            | ErrorKind::ShareExhausted
+            | ErrorKind::NoEndpoint
+            | ErrorKind::Leaving
+            | ErrorKind::Quarantined
+            | ErrorKind::WrongIncarnation
+            | ErrorKind::EndpointFailed
+            | ErrorKind::AgentLost
+            | ErrorKind::ShuttingDown
+    )
+}
