--- a/crates/oleander-daemon/src/agent.rs
+++ b/crates/oleander-daemon/src/agent.rs
@@ -45,7 +45,12 @@
         log::info!("event=open role=agent incarnation={incarnation}");
         let mut state = AgentControl::new(cx, incarnation);
         let control = runtime::spawn_control(inbox, move |event| state.handle(event))?;
-        Ok(Self { events, control, mailbox, stopper })
+        Ok(Self {
+            events,
+            control,
+            mailbox,
+            stopper,
+        })
     }
 
     /// Returns a sender for events such as [`AgentEvent::Stop`].
--- a/crates/oleander-daemon/src/agent_control.rs
+++ b/crates/oleander-daemon/src/agent_control.rs
@@ -9,7 +9,7 @@
 use indexmap::IndexMap;
 use oleanderlock::admission::{Admission, AdmissionConfig};
 use oleanderlock::attempt_ledger::{AttemptLedger, LedgerLimits, SubmitAction};
-use oleanderlock::outcome::Outcome;
+use oleanderlock::request_outcome::Outcome;
 use oleanderlock::work::{AdmissionAction, Refusal, Verdict, Work};
 
 /// Time between two reports to an entry.
@@ -130,7 +130,14 @@
             Ok(Verdict::Queued | Verdict::Duplicate) => {}
             Ok(Verdict::Refuse(refusal)) => self.refuse(now, ticket, refusal),
             Err(error) => {
-                self.refuse(now, ticket, Refusal { error, retry_after: REPORT_EVERY });
+                self.refuse(
+                    now,
+                    ticket,
+                    Refusal {
+                        error,
+                        retry_after: REPORT_EVERY,
+                    },
+                );
             }
         }
     }
@@ -142,7 +149,10 @@
         if self.quarantined {
             return Err(ErrorKind::Quarantined);
         }
-        let class = self.admission.class(&attempt.class).ok_or(ErrorKind::NoContract)?;
+        let class = self
+            .admission
+            .class(&attempt.class)
+            .ok_or(ErrorKind::NoContract)?;
         let work = Work {
             ticket: attempt.ticket(),
             class,
@@ -164,8 +174,13 @@
     }
 
     fn start(&mut self, now: Millis, ticket: Ticket) {
-        let Some(attempt) = self.attempts.get(&ticket) else { return };
-        match self.ledger.start(now, ticket, attempt.submission.idempotent) {
+        let Some(attempt) = self.attempts.get(&ticket) else {
+            return;
+        };
+        match self
+            .ledger
+            .start(now, ticket, attempt.submission.idempotent)
+        {
             Ok(()) => {
                 self.cx.metrics.began();
                 self.cx.run(attempt.clone());
@@ -194,8 +209,11 @@
 
     /// Records an outcome and sends it to all that wait for it.
     fn settle(&mut self, now: Millis, ticket: Ticket, outcome: Outcome) {
-        let Some(attempt) = self.attempts.swap_remove(&ticket) else { return };
-        self.ledger.finish(ticket, attempt.submission.idempotent, outcome.clone());
+        let Some(attempt) = self.attempts.swap_remove(&ticket) else {
+            return;
+        };
+        self.ledger
+            .finish(ticket, attempt.submission.idempotent, outcome.clone());
         self.send_outcome(now, &attempt.waiters, &outcome);
     }
 
@@ -204,7 +222,10 @@
             let finish = wire::Finish {
                 ticket: Some(waiter.ticket.into()),
                 ran: wire::Ran::from(outcome.ran).into(),
-                error: outcome.error.map(|kind| kind.to_string()).unwrap_or_default(),
+                error: outcome
+                    .error
+                    .map(|kind| kind.to_string())
+                    .unwrap_or_default(),
                 retry_after_ms: outcome.retry_after.unwrap_or_default().0,
                 total: outcome.total,
                 status: u32::from(outcome.status),
@@ -216,8 +237,12 @@
     }
 
     fn cancel(&mut self, now: Millis, cancel: &wire::Cancel) {
-        let Some(ticket) = cancel.ticket.as_ref().and_then(wire::Ticket::typed) else { return };
-        let Some(attempt) = self.attempts.get(&ticket) else { return };
+        let Some(ticket) = cancel.ticket.as_ref().and_then(wire::Ticket::typed) else {
+            return;
+        };
+        let Some(attempt) = self.attempts.get(&ticket) else {
+            return;
+        };
         // Work that may not be repeated runs to its end, so that its outcome is known.
         if !attempt.submission.idempotent {
             return;
@@ -226,13 +251,19 @@
         if self.cx.stop_run(ticket) {
             self.cx.metrics.ended();
         }
-        self.settle(now, ticket, Outcome::failed(ErrorKind::Cancelled, Ran::Unknown));
+        self.settle(
+            now,
+            ticket,
+            Outcome::failed(ErrorKind::Cancelled, Ran::Unknown),
+        );
         let actions = self.admission.cancelled(now, ticket);
         self.act(now, actions);
     }
 
     fn bury(&mut self, now: Millis, from: &str, bury: &wire::Bury) {
-        let Some(ticket) = bury.ticket.as_ref().and_then(wire::Ticket::typed) else { return };
+        let Some(ticket) = bury.ticket.as_ref().and_then(wire::Ticket::typed) else {
+            return;
+        };
         let submission = oleanderlock::submission::Submission {
             ticket,
             idempotent: bury.idempotent,
@@ -247,12 +278,21 @@
             self.act(now, actions);
         }
         let ran = wire::Ran::from(burial.ran).into();
-        self.cx.send(from, Body::Buried(wire::Buried { ticket: Some(ticket.into()), ran }));
+        self.cx.send(
+            from,
+            Body::Buried(wire::Buried {
+                ticket: Some(ticket.into()),
+                ran,
+            }),
+        );
     }
 
     fn hello(&mut self, now: Millis, from: String, hello: &wire::Hello) {
         if hello.config_digest != self.config.digest() {
-            let fetch = wire::JournalFetch { epoch: 0, offset: 0 };
+            let fetch = wire::JournalFetch {
+                epoch: 0,
+                offset: 0,
+            };
             self.cx.send(&from, Body::JournalFetch(fetch));
         }
         let is_new = self.entries.insert(from.clone(), now).is_none();
@@ -265,7 +305,8 @@
         if !self.config.take(entries) {
             return;
         }
-        self.admission.set_classes(&self.config.contracts().grants());
+        self.admission
+            .set_classes(&self.config.contracts().grants());
         log::info!("event=config digest={:016x}", self.config.digest());
         self.report_to_all(now);
     }
@@ -276,7 +317,12 @@
             self.cx.metrics.refused(ErrorKind::OldFence);
             let end = SwapEnd::OldFence;
             let version = Version(order.version);
-            self.send_status(&SwapReport { entry, model: order.model, version, end });
+            self.send_status(&SwapReport {
+                entry,
+                model: order.model,
+                version,
+                end,
+            });
             return;
         }
         self.last_fence = fence;
@@ -292,7 +338,10 @@
         log::info!("event=swap version={} end={:?}", report.version, report.end);
         match report.end {
             SwapEnd::Loaded => {
-                self.probe = Some(Probe { up: true, version: Some(report.version) });
+                self.probe = Some(Probe {
+                    up: true,
+                    version: Some(report.version),
+                });
                 self.quarantined = false;
             }
             SwapEnd::OldFence => {}
@@ -336,7 +385,8 @@
         let actions = self.admission.tick(now);
         self.act(now, actions);
         if now >= self.report_due {
-            self.entries.retain(|_, heard| now.since(*heard) < ENTRY_SILENT);
+            self.entries
+                .retain(|_, heard| now.since(*heard) < ENTRY_SILENT);
             self.report_to_all(now);
         }
     }
@@ -398,7 +448,10 @@
 
     fn stop(&mut self, now: Millis) {
         if self.stopping {
-            log::warn!("event=stop reason=second-signal in-flight={}", self.attempts.len());
+            log::warn!(
+                "event=stop reason=second-signal in-flight={}",
+                self.attempts.len()
+            );
             self.attempts.clear();
             return;
         }
@@ -408,7 +461,9 @@
 
     /// A stopping agent ends when nothing is in flight, or at the contract's limit.
     fn may_end(&self, now: Millis) -> bool {
-        let Some(since) = self.leaving_since.filter(|_| self.stopping) else { return false };
+        let Some(since) = self.leaving_since.filter(|_| self.stopping) else {
+            return false;
+        };
         let limit = self.config.contracts().drain().unwrap_or(self.cx.cfg.drain);
         self.attempts.is_empty() || now.since(since) >= limit
     }
--- a/crates/oleander-daemon/src/agent_cx.rs
+++ b/crates/oleander-daemon/src/agent_cx.rs
@@ -52,7 +52,14 @@
             EndpointKind::Engine => Endpoint::Engine(EngineClient::new(&cfg.endpoint)),
             EndpointKind::Service => Endpoint::Service(ServiceClient::new(&cfg.endpoint)),
         };
-        Self { cfg, metrics, peers, endpoint, events, runs: Arc::default() }
+        Self {
+            cfg,
+            metrics,
+            peers,
+            endpoint,
+            events,
+            runs: Arc::default(),
+        }
     }
 
     /// Tells whether the endpoint is a model engine.
@@ -81,7 +88,9 @@
 
     /// Stops a running attempt; returns whether it ran.
     pub fn stop_run(&self, ticket: Ticket) -> bool {
-        let Some(task) = self.runs.lock().remove(&ticket) else { return false };
+        let Some(task) = self.runs.lock().remove(&ticket) else {
+            return false;
+        };
         drop(task);
         if let Endpoint::Engine(engine) = self.endpoint.clone() {
             runtime::spawn(async move { engine.cancel(ticket).await });
@@ -91,25 +100,37 @@
 
     /// Orders the engine to load a version.
     pub fn swap(&self, entry: String, order: wire::WeightOrder) {
-        let Endpoint::Engine(engine) = self.endpoint.clone() else { return };
+        let Endpoint::Engine(engine) = self.endpoint.clone() else {
+            return;
+        };
         let events = self.events.clone();
         runtime::spawn(async move {
             let version = Version(order.version);
             let end = engine.swap(Fence(order.fence), &order.model, version).await;
-            let report = SwapReport { entry, model: order.model, version, end };
+            let report = SwapReport {
+                entry,
+                model: order.model,
+                version,
+                end,
+            };
             let _ = events.send(AgentEvent::Swapped(report));
         });
     }
 
     /// Asks the endpoint again and again how it is.
     pub fn start_probes(&self) {
-        let Endpoint::Engine(engine) = self.endpoint.clone() else { return };
+        let Endpoint::Engine(engine) = self.endpoint.clone() else {
+            return;
+        };
         let events = self.events.clone();
         runtime::spawn(async move {
             loop {
                 let answer = engine.version().await;
                 let version = answer.as_ref().and_then(|found| found.version).map(Version);
-                let probe = Probe { up: answer.is_some(), version };
+                let probe = Probe {
+                    up: answer.is_some(),
+                    version,
+                };
                 if events.send(AgentEvent::Probed(probe)).is_err() {
                     return;
                 }
@@ -123,7 +144,9 @@
             Endpoint::Service(service) => service.run(attempt).await,
             Endpoint::Engine(engine) => {
                 let waiters = &attempt.waiters;
-                engine.run(attempt, |chunk| self.send_chunk(waiters, &chunk)).await
+                engine
+                    .run(attempt, |chunk| self.send_chunk(waiters, &chunk))
+                    .await
             }
         }
     }
--- a/crates/oleander-daemon/src/agent_http.rs
+++ b/crates/oleander-daemon/src/agent_http.rs
@@ -22,15 +22,24 @@
             let text = metrics.text();
             async move { conn.ok(text) }
         })
-        .get("/readyz", move |conn: Conn| answer_ready(conn, ready.clone()))
-        .get("/v1/agent", move |conn: Conn| answer_summary(conn, describing.clone()))
-        .post("/v1/drain", move |conn: Conn| answer_drain(conn, events.clone()))
+        .get("/readyz", move |conn: Conn| {
+            answer_ready(conn, ready.clone())
+        })
+        .get("/v1/agent", move |conn: Conn| {
+            answer_summary(conn, describing.clone())
+        })
+        .post("/v1/drain", move |conn: Conn| {
+            answer_drain(conn, events.clone())
+        })
 }
 
 async fn answer_ready(conn: Conn, events: Sender<AgentEvent>) -> Conn {
     match describe(events).await {
         Some(summary) if summary.ready => conn.ok("ready\n"),
-        _ => conn.with_status(Status::ServiceUnavailable).with_body("not ready\n").halt(),
+        _ => conn
+            .with_status(Status::ServiceUnavailable)
+            .with_body("not ready\n")
+            .halt(),
     }
 }
 
--- a/crates/oleander-daemon/src/attempt.rs
+++ b/crates/oleander-daemon/src/attempt.rs
@@ -2,7 +2,7 @@
 
 use crate::prelude::*;
 use bytes::Bytes;
-use oleanderlock::outcome::Outcome;
+use oleanderlock::request_outcome::Outcome;
 use oleanderlock::submission::Submission;
 
 /// Work that an entry asked this agent to do.
@@ -80,7 +80,10 @@
 impl AttemptEnd {
     /// Creates the end of an attempt that failed.
     pub fn failed(ticket: Ticket, error: ErrorKind, ran: Ran) -> Self {
-        Self { ticket, outcome: Outcome::failed(error, ran) }
+        Self {
+            ticket,
+            outcome: Outcome::failed(error, ran),
+        }
     }
 
     /// Creates the end of an engine's whole answer.
--- a/crates/oleander-daemon/src/config_state.rs
+++ b/crates/oleander-daemon/src/config_state.rs
@@ -44,19 +44,25 @@
     /// Returns the priority that the contract gives to a class; 0 without one.
     pub fn priority_of(&self, class: &[u8]) -> u32 {
         let class = std::str::from_utf8(class).unwrap_or_default();
-        let terms = self.contracts.of_class(class).and_then(|found| found.classes.get(class));
+        let terms = self
+            .contracts
+            .of_class(class)
+            .and_then(|found| found.classes.get(class));
         terms.map_or(0, |terms| terms.priority)
     }
 
     fn put(&mut self, entry: &wire::JournalEntry) -> bool {
         let generation = Generation(entry.generation);
-        if self.generations.get(&entry.name).is_some_and(|standing| *standing >= generation) {
+        if self
+            .generations
+            .get(&entry.name)
+            .is_some_and(|standing| *standing >= generation)
+        {
             return false;
         }
         self.generations.insert(entry.name.clone(), generation);
         self.entries.insert(entry.name.clone(), entry.clone());
-        if entry.name.starts_with(CONTRACT_PREFIX)
-            && !self.contracts.put(&entry.name, &entry.value)
+        if entry.name.starts_with(CONTRACT_PREFIX) && !self.contracts.put(&entry.name, &entry.value)
         {
             log::error!("event=config-unreadable name={}", entry.name);
         }
--- a/crates/oleander-daemon/src/contracts_in_force.rs
+++ b/crates/oleander-daemon/src/contracts_in_force.rs
@@ -22,31 +22,43 @@
     /// so another value is a fault of whoever wrote it.
     pub fn put(&mut self, name: &str, value: &[u8]) -> bool {
         let text = std::str::from_utf8(value).unwrap_or_default();
-        let Ok(contract) = Contract::parse(text) else { return false };
+        let Ok(contract) = Contract::parse(text) else {
+            return false;
+        };
         self.contracts.insert(name.to_owned(), Arc::new(contract));
         true
     }
 
     /// Returns the contract that covers a class.
     pub fn of_class(&self, class: &str) -> Option<&Arc<Contract>> {
-        self.contracts.values().find(|contract| contract.classes.contains_key(class))
+        self.contracts
+            .values()
+            .find(|contract| contract.classes.contains_key(class))
     }
 
     /// Returns the contract that covers a plain service.
     pub fn of_service(&self, service: &str) -> Option<&Arc<Contract>> {
-        self.contracts.values().find(|contract| contract.services.contains_key(service))
+        self.contracts
+            .values()
+            .find(|contract| contract.services.contains_key(service))
     }
 
     /// Returns the first class that serves interactive callers.
     pub fn default_class(&self) -> Option<String> {
-        let classes = self.contracts.values().flat_map(|contract| &contract.classes);
+        let classes = self
+            .contracts
+            .values()
+            .flat_map(|contract| &contract.classes);
         let mut interactive = classes.filter(|(_, terms)| terms.kind == WorkKind::Interactive);
         interactive.next().map(|(name, _)| name.clone())
     }
 
     /// Returns what the contracts grant at an endpoint.
     pub fn grants(&self) -> Vec<ClassGrant> {
-        let classes = self.contracts.values().flat_map(|contract| &contract.classes);
+        let classes = self
+            .contracts
+            .values()
+            .flat_map(|contract| &contract.classes);
         let grants = classes.map(|(name, terms)| ClassGrant {
             name: name.clone().into(),
             share_percent: terms.share_percent,
@@ -57,7 +69,10 @@
 
     /// Returns the longest graceful shutdown that a contract grants.
     pub fn drain(&self) -> Option<Millis> {
-        self.contracts.values().map(|contract| contract.limits.drain).max()
+        self.contracts
+            .values()
+            .map(|contract| contract.limits.drain)
+            .max()
     }
 
     /// Returns all contracts by object name.
--- a/crates/oleander-daemon/src/runtime.rs
+++ b/crates/oleander-daemon/src/runtime.rs
@@ -9,6 +9,7 @@
 use trillium_http::HttpConfig;
 use trillium_smol::Stopper;
 use trillium_smol::async_global_executor::{self as executor, GlobalExecutorConfig};
+use trillium_smol::async_net::TcpListener;
 
 /// Time between two ticks of a control thread.
 const TICK: Duration = Duration::from_millis(20);
@@ -71,7 +72,7 @@
 /// The system's fault when the address can't be bound.
 pub fn serve(address: SocketAddr, handler: impl Handler) -> std::io::Result<Stopper> {
     let listener = std::net::TcpListener::bind(address)?;
-    listener.set_nonblocking(true)?;
+    let listener = TcpListener::try_from(listener)?;
     let stopper = Stopper::new();
     let limits = HttpConfig::default()
         .with_head_max_len(HEAD_MAX_BYTES)
--- a/crates/oleander-daemon/src/service_client.rs
+++ b/crates/oleander-daemon/src/service_client.rs
@@ -3,7 +3,7 @@
 use crate::attempt::{Attempt, AttemptEnd};
 use crate::prelude::*;
 use bytes::Bytes;
-use oleanderlock::outcome::Outcome;
+use oleanderlock::request_outcome::Outcome;
 use trillium_client::{Client, Conn};
 use trillium_smol::ClientConfig;
 
@@ -42,7 +42,10 @@
         let mut conn = self.call(attempt).await?;
         let status = conn.status().map_or(0, |status| status as u16);
         let data = Bytes::from(conn.response_body().read_bytes().await?);
-        Ok(AttemptEnd { ticket: attempt.ticket(), outcome: Outcome::answered(status, data) })
+        Ok(AttemptEnd {
+            ticket: attempt.ticket(),
+            outcome: Outcome::answered(status, data),
+        })
     }
 
     fn call(&self, attempt: &Attempt) -> Conn {
--- a/crates/oleanderlock/src/attempt_ledger.rs
+++ b/crates/oleanderlock/src/attempt_ledger.rs
@@ -5,8 +5,8 @@
 //! An idempotent request has a record for each ticket.
 
 use crate::guards::Guards;
-use crate::request_outcome::Outcome;
 use crate::prelude::*;
+use crate::request_outcome::Outcome;
 use crate::submission::Submission;
 use indexmap::IndexMap;
 use std::collections::BTreeSet;
--- a/crates/oleanderlock/src/request_track.rs
+++ b/crates/oleanderlock/src/request_track.rs
@@ -125,11 +125,7 @@
     }
 
     /// As [`Self::open`], with guards that may be off; for model checking.
-    pub fn with_guards(
-        spec: RequestSpec,
-        cfg: TrackConfig,
-        guards: Guards,
-    ) -> (Self, TrackAction) {
+    pub fn with_guards(spec: RequestSpec, cfg: TrackConfig, guards: Guards) -> (Self, TrackAction) {
         let mut track = Self {
             spec,
             cfg,
