--- /dev/null
+++ b/crates/oleanderlock/src/cursor.rs
@@ -0,0 +1,180 @@
+//! The slots of a step that its trainer says it has.
+//!
+//! The text form is what the trainer sends: empty when no slot is held, else lower-case
+//! hexadecimal digits of the slot count (4 bytes, little endian), the bitmap (slot 0 is the lowest
+//! bit of the first byte) and a checksum of 8 bytes over the step's tag and the rest. The text of
+//! a cursor is unique, so that texts can be compared for equality.
+
+use crate::step_shape::StepTag;
+use derive_more::{Display, Error};
+use std::fmt;
+
+const COUNT_BYTES: usize = 4;
+const CHECKSUM_BYTES: usize = 8;
+
+/// Why a text is not a cursor of the step.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq, Hash)]
+pub enum CursorError {
+    /// The text is not lower-case hexadecimal.
+    #[display("the cursor is not lower-case hexadecimal")]
+    NotHex,
+    /// The text does not have the length of this step's cursors.
+    #[display("the cursor has the wrong length")]
+    WrongLength,
+    /// The cursor counts other slots than the step has.
+    #[display("the cursor is of a step with {found} slots, not {expected}")]
+    WrongSlots {
+        /// Slots of the step.
+        expected: u32,
+        /// Slots that the cursor names.
+        found: u32,
+    },
+    /// The text was altered or belongs to another step.
+    #[display("the checksum of the cursor does not match this step")]
+    WrongChecksum,
+    /// The bitmap has bits beyond the slots, or none at all.
+    #[display("the cursor is not in its unique form")]
+    NotUnique,
+}
+
+/// A bitmap of the slots that the trainer has. One bit for each slot.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Cursor {
+    tag: StepTag,
+    slots: u32,
+    bits: Vec<u8>,
+}
+
+impl Cursor {
+    /// Returns the cursor of a trainer that has nothing of the step yet.
+    pub fn empty(tag: StepTag, slots: u32) -> Self {
+        Self {
+            tag,
+            slots,
+            bits: vec![0; bitmap_bytes(slots)],
+        }
+    }
+
+    /// Reads the text form of a cursor of the step with this tag and number of slots.
+    pub fn parse(text: &str, tag: StepTag, slots: u32) -> Result<Self, CursorError> {
+        if text.is_empty() {
+            return Ok(Self::empty(tag, slots));
+        }
+        let bytes = decode_hex(text)?;
+        let cursor = Self::from_bytes(&bytes, tag, slots)?;
+        match cursor.is_unique() {
+            true => Ok(cursor),
+            false => Err(CursorError::NotUnique),
+        }
+    }
+
+    /// Returns whether the trainer has the slot with number `position`.
+    pub fn contains(&self, position: u32) -> bool {
+        let byte = self.bits.get((position / 8) as usize);
+        byte.is_some_and(|byte| byte & mask(position) != 0)
+    }
+
+    /// Adds the slot with number `position`; does nothing beyond the last slot.
+    pub fn insert(&mut self, position: u32) {
+        if position >= self.slots {
+            return;
+        }
+        self.bits[(position / 8) as usize] |= mask(position);
+    }
+
+    /// Returns the number of slots held.
+    pub fn held(&self) -> u32 {
+        self.bits.iter().map(|byte| byte.count_ones()).sum()
+    }
+
+    /// Returns the number of slots not held.
+    pub fn remaining(&self) -> u32 {
+        self.slots - self.held()
+    }
+
+    /// Returns whether every slot of `other` is held here too.
+    pub fn includes(&self, other: &Self) -> bool {
+        let pairs = self.bits.iter().zip(&other.bits);
+        self.bits.len() == other.bits.len() && pairs.into_iter().all(|(own, o)| own & o == *o)
+    }
+
+    fn from_bytes(bytes: &[u8], tag: StepTag, slots: u32) -> Result<Self, CursorError> {
+        let (body, checksum) = bytes
+            .split_last_chunk::<CHECKSUM_BYTES>()
+            .ok_or(CursorError::WrongLength)?;
+        let (count, bits) = body
+            .split_first_chunk::<COUNT_BYTES>()
+            .ok_or(CursorError::WrongLength)?;
+        let found = u32::from_le_bytes(*count);
+        if found != slots {
+            return Err(CursorError::WrongSlots {
+                expected: slots,
+                found,
+            });
+        }
+        if bits.len() != bitmap_bytes(slots) {
+            return Err(CursorError::WrongLength);
+        }
+        if checksum_of(tag, body) != *checksum {
+            return Err(CursorError::WrongChecksum);
+        }
+        Ok(Self {
+            tag,
+            slots,
+            bits: bits.to_vec(),
+        })
+    }
+
+    fn is_unique(&self) -> bool {
+        let beyond = self.slots..(self.bits.len() as u32 * 8);
+        self.held() > 0 && beyond.into_iter().all(|position| !self.contains(position))
+    }
+}
+
+impl fmt::Display for Cursor {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.held() == 0 {
+            return Ok(());
+        }
+        let mut bytes = self.slots.to_le_bytes().to_vec();
+        bytes.extend_from_slice(&self.bits);
+        let checksum = checksum_of(self.tag, &bytes);
+        bytes.extend_from_slice(&checksum);
+        bytes.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
+const fn bitmap_bytes(slots: u32) -> usize {
+    slots.div_ceil(8) as usize
+}
+
+const fn mask(position: u32) -> u8 {
+    1 << (position % 8)
+}
+
+fn checksum_of(tag: StepTag, body: &[u8]) -> [u8; CHECKSUM_BYTES] {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&tag.0.to_le_bytes());
+    hasher.update(body);
+    let mut checksum = [0; CHECKSUM_BYTES];
+    checksum.copy_from_slice(&hasher.finalize().as_bytes()[..CHECKSUM_BYTES]);
+    checksum
+}
+
+fn decode_hex(text: &str) -> Result<Vec<u8>, CursorError> {
+    if !text.len().is_multiple_of(2) {
+        return Err(CursorError::WrongLength);
+    }
+    text.as_bytes()
+        .chunks_exact(2)
+        .map(|pair| Ok(digit(pair[0])? << 4 | digit(pair[1])?))
+        .collect()
+}
+
+const fn digit(byte: u8) -> Result<u8, CursorError> {
+    match byte {
+        b'0'..=b'9' => Ok(byte - b'0'),
+        b'a'..=b'f' => Ok(byte - b'a' + 10),
+        _ => Err(CursorError::NotHex),
+    }
+}
--- /dev/null
+++ b/crates/oleanderlock/src/slot.rs
@@ -0,0 +1,60 @@
+//! One sample of a step: its attempts and its result.
+
+use crate::prelude::*;
+use crate::whole_answer::WholeAnswer;
+
+/// An attempt in flight.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct LiveAttempt {
+    /// Counts the attempts of the slot at this owner from zero.
+    pub number: u32,
+    /// When the attempt was started.
+    pub started: Millis,
+}
+
+/// One sample of a step at its owner.
+///
+/// A slot is settled while it has a payload. Attempts in flight are bounded by
+/// [`crate::step_limits::StepLimits::attempts_per_slot`].
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Slot {
+    /// The settled sample.
+    pub payload: Option<WholeAnswer>,
+    /// Attempts in flight, oldest first.
+    pub attempts: Vec<LiveAttempt>,
+    /// Number of the next attempt.
+    pub next_attempt: u32,
+    /// Earliest time of the next attempt.
+    pub not_before: Millis,
+}
+
+impl Slot {
+    /// Starts an attempt and returns its number.
+    pub fn start(&mut self, now: Millis) -> u32 {
+        let number = self.next_attempt;
+        self.next_attempt += 1;
+        self.attempts.push(LiveAttempt {
+            number,
+            started: now,
+        });
+        number
+    }
+
+    /// Ends an attempt; returns whether it was in flight.
+    pub fn end(&mut self, number: u32) -> bool {
+        let before = self.attempts.len();
+        self.attempts.retain(|attempt| attempt.number != number);
+        self.attempts.len() < before
+    }
+
+    /// Returns whether the attempt is in flight.
+    pub fn is_live(&self, number: u32) -> bool {
+        self.attempts.iter().any(|attempt| attempt.number == number)
+    }
+
+    /// Returns the bytes of text held.
+    pub fn bytes(&self) -> u64 {
+        let payload = self.payload.as_ref();
+        payload.map_or(0, |answer| answer.data.len() as u64)
+    }
+}
--- /dev/null
+++ b/crates/oleanderlock/src/step.rs
@@ -0,0 +1,244 @@
+//! A training step at its owner: which samples to make, and which to deliver.
+//!
+//! What the trainer says it has is the truth: every pull carries the trainer's cursor, and every
+//! answer names the cursor that it follows and the version that it was judged against. Safety
+//! does not depend on the ownership of the step; two owners may both make a sample, but the
+//! trainer takes it once. The state is bounded by
+//! [`StepLimits`](crate::step_limits::StepLimits).
+
+use crate::cursor::Cursor;
+use crate::prelude::*;
+use crate::pull::{Pull, PullRefusal};
+use crate::slot::Slot;
+use crate::step_action::{StepAction, StepCount};
+use crate::step_terms::{StepError, StepTerms};
+
+/// A training step at its owner.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Step {
+    pub(crate) terms: StepTerms,
+    /// Cursor of the latest pull; `None` until the trainer has been heard.
+    pub(crate) held: Option<Cursor>,
+    /// Version that the trainer named last.
+    pub(crate) version: Version,
+    pub(crate) waiting: Option<Pull>,
+    pub(crate) slots: Vec<Slot>,
+    /// Attempts in flight over all slots.
+    pub(crate) in_flight: u32,
+    /// Bytes of text over all slots.
+    pub(crate) bytes: u64,
+}
+
+impl Step {
+    /// Opens a new step, of which the trainer has nothing, and starts to make its samples.
+    /// `version` is the trainer's.
+    pub fn open(
+        now: Millis,
+        terms: StepTerms,
+        version: Version,
+        actions: &mut Vec<StepAction>,
+    ) -> Result<Self, StepError> {
+        let mut step = Self::recover(terms, version)?;
+        step.held = Some(step.empty_cursor());
+        step.start_missing(now, actions);
+        Ok(step)
+    }
+
+    /// Takes over a step that another process opened. Nothing is made until a pull tells what the
+    /// trainer has.
+    pub fn recover(terms: StepTerms, version: Version) -> Result<Self, StepError> {
+        let slots = terms.shape.slots();
+        terms.check(slots)?;
+        Ok(Self {
+            terms,
+            held: None,
+            version,
+            waiting: None,
+            slots: vec![Slot::default(); slots as usize],
+            in_flight: 0,
+            bytes: 0,
+        })
+    }
+
+    /// Takes a pull. Replaces a waiting one, which is refused as superseded.
+    pub fn pull(&mut self, now: Millis, pull: Pull, actions: &mut Vec<StepAction>) {
+        let parsed = Cursor::parse(&pull.cursor, self.terms.tag, self.terms.shape.slots());
+        let cursor = match parsed {
+            Ok(cursor) => cursor,
+            Err(error) => {
+                actions.push(StepAction::Refuse {
+                    pull: pull.id,
+                    refusal: PullRefusal::BadCursor(error),
+                });
+                return;
+            }
+        };
+        self.refuse_waiting(PullRefusal::Superseded, actions);
+        self.acknowledge(cursor, actions);
+        self.version = pull.version;
+        self.waiting = Some(pull);
+        self.deliver(now, actions);
+        self.announce_wait(actions);
+        self.start_missing(now, actions);
+    }
+
+    /// Answers a pull whose time is up and starts attempts whose delay has passed.
+    pub fn tick(&mut self, now: Millis, actions: &mut Vec<StepAction>) {
+        self.deliver(now, actions);
+        self.start_missing(now, actions);
+    }
+
+    /// Returns when [`Step::tick`] is next needed, if at all.
+    pub fn next_tick(&self) -> Option<Millis> {
+        let delayed = (0..self.terms.shape.slots())
+            .filter(|position| self.held.is_some() && self.has_room() && self.is_missing(*position))
+            .map(|position| self.slots[position as usize].not_before)
+            .filter(|not_before| *not_before > Millis::ZERO);
+        let waiting = self.waiting.iter().map(|pull| pull.until);
+        delayed.chain(waiting).min()
+    }
+
+    /// Stops all work on the step, because this process no longer owns it.
+    pub fn close(mut self, actions: &mut Vec<StepAction>) {
+        self.refuse_waiting(PullRefusal::Moved, actions);
+        for position in 0..self.terms.shape.slots() {
+            self.cancel_attempts(position, actions);
+        }
+    }
+
+    /// Returns the number of slots that the trainer lacks by its latest pull.
+    pub fn remaining(&self) -> u32 {
+        let held = self.held.as_ref();
+        held.map_or(self.terms.shape.slots(), Cursor::remaining)
+    }
+
+    /// Returns the number of settled slots whose samples are kept.
+    pub fn settled(&self) -> u32 {
+        self.slots.iter().filter(|s| s.payload.is_some()).count() as u32
+    }
+
+    /// Returns the number of attempts in flight.
+    pub const fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    /// Returns the bytes of text held.
+    pub const fn bytes(&self) -> u64 {
+        self.bytes
+    }
+
+    pub(crate) fn empty_cursor(&self) -> Cursor {
+        Cursor::empty(self.terms.tag, self.terms.shape.slots())
+    }
+
+    pub(crate) fn is_held(&self, position: u32) -> bool {
+        let held = self.held.as_ref();
+        held.is_some_and(|cursor| cursor.contains(position))
+    }
+
+    pub(crate) fn is_settled_or_held(&self, position: u32) -> bool {
+        self.is_held(position) || self.slots[position as usize].payload.is_some()
+    }
+
+    /// Returns whether an attempt should be started as soon as limits and delay allow.
+    pub(crate) fn is_missing(&self, position: u32) -> bool {
+        let slot = &self.slots[position as usize];
+        let may_start = self.terms.guards.remake || slot.next_attempt == 0;
+        may_start && slot.attempts.is_empty() && !self.is_settled_or_held(position)
+    }
+
+    pub(crate) fn start_missing(&mut self, now: Millis, actions: &mut Vec<StepAction>) {
+        if self.held.is_none() {
+            return;
+        }
+        for position in 0..self.terms.shape.slots() {
+            if !self.has_room() {
+                return;
+            }
+            let due = self.slots[position as usize].not_before <= now;
+            if due && self.is_missing(position) {
+                self.start_attempt(now, position, actions);
+            }
+        }
+    }
+
+    pub(crate) fn has_room(&self) -> bool {
+        let limits = &self.terms.limits;
+        let reserved = limits
+            .sample_bytes
+            .saturating_mul(u64::from(self.in_flight) + 1);
+        self.in_flight < limits.in_flight
+            && self.bytes.saturating_add(reserved) <= limits.payload_bytes
+    }
+
+    pub(crate) fn start_attempt(
+        &mut self,
+        now: Millis,
+        position: u32,
+        actions: &mut Vec<StepAction>,
+    ) {
+        let Some(slot) = self.terms.shape.slot(position) else {
+            return;
+        };
+        let attempt = self.slots[position as usize].start(now);
+        self.in_flight += 1;
+        actions.push(StepAction::Generate {
+            slot,
+            attempt,
+            min_version: self.terms.staleness.oldest_allowed(self.version),
+        });
+    }
+
+    pub(crate) fn cancel_attempts(&mut self, position: u32, actions: &mut Vec<StepAction>) {
+        let Some(slot) = self.terms.shape.slot(position) else {
+            return;
+        };
+        let attempts = std::mem::take(&mut self.slots[position as usize].attempts);
+        self.in_flight -= attempts.len() as u32;
+        actions.extend(attempts.into_iter().map(|attempt| StepAction::Cancel {
+            slot,
+            attempt: attempt.number,
+        }));
+    }
+
+    pub(crate) fn drop_payload(&mut self, position: u32) {
+        let slot = &mut self.slots[position as usize];
+        self.bytes -= slot.bytes();
+        slot.payload = None;
+    }
+
+    fn acknowledge(&mut self, cursor: Cursor, actions: &mut Vec<StepAction>) {
+        if self
+            .held
+            .as_ref()
+            .is_some_and(|held| !cursor.includes(held))
+        {
+            actions.push(StepAction::Count(StepCount::Rewound));
+        }
+        for position in 0..self.terms.shape.slots() {
+            if self.terms.guards.skip_held && cursor.contains(position) {
+                self.drop_payload(position);
+                self.cancel_attempts(position, actions);
+            }
+        }
+        self.held = Some(cursor);
+    }
+
+    fn refuse_waiting(&mut self, refusal: PullRefusal, actions: &mut Vec<StepAction>) {
+        if let Some(pull) = self.waiting.take() {
+            actions.push(StepAction::Refuse {
+                pull: pull.id,
+                refusal,
+            });
+        }
+    }
+
+    fn announce_wait(&self, actions: &mut Vec<StepAction>) {
+        if let Some(pull) = &self.waiting {
+            actions.push(StepAction::Wait {
+                pull: pull.id,
+                until: pull.until,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/oleanderlock/src/step_limits.rs
@@ -0,0 +1,36 @@
+//! Bounds on what one step may use.
+
+use crate::prelude::*;
+
+/// Bounds on what one step may use at its owner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct StepLimits {
+    /// Most slots of a step.
+    pub slots: u32,
+    /// Most attempts in flight over all slots.
+    pub in_flight: u32,
+    /// Most attempts in flight for one slot, hedges included.
+    pub attempts_per_slot: u32,
+    /// Largest sample in bytes of text.
+    pub sample_bytes: u64,
+    /// Most bytes of text held, counting each attempt in flight as `sample_bytes`.
+    pub payload_bytes: u64,
+    /// Bytes of text after which an answer to a pull takes no further sample.
+    pub answer_bytes: u64,
+    /// Delay of the next attempt of a slot after a result that was discarded on arrival.
+    pub discard_delay: Millis,
+}
+
+impl Default for StepLimits {
+    fn default() -> Self {
+        Self {
+            slots: 4096,
+            in_flight: 512,
+            attempts_per_slot: 2,
+            sample_bytes: 64 << 10,
+            payload_bytes: 32 << 20,
+            answer_bytes: 4 << 20,
+            discard_delay: Millis(100),
+        }
+    }
+}
--- /dev/null
+++ b/crates/oleanderlock/src/step_settlement.rs
@@ -0,0 +1,112 @@
+//! Settlement: what becomes of the attempts of a step.
+
+use crate::prelude::*;
+use crate::step::Step;
+use crate::step_action::{StepAction, StepCount};
+use crate::whole_answer::WholeAnswer;
+
+impl Step {
+    /// Takes the result of an attempt. The first usable result settles the slot; its other attempts
+    /// are cancelled and later results are dropped.
+    pub fn settle(
+        &mut self,
+        now: Millis,
+        slot: SlotKey,
+        attempt: u32,
+        answer: WholeAnswer,
+        actions: &mut Vec<StepAction>,
+    ) {
+        let Some(position) = self.end_attempt(slot, attempt) else {
+            actions.push(StepAction::Count(StepCount::LateResult));
+            return;
+        };
+        let count = match self.check_result(position, &answer) {
+            Ok(()) => {
+                self.keep(position, answer, actions);
+                StepCount::Settled
+            }
+            Err(count) => {
+                self.delay(now, position);
+                count
+            }
+        };
+        actions.push(StepAction::Count(count));
+        self.deliver(now, actions);
+        self.start_missing(now, actions);
+    }
+
+    /// Takes the failure of an attempt; the slot is tried again at `retry_at` at the earliest.
+    pub fn fail(
+        &mut self,
+        now: Millis,
+        slot: SlotKey,
+        attempt: u32,
+        retry_at: Millis,
+        actions: &mut Vec<StepAction>,
+    ) {
+        let Some(position) = self.end_attempt(slot, attempt) else {
+            return;
+        };
+        self.slots[position as usize].not_before = retry_at;
+        actions.push(StepAction::Count(StepCount::Failed));
+        self.start_missing(now, actions);
+    }
+
+    /// Starts one more attempt for a slot that has one in flight, if the limits allow it; returns
+    /// whether they did.
+    pub fn hedge(&mut self, now: Millis, slot: SlotKey, actions: &mut Vec<StepAction>) -> bool {
+        let Some(position) = self.terms.shape.position(slot) else {
+            return false;
+        };
+        let attempts = self.slots[position as usize].attempts.len();
+        let straggles = attempts > 0 && !self.is_settled_or_held(position);
+        let allowed = attempts < self.terms.limits.attempts_per_slot as usize && self.has_room();
+        if !straggles || !allowed {
+            return false;
+        }
+        self.start_attempt(now, position, actions);
+        actions.push(StepAction::Count(StepCount::Hedged));
+        true
+    }
+
+    /// Ends an attempt and returns the slot's position, or `None` when it is not in flight.
+    fn end_attempt(&mut self, slot: SlotKey, attempt: u32) -> Option<u32> {
+        let position = self.terms.shape.position(slot)?;
+        let was_live = self.slots[position as usize].end(attempt);
+        self.in_flight -= u32::from(was_live);
+        (was_live || !self.terms.guards.settle_once).then_some(position)
+    }
+
+    /// Delays the next attempt after a discarded result, which may come again at once.
+    fn delay(&mut self, now: Millis, position: u32) {
+        let delay = self.terms.limits.discard_delay;
+        self.slots[position as usize].not_before = now.plus(delay);
+    }
+
+    fn check_result(&self, position: u32, answer: &WholeAnswer) -> Result<(), StepCount> {
+        let guards = &self.terms.guards;
+        let settled = self.slots[position as usize].payload.is_some();
+        if guards.settle_once && settled {
+            return Err(StepCount::LateResult);
+        }
+        if guards.cover && answer.check_cover().is_err() {
+            return Err(StepCount::NotCovered);
+        }
+        if guards.known_version && answer.attribution.oldest().is_err() {
+            return Err(StepCount::UnknownVersion);
+        }
+        if answer.data.len() as u64 > self.terms.limits.sample_bytes {
+            return Err(StepCount::TooLarge);
+        }
+        Ok(())
+    }
+
+    fn keep(&mut self, position: u32, answer: WholeAnswer, actions: &mut Vec<StepAction>) {
+        self.drop_payload(position);
+        self.bytes += answer.data.len() as u64;
+        self.slots[position as usize].payload = Some(answer);
+        if self.terms.guards.settle_once {
+            self.cancel_attempts(position, actions);
+        }
+    }
+}
--- /dev/null
+++ b/crates/oleanderlock/src/step_shape.rs
@@ -0,0 +1,81 @@
+//! The slots of a training step.
+
+use crate::prelude::*;
+use derive_more::Display;
+
+/// Names one step of one trainer with its shape; a cursor of another step does not match it.
+#[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq, Hash)]
+#[display("{_0:016x}")]
+pub struct StepTag(pub u64);
+
+/// How many samples each prompt group of a step has.
+///
+/// Slots are numbered from 0 in order of group and index.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct StepShape {
+    /// Number of slots up to the end of each group.
+    ends: Vec<u32>,
+}
+
+impl StepShape {
+    /// Returns the shape with `sizes[g]` samples in group `g`.
+    pub fn new(sizes: impl IntoIterator<Item = u32>) -> Self {
+        let mut end = 0u32;
+        let ends = sizes
+            .into_iter()
+            .map(|size| {
+                end = end.saturating_add(size);
+                end
+            })
+            .collect();
+        Self { ends }
+    }
+
+    /// Returns the number of groups.
+    pub const fn groups(&self) -> usize {
+        self.ends.len()
+    }
+
+    /// Returns the number of slots.
+    pub fn slots(&self) -> u32 {
+        self.ends.last().copied().unwrap_or(0)
+    }
+
+    /// Returns the number of the slot, or `None` when the step has no such slot.
+    pub fn position(&self, slot: SlotKey) -> Option<u32> {
+        let group = slot.group as usize;
+        let end = *self.ends.get(group)?;
+        let position = self.start(group).checked_add(slot.index)?;
+        (position < end).then_some(position)
+    }
+
+    /// Returns the slot with number `position`, or `None` when there are fewer.
+    pub fn slot(&self, position: u32) -> Option<SlotKey> {
+        let group = self.ends.partition_point(|end| *end <= position);
+        (group < self.ends.len()).then(|| SlotKey {
+            group: group as u32,
+            index: position - self.start(group),
+        })
+    }
+
+    /// Returns a tag of the step `step` of `trainer` with this shape.
+    pub fn tag(&self, trainer: &str, step: u64) -> StepTag {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(&(trainer.len() as u64).to_le_bytes());
+        hasher.update(trainer.as_bytes());
+        hasher.update(&step.to_le_bytes());
+        for end in &self.ends {
+            hasher.update(&end.to_le_bytes());
+        }
+        let mut first = [0; 8];
+        first.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+        StepTag(u64::from_le_bytes(first))
+    }
+
+    fn start(&self, group: usize) -> u32 {
+        match group {
+            0 => 0,
+            _ => self.ends[group - 1],
+        }
+    }
+}
