--- /dev/null
+++ b/crates/oleander-daemon/src/entry_cx.rs
@@ -0,0 +1,73 @@
+//! What the traffic of an entry acts through.
+
+use crate::entry_event::{ChooseCall, EntryEvent, NoRoute, Route, RouteEnd, Terms, TermsCall};
+use crate::entry_settings::EntryConfig;
+use crate::inflight::Inflight;
+use crate::metrics::Metrics;
+use crate::prelude::*;
+use crate::store_client::StoreClient;
+use async_channel::Sender;
+use oleanderlock::issued_key::KeySecrets;
+use std::sync::Arc;
+use std::sync::mpsc;
+
+/// Links, table of attempts, store and metrics of an entry; cheap to clone.
+#[derive(Clone)]
+pub struct EntryCx {
+    /// The settings.
+    pub cfg: Arc<EntryConfig>,
+    /// The metrics.
+    pub metrics: Metrics,
+    /// The links.
+    pub peers: Peers,
+    /// Attempts in flight.
+    pub inflight: Inflight,
+    /// The platform's object API.
+    pub store: StoreClient,
+    /// Secrets of issued idempotency keys.
+    pub secrets: Arc<KeySecrets>,
+    /// Events for the control thread.
+    pub events: mpsc::Sender<EntryEvent>,
+}
+
+impl EntryCx {
+    /// Asks the control thread for an endpoint.
+    ///
+    /// # Errors
+    ///
+    /// Why there is none.
+    pub async fn choose(
+        &self,
+        call: impl FnOnce(Sender<Result<Route, NoRoute>>) -> ChooseCall,
+    ) -> Result<Route, NoRoute> {
+        let stopping = NoRoute { kind: ErrorKind::ShuttingDown, retry_after: Millis::ZERO };
+        let (tx, rx) = async_channel::bounded(1);
+        if self.events.send(EntryEvent::Choose(call(tx))).is_err() {
+            return Err(stopping);
+        }
+        rx.recv().await.unwrap_or(Err(stopping))
+    }
+
+    /// Asks the control thread for the way to an incarnation.
+    pub async fn locate(&self, incarnation: Incarnation) -> Option<Route> {
+        self.ask(|tx| EntryEvent::Locate(incarnation, tx)).await.flatten()
+    }
+
+    /// Asks the control thread for the terms of a class or service.
+    pub async fn terms(&self, class: Option<String>, service: Option<String>) -> Option<Terms> {
+        let ask = |reply| EntryEvent::Terms(TermsCall { class, service, reply });
+        self.ask(ask).await.flatten()
+    }
+
+    /// Tells the control thread that an attempt ended.
+    pub fn ended(&self, end: RouteEnd) {
+        let _ = self.events.send(EntryEvent::Ended(end));
+    }
+
+    /// Asks the control thread; `None` when it has ended.
+    pub async fn ask<T>(&self, question: impl FnOnce(Sender<T>) -> EntryEvent) -> Option<T> {
+        let (tx, rx) = async_channel::bounded(1);
+        self.events.send(question(tx)).ok()?;
+        rx.recv().await.ok()
+    }
+}
