Add endpoint choice: affinity with bounded load, ejection, spill, subset

Reported load is corrected by what the entry started and saw end since the report. Not yet measured.

--- /dev/null
+++ b/crates/oleanderlock/src/endpoint_choice.rs
@@ -0,0 +1,337 @@
+//! The choice of an endpoint for one attempt, at an entry.
+//!
+//! The entry's view lags, so the choice is a guess that the agent's admission corrects. A prompt
+//! prefix has a home by rendezvous hashing with bounded load (Mirrokni, Thorup and Zadimoghaddam
+//! 2016); work without a prefix goes to the less loaded of two drawn endpoints, nearer ones first.
+
+use crate::attempt_end::AttemptEnd;
+use crate::choice_request::ChoiceRequest;
+use crate::ejection::{EjectReason, ejection};
+use crate::endpoint::{Endpoint, EndpointKey, EndpointReport, EndpointTerms, Proximity};
+use crate::endpoint_arena::EndpointArena;
+use crate::load::Load;
+use crate::policy::Policy;
+use crate::prelude::*;
+use crate::rendezvous::score;
+use crate::weigh::Weigh;
+
+/// Load up to which an endpoint without a free slot keeps its prefixes, in percent of the mean.
+const BOUNDED_LOAD_PERCENT: u64 = 125;
+/// All slots of an endpoint, in percent.
+const FULL_PERCENT: u64 = 100;
+/// Sizes and preferences of the choice.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ChoiceConfig {
+    /// `Product`, or a baseline.
+    pub policy: Policy,
+}
+
+/// A change of an endpoint's standing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ChoiceAction {
+    /// The endpoint was ejected.
+    Eject(EndpointKey, EjectReason),
+}
+
+/// The endpoints that one entry uses, and the choice among them.
+///
+/// Bounded by the entry's subset of the fleet.
+#[derive(Clone, Debug)]
+pub struct EndpointChoice {
+    cfg: ChoiceConfig,
+    arena: EndpointArena,
+    turn: u64,
+}
+
+impl EndpointChoice {
+    /// Creates an empty arena.
+    pub fn new(cfg: ChoiceConfig) -> Self {
+        Self {
+            cfg,
+            arena: EndpointArena::default(),
+            turn: 0,
+        }
+    }
+
+    /// Adds an endpoint.
+    pub fn insert(&mut self, now: Millis, terms: EndpointTerms) -> EndpointKey {
+        self.arena.insert(Endpoint::new(now, terms))
+    }
+
+    /// Removes an endpoint; events that still name it are ignored.
+    pub fn remove(&mut self, key: EndpointKey) {
+        self.arena.remove(key);
+    }
+
+    /// Changes what is known of an endpoint; its history is kept.
+    pub fn amend(&mut self, key: EndpointKey, terms: EndpointTerms) {
+        if let Some(endpoint) = self.arena.get_mut(key) {
+            endpoint.terms = terms;
+        }
+    }
+
+    /// Takes in a report of the endpoint's agent.
+    pub fn report(&mut self, now: Millis, key: EndpointKey, report: EndpointReport) {
+        if let Some(endpoint) = self.arena.get_mut(key) {
+            endpoint.report(now, report);
+        }
+    }
+
+    /// Takes in the load that came with an answer.
+    pub fn load(&mut self, now: Millis, key: EndpointKey, load: Load) {
+        if let Some(endpoint) = self.arena.get_mut(key) {
+            endpoint.load(now, load);
+        }
+    }
+
+    /// Sets whether the agent is suspected to be gone.
+    pub fn suspect(&mut self, key: EndpointKey, suspected: bool) {
+        if let Some(endpoint) = self.arena.get_mut(key) {
+            endpoint.suspected = suspected;
+        }
+    }
+
+    /// Counts an attempt that was sent to the endpoint.
+    pub fn started(&mut self, now: Millis, key: EndpointKey) {
+        if let Some(endpoint) = self.arena.get_mut(key) {
+            endpoint.outlier.started(now, endpoint.in_flight == 0);
+            endpoint.in_flight += 1;
+        }
+    }
+
+    /// Takes in that the endpoint made `units` tokens in `elapsed`, not counting its queue; a
+    /// whole plain call is one unit.
+    pub fn observe(&mut self, now: Millis, key: EndpointKey, elapsed: Millis, units: u64) {
+        if let Some(endpoint) = self.arena.get_mut(key) {
+            endpoint.outlier.observe(now, elapsed, units);
+        }
+    }
+
+    /// Counts the end of an attempt.
+    pub fn ended(&mut self, now: Millis, key: EndpointKey, end: AttemptEnd) {
+        if let Some(endpoint) = self.arena.get_mut(key) {
+            endpoint.in_flight = endpoint.in_flight.saturating_sub(1);
+            match end {
+                AttemptEnd::Finished => endpoint.outlier.progress(now),
+                AttemptEnd::Failed => endpoint.outlier.failed(),
+                AttemptEnd::Refused | AttemptEnd::Cancelled => {}
+            }
+        }
+    }
+
+    /// Ejects endpoints that are much worse than their peers. Due a few times a second.
+    pub fn tick(&mut self, now: Millis) -> Vec<ChoiceAction> {
+        if self.cfg.policy != Policy::Product {
+            return Vec::new();
+        }
+        let mut actions = Vec::new();
+        let keys: Vec<EndpointKey> = self.arena.keys().collect();
+        for key in keys {
+            let reason = self.eject_reason(now, key);
+            let Some(endpoint) = self.arena.get_mut(key) else {
+                continue;
+            };
+            endpoint.outlier.forgive(now);
+            if let Some(reason) = reason {
+                endpoint.outlier.eject(now);
+                actions.push(ChoiceAction::Eject(key, reason));
+            }
+        }
+        actions
+    }
+
+    /// Chooses the endpoint for an attempt; `None` when none that serves the target takes work.
+    pub fn choose(&mut self, now: Millis, req: &ChoiceRequest) -> Option<EndpointKey> {
+        let usable = self.usable(req);
+        match self.cfg.policy {
+            Policy::Product => self.choose_best(now, req, usable),
+            Policy::Random => pick(&usable, req.draw),
+            Policy::RoundRobin | Policy::Naive => {
+                self.turn += 1;
+                pick(&usable, self.turn)
+            }
+            Policy::LeastOutstanding => self.least_outstanding(req, &usable),
+        }
+    }
+
+    /// Returns the attempts in flight at the endpoint.
+    pub fn in_flight(&self, key: EndpointKey) -> u32 {
+        self.arena.get(key).map_or(0, |endpoint| endpoint.in_flight)
+    }
+
+    /// Returns whether the endpoint is ejected.
+    pub fn is_ejected(&self, now: Millis, key: EndpointKey) -> bool {
+        self.arena
+            .get(key)
+            .is_some_and(|endpoint| endpoint.outlier.is_ejected(now))
+    }
+
+    /// Returns the shortest wait that any usable endpoint of the target has named.
+    pub fn shortest_wait(&self, now: Millis, target: &[u8]) -> Option<Millis> {
+        let serving = self
+            .arena
+            .endpoints()
+            .filter(|endpoint| endpoint.takes_work() && endpoint.serves(target));
+        serving.map(|endpoint| endpoint.wait(now)).min()
+    }
+
+    fn usable(&self, req: &ChoiceRequest) -> Vec<EndpointKey> {
+        let is_usable = |key: &EndpointKey| {
+            let endpoint = self.at(*key);
+            let serves = endpoint.takes_work() && endpoint.serves(req.target);
+            serves && !req.excluded.contains(key)
+        };
+        self.arena.keys().filter(is_usable).collect()
+    }
+
+    fn choose_best(
+        &self,
+        now: Millis,
+        req: &ChoiceRequest,
+        usable: Vec<EndpointKey>,
+    ) -> Option<EndpointKey> {
+        let is_healthy = |key: &EndpointKey| self.takes_draw(now, *key, req.draw);
+        let usable = prefer(usable, is_healthy);
+        let usable = self.prefer_version(req, usable);
+        let is_in_time = |key: &EndpointKey| now.plus(self.at(*key).wait(now)) < req.deadline;
+        let usable = prefer(usable, is_in_time);
+        match req.prefix {
+            Some(prefix) => self.choose_home(prefix, req, &usable),
+            None => self.choose_near(req, &usable),
+        }
+    }
+
+    /// Returns whether an endpoint that returns after an ejection takes this draw.
+    fn takes_draw(&self, now: Millis, key: EndpointKey, draw: u64) -> bool {
+        let endpoint = self.at(key);
+        let percent = endpoint.outlier.weight_percent(now);
+        percent == 100 || score(draw, endpoint.terms.identity) % 100 < percent
+    }
+
+    fn prefer_version(&self, req: &ChoiceRequest, usable: Vec<EndpointKey>) -> Vec<EndpointKey> {
+        if req.kind != WorkKind::Samples || req.weigh != Weigh::Staleness {
+            return usable;
+        }
+        let newest = usable.iter().filter_map(|key| self.at(*key).version).max();
+        prefer(usable, |key| self.at(*key).version == newest)
+    }
+
+    /// Chooses the first endpoint in the prefix's order that is not over the bounded load; another
+    /// region's only when no near one has a free slot.
+    fn choose_home(
+        &self,
+        prefix: u64,
+        req: &ChoiceRequest,
+        usable: &[EndpointKey],
+    ) -> Option<EndpointKey> {
+        let is_near = |key: &EndpointKey| self.at(*key).terms.proximity != Proximity::Remote;
+        let near: Vec<EndpointKey> = usable.iter().copied().filter(is_near).collect();
+        let home = self.home(prefix, &near);
+        let is_free = |key: &EndpointKey| self.use_percent(*key) <= FULL_PERCENT;
+        home.filter(is_free)
+            .or_else(|| self.home(prefix, usable))
+            .or_else(|| self.least_used_of_two(req.draw, usable))
+    }
+
+    fn home(&self, prefix: u64, tier: &[EndpointKey]) -> Option<EndpointKey> {
+        let mean = self.mean_use(tier);
+        let has_room = |key: &&EndpointKey| self.is_within(**key, mean);
+        let rank = |key: &&EndpointKey| score(prefix, self.at(**key).terms.identity);
+        tier.iter().filter(has_room).max_by_key(rank).copied()
+    }
+
+    /// Chooses the less used of two drawn endpoints of the nearest tier that has room.
+    fn choose_near(&self, req: &ChoiceRequest, usable: &[EndpointKey]) -> Option<EndpointKey> {
+        for farthest in [Proximity::Domain, Proximity::Region] {
+            let is_near = |key: &EndpointKey| self.at(*key).terms.proximity <= farthest;
+            let has_room = |key: &EndpointKey| self.use_percent(*key) <= FULL_PERCENT;
+            let near = usable
+                .iter()
+                .copied()
+                .filter(|it| is_near(it) && has_room(it));
+            let tier: Vec<EndpointKey> = near.collect();
+            if !tier.is_empty() {
+                return self.least_used_of_two(req.draw, &tier);
+            }
+        }
+        self.least_used_of_two(req.draw, usable)
+    }
+
+    fn least_used_of_two(&self, draw: u64, tier: &[EndpointKey]) -> Option<EndpointKey> {
+        let first = pick(tier, draw)?;
+        let others: Vec<EndpointKey> = tier.iter().copied().filter(|key| *key != first).collect();
+        let second = pick(&others, score(draw, 1)).unwrap_or(first);
+        let rank = |key: &EndpointKey| (self.use_percent(*key), self.at(*key).in_flight);
+        [first, second].into_iter().min_by_key(rank)
+    }
+
+    fn least_outstanding(
+        &self,
+        req: &ChoiceRequest,
+        usable: &[EndpointKey],
+    ) -> Option<EndpointKey> {
+        let rank = |key: &&EndpointKey| {
+            let endpoint = self.at(**key);
+            (endpoint.in_flight, score(req.draw, endpoint.terms.identity))
+        };
+        usable.iter().min_by_key(rank).copied()
+    }
+
+    fn is_within(&self, key: EndpointKey, mean: u64) -> bool {
+        let one_slot = FULL_PERCENT / u64::from(self.at(key).capacity());
+        let bound = mean * BOUNDED_LOAD_PERCENT / 100 + one_slot;
+        self.use_percent(key) <= bound.max(FULL_PERCENT)
+    }
+
+    fn mean_use(&self, tier: &[EndpointKey]) -> u64 {
+        let slots: u64 = tier
+            .iter()
+            .map(|key| u64::from(self.at(*key).capacity()))
+            .sum();
+        let used: u64 = tier
+            .iter()
+            .map(|key| u64::from(self.at(*key).occupancy()))
+            .sum();
+        used * 100 / slots.max(1)
+    }
+
+    /// Slots that would be in use with one more request, in percent.
+    fn use_percent(&self, key: EndpointKey) -> u64 {
+        let endpoint = self.at(key);
+        (u64::from(endpoint.occupancy()) + 1) * 100 / u64::from(endpoint.capacity())
+    }
+
+    fn eject_reason(&self, now: Millis, key: EndpointKey) -> Option<EjectReason> {
+        let endpoint = self.arena.get(key)?;
+        ejection(now, endpoint, &self.peers(endpoint))
+    }
+
+    /// Lists the endpoints that serve the same first target, with the endpoint itself.
+    fn peers(&self, endpoint: &Endpoint) -> Vec<&Endpoint> {
+        let first = endpoint.terms.targets.first();
+        self.arena
+            .endpoints()
+            .filter(|peer| peer.terms.targets.first() == first)
+            .collect()
+    }
+
+    fn at(&self, key: EndpointKey) -> &Endpoint {
+        self.arena
+            .get(key)
+            .expect("the key was listed by the arena")
+    }
+}
+
+fn prefer(keys: Vec<EndpointKey>, is_preferred: impl Fn(&EndpointKey) -> bool) -> Vec<EndpointKey> {
+    let preferred: Vec<EndpointKey> = keys.iter().copied().filter(is_preferred).collect();
+    if preferred.is_empty() {
+        keys
+    } else {
+        preferred
+    }
+}
+
+fn pick(keys: &[EndpointKey], draw: u64) -> Option<EndpointKey> {
+    let position = draw.checked_rem(keys.len() as u64)?;
+    keys.get(position as usize).copied()
+}
--- a/crates/oleanderlock/src/lib.rs
+++ b/crates/oleanderlock/src/lib.rs
@@ -5,21 +5,33 @@
 //! checker, the differential tests and the load tool run the same code.
 
 pub mod admission;
+pub mod admission_config;
 pub mod admission_queue;
 pub mod answer;
+pub mod attempt_end;
+pub mod choice_request;
 pub mod class_terms;
 pub mod clock;
 pub mod contract;
+pub mod ejection;
+pub mod endpoint;
+mod endpoint_arena;
+pub mod endpoint_choice;
 pub mod error_kind;
 pub mod keys;
 pub mod limits;
 pub mod load;
+pub mod outlier;
 pub mod policy;
 pub mod prelude;
 pub mod ran;
+pub mod rendezvous;
 pub mod service_terms;
 pub mod service_time;
+pub mod service_times;
 pub mod shares;
+pub mod slots;
+pub mod subset;
 pub mod weigh;
 pub mod work;
 pub mod work_kind;
--- a/crates/oleanderlock/src/shares.rs
+++ b/crates/oleanderlock/src/shares.rs
@@ -126,8 +126,8 @@
 
     /// Moves a request from the queue to a slot and charges its `cost`.
     pub fn start_queued(&mut self, key: ClassKey, cost: u64) {
-        self.charge(key, cost);
         self.classes[key.index()].queued -= 1;
+        self.charge(key, cost);
         self.classes[key.index()].running += 1;
     }
 
--- /dev/null
+++ b/crates/oleanderlock/src/slots.rs
@@ -0,0 +1,136 @@
+//! The slots of an endpoint and the work that holds them.
+
+use crate::admission_config::AdmissionConfig;
+use crate::prelude::*;
+use crate::work::Work;
+use indexmap::IndexMap;
+
+/// Time without interactive work after which its reserved slots are lent to samples.
+const RESERVE_IDLE_MS: u64 = 10_000;
+
+/// Work that holds a slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Running {
+    /// The work.
+    pub work: Work,
+    /// Expected service time.
+    pub service: Millis,
+    /// When it got the slot.
+    pub since: Millis,
+}
+
+/// The slots of one endpoint, some of them reserved for interactive work while there is any.
+///
+/// Bounded by the capacity.
+#[derive(Clone, Debug)]
+pub struct Slots {
+    capacity: usize,
+    reserve: usize,
+    running: IndexMap<Ticket, Running>,
+    samples: usize,
+    last_interactive: Option<Millis>,
+}
+
+impl Slots {
+    /// Creates free slots.
+    pub fn new(cfg: AdmissionConfig) -> Self {
+        let mut slots = Self {
+            capacity: 0,
+            reserve: 0,
+            running: IndexMap::new(),
+            samples: 0,
+            last_interactive: None,
+        };
+        slots.resize(cfg);
+        slots
+    }
+
+    /// Changes the number of slots; running work keeps its own.
+    pub fn resize(&mut self, cfg: AdmissionConfig) {
+        self.capacity = cfg.capacity;
+        self.reserve = match cfg.policy.has_shares() {
+            true => cfg.interactive_reserve.min(cfg.capacity),
+            false => 0,
+        };
+    }
+
+    /// Takes in that work of the kind asked for a slot.
+    pub fn arrival(&mut self, now: Millis, kind: WorkKind) {
+        if kind == WorkKind::Interactive {
+            self.last_interactive = Some(now);
+        }
+    }
+
+    /// Gives a slot to the work.
+    pub fn occupy(&mut self, running: Running) {
+        if running.work.kind == WorkKind::Samples {
+            self.samples += 1;
+        }
+        self.running.insert(running.work.ticket, running);
+    }
+
+    /// Frees the slot of the attempt.
+    pub fn release(&mut self, ticket: Ticket) -> Option<Running> {
+        let running = self.running.swap_remove(&ticket)?;
+        if running.work.kind == WorkKind::Samples {
+            self.samples -= 1;
+        }
+        Some(running)
+    }
+
+    /// Returns whether the attempt holds a slot.
+    pub fn contains(&self, ticket: Ticket) -> bool {
+        self.running.contains_key(&ticket)
+    }
+
+    /// Returns the number of slots in use.
+    pub fn len(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Returns whether no slot is in use.
+    pub fn is_empty(&self) -> bool {
+        self.running.is_empty()
+    }
+
+    /// Returns whether all slots are in use.
+    pub fn is_full(&self) -> bool {
+        self.running.len() >= self.capacity
+    }
+
+    /// Returns whether work of the kind may start.
+    pub fn has_free(&self, now: Millis, kind: WorkKind) -> bool {
+        match kind {
+            WorkKind::Interactive => !self.is_full(),
+            WorkKind::Samples => {
+                !self.is_full() && self.samples < self.capacity - self.reserved(now)
+            }
+        }
+    }
+
+    /// Returns when the reserve will be lent unless interactive work arrives before; `None` when
+    /// it is lent already.
+    pub fn reserve_end(&self, now: Millis) -> Option<Millis> {
+        let last = self.last_interactive.filter(|_| self.reserved(now) > 0)?;
+        Some(last.plus(Millis(RESERVE_IDLE_MS + 1)))
+    }
+
+    /// Returns the expected time in milliseconds until the first of the running requests ends:
+    /// with remaining times spread evenly from zero, twice their mean over one more than their
+    /// number.
+    pub fn first_end(&self, now: Millis) -> u64 {
+        let count = self.running.len() as u64;
+        let remaining = |running: &Running| running.service.since(now.since(running.since)).0;
+        let sum: u64 = self.running.values().map(remaining).sum();
+        sum * 2 / (count * (count + 1)).max(1)
+    }
+
+    fn reserved(&self, now: Millis) -> usize {
+        let is_recent = |at: Millis| now.since(at).0 <= RESERVE_IDLE_MS;
+        if self.last_interactive.is_some_and(is_recent) {
+            self.reserve
+        } else {
+            0
+        }
+    }
+}
