--- a/crates/oleanderlock/src/rendezvous.rs
+++ b/crates/oleanderlock/src/affinity_score.rs
@@ -1,4 +1,4 @@
-//! Rendezvous hashing (highest random weight, Thaler and Ravishankar 1998).
+//! Scores by which a key ranks nodes (highest random weight, Thaler and Ravishankar 1998).
 
 /// Mixes two words into a score that is spread evenly (the finaliser of MurmurHash3).
 pub const fn score(key: u64, node: u64) -> u64 {
--- a/crates/oleanderlock/src/endpoint_choice.rs
+++ b/crates/oleanderlock/src/endpoint_choice.rs
@@ -4,6 +4,7 @@
 //! prefix has a home by rendezvous hashing with bounded load (Mirrokni, Thorup and Zadimoghaddam
 //! 2016); work without a prefix goes to the less loaded of two drawn endpoints, nearer ones first.
 
+use crate::affinity_score::score;
 use crate::attempt_end::AttemptEnd;
 use crate::choice_request::ChoiceRequest;
 use crate::ejection::{EjectReason, ejection};
@@ -12,7 +13,6 @@
 use crate::load::Load;
 use crate::policy::Policy;
 use crate::prelude::*;
-use crate::rendezvous::score;
 use crate::weigh::Weigh;
 
 /// Load up to which an endpoint without a free slot keeps its prefixes, in percent of the mean.
--- a/crates/oleanderlock/src/subset.rs
+++ b/crates/oleanderlock/src/subset.rs
@@ -1,7 +1,7 @@
 //! The stable subset of agents that one entry uses.
 
+use crate::affinity_score::{hash_bytes, score};
 use crate::prelude::*;
-use crate::rendezvous::{hash_bytes, score};
 use bytes::Bytes;
 use indexmap::IndexMap;
 
