--- a/crates/oleanderlock/src/attempt_ledger.rs
+++ b/crates/oleanderlock/src/attempt_ledger.rs
@@ -5,8 +5,8 @@
 //! An idempotent request has a record for each ticket.
 
 use crate::guards::Guards;
-use crate::request_outcome::Outcome;
 use crate::prelude::*;
+use crate::request_outcome::Outcome;
 use crate::submission::Submission;
 use indexmap::IndexMap;
 use std::collections::BTreeSet;
@@ -265,7 +265,7 @@
         if submission.horizon <= self.floors[self.floor_index(key)] {
             return SubmitAction::Refuse(ErrorKind::Cancelled, Ran::No);
         }
-        if self.is_late(now, submission) {
+        if now >= submission.deadline.min(submission.horizon) {
             let outcome = Outcome::failed(ErrorKind::DeadlineBeforeStart, Ran::No);
             self.tombstone(key, submission, outcome);
             return SubmitAction::Refuse(ErrorKind::DeadlineBeforeStart, Ran::No);
@@ -278,10 +278,6 @@
         SubmitAction::Start
     }
 
-    fn is_late(&self, now: Millis, submission: &Submission) -> bool {
-        now >= submission.deadline || (self.guards.horizon && now >= submission.horizon)
-    }
-
     /// Whether a record with this horizon could have been dropped.
     fn may_have_forgotten(&self, now: Millis, horizon: Millis) -> bool {
         self.guards.forgotten && now >= horizon.plus(self.limits.grace)
--- a/crates/oleanderlock/src/guards.rs
+++ b/crates/oleanderlock/src/guards.rs
@@ -13,8 +13,6 @@
     pub tombstone: bool,
     /// The agent keeps refusing what it refused while its table was full.
     pub floor: bool,
-    /// The agent refuses tickets whose horizon has passed.
-    pub horizon: bool,
     /// The agent says "unknown" of tickets that it may have forgotten.
     pub forgotten: bool,
     /// The agent refuses a request that differs from the one first seen with its identity.
@@ -46,7 +44,6 @@
         request_identity: true,
         tombstone: true,
         floor: true,
-        horizon: true,
         forgotten: true,
         fingerprint: true,
         retry: true,
--- a/crates/oleanderlock/src/request_track.rs
+++ b/crates/oleanderlock/src/request_track.rs
@@ -48,6 +48,9 @@
     pub idempotent: bool,
     /// When the caller is answered at the latest.
     pub deadline: Millis,
+    /// Number of the first attempt; 0, or drawn for each call with a key, so that two calls with
+    /// one key have different tickets.
+    pub first_attempt: u32,
     /// Where it may run.
     pub placement: Placement,
 }
@@ -125,11 +128,7 @@
     }
 
     /// As [`Self::open`], with guards that may be off; for model checking.
-    pub fn with_guards(
-        spec: RequestSpec,
-        cfg: TrackConfig,
-        guards: Guards,
-    ) -> (Self, TrackAction) {
+    pub fn with_guards(spec: RequestSpec, cfg: TrackConfig, guards: Guards) -> (Self, TrackAction) {
         let mut track = Self {
             spec,
             cfg,
@@ -189,7 +188,7 @@
         match (self.phase, event) {
             (Phase::Done, _) => None,
             (_, TrackEvent::CallerGone) => self.abandon(),
-            (_, _) if now >= self.spec.deadline => Some(self.expire()),
+            (_, event) if now >= self.spec.deadline => Some(self.expire(event)),
             (phase, TrackEvent::Tick) => self.tick(now, phase),
             (Phase::Choosing, TrackEvent::Route(incarnation)) => Some(self.attempt(incarnation)),
             (Phase::Choosing, TrackEvent::NoRoute(kind)) => Some(self.fail(kind, self.past)),
@@ -226,7 +225,7 @@
     fn attempt(&mut self, incarnation: Incarnation) -> TrackAction {
         let ticket = Ticket {
             request: self.spec.id,
-            attempt: self.attempts,
+            attempt: self.spec.first_attempt.wrapping_add(self.attempts),
             incarnation,
         };
         self.attempts += 1;
@@ -283,9 +282,8 @@
 
     fn on_finished(&mut self, outcome: Outcome) -> TrackAction {
         match outcome.error {
-            Some(kind) if is_transient(kind) => self.retry_or_answer(kind, outcome),
-            Some(_) => self.answer(outcome),
-            None => self.answer(outcome),
+            Some(kind) if is_transient(kind) => self.retry_or_answer(outcome),
+            _ => self.answer(outcome),
         }
     }
 
@@ -307,19 +305,16 @@
     }
 
     fn retry_or_fail(&mut self, kind: ErrorKind, ran: Ran) -> TrackAction {
-        self.retry_or_answer(kind, Outcome::failed(kind, ran))
+        self.retry_or_answer(Outcome::failed(kind, ran))
     }
 
-    fn retry_or_answer(&mut self, kind: ErrorKind, outcome: Outcome) -> TrackAction {
+    fn retry_or_answer(&mut self, outcome: Outcome) -> TrackAction {
         if !self.may_retry(outcome.ran) {
             return self.answer(outcome);
         }
         self.past = self.settled(outcome.ran);
         if self.attempts >= self.cfg.max_attempts {
-            return self.answer(Outcome {
-                error: Some(kind),
-                ..outcome
-            });
+            return self.answer(outcome);
         }
         self.phase = Phase::Choosing;
         TrackAction::Choose
@@ -342,7 +337,12 @@
         }
     }
 
-    fn expire(&mut self) -> TrackAction {
+    fn expire(&mut self, event: TrackEvent) -> TrackAction {
+        if let TrackEvent::Finished(ticket, outcome) = event
+            && Some(ticket) == self.current()
+        {
+            return self.answer(outcome);
+        }
         let Some(attempt) = self.waiting() else {
             return self.fail(ErrorKind::DeadlineBeforeStart, self.past);
         };
--- /dev/null
+++ b/crates/oleanderlock/src/store_answer.rs
@@ -0,0 +1,33 @@
+//! Answers of the platform's object API, as the decision parts see them.
+
+/// Version of an object that does not exist.
+pub const NO_VERSION: u64 = 0;
+
+/// The answer to a read of one object.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum ReadAnswer {
+    /// The object as it stands.
+    Object {
+        /// Version of its last write.
+        version: u64,
+        /// Its value.
+        value: String,
+    },
+    /// There is no such object.
+    Missing,
+    /// The store refused the call or gave no answer.
+    Unavailable,
+}
+
+/// The answer to a conditional write of one object.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum WriteAnswer {
+    /// The write took effect as this version.
+    Written(u64),
+    /// The condition did not hold; nothing was written.
+    Conflict,
+    /// The store refused the call; nothing was written.
+    Refused,
+    /// No answer came; the write may have taken effect, or may yet.
+    Lost,
+}
