--- a/crates/oleander-daemon/src/agent.rs
+++ b/crates/oleander-daemon/src/agent.rs
@@ -8,19 +8,18 @@
 use crate::metrics::Metrics;
 use crate::open_fault::OpenFault;
 use crate::prelude::*;
-use crate::runtime;
+use crate::runtime::{self, HttpServer};
 use oleander_link::{Delivery, LinkKeys, Mailbox};
 use std::sync::Arc;
 use std::sync::mpsc::{Sender, channel};
 use std::thread::JoinHandle;
-use trillium_smol::Stopper;
 
 /// A running agent.
 pub struct Agent {
     events: Sender<AgentEvent>,
     control: JoinHandle<()>,
     mailbox: Mailbox,
-    stopper: Stopper,
+    server: HttpServer,
 }
 
 impl Agent {
@@ -37,7 +36,7 @@
         let (events, inbox) = channel();
         let mailbox = bind_mailbox(&cfg, keys.clone(), events.clone())?;
         let peers = Peers::new(&cfg.node.link, incarnation, keys, |_| ());
-        let stopper = runtime::serve(cfg.node.http, {
+        let server = runtime::serve(cfg.node.http, {
             agent_http::handler(events.clone(), metrics.clone())
         })?;
         let cx = AgentCx::new(Arc::new(cfg), metrics, peers, events.clone());
@@ -49,7 +48,7 @@
             events,
             control,
             mailbox,
-            stopper,
+            server,
         })
     }
 
@@ -61,7 +60,7 @@
     /// Waits until the agent has stopped gracefully.
     pub fn wait(self) {
         let _ = self.control.join();
-        self.stopper.stop();
+        self.server.close();
         // Closing the sockets waits until what is buffered has gone out.
         drop(self.mailbox);
         log::info!("event=closed role=agent");
--- a/crates/oleander-daemon/src/agent_control.rs
+++ b/crates/oleander-daemon/src/agent_control.rs
@@ -7,7 +7,8 @@
 use crate::engine_client::SwapEnd;
 use crate::prelude::*;
 use indexmap::IndexMap;
-use oleanderlock::admission::{Admission, AdmissionConfig};
+use oleanderlock::admission::Admission;
+use oleanderlock::admission_config::AdmissionConfig;
 use oleanderlock::attempt_ledger::{AttemptLedger, LedgerLimits, SubmitAction};
 use oleanderlock::request_outcome::Outcome;
 use oleanderlock::work::{AdmissionAction, Refusal, Verdict, Work};
@@ -17,6 +18,19 @@
 /// Time after which an entry that says nothing gets no more reports.
 const ENTRY_SILENT: Millis = Millis::from_secs(10);
 
+/// Waves in which the engines of one model load a version.
+const WAVES: u64 = 3;
+/// Time between two waves, in milliseconds.
+const WAVE_MS: u64 = 300;
+
+/// A swap that waits for its wave.
+struct PlannedSwap {
+    model: String,
+    version: Version,
+    fence: Fence,
+    due: Millis,
+}
+
 /// The control state of an agent.
 pub struct AgentControl {
     cx: AgentCx,
@@ -31,6 +45,7 @@
     probe: Option<Probe>,
     quarantined: bool,
     swapping: bool,
+    planned: Option<PlannedSwap>,
     last_fence: Fence,
     leaving_since: Option<Millis>,
     stopping: bool,
@@ -51,6 +66,7 @@
             probe: None,
             quarantined: false,
             swapping: false,
+            planned: None,
             last_fence: Fence(0),
             leaving_since: None,
             stopping: false,
@@ -65,8 +81,8 @@
             Some(AgentEvent::Frame(frame)) => self.frame(now, *frame),
             Some(AgentEvent::FrameRefused(_)) => self.cx.metrics.count("frame-refused"),
             Some(AgentEvent::Ended(end)) => self.ended(now, end),
-            Some(AgentEvent::Probed(probe)) => self.probed(probe),
-            Some(AgentEvent::Swapped(report)) => self.swapped(report),
+            Some(AgentEvent::Probed(probe)) => self.probed(now, probe),
+            Some(AgentEvent::Swapped(report)) => self.swapped(now, report),
             Some(AgentEvent::Stop) => self.stop(now),
             Some(AgentEvent::Drain) => self.leave(now),
             Some(AgentEvent::Describe(reply)) => drop(reply.send(self.summary(now))),
@@ -311,6 +327,57 @@
         self.report_to_all(now);
     }
 
+    /// Plans to load the version published for this engine's model.
+    ///
+    /// The agents of one model start at different times, so that enough engines serve meanwhile
+    /// and the weight store is not asked by all at once.
+    fn plan_swap(&mut self, now: Millis) {
+        let Some(model) = self.cx.cfg.targets.first() else {
+            return;
+        };
+        let Some(published) = self.config.published(model) else {
+            return;
+        };
+        let serving = self
+            .probe
+            .and_then(|probe| probe.version)
+            .unwrap_or_default();
+        let is_planned = self
+            .planned
+            .as_ref()
+            .is_some_and(|it| it.version >= published.version);
+        if !self.cx.is_engine() || serving >= published.version || is_planned {
+            return;
+        }
+        let wave = wave_of(&self.cx.cfg.node.name, published.version);
+        self.planned = Some(PlannedSwap {
+            model: model.clone(),
+            version: published.version,
+            fence: published.fence,
+            due: now.plus(Millis(wave * WAVE_MS)),
+        });
+    }
+
+    fn start_planned_swap(&mut self, now: Millis) {
+        if self.swapping
+            || self
+                .planned
+                .as_ref()
+                .is_none_or(|planned| planned.due > now)
+        {
+            return;
+        }
+        let Some(planned) = self.planned.take() else {
+            return;
+        };
+        let order = wire::WeightOrder {
+            fence: planned.fence.0,
+            model: planned.model,
+            version: planned.version.0,
+        };
+        self.order_weights(String::new(), order);
+    }
+
     fn order_weights(&mut self, entry: String, order: wire::WeightOrder) {
         let fence = Fence(order.fence);
         if fence < self.last_fence {
@@ -333,7 +400,7 @@
         self.cx.swap(entry, order);
     }
 
-    fn swapped(&mut self, report: SwapReport) {
+    fn swapped(&mut self, now: Millis, report: SwapReport) {
         self.swapping = false;
         log::info!("event=swap version={} end={:?}", report.version, report.end);
         match report.end {
@@ -351,7 +418,10 @@
             }
         }
         self.report_due = Millis::ZERO;
-        self.send_status(&report);
+        self.plan_swap(now);
+        if !report.entry.is_empty() {
+            self.send_status(&report);
+        }
     }
 
     fn send_status(&self, report: &SwapReport) {
@@ -369,7 +439,7 @@
         self.cx.send(&report.entry, Body::WeightStatus(status));
     }
 
-    fn probed(&mut self, probe: Probe) {
+    fn probed(&mut self, now: Millis, probe: Probe) {
         let changed = self.probe != Some(probe);
         self.probe = Some(probe);
         if !self.swapping {
@@ -377,6 +447,7 @@
         }
         if changed {
             self.report_due = Millis::ZERO;
+            self.plan_swap(now);
         }
     }
 
@@ -384,6 +455,7 @@
         self.ledger.forget(now);
         let actions = self.admission.tick(now);
         self.act(now, actions);
+        self.start_planned_swap(now);
         if now >= self.report_due {
             self.entries
                 .retain(|_, heard| now.since(*heard) < ENTRY_SILENT);
@@ -487,3 +559,10 @@
         }
     }
 }
+
+fn wave_of(name: &str, version: Version) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(name.as_bytes());
+    hasher.update(&version.0.to_be_bytes());
+    u64::from(hasher.finalize().as_bytes()[0]) % WAVES
+}
--- a/crates/oleander-daemon/src/agent_table.rs
+++ b/crates/oleander-daemon/src/agent_table.rs
@@ -38,6 +38,7 @@
     state: EndpointState,
     suspected: bool,
     config_digest: u64,
+    targets: Vec<Bytes>,
 }
 
 /// An agent that is no longer listed.
@@ -71,18 +72,23 @@
     /// Takes the platform's list; returns the agents that are no longer on it.
     pub fn listed(&mut self, now: Millis, listed: &[ListedInstance]) -> Vec<DroppedAgent> {
         for instance in listed {
-            let agent = self.agents.entry(instance.link.clone()).or_insert_with(|| Agent {
-                name: instance.name.clone(),
-                domain: instance.domain.clone(),
-                region: instance.region.clone(),
-                leaving: false,
-                heard: None,
-            });
+            let agent = self
+                .agents
+                .entry(instance.link.clone())
+                .or_insert_with(|| Agent {
+                    name: instance.name.clone(),
+                    domain: instance.domain.clone(),
+                    region: instance.region.clone(),
+                    leaving: false,
+                    heard: None,
+                });
             agent.leaving = instance.state == ListedState::Leaving;
         }
         let gone = |link: &&String| !listed.iter().any(|instance| instance.link == **link);
         let gone: Vec<String> = self.agents.keys().filter(gone).cloned().collect();
-        gone.into_iter().filter_map(|link| self.drop_silent(now, link)).collect()
+        gone.into_iter()
+            .filter_map(|link| self.drop_silent(now, link))
+            .collect()
     }
 
     /// The list lags, so an agent that still reports stays.
@@ -108,7 +114,9 @@
         report: &wire::Report,
     ) -> Option<Incarnation> {
         let agent = self.agents.get_mut(link)?;
-        let replaced = agent.heard.take_if(|heard| heard.incarnation != incarnation);
+        let replaced = agent
+            .heard
+            .take_if(|heard| heard.incarnation != incarnation);
         if let Some(old) = &replaced {
             self.choice.remove(old.key);
         }
@@ -123,17 +131,19 @@
             state: EndpointState::Serving,
             suspected: false,
             config_digest: 0,
+            targets: Vec::new(),
         });
         heard.clock.observe(Millis(report.clock_ms), now);
         heard.at = now;
-        heard.version = (!report.version_unknown && report.version > 0)
-            .then_some(Version(report.version));
+        heard.version =
+            (!report.version_unknown && report.version > 0).then_some(Version(report.version));
         heard.state = match agent.leaving {
             true => EndpointState::Leaving,
             false => state_of(report.state()),
         };
         heard.suspected = false;
         heard.config_digest = report.config_digest;
+        heard.targets.clone_from(&terms.targets);
         let endpoint = EndpointReport {
             state: heard.state,
             load: report.load.as_ref().map(load_of).unwrap_or_default(),
@@ -147,7 +157,10 @@
 
     /// Suspects an agent whose connection broke.
     pub fn disconnected(&mut self, link: &str) {
-        let heard = self.agents.get_mut(link).and_then(|agent| agent.heard.as_mut());
+        let heard = self
+            .agents
+            .get_mut(link)
+            .and_then(|agent| agent.heard.as_mut());
         if let Some(heard) = heard {
             heard.suspected = true;
             self.choice.suspect(heard.key, true);
@@ -159,7 +172,9 @@
         self.choice.tick(now);
         let mut gone = Vec::new();
         for agent in self.agents.values_mut() {
-            let Some(heard) = agent.heard.as_mut() else { continue };
+            let Some(heard) = agent.heard.as_mut() else {
+                continue;
+            };
             let silence = now.since(heard.at);
             if silence >= SUSPECT_AFTER && !heard.suspected {
                 heard.suspected = true;
@@ -176,7 +191,11 @@
 
     /// Tells whether any agent is known to serve the target.
     pub fn serves(&self, target: &[u8]) -> bool {
-        self.choice.serves(target)
+        let mut heard = self
+            .agents
+            .values()
+            .filter_map(|agent| agent.heard.as_ref());
+        heard.any(|heard| heard.targets.iter().any(|served| served == target))
     }
 
     /// Chooses an agent and counts the attempt there.
@@ -189,7 +208,10 @@
 
     /// Returns the way to an incarnation and counts the attempt there.
     pub fn locate(&mut self, now: Millis, incarnation: Incarnation) -> Option<Route> {
-        let found = self.agents.values().filter_map(|agent| agent.heard.as_ref());
+        let found = self
+            .agents
+            .values()
+            .filter_map(|agent| agent.heard.as_ref());
         let mut found = found.filter(|heard| heard.incarnation == incarnation);
         let key = found.next()?.key;
         self.choice.started(now, key);
@@ -214,14 +236,23 @@
 
     /// Describes the agents for people.
     pub fn views(&self) -> Vec<AgentView> {
-        self.agents.iter().map(|(link, agent)| self.view(link, agent)).collect()
+        self.agents
+            .iter()
+            .map(|(link, agent)| self.view(link, agent))
+            .collect()
     }
 
     fn view(&self, link: &str, agent: &Agent) -> AgentView {
         let heard = agent.heard.as_ref();
         let state = heard.map_or_else(
             || "unheard".to_owned(),
-            |heard| if heard.suspected { "suspected".to_owned() } else { heard.state.to_string() },
+            |heard| {
+                if heard.suspected {
+                    "suspected".to_owned()
+                } else {
+                    heard.state.to_string()
+                }
+            },
         );
         AgentView {
             name: agent.name.clone(),
@@ -229,7 +260,9 @@
             link: link.to_owned(),
             state,
             incarnation: heard.map(|heard| heard.incarnation.to_string()),
-            version: heard.and_then(|heard| heard.version).map(|version| version.0),
+            version: heard
+                .and_then(|heard| heard.version)
+                .map(|version| version.0),
             in_flight: heard.map_or(0, |heard| self.choice.in_flight(heard.key)),
             config_digest: heard
                 .map(|heard| format!("{:016x}", heard.config_digest))
@@ -263,8 +296,15 @@
     };
     let digest = blake3::hash(agent.name.as_bytes());
     let identity = u64::from_be_bytes(digest.as_bytes()[..8].try_into().unwrap_or_default());
-    let targets = report.targets.iter().map(|target| Bytes::from(target.clone()));
-    EndpointTerms { identity, proximity, targets: targets.collect() }
+    let targets = report
+        .targets
+        .iter()
+        .map(|target| Bytes::from(target.clone()));
+    EndpointTerms {
+        identity,
+        proximity,
+        targets: targets.collect(),
+    }
 }
 
 fn state_of(state: wire::AgentState) -> EndpointState {
--- /dev/null
+++ b/crates/oleander-daemon/src/completions.rs
@@ -0,0 +1,298 @@
+//! `POST /v1/completions` and `/v1/chat/completions`.
+
+use crate::caller::{Call, fingerprint, prefix_of};
+use crate::entry_cx::EntryCx;
+use crate::http_fault::json;
+use crate::http_input;
+use crate::in_flight::InFlight;
+use crate::prelude::*;
+use crate::request_run::{self, Request, RequestEnd};
+use crate::runtime;
+use async_channel::{Receiver, Sender};
+use bytes::Bytes;
+use futures_util::{StreamExt, TryStreamExt};
+use oleanderlock::request_outcome::Outcome;
+use serde::Deserialize;
+use serde_json::{Value, json as value};
+use trillium::{Body as HttpBody, Conn, Status};
+
+/// Tokens of an answer when the caller names no number.
+const MAX_TOKENS_DEFAULT: u64 = 256;
+/// Most tokens that a caller may ask for.
+const MAX_TOKENS_LIMIT: u64 = 32_768;
+
+/// Body of a completion call.
+#[derive(Clone, Debug, Deserialize)]
+struct CompletionBody {
+    model: String,
+    prompt: String,
+    #[serde(default)]
+    max_tokens: Option<u64>,
+    #[serde(default)]
+    stream: bool,
+}
+
+/// Body of a chat completion call.
+#[derive(Clone, Debug, Deserialize)]
+struct ChatBody {
+    model: String,
+    messages: Vec<ChatMessage>,
+    #[serde(default)]
+    max_tokens: Option<u64>,
+    #[serde(default)]
+    stream: bool,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct ChatMessage {
+    role: String,
+    content: String,
+}
+
+/// The two shapes of an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Shape {
+    Completion,
+    Chat,
+}
+
+/// An answer being written.
+#[derive(Clone, Debug)]
+struct Reply {
+    shape: Shape,
+    id: String,
+    model: String,
+}
+
+/// Answers `POST /v1/completions`.
+pub async fn completions(cx: EntryCx, mut conn: Conn) -> Conn {
+    let body = http_input::json::<CompletionBody>(&mut conn).await;
+    match body {
+        Ok(body) => answer(cx, conn, Shape::Completion, body).await,
+        Err(fault) => fault.answer(conn),
+    }
+}
+
+/// Answers `POST /v1/chat/completions`.
+pub async fn chat(cx: EntryCx, mut conn: Conn) -> Conn {
+    let body = match http_input::json::<ChatBody>(&mut conn).await {
+        Ok(body) => body,
+        Err(fault) => return fault.answer(conn),
+    };
+    let lines = body
+        .messages
+        .iter()
+        .map(|one| format!("{}: {}", one.role, one.content));
+    let prompt = lines.collect::<Vec<String>>().join("\n");
+    let body = CompletionBody {
+        model: body.model,
+        prompt,
+        max_tokens: body.max_tokens,
+        stream: body.stream,
+    };
+    answer(cx, conn, Shape::Chat, body).await
+}
+
+async fn answer(cx: EntryCx, mut conn: Conn, shape: Shape, body: CompletionBody) -> Conn {
+    let began = now();
+    let call = match Call::read(&cx, &conn, None).await {
+        Ok(call) => call,
+        Err(fault) => return fault.answer(conn),
+    };
+    let req = match request(&call, &body) {
+        Ok(req) => req,
+        Err(fault) => return fault.answer(conn),
+    };
+    let id = req.spec.id;
+    let reply = Reply {
+        shape,
+        id: id.to_string(),
+        model: body.model,
+    };
+    if body.stream {
+        return answer_stream(cx, conn, reply, req).await;
+    }
+    let guard = InFlight::begin(&cx.metrics);
+    let run = request_run::run(&cx, req, |_| true);
+    let Some(end) = conn.cancel_on_disconnect(run).await else {
+        return conn;
+    };
+    drop(guard);
+    cx.metrics.answered(now().since(began));
+    match text_of(&end) {
+        Ok(text) => {
+            let body = reply.whole(&text, end.outcome.total);
+            json(conn, Status::Ok, &body)
+        }
+        Err(fault) => refuse(&cx, fault.of(id), conn),
+    }
+}
+
+fn request(call: &Call, body: &CompletionBody) -> Result<Request, HttpFault> {
+    let max_tokens = body.max_tokens.unwrap_or(MAX_TOKENS_DEFAULT);
+    if max_tokens == 0 || max_tokens > MAX_TOKENS_LIMIT {
+        let detail = format!("max_tokens must be from 1 to {MAX_TOKENS_LIMIT}");
+        return Err(HttpFault::not_run(ErrorKind::BadRequest).detail(detail));
+    }
+    let payload = value!({ "prompt": body.prompt, "max_tokens": max_tokens }).to_string();
+    let payload = Bytes::from(payload);
+    Ok(Request {
+        spec: call.spec(true),
+        target: Bytes::from(body.model.clone()),
+        class: call.terms.class.clone(),
+        kind: WorkKind::Interactive,
+        fingerprint: fingerprint(&body.model, &payload),
+        payload,
+        route: String::new(),
+        prefix: Some(prefix_of(&body.prompt)),
+        cost: max_tokens,
+        horizon: call.horizon(),
+    })
+}
+
+/// Returns the text of a whole answer, or the fault to tell.
+fn text_of(end: &RequestEnd) -> Result<String, HttpFault> {
+    if let Some(kind) = end.outcome.error {
+        return Err(fault_of(kind, &end.outcome));
+    }
+    let Some(answer) = &end.answer else {
+        return Err(HttpFault::new(ErrorKind::Internal, end.outcome.ran));
+    };
+    Ok(String::from_utf8_lossy(&answer.data).into_owned())
+}
+
+/// Returns the fault that an outcome tells.
+pub fn fault_of(kind: ErrorKind, outcome: &Outcome) -> HttpFault {
+    let fault = HttpFault::new(kind, outcome.ran);
+    match outcome.retry_after {
+        Some(length) => fault.retry_after(length),
+        None => fault,
+    }
+}
+
+/// Answers with a fault, and counts and logs it.
+pub fn refuse(cx: &EntryCx, fault: HttpFault, conn: Conn) -> Conn {
+    cx.metrics.refused(fault.kind);
+    let request = fault.request.map(|id| id.to_string()).unwrap_or_default();
+    log::info!(
+        "event=refused request={request} kind={} ran={}",
+        fault.kind,
+        fault.ran
+    );
+    fault.answer(conn)
+}
+
+/// Starts the request on the traffic threads, and answers once its first text or its end is
+/// known, so that a refusal before any text has the status of an error.
+async fn answer_stream(cx: EntryCx, conn: Conn, reply: Reply, req: Request) -> Conn {
+    let (tx, rx) = async_channel::unbounded();
+    let (end_tx, end_rx) = async_channel::bounded(1);
+    let id = req.spec.id;
+    let began = now();
+    let running = cx.clone();
+    let written = reply.clone();
+    runtime::spawn(async move {
+        let guard = InFlight::begin(&running.metrics);
+        let sending = tx.clone();
+        let end = request_run::run(&running, req, |text| {
+            sending
+                .try_send(written.part(&String::from_utf8_lossy(&text)))
+                .is_ok()
+        });
+        let end = end.await;
+        running.metrics.answered(now().since(began));
+        finish_stream(&tx, &end, id);
+        let _ = end_tx.try_send(end);
+        drop(guard);
+    });
+    match first_of(&rx, &end_rx).await {
+        First::Text(text) => stream(conn, text, rx),
+        First::Refused(fault) => refuse(&cx, fault.of(id), conn),
+    }
+}
+
+/// What a streamed request shows first.
+enum First {
+    Text(Bytes),
+    Refused(HttpFault),
+}
+
+async fn first_of(texts: &Receiver<Bytes>, ends: &Receiver<RequestEnd>) -> First {
+    if let Ok(text) = texts.recv().await {
+        return First::Text(text);
+    }
+    let end = ends.recv().await.ok();
+    let fault = end.and_then(|end| text_of(&end).err());
+    First::Refused(fault.unwrap_or_else(|| HttpFault::new(ErrorKind::Internal, Ran::Unknown)))
+}
+
+/// Ends the stream: with its end mark if the answer is whole, with the error if text went out
+/// before, and without a word if the caller gets an error status instead.
+fn finish_stream(tx: &Sender<Bytes>, end: &RequestEnd, id: RequestId) {
+    match text_of(end) {
+        Ok(_) => drop(tx.try_send(Bytes::from_static(b"data: [DONE]\n\n"))),
+        Err(fault) if has_sent_text(end) => {
+            let body = serde_json::to_string(&fault.of(id).body()).unwrap_or_default();
+            let _ = tx.try_send(Bytes::from(format!("data: {body}\n\n")));
+        }
+        Err(_) => {}
+    }
+    tx.close();
+}
+
+fn has_sent_text(end: &RequestEnd) -> bool {
+    end.text_sent
+}
+
+fn stream(conn: Conn, first: Bytes, rest: Receiver<Bytes>) -> Conn {
+    let first = futures_util::stream::once(async move { first });
+    let reader = first.chain(rest).map(Ok::<Bytes, std::io::Error>);
+    let body = HttpBody::new_streaming(Box::pin(reader).into_async_read(), None);
+    conn.with_response_header("content-type", "text/event-stream")
+        .with_response_header("cache-control", "no-store")
+        .with_status(Status::Ok)
+        .with_body(body)
+        .halt()
+}
+
+impl Reply {
+    fn whole(&self, text: &str, tokens: u64) -> Value {
+        let choice = match self.shape {
+            Shape::Completion => value!({ "index": 0, "text": text, "finish_reason": "length" }),
+            Shape::Chat => value!({
+                "index": 0,
+                "message": { "role": "assistant", "content": text },
+                "finish_reason": "length",
+            }),
+        };
+        value!({
+            "id": self.id,
+            "object": self.object(false),
+            "model": self.model,
+            "choices": [choice],
+            "usage": { "completion_tokens": tokens },
+        })
+    }
+
+    fn part(&self, text: &str) -> Bytes {
+        let choice = match self.shape {
+            Shape::Completion => value!({ "index": 0, "text": text }),
+            Shape::Chat => value!({ "index": 0, "delta": { "content": text } }),
+        };
+        let body = value!({
+            "id": self.id,
+            "object": self.object(true),
+            "model": self.model,
+            "choices": [choice],
+        });
+        Bytes::from(format!("data: {body}\n\n"))
+    }
+
+    fn object(&self, part: bool) -> &'static str {
+        match (self.shape, part) {
+            (Shape::Completion, _) => "text_completion",
+            (Shape::Chat, false) => "chat.completion",
+            (Shape::Chat, true) => "chat.completion.chunk",
+        }
+    }
+}
--- a/crates/oleander-daemon/src/config_state.rs
+++ b/crates/oleander-daemon/src/config_state.rs
@@ -1,15 +1,26 @@
 //! The configuration that a process has in force.
 
-use crate::contracts_in_force::{CONTRACT_PREFIX, ContractsInForce};
+use crate::config_object::{CONTRACT_PREFIX, ConfigObject, VERSION_PREFIX};
+use crate::contracts_in_force::ContractsInForce;
 use crate::prelude::*;
 use indexmap::IndexMap;
 
+/// The weight version that all workers of a model must load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PublishedVersion {
+    /// The version.
+    pub version: Version,
+    /// Fencing number of the order: the generation of the publication.
+    pub fence: Fence,
+}
+
 /// Objects in force by name; only a greater generation replaces one.
 #[derive(Clone, Debug, Default)]
 pub struct ConfigState {
     generations: IndexMap<String, Generation>,
     entries: IndexMap<String, wire::JournalEntry>,
     contracts: ContractsInForce,
+    versions: IndexMap<String, PublishedVersion>,
     digest: u64,
 }
 
@@ -36,6 +47,11 @@
         &self.contracts
     }
 
+    /// Returns the version that the workers of a model must load.
+    pub fn published(&self, model: &str) -> Option<PublishedVersion> {
+        self.versions.get(model).copied()
+    }
+
     /// Returns all objects in force.
     pub fn entries(&self) -> impl Iterator<Item = &wire::JournalEntry> {
         self.entries.values()
@@ -62,13 +78,35 @@
         }
         self.generations.insert(entry.name.clone(), generation);
         self.entries.insert(entry.name.clone(), entry.clone());
-        if entry.name.starts_with(CONTRACT_PREFIX) && !self.contracts.put(&entry.name, &entry.value)
-        {
+        if !self.put_in_force(entry) {
             log::error!("event=config-unreadable name={}", entry.name);
         }
         true
     }
 
+    /// Puts the text of an object in force; returns whether it could be read.
+    fn put_in_force(&mut self, entry: &wire::JournalEntry) -> bool {
+        let value = std::str::from_utf8(&entry.value).unwrap_or_default();
+        let Some(object) = ConfigObject::parse(value) else {
+            return false;
+        };
+        if entry.name.starts_with(CONTRACT_PREFIX) {
+            return self.contracts.put(&entry.name, &object.text);
+        }
+        let Some(model) = entry.name.strip_prefix(VERSION_PREFIX) else {
+            return true;
+        };
+        let Ok(version) = object.text.parse() else {
+            return false;
+        };
+        let published = PublishedVersion {
+            version: Version(version),
+            fence: Fence(entry.generation),
+        };
+        self.versions.insert(model.to_owned(), published);
+        true
+    }
+
     fn compute_digest(&self) -> u64 {
         let mut names: Vec<&String> = self.generations.keys().collect();
         names.sort();
--- a/crates/oleander-daemon/src/contracts_in_force.rs
+++ b/crates/oleander-daemon/src/contracts_in_force.rs
@@ -6,9 +6,6 @@
 use oleanderlock::shares::ClassGrant;
 use std::sync::Arc;
 
-/// Prefix of the names of contract objects in the store.
-pub const CONTRACT_PREFIX: &str = "contracts/";
-
 /// Contracts by customer.
 #[derive(Clone, Debug, Default)]
 pub struct ContractsInForce {
@@ -16,12 +13,11 @@
 }
 
 impl ContractsInForce {
-    /// Puts the contract in an object's value in force; an unreadable one changes nothing.
+    /// Puts the contract in an object's text in force; an unreadable one changes nothing.
     ///
-    /// Returns whether the value was a contract. Only checked contracts are written to the store,
-    /// so another value is a fault of whoever wrote it.
-    pub fn put(&mut self, name: &str, value: &[u8]) -> bool {
-        let text = std::str::from_utf8(value).unwrap_or_default();
+    /// Returns whether the text was a contract. Only checked contracts are written to the store,
+    /// so another text is a fault of whoever wrote it.
+    pub fn put(&mut self, name: &str, text: &str) -> bool {
         let Ok(contract) = Contract::parse(text) else {
             return false;
         };
--- /dev/null
+++ b/crates/oleander-daemon/src/entry.rs
@@ -0,0 +1,139 @@
+//! The entry daemon.
+
+use crate::entry_control::EntryControl;
+use crate::entry_cx::EntryCx;
+use crate::entry_event::EntryEvent;
+use crate::entry_http::{self, Readiness};
+use crate::entry_loops;
+use crate::entry_settings::EntryConfig;
+use crate::inflight::Inflight;
+use crate::metrics::Metrics;
+use crate::open_fault::OpenFault;
+use crate::prelude::*;
+use crate::request_run;
+use crate::runtime::{self, HttpServer};
+use crate::store_client::StoreClient;
+use oleander_link::{Delivery, LinkKeys, Mailbox};
+use oleanderlock::issued_key::KeySecrets;
+use std::sync::Arc;
+use std::sync::mpsc::{Sender, channel};
+use std::thread::JoinHandle;
+
+/// A running entry.
+pub struct Entry {
+    events: Sender<EntryEvent>,
+    readiness: Readiness,
+    control: JoinHandle<()>,
+    mailbox: Mailbox,
+    server: HttpServer,
+}
+
+/// Stops an entry gracefully.
+#[derive(Clone)]
+pub struct EntryStop {
+    events: Sender<EntryEvent>,
+    readiness: Readiness,
+}
+
+impl Entry {
+    /// Binds the addresses and starts all threads.
+    ///
+    /// # Errors
+    ///
+    /// An address that can't be bound, or a thread that can't be started.
+    pub fn open(cfg: EntryConfig) -> Result<Self, OpenFault> {
+        runtime::start_traffic_threads(cfg.node.traffic_threads);
+        let incarnation = Incarnation(rand::random());
+        let keys = LinkKeys::derive(&cfg.node.link_keys);
+        let (events, inbox) = channel();
+        let inflight = Inflight::default();
+        let mailbox = bind_mailbox(&cfg, keys.clone(), inflight.clone(), events.clone())?;
+        let peers = dial_peers(&cfg, incarnation, keys, events.clone());
+        let cx = EntryCx {
+            metrics: Metrics::new("oleander_entry"),
+            peers,
+            inflight,
+            store: StoreClient::new(&cfg.node.store),
+            secrets: Arc::new(secrets(&cfg)),
+            events: events.clone(),
+            cfg: Arc::new(cfg),
+        };
+        let readiness = Readiness::default();
+        let server = runtime::serve(cx.cfg.node.http, entry_http::handler(&cx, &readiness))?;
+        runtime::spawn(entry_loops::read_list(
+            cx.cfg.node.list.clone(),
+            events.clone(),
+        ));
+        runtime::spawn(entry_loops::watch_config(cx.store.clone(), events.clone()));
+        log::info!("event=open role=entry incarnation={incarnation}");
+        let mut state = EntryControl::new(cx);
+        let control = runtime::spawn_control(inbox, move |event| state.handle(event))?;
+        Ok(Self {
+            events,
+            readiness,
+            control,
+            mailbox,
+            server,
+        })
+    }
+
+    /// Returns a handle that stops the entry.
+    pub fn stop_handle(&self) -> EntryStop {
+        EntryStop {
+            events: self.events.clone(),
+            readiness: self.readiness.clone(),
+        }
+    }
+
+    /// Waits until the entry has stopped gracefully.
+    pub fn wait(self) {
+        let _ = self.control.join();
+        // Answers that were just made are written before the connections close.
+        self.server.close();
+        drop(self.mailbox);
+        log::info!("event=closed role=entry");
+    }
+}
+
+impl EntryStop {
+    /// Takes no new work and ends when nothing is in flight; a second call ends at once.
+    pub fn stop(&self) {
+        self.readiness.stop();
+        let _ = self.events.send(EntryEvent::Stop);
+    }
+}
+
+fn bind_mailbox(
+    cfg: &EntryConfig,
+    keys: LinkKeys,
+    inflight: Inflight,
+    events: Sender<EntryEvent>,
+) -> Result<Mailbox, OpenFault> {
+    let deliver = move |delivery| {
+        let event = match delivery {
+            Delivery::Frame(frame) => request_run::deliver(&inflight, frame).map(EntryEvent::Frame),
+            Delivery::Refused(fault) => Some(EntryEvent::FrameRefused(fault)),
+        };
+        if let Some(event) = event {
+            let _ = events.send(event);
+        }
+    };
+    Ok(Mailbox::bind(&cfg.node.link, keys, deliver)?)
+}
+
+fn dial_peers(
+    cfg: &EntryConfig,
+    incarnation: Incarnation,
+    keys: LinkKeys,
+    events: Sender<EntryEvent>,
+) -> Peers {
+    Peers::new(&cfg.node.link, incarnation, keys, move |change| {
+        let _ = events.send(EntryEvent::Peer(change));
+    })
+}
+
+fn secrets(cfg: &EntryConfig) -> KeySecrets {
+    let phrases = &cfg.node.link_keys;
+    let previous: Vec<&[u8]> = phrases[1..].iter().map(String::as_bytes).collect();
+    KeySecrets::new(phrases[0].as_bytes(), &previous)
+}
--- a/crates/oleander-daemon/src/entry_control.rs
+++ b/crates/oleander-daemon/src/entry_control.rs
@@ -158,15 +158,28 @@
 
     fn listed_entries(&mut self, listed: &[ListedInstance]) {
         let live = |link: &String| {
-            listed.iter().any(|one| one.link == *link && one.state == ListedState::Live)
+            listed
+                .iter()
+                .any(|one| one.link == *link && one.state == ListedState::Live)
         };
-        let gone: Vec<String> = self.entries.keys().filter(|link| !live(link)).cloned().collect();
+        let gone: Vec<String> = self
+            .entries
+            .keys()
+            .filter(|link| !live(link))
+            .cloned()
+            .collect();
         for link in gone {
             self.entries.swap_remove(&link);
             self.cx.peers.forget(&link);
         }
-        for instance in listed.iter().filter(|instance| instance.state == ListedState::Live) {
-            let view = EntryView { name: instance.name.clone(), config_digest: None };
+        for instance in listed
+            .iter()
+            .filter(|instance| instance.state == ListedState::Live)
+        {
+            let view = EntryView {
+                name: instance.name.clone(),
+                config_digest: None,
+            };
             self.entries.entry(instance.link.clone()).or_insert(view);
             let _ = self.cx.peers.dial(&instance.link);
         }
@@ -206,10 +219,16 @@
             draw: rand::random(),
         };
         if !self.agents.serves(&call.target) {
-            return Err(NoRoute { kind: ErrorKind::UnknownTarget, retry_after: NO_ENDPOINT_RETRY });
+            return Err(NoRoute {
+                kind: ErrorKind::UnknownTarget,
+                retry_after: NO_ENDPOINT_RETRY,
+            });
         }
         let route = self.agents.choose(now, &req);
-        route.ok_or(NoRoute { kind: ErrorKind::NoEndpoint, retry_after: NO_ENDPOINT_RETRY })
+        route.ok_or(NoRoute {
+            kind: ErrorKind::NoEndpoint,
+            retry_after: NO_ENDPOINT_RETRY,
+        })
     }
 
     fn ended(&mut self, now: Millis, end: RouteEnd) {
@@ -223,10 +242,12 @@
                 class: contract.services[service].class.clone(),
                 contract: contract.clone(),
             }),
-            (None, class) => class.or_else(|| contracts.default_class()).and_then(|class| {
-                let contract = contracts.of_class(&class)?.clone();
-                Some(Terms { class, contract })
-            }),
+            (None, class) => class
+                .or_else(|| contracts.default_class())
+                .and_then(|class| {
+                    let contract = contracts.of_class(&class)?.clone();
+                    Some(Terms { class, contract })
+                }),
         };
         let _ = call.reply.try_send(found);
     }
@@ -249,7 +270,10 @@
         };
         let links = self.agents.links().chain(self.entries.keys());
         for link in links {
-            let _ = self.cx.peers.send_connected(link, Body::Hello(hello.clone()));
+            let _ = self
+                .cx
+                .peers
+                .send_connected(link, Body::Hello(hello.clone()));
         }
     }
 
@@ -264,7 +288,9 @@
 
     /// A stopping entry ends when nothing is in flight, or at the contract's limit.
     fn may_end(&self, now: Millis) -> bool {
-        let Some(since) = self.stopping_since else { return false };
+        let Some(since) = self.stopping_since else {
+            return false;
+        };
         let limit = self.config.contracts().drain().unwrap_or(self.cx.cfg.drain);
         self.cx.metrics.in_flight() == 0 || now.since(since) >= limit
     }
--- a/crates/oleander-daemon/src/entry_cx.rs
+++ b/crates/oleander-daemon/src/entry_cx.rs
@@ -7,6 +7,7 @@
 use crate::prelude::*;
 use crate::store_client::StoreClient;
 use async_channel::Sender;
+use oleanderlock::attempt_end::AttemptEnd;
 use oleanderlock::issued_key::KeySecrets;
 use std::sync::Arc;
 use std::sync::mpsc;
@@ -40,7 +41,10 @@
         &self,
         call: impl FnOnce(Sender<Result<Route, NoRoute>>) -> ChooseCall,
     ) -> Result<Route, NoRoute> {
-        let stopping = NoRoute { kind: ErrorKind::ShuttingDown, retry_after: Millis::ZERO };
+        let stopping = NoRoute {
+            kind: ErrorKind::ShuttingDown,
+            retry_after: Millis::ZERO,
+        };
         let (tx, rx) = async_channel::bounded(1);
         if self.events.send(EntryEvent::Choose(call(tx))).is_err() {
             return Err(stopping);
@@ -50,15 +54,34 @@
 
     /// Asks the control thread for the way to an incarnation.
     pub async fn locate(&self, incarnation: Incarnation) -> Option<Route> {
-        self.ask(|tx| EntryEvent::Locate(incarnation, tx)).await.flatten()
+        self.ask(|tx| EntryEvent::Locate(incarnation, tx))
+            .await
+            .flatten()
     }
 
     /// Asks the control thread for the terms of a class or service.
     pub async fn terms(&self, class: Option<String>, service: Option<String>) -> Option<Terms> {
-        let ask = |reply| EntryEvent::Terms(TermsCall { class, service, reply });
+        let ask = |reply| {
+            EntryEvent::Terms(TermsCall {
+                class,
+                service,
+                reply,
+            })
+        };
         self.ask(ask).await.flatten()
     }
 
+    /// Tells the control thread that a route was not used.
+    pub fn release(&self, route: &Route) {
+        self.ended(RouteEnd {
+            key: route.key,
+            end: AttemptEnd::Cancelled,
+            load: None,
+            elapsed: Millis::ZERO,
+            units: 0,
+        });
+    }
+
     /// Tells the control thread that an attempt ended.
     pub fn ended(&self, end: RouteEnd) {
         let _ = self.events.send(EntryEvent::Ended(end));
--- a/crates/oleander-daemon/src/entry_event.rs
+++ b/crates/oleander-daemon/src/entry_event.rs
@@ -55,6 +55,8 @@
     pub class: String,
     /// Endpoints that earlier attempts have used.
     pub excluded: Vec<EndpointKey>,
+    /// Whether an earlier attempt was made.
+    pub is_retry: bool,
     /// Gets the route, or why there is none.
     pub reply: Sender<Result<Route, NoRoute>>,
 }
--- a/crates/oleander-daemon/src/inflight.rs
+++ b/crates/oleander-daemon/src/inflight.rs
@@ -50,13 +50,20 @@
     /// Opens a receiver for one request.
     pub fn open(&self) -> Words {
         let (tx, rx) = async_channel::unbounded();
-        Words { table: self.clone(), tx, rx, tickets: Vec::new() }
+        Words {
+            table: self.clone(),
+            tx,
+            rx,
+            tickets: Vec::new(),
+        }
     }
 
     /// Hands a word to the request that waits for it; returns whether there was one.
     pub fn deliver(&self, ticket: Ticket, word: Word) -> bool {
         let shard = self.shard(ticket).lock();
-        let Some(flight) = shard.get(&ticket) else { return false };
+        let Some(flight) = shard.get(&ticket) else {
+            return false;
+        };
         flight.words.try_send(word).is_ok()
     }
 
@@ -94,7 +101,10 @@
 impl Words {
     /// Enters an attempt at the agent with the link address into the table.
     pub fn expect(&mut self, ticket: Ticket, link: &str) {
-        let flight = Flight { words: self.tx.clone(), link: link.to_owned() };
+        let flight = Flight {
+            words: self.tx.clone(),
+            link: link.to_owned(),
+        };
         self.table.shard(ticket).lock().insert(ticket, flight);
         if !self.tickets.contains(&ticket) {
             self.tickets.push(ticket);
--- /dev/null
+++ b/crates/oleander-daemon/src/operator_api.rs
@@ -0,0 +1,154 @@
+//! The paths that operators call.
+
+use crate::access;
+use crate::config_object::CONTRACT_PREFIX;
+use crate::config_write::{Amended, Standing, amend, read};
+use crate::entry_cx::EntryCx;
+use crate::entry_event::EntryEvent;
+use crate::http_fault::json;
+use crate::http_input;
+use crate::prelude::*;
+use crate::step_host::StepHost;
+use oleanderlock::contract::Contract;
+use serde::Serialize;
+use serde_json::{Value, json as value};
+use trillium::{Conn, Status};
+use trillium_router::RouterConnExt;
+
+/// When to come back while the store can't be reached.
+const STORE_RETRY: Millis = Millis(500);
+
+/// A contract as it stands.
+#[derive(Serialize)]
+struct ContractBody {
+    customer: String,
+    generation: u64,
+    text: String,
+}
+
+/// Answers `GET /v1/contracts/{customer}`.
+pub async fn get_contract(cx: EntryCx, conn: Conn) -> Conn {
+    let customer = conn.param("customer").unwrap_or_default().to_owned();
+    let found = match access::check(&conn, &cx.cfg.operator_tokens) {
+        Ok(()) => read_contract(&cx, &customer).await,
+        Err(fault) => Err(fault),
+    };
+    match found {
+        Ok(standing) if standing.generation.0 > 0 => {
+            json(conn, Status::Ok, &contract_body(customer, standing))
+        }
+        Ok(_) => HttpFault::not_run(ErrorKind::NotFound).answer(conn),
+        Err(fault) => fault.answer(conn),
+    }
+}
+
+/// Answers `GET /v1/contracts/{customer}/history`.
+pub async fn contract_history(cx: EntryCx, conn: Conn) -> Conn {
+    let customer = conn.param("customer").unwrap_or_default().to_owned();
+    let found = match access::check(&conn, &cx.cfg.operator_tokens) {
+        Ok(()) => read_contract(&cx, &customer).await,
+        Err(fault) => Err(fault),
+    };
+    match found {
+        Ok(standing) => json(
+            conn,
+            Status::Ok,
+            &value!({ "history": standing.object.history }),
+        ),
+        Err(fault) => fault.answer(conn),
+    }
+}
+
+/// Answers `PUT /v1/contracts/{customer}`: the body is the contract in INI, the header `If-Match`
+/// the generation that it amends, 0 for a new one.
+pub async fn put_contract(cx: EntryCx, mut conn: Conn) -> Conn {
+    match try_put(&cx, &mut conn).await {
+        Ok(Amended::Accepted(generation)) => {
+            json(conn, Status::Ok, &value!({ "generation": generation.0 }))
+        }
+        Ok(Amended::Conflict(standing)) => conflict(conn, &standing),
+        Ok(Amended::Refused) => unavailable(Ran::No).answer(conn),
+        Ok(Amended::Unknown) => unavailable(Ran::Unknown).answer(conn),
+        Err(fault) => fault.answer(conn),
+    }
+}
+
+async fn try_put(cx: &EntryCx, conn: &mut Conn) -> Result<Amended, HttpFault> {
+    access::check(conn, &cx.cfg.operator_tokens)?;
+    let customer = conn.param("customer").unwrap_or_default().to_owned();
+    let base = http_input::header_number(conn, "if-match")?.unwrap_or_default();
+    let text = http_input::text(conn).await?;
+    check_contract(&customer, &text)?;
+    let standing = read_contract(cx, &customer).await?;
+    if standing.generation.0 != base {
+        return Ok(Amended::Conflict(standing));
+    }
+    let name = format!("{CONTRACT_PREFIX}{customer}");
+    let amended = amend(&cx.store, &name, &standing, text).await;
+    log::info!("event=contract-amended customer={customer} base={base}");
+    Ok(amended)
+}
+
+fn check_contract(customer: &str, text: &str) -> Result<(), HttpFault> {
+    let contract = Contract::parse(text).map_err(|faults| {
+        let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+        HttpFault::not_run(ErrorKind::BadRequest).detail(lines.join("\n"))
+    })?;
+    if contract.customer == customer {
+        return Ok(());
+    }
+    let detail = format!(
+        "the contract is of {}, not of {customer}",
+        contract.customer
+    );
+    Err(HttpFault::not_run(ErrorKind::BadRequest).detail(detail))
+}
+
+fn conflict(conn: Conn, standing: &Standing) -> Conn {
+    let mut body =
+        serde_json::to_value(HttpFault::not_run(ErrorKind::Conflict).body()).unwrap_or(Value::Null);
+    if let Some(fields) = body.as_object_mut() {
+        fields.insert("generation".to_owned(), value!(standing.generation.0));
+        fields.insert("text".to_owned(), value!(standing.object.text));
+    }
+    json(conn, Status::Conflict, &body)
+}
+
+async fn read_contract(cx: &EntryCx, customer: &str) -> Result<Standing, HttpFault> {
+    let name = format!("{CONTRACT_PREFIX}{customer}");
+    read(&cx.store, &name)
+        .await
+        .map_err(|_| unavailable(Ran::No))
+}
+
+fn unavailable(ran: Ran) -> HttpFault {
+    HttpFault::new(ErrorKind::StoreUnavailable, ran).retry_after(STORE_RETRY)
+}
+
+fn contract_body(customer: String, standing: Standing) -> ContractBody {
+    ContractBody {
+        customer,
+        generation: standing.generation.0,
+        text: standing.object.text,
+    }
+}
+
+/// Answers `GET /v1/fleet`.
+pub async fn fleet(cx: EntryCx, conn: Conn) -> Conn {
+    if let Err(fault) = access::check(&conn, &cx.cfg.operator_tokens) {
+        return fault.answer(conn);
+    }
+    match cx.ask(EntryEvent::Describe).await {
+        Some(summary) => json(conn, Status::Ok, &summary),
+        None => HttpFault::not_run(ErrorKind::ShuttingDown).answer(conn),
+    }
+}
+
+/// Answers `GET /v1/steps`.
+pub async fn steps(cx: EntryCx, host: StepHost, conn: Conn) -> Conn {
+    if let Err(fault) = access::check(&conn, &cx.cfg.operator_tokens) {
+        return fault.answer(conn);
+    }
+    let names: Vec<String> = host.names().iter().map(ToString::to_string).collect();
+    json(conn, Status::Ok, &value!({ "steps": names }))
+}
--- /dev/null
+++ b/crates/oleander-daemon/src/plain_calls.rs
@@ -0,0 +1,137 @@
+//! `POST /v1/services/{service}/{path}` and `POST /v1/keys`.
+
+use crate::caller::{Call, fingerprint};
+use crate::completions::{fault_of, refuse};
+use crate::entry_cx::EntryCx;
+use crate::entry_event::ChooseCall;
+use crate::http_fault::json;
+use crate::http_input;
+use crate::in_flight::InFlight;
+use crate::prelude::*;
+use crate::request_run::{self, Request};
+use bytes::Bytes;
+use oleanderlock::issued_key::IssuedKey;
+use serde::Deserialize;
+use serde_json::json as value;
+use trillium::{Conn, Status};
+use trillium_router::RouterConnExt;
+
+/// Time for which an issued key may be used.
+const KEY_LIFE: Millis = Millis::from_secs(600);
+
+/// Body of a call for a key.
+#[derive(Clone, Debug, Deserialize)]
+struct KeyBody {
+    service: String,
+}
+
+/// Answers `POST /v1/services/{service}/{path}`.
+pub async fn call(cx: EntryCx, mut conn: Conn) -> Conn {
+    let service = conn.param("service").unwrap_or_default().to_owned();
+    let path = format!("/{}", conn.wildcard().unwrap_or_default());
+    let began = now();
+    let read = read_call(&cx, &mut conn, &service, path).await;
+    let req = match read {
+        Ok(req) => req,
+        Err(fault) => return refuse(&cx, fault, conn),
+    };
+    let id = req.spec.id;
+    let idempotent = req.spec.idempotent;
+    let guard = InFlight::begin(&cx.metrics);
+    let run = request_run::run(&cx, req, |_| true);
+    // Work that may not be repeated goes on when its caller leaves, so that its outcome is known
+    // to a later call with the same key.
+    let end = if idempotent {
+        conn.cancel_on_disconnect(run).await
+    } else {
+        Some(run.await)
+    };
+    let Some(end) = end else { return conn };
+    drop(guard);
+    cx.metrics.answered(now().since(began));
+    let outcome = end.outcome;
+    match (outcome.error, outcome.data.clone()) {
+        (None, Some(data)) => {
+            let status = Status::try_from(outcome.status).unwrap_or(Status::Ok);
+            conn.with_response_header("content-type", "application/json")
+                .with_response_header("x-request-id", id.to_string())
+                .with_status(status)
+                .with_body(data.to_vec())
+                .halt()
+        }
+        (None, None) => {
+            let detail = "the work ran; its answer is no longer kept";
+            let fault = HttpFault::new(ErrorKind::Internal, Ran::Yes).detail(detail);
+            refuse(&cx, fault.of(id), conn)
+        }
+        (Some(kind), _) => refuse(&cx, fault_of(kind, &outcome).of(id), conn),
+    }
+}
+
+async fn read_call(
+    cx: &EntryCx,
+    conn: &mut Conn,
+    service: &str,
+    path: String,
+) -> Result<Request, HttpFault> {
+    let call = Call::read(cx, conn, Some(service)).await?;
+    if call.key.as_ref().is_some_and(|key| key.target != service) {
+        return Err(HttpFault::not_run(ErrorKind::KeyReused)
+            .detail("the idempotency key was issued for another service"));
+    }
+    http_input::check_json_type(conn)?;
+    let payload = Bytes::from(http_input::text(conn).await?);
+    let terms = &call.terms.contract.services[service];
+    Ok(Request {
+        spec: call.spec(terms.idempotent),
+        target: Bytes::from(service.to_owned()),
+        class: call.terms.class.clone(),
+        kind: WorkKind::Interactive,
+        fingerprint: fingerprint(&format!("{service}{path}"), &payload),
+        payload,
+        route: format!("POST {path}"),
+        prefix: None,
+        cost: 1,
+        horizon: call.horizon(),
+    })
+}
+
+/// Answers `POST /v1/keys`: issues an idempotency key for one call of a plain service.
+pub async fn issue_key(cx: EntryCx, mut conn: Conn) -> Conn {
+    match try_issue(&cx, &mut conn).await {
+        Ok(text) => {
+            let body = value!({ "key": text, "expires_in_ms": KEY_LIFE.0 });
+            json(conn, Status::Ok, &body)
+        }
+        Err(fault) => refuse(&cx, fault, conn),
+    }
+}
+
+async fn try_issue(cx: &EntryCx, conn: &mut Conn) -> Result<String, HttpFault> {
+    let body: KeyBody = http_input::json(conn).await?;
+    let call = Call::read(cx, conn, Some(&body.service)).await?;
+    let route = cx.choose(|reply| ChooseCall {
+        target: Bytes::from(body.service.clone()),
+        prefix: None,
+        deadline: call.deadline,
+        kind: WorkKind::Interactive,
+        class: call.terms.class.clone(),
+        excluded: Vec::new(),
+        is_retry: false,
+        reply,
+    });
+    let route = route
+        .await
+        .map_err(|no_route| HttpFault::not_run(no_route.kind).retry_after(no_route.retry_after))?;
+    cx.release(&route);
+    let key = IssuedKey {
+        target: body.service,
+        agent: route.name.clone(),
+        incarnation: route.incarnation,
+        expires: route.clock.at(now().plus(KEY_LIFE)),
+        nonce: rand::random(),
+    };
+    cx.secrets
+        .issue(&key)
+        .map_err(|fault| HttpFault::not_run(ErrorKind::BadRequest).detail(fault.to_string()))
+}
--- /dev/null
+++ b/crates/oleander-daemon/src/publish.rs
@@ -0,0 +1,43 @@
+//! Publishes weight versions.
+
+use crate::config_object::VERSION_PREFIX;
+use crate::config_write::{Amended, amend, read};
+use crate::entry_cx::EntryCx;
+use crate::prelude::*;
+
+/// Attempts against other writers of the same model.
+const ATTEMPTS: u32 = 5;
+/// When to come back while the store can't be reached.
+const STORE_RETRY: Millis = Millis(500);
+
+/// Makes a version the one that all workers of a model must load; an older one changes nothing.
+///
+/// # Errors
+///
+/// [`ErrorKind::StoreUnavailable`] or [`ErrorKind::Conflict`].
+pub async fn publish(cx: &EntryCx, model: &str, version: Version) -> Result<(), HttpFault> {
+    let unavailable = || HttpFault::not_run(ErrorKind::StoreUnavailable).retry_after(STORE_RETRY);
+    let name = format!("{VERSION_PREFIX}{model}");
+    for _ in 0..ATTEMPTS {
+        let standing = read(&cx.store, &name).await.map_err(|_| unavailable())?;
+        let stands = standing
+            .object
+            .text
+            .parse()
+            .map(Version)
+            .unwrap_or_default();
+        if stands >= version {
+            return Ok(());
+        }
+        match amend(&cx.store, &name, &standing, version.0.to_string()).await {
+            Amended::Accepted(_) => return Ok(()),
+            Amended::Conflict(_) => {}
+            Amended::Refused => return Err(unavailable()),
+            Amended::Unknown => {
+                return Err(HttpFault::new(ErrorKind::StoreUnavailable, Ran::Unknown)
+                    .retry_after(STORE_RETRY));
+            }
+        }
+    }
+    Err(HttpFault::not_run(ErrorKind::Conflict).retry_after(STORE_RETRY))
+}
--- /dev/null
+++ b/crates/oleander-daemon/src/request_run.rs
@@ -0,0 +1,444 @@
+//! Runs one request at an entry, over all its attempts.
+
+use crate::agent_table::load_of;
+use crate::entry_cx::EntryCx;
+use crate::entry_event::{ChooseCall, Route, RouteEnd};
+use crate::inflight::{Inflight, Word, Words};
+use crate::prelude::*;
+use bytes::Bytes;
+use futures_lite::FutureExt;
+use oleanderlock::assembly_limits::AssemblyLimits;
+use oleanderlock::attempt_end::AttemptEnd;
+use oleanderlock::endpoint::EndpointKey;
+use oleanderlock::request_outcome::Outcome;
+use oleanderlock::request_track::{
+    Placement, RequestSpec, RequestTrack, TrackAction, TrackConfig, TrackEvent,
+};
+use oleanderlock::segment::Segment;
+use oleanderlock::stream_assembly::{Arrival, StreamAssembly};
+use oleanderlock::stream_chunk::StreamChunk;
+use oleanderlock::whole_answer::WholeAnswer;
+use std::time::Duration;
+
+/// One request as the entry runs it.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Identity, deadline and placement.
+    pub spec: RequestSpec,
+    /// Model or service.
+    pub target: Bytes,
+    /// Class of the contract.
+    pub class: String,
+    /// Who waits for the answer.
+    pub kind: WorkKind,
+    /// Request body as the endpoint expects it.
+    pub payload: Bytes,
+    /// Method and path for a plain service; empty for engines.
+    pub route: String,
+    /// Hash of the prompt prefix.
+    pub prefix: Option<u64>,
+    /// Estimated tokens; 1 for a plain call.
+    pub cost: u64,
+    /// Hash of target and body.
+    pub fingerprint: u64,
+    /// End of use of the request's key on the agent's clock; `None` without a key.
+    pub horizon: Option<Millis>,
+}
+
+/// The end of a request.
+#[derive(Clone, Debug)]
+pub struct RequestEnd {
+    /// What became of it.
+    pub outcome: Outcome,
+    /// The whole answer of an engine.
+    pub answer: Option<WholeAnswer>,
+    /// Whether any text went to `on_data`.
+    pub text_sent: bool,
+}
+
+/// Runs a request to its end; `on_data` gets contiguous text of an engine as it comes, once, and
+/// returns false when the caller is gone.
+pub async fn run(cx: &EntryCx, req: Request, on_data: impl FnMut(Bytes) -> bool) -> RequestEnd {
+    let (track, action) = RequestTrack::open(req.spec, TrackConfig::default());
+    let words = cx.inflight.open();
+    let mut run = Run {
+        cx,
+        words,
+        track,
+        assembly: None,
+        route: None,
+        used: Vec::new(),
+        attempt_began: now(),
+        first_word: None,
+        retry_reason: None,
+        retry_after: None,
+        text_sent: false,
+        on_data,
+        req,
+    };
+    let outcome = run.drive(action).await;
+    RequestEnd {
+        outcome,
+        text_sent: run.text_sent,
+        answer: run.assembly.as_ref().and_then(StreamAssembly::whole),
+    }
+}
+
+struct Run<'a, F> {
+    cx: &'a EntryCx,
+    req: Request,
+    words: Words,
+    track: RequestTrack,
+    assembly: Option<StreamAssembly>,
+    route: Option<Route>,
+    used: Vec<EndpointKey>,
+    attempt_began: Millis,
+    first_word: Option<Millis>,
+    retry_reason: Option<ErrorKind>,
+    retry_after: Option<Millis>,
+    text_sent: bool,
+    on_data: F,
+}
+
+/// Ends an attempt's count at its endpoint even when the request is dropped half-way.
+impl<F> Drop for Run<'_, F> {
+    fn drop(&mut self) {
+        if let Some(TrackAction::Bury(ticket)) = self.track.step(now(), TrackEvent::CallerGone) {
+            self.abandon(ticket);
+        }
+        self.leave_route(AttemptEnd::Cancelled, None, 0);
+    }
+}
+
+impl<F: FnMut(Bytes) -> bool> Run<'_, F> {
+    async fn drive(&mut self, first: TrackAction) -> Outcome {
+        let mut action = Some(first);
+        loop {
+            let event = match action {
+                Some(TrackAction::Answer(outcome)) => return self.told(outcome),
+                Some(TrackAction::Choose) => Some(self.choose().await),
+                Some(TrackAction::Send(ticket)) => self.send(ticket).await,
+                Some(TrackAction::Bury(ticket)) => {
+                    self.bury(ticket);
+                    None
+                }
+                None => None,
+            };
+            if self.track.is_done() {
+                return Outcome::failed(ErrorKind::Cancelled, Ran::Unknown);
+            }
+            let event = match event {
+                Some(event) => event,
+                None => self.next_event().await,
+            };
+            action = self.track.step(now(), event);
+        }
+    }
+
+    /// Adds when to come back to a refusal that lacks it.
+    fn told(&self, mut outcome: Outcome) -> Outcome {
+        if outcome.error.is_some() && outcome.retry_after.is_none() {
+            outcome.retry_after = self.retry_after;
+        }
+        outcome
+    }
+
+    async fn choose(&mut self) -> TrackEvent {
+        self.leave_route(AttemptEnd::Failed, None, 0);
+        if let Some(kind) = self.retry_reason.take() {
+            self.cx.metrics.retried(kind);
+        }
+        let answer = self.cx.choose(|reply| ChooseCall {
+            target: self.req.target.clone(),
+            prefix: self.req.prefix,
+            deadline: self.req.spec.deadline,
+            kind: self.req.kind,
+            class: self.req.class.clone(),
+            excluded: self.used.clone(),
+            is_retry: !self.used.is_empty(),
+            reply,
+        });
+        match answer.await {
+            Ok(route) => {
+                let incarnation = route.incarnation;
+                self.take_route(route);
+                TrackEvent::Route(incarnation)
+            }
+            Err(no_route) => {
+                self.retry_after.get_or_insert(no_route.retry_after);
+                TrackEvent::NoRoute(no_route.kind)
+            }
+        }
+    }
+
+    fn take_route(&mut self, route: Route) {
+        self.used.push(route.key);
+        self.route = Some(route);
+        self.attempt_began = now();
+        self.first_word = None;
+    }
+
+    /// Sends the submission; an event only when it was not sent.
+    async fn send(&mut self, ticket: Ticket) -> Option<TrackEvent> {
+        if self
+            .route
+            .as_ref()
+            .is_none_or(|route| route.incarnation != ticket.incarnation)
+        {
+            match self.cx.locate(ticket.incarnation).await {
+                Some(route) => self.take_route(route),
+                None => return Some(TrackEvent::NotSent(ticket)),
+            }
+        }
+        let resume = self.prepare_assembly(ticket);
+        let route = self.route.clone()?;
+        self.words.expect(ticket, &route.link);
+        let submit = self.submission(ticket, &route, resume);
+        let sent = self
+            .cx
+            .peers
+            .send_connected(&route.link, Body::Submit(submit));
+        if let Err(fault) = sent {
+            log::debug!(
+                "event=not-sent request={} reason=\"{fault}\"",
+                ticket.request
+            );
+            self.leave_route(AttemptEnd::Refused, None, 0);
+            self.retry_reason = Some(ErrorKind::NoEndpoint);
+            return Some(TrackEvent::NotSent(ticket));
+        }
+        None
+    }
+
+    /// Prepares for the chunks of an attempt and returns the offset to resume from.
+    fn prepare_assembly(&mut self, ticket: Ticket) -> u64 {
+        match self.assembly.as_mut() {
+            None => {
+                self.assembly = Some(StreamAssembly::new(ticket, AssemblyLimits::default()));
+                0
+            }
+            Some(assembly) if assembly.ticket() == ticket => assembly.tokens(),
+            Some(assembly) => assembly.resume(ticket).map_or(0, |point| point.offset),
+        }
+    }
+
+    fn submission(&self, ticket: Ticket, route: &Route, resume: u64) -> wire::Submit {
+        let deadline = route.clock.at(self.req.spec.deadline);
+        wire::Submit {
+            ticket: Some(ticket.into()),
+            class: Bytes::from(self.req.class.clone()),
+            target: self.req.target.clone(),
+            kind: wire::WorkKind::from(self.req.kind).into(),
+            idempotent: self.req.spec.idempotent,
+            deadline_ms: deadline.0,
+            payload: self.req.payload.clone(),
+            resume_offset: resume,
+            resume_text: Bytes::new(),
+            prefix: self.req.prefix.unwrap_or_default(),
+            route: self.req.route.clone(),
+            kv_handle: String::new(),
+            horizon_ms: self.req.horizon.unwrap_or(deadline).0,
+            fingerprint: self.req.fingerprint,
+            cost: self.req.cost,
+        }
+    }
+
+    async fn next_event(&mut self) -> TrackEvent {
+        let wake_at = self.track.wake_at().unwrap_or(self.req.spec.deadline);
+        let wait = wake_at.since(now()).max(Millis(1));
+        let timer = async {
+            smol::Timer::after(Duration::from(wait)).await;
+            None
+        };
+        let word = self.words.next().or(timer).await;
+        match word {
+            Some(word) => self.take_word(word),
+            None => TrackEvent::Tick,
+        }
+    }
+
+    fn take_word(&mut self, word: Word) -> TrackEvent {
+        match word {
+            Word::Chunk(chunk) => self.take_chunk(chunk),
+            Word::Finished(ticket, outcome) => self.take_finish(ticket, outcome),
+            Word::Buried(ticket, ran) => TrackEvent::Buried(ticket, ran),
+            Word::Disconnected(ticket) => {
+                self.retry_reason = Some(ErrorKind::AgentLost);
+                TrackEvent::Disconnected(ticket)
+            }
+            Word::AgentGone(incarnation) => {
+                self.retry_reason = Some(ErrorKind::AgentLost);
+                TrackEvent::AgentGone(incarnation)
+            }
+        }
+    }
+
+    fn take_chunk(&mut self, chunk: wire::Chunk) -> TrackEvent {
+        let (Some(chunk), Some(assembly)) = (typed_chunk(chunk), self.assembly.as_mut()) else {
+            return TrackEvent::Tick;
+        };
+        let ticket = chunk.ticket;
+        self.first_word.get_or_insert_with(now);
+        match assembly.chunk(chunk) {
+            Ok(Arrival::OtherAttempt) => return TrackEvent::Tick,
+            Ok(_) => {}
+            Err(fault) => {
+                log::warn!(
+                    "event=bad-chunk request={} reason=\"{fault}\"",
+                    ticket.request
+                );
+                return self.broken(ticket);
+            }
+        }
+        if let Some(released) = assembly.release() {
+            self.text_sent = true;
+            if !(self.on_data)(released.data) {
+                return TrackEvent::CallerGone;
+            }
+        }
+        TrackEvent::Started(ticket)
+    }
+
+    fn take_finish(&mut self, ticket: Ticket, outcome: Outcome) -> TrackEvent {
+        self.retry_reason = outcome.error;
+        if outcome.retry_after.is_some() {
+            self.retry_after = outcome.retry_after;
+        }
+        if outcome.error.is_some() || self.is_plain() {
+            let end = end_of(&outcome);
+            let units = u64::from(outcome.error.is_none());
+            self.leave_route(end, None, units);
+            return TrackEvent::Finished(ticket, outcome);
+        }
+        let finished = self
+            .assembly
+            .as_mut()
+            .map(|it| it.finish(ticket, outcome.total));
+        match finished {
+            Some(Ok(Arrival::OtherAttempt)) | None => TrackEvent::Tick,
+            Some(Ok(_)) if self.assembly.as_ref().is_some_and(StreamAssembly::is_whole) => {
+                self.leave_route(AttemptEnd::Finished, None, outcome.total);
+                TrackEvent::Finished(ticket, outcome)
+            }
+            // Chunks were lost on the way, so the answer is not whole.
+            Some(_) => self.broken(ticket),
+        }
+    }
+
+    fn broken(&mut self, ticket: Ticket) -> TrackEvent {
+        self.retry_reason = Some(ErrorKind::EndpointFailed);
+        self.leave_route(AttemptEnd::Failed, None, 0);
+        let outcome = Outcome::failed(ErrorKind::EndpointFailed, Ran::Yes);
+        TrackEvent::Finished(ticket, outcome)
+    }
+
+    fn is_plain(&self) -> bool {
+        !self.req.route.is_empty()
+    }
+}
+
+impl<F> Run<'_, F> {
+    /// Asks the agent never to start the attempt.
+    fn bury(&self, ticket: Ticket) {
+        let Some(route) = &self.route else { return };
+        let deadline = route.clock.at(self.req.spec.deadline);
+        let bury = wire::Bury {
+            ticket: Some(ticket.into()),
+            idempotent: self.req.spec.idempotent,
+            deadline_ms: deadline.0,
+            horizon_ms: self.req.horizon.unwrap_or(deadline).0,
+            fingerprint: self.req.fingerprint,
+        };
+        let _ = self.cx.peers.send_connected(&route.link, Body::Bury(bury));
+    }
+
+    /// Tells the agent that nobody waits any more.
+    fn abandon(&self, ticket: Ticket) {
+        if !self.req.spec.idempotent {
+            return self.bury(ticket);
+        }
+        let Some(route) = &self.route else { return };
+        let cancel = wire::Cancel {
+            ticket: Some(ticket.into()),
+        };
+        let _ = self
+            .cx
+            .peers
+            .send_connected(&route.link, Body::Cancel(cancel));
+    }
+
+    fn leave_route(&mut self, end: AttemptEnd, load: Option<&wire::Load>, units: u64) {
+        let Some(route) = self.route.take() else {
+            return;
+        };
+        let since = self.first_word.unwrap_or(self.attempt_began);
+        self.cx.ended(RouteEnd {
+            key: route.key,
+            end,
+            load: load.map(load_of),
+            elapsed: now().since(since),
+            units,
+        });
+    }
+}
+
+fn end_of(outcome: &Outcome) -> AttemptEnd {
+    match outcome.error {
+        None => AttemptEnd::Finished,
+        Some(ErrorKind::EndpointFailed | ErrorKind::AgentLost) => AttemptEnd::Failed,
+        Some(_) => AttemptEnd::Refused,
+    }
+}
+
+fn typed_chunk(chunk: wire::Chunk) -> Option<StreamChunk> {
+    let ticket = chunk.ticket.as_ref()?.typed()?;
+    let segments = chunk.segments.iter().map(|segment| Segment {
+        version: (!segment.unknown).then_some(Version(segment.version)),
+        first: segment.first,
+        end: segment.end,
+    });
+    Some(StreamChunk {
+        ticket,
+        offset: chunk.offset,
+        tokens: chunk.tokens,
+        data: chunk.data,
+        segments: segments.collect(),
+    })
+}
+
+/// Hands a frame that is for one request to it; returns the frame when it is for control.
+pub fn deliver(inflight: &Inflight, frame: Box<wire::Frame>) -> Option<Box<wire::Frame>> {
+    let ticket = match &frame.body {
+        Some(Body::Chunk(chunk)) => &chunk.ticket,
+        Some(Body::Finish(finish)) => &finish.ticket,
+        Some(Body::Buried(buried)) => &buried.ticket,
+        _ => return Some(frame),
+    };
+    let ticket = ticket.as_ref().and_then(wire::Ticket::typed)?;
+    let word = match frame.body {
+        Some(Body::Chunk(chunk)) => Word::Chunk(chunk),
+        Some(Body::Finish(finish)) => Word::Finished(ticket, outcome_of(&finish)),
+        Some(Body::Buried(buried)) => Word::Buried(ticket, buried.ran().into()),
+        _ => return None,
+    };
+    inflight.deliver(ticket, word);
+    None
+}
+
+fn outcome_of(finish: &wire::Finish) -> Outcome {
+    let error =
+        (!finish.error.is_empty()).then(|| finish.error.parse().unwrap_or(ErrorKind::Internal));
+    Outcome {
+        ran: finish.ran().into(),
+        error,
+        retry_after: (finish.retry_after_ms > 0).then_some(Millis(finish.retry_after_ms)),
+        status: u16::try_from(finish.status).unwrap_or_default(),
+        total: finish.total,
+        data: (finish.status > 0).then(|| finish.data.clone()),
+    }
+}
+
+/// Tells whether a placement binds the request to one incarnation.
+pub fn is_bound(placement: Placement) -> bool {
+    matches!(placement, Placement::Bound { .. })
+}
--- a/crates/oleander-daemon/src/runtime.rs
+++ b/crates/oleander-daemon/src/runtime.rs
@@ -1,5 +1,6 @@
 //! Threads of a process: one for control state, a fixed number for traffic.
 
+use crate::store_client::within;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
@@ -7,7 +8,7 @@
 use std::time::Duration;
 use trillium::Handler;
 use trillium_http::HttpConfig;
-use trillium_smol::Stopper;
+use trillium_server_common::ServerHandle;
 use trillium_smol::async_global_executor::{self as executor, GlobalExecutorConfig};
 use trillium_smol::async_net::TcpListener;
 
@@ -62,28 +63,41 @@
 const HEAD_MAX_BYTES: usize = 16 << 10;
 /// Greatest request body that is read, in bytes.
 pub const BODY_MAX_BYTES: u64 = 4 << 20;
+/// Longest wait for connections to close, in milliseconds.
+const CLOSE_LIMIT_MS: u64 = 2000;
 /// Connections that are served at once.
 const CONNECTIONS_MAX: usize = 8192;
 
-/// Serves HTTP on the traffic threads until the stopper is told to stop.
+/// Serves HTTP on the traffic threads until told to stop.
 ///
 /// # Errors
 ///
 /// The system's fault when the address can't be bound.
-pub fn serve(address: SocketAddr, handler: impl Handler) -> std::io::Result<Stopper> {
+pub fn serve(address: SocketAddr, handler: impl Handler) -> std::io::Result<HttpServer> {
     let listener = std::net::TcpListener::bind(address)?;
     let listener = TcpListener::try_from(listener)?;
-    let stopper = Stopper::new();
     let limits = HttpConfig::default()
         .with_head_max_len(HEAD_MAX_BYTES)
         .with_received_body_max_len(BODY_MAX_BYTES);
-    trillium_smol::config()
+    let handle = trillium_smol::config()
         .without_signals()
         .with_nodelay()
         .with_http_config(limits)
         .with_max_connections(Some(CONNECTIONS_MAX))
-        .with_stopper(stopper.clone())
         .with_prebound_server(listener)
         .spawn(handler);
-    Ok(stopper)
+    Ok(HttpServer { handle })
+}
+
+/// A running HTTP server.
+pub struct HttpServer {
+    handle: ServerHandle,
+}
+
+impl HttpServer {
+    /// Takes no more connections and waits until the answers in flight are written, but for
+    /// [`CLOSE_LIMIT_MS`] at most.
+    pub fn close(self) {
+        smol::block_on(within(CLOSE_LIMIT_MS, self.handle.stop()));
+    }
 }
--- /dev/null
+++ b/crates/oleander-daemon/src/step_task.rs
@@ -0,0 +1,328 @@
+//! Runs one step that this entry owns.
+
+use crate::caller::prefix_of;
+use crate::entry_cx::EntryCx;
+use crate::entry_event::Terms;
+use crate::prelude::*;
+use crate::request_run::{self, Request};
+use crate::runtime;
+use crate::step_spec::{StepName, StepSpec};
+use async_channel::{Receiver, Sender};
+use bytes::Bytes;
+use futures_lite::FutureExt;
+use indexmap::IndexMap;
+use oleanderlock::cursor::Cursor;
+use oleanderlock::pull::{Pull, PullAnswer, PullId, PullRefusal};
+use oleanderlock::request_track::{Placement, RequestSpec};
+use oleanderlock::sample_guards::SampleGuards;
+use oleanderlock::staleness::Staleness;
+use oleanderlock::step::Step;
+use oleanderlock::step_action::{StepAction, StepCount};
+use oleanderlock::step_limits::StepLimits;
+use oleanderlock::step_terms::StepTerms;
+use oleanderlock::whole_answer::WholeAnswer;
+use serde_json::json;
+use std::sync::Arc;
+use std::time::Duration;
+use trillium_smol::async_global_executor::{self as executor, Task};
+
+/// Time after which a step that nobody pulls is dropped.
+const IDLE_LIMIT: Millis = Millis::from_secs(40 * 60);
+/// Shortest wait before a failed sample is tried again.
+const RETRY_DELAY: Millis = Millis(100);
+/// Longest wait between two looks at the step.
+const LOOK_EVERY: Millis = Millis(1000);
+
+/// A pull and who waits for its answer.
+#[derive(Debug)]
+pub struct PullCall {
+    /// Text of the trainer's cursor.
+    pub cursor: String,
+    /// Version of the trainer.
+    pub version: Version,
+    /// Longest wait.
+    pub wait: Millis,
+    /// Gets the answer.
+    pub reply: Sender<Result<PullAnswer, PullRefusal>>,
+}
+
+/// What a step reacts to.
+enum StepEvent {
+    Pull(PullCall),
+    Made {
+        slot: SlotKey,
+        attempt: u32,
+        result: Result<WholeAnswer, Millis>,
+    },
+}
+
+/// A running step; dropping the last handle stops it.
+#[derive(Clone)]
+pub struct StepHandle {
+    pulls: Sender<StepEvent>,
+    spec: Arc<StepSpec>,
+}
+
+/// How a step begins at this entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Beginning {
+    /// Its trainer has opened it.
+    Opened,
+    /// Another entry owned it before.
+    TakenOver,
+}
+
+impl StepHandle {
+    /// Starts to run a step.
+    ///
+    /// # Errors
+    ///
+    /// A fault when the step breaks a limit.
+    pub fn spawn(
+        cx: &EntryCx,
+        name: &StepName,
+        spec: Arc<StepSpec>,
+        terms: &Terms,
+        beginning: Beginning,
+    ) -> Result<Self, HttpFault> {
+        let (tx, rx) = async_channel::unbounded();
+        let mut actions = Vec::new();
+        let step_terms = terms_of(name, &spec, terms);
+        let version = Version(spec.version);
+        let step = match beginning {
+            Beginning::Opened => Step::open(now(), step_terms, version, &mut actions),
+            Beginning::TakenOver => Step::recover(step_terms, version),
+        };
+        let step = step
+            .map_err(|fault| HttpFault::not_run(ErrorKind::BadRequest).detail(fault.to_string()))?;
+        let mut task = StepTask {
+            cx: cx.clone(),
+            name: name.clone(),
+            spec: spec.clone(),
+            deadline: terms.contract.classes[&terms.class].deadline,
+            class: terms.class.clone(),
+            step,
+            attempts: IndexMap::new(),
+            pulls: IndexMap::new(),
+            next_pull: 0,
+            events: tx.downgrade(),
+            last_pull: now(),
+            version,
+        };
+        runtime::spawn(async move {
+            task.act(actions);
+            task.run(rx).await;
+        });
+        Ok(Self { pulls: tx, spec })
+    }
+
+    /// Hands a pull to the step; returns false when the step has ended.
+    pub fn pull(&self, call: PullCall) -> bool {
+        self.pulls.try_send(StepEvent::Pull(call)).is_ok()
+    }
+
+    /// Returns what the trainer asked for.
+    pub fn spec(&self) -> &StepSpec {
+        &self.spec
+    }
+}
+
+fn terms_of(name: &StepName, spec: &StepSpec, terms: &Terms) -> StepTerms {
+    let shape = spec.shape();
+    let class = &terms.contract.classes[&terms.class];
+    StepTerms {
+        tag: shape.tag(&name.trainer, name.step),
+        shape,
+        staleness: Staleness {
+            bound: class.staleness_versions,
+        },
+        limits: StepLimits::default(),
+        guards: SampleGuards::ALL,
+    }
+}
+
+struct Waiting {
+    began: Millis,
+    reply: Sender<Result<PullAnswer, PullRefusal>>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct AttemptKey {
+    slot: SlotKey,
+    attempt: u32,
+}
+
+struct StepTask {
+    cx: EntryCx,
+    name: StepName,
+    spec: Arc<StepSpec>,
+    class: String,
+    deadline: Millis,
+    step: Step,
+    attempts: IndexMap<AttemptKey, Task<()>>,
+    pulls: IndexMap<PullId, Waiting>,
+    next_pull: u64,
+    events: async_channel::WeakSender<StepEvent>,
+    last_pull: Millis,
+    version: Version,
+}
+
+impl StepTask {
+    async fn run(&mut self, events: Receiver<StepEvent>) {
+        while now().since(self.last_pull) < IDLE_LIMIT {
+            let wake_at = self.step.next_tick().unwrap_or(Millis::MAX);
+            let wait = wake_at.since(now()).min(LOOK_EVERY).max(Millis(1));
+            let timer = async {
+                smol::Timer::after(Duration::from(wait)).await;
+                Ok(None)
+            };
+            let event = async { events.recv().await.map(Some) }.or(timer).await;
+            let Ok(event) = event else { break };
+            self.handle(event);
+        }
+        log::info!("event=step-closed step={}", self.name);
+    }
+
+    fn handle(&mut self, event: Option<StepEvent>) {
+        let now = now();
+        let mut actions = Vec::new();
+        match event {
+            Some(StepEvent::Pull(call)) => self.take_pull(now, call, &mut actions),
+            Some(StepEvent::Made {
+                slot,
+                attempt,
+                result,
+            }) => {
+                self.attempts.swap_remove(&AttemptKey { slot, attempt });
+                match result {
+                    Ok(answer) => self.step.settle(now, slot, attempt, answer, &mut actions),
+                    Err(wait) => {
+                        let retry_at = now.plus(wait.max(RETRY_DELAY));
+                        self.step.fail(now, slot, attempt, retry_at, &mut actions);
+                    }
+                }
+            }
+            None => self.step.tick(now, &mut actions),
+        }
+        self.act(actions);
+    }
+
+    fn take_pull(&mut self, now: Millis, call: PullCall, actions: &mut Vec<StepAction>) {
+        self.last_pull = now;
+        self.version = call.version;
+        let id = PullId(self.next_pull);
+        self.next_pull += 1;
+        self.pulls.insert(
+            id,
+            Waiting {
+                began: now,
+                reply: call.reply,
+            },
+        );
+        let pull = Pull {
+            id,
+            cursor: call.cursor,
+            version: call.version,
+            until: now.plus(call.wait),
+        };
+        self.step.pull(now, pull, actions);
+    }
+
+    fn act(&mut self, actions: Vec<StepAction>) {
+        for action in actions {
+            match action {
+                StepAction::Generate { slot, attempt, .. } => self.generate(slot, attempt),
+                StepAction::Cancel { slot, attempt } => {
+                    // Dropping the task cancels the attempt at its agent.
+                    self.attempts.swap_remove(&AttemptKey { slot, attempt });
+                }
+                StepAction::Deliver { pull, answer } => self.answer(pull, Ok(answer)),
+                StepAction::Refuse { pull, refusal } => self.answer(pull, Err(refusal)),
+                StepAction::Wait { .. } => {}
+                StepAction::Count(count) => self.count(count),
+            }
+        }
+    }
+
+    fn count(&self, count: StepCount) {
+        self.cx.metrics.count(count.into());
+    }
+
+    fn answer(&mut self, pull: PullId, answer: Result<PullAnswer, PullRefusal>) {
+        let Some(waiting) = self.pulls.swap_remove(&pull) else {
+            return;
+        };
+        self.cx.metrics.waited(now().since(waiting.began));
+        if let Ok(answer) = &answer {
+            for sample in &answer.samples {
+                let oldest = sample.answer.attribution.oldest().unwrap_or(answer.version);
+                self.cx
+                    .metrics
+                    .delivered(Staleness::age(oldest, answer.version));
+            }
+            log::info!(
+                "event=delivered step={} samples={} remaining={}",
+                self.name,
+                answer.samples.len(),
+                answer.remaining
+            );
+        }
+        let _ = waiting.reply.try_send(answer);
+    }
+
+    fn generate(&mut self, slot: SlotKey, attempt: u32) {
+        let Some(req) = self.request(slot) else {
+            return;
+        };
+        let cx = self.cx.clone();
+        let events = self.events.clone();
+        let task = executor::spawn(async move {
+            let end = request_run::run(&cx, req, |_| true).await;
+            let wait = end.outcome.retry_after.unwrap_or(RETRY_DELAY);
+            let result = end
+                .answer
+                .filter(|_| end.outcome.error.is_none())
+                .ok_or(wait);
+            if let Some(events) = events.upgrade() {
+                let _ = events.try_send(StepEvent::Made {
+                    slot,
+                    attempt,
+                    result,
+                });
+            }
+        });
+        self.attempts.insert(AttemptKey { slot, attempt }, task);
+    }
+
+    fn request(&self, slot: SlotKey) -> Option<Request> {
+        let sample = self.spec.sample(slot)?;
+        let payload = json!({ "prompt": sample.prompt, "max_tokens": sample.tokens }).to_string();
+        Some(Request {
+            spec: RequestSpec {
+                id: RequestId(rand::random()),
+                idempotent: true,
+                deadline: now().plus(self.deadline),
+                first_attempt: 0,
+                placement: Placement::Free,
+            },
+            target: Bytes::from(self.spec.model.clone()),
+            class: self.class.clone(),
+            kind: WorkKind::Samples,
+            payload: Bytes::from(payload),
+            route: String::new(),
+            prefix: Some(prefix_of(sample.prompt)),
+            cost: sample.tokens,
+            fingerprint: 0,
+            horizon: None,
+        })
+    }
+}
+
+/// Returns the number of samples that a cursor text lacks, for people.
+pub fn remaining(cursor: &str, name: &StepName, spec: &StepSpec) -> Option<u32> {
+    let shape = spec.shape();
+    let tag = shape.tag(&name.trainer, name.step);
+    Cursor::parse(cursor, tag, shape.slots())
+        .ok()
+        .map(|cursor| cursor.remaining())
+}
--- /dev/null
+++ b/crates/oleander-daemon/src/stop_signal.rs
@@ -0,0 +1,21 @@
+//! Signals that stop a process.
+
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+
+/// Calls `stop` for each SIGTERM or SIGINT, on a thread of its own.
+///
+/// # Errors
+///
+/// The system's fault when the signals can't be caught.
+pub fn on_stop(stop: impl Fn() + Send + 'static) -> std::io::Result<()> {
+    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    std::thread::Builder::new()
+        .name("signals".to_owned())
+        .spawn(move || {
+            for _ in signals.forever() {
+                stop();
+            }
+        })?;
+    Ok(())
+}
