--- /dev/null
+++ b/crates/oleander-daemon/src/runtime.rs
@@ -0,0 +1,89 @@
+//! Threads of a process: one for control state, a fixed number for traffic.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::mpsc::{Receiver, RecvTimeoutError};
+use std::thread::JoinHandle;
+use std::time::Duration;
+use trillium::Handler;
+use trillium_http::HttpConfig;
+use trillium_smol::Stopper;
+use trillium_smol::async_global_executor::{self as executor, GlobalExecutorConfig};
+use trillium_smol::async_net::TcpListener;
+
+/// Time between two ticks of a control thread.
+const TICK: Duration = Duration::from_millis(20);
+
+/// Fixes the number of traffic threads; only the first call in a process counts.
+pub fn start_traffic_threads(threads: usize) {
+    let config = GlobalExecutorConfig::default()
+        .with_min_threads(threads)
+        .with_max_threads(threads);
+    executor::init_with_config(config);
+}
+
+/// Runs a task on the traffic threads.
+pub fn spawn(task: impl Future<Output = ()> + Send + 'static) {
+    executor::spawn(task).detach();
+}
+
+/// Runs `handle` on a thread of its own for each event, and with `None` at each tick, until all
+/// senders are gone or `handle` returns false.
+///
+/// # Errors
+///
+/// The system's fault when it can't start a thread.
+pub fn spawn_control<T: Send + 'static>(
+    events: Receiver<T>,
+    mut handle: impl FnMut(Option<T>) -> bool + Send + 'static,
+) -> std::io::Result<JoinHandle<()>> {
+    std::thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || {
+            let mut next_tick = std::time::Instant::now();
+            loop {
+                let wait = next_tick.saturating_duration_since(std::time::Instant::now());
+                let event = match events.recv_timeout(wait) {
+                    Ok(event) => Some(event),
+                    Err(RecvTimeoutError::Timeout) => {
+                        next_tick = std::time::Instant::now() + TICK;
+                        None
+                    }
+                    Err(RecvTimeoutError::Disconnected) => return,
+                };
+                if !handle(event) {
+                    return;
+                }
+            }
+        })
+}
+
+/// Greatest request head, in bytes.
+const HEAD_MAX_BYTES: usize = 16 << 10;
+/// Greatest request body that is read, in bytes.
+pub const BODY_MAX_BYTES: u64 = 4 << 20;
+/// Connections that are served at once.
+const CONNECTIONS_MAX: usize = 8192;
+
+/// Serves HTTP on the traffic threads until the stopper is told to stop.
+///
+/// # Errors
+///
+/// The system's fault when the address can't be bound.
+pub fn serve(address: SocketAddr, handler: impl Handler) -> std::io::Result<Stopper> {
+    let listener = std::net::TcpListener::bind(address)?;
+    let listener = TcpListener::try_from(listener)?;
+    let stopper = Stopper::new();
+    let limits = HttpConfig::default()
+        .with_head_max_len(HEAD_MAX_BYTES)
+        .with_received_body_max_len(BODY_MAX_BYTES);
+    trillium_smol::config()
+        .without_signals()
+        .with_nodelay()
+        .with_http_config(limits)
+        .with_max_connections(Some(CONNECTIONS_MAX))
+        .with_stopper(stopper.clone())
+        .with_prebound_server(listener)
+        .spawn(handler);
+    Ok(stopper)
+}
