Model-check the non-idempotent request, leases and lost store writes

The check found that a burial by a call that reuses another request's key was answered with that request's outcome; such a burial is now "not run", because the identity is taken. All 15 mutations are caught within the quick bounds.

--- a/crates/oleanderlock/src/attempt_ledger.rs
+++ b/crates/oleanderlock/src/attempt_ledger.rs
@@ -199,7 +199,11 @@
         self.forget(now);
         let key = self.key(ticket, submission.idempotent);
         let buried = Outcome::failed(ErrorKind::Cancelled, Ran::No);
-        match self.records.get(&key).map(|record| &record.state) {
+        let record = self.records.get(&key);
+        if record.is_some_and(|record| self.is_other_work(record, submission)) {
+            return Burial::kept(Ran::No);
+        }
+        match record.map(|record| &record.state) {
             Some(RecordState::Done(outcome)) => Burial::kept(outcome.ran),
             Some(RecordState::Running) => Burial::kept(Ran::Unknown),
             Some(RecordState::Queued) => {
@@ -246,7 +250,7 @@
     }
 
     fn submit_known(&self, record: &Record, submission: &Submission) -> SubmitAction {
-        if self.guards.fingerprint && record.fingerprint != submission.fingerprint {
+        if self.is_other_work(record, submission) {
             return SubmitAction::Refuse(ErrorKind::KeyReused, Ran::No);
         }
         match &record.state {
@@ -255,6 +259,11 @@
         }
     }
 
+    /// Whether the identity is taken by other work, so that this one can never run.
+    fn is_other_work(&self, record: &Record, submission: &Submission) -> bool {
+        self.guards.fingerprint && record.fingerprint != submission.fingerprint
+    }
+
     fn submit_new(&mut self, now: Millis, key: RecordKey, submission: &Submission) -> SubmitAction {
         if self.may_have_forgotten(now, submission.horizon) {
             return SubmitAction::Refuse(ErrorKind::DeadlineBeforeStart, Ran::Unknown);
--- a/crates/oleanderlock/src/lease.rs
+++ b/crates/oleanderlock/src/lease.rs
@@ -138,7 +138,8 @@
         (now.plus(margin) < held.until).then_some(held.fence)
     }
 
-    /// Returns what to do at time `now`; at most one call is under way at a time.
+    /// Returns what to do at time `now`; to be called once in a `renew` interval. At most one call is
+    /// under way at a time.
     pub fn tick(&mut self, now: Millis) -> Option<LeaseAction> {
         if self.reading || self.sent.is_some() {
             return None;
--- a/crates/oleanderlock/src/store_write.rs
+++ b/crates/oleanderlock/src/store_write.rs
@@ -90,7 +90,7 @@
         match position {
             Some(index) if index + 1 == log.writes.len() => WriteFate::TookEffect,
             Some(_) => WriteFate::Overwritten,
-            None if version == self.base => WriteFate::CannotTell,
+            None if version <= self.base => WriteFate::CannotTell,
             None if !guards.log_reach || log.reaches(self.base) => WriteFate::NeverTookEffect,
             None => WriteFate::CannotTell,
         }
--- /dev/null
+++ b/crates/oleanderlock/tests/model_lease.rs
@@ -0,0 +1,337 @@
+//! Model check of leases with fencing numbers, and of writes whose answer is lost.
+
+#[path = "request_support/explore.rs"]
+mod explore;
+
+use explore::{Found, Pool, Step, explore, peak_mib};
+use oleanderlock::fence_gate::FenceGate;
+use oleanderlock::guards::Guards;
+use oleanderlock::lease::{Lease, LeaseAction, LeaseAnswer, LeaseRecord, LeaseTerm};
+use oleanderlock::prelude::*;
+use oleanderlock::store_write::{StoreWrite, WriteFate, WriteId, WriteLog};
+use std::rc::Rc;
+
+const STATES: usize = 200_000;
+/// Kept low because a lease state shares no parts: about 2 KiB each.
+const DEEP_STATES: usize = 2_000_000;
+const MAX_TIME: u64 = 10;
+
+/// A lease of 4 ticks; the margin covers one tick of drift and one of rounding.
+const TERM: LeaseTerm = LeaseTerm {
+    length: Millis(4),
+    margin: Millis(2),
+    renew: Millis(1),
+};
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct World {
+    leases: [Lease; 2],
+    /// Call to the store that each contender has under way.
+    calls: [Option<LeaseAction>; 2],
+    answers: [Option<LeaseAnswer>; 2],
+    /// Writes whose contender gave up waiting for the answer.
+    strays: Vec<(u64, LeaseRecord)>,
+    /// How far each contender's clock runs ahead.
+    ahead: [u64; 2],
+    object: Option<LeaseRecord>,
+    version: u64,
+    gate: FenceGate,
+    orders: Vec<Fence>,
+    executed: Fence,
+    now: u64,
+    faults: u8,
+}
+
+impl World {
+    fn start(guards: Guards, faults: u8) -> Self {
+        let lease = |id| Lease::with_guards(Incarnation(id), TERM, guards);
+        Self {
+            leases: [lease(1), lease(2)],
+            calls: [None; 2],
+            answers: [None; 2],
+            strays: Vec::new(),
+            ahead: [0; 2],
+            object: None,
+            version: 0,
+            gate: FenceGate::with_guards(guards),
+            orders: Vec::new(),
+            executed: Fence(0),
+            now: 0,
+            faults,
+        }
+    }
+
+    fn clock(&self, who: usize) -> Millis {
+        Millis(self.now + self.ahead[who])
+    }
+
+    fn write(&mut self, base: u64, record: LeaseRecord) -> LeaseAnswer {
+        if base != self.version {
+            return LeaseAnswer::Conflict;
+        }
+        self.object = Some(record);
+        self.version += 1;
+        LeaseAnswer::Written(self.version)
+    }
+
+    fn serve(&mut self, call: LeaseAction) -> LeaseAnswer {
+        match call {
+            LeaseAction::Read => LeaseAnswer::Read {
+                version: self.version,
+                record: self.object,
+            },
+            LeaseAction::Write { base, record } => self.write(base, record),
+        }
+    }
+
+    fn lose(&mut self, who: usize) {
+        if let Some(LeaseAction::Write { base, record }) = self.calls[who].take() {
+            self.strays.push((base, record));
+        }
+        self.answers[who] = None;
+        let now = self.clock(who);
+        self.leases[who].on_answer(now, LeaseAnswer::Unavailable);
+    }
+
+    fn holders(&self) -> usize {
+        let acts = |who: &usize| self.leases[*who].may_act(self.clock(*who)).is_some();
+        [0, 1].iter().filter(|who| acts(who)).count()
+    }
+
+    /// Executes an order if the gate admits it; false if a newer one was executed before.
+    fn execute(&mut self, fence: Fence) -> bool {
+        if self.gate.admit(fence).is_err() {
+            return true;
+        }
+        let in_order = fence >= self.executed;
+        self.executed = fence;
+        in_order
+    }
+}
+
+type Next = Vec<(String, World, Option<&'static str>)>;
+
+fn add(next: &mut Next, label: String, world: World) {
+    let violated = (world.holders() > 1).then_some("one holder");
+    next.push((label, world, violated));
+}
+
+fn contender(world: &World, who: usize, next: &mut Next) {
+    let now = world.clock(who);
+    let mut ticked = world.clone();
+    if let Some(action) = ticked.leases[who].tick(now) {
+        ticked.calls[who] = Some(action);
+        add(next, format!("{who} {action:?}"), ticked);
+    }
+    if let Some(call) = world.calls[who] {
+        let mut served = world.clone();
+        served.calls[who] = None;
+        served.answers[who] = Some(served.serve(call));
+        add(next, format!("store serves {who}"), served);
+    }
+    if let Some(answer) = world.answers[who] {
+        let mut answered = world.clone();
+        answered.answers[who] = None;
+        answered.leases[who].on_answer(now, answer);
+        add(next, format!("{who} gets {answer:?}"), answered);
+    }
+    let waits = world.calls[who].is_some() || world.answers[who].is_some();
+    if waits && world.faults > 0 {
+        let mut lost = world.clone();
+        lost.faults -= 1;
+        lost.lose(who);
+        add(next, format!("{who} gets no answer"), lost);
+    }
+    if world.ahead[who] == 0 && world.faults > 0 {
+        let mut drifted = world.clone();
+        drifted.faults -= 1;
+        drifted.ahead[who] = 1;
+        add(next, format!("clock of {who} gains"), drifted);
+    }
+    if let Some(fence) = world.leases[who].may_act(now)
+        && world.orders.len() < 2
+    {
+        let mut ordered = world.clone();
+        ordered.orders.push(fence);
+        ordered.orders.sort_unstable();
+        add(next, format!("{who} orders with {fence:?}"), ordered);
+    }
+}
+
+fn lease_steps(world: &World) -> Next {
+    let mut next = Vec::new();
+    for who in 0..2 {
+        contender(world, who, &mut next);
+    }
+    for index in 0..world.strays.len() {
+        let mut late = world.clone();
+        let (base, record) = late.strays.remove(index);
+        late.write(base, record);
+        add(&mut next, "a late write reaches the store".into(), late);
+    }
+    for index in 0..world.orders.len() {
+        let mut arrived = world.clone();
+        let fence = arrived.orders.remove(index);
+        let in_order = arrived.execute(fence);
+        let violated = (!in_order).then_some("no old order");
+        next.push((format!("order {fence:?} arrives"), arrived, violated));
+    }
+    if world.now < MAX_TIME {
+        let mut later = world.clone();
+        later.now += 1;
+        add(&mut next, "time passes".into(), later);
+    }
+    next
+}
+
+fn check_lease(guards: Guards, faults: u8, limit: usize) -> Found {
+    let mut pool = Pool::new();
+    let start = pool.put(Rc::new(World::start(guards, faults)));
+    let found = explore(start, limit, |id, _| {
+        let world = pool.get(*id);
+        let steps = lease_steps(&world).into_iter();
+        let pack = |(label, world, violated)| Step {
+            label,
+            state: pool.put(Rc::new(world)),
+            violated,
+        };
+        steps.map(pack).collect()
+    });
+    assert!(pool.len() >= found.states);
+    print(&found);
+    found
+}
+
+fn print(found: &Found) {
+    let bound = found.end();
+    println!(
+        "{} states, depth {}, {bound}, {:?}, peak {} MiB",
+        found.states,
+        found.depth,
+        found.violated,
+        peak_mib()
+    );
+    for step in &found.trace {
+        println!("    {step}");
+    }
+}
+
+#[test]
+fn lease_holds() {
+    assert_eq!(check_lease(Guards::ALL, 1, STATES).violated, None);
+}
+
+#[test]
+#[ignore = "deep bounds, for `make model-check`"]
+fn lease_holds_deep() {
+    assert_eq!(check_lease(Guards::ALL, 3, DEEP_STATES).violated, None);
+}
+
+#[test]
+fn lease_mutations_are_caught() {
+    let margin = Guards {
+        lease_margin: false,
+        ..Guards::ALL
+    };
+    assert_eq!(check_lease(margin, 1, STATES).violated, Some("one holder"));
+    let fence = Guards {
+        fence: false,
+        ..Guards::ALL
+    };
+    assert_eq!(check_lease(fence, 0, STATES).violated, Some("no old order"));
+}
+
+/// One write that may take effect at any time, among others.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Object {
+    version: u64,
+    log: WriteLog,
+    pending: bool,
+    applied: bool,
+    judged_never: bool,
+}
+
+const WRITE: StoreWrite = StoreWrite {
+    id: WriteId(1000),
+    base: 2,
+};
+
+fn apply(object: &Object, write: StoreWrite) -> Object {
+    let holds = object.version == write.base;
+    let mut next = object.clone();
+    if holds {
+        next.version += 1;
+        next.log = object.log.with(write);
+    }
+    next
+}
+
+fn write_steps(object: &Object, guards: Guards) -> Vec<Step<Object>> {
+    let mut steps = Vec::new();
+    let other = StoreWrite {
+        id: WriteId(object.version),
+        base: object.version,
+    };
+    let mut step = |label: &str, state: Object| {
+        let fate = WRITE.judge_with(state.version, &state.log, guards);
+        let newest = state.version == WRITE.base + 1;
+        let true_fate = match fate {
+            WriteFate::TookEffect => state.applied && newest,
+            WriteFate::Overwritten => state.applied && !newest,
+            WriteFate::NeverTookEffect => !state.applied,
+            WriteFate::CannotTell => true,
+        };
+        let state = Object {
+            judged_never: state.judged_never || fate == WriteFate::NeverTookEffect,
+            ..state
+        };
+        let later = state.judged_never && state.applied;
+        steps.push(Step {
+            label: format!("{label}: {fate:?}"),
+            violated: (!true_fate || later).then_some("true fate"),
+            state,
+        });
+    };
+    if object.version < 40 {
+        step("another write", apply(object, other));
+    }
+    if object.pending && object.version >= WRITE.base {
+        let mut landed = apply(object, WRITE);
+        landed.applied = landed.version > object.version;
+        landed.pending = false;
+        step("the write arrives", landed);
+        let mut lost = object.clone();
+        lost.pending = false;
+        step("the write is lost", lost);
+    }
+    steps
+}
+
+fn check_write(guards: Guards) -> Found {
+    let start = Object {
+        version: 0,
+        log: WriteLog::default(),
+        pending: true,
+        applied: false,
+        judged_never: false,
+    };
+    let found = explore(start, STATES, |object, _| write_steps(object, guards));
+    print(&found);
+    found
+}
+
+#[test]
+fn write_fate_holds() {
+    let found = check_write(Guards::ALL);
+    assert_eq!(found.violated, None);
+    assert!(found.exhausted);
+}
+
+#[test]
+fn write_mutations_are_caught() {
+    let guards = Guards {
+        log_reach: false,
+        ..Guards::ALL
+    };
+    assert_eq!(check_write(guards).violated, Some("true fate"));
+}
--- /dev/null
+++ b/crates/oleanderlock/tests/model_request.rs
@@ -0,0 +1,204 @@
+//! Model check of the non-idempotent request; see `docs/spec/request.md`.
+
+mod request_support;
+
+use oleanderlock::guards::Guards;
+use request_support::explore::{Found, peak_mib};
+use request_support::request_model::check;
+use request_support::request_world::{Call, Key, Scenario};
+use std::time::Instant;
+
+const QUICK_STATES: usize = 120_000;
+const DEEP_STATES: usize = 10_000_000;
+
+const fn call(request: u128, fingerprint: u64, key: Key, deadline: u64, horizon: u64) -> Call {
+    Call {
+        request,
+        fingerprint,
+        key,
+        deadline,
+        horizon,
+    }
+}
+
+fn scenario(name: &'static str, calls: &[Call], agents: usize, max_time: u64) -> Scenario {
+    Scenario {
+        name,
+        calls: calls.to_vec(),
+        agents,
+        capacity: 4,
+        max_time,
+        faults: 2,
+        guards: Guards::ALL,
+    }
+}
+
+/// One call without a key and two agents.
+fn keyless() -> Scenario {
+    scenario("keyless", &[call(1, 7, Key::None, 3, 3)], 2, 5)
+}
+
+/// A call and its retry with one issued key, through two entries.
+fn issued() -> Scenario {
+    let calls = [call(1, 7, Key::Issued, 3, 3), call(1, 7, Key::Issued, 6, 3)];
+    scenario("issued key", &calls, 1, 5)
+}
+
+/// Two different requests with one issued key.
+fn reused() -> Scenario {
+    let calls = [call(1, 7, Key::Issued, 3, 3), call(1, 8, Key::Issued, 3, 3)];
+    scenario("reused key", &calls, 1, 4)
+}
+
+/// A call and its retry with one chosen key, through two entries that propose different agents.
+fn chosen() -> Scenario {
+    let calls = [call(1, 7, Key::Chosen, 3, 3), call(1, 7, Key::Chosen, 3, 3)];
+    scenario("chosen key", &calls, 2, 3)
+}
+
+/// Two requests at an agent whose ledger has room for one.
+fn full() -> Scenario {
+    let calls = [call(1, 7, Key::None, 1, 1), call(2, 8, Key::None, 4, 4)];
+    Scenario {
+        capacity: 1,
+        ..scenario("full ledger", &calls, 1, 4)
+    }
+}
+
+fn report(scenario: &Scenario, found: &Found, since: Instant) {
+    let bound = found.end();
+    println!(
+        "{}: {} states, depth {}, {bound}, {} faults, {} ms, peak {} MiB",
+        scenario.name,
+        found.states,
+        found.depth,
+        scenario.faults,
+        since.elapsed().as_millis(),
+        peak_mib()
+    );
+    for step in &found.trace {
+        println!("    {step}");
+    }
+}
+
+fn run(scenario: &Scenario, limit: usize) -> Found {
+    let since = Instant::now();
+    let found = check(scenario, limit);
+    report(scenario, &found, since);
+    found
+}
+
+fn hold(scenario: &Scenario, limit: usize) {
+    let found = run(scenario, limit);
+    assert_eq!(found.violated, None, "{}", scenario.name);
+}
+
+#[test]
+fn request_holds() {
+    for scenario in [keyless(), issued(), reused(), chosen(), full()] {
+        hold(&scenario, QUICK_STATES);
+    }
+}
+
+#[test]
+#[ignore = "deep bounds, for `make model-check`"]
+fn request_holds_deep() {
+    for scenario in [keyless(), issued(), reused(), chosen(), full()] {
+        hold(
+            &Scenario {
+                faults: 4,
+                ..scenario
+            },
+            DEEP_STATES,
+        );
+    }
+}
+
+/// Leaves room for longer traces within the quick bound.
+fn few_faults(scenario: Scenario) -> Scenario {
+    Scenario {
+        faults: 0,
+        ..scenario
+    }
+}
+
+fn one_fault(scenario: Scenario) -> Scenario {
+    Scenario {
+        faults: 1,
+        ..scenario
+    }
+}
+
+/// A guard that is taken out, and the invariant that must then fail.
+struct Mutation {
+    guard: &'static str,
+    invariant: &'static str,
+    scenario: Scenario,
+}
+
+fn without(
+    guard: &'static str,
+    invariant: &'static str,
+    scenario: Scenario,
+    switch_off: fn(&mut Guards),
+) -> Mutation {
+    let mut guards = Guards::ALL;
+    switch_off(&mut guards);
+    Mutation {
+        guard,
+        invariant,
+        scenario: Scenario { guards, ..scenario },
+    }
+}
+
+fn mutations() -> Vec<Mutation> {
+    let once = "at most once";
+    let not_run = "true not run";
+    let own = "own answer";
+    vec![
+        without("incarnation", once, issued(), |g| g.incarnation = false),
+        without("request_identity", once, issued(), |g| {
+            g.request_identity = false
+        }),
+        without("tombstone", not_run, keyless(), |g| g.tombstone = false),
+        without("floor", not_run, one_fault(full()), |g| g.floor = false),
+        without("forgotten", not_run, issued(), |g| g.forgotten = false),
+        without("fingerprint", own, reused(), |g| g.fingerprint = false),
+        without("retry", once, keyless(), |g| g.retry = false),
+        without("ticket", not_run, keyless(), |g| g.ticket = false),
+        without("lost", not_run, keyless(), |g| g.lost = false),
+        without("earlier_calls", not_run, issued(), |g| {
+            g.earlier_calls = false
+        }),
+        without("conditional", once, few_faults(chosen()), |g| {
+            g.conditional = false
+        }),
+        without("confirmed", once, few_faults(chosen()), |g| {
+            g.confirmed = false
+        }),
+    ]
+}
+
+#[test]
+fn request_mutations_are_caught() {
+    for mutation in mutations() {
+        let found = check(&mutation.scenario, QUICK_STATES);
+        println!(
+            "without {}: {:?} after {} states, {} steps, {}",
+            mutation.guard,
+            found.violated,
+            found.states,
+            found.trace.len(),
+            mutation.scenario.name
+        );
+        for step in &found.trace {
+            println!("    {step}");
+        }
+        assert_eq!(
+            found.violated,
+            Some(mutation.invariant),
+            "{}",
+            mutation.guard
+        );
+    }
+}
--- /dev/null
+++ b/crates/oleanderlock/tests/request_support/request_world.rs
@@ -0,0 +1,231 @@
+//! Parts of the request model: agents, entries, network, store, and the record of what ran.
+
+use oleanderlock::attempt_ledger::{AttemptLedger, LedgerLimits};
+use oleanderlock::guards::Guards;
+use oleanderlock::key_binder::{BinderLimits, KeyBinder};
+use oleanderlock::prelude::*;
+use oleanderlock::request_outcome::Outcome;
+use oleanderlock::request_track::{RequestTrack, TrackConfig};
+use oleanderlock::submission::Submission;
+use std::hash::{BuildHasher, BuildHasherDefault, DefaultHasher};
+use std::rc::Rc;
+
+pub const ENTRIES: usize = 2;
+pub const AGENTS: usize = 2;
+
+/// How a call is identified.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Key {
+    /// No key; the request may run at any agent.
+    None,
+    /// A key that names the first incarnation of agent 0.
+    Issued,
+    /// A key that the caller chose, bound through the store.
+    Chosen,
+}
+
+/// One call of the caller; call `i` reaches entry `i`.
+#[derive(Clone, Copy, Debug)]
+pub struct Call {
+    pub request: u128,
+    pub fingerprint: u64,
+    pub key: Key,
+    pub deadline: u64,
+    pub horizon: u64,
+}
+
+/// Bounds of one exploration.
+#[derive(Clone, Debug)]
+pub struct Scenario {
+    pub name: &'static str,
+    pub calls: Vec<Call>,
+    pub agents: usize,
+    pub capacity: usize,
+    pub max_time: u64,
+    pub faults: u8,
+    pub guards: Guards,
+}
+
+impl Scenario {
+    pub fn limits(&self) -> LedgerLimits {
+        LedgerLimits {
+            capacity: self.capacity,
+            answer_bytes: 64,
+            grace: Millis(1),
+            longest: Millis(100),
+            floors: 1,
+        }
+    }
+
+    pub fn track(&self) -> TrackConfig {
+        TrackConfig {
+            max_attempts: 2,
+            max_sends: 2,
+            bury_margin: Millis(1),
+        }
+    }
+
+    pub fn binder(&self) -> KeyBinder {
+        let limits = BinderLimits {
+            buckets: 1,
+            waiting: 4,
+            bucket_len: 4,
+        };
+        KeyBinder::with_guards(limits, self.guards)
+    }
+}
+
+/// The sender of a submission, which gets its outcome.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Sender {
+    pub entry: usize,
+    pub ticket: Ticket,
+}
+
+/// A submission at an agent, with the entry (and so the call) that it came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Job {
+    pub submission: Submission,
+    pub entry: usize,
+    pub running: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Agent {
+    pub ledger: AttemptLedger,
+    pub jobs: Vec<Job>,
+    pub senders: Vec<Sender>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum CallState {
+    Waiting,
+    Binding,
+    Tracked(RequestTrack),
+    Over,
+    Crashed,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Entry {
+    pub call: CallState,
+    pub binder: KeyBinder,
+    /// Number of the store call under way, and whether it is a write.
+    pub store_call: Option<bool>,
+    pub store_calls: u8,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Message {
+    /// From an entry; true while the entry could still find out that it never left.
+    Submit(usize, Submission, bool),
+    Bury(usize, Submission),
+    Finish(Sender, Outcome),
+    Buried(Sender, Ran),
+    StoreRead(usize, u8),
+    StoreWrite(usize, u8, Option<u64>, Rc<str>),
+    StoreValue(usize, u8, Option<(u64, Rc<str>)>, bool),
+    StoreWritten(usize, u8, oleanderlock::store_answer::WriteAnswer),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Store {
+    pub object: Option<(u64, Rc<str>)>,
+    pub up: bool,
+}
+
+/// What truly happened, and what callers were told.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Record {
+    /// Runs: request, fingerprint, and the call that caused it.
+    pub runs: Vec<(u128, u64, usize)>,
+    /// Calls that were told "not run".
+    pub told_no: [bool; ENTRIES],
+}
+
+#[derive(Clone, Debug)]
+pub struct World {
+    pub agents: [Rc<Agent>; AGENTS],
+    pub entries: [Rc<Entry>; ENTRIES],
+    pub net: Rc<Vec<Message>>,
+    pub store: Rc<Store>,
+    pub record: Rc<Record>,
+    pub now: u64,
+    pub faults: u8,
+    pub violated: Option<&'static str>,
+}
+
+/// Incarnation of an agent after some restarts.
+pub fn incarnation(agent: usize, restarts: u64) -> Incarnation {
+    Incarnation(agent as u64 + 10 * restarts)
+}
+
+/// The agent slot of an incarnation.
+pub fn slot_of(incarnation: Incarnation) -> usize {
+    (incarnation.0 % 10) as usize
+}
+
+impl World {
+    pub fn start(scenario: &Scenario) -> Self {
+        let agent = |slot| {
+            let ledger = AttemptLedger::with_guards(
+                incarnation(slot, 0),
+                scenario.limits(),
+                scenario.guards,
+            );
+            Rc::new(Agent {
+                ledger,
+                jobs: Vec::new(),
+                senders: Vec::new(),
+            })
+        };
+        let entry = Rc::new(Entry {
+            call: CallState::Waiting,
+            binder: scenario.binder(),
+            store_call: None,
+            store_calls: 0,
+        });
+        Self {
+            agents: [agent(0), agent(1)],
+            entries: [Rc::clone(&entry), entry],
+            net: Rc::new(Vec::new()),
+            store: Rc::new(Store {
+                object: None,
+                up: true,
+            }),
+            record: Rc::new(Record::default()),
+            now: 0,
+            faults: scenario.faults,
+            violated: None,
+        }
+    }
+
+    pub fn agent(&mut self, slot: usize) -> &mut Agent {
+        Rc::make_mut(&mut self.agents[slot])
+    }
+
+    pub fn entry(&mut self, entry: usize) -> &mut Entry {
+        Rc::make_mut(&mut self.entries[entry])
+    }
+
+    /// Puts a message on the network, which has no order.
+    pub fn send(&mut self, message: Message) {
+        let net = Rc::make_mut(&mut self.net);
+        net.push(message);
+        net.sort_by_cached_key(|message| {
+            BuildHasherDefault::<DefaultHasher>::default().hash_one(message)
+        });
+    }
+
+    /// Notes a run and checks it against the other runs and what callers were told.
+    pub fn run(&mut self, job: &Job) {
+        let request = job.submission.ticket.request.0;
+        let fingerprint = job.submission.fingerprint;
+        let record = Rc::make_mut(&mut self.record);
+        if record.runs.iter().any(|run| run.0 == request) {
+            self.violated = Some("at most once");
+        }
+        record.runs.push((request, fingerprint, job.entry));
+        record.runs.sort_unstable();
+    }
+}
