--- /dev/null
+++ b/crates/oleanderlock/tests/admission_rules.rs
@@ -0,0 +1,258 @@
+//! The rules of admission, one by one.
+
+use oleanderlock::admission::Admission;
+use oleanderlock::admission_config::AdmissionConfig;
+use oleanderlock::policy::Policy;
+use oleanderlock::prelude::*;
+use oleanderlock::shares::ClassGrant;
+use oleanderlock::work::{AdmissionAction, Refusal, Verdict, Work};
+
+const FAR: u64 = 600_000;
+
+fn grant(name: &'static str, share_percent: u32) -> ClassGrant {
+    ClassGrant {
+        name: name.into(),
+        share_percent,
+        latency_bound: Millis(1_000),
+    }
+}
+
+fn admission(capacity: usize) -> Admission {
+    let mut admission = Admission::new(AdmissionConfig::for_capacity(capacity));
+    admission.set_classes(&[grant("desk", 50), grant("train", 50)]);
+    admission
+}
+
+fn ticket(number: u32) -> Ticket {
+    Ticket {
+        request: RequestId(number.into()),
+        ..Ticket::default()
+    }
+}
+
+fn work(admission: &Admission, number: u32, kind: WorkKind, deadline: u64) -> Work {
+    let name: &[u8] = match kind {
+        WorkKind::Interactive => b"desk",
+        WorkKind::Samples => b"train",
+    };
+    Work {
+        ticket: ticket(number),
+        class: admission.class(name).expect("the class is in force"),
+        kind,
+        priority: 0,
+        deadline: Millis(deadline),
+        cost: 100,
+    }
+}
+
+fn submit(
+    admission: &mut Admission,
+    now: u64,
+    number: u32,
+    kind: WorkKind,
+    deadline: u64,
+) -> Verdict {
+    let work = work(admission, number, kind, deadline);
+    admission.submit(Millis(now), work)
+}
+
+/// Fills all slots of an endpoint that is known to serve a request in `service` milliseconds.
+fn full(capacity: usize, service: u64) -> Admission {
+    let mut admission = admission(capacity);
+    for number in 1_000..1_010 {
+        submit(&mut admission, 0, number, WorkKind::Samples, FAR);
+        admission.finished(Millis(service), ticket(number), 100);
+    }
+    for number in 2_000..2_000 + capacity as u32 {
+        let verdict = submit(&mut admission, service, number, WorkKind::Samples, FAR);
+        assert_eq!(verdict, Verdict::Start);
+    }
+    admission
+}
+
+#[test]
+fn a_known_ticket_changes_nothing() {
+    let mut admission = full(1, 100);
+    assert_eq!(
+        submit(&mut admission, 100, 2_000, WorkKind::Samples, FAR),
+        Verdict::Duplicate
+    );
+    assert_eq!(
+        submit(&mut admission, 100, 1, WorkKind::Samples, FAR),
+        Verdict::Queued
+    );
+    assert_eq!(
+        submit(&mut admission, 100, 1, WorkKind::Samples, FAR),
+        Verdict::Duplicate
+    );
+    assert_eq!(admission.load(Millis(100)).queued, 1);
+}
+
+#[test]
+fn interactive_work_leaves_the_queue_before_older_samples() {
+    let mut admission = full(1, 100);
+    assert_eq!(
+        submit(&mut admission, 100, 1, WorkKind::Samples, FAR),
+        Verdict::Queued
+    );
+    assert_eq!(
+        submit(&mut admission, 100, 2, WorkKind::Interactive, FAR),
+        Verdict::Queued
+    );
+    let actions = admission.finished(Millis(200), ticket(2_000), 100);
+    assert_eq!(actions, [AdmissionAction::Start(ticket(2))]);
+}
+
+#[test]
+fn greater_priority_leaves_the_queue_first() {
+    let mut admission = full(1, 100);
+    for (number, priority) in [(1, 1), (2, 7), (3, 7)] {
+        let mut work = work(&admission, number, WorkKind::Samples, FAR);
+        work.priority = priority;
+        assert_eq!(admission.submit(Millis(100), work), Verdict::Queued);
+    }
+    let actions = admission.finished(Millis(200), ticket(2_000), 100);
+    assert_eq!(actions, [AdmissionAction::Start(ticket(2))]);
+}
+
+#[test]
+fn work_that_can_not_end_in_time_is_refused_at_once() {
+    let mut admission = full(1, 400);
+    let verdict = submit(&mut admission, 400, 1, WorkKind::Interactive, 1_000);
+    let Verdict::Refuse(refusal) = verdict else {
+        panic!("{verdict:?}");
+    };
+    assert_eq!(refusal.error, ErrorKind::Overloaded);
+    assert!(refusal.retry_after > Millis::ZERO);
+    assert_eq!(
+        submit(&mut admission, 400, 2, WorkKind::Samples, 60_000),
+        Verdict::Queued
+    );
+}
+
+#[test]
+fn a_refusal_names_a_time_at_which_the_same_work_is_admitted() {
+    let mut admission = full(1, 400);
+    let Verdict::Refuse(refusal) = submit(&mut admission, 400, 1, WorkKind::Interactive, 1_000)
+    else {
+        panic!("it must be refused");
+    };
+    let back = 400 + refusal.retry_after.0;
+    admission.finished(Millis(800), ticket(2_000), 100);
+    let verdict = submit(
+        &mut admission,
+        back.max(800),
+        2,
+        WorkKind::Interactive,
+        back + 600,
+    );
+    assert_eq!(verdict, Verdict::Start);
+}
+
+#[test]
+fn queued_work_whose_deadline_passes_gets_its_final_answer() {
+    let mut admission = admission(1);
+    submit(&mut admission, 0, 1, WorkKind::Interactive, FAR);
+    assert_eq!(
+        submit(&mut admission, 0, 2, WorkKind::Interactive, 500),
+        Verdict::Queued
+    );
+    assert_eq!(admission.next_tick(Millis(0)), Some(Millis(501)));
+    assert!(admission.tick(Millis(500)).is_empty());
+    let actions = admission.tick(Millis(501));
+    let [AdmissionAction::Refuse(refused, refusal)] = actions[..] else {
+        panic!("{actions:?}");
+    };
+    assert_eq!(refused, ticket(2));
+    assert_eq!(refusal.error, ErrorKind::DeadlineBeforeStart);
+    assert!(refusal.retry_after > Millis::ZERO);
+    assert!(!admission.contains(ticket(2)));
+}
+
+#[test]
+fn a_class_beyond_its_share_is_told_so() {
+    let mut admission = full(1, 100);
+    submit(&mut admission, 100, 1, WorkKind::Interactive, FAR);
+    let refused = (2..100).find_map(|number| {
+        match submit(&mut admission, 100, number, WorkKind::Samples, FAR) {
+            Verdict::Refuse(refusal) => Some(refusal.error),
+            _ => None,
+        }
+    });
+    assert_eq!(refused, Some(ErrorKind::ShareExhausted));
+}
+
+#[test]
+fn one_class_can_not_fill_the_queue_of_another() {
+    let mut admission = full(2, 10);
+    for number in 0..200 {
+        submit(&mut admission, 10, number, WorkKind::Samples, FAR);
+    }
+    let limit = AdmissionConfig::for_capacity(2).queue_limit;
+    assert_eq!(admission.load(Millis(10)).queued as usize, limit / 2);
+    assert_eq!(
+        submit(&mut admission, 10, 500, WorkKind::Interactive, FAR),
+        Verdict::Queued
+    );
+}
+
+#[test]
+fn leaving_refuses_the_queue_as_not_run_and_keeps_what_runs() {
+    let mut admission = full(1, 100);
+    submit(&mut admission, 100, 1, WorkKind::Samples, FAR);
+    let refusal = Refusal {
+        error: ErrorKind::Leaving,
+        retry_after: Millis::ZERO,
+    };
+    assert_eq!(
+        admission.leave(),
+        [AdmissionAction::Refuse(ticket(1), refusal)]
+    );
+    let verdict = submit(&mut admission, 101, 2, WorkKind::Interactive, FAR);
+    assert_eq!(verdict, Verdict::Refuse(refusal));
+    assert!(admission.contains(ticket(2_000)));
+    assert!(
+        admission
+            .finished(Millis(200), ticket(2_000), 100)
+            .is_empty()
+    );
+    assert!(admission.is_idle());
+}
+
+#[test]
+fn cancelled_work_gives_up_its_place_and_its_slot() {
+    let mut admission = full(1, 100);
+    submit(&mut admission, 100, 1, WorkKind::Samples, FAR);
+    submit(&mut admission, 100, 2, WorkKind::Samples, FAR);
+    assert!(admission.cancelled(Millis(100), ticket(1)).is_empty());
+    let actions = admission.cancelled(Millis(100), ticket(2_000));
+    assert_eq!(actions, [AdmissionAction::Start(ticket(2))]);
+}
+
+#[test]
+fn a_revoked_class_gets_nothing_new_and_finishes_what_it_has() {
+    let mut admission = full(1, 100);
+    submit(&mut admission, 100, 1, WorkKind::Samples, FAR);
+    let old = work(&admission, 2, WorkKind::Samples, FAR);
+    admission.set_classes(&[grant("desk", 50)]);
+    assert_eq!(admission.class(b"train"), None);
+    let verdict = admission.submit(Millis(100), old);
+    assert!(matches!(verdict, Verdict::Refuse(it) if it.error == ErrorKind::NoContract));
+    let actions = admission.finished(Millis(200), ticket(2_000), 100);
+    assert_eq!(actions, [AdmissionAction::Start(ticket(1))]);
+}
+
+#[test]
+fn the_naive_baseline_serves_in_order_of_arrival() {
+    let cfg = AdmissionConfig {
+        policy: Policy::Naive,
+        ..AdmissionConfig::for_capacity(1)
+    };
+    let mut admission = Admission::new(cfg);
+    admission.set_classes(&[grant("desk", 50), grant("train", 50)]);
+    submit(&mut admission, 0, 1, WorkKind::Samples, FAR);
+    submit(&mut admission, 0, 2, WorkKind::Samples, FAR);
+    submit(&mut admission, 0, 3, WorkKind::Interactive, FAR);
+    let actions = admission.finished(Millis(100), ticket(1), 100);
+    assert_eq!(actions, [AdmissionAction::Start(ticket(2))]);
+}
