--- a/crates/oleander-daemon/src/agent_table.rs
+++ b/crates/oleander-daemon/src/agent_table.rs
@@ -272,7 +272,7 @@
 
     fn route_of(&self, key: EndpointKey) -> Option<Route> {
         let mut agents = self.agents.iter();
-        let found = agents.find_map(|(link, agent)| {
+        agents.find_map(|(link, agent)| {
             let heard = agent.heard.as_ref().filter(|heard| heard.key == key)?;
             Some(Route {
                 key,
@@ -281,8 +281,7 @@
                 incarnation: heard.incarnation,
                 clock: heard.clock,
             })
-        });
-        found
+        })
     }
 }
 
--- a/crates/oleander-daemon/src/cli.rs
+++ b/crates/oleander-daemon/src/cli.rs
@@ -9,11 +9,7 @@
 /// Faces callers, trainers and operators: routes requests to agents and hands samples to trainers
 pub struct EntryArgs {
     /// Read the settings from FILE instead of oleander-entry.ini
-    #[bpaf(
-        argument("FILE"),
-        fallback(PathBuf::from("oleander-entry.ini")),
-        display_fallback
-    )]
+    #[bpaf(argument("FILE"), fallback(PathBuf::from("oleander-entry.ini")))]
     pub settings: PathBuf,
     /// Check the settings and exit
     pub check: bool,
@@ -25,11 +21,7 @@
 /// Stands beside one endpoint and is the only way to it
 pub struct AgentArgs {
     /// Read the settings from FILE instead of oleander-agent.ini
-    #[bpaf(
-        argument("FILE"),
-        fallback(PathBuf::from("oleander-agent.ini")),
-        display_fallback
-    )]
+    #[bpaf(argument("FILE"), fallback(PathBuf::from("oleander-agent.ini")))]
     pub settings: PathBuf,
     /// Check the settings and exit
     pub check: bool,
--- a/crates/oleander-daemon/src/step_task.rs
+++ b/crates/oleander-daemon/src/step_task.rs
@@ -11,7 +11,6 @@
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use indexmap::IndexMap;
-use oleanderlock::cursor::Cursor;
 use oleanderlock::pull::{Pull, PullAnswer, PullId, PullRefusal};
 use oleanderlock::request_track::{Placement, RequestSpec};
 use oleanderlock::sample_guards::SampleGuards;
@@ -317,12 +316,3 @@
         })
     }
 }
-
-/// Returns the number of samples that a cursor text lacks, for people.
-pub fn remaining(cursor: &str, name: &StepName, spec: &StepSpec) -> Option<u32> {
-    let shape = spec.shape();
-    let tag = shape.tag(&name.trainer, name.step);
-    Cursor::parse(cursor, tag, shape.slots())
-        .ok()
-        .map(|cursor| cursor.remaining())
-}
