Load published versions: agents follow the configuration

A trainer stand-in ran three steps through the whole path, all samples once; but the engine stayed on version 1 while versions 2 to 4 were published. Cause: the agent planned swaps only after a probe, never when the configuration came.

--- a/crates/oleander-daemon/src/agent_control.rs
+++ b/crates/oleander-daemon/src/agent_control.rs
@@ -323,6 +323,7 @@
         }
         self.admission
             .set_classes(&self.config.contracts().grants());
+        self.plan_swap(now);
         log::info!("event=config digest={:016x}", self.config.digest());
         self.report_to_all(now);
     }
