--- a/crates/oleander-daemon/src/completions.rs
+++ b/crates/oleander-daemon/src/completions.rs
@@ -173,6 +173,7 @@
 /// Answers with a fault, and counts and logs it.
 pub fn refuse(cx: &EntryCx, fault: HttpFault, conn: Conn) -> Conn {
     cx.metrics.refused(fault.kind);
+    cx.refusals.note(&fault);
     let request = fault.request.map(|id| id.to_string()).unwrap_or_default();
     log::info!(
         "event=refused request={request} kind={} ran={}",
--- a/crates/oleander-daemon/src/entry.rs
+++ b/crates/oleander-daemon/src/entry.rs
@@ -10,6 +10,7 @@
 use crate::metrics::Metrics;
 use crate::open_fault::OpenFault;
 use crate::prelude::*;
+use crate::refusal_log::RefusalLog;
 use crate::request_run;
 use crate::runtime::{self, HttpServer};
 use crate::store_client::StoreClient;
@@ -54,6 +55,7 @@
             peers,
             inflight,
             store: StoreClient::new(&cfg.node.store),
+            refusals: RefusalLog::default(),
             secrets: Arc::new(secrets(&cfg)),
             events: events.clone(),
             cfg: Arc::new(cfg),
--- a/crates/oleander-daemon/src/entry_cx.rs
+++ b/crates/oleander-daemon/src/entry_cx.rs
@@ -5,6 +5,7 @@
 use crate::inflight::Inflight;
 use crate::metrics::Metrics;
 use crate::prelude::*;
+use crate::refusal_log::RefusalLog;
 use crate::store_client::StoreClient;
 use async_channel::Sender;
 use oleanderlock::attempt_end::AttemptEnd;
@@ -25,6 +26,8 @@
     pub inflight: Inflight,
     /// The platform's object API.
     pub store: StoreClient,
+    /// The latest refusals.
+    pub refusals: RefusalLog,
     /// Secrets of issued idempotency keys.
     pub secrets: Arc<KeySecrets>,
     /// Events for the control thread.
--- a/crates/oleander-daemon/src/entry_event.rs
+++ b/crates/oleander-daemon/src/entry_event.rs
@@ -10,7 +10,7 @@
 use oleanderlock::contract::Contract;
 use oleanderlock::endpoint::EndpointKey;
 use oleanderlock::load::Load;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
 /// One event for the control thread of an entry.
@@ -121,7 +121,7 @@
 }
 
 /// The fleet as one entry sees it.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct FleetSummary {
     /// Name of the entry.
     pub entry: String,
@@ -136,7 +136,7 @@
 }
 
 /// One configuration object in force.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct ConfigSummary {
     /// Name of the object.
     pub name: String,
@@ -145,7 +145,7 @@
 }
 
 /// An agent as an entry sees it.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct AgentView {
     /// Name of the instance.
     pub name: String,
@@ -166,7 +166,7 @@
 }
 
 /// Another entry as an entry sees it.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct EntryView {
     /// Name of the instance.
     pub name: String,
--- a/crates/oleander-daemon/src/entry_http.rs
+++ b/crates/oleander-daemon/src/entry_http.rs
@@ -75,6 +75,7 @@
             "/v1/contracts/:customer",
             on(cx, operator_api::put_contract),
         )
+        .get("/v1/requests/:request", on(cx, operator_api::explain))
         .get("/v1/fleet", on(cx, operator_api::fleet))
         .get("/v1/steps", with(cx, &host, operator_api::steps));
     (
--- a/crates/oleander-daemon/src/lib.rs
+++ b/crates/oleander-daemon/src/lib.rs
@@ -42,6 +42,7 @@
 mod plain_calls;
 pub mod prelude;
 mod publish;
+pub mod refusal_log;
 pub mod request_run;
 pub mod runtime;
 pub mod service_client;
--- a/crates/oleander-daemon/src/operator_api.rs
+++ b/crates/oleander-daemon/src/operator_api.rs
@@ -152,3 +152,21 @@
     let names: Vec<String> = host.names().iter().map(ToString::to_string).collect();
     json(conn, Status::Ok, &value!({ "steps": names }))
 }
+
+/// Answers `GET /v1/requests/{request}`: why it was refused.
+pub async fn explain(cx: EntryCx, conn: Conn) -> Conn {
+    if let Err(fault) = access::check(&conn, &cx.cfg.operator_tokens) {
+        return fault.answer(conn);
+    }
+    let request = conn.param("request").unwrap_or_default();
+    let request = u128::from_str_radix(request, 16).map(RequestId);
+    match request.ok().and_then(|request| cx.refusals.find(request)) {
+        Some(refusal) => json(conn, Status::Ok, &refusal),
+        None => {
+            let detail = "this entry remembers no refusal of that request; ask the others";
+            HttpFault::not_run(ErrorKind::NotFound)
+                .detail(detail)
+                .answer(conn)
+        }
+    }
+}
--- /dev/null
+++ b/crates/oleanderctl/src/ctl_error.rs
@@ -0,0 +1,87 @@
+//! Why a command failed.
+
+use crate::exit_code::ExitCode;
+use derive_more::{Display, Error};
+use oleanderlock::contract_fault::ContractFault;
+
+/// Why a command failed.
+#[derive(Clone, Debug, Display, Error)]
+pub enum CtlError {
+    /// A file can't be read.
+    #[display("{file}: {reason}")]
+    File {
+        /// The file.
+        file: String,
+        /// What the system says.
+        reason: String,
+    },
+    /// A contract file has faults.
+    #[display("{}", lines(file, faults))]
+    Contract {
+        /// The file.
+        file: String,
+        /// All faults.
+        faults: Vec<ContractFault>,
+    },
+    /// The entry refused the call.
+    #[display("{message} ({kind}; work ran: {ran})")]
+    Refused {
+        /// Name of the error kind.
+        kind: String,
+        /// The entry's sentence.
+        message: String,
+        /// Whether anything changed: `no`, `yes` or `unknown`.
+        ran: String,
+    },
+    /// Another amendment was accepted first.
+    #[display("generation {generation} was accepted first; nothing has changed\n{changes}")]
+    Conflict {
+        /// The generation that stands.
+        generation: u64,
+        /// What the file would change in what stands.
+        changes: String,
+    },
+    /// The contract is not in force everywhere.
+    #[display("not in force after {seconds} s; waiting for: {waiting}")]
+    NotInForce {
+        /// The time given.
+        seconds: u64,
+        /// Instances that lack it.
+        waiting: String,
+    },
+    /// No entry answered.
+    #[display("{entry} does not answer: {reason}")]
+    Unreachable {
+        /// The entry's URL.
+        entry: String,
+        /// What the system says.
+        reason: String,
+    },
+    /// The answer makes no sense.
+    #[display("the entry's answer can't be read: {reason}")]
+    Nonsense {
+        /// What is wrong.
+        reason: String,
+    },
+}
+
+impl CtlError {
+    /// Returns the exit code.
+    pub fn code(&self) -> ExitCode {
+        match self {
+            Self::Contract { .. } => ExitCode::InvalidContract,
+            Self::Conflict { .. } => ExitCode::Conflict,
+            Self::NotInForce { .. } => ExitCode::NotInForce,
+            Self::Unreachable { .. } => ExitCode::Unreachable,
+            Self::File { .. } | Self::Refused { .. } | Self::Nonsense { .. } => ExitCode::Failure,
+        }
+    }
+}
+
+fn lines(file: &str, faults: &[ContractFault]) -> String {
+    let lines: Vec<String> = faults
+        .iter()
+        .map(|fault| format!("{file}: {fault}"))
+        .collect();
+    lines.join("\n")
+}
--- /dev/null
+++ b/crates/oleanderctl/src/fleet_commands.rs
@@ -0,0 +1,93 @@
+//! `oleanderctl fleet`, `steps` and `explain`.
+
+use crate::ctl_error::CtlError;
+use crate::entry_client::{EntryClient, parse};
+use crate::output::{print, table};
+use oleander_daemon::entry_event::{AgentView, FleetSummary};
+use oleander_daemon::refusal_log::Refusal;
+use serde::Deserialize;
+use serde_json::Value;
+
+#[derive(Deserialize)]
+struct StepsBody {
+    steps: Vec<String>,
+}
+
+/// Asks for the fleet.
+///
+/// # Errors
+///
+/// The entry's refusal.
+pub fn read_fleet(client: &EntryClient) -> Result<FleetSummary, CtlError> {
+    client.get("/v1/fleet")?.json()
+}
+
+/// `fleet`.
+///
+/// # Errors
+///
+/// The entry's refusal.
+pub fn fleet(client: &EntryClient, as_json: bool) -> Result<(), CtlError> {
+    let reply = client.get("/v1/fleet")?;
+    let summary: FleetSummary = reply.json()?;
+    let body: Value = parse(&reply.body)?;
+    let rows: Vec<[String; 6]> = summary.agents.iter().map(agent_row).collect();
+    let head = ["AGENT", "DOMAIN", "STATE", "VERSION", "IN FLIGHT", "CONFIG"];
+    let mut text = table(head, &rows);
+    for entry in &summary.entries {
+        let digest = entry.config_digest.as_deref().unwrap_or("not heard");
+        text.push_str(&format!("\nentry {}  config {digest}", entry.name));
+    }
+    text.push_str(&format!(
+        "\nentry {}  config {}",
+        summary.entry, summary.config_digest
+    ));
+    print(as_json, &body, &text);
+    Ok(())
+}
+
+fn agent_row(agent: &AgentView) -> [String; 6] {
+    let version = agent
+        .version
+        .map_or_else(|| "-".to_owned(), |version| version.to_string());
+    [
+        agent.name.clone(),
+        agent.domain.clone(),
+        agent.state.clone(),
+        version,
+        agent.in_flight.to_string(),
+        agent.config_digest.clone(),
+    ]
+}
+
+/// `steps`.
+///
+/// # Errors
+///
+/// The entry's refusal.
+pub fn steps(client: &EntryClient, as_json: bool) -> Result<(), CtlError> {
+    let reply = client.get("/v1/steps")?;
+    let body: StepsBody = reply.json()?;
+    let json: Value = parse(&reply.body)?;
+    print(as_json, &json, &body.steps.join("\n"));
+    Ok(())
+}
+
+/// `explain`.
+///
+/// # Errors
+///
+/// The entry's refusal, for example that it does not remember the request.
+pub fn explain(client: &EntryClient, as_json: bool, request: &str) -> Result<(), CtlError> {
+    let reply = client.get(&format!("/v1/requests/{request}"))?;
+    let refusal: Refusal = reply.json()?;
+    let json: Value = parse(&reply.body)?;
+    let mut text = format!("refused: {} ({})\n", refusal.message, refusal.kind);
+    text.push_str(&format!("work ran: {}\n", refusal.ran));
+    if let Some(length) = refusal.retry_after_ms {
+        text.push_str(&format!("come back after: {length} ms\n"));
+    }
+    text.push_str(&format!("what to do: {}", refusal.advice));
+    print(as_json, &json, &text);
+    Ok(())
+}
--- a/crates/oleanderctl/src/main.rs
+++ b/crates/oleanderctl/src/main.rs
@@ -1,3 +1,8 @@
 //! Operator command line of oleanderlock.
 
-fn main() {}
+use oleanderctl::cli::args;
+use oleanderctl::run;
+
+fn main() -> std::process::ExitCode {
+    run::run(&args().run()).into()
+}
--- /dev/null
+++ b/crates/oleanderctl/src/run.rs
@@ -0,0 +1,50 @@
+//! Runs a command.
+
+use crate::cli::{Args, Command, ContractCommand};
+use crate::contract_commands::{apply, check, diff, get, history};
+use crate::ctl_error::CtlError;
+use crate::entry_client::EntryClient;
+use crate::exit_code::ExitCode;
+use crate::fleet_commands::{explain, fleet, steps};
+use crate::wait_command::wait;
+
+/// Runs a command and prints its result, or its error to standard error.
+pub fn run(args: &Args) -> ExitCode {
+    match try_run(args) {
+        Ok(()) => ExitCode::Success,
+        Err(error) => {
+            eprintln!("oleanderctl: {error}");
+            error.code()
+        }
+    }
+}
+
+fn try_run(args: &Args) -> Result<(), CtlError> {
+    let client = EntryClient::new(args);
+    match &args.command {
+        Command::Contract(command) => run_contract(args, &client, command),
+        Command::Fleet => fleet(&client, args.json),
+        Command::Steps => steps(&client, args.json),
+        Command::Explain { request } => explain(&client, args.json, request),
+    }
+}
+
+fn run_contract(
+    args: &Args,
+    client: &EntryClient,
+    command: &ContractCommand,
+) -> Result<(), CtlError> {
+    let as_json = args.json;
+    match command {
+        ContractCommand::Check { file } => check(as_json, file),
+        ContractCommand::Apply { base, file } => apply(client, as_json, file, *base),
+        ContractCommand::Get { customer } => get(client, as_json, customer),
+        ContractCommand::Diff { file } => diff(client, as_json, file),
+        ContractCommand::History { customer } => history(client, as_json, customer),
+        ContractCommand::Wait {
+            generation,
+            timeout,
+            customer,
+        } => wait(client, as_json, customer, *generation, *timeout),
+    }
+}
