--- a/crates/oleander-standins/src/engine.rs
+++ b/crates/oleander-standins/src/engine.rs
@@ -24,6 +24,8 @@
 const TICK_MIN_US: u64 = 1000;
 /// Longest pause of the batching loop, in microseconds.
 const TICK_MAX_US: u64 = 20_000;
+/// Pause of the batching loop while nothing runs, in microseconds.
+const TICK_IDLE_US: u64 = 200_000;
 
 /// How an engine stand-in starts.
 #[derive(Clone, Debug)]
@@ -258,7 +260,7 @@
         let wake = async {
             let _ = woken.recv().await;
         };
-        let limit = pause.unwrap_or(Duration::from_micros(TICK_MAX_US));
+        let limit = pause.unwrap_or(Duration::from_micros(TICK_IDLE_US));
         let timer = async {
             Timer::after(limit).await;
         };
