--- a/crates/oleanderlock/src/request_track.rs
+++ b/crates/oleanderlock/src/request_track.rs
@@ -288,20 +288,15 @@
     }
 
     fn on_buried(&mut self, attempt: Attempt, ran: Ran) -> Option<TrackAction> {
-        match (self.phase, ran) {
-            (Phase::Burying(_), Ran::No) => {
-                let ran = self.settled(Ran::No);
-                Some(self.fail(ErrorKind::DeadlineBeforeStart, ran))
-            }
-            (Phase::Burying(_), _) => {
-                self.phase = Phase::Waiting(Attempt {
-                    started: attempt.started || ran == Ran::Yes,
-                    ..attempt
-                });
-                None
-            }
-            _ => None,
+        if ran == Ran::No {
+            let ran = self.settled(Ran::No);
+            return Some(self.fail(ErrorKind::DeadlineBeforeStart, ran));
         }
+        self.phase = Phase::Burying(Attempt {
+            started: attempt.started || ran == Ran::Yes,
+            ..attempt
+        });
+        None
     }
 
     fn retry_or_fail(&mut self, kind: ErrorKind, ran: Ran) -> TrackAction {
@@ -350,6 +345,7 @@
             true => Ran::Yes,
             false => Ran::Unknown,
         };
+        let ran = self.settled(ran);
         self.fail(ErrorKind::DeadlineWhileRunning, ran)
     }
 
