--- a/crates/oleander-daemon/src/caller.rs
+++ b/crates/oleander-daemon/src/caller.rs
@@ -6,7 +6,6 @@
 use crate::http_input::header_number;
 use crate::prelude::*;
 use bytes::Bytes;
-use oleanderlock::issued_key::{IssuedKey, KeyError};
 use oleanderlock::request_track::{Placement, RequestSpec};
 use trillium::Conn;
 
@@ -20,9 +19,8 @@
     pub terms: Terms,
     /// When the caller is answered at the latest.
     pub deadline: Millis,
-    /// The idempotency key, if the caller gave one.
-    pub key: Option<IssuedKey>,
-    first_call: bool,
+    /// The caller vouches that it has sent its key in no earlier call.
+    pub first_call: bool,
 }
 
 impl Call {
@@ -40,54 +38,27 @@
         let asked = header_number(conn, "x-deadline-ms")?.map_or(longest, Millis);
         Ok(Self {
             deadline: now().plus(asked.min(longest)),
-            key: read_key(cx, conn)?,
             first_call: conn.request_headers().get_str("x-first-call") == Some("yes"),
             terms,
         })
     }
 
-    /// Returns identity and placement of the request.
+    /// Returns identity and placement of a request without a key.
     pub fn spec(&self, idempotent: bool) -> RequestSpec {
-        let bound = |key: &IssuedKey| Placement::Bound {
-            incarnation: key.incarnation,
-            first_call: self.first_call,
-        };
-        let id = self.key.as_ref().map(IssuedKey::request_id);
         RequestSpec {
-            id: id.unwrap_or_else(|| RequestId(rand::random())),
+            id: RequestId(rand::random()),
             idempotent,
             deadline: self.deadline,
-            // Two calls with one key must have different tickets.
-            first_attempt: if self.key.is_some() {
-                rand::random()
-            } else {
-                0
-            },
-            placement: self.key.as_ref().map_or(Placement::Free, bound),
+            first_attempt: 0,
+            placement: Placement::Free,
         }
     }
-
-    /// Returns the end of use of the key on the agent's clock.
-    pub fn horizon(&self) -> Option<Millis> {
-        self.key.as_ref().map(|key| key.expires)
-    }
-}
-
-fn read_key(cx: &EntryCx, conn: &Conn) -> Result<Option<IssuedKey>, HttpFault> {
-    let Some(text) = conn.request_headers().get_str("idempotency-key") else {
-        return Ok(None);
-    };
-    let key = cx.secrets.verify(text).map_err(|fault: KeyError| {
-        let detail = format!("Idempotency-Key: {fault}; ask POST /v1/keys for one");
-        HttpFault::not_run(ErrorKind::BadRequest).detail(detail)
-    })?;
-    Ok(Some(key))
 }
 
 /// Returns the hash of a prompt's prefix.
 pub fn prefix_of(prompt: &str) -> u64 {
     let end = prompt.len().min(PREFIX_BYTES);
-    hash64(&prompt.as_bytes()[..end])
+    first_word(&blake3::hash(&prompt.as_bytes()[..end]))
 }
 
 /// Returns a hash of target and body.
@@ -99,10 +70,6 @@
     first_word(&hasher.finalize())
 }
 
-fn hash64(bytes: &[u8]) -> u64 {
-    first_word(&blake3::hash(bytes))
-}
-
 fn first_word(hash: &blake3::Hash) -> u64 {
     let mut word = [0; 8];
     word.copy_from_slice(&hash.as_bytes()[..8]);
--- a/crates/oleander-daemon/src/completions.rs
+++ b/crates/oleander-daemon/src/completions.rs
@@ -146,7 +146,7 @@
         route: String::new(),
         prefix: Some(prefix_of(&body.prompt)),
         cost: max_tokens,
-        horizon: call.horizon(),
+        horizon: None,
     })
 }
 
--- a/crates/oleander-daemon/src/entry.rs
+++ b/crates/oleander-daemon/src/entry.rs
@@ -7,6 +7,7 @@
 use crate::entry_loops;
 use crate::entry_settings::EntryConfig;
 use crate::inflight::Inflight;
+use crate::key_desk::KeyDesk;
 use crate::metrics::Metrics;
 use crate::open_fault::OpenFault;
 use crate::prelude::*;
@@ -50,11 +51,13 @@
         let inflight = Inflight::default();
         let mailbox = bind_mailbox(&cfg, keys.clone(), inflight.clone(), events.clone())?;
         let peers = dial_peers(&cfg, incarnation, keys, events.clone());
+        let store = StoreClient::new(&cfg.node.store);
         let cx = EntryCx {
+            keys: KeyDesk::spawn(store.clone()),
             metrics: Metrics::new("oleander_entry"),
             peers,
             inflight,
-            store: StoreClient::new(&cfg.node.store),
+            store,
             refusals: RefusalLog::default(),
             secrets: Arc::new(secrets(&cfg)),
             events: events.clone(),
--- a/crates/oleander-daemon/src/entry_cx.rs
+++ b/crates/oleander-daemon/src/entry_cx.rs
@@ -3,6 +3,7 @@
 use crate::entry_event::{ChooseCall, EntryEvent, NoRoute, Route, RouteEnd, Terms, TermsCall};
 use crate::entry_settings::EntryConfig;
 use crate::inflight::Inflight;
+use crate::key_desk::KeyDesk;
 use crate::metrics::Metrics;
 use crate::prelude::*;
 use crate::refusal_log::RefusalLog;
@@ -28,6 +29,8 @@
     pub store: StoreClient,
     /// The latest refusals.
     pub refusals: RefusalLog,
+    /// Binds the keys that callers chose.
+    pub keys: KeyDesk,
     /// Secrets of issued idempotency keys.
     pub secrets: Arc<KeySecrets>,
     /// Events for the control thread.
--- /dev/null
+++ b/crates/oleander-daemon/src/key_desk.rs
@@ -0,0 +1,211 @@
+//! Binds the idempotency keys that callers chose, through the platform's store.
+
+use crate::logging::unix_ms;
+use crate::prelude::*;
+use crate::runtime;
+use crate::store_client::{Condition, StoreClient, StoreError};
+use async_channel::{Receiver, Sender};
+use futures_lite::FutureExt;
+use indexmap::IndexMap;
+use oleanderlock::key_binder::{BindAction, BindCall, BinderLimits, KeyBinder};
+use oleanderlock::key_binding::{KeyBinding, KeyHash};
+use oleanderlock::store_answer::{NO_VERSION, ReadAnswer, WriteAnswer};
+use std::time::Duration;
+
+/// Time between two looks for calls whose deadline has passed.
+const LOOK_EVERY: Duration = Duration::from_millis(20);
+
+/// What a caller of the desk gets.
+pub type Bound = Result<KeyBinding, BindRefusal>;
+
+/// Why a key was not bound.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BindRefusal {
+    /// The reason.
+    pub kind: ErrorKind,
+    /// Whether the request can have run.
+    pub ran: Ran,
+}
+
+/// A key to bind.
+#[derive(Clone, Debug)]
+pub struct BindRequest {
+    /// The key.
+    pub key: KeyHash,
+    /// Binding to write if the key has none.
+    pub proposal: KeyBinding,
+    /// When to give up.
+    pub deadline: Millis,
+    /// The caller vouches that it has sent this key in no earlier call.
+    pub first_call: bool,
+}
+
+enum DeskEvent {
+    Bind(BindRequest, Sender<Bound>),
+    Read(u32, ReadAnswer),
+    Written(u32, WriteAnswer),
+}
+
+/// A running desk; cheap to clone.
+#[derive(Clone)]
+pub struct KeyDesk {
+    events: Sender<DeskEvent>,
+}
+
+impl KeyDesk {
+    /// Starts a desk that keeps bindings in `store`.
+    pub fn spawn(store: StoreClient) -> Self {
+        let (tx, rx) = async_channel::unbounded();
+        let desk = Desk {
+            store,
+            binder: KeyBinder::new(BinderLimits::default()),
+            replies: IndexMap::new(),
+            next_call: 0,
+            events: tx.clone(),
+        };
+        runtime::spawn(desk.run(rx));
+        Self { events: tx }
+    }
+
+    /// Binds a key and returns the binding in force, not always the one proposed.
+    ///
+    /// # Errors
+    ///
+    /// Why it was not bound; [`ErrorKind::StoreUnavailable`] while the store can't be reached.
+    pub async fn bind(&self, req: BindRequest) -> Bound {
+        let (tx, rx) = async_channel::bounded(1);
+        let gone = BindRefusal {
+            kind: ErrorKind::ShuttingDown,
+            ran: Ran::Unknown,
+        };
+        if self.events.send(DeskEvent::Bind(req, tx)).await.is_err() {
+            return Err(gone);
+        }
+        rx.recv().await.unwrap_or(Err(gone))
+    }
+}
+
+struct Desk {
+    store: StoreClient,
+    binder: KeyBinder,
+    replies: IndexMap<u64, Sender<Bound>>,
+    next_call: u64,
+    events: Sender<DeskEvent>,
+}
+
+impl Desk {
+    async fn run(mut self, events: Receiver<DeskEvent>) {
+        loop {
+            let timer = async {
+                smol::Timer::after(LOOK_EVERY).await;
+                Ok(None)
+            };
+            let event = async { events.recv().await.map(Some) };
+            // Without waiting calls there is nothing to look for.
+            let event = match self.binder.waiting() {
+                0 => event.await,
+                _ => event.or(timer).await,
+            };
+            let Ok(event) = event else { return };
+            let actions = self.handle(event);
+            self.act(actions);
+        }
+    }
+
+    fn handle(&mut self, event: Option<DeskEvent>) -> Vec<BindAction> {
+        let wall = wall();
+        match event {
+            None => self.binder.expire(now()),
+            Some(DeskEvent::Bind(req, reply)) => {
+                let call = self.next_call;
+                self.next_call += 1;
+                self.replies.insert(call, reply);
+                let BindRequest {
+                    key,
+                    proposal,
+                    deadline,
+                    first_call,
+                } = req;
+                self.binder.bind(
+                    wall,
+                    BindCall {
+                        call,
+                        key,
+                        proposal,
+                        deadline,
+                        first_call,
+                    },
+                )
+            }
+            Some(DeskEvent::Read(bucket, answer)) => self.binder.on_read(wall, bucket, answer),
+            Some(DeskEvent::Written(bucket, answer)) => {
+                self.binder.on_written(wall, bucket, answer)
+            }
+        }
+    }
+
+    fn act(&mut self, actions: Vec<BindAction>) {
+        for action in actions {
+            match action {
+                BindAction::Read(bucket) => self.read(bucket),
+                BindAction::Write {
+                    bucket,
+                    base,
+                    value,
+                } => self.write(bucket, base, value),
+                BindAction::Bound { call, binding } => self.reply(call, Ok(binding)),
+                BindAction::Refuse { call, kind, ran } => {
+                    self.reply(call, Err(BindRefusal { kind, ran }));
+                }
+            }
+        }
+    }
+
+    fn reply(&mut self, call: u64, bound: Bound) {
+        if let Some(reply) = self.replies.swap_remove(&call) {
+            let _ = reply.try_send(bound);
+        }
+    }
+
+    fn read(&self, bucket: u32) {
+        let store = self.store.clone();
+        let events = self.events.clone();
+        runtime::spawn(async move {
+            let answer = match store.get(&KeyBinder::object_name(bucket)).await {
+                Ok(None) => ReadAnswer::Missing,
+                Ok(Some(found)) => ReadAnswer::Object {
+                    version: found.version,
+                    value: found.value.unwrap_or_default(),
+                },
+                Err(_) => ReadAnswer::Unavailable,
+            };
+            let _ = events.send(DeskEvent::Read(bucket, answer)).await;
+        });
+    }
+
+    fn write(&self, bucket: u32, base: Option<u64>, value: String) {
+        let store = self.store.clone();
+        let events = self.events.clone();
+        let condition = match base {
+            None | Some(NO_VERSION) => Condition::Absent,
+            Some(version) => Condition::Version(version),
+        };
+        runtime::spawn(async move {
+            let written = store
+                .put(&KeyBinder::object_name(bucket), condition, value)
+                .await;
+            let answer = match written {
+                Ok(version) => WriteAnswer::Written(version),
+                Err(StoreError::Mismatch { .. }) => WriteAnswer::Conflict,
+                Err(StoreError::NoAnswer) => WriteAnswer::Lost,
+                Err(_) => WriteAnswer::Refused,
+            };
+            let _ = events.send(DeskEvent::Written(bucket, answer)).await;
+        });
+    }
+}
+
+/// Returns the wall time since the Unix epoch.
+pub fn wall() -> Millis {
+    Millis(u64::try_from(unix_ms()).unwrap_or_default())
+}
--- /dev/null
+++ b/crates/oleander-daemon/src/key_use.rs
@@ -0,0 +1,150 @@
+//! Where a call with an idempotency key runs.
+
+use crate::caller::Call;
+use crate::entry_cx::EntryCx;
+use crate::entry_event::{ChooseCall, Route};
+use crate::key_desk::{BindRequest, wall};
+use crate::prelude::*;
+use bytes::Bytes;
+use oleanderlock::issued_key::{IssuedKey, KeyError};
+use oleanderlock::key_binding::{KeyBinding, KeyHash};
+use oleanderlock::request_track::{Placement, RequestSpec};
+
+/// Time for which a key may be used.
+pub const KEY_LIFE: Millis = Millis::from_secs(600);
+/// Longest key that a caller may choose, in bytes.
+const CHOSEN_MAX_BYTES: usize = 256;
+/// When to come back while the store can't be reached.
+const STORE_RETRY: Millis = Millis(500);
+
+/// The only place at which a request with a key may run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KeyUse {
+    /// Identity of the request, the same for all calls with the key.
+    pub request: RequestId,
+    /// The only incarnation that may run it.
+    pub incarnation: Incarnation,
+    /// End of use on the agent's clock.
+    pub horizon: Millis,
+}
+
+impl KeyUse {
+    /// Finds the place of an issued key, or binds one that the caller chose.
+    ///
+    /// # Errors
+    ///
+    /// A fault of the key, that it was used with another request, or that the store, which chosen
+    /// keys need, can't be reached.
+    pub async fn find(
+        cx: &EntryCx,
+        call: &Call,
+        service: &str,
+        text: &str,
+        fingerprint: u64,
+    ) -> Result<Self, HttpFault> {
+        if IssuedKey::is_issued(text) {
+            return Self::issued(cx, service, text);
+        }
+        Self::chosen(cx, call, service, text, fingerprint).await
+    }
+
+    /// Returns identity and placement of the request.
+    pub fn spec(&self, call: &Call, idempotent: bool) -> RequestSpec {
+        RequestSpec {
+            id: self.request,
+            idempotent,
+            deadline: call.deadline,
+            // Two calls with one key must have different tickets.
+            first_attempt: rand::random(),
+            placement: Placement::Bound {
+                incarnation: self.incarnation,
+                first_call: call.first_call,
+            },
+        }
+    }
+
+    fn issued(cx: &EntryCx, service: &str, text: &str) -> Result<Self, HttpFault> {
+        let key = cx
+            .secrets
+            .verify(text)
+            .map_err(|fault: KeyError| bad_key(&fault.to_string()))?;
+        if key.target != service {
+            return Err(HttpFault::not_run(ErrorKind::KeyReused)
+                .detail("the idempotency key was issued for another service"));
+        }
+        Ok(Self {
+            request: key.request_id(),
+            incarnation: key.incarnation,
+            horizon: key.expires,
+        })
+    }
+
+    async fn chosen(
+        cx: &EntryCx,
+        call: &Call,
+        service: &str,
+        text: &str,
+        fingerprint: u64,
+    ) -> Result<Self, HttpFault> {
+        if text.is_empty() || text.len() > CHOSEN_MAX_BYTES {
+            return Err(bad_key("it must have from 1 to 256 bytes"));
+        }
+        let route = route(cx, call, service).await?;
+        let key = KeyHash::of(&call.terms.contract.customer, service, text);
+        let req = BindRequest {
+            key,
+            proposal: proposal(&route, fingerprint),
+            deadline: call.deadline,
+            first_call: call.first_call,
+        };
+        let bound = cx.keys.bind(req).await.map_err(|refusal| {
+            HttpFault::new(refusal.kind, refusal.ran).retry_after(STORE_RETRY)
+        })?;
+        if bound.fingerprint != fingerprint {
+            return Err(HttpFault::not_run(ErrorKind::KeyReused));
+        }
+        Ok(Self {
+            request: key.request_id(),
+            incarnation: bound.incarnation,
+            horizon: bound.horizon,
+        })
+    }
+}
+
+/// Chooses the agent for a key that has none yet.
+///
+/// # Errors
+///
+/// Why there is none.
+pub async fn route(cx: &EntryCx, call: &Call, service: &str) -> Result<Route, HttpFault> {
+    let route = cx.choose(|reply| ChooseCall {
+        target: Bytes::from(service.to_owned()),
+        prefix: None,
+        deadline: call.deadline,
+        kind: WorkKind::Interactive,
+        class: call.terms.class.clone(),
+        excluded: Vec::new(),
+        is_retry: false,
+        reply,
+    });
+    let route = route
+        .await
+        .map_err(|no_route| HttpFault::not_run(no_route.kind).retry_after(no_route.retry_after))?;
+    cx.release(&route);
+    Ok(route)
+}
+
+fn proposal(route: &Route, fingerprint: u64) -> KeyBinding {
+    KeyBinding {
+        agent: route.name.clone(),
+        incarnation: route.incarnation,
+        horizon: route.clock.at(now().plus(KEY_LIFE)),
+        fingerprint,
+        expires: wall().plus(KEY_LIFE),
+    }
+}
+
+fn bad_key(problem: &str) -> HttpFault {
+    let detail = format!("Idempotency-Key: {problem}");
+    HttpFault::not_run(ErrorKind::BadRequest).detail(detail)
+}
--- a/crates/oleander-daemon/src/lib.rs
+++ b/crates/oleander-daemon/src/lib.rs
@@ -33,6 +33,8 @@
 mod in_flight;
 pub mod inflight;
 pub mod instance_list;
+pub mod key_desk;
+mod key_use;
 pub mod logging;
 pub mod metrics;
 pub mod monotonic;
--- a/crates/oleander-daemon/src/plain_calls.rs
+++ b/crates/oleander-daemon/src/plain_calls.rs
@@ -3,10 +3,10 @@
 use crate::caller::{Call, fingerprint};
 use crate::completions::{fault_of, refuse};
 use crate::entry_cx::EntryCx;
-use crate::entry_event::ChooseCall;
 use crate::http_fault::json;
 use crate::http_input;
 use crate::in_flight::InFlight;
+use crate::key_use::{KEY_LIFE, KeyUse, route};
 use crate::prelude::*;
 use crate::request_run::{self, Request};
 use bytes::Bytes;
@@ -16,9 +16,6 @@
 use trillium::{Conn, Status};
 use trillium_router::RouterConnExt;
 
-/// Time for which an issued key may be used.
-const KEY_LIFE: Millis = Millis::from_secs(600);
-
 /// Body of a call for a key.
 #[derive(Clone, Debug, Deserialize)]
 struct KeyBody {
@@ -75,24 +72,30 @@
     path: String,
 ) -> Result<Request, HttpFault> {
     let call = Call::read(cx, conn, Some(service)).await?;
-    if call.key.as_ref().is_some_and(|key| key.target != service) {
-        return Err(HttpFault::not_run(ErrorKind::KeyReused)
-            .detail("the idempotency key was issued for another service"));
-    }
     http_input::check_json_type(conn)?;
     let payload = Bytes::from(http_input::text(conn).await?);
-    let terms = &call.terms.contract.services[service];
+    let fingerprint = fingerprint(&format!("{service}{path}"), &payload);
+    let idempotent = call.terms.contract.services[service].idempotent;
+    let key = conn.request_headers().get_str("idempotency-key");
+    let place = match key {
+        Some(text) => Some(KeyUse::find(cx, &call, service, text, fingerprint).await?),
+        None => None,
+    };
+    let spec = match &place {
+        Some(place) => place.spec(&call, idempotent),
+        None => call.spec(idempotent),
+    };
     Ok(Request {
-        spec: call.spec(terms.idempotent),
+        spec,
         target: Bytes::from(service.to_owned()),
         class: call.terms.class.clone(),
         kind: WorkKind::Interactive,
-        fingerprint: fingerprint(&format!("{service}{path}"), &payload),
+        fingerprint,
         payload,
         route: format!("POST {path}"),
         prefix: None,
         cost: 1,
-        horizon: call.horizon(),
+        horizon: place.map(|place| place.horizon),
     })
 }
 
@@ -110,20 +113,7 @@
 async fn try_issue(cx: &EntryCx, conn: &mut Conn) -> Result<String, HttpFault> {
     let body: KeyBody = http_input::json(conn).await?;
     let call = Call::read(cx, conn, Some(&body.service)).await?;
-    let route = cx.choose(|reply| ChooseCall {
-        target: Bytes::from(body.service.clone()),
-        prefix: None,
-        deadline: call.deadline,
-        kind: WorkKind::Interactive,
-        class: call.terms.class.clone(),
-        excluded: Vec::new(),
-        is_retry: false,
-        reply,
-    });
-    let route = route
-        .await
-        .map_err(|no_route| HttpFault::not_run(no_route.kind).retry_after(no_route.retry_after))?;
-    cx.release(&route);
+    let route = route(cx, &call, &body.service).await?;
     let key = IssuedKey {
         target: body.service,
         agent: route.name.clone(),
