--- a/crates/oleanderlock/src/attempt_ledger.rs
+++ b/crates/oleanderlock/src/attempt_ledger.rs
@@ -4,6 +4,9 @@
 //! number and whichever entry sent it. "Not run" is an outcome too and is as final as the others.
 //! An idempotent request has a record for each ticket.
 
+pub use crate::ledger_limits::LedgerLimits;
+pub use crate::submit_action::{Burial, SubmitAction};
+
 use crate::guards::Guards;
 use crate::prelude::*;
 use crate::request_outcome::Outcome;
@@ -12,55 +15,6 @@
 use std::collections::BTreeSet;
 use std::hash::{Hash, Hasher};
 
-/// Bounds of an [`AttemptLedger`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct LedgerLimits {
-    /// Records kept at most; new work is refused beyond.
-    pub capacity: usize,
-    /// Bytes of plain answers kept at most; outcomes beyond are kept without their answer.
-    pub answer_bytes: usize,
-    /// Time for which a record outlives its horizon, so that late copies meet the true outcome.
-    pub grace: Millis,
-    /// Longest time from now to a horizon.
-    pub longest: Millis,
-    /// Number of floors, which stand in for tombstones while the table is full.
-    pub floors: usize,
-}
-
-impl Default for LedgerLimits {
-    fn default() -> Self {
-        Self {
-            capacity: 16_384,
-            answer_bytes: 16 << 20,
-            grace: Millis::from_secs(30),
-            longest: Millis::from_secs(3600),
-            floors: 1024,
-        }
-    }
-}
-
-/// What an agent does with a submission.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub enum SubmitAction {
-    /// New: hand it to admission; then call `start`, or `finish` with a refusal.
-    Start,
-    /// Queued or running already: send the outcome to this sender as well when it is known.
-    Attach,
-    /// Known: send this outcome; nothing runs.
-    Repeat(Outcome),
-    /// Refused; nothing runs.
-    Refuse(ErrorKind, Ran),
-}
-
-/// Answer to a request that an attempt never start.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct Burial {
-    /// `No`: it did not run and never will. `Unknown`: it is running, or the agent can't tell.
-    pub ran: Ran,
-    /// The attempt was queued: take it out and send its outcome to all senders.
-    pub dequeued: bool,
-}
-
 /// Identity under which a record is kept.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 struct RecordKey {
@@ -363,15 +317,6 @@
     }
 }
 
-impl Burial {
-    const fn kept(ran: Ran) -> Self {
-        Self {
-            ran,
-            dequeued: false,
-        }
-    }
-}
-
 impl Hash for AttemptLedger {
     fn hash<H: Hasher>(&self, state: &mut H) {
         self.incarnation.hash(state);
--- a/crates/oleanderlock/src/request_track.rs
+++ b/crates/oleanderlock/src/request_track.rs
@@ -1,98 +1,12 @@
 //! One request's life at an entry: its attempts, and what the caller is told.
 
+pub use crate::request_spec::{Placement, RequestSpec, TrackConfig};
+pub use crate::track_event::{TrackAction, TrackEvent};
+
 use crate::guards::Guards;
 use crate::prelude::*;
 use crate::request_outcome::Outcome;
 
-/// Limits of a request's life.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct TrackConfig {
-    /// Attempts at most, the first one included.
-    pub max_attempts: u32,
-    /// Sends of one ticket at most, the first one included.
-    pub max_sends: u32,
-    /// How long before the deadline the agent is asked to bury an attempt that has not started.
-    pub bury_margin: Millis,
-}
-
-impl Default for TrackConfig {
-    fn default() -> Self {
-        Self {
-            max_attempts: 3,
-            max_sends: 3,
-            bury_margin: Millis(50),
-        }
-    }
-}
-
-/// Where a request may run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum Placement {
-    /// At any endpoint that routing chooses.
-    Free,
-    /// At one agent incarnation only, because of its idempotency key.
-    Bound {
-        /// The only incarnation that may run it.
-        incarnation: Incarnation,
-        /// The caller vouches that it has sent this key in no earlier call.
-        first_call: bool,
-    },
-}
-
-/// A request as an entry accepts it; times are on the entry's clock.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct RequestSpec {
-    /// Identity; derived from the key if there is one.
-    pub id: RequestId,
-    /// Whether the work may be repeated.
-    pub idempotent: bool,
-    /// When the caller is answered at the latest.
-    pub deadline: Millis,
-    /// Number of the first attempt; 0, or drawn for each call with a key, so that two calls with
-    /// one key have different tickets.
-    pub first_attempt: u32,
-    /// Where it may run.
-    pub placement: Placement,
-}
-
-/// What happened to a request.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub enum TrackEvent {
-    /// Routing chose this agent incarnation, and the retry budget allows the attempt.
-    Route(Incarnation),
-    /// Routing found no endpoint or the retry budget is spent; the kind says which.
-    NoRoute(ErrorKind),
-    /// The link proves that the last send of the ticket left this process in no form.
-    NotSent(Ticket),
-    /// The link to the agent broke after a send; the agent may still be there.
-    Disconnected(Ticket),
-    /// The incarnation is gone: it was replaced, or its failure is established.
-    AgentGone(Incarnation),
-    /// Part of the answer came, so the attempt has started.
-    Started(Ticket),
-    /// The agent's final word on a ticket.
-    Finished(Ticket, Outcome),
-    /// The agent's answer to a burial.
-    Buried(Ticket, Ran),
-    /// Time has passed.
-    Tick,
-    /// The caller is gone.
-    CallerGone,
-}
-
-/// What the entry does next.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub enum TrackAction {
-    /// Choose an endpoint other than those of earlier attempts, then report `Route` or `NoRoute`.
-    Choose,
-    /// Send the submission of this ticket; sending it again is safe.
-    Send(Ticket),
-    /// Ask the agent to bury this ticket.
-    Bury(Ticket),
-    /// Answer the caller; the track is done.
-    Answer(Outcome),
-}
-
 /// One attempt, as far as the entry knows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 struct Attempt {
