--- /dev/null
+++ b/crates/oleanderlock/tests/request_costs.rs
@@ -0,0 +1,243 @@
+//! What the request parts cost; prints figures, judged by nobody.
+//!
+//! `cargo test --release -p oleanderlock --test request_costs -- --ignored --nocapture --test-threads=1`
+
+use oleanderlock::attempt_ledger::{AttemptLedger, LedgerLimits};
+use oleanderlock::bucket_home::bucket_home;
+use oleanderlock::issued_key::{IssuedKey, KeySecrets};
+use oleanderlock::key_binder::{BindAction, BindCall, BinderLimits, KeyBinder};
+use oleanderlock::key_binding::{BindingTable, KeyBinding, KeyHash};
+use oleanderlock::prelude::*;
+use oleanderlock::request_outcome::Outcome;
+use oleanderlock::store_answer::{ReadAnswer, WriteAnswer};
+use oleanderlock::submission::Submission;
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Instant;
+
+const RECORDS: u64 = 200_000;
+
+fn resident_bytes() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let kib = line.and_then(|line| line.split_whitespace().nth(1)?.parse::<u64>().ok());
+    kib.unwrap_or(0) * 1024
+}
+
+fn submission(id: u64) -> Submission {
+    Submission {
+        ticket: Ticket {
+            request: RequestId(u128::from(id) << 64 | u128::from(id)),
+            attempt: 0,
+            incarnation: Incarnation(1),
+        },
+        idempotent: false,
+        deadline: Millis(600_000),
+        horizon: Millis(600_000 + id % 1000),
+        fingerprint: id,
+    }
+}
+
+#[test]
+#[ignore = "prints figures"]
+fn ledger_costs() {
+    let limits = LedgerLimits {
+        capacity: usize::MAX,
+        ..LedgerLimits::default()
+    };
+    let mut ledger = AttemptLedger::new(Incarnation(1), limits);
+    let before = resident_bytes();
+    let since = Instant::now();
+    for id in 0..RECORDS {
+        let submission = submission(id);
+        ledger.submit(Millis(1), &submission);
+        let _ = ledger.start(Millis(1), submission.ticket, false);
+        let done = Outcome::failed(ErrorKind::EndpointFailed, Ran::Unknown);
+        ledger.finish(submission.ticket, false, done);
+    }
+    let spent = since.elapsed();
+    let held = resident_bytes().saturating_sub(before);
+    println!("ledger: {} bytes a record", held / RECORDS);
+    println!("ledger: {} ns a request", spent.as_nanos() as u64 / RECORDS);
+}
+
+#[test]
+#[ignore = "prints figures"]
+fn issued_key_costs() {
+    let secrets = KeySecrets::new(b"secret", &[]);
+    let key = IssuedKey {
+        target: "order-desk".into(),
+        agent: "wdh-a-agent-17".into(),
+        incarnation: Incarnation(u64::MAX),
+        expires: Millis(600_000),
+        nonce: u128::MAX,
+    };
+    let text = secrets.issue(&key).expect("a key");
+    let since = Instant::now();
+    for _ in 0..RECORDS {
+        let read = secrets.verify(&text).expect("issued here");
+        std::hint::black_box(read.request_id());
+    }
+    let spent = since.elapsed().as_nanos() as u64 / RECORDS;
+    println!(
+        "issued key: {} characters, {spent} ns to verify",
+        text.len()
+    );
+}
+
+fn binding() -> KeyBinding {
+    KeyBinding {
+        agent: "wdh-a-agent-17".into(),
+        incarnation: Incarnation(u64::MAX),
+        horizon: Millis(1 << 32),
+        fingerprint: u64::MAX,
+        expires: Millis(1 << 40),
+    }
+}
+
+#[test]
+#[ignore = "prints figures"]
+fn binding_size() {
+    let mut table = BindingTable::default();
+    for id in 0..6000u128 {
+        table.insert(KeyHash(u128::MAX - id), binding());
+    }
+    let value = table.to_value();
+    println!(
+        "bindings: {} bytes each in the object",
+        value.len() / table.len()
+    );
+    println!("bindings: {} bytes for {}", value.len(), table.len());
+}
+
+/// Counts of a simulated minute of keyed calls.
+#[derive(Default)]
+struct Counts {
+    reads: u64,
+    writes: u64,
+    conflicts: u64,
+    written_bytes: u64,
+    bound: u64,
+    waited: u64,
+}
+
+/// Entries that bind chosen keys at a store that answers after `store_ms`.
+struct Simulation {
+    binders: Vec<KeyBinder>,
+    objects: BTreeMap<u32, (u64, String)>,
+    calls: VecDeque<(u64, usize, BindAction)>,
+    arrived: Vec<u64>,
+    counts: Counts,
+}
+
+impl Simulation {
+    fn take(&mut self, now: u64, store_ms: u64, entry: usize, actions: Vec<BindAction>) {
+        for action in actions {
+            match action {
+                BindAction::Bound { call, .. } => {
+                    self.counts.bound += 1;
+                    self.counts.waited += now - self.arrived[call as usize];
+                }
+                BindAction::Refuse { kind, .. } => panic!("refused: {kind}"),
+                action => self.calls.push_back((now + store_ms, entry, action)),
+            }
+        }
+    }
+
+    fn serve(&mut self, entry: usize, action: BindAction) -> Vec<BindAction> {
+        match action {
+            BindAction::Read(bucket) => {
+                self.counts.reads += 1;
+                let object = self.objects.get(&bucket).cloned();
+                let answer = object.map_or(ReadAnswer::Missing, |(version, value)| {
+                    ReadAnswer::Object { version, value }
+                });
+                self.binders[entry].on_read(Millis::ZERO, bucket, answer)
+            }
+            BindAction::Write {
+                bucket,
+                base,
+                value,
+            } => {
+                self.counts.writes += 1;
+                self.counts.written_bytes += value.len() as u64;
+                let stands = self.objects.get(&bucket).map_or(0, |object| object.0);
+                let holds = base == Some(stands);
+                let answer = match holds {
+                    true => WriteAnswer::Written(stands + 1),
+                    false => WriteAnswer::Conflict,
+                };
+                if holds {
+                    self.objects.insert(bucket, (stands + 1, value));
+                }
+                self.counts.conflicts += u64::from(!holds);
+                self.binders[entry].on_written(Millis::ZERO, bucket, answer)
+            }
+            _ => Vec::new(),
+        }
+    }
+}
+
+fn simulate(entries: usize, buckets: u32, rate: u64, store_ms: u64, homes: bool) {
+    const SECONDS: u64 = 20;
+    let limits = BinderLimits {
+        buckets,
+        ..BinderLimits::default()
+    };
+    let ids: Vec<_> = (0..entries as u64).map(Incarnation).collect();
+    let mut sim = Simulation {
+        binders: vec![KeyBinder::new(limits); entries],
+        objects: BTreeMap::new(),
+        calls: VecDeque::new(),
+        arrived: Vec::new(),
+        counts: Counts::default(),
+    };
+    for now in 0..SECONDS * 1000 {
+        while sim.calls.front().is_some_and(|call| call.0 <= now) {
+            let (_, entry, action) = sim.calls.pop_front().expect("just seen");
+            let actions = sim.serve(entry, action);
+            sim.take(now, store_ms, entry, actions);
+        }
+        let due = (now + 1) * rate / 1000;
+        while (sim.arrived.len() as u64) < due {
+            let call = sim.arrived.len() as u64;
+            let key = KeyHash::of("kalahari", "order-desk", &call.to_string());
+            let entry = match homes {
+                true => bucket_home(key.bucket(buckets), &ids).map_or(0, |id| id.0 as usize),
+                false => (call.wrapping_mul(0x9e37_79b9) >> 7) as usize % entries,
+            };
+            sim.arrived.push(now);
+            let bind = BindCall {
+                call,
+                key,
+                proposal: binding(),
+                deadline: Millis::MAX,
+                first_call: false,
+            };
+            let actions = sim.binders[entry].bind(Millis::ZERO, bind);
+            sim.take(now, store_ms, entry, actions);
+        }
+    }
+    let counts = sim.counts;
+    println!(
+        "{entries} entries, {buckets} buckets, {rate} keyed/s, store {store_ms} ms, homes {homes}: \
+         {} writes/s ({} conflicts/s), {} reads/s, {} kB/s written, {} ms to bind, {} bound of {}",
+        counts.writes / SECONDS,
+        counts.conflicts / SECONDS,
+        counts.reads / SECONDS,
+        counts.written_bytes / SECONDS / 1000,
+        counts.waited / counts.bound.max(1),
+        counts.bound,
+        sim.arrived.len()
+    );
+}
+
+#[test]
+#[ignore = "prints figures"]
+fn binding_writes() {
+    simulate(4, 32, 4, 5, false);
+    simulate(4, 32, 40, 5, false);
+    simulate(350, 32, 380, 5, false);
+    simulate(350, 32, 380, 5, true);
+    simulate(350, 32, 380, 430, true);
+    simulate(350, 4, 380, 50, true);
+}
