Flush links at shutdown, give up steps, wait for a broken connection

Found by reading, before a test stood: a stopping agent could end with final words in its send buffer, which the library drops on close; a stopping entry kept its steps, so that forwarded pulls met a refusal instead of a new owner; a broken connection counted as a lost agent at once, although the same ticket sent again would have found the outcome.

--- a/crates/oleander-daemon/src/agent.rs
+++ b/crates/oleander-daemon/src/agent.rs
@@ -61,7 +61,7 @@
     pub fn wait(self) {
         let _ = self.control.join();
         self.server.close();
-        // Closing the sockets waits until what is buffered has gone out.
+        runtime::flush_links();
         drop(self.mailbox);
         log::info!("event=closed role=agent");
     }
--- a/crates/oleander-daemon/src/agent_control.rs
+++ b/crates/oleander-daemon/src/agent_control.rs
@@ -263,6 +263,10 @@
         if !attempt.submission.idempotent {
             return;
         }
+        self.cancel_attempt(now, ticket);
+    }
+
+    fn cancel_attempt(&mut self, now: Millis, ticket: Ticket) {
         self.cx.metrics.count("cancelled");
         if self.cx.stop_run(ticket) {
             self.cx.metrics.ended();
@@ -458,12 +462,27 @@
         self.act(now, actions);
         self.start_planned_swap(now);
         if now >= self.report_due {
-            self.entries
-                .retain(|_, heard| now.since(*heard) < ENTRY_SILENT);
+            self.drop_silent_entries(now);
             self.report_to_all(now);
         }
     }
 
+    /// Forgets silent entries and cancels what only they wait for, if it may be repeated.
+    fn drop_silent_entries(&mut self, now: Millis) {
+        self.entries
+            .retain(|_, heard| now.since(*heard) < ENTRY_SILENT);
+        let entries = &self.entries;
+        let is_unwanted = |attempt: &&Attempt| {
+            let heard = |waiter: &Waiter| entries.contains_key(&waiter.entry);
+            attempt.submission.idempotent && !attempt.waiters.iter().any(heard)
+        };
+        let unwanted = self.attempts.values().filter(is_unwanted);
+        let tickets: Vec<Ticket> = unwanted.map(Attempt::ticket).collect();
+        for ticket in tickets {
+            self.cancel_attempt(now, ticket);
+        }
+    }
+
     fn report_to_all(&mut self, now: Millis) {
         self.report_due = now.plus(REPORT_EVERY);
         for entry in self.entries.keys() {
--- a/crates/oleander-daemon/src/entry.rs
+++ b/crates/oleander-daemon/src/entry.rs
@@ -95,6 +95,7 @@
         let _ = self.control.join();
         // Answers that were just made are written before the connections close.
         self.server.close();
+        runtime::flush_links();
         drop(self.mailbox);
         log::info!("event=closed role=entry");
     }
--- a/crates/oleander-daemon/src/entry_http.rs
+++ b/crates/oleander-daemon/src/entry_http.rs
@@ -15,16 +15,18 @@
 use trillium::{Conn, Handler, Status};
 use trillium_router::Router;
 
-/// Tells whether the entry takes new work.
-#[derive(Clone, Debug, Default)]
+/// Tells whether the entry takes new work, and holds the steps that end when it does not.
+#[derive(Clone, Default)]
 pub struct Readiness {
     stopping: Arc<AtomicBool>,
+    steps: StepHost,
 }
 
 impl Readiness {
-    /// Takes no new work from now on.
+    /// Takes no new work from now on, and gives up the steps.
     pub fn stop(&self) {
         self.stopping.store(true, Ordering::Release);
+        self.steps.close();
     }
 
     fn is_stopping(&self) -> bool {
@@ -34,7 +36,7 @@
 
 /// Returns the handler of all paths.
 pub fn handler(cx: &EntryCx, readiness: &Readiness) -> impl Handler {
-    let host = StepHost::default();
+    let host = readiness.steps.clone();
     let metrics = cx.metrics.clone();
     let ready_cx = cx.clone();
     let ready = readiness.clone();
@@ -117,7 +119,7 @@
         .halt()
 }
 
-/// New work is refused as not run; what is in flight, and pulls of open steps, go on.
+/// New work is refused as not run; what is in flight goes on.
 fn refuse_while_stopping(readiness: Readiness) -> impl Handler {
     move |conn: Conn| {
         let readiness = readiness.clone();
--- a/crates/oleander-daemon/src/request_run.rs
+++ b/crates/oleander-daemon/src/request_run.rs
@@ -20,6 +20,11 @@
 use oleanderlock::whole_answer::WholeAnswer;
 use std::time::Duration;
 
+/// Looks for a new connection before a broken one counts as lost.
+const RECONNECT_LOOKS: u32 = 30;
+/// Time between two looks for a new connection.
+const RECONNECT_LOOK: Duration = Duration::from_millis(10);
+
 /// One request as the entry runs it.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -73,6 +78,7 @@
         retry_reason: None,
         retry_after: None,
         text_sent: false,
+        sent: None,
         on_data,
         req,
     };
@@ -97,6 +103,7 @@
     retry_reason: Option<ErrorKind>,
     retry_after: Option<Millis>,
     text_sent: bool,
+    sent: Option<Ticket>,
     on_data: F,
 }
 
@@ -192,6 +199,10 @@
         }
         let resume = self.prepare_assembly(ticket);
         let route = self.route.clone()?;
+        if self.sent == Some(ticket) {
+            self.wait_for_connection(&route.link).await;
+        }
+        self.sent = Some(ticket);
         self.words.expect(ticket, &route.link);
         let submit = self.submission(ticket, &route, resume);
         let sent = self
@@ -210,6 +221,17 @@
         None
     }
 
+    /// Waits for a connection that just broke: sending the same ticket again finds out what the
+    /// agent knows of it.
+    async fn wait_for_connection(&self, link: &str) {
+        for _ in 0..RECONNECT_LOOKS {
+            if self.cx.peers.is_connected(link) {
+                return;
+            }
+            smol::Timer::after(RECONNECT_LOOK).await;
+        }
+    }
+
     /// Prepares for the chunks of an attempt and returns the offset to resume from.
     fn prepare_assembly(&mut self, ticket: Ticket) -> u64 {
         match self.assembly.as_mut() {
--- a/crates/oleander-daemon/src/runtime.rs
+++ b/crates/oleander-daemon/src/runtime.rs
@@ -101,3 +101,14 @@
         smol::block_on(within(CLOSE_LIMIT_MS, self.handle.stop()));
     }
 }
+
+/// Time for frames in the send buffers to go out before a process ends.
+const FLUSH: Duration = Duration::from_millis(300);
+
+/// Waits until the frames that were sent have left the process.
+///
+/// The library closes a socket without sending what it has buffered, and does not tell how much
+/// that is.
+pub fn flush_links() {
+    std::thread::sleep(FLUSH);
+}
--- a/crates/oleander-daemon/src/step_host.rs
+++ b/crates/oleander-daemon/src/step_host.rs
@@ -105,6 +105,12 @@
             .ok_or_else(|| HttpFault::not_run(ErrorKind::NotFound))
     }
 
+    /// Gives up all steps, because this process stops; their attempts are cancelled and their
+    /// pulls refused, so that trainers go on at another entry.
+    pub fn close(&self) {
+        self.steps.lock().clear();
+    }
+
     /// Returns the names of the steps owned here.
     pub fn names(&self) -> Vec<StepName> {
         self.steps.lock().keys().cloned().collect()
--- a/crates/oleander-daemon/src/step_task.rs
+++ b/crates/oleander-daemon/src/step_task.rs
@@ -179,6 +179,9 @@
             let Ok(event) = event else { break };
             self.handle(event);
         }
+        for (_, waiting) in std::mem::take(&mut self.pulls) {
+            let _ = waiting.reply.try_send(Err(PullRefusal::Moved));
+        }
         log::info!("event=step-closed step={}", self.name);
     }
 
--- a/crates/oleander-daemon/src/trainer_api.rs
+++ b/crates/oleander-daemon/src/trainer_api.rs
@@ -23,6 +23,8 @@
 const WAIT_MAX_MS: u64 = 30_000;
 /// What a forwarded pull may take beyond its wait, in milliseconds.
 const FORWARD_GRACE_MS: u64 = 1500;
+/// Status of an owner that does not have the step.
+const NOT_FOUND: u16 = 404;
 /// Marks a pull that another entry has forwarded.
 const FORWARDED: &str = "x-forwarded-by";
 
@@ -152,7 +154,8 @@
     })
 }
 
-/// Hands a pull to the owner; `None` when the owner does not answer.
+/// Hands a pull to the owner; `None` when the owner does not answer, is stopping, or has lost the
+/// step.
 async fn forward(cx: &EntryCx, conn: &Conn, owner: &str, wait: Millis) -> Option<Pulled> {
     if conn.request_headers().get_str(FORWARDED).is_some() {
         return None;
@@ -169,7 +172,8 @@
         let mut answer = call.await.ok()?;
         let status = answer.status()? as u16;
         let body = answer.response_body().read_string().await.ok()?;
-        Some(Pulled::There { status, body })
+        let has_step = status < 500 && status != NOT_FOUND;
+        has_step.then_some(Pulled::There { status, body })
     };
     within(wait.0 + FORWARD_GRACE_MS, exchange).await.flatten()
 }
