--- a/Makefile
+++ b/Makefile
@@ -12,5 +12,6 @@
 	cargo clippy --workspace --all-targets --locked -- -D warnings
 
 test: setup
+	cargo build --workspace --bins --locked
 	cargo test --workspace --locked
 
--- /dev/null
+++ b/crates/oleander-load/src/main.rs
@@ -0,0 +1,3 @@
+//! The load and experiment tool.
+
+fn main() {}
