Check sample delivery and streams by breadth-first search

Real decision structs over loss, repetition, reordering, crashes and restarts, two live owners, store outages, publishing and failed swaps.

--- a/crates/oleanderlock/src/sample_guards.rs
+++ b/crates/oleanderlock/src/sample_guards.rs
@@ -12,6 +12,10 @@
     pub end_mark: bool,
     /// Discard the partial out-of-order data of an attempt that is replaced.
     pub clear_pending: bool,
+    /// Forget the end mark of an attempt that is replaced.
+    pub reset_end: bool,
+    /// Refuse to start an answer again once part of it has been released.
+    pub keep_released: bool,
     /// Refuse a sample whose segments don't cover it.
     pub cover: bool,
     /// Refuse a sample with an unknown version.
@@ -22,6 +26,8 @@
     pub staleness: bool,
     /// Leave out the slots that the pull's cursor holds.
     pub skip_held: bool,
+    /// Name in an answer's cursor only samples that the answer carries.
+    pub delivered_only: bool,
     /// Make a slot again when its payload is gone and the trainer does not have it.
     pub remake: bool,
     /// Check on the trainer's side that an answer follows its cursor.
@@ -36,11 +42,14 @@
         current_attempt: true,
         end_mark: true,
         clear_pending: true,
+        reset_end: true,
+        keep_released: true,
         cover: true,
         known_version: true,
         settle_once: true,
         staleness: true,
         skip_held: true,
+        delivered_only: true,
         remake: true,
         follows_cursor: true,
         judged_version: true,
--- a/crates/oleanderlock/src/step.rs
+++ b/crates/oleanderlock/src/step.rs
@@ -12,6 +12,7 @@
 use crate::slot::Slot;
 use crate::step_action::{StepAction, StepCount};
 use crate::step_terms::{StepError, StepTerms};
+use crate::whole_answer::WholeAnswer;
 
 /// A training step at its owner.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -112,6 +113,12 @@
         held.map_or(self.terms.shape.slots(), Cursor::remaining)
     }
 
+    /// Returns the sample that settles the slot, if it is kept.
+    pub fn sample(&self, slot: SlotKey) -> Option<&WholeAnswer> {
+        let position = self.terms.shape.position(slot)?;
+        self.slots[position as usize].payload.as_ref()
+    }
+
     /// Returns the number of settled slots whose samples are kept.
     pub fn settled(&self) -> u32 {
         self.slots.iter().filter(|s| s.payload.is_some()).count() as u32
--- a/crates/oleanderlock/src/step_delivery.rs
+++ b/crates/oleanderlock/src/step_delivery.rs
@@ -56,15 +56,18 @@
         let mut bytes = 0;
         let mut samples = Vec::new();
         for position in 0..self.terms.shape.slots() {
-            if bytes >= self.terms.limits.answer_bytes {
-                break;
-            }
             let Some(sample) = self.deliverable(position, &held) else {
                 continue;
             };
-            bytes += sample.answer.data.len() as u64;
+            let has_room = bytes < self.terms.limits.answer_bytes;
+            if !has_room && self.terms.guards.delivered_only {
+                break;
+            }
             cursor.insert(position);
-            samples.push(sample);
+            if has_room {
+                bytes += sample.answer.data.len() as u64;
+                samples.push(sample);
+            }
         }
         PullAnswer {
             from: pull.cursor.clone(),
--- a/crates/oleanderlock/src/stream_assembly.rs
+++ b/crates/oleanderlock/src/stream_assembly.rs
@@ -151,7 +151,7 @@
     /// idempotent requests.
     pub fn restart(&mut self, ticket: Ticket) -> Result<(), AssemblyError> {
         self.check_later(ticket)?;
-        if self.released_tokens > 0 {
+        if self.guards.keep_released && self.released_tokens > 0 {
             return Err(AssemblyError::AlreadyReleased);
         }
         self.replace_attempt(ticket);
@@ -163,7 +163,7 @@
     /// Releases the contiguous data that has not been released yet; each token goes out once.
     pub fn release(&mut self) -> Option<Released> {
         let offset = self.released_tokens;
-        let tokens = self.tokens() - offset;
+        let tokens = self.tokens().saturating_sub(offset);
         if tokens == 0 {
             return None;
         }
@@ -277,7 +277,9 @@
 
     fn replace_attempt(&mut self, ticket: Ticket) {
         self.ticket = ticket;
-        self.end = None;
+        if self.guards.reset_end {
+            self.end = None;
+        }
         if self.guards.clear_pending {
             self.pending.clear();
         }
--- /dev/null
+++ b/crates/oleanderlock/tests/samples_support/naive_assembly.rs
@@ -0,0 +1,1 @@
+//! A stream assembly that keeps every message and scans all of them.
--- /dev/null
+++ b/crates/oleanderlock/tests/samples_support/search.rs
@@ -0,0 +1,119 @@
+//! Breadth-first search for the shortest trace to a violation.
+
+use pathfinding::prelude::bfs;
+use std::fmt;
+use std::hash::{Hash, Hasher};
+
+/// The outcome of an event: the next state, or the name of the invariant that it breaks.
+pub type Outcome<S> = Result<S, &'static str>;
+
+/// What a search found.
+pub struct Search {
+    /// States whose successors were computed.
+    pub states: usize,
+    /// Longest of the shortest traces to these states.
+    pub depth: u32,
+    /// Whether every reachable state was expanded.
+    pub exhausted: bool,
+    /// The name of the invariant that was broken, with the shortest trace.
+    pub violation: Option<Violation>,
+}
+
+/// A broken invariant.
+pub struct Violation {
+    /// Name of the invariant.
+    pub invariant: &'static str,
+    /// Events from the first state on.
+    pub trace: Vec<String>,
+}
+
+impl fmt::Display for Search {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            states,
+            depth,
+            exhausted,
+            violation,
+        } = self;
+        write!(f, "states={states} depth={depth} exhausted={exhausted}")?;
+        let Some(violation) = violation else {
+            return write!(f, " violation=none");
+        };
+        write!(f, " violation=\"{}\"", violation.invariant)?;
+        let numbered = violation.trace.iter().enumerate();
+        numbered
+            .into_iter()
+            .try_for_each(|(i, event)| write!(f, "\n  {}. {event}", i + 1))
+    }
+}
+
+#[derive(Clone)]
+struct Node<S, E> {
+    state: S,
+    event: Option<E>,
+    depth: u32,
+    broken: Option<&'static str>,
+}
+
+impl<S: PartialEq, E> PartialEq for Node<S, E> {
+    fn eq(&self, other: &Self) -> bool {
+        self.state == other.state && self.broken == other.broken
+    }
+}
+
+impl<S: Eq, E> Eq for Node<S, E> {}
+
+impl<S: Hash, E> Hash for Node<S, E> {
+    fn hash<H: Hasher>(&self, hasher: &mut H) {
+        self.state.hash(hasher);
+    }
+}
+
+/// Explores up to `limit` states from `start`; `next` lists the events of a state with outcomes.
+pub fn search<S, E>(
+    start: S,
+    limit: usize,
+    mut next: impl FnMut(S) -> Vec<(E, Outcome<S>)>,
+) -> Search
+where
+    S: Copy + Eq + Hash,
+    E: Copy + fmt::Debug,
+{
+    let mut search = Search {
+        states: 0,
+        depth: 0,
+        exhausted: true,
+        violation: None,
+    };
+    let first = Node {
+        state: start,
+        event: None,
+        depth: 0,
+        broken: None,
+    };
+    let successors = |node: &Node<S, E>| {
+        if search.states >= limit {
+            search.exhausted = false;
+            return Vec::new();
+        }
+        search.states += 1;
+        search.depth = search.depth.max(node.depth);
+        let nodes = next(node.state).into_iter().map(|(event, outcome)| Node {
+            state: *outcome.as_ref().unwrap_or(&node.state),
+            event: Some(event),
+            depth: node.depth + 1,
+            broken: outcome.err(),
+        });
+        nodes.collect()
+    };
+    let path = bfs(&first, successors, |node| node.broken.is_some());
+    search.violation = path.map(|path| Violation {
+        invariant: path.last().and_then(|node| node.broken).unwrap_or("none"),
+        trace: path
+            .iter()
+            .filter_map(|node| node.event)
+            .map(|e| format!("{e:?}"))
+            .collect(),
+    });
+    search
+}
