Add make demo; hold requests back until a new entry has heard its agents

Cause: entry-3 answered in the second after its restart, before any agent had reported, as if the target did not exist. Ruled out: the restarted agent (all refusals came from entry 3). Now such requests wait until the listed agents are heard, three seconds at most, and readiness waits too.

--- a/Makefile
+++ b/Makefile
@@ -15,3 +15,7 @@
 	cargo build --workspace --bins --locked
 	cargo test --workspace --locked
 
+
+demo: setup
+	cargo build --release --workspace --bins --locked
+	cargo run --release --locked -p oleander-load --bin oleander-demo
--- a/crates/oleander-daemon/src/agent_table.rs
+++ b/crates/oleander-daemon/src/agent_table.rs
@@ -189,6 +189,16 @@
         gone
     }
 
+    /// Tells whether every listed agent that is not leaving was heard.
+    pub fn all_heard(&self) -> bool {
+        let mut expected = self
+            .agents
+            .values()
+            .filter(|agent| !agent.leaving)
+            .peekable();
+        expected.peek().is_some() && expected.all(|agent| agent.heard.is_some())
+    }
+
     /// Tells whether any agent is known to serve the target.
     pub fn serves(&self, target: &[u8]) -> bool {
         let mut heard = self
--- a/crates/oleander-daemon/src/entry_control.rs
+++ b/crates/oleander-daemon/src/entry_control.rs
@@ -19,6 +19,9 @@
 /// Time to come back when nothing is known of the endpoints.
 const NO_ENDPOINT_RETRY: Millis = Millis(500);
 
+/// Longest time for which a new entry holds requests back until it has heard its agents.
+const SETTLE_LIMIT: Millis = Millis(3000);
+
 /// The control state of an entry.
 pub struct EntryControl {
     cx: EntryCx,
@@ -27,6 +30,9 @@
     entries: IndexMap<String, EntryView>,
     config: ConfigState,
     hello_due: Millis,
+    opened: Millis,
+    /// Requests for an endpoint that came before the agents were heard.
+    held: Vec<ChooseCall>,
     stopping_since: Option<Millis>,
 }
 
@@ -40,6 +46,8 @@
             entries: IndexMap::new(),
             config: ConfigState::default(),
             hello_due: Millis::ZERO,
+            opened: now(),
+            held: Vec::new(),
             stopping_since: None,
         }
     }
@@ -52,7 +60,7 @@
             Some(EntryEvent::Frame(frame)) => self.frame(now, *frame),
             Some(EntryEvent::FrameRefused(_)) => self.cx.metrics.count("frame-refused"),
             Some(EntryEvent::Peer(change)) => self.peer_changed(&change),
-            Some(EntryEvent::Choose(call)) => self.choose(now, &call),
+            Some(EntryEvent::Choose(call)) => self.choose(now, call),
             Some(EntryEvent::Locate(incarnation, reply)) => {
                 let _ = reply.try_send(self.agents.locate(now, incarnation));
             }
@@ -91,6 +99,7 @@
         if report.config_digest != self.config.digest() {
             self.send_config(link);
         }
+        self.choose_held(now);
     }
 
     fn hello_from_entry(&mut self, link: &str, hello: &wire::Hello) {
@@ -194,14 +203,31 @@
         self.cx.inflight.disconnected(&change.peer);
     }
 
-    fn choose(&mut self, now: Millis, call: &ChooseCall) {
-        let answer = self.route(now, call);
+    /// Answers a request for an endpoint, or holds it back while the agents are not heard yet.
+    fn choose(&mut self, now: Millis, call: ChooseCall) {
+        let answer = self.route(now, &call);
+        if answer.is_err() && !self.is_settled(now) {
+            self.held.push(call);
+            return;
+        }
         if answer.is_err() {
             self.cx.metrics.count("no-route");
         }
         let _ = call.reply.try_send(answer);
     }
 
+    fn choose_held(&mut self, now: Millis) {
+        for call in std::mem::take(&mut self.held) {
+            self.choose(now, call);
+        }
+    }
+
+    /// A new entry knows its agents once all that are listed were heard, or after a while.
+    fn is_settled(&self, now: Millis) -> bool {
+        let warm = now.since(self.opened) >= SETTLE_LIMIT;
+        warm || self.agents.all_heard()
+    }
+
     fn route(
         &mut self,
         now: Millis,
@@ -257,6 +283,7 @@
             log::warn!("event=agent-gone incarnation={gone} reason=silent");
             self.cx.inflight.gone(gone);
         }
+        self.choose_held(now);
         if now >= self.hello_due {
             self.hello_due = now.plus(HELLO_EVERY);
             self.say_hello();
@@ -303,6 +330,7 @@
         FleetSummary {
             entry: self.cx.cfg.node.name.clone(),
             config_digest: format!("{:016x}", self.config.digest()),
+            settled: self.is_settled(now()),
             config: config.collect(),
             agents: self.agents.views(),
             entries: self.entries.values().cloned().collect(),
--- a/crates/oleander-daemon/src/entry_event.rs
+++ b/crates/oleander-daemon/src/entry_event.rs
@@ -127,6 +127,8 @@
     pub entry: String,
     /// Digest of the configuration in force at the entry.
     pub config_digest: String,
+    /// Whether the entry has heard its agents.
+    pub settled: bool,
     /// Configuration objects in force.
     pub config: Vec<ConfigSummary>,
     /// The agents that the entry uses.
--- a/crates/oleander-daemon/src/entry_http.rs
+++ b/crates/oleander-daemon/src/entry_http.rs
@@ -110,7 +110,7 @@
 
 async fn answer_ready(cx: EntryCx, readiness: Readiness, conn: Conn) -> Conn {
     let summary = cx.ask(EntryEvent::Describe).await;
-    let has_config = summary.is_some_and(|summary| !summary.config.is_empty());
+    let has_config = summary.is_some_and(|it| it.settled && !it.config.is_empty());
     if has_config && !readiness.is_stopping() {
         return conn.ok("ready\n");
     }
--- a/crates/oleander-load/src/demo.rs
+++ b/crates/oleander-load/src/demo.rs
@@ -47,7 +47,10 @@
     println!("starting 3 entries, 9 engines and 4 plain services with their agents");
     let mut deployment = Deployment::start(deployment_cfg(), READY_TIMEOUT).await?;
     let contract = apply_contract(&deployment).await?;
-    println!("contract of kalahari in force everywhere after {} ms", contract.in_force_ms);
+    println!(
+        "contract of kalahari in force everywhere after {} ms",
+        contract.in_force_ms
+    );
     let entries = deployment.entry_addresses();
     let trainers = start_trainers(&entries)?;
     let orders = spawn(send_orders(entries));
@@ -67,7 +70,11 @@
         prefill_ms: 5,
         ..EngineSwitches::default()
     };
-    let services = ServiceSwitches { capacity: 8, service_ms: 15, ..ServiceSwitches::default() };
+    let services = ServiceSwitches {
+        capacity: 8,
+        service_ms: 15,
+        ..ServiceSwitches::default()
+    };
     DeploymentCfg {
         entries: 3,
         models: vec![ModelGroup {
@@ -98,7 +105,12 @@
     std::fs::write(&file, CONTRACT)?;
     let entry = format!("http://{}", deployment.entries[0].http);
     let program = deployment.cfg.programs.join("oleanderctl");
-    ctl(&program, &entry, &["contract", "apply", &file.display().to_string()]).await?;
+    ctl(
+        &program,
+        &entry,
+        &["contract", "apply", &file.display().to_string()],
+    )
+    .await?;
     let accepted = Instant::now();
     ctl(&program, &entry, &["contract", "wait", "kalahari"]).await?;
     let in_force_ms = u64::try_from(accepted.elapsed().as_millis()).unwrap_or(u64::MAX);
@@ -152,7 +164,9 @@
         let order = next_order(tasks.len() as u64, &mut rng);
         let first = rng.random_range(0..entries.len());
         let entries = entries.clone();
-        tasks.push(spawn(async move { order_client::send(&entries, first, at, order).await }));
+        tasks.push(spawn(async move {
+            order_client::send(&entries, first, at, order).await
+        }));
         // Exponential gaps make Poisson arrivals.
         let gap = -(1.0 - rng.random::<f64>()).ln() / ORDERS_PER_SECOND;
         due += Duration::from_secs_f64(gap);
@@ -167,7 +181,11 @@
 fn next_order(number: u64, rng: &mut StdRng) -> Order {
     let kinds = OrderKind::VARIANTS;
     let kind = kinds[rng.random_range(0..kinds.len())];
-    Order { number, kind, tokens: ADVICE_TOKENS }
+    Order {
+        number,
+        kind,
+        tokens: ADVICE_TOKENS,
+    }
 }
 
 async fn wait_for_trainers(trainers: &[Server]) -> Result<Vec<TrainerRecord>, DeploymentError> {
@@ -207,5 +225,11 @@
             metrics.push(entry.api().get("/metrics").await?.body);
         }
     }
-    Ok(DemoReport { orders, trainers: steps, drain, contract, metrics })
+    Ok(DemoReport {
+        orders,
+        trainers: steps,
+        drain,
+        contract,
+        metrics,
+    })
 }
--- a/crates/oleander-load/src/demo_faults.rs
+++ b/crates/oleander-load/src/demo_faults.rs
@@ -61,11 +61,20 @@
     agent.post("/v1/drain", &()).await?;
     Timer::after(LEAVING).await;
     let after_leaving = runs_of(deployment).await?;
-    Ok(DrainReport { before, after_leaving, at_end: after_leaving })
+    Ok(DrainReport {
+        before,
+        after_leaving,
+        at_end: after_leaving,
+    })
 }
 
 async fn runs_of(deployment: &mut Deployment) -> Result<usize, DeploymentError> {
-    Ok(deployment.endpoint_mut(DRAINED)?.engine_record().await?.runs.len())
+    Ok(deployment
+        .endpoint_mut(DRAINED)?
+        .engine_record()
+        .await?
+        .runs
+        .len())
 }
 
 async fn pause(seconds: u64) {
--- a/crates/oleander-load/src/demo_report.rs
+++ b/crates/oleander-load/src/demo_report.rs
@@ -32,7 +32,11 @@
     /// Judges all promises.
     pub fn promises(&self) -> Vec<Promise> {
         let orders = &self.orders;
-        let late = orders.latencies_ms.iter().filter(|ms| **ms > LATENCY_BOUND_MS).count();
+        let late = orders
+            .latencies_ms
+            .iter()
+            .filter(|ms| **ms > LATENCY_BOUND_MS)
+            .count();
         let p99 = percentile(&orders.latencies_ms, 99);
         let drained = self.drain.at_end - self.drain.after_leaving;
         vec![
@@ -88,7 +92,10 @@
             Promise::new(
                 "an accepted contract is in force within seconds",
                 self.contract.in_force_ms <= IN_FORCE_BOUND_MS,
-                format!("in_force_ms={} bound_ms={IN_FORCE_BOUND_MS}", self.contract.in_force_ms),
+                format!(
+                    "in_force_ms={} bound_ms={IN_FORCE_BOUND_MS}",
+                    self.contract.in_force_ms
+                ),
             ),
             Promise::new(
                 "99% of answers are within the contract",
@@ -115,7 +122,10 @@
 
     fn print_orders(&self) {
         let orders = &self.orders;
-        println!("\ninteractive calls: sent={} whole={}", orders.sent, orders.whole);
+        println!(
+            "\ninteractive calls: sent={} whole={}",
+            orders.sent, orders.whole
+        );
         let at = |percent| percentile(&orders.latencies_ms, percent);
         println!("  latency ms: p50={} p90={} p99={}", at(50), at(90), at(99));
         for (kind, count) in &orders.refusals {
@@ -124,7 +134,11 @@
         println!("counters of the entries");
         for (number, text) in self.metrics.iter().enumerate() {
             let shown = |line: &&str| SHOWN_METRICS.iter().any(|name| line.contains(name));
-            for line in text.lines().filter(|line| !line.starts_with('#')).filter(shown) {
+            for line in text
+                .lines()
+                .filter(|line| !line.starts_with('#'))
+                .filter(shown)
+            {
                 println!("  entry {}: {line}", number + 1);
             }
         }
@@ -158,7 +172,11 @@
     }
 
     fn unfinished(&self) -> usize {
-        let unfinished = self.trainers.iter().filter(|trainer| !trainer.finished).count();
+        let unfinished = self
+            .trainers
+            .iter()
+            .filter(|trainer| !trainer.finished)
+            .count();
         self.steps().filter(|step| step.whole_ms.is_none()).count() + unfinished
     }
 }
--- a/crates/oleander-load/src/order_client.rs
+++ b/crates/oleander-load/src/order_client.rs
@@ -110,7 +110,12 @@
         }
     }
     let latency_ms = u64::try_from(due.elapsed().as_millis()).unwrap_or(u64::MAX);
-    OrderEnd { order, told, latency_ms, broken }
+    OrderEnd {
+        order,
+        told,
+        latency_ms,
+        broken,
+    }
 }
 
 /// A stopping entry is left for another one; every other answer is final.
@@ -132,7 +137,9 @@
     match order.kind {
         OrderKind::Availability => {
             let body = json!({ "order": order.number });
-            let reply = api.post("/v1/services/availability/availability", &body).await?;
+            let reply = api
+                .post("/v1/services/availability/availability", &body)
+                .await?;
             Ok(plain_told(&reply, order))
         }
         OrderKind::Quote => quote(api, order, key).await,
@@ -161,8 +168,9 @@
 }
 
 fn plain_told(reply: &Reply, order: Order) -> Told {
+    let sent = json!({ "order": order.number }).to_string();
     match reply.json::<PlainBody>() {
-        Ok(body) if body.echo == json!({ "order": order.number }).to_string() => Told::Whole,
+        Ok(body) if body.echo == sent => Told::Whole,
         Ok(_) => Told::Wrong,
         Err(_) => refusal(reply),
     }
@@ -172,8 +180,14 @@
     let prompt = format!("advice for order {}", order.number);
     let body = json!({ "model": "advisor", "prompt": prompt, "max_tokens": order.tokens });
     let reply = api.post("/v1/completions", &body).await?;
-    let Ok(body) = reply.json::<CompletionBody>() else { return Ok(refusal(&reply)) };
-    let text = body.choices.first().map(|choice| choice.text.as_str()).unwrap_or_default();
+    let Ok(body) = reply.json::<CompletionBody>() else {
+        return Ok(refusal(&reply));
+    };
+    let text = body
+        .choices
+        .first()
+        .map(|choice| choice.text.as_str())
+        .unwrap_or_default();
     match judge::versions(&prompt, order.tokens, text) {
         Some(_) => Ok(Told::Whole),
         None => Ok(Told::Wrong),
@@ -182,7 +196,10 @@
 
 fn refusal(reply: &Reply) -> Told {
     match serde_json::from_str::<ErrorBody>(&reply.body) {
-        Ok(body) => Told::Refused { kind: body.error.kind, ran: body.error.ran },
+        Ok(body) => Told::Refused {
+            kind: body.error.kind,
+            ran: body.error.ran,
+        },
         Err(_) => Told::Wrong,
     }
 }
--- a/crates/oleander-load/src/order_ledger.rs
+++ b/crates/oleander-load/src/order_ledger.rs
@@ -82,5 +82,8 @@
 /// Returns the value below which `percent` of an ascending list lie; 0 for an empty list.
 pub fn percentile(ascending: &[u64], percent: usize) -> u64 {
     let last = ascending.len().saturating_sub(1);
-    ascending.get(last * percent / 100).copied().unwrap_or_default()
+    ascending
+        .get(last * percent / 100)
+        .copied()
+        .unwrap_or_default()
 }
--- a/crates/oleander-load/src/promise.rs
+++ b/crates/oleander-load/src/promise.rs
@@ -14,7 +14,11 @@
 impl Promise {
     /// Creates a verdict.
     pub fn new(name: &'static str, kept: bool, evidence: String) -> Self {
-        Self { name, kept, evidence }
+        Self {
+            name,
+            kept,
+            evidence,
+        }
     }
 }
 
