--- a/Makefile
+++ b/Makefile
@@ -14,3 +14,6 @@
 test: setup
 	cargo test --workspace --locked
 
+# Explores the models to their deep bounds and prints states, depth, time and memory.
+model-check: setup
+	cargo test --release --locked -p oleanderlock --test 'model_*' -- --ignored --nocapture --test-threads=1
--- a/crates/oleanderlock/tests/request_differential.rs
+++ b/crates/oleanderlock/tests/request_differential.rs
@@ -256,6 +256,11 @@
             false => TrackEvent::NoRoute(ErrorKind::NoEndpoint),
         });
     };
+    let stale = u.ratio(1, 6)?;
+    let ticket = Ticket {
+        attempt: ticket.attempt.wrapping_sub(u32::from(stale)),
+        ..ticket
+    };
     let refused = Outcome::failed(ErrorKind::Overloaded, Ran::No);
     let failed = Outcome::failed(ErrorKind::EndpointFailed, Ran::Unknown);
     Ok(match u.int_in_range(0..=9)? {
@@ -276,6 +281,9 @@
     let Some(last) = history.last_mut() else {
         return;
     };
+    if ticket_of(event) != Some(last.ticket) {
+        return;
+    }
     match event {
         TrackEvent::NotSent(_) => last.not_sent = true,
         TrackEvent::Started(_) => last.yes = true,
@@ -288,6 +296,17 @@
     }
 }
 
+const fn ticket_of(event: &TrackEvent) -> Option<Ticket> {
+    match event {
+        TrackEvent::NotSent(ticket)
+        | TrackEvent::Disconnected(ticket)
+        | TrackEvent::Started(ticket)
+        | TrackEvent::Finished(ticket, _)
+        | TrackEvent::Buried(ticket, _) => Some(*ticket),
+        _ => None,
+    }
+}
+
 /// Whether an event would contradict that the attempt has started.
 fn denies_run(event: &TrackEvent) -> bool {
     match event {
@@ -370,7 +389,7 @@
     }
 
     fn write(&mut self, base: Option<u64>, value: String) -> WriteAnswer {
-        if base != Some(self.values.len() as u64) {
+        if base.is_some_and(|base| base != self.values.len() as u64) {
             return WriteAnswer::Conflict;
         }
         self.values.push(value);
