--- a/crates/oleanderlock/tests/request_differential.rs
+++ b/crates/oleanderlock/tests/request_differential.rs
@@ -367,6 +367,8 @@
             }
             action = track.step(Millis(now), event);
         }
+        let last = track.step(spec.deadline, TrackEvent::Tick);
+        assert!(matches!(last, Some(TrackAction::Answer(_))));
         Ok(())
     });
 }
