--- /dev/null
+++ b/crates/oleanderlock/tests/samples.rs
@@ -0,0 +1,174 @@
+//! Ownership changes, refusals and resume limits of samples and streams.
+
+use bytes::Bytes;
+use oleanderlock::assembly_error::AssemblyError;
+use oleanderlock::assembly_limits::AssemblyLimits;
+use oleanderlock::intake::{Disregard, Intake};
+use oleanderlock::prelude::*;
+use oleanderlock::pull::{Pull, PullAnswer, PullId, PullRefusal};
+use oleanderlock::sample_guards::SampleGuards;
+use oleanderlock::segment::Segment;
+use oleanderlock::staleness::Staleness;
+use oleanderlock::step::Step;
+use oleanderlock::step_action::StepAction;
+use oleanderlock::step_limits::StepLimits;
+use oleanderlock::step_shape::StepShape;
+use oleanderlock::step_terms::{StepError, StepTerms};
+use oleanderlock::stream_assembly::StreamAssembly;
+use oleanderlock::stream_chunk::StreamChunk;
+
+fn terms(sizes: &[u32]) -> StepTerms {
+    let shape = StepShape::new(sizes.iter().copied());
+    StepTerms {
+        tag: shape.tag("trainer", 1),
+        shape,
+        staleness: Staleness::within(1),
+        limits: StepLimits::default(),
+        guards: SampleGuards::ALL,
+    }
+}
+
+fn pull(id: u64, cursor: &str) -> Pull {
+    Pull {
+        id: PullId(id),
+        cursor: cursor.to_owned(),
+        version: Version(3),
+        until: Millis(100),
+    }
+}
+
+#[test]
+fn a_step_taken_over_makes_nothing_until_the_trainer_is_heard() {
+    let mut out = Vec::new();
+    let mut step = Step::recover(terms(&[2]), Version(3)).expect("the step fits its limits");
+    step.tick(Millis(50), &mut out);
+    assert_eq!(out, []);
+    step.pull(Millis(50), pull(1, ""), &mut out);
+    let wait = StepAction::Wait {
+        pull: PullId(1),
+        until: Millis(100),
+    };
+    let generate = |index| StepAction::Generate {
+        slot: SlotKey { group: 0, index },
+        attempt: 0,
+        min_version: Version(2),
+    };
+    assert_eq!(out, [wait, generate(0), generate(1)]);
+}
+
+#[test]
+fn a_newer_pull_supersedes_a_waiting_one_and_closing_refuses_it_and_cancels() {
+    let mut out = Vec::new();
+    let opened = Step::open(Millis(0), terms(&[1]), Version(3), &mut out);
+    let mut step = opened.expect("the step fits its limits");
+    step.pull(Millis(0), pull(1, ""), &mut out);
+    out.clear();
+    step.pull(Millis(0), pull(2, ""), &mut out);
+    let refuse = |id, refusal| StepAction::Refuse {
+        pull: PullId(id),
+        refusal,
+    };
+    assert_eq!(out[0], refuse(1, PullRefusal::Superseded));
+    out.clear();
+    step.close(&mut out);
+    let slot = SlotKey { group: 0, index: 0 };
+    let cancel = StepAction::Cancel { slot, attempt: 0 };
+    assert_eq!(out, [refuse(2, PullRefusal::Moved), cancel]);
+}
+
+#[test]
+fn a_pull_whose_time_is_up_is_answered_without_samples() {
+    let mut out = Vec::new();
+    let opened = Step::open(Millis(0), terms(&[1]), Version(3), &mut out);
+    let mut step = opened.expect("the step fits its limits");
+    step.pull(Millis(0), pull(1, ""), &mut out);
+    out.clear();
+    step.tick(Millis(99), &mut out);
+    assert_eq!(out, []);
+    step.tick(Millis(100), &mut out);
+    let answer = PullAnswer {
+        from: String::new(),
+        cursor: String::new(),
+        version: Version(3),
+        samples: Vec::new(),
+        remaining: 1,
+    };
+    assert_eq!(
+        out,
+        [StepAction::Deliver {
+            pull: PullId(1),
+            answer
+        }]
+    );
+}
+
+#[test]
+fn a_step_without_slots_or_room_is_refused() {
+    let refused = |terms| Step::recover(terms, Version(0)).err();
+    assert_eq!(refused(terms(&[])), Some(StepError::NoSlots));
+    let too_many = StepError::TooManySlots {
+        slots: 5000,
+        limit: 4096,
+    };
+    assert_eq!(refused(terms(&[5000])), Some(too_many));
+    let mut narrow = terms(&[1]);
+    narrow.limits.payload_bytes = narrow.limits.sample_bytes - 1;
+    assert_eq!(refused(narrow), Some(StepError::NoRoom));
+}
+
+#[test]
+fn an_answer_of_another_cursor_or_version_does_not_count() {
+    let mut intake = Intake::new(Version(3));
+    let answer = |from: &str, version| PullAnswer {
+        from: from.to_owned(),
+        cursor: "next".to_owned(),
+        version: Version(version),
+        samples: Vec::new(),
+        remaining: 0,
+    };
+    let all = SampleGuards::ALL;
+    assert_eq!(
+        intake.take(answer("x", 3), &all),
+        Err(Disregard::OtherCursor)
+    );
+    assert_eq!(
+        intake.take(answer("", 2), &all),
+        Err(Disregard::OtherVersion)
+    );
+    assert_eq!(intake.cursor(), "");
+    assert_eq!(intake.take(answer("", 3), &all), Ok(Vec::new()));
+    assert_eq!(intake.cursor(), "next");
+}
+
+#[test]
+fn an_answer_starts_again_only_before_anything_is_released() {
+    let ticket = |attempt| Ticket {
+        attempt,
+        ..Ticket::default()
+    };
+    let chunk = |attempt, text: &'static str| StreamChunk {
+        ticket: ticket(attempt),
+        offset: 0,
+        tokens: 1,
+        data: Bytes::from_static(text.as_bytes()),
+        segments: vec![Segment::known(Version(1), 0, 1)],
+    };
+    let mut assembly = StreamAssembly::new(ticket(0), AssemblyLimits::default());
+    assert!(assembly.chunk(chunk(0, "old")).is_ok());
+    assert_eq!(assembly.restart(ticket(0)), Err(AssemblyError::NotLater));
+    assert_eq!(assembly.restart(ticket(1)), Ok(()));
+    assert!(assembly.chunk(chunk(1, "new")).is_ok());
+    assert_eq!(
+        assembly.release().map(|r| r.data),
+        Some(Bytes::from_static(b"new"))
+    );
+    assert_eq!(assembly.release(), None);
+    assert_eq!(
+        assembly.restart(ticket(2)),
+        Err(AssemblyError::AlreadyReleased)
+    );
+    let point = assembly.resume(ticket(2)).expect("the answer is not whole");
+    assert_eq!((point.offset, point.text), (1, Bytes::from_static(b"new")));
+    assert!(assembly.finish(ticket(2), 1).is_ok());
+    assert_eq!(assembly.whole().map(|answer| answer.tokens), Some(1));
+}
