Cancel attempts that began with a version too old for the trainer

An attempt runs for up to minutes and its oldest version is known at its first chunk, so its fate need not wait for its end. The next attempt is delayed, since it may meet the same engine. The differential test fails with the cancellation taken out and passes with it.

--- a/crates/oleanderlock/src/slot.rs
+++ b/crates/oleanderlock/src/slot.rs
@@ -10,6 +10,8 @@
     pub number: u32,
     /// When the attempt was started.
     pub started: Millis,
+    /// Oldest version that the engine has reported for it so far.
+    pub oldest: Option<Version>,
 }
 
 /// One sample of a step at its owner.
@@ -33,13 +35,24 @@
     pub fn start(&mut self, now: Millis) -> u32 {
         let number = self.next_attempt;
         self.next_attempt += 1;
+        self.attempts.reserve_exact(1);
         self.attempts.push(LiveAttempt {
             number,
             started: now,
+            oldest: None,
         });
         number
     }
 
+    /// Notes a version that the engine reported for an attempt in flight.
+    pub fn note_version(&mut self, number: u32, version: Version) {
+        let mut attempts = self.attempts.iter_mut();
+        if let Some(attempt) = attempts.find(|attempt| attempt.number == number) {
+            let oldest = attempt.oldest.unwrap_or(version);
+            attempt.oldest = Some(oldest.min(version));
+        }
+    }
+
     /// Ends an attempt; returns whether it was in flight.
     pub fn end(&mut self, number: u32) -> bool {
         let before = self.attempts.len();
--- a/crates/oleanderlock/src/step.rs
+++ b/crates/oleanderlock/src/step.rs
@@ -77,6 +77,9 @@
         self.refuse_waiting(PullRefusal::Superseded, actions);
         self.acknowledge(cursor, actions);
         self.version = pull.version;
+        for position in 0..self.terms.shape.slots() {
+            self.cancel_outdated(now, position, actions);
+        }
         self.waiting = Some(pull);
         self.deliver(now, actions);
         self.announce_wait(actions);
@@ -107,6 +110,16 @@
         }
     }
 
+    /// Returns what identifies the step and binds its samples.
+    pub const fn terms(&self) -> &StepTerms {
+        &self.terms
+    }
+
+    /// Returns the version that the trainer named last.
+    pub const fn version(&self) -> Version {
+        self.version
+    }
+
     /// Returns the number of slots that the trainer lacks by its latest pull.
     pub fn remaining(&self) -> u32 {
         let held = self.held.as_ref();
@@ -197,15 +210,16 @@
     }
 
     pub(crate) fn cancel_attempts(&mut self, position: u32, actions: &mut Vec<StepAction>) {
-        let Some(slot) = self.terms.shape.slot(position) else {
-            return;
-        };
         let attempts = std::mem::take(&mut self.slots[position as usize].attempts);
         self.in_flight -= attempts.len() as u32;
-        actions.extend(attempts.into_iter().map(|attempt| StepAction::Cancel {
-            slot,
-            attempt: attempt.number,
-        }));
+        for attempt in attempts {
+            actions.extend(self.cancel_action(position, attempt.number));
+        }
+    }
+
+    pub(crate) fn cancel_action(&self, position: u32, attempt: u32) -> Option<StepAction> {
+        let slot = self.terms.shape.slot(position)?;
+        Some(StepAction::Cancel { slot, attempt })
     }
 
     pub(crate) fn drop_payload(&mut self, position: u32) {
--- a/crates/oleanderlock/src/step_action.rs
+++ b/crates/oleanderlock/src/step_action.rs
@@ -24,6 +24,8 @@
     Failed,
     /// A settled sample had grown too old and was replaced before delivery.
     TooOld,
+    /// An attempt was cancelled because its sample would be too old.
+    OutdatedAttempt,
     /// A pull named an older cursor than the one before.
     Rewound,
     /// A second attempt was started for a straggler.
--- a/crates/oleanderlock/src/step_settlement.rs
+++ b/crates/oleanderlock/src/step_settlement.rs
@@ -1,6 +1,7 @@
 //! Settlement: what becomes of the attempts of a step.
 
 use crate::prelude::*;
+use crate::slot::LiveAttempt;
 use crate::step::Step;
 use crate::step_action::{StepAction, StepCount};
 use crate::whole_answer::WholeAnswer;
@@ -35,6 +36,49 @@
         self.start_missing(now, actions);
     }
 
+    /// Takes a version that the engine reported for part of an attempt. An attempt whose sample would
+    /// be too old for the trainer is cancelled and replaced without waiting for its end.
+    pub fn progress(
+        &mut self,
+        now: Millis,
+        slot: SlotKey,
+        attempt: u32,
+        version: Version,
+        actions: &mut Vec<StepAction>,
+    ) {
+        let Some(position) = self.terms.shape.position(slot) else {
+            return;
+        };
+        self.slots[position as usize].note_version(attempt, version);
+        self.cancel_outdated(now, position, actions);
+        self.start_missing(now, actions);
+    }
+
+    /// Cancels the slot's attempts whose samples would be too old for the trainer. The next attempt is
+    /// delayed, since it may meet an engine with the same version.
+    pub(crate) fn cancel_outdated(
+        &mut self,
+        now: Millis,
+        position: u32,
+        actions: &mut Vec<StepAction>,
+    ) {
+        for attempt in self.take_outdated(position) {
+            self.in_flight -= 1;
+            self.delay(now, position);
+            actions.push(StepAction::Count(StepCount::OutdatedAttempt));
+            actions.extend(self.cancel_action(position, attempt.number));
+        }
+    }
+
+    fn take_outdated(&mut self, position: u32) -> Vec<LiveAttempt> {
+        let oldest_allowed = self.terms.staleness.oldest_allowed(self.version);
+        let is_outdated = |oldest: Option<Version>| oldest.is_some_and(|v| v < oldest_allowed);
+        let attempts = &mut self.slots[position as usize].attempts;
+        attempts
+            .extract_if(.., |attempt| is_outdated(attempt.oldest))
+            .collect()
+    }
+
     /// Takes the failure of an attempt; the slot is tried again at `retry_at` at the earliest.
     pub fn fail(
         &mut self,
--- a/crates/oleanderlock/tests/samples_support/delivery_model.rs
+++ b/crates/oleanderlock/tests/samples_support/delivery_model.rs
@@ -51,6 +51,7 @@
     Lose(u8),
     Repeat(u8),
     Start(u8),
+    Report(u8),
     Finish(u8),
     FinishCut(u8),
     FailAttempt(u8),
@@ -223,6 +224,9 @@
         for (index, job) in full.jobs.iter().enumerate() {
             let index = index as u8;
             events.push(Event::FailAttempt(index));
+            if job.started.is_some() && !job.reported {
+                events.push(Event::Report(index));
+            }
             if job.started.is_some() {
                 events.extend([Event::Finish(index), Event::FinishCut(index)]);
             } else if s.engine_known && s.engine >= job.min_version {
@@ -282,6 +286,7 @@
             }
             Event::Repeat(index) => full.net.push(full.net[index as usize].clone()),
             Event::Start(index) => full.jobs[index as usize].started = Some(s.engine),
+            Event::Report(index) => self.report(&mut full, index as usize),
             Event::Finish(index) => full.finish_job(index as usize, false),
             Event::FinishCut(index) => full.finish_job(index as usize, true),
             Event::FailAttempt(index) => {
@@ -409,6 +414,16 @@
         full.owners[owner as usize] = Some(step.expect("the step fits its limits"));
     }
 
+    /// Tells the owner the version of the first token.
+    fn report(&self, full: &mut Full, index: usize) {
+        full.jobs[index].reported = true;
+        let job = full.jobs[index].clone();
+        let version = job.started.unwrap_or(full.scalars.engine);
+        self.with_step(full, job.owner, |step, out| {
+            step.progress(Millis::ZERO, job.slot, job.attempt, version, out);
+        });
+    }
+
     fn fail(&self, full: &mut Full, owner: u8, slot: SlotKey, attempt: u32) {
         self.with_step(full, owner, |step, out| {
             step.fail(Millis::ZERO, slot, attempt, Millis::ZERO, out);
--- a/crates/oleanderlock/tests/samples_support/delivery_world.rs
+++ b/crates/oleanderlock/tests/samples_support/delivery_world.rs
@@ -41,6 +41,7 @@
     pub attempt: u32,
     pub min_version: Version,
     pub started: Option<Version>,
+    pub reported: bool,
 }
 
 /// The trainer, and the checkpoint from which it restarts.
@@ -145,6 +146,7 @@
                         attempt,
                         min_version,
                         started: None,
+                        reported: false,
                     });
                 }
                 StepAction::Cancel { slot, attempt } => self
--- a/crates/oleanderlock/tests/samples_support/naive_step.rs
+++ b/crates/oleanderlock/tests/samples_support/naive_step.rs
@@ -15,6 +15,11 @@
         attempt: u32,
         at: Millis,
     },
+    Reported {
+        slot: SlotKey,
+        attempt: u32,
+        version: Version,
+    },
     Ended {
         slot: SlotKey,
         attempt: u32,
@@ -215,6 +220,7 @@
         }
         self.held = Some(held);
         self.version = pull.version;
+        self.cancel_outdated(now);
         let (id, until) = (pull.id, pull.until);
         self.waiting = Some(pull);
         self.deliver(now);
@@ -224,6 +230,48 @@
         self.start_missing(now);
     }
 
+    fn cancel_outdated(&mut self, now: Millis) {
+        for slot in self.slots.clone() {
+            for (number, _) in self.live(slot) {
+                let bound = self.terms.staleness.bound.unwrap_or(u64::MAX);
+                let too_old = |v: Version| v.0.saturating_add(bound) < self.version.0;
+                let outdated = self.log.iter().any(|entry| match entry {
+                    Entry::Reported {
+                        slot: s,
+                        attempt,
+                        version,
+                    } => *s == slot && *attempt == number && too_old(*version),
+                    _ => false,
+                });
+                if outdated {
+                    let until = Millis(now.0 + self.terms.limits.discard_delay.0);
+                    self.log.push(Entry::Delayed { slot, until });
+                    self.log.push(Entry::Ended {
+                        slot,
+                        attempt: number,
+                    });
+                    self.out.push(StepAction::Count(StepCount::OutdatedAttempt));
+                    self.out.push(StepAction::Cancel {
+                        slot,
+                        attempt: number,
+                    });
+                }
+            }
+        }
+    }
+
+    pub fn progress(&mut self, now: Millis, slot: SlotKey, attempt: u32, version: Version) {
+        if self.live(slot).iter().any(|(number, _)| *number == attempt) {
+            self.log.push(Entry::Reported {
+                slot,
+                attempt,
+                version,
+            });
+        }
+        self.cancel_outdated(now);
+        self.start_missing(now);
+    }
+
     pub fn tick(&mut self, now: Millis) {
         self.deliver(now);
         self.start_missing(now);
