--- a/crates/oleanderlock/tests/admission_rules.rs
+++ b/crates/oleanderlock/tests/admission_rules.rs
@@ -115,6 +115,36 @@
     assert_eq!(actions, [AdmissionAction::Start(ticket(2))]);
 }
 
+#[test]
+fn greater_priority_goes_first_across_classes_within_their_shares() {
+    let mut admission = full(1, 100);
+    admission.set_classes(&[grant("train", 50), grant("tune", 50)]);
+    let tune = Work {
+        class: admission.class(b"tune").expect("the class is in force"),
+        ..work(&admission, 1, WorkKind::Samples, FAR)
+    };
+    assert_eq!(admission.submit(Millis(100), tune), Verdict::Queued);
+    let urgent = Work {
+        priority: 5,
+        ..work(&admission, 2, WorkKind::Samples, FAR)
+    };
+    assert_eq!(admission.submit(Millis(100), urgent), Verdict::Queued);
+    let actions = admission.finished(Millis(200), ticket(2_000), 100);
+    assert_eq!(actions, [AdmissionAction::Start(ticket(2))]);
+}
+
+#[test]
+fn added_slots_are_filled_at_once() {
+    let mut admission = full(1, 100);
+    submit(&mut admission, 100, 1, WorkKind::Interactive, FAR);
+    submit(&mut admission, 100, 2, WorkKind::Interactive, FAR);
+    let actions = admission.set_capacity(Millis(100), 4);
+    assert_eq!(
+        actions,
+        [1, 2].map(|number| AdmissionAction::Start(ticket(number)))
+    );
+}
+
 #[test]
 fn work_that_can_not_end_in_time_is_refused_at_once() {
     let mut admission = full(1, 400);
