--- a/crates/oleanderlock/src/ejection.rs
+++ b/crates/oleanderlock/src/ejection.rs
@@ -69,21 +69,35 @@
 }
 
 fn is_slow(outlier: &Outlier, peers: &[&Endpoint]) -> bool {
+    let known = peers.iter().filter(|peer| peer.outlier.pace().is_some());
+    let is_comparable = known.count() >= MIN_PEERS;
+    let median = median_pace(peers);
+    is_comparable
+        && outlier
+            .pace()
+            .is_some_and(|pace| pace > SLOW_FACTOR * median)
+}
+
+/// Returns whether the endpoint shows no sign of work while more peers do than not.
+fn is_silent(now: Millis, endpoint: &Endpoint, peers: &[&Endpoint]) -> bool {
+    let slowest = SLOW_FACTOR * median_pace(peers) / 1000.0;
+    let limit = Millis(SILENCE_MS.max(slowest as u64));
+    let is_quiet = |it: &Endpoint| it.must_run() && it.outlier.silence(now) > limit;
+    let quiet = peers.iter().filter(|peer| is_quiet(peer)).count();
+    let live = peers
+        .iter()
+        .filter(|peer| peer.outlier.is_live(now, limit))
+        .count();
+    is_quiet(endpoint) && quiet < live
+}
+
+/// Returns the median of the peers' microseconds for each token; zero when none is known.
+fn median_pace(peers: &[&Endpoint]) -> f64 {
     let mut paces: Vec<f64> = peers
         .iter()
         .filter_map(|peer| peer.outlier.pace())
         .collect();
     paces.sort_by(f64::total_cmp);
-    let median = paces.get((paces.len().max(1) - 1) / 2).copied();
-    match (outlier.pace(), median) {
-        (Some(pace), Some(median)) => paces.len() >= MIN_PEERS && pace > SLOW_FACTOR * median,
-        _ => false,
-    }
-}
-
-fn is_silent(now: Millis, endpoint: &Endpoint, peers: &[&Endpoint]) -> bool {
-    let is_quiet = |it: &Endpoint| it.in_flight > 0 && it.outlier.silence(now).0 > SILENCE_MS;
-    let busy = peers.iter().filter(|peer| peer.in_flight > 0).count();
-    let quiet = peers.iter().filter(|peer| is_quiet(peer)).count();
-    is_quiet(endpoint) && quiet * 2 < busy
+    let middle = paces.len().saturating_sub(1) / 2;
+    paces.get(middle).copied().unwrap_or_default()
 }
--- a/crates/oleanderlock/src/endpoint.rs
+++ b/crates/oleanderlock/src/endpoint.rs
@@ -150,6 +150,11 @@
         corrected.max(self.in_flight)
     }
 
+    /// Whether some of this entry's requests must have left the queue by the last report.
+    pub fn must_run(&self) -> bool {
+        self.in_flight > self.reported.queued
+    }
+
     /// The expected wait that the agent named last, less the time since then.
     pub fn wait(&self, now: Millis) -> Millis {
         self.reported.wait.since(now.since(self.reported_at))
--- a/crates/oleanderlock/src/outlier.rs
+++ b/crates/oleanderlock/src/outlier.rs
@@ -28,6 +28,7 @@
     ejections: u32,
     ejected_until: Option<Millis>,
     waiting_since: Option<Millis>,
+    progressed: Option<Millis>,
 }
 
 impl Outlier {
@@ -43,6 +44,7 @@
     /// Takes in that the endpoint gave a sign of work.
     pub fn progress(&mut self, now: Millis) {
         self.waiting_since = Some(now);
+        self.progressed = Some(now);
         self.failures = 0;
     }
 
@@ -74,6 +76,11 @@
             .map_or(Millis::ZERO, |since| now.since(since))
     }
 
+    /// Returns whether the last sign of work is not older than `limit`.
+    pub fn is_live(&self, now: Millis, limit: Millis) -> bool {
+        self.progressed.is_some_and(|at| now.since(at) <= limit)
+    }
+
     /// Ejects the endpoint for a time that grows with each ejection.
     pub fn eject(&mut self, now: Millis) {
         self.ejections += 1;
@@ -83,6 +90,7 @@
         self.observations = 0;
         self.failures = 0;
         self.waiting_since = None;
+        self.progressed = None;
     }
 
     /// Forgets earlier ejections after a long time of health.
