--- a/crates/oleanderlock/src/subset.rs
+++ b/crates/oleanderlock/src/subset.rs
@@ -1,9 +1,9 @@
 //! The stable subset of agents that one entry uses.
 
-use crate::affinity_score::{hash_bytes, score};
+use crate::affinity_score::hash_bytes;
 use crate::prelude::*;
 use bytes::Bytes;
-use indexmap::IndexMap;
+use std::collections::BTreeMap;
 
 /// An agent that an entry may use.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -23,25 +23,59 @@
     pub per_target: usize,
 }
 
-/// Returns the indices of the candidates that the entry named `entry` uses, in ascending order.
+/// Returns the indices of the candidates that `entry` uses, in ascending order; `entries` are the
+/// names of all entries, with or without its own.
 ///
-/// For each target the places are dealt out to the failure domains in turn, and within a domain
-/// to the candidates with the highest score for this entry. So a change of one candidate changes
-/// one place at most in its own domain, and entries spread evenly over the candidates.
-pub fn choose_subset(entry: &[u8], candidates: &[Candidate], size: SubsetSize) -> Vec<usize> {
-    let entry = hash_bytes(entry);
+/// The agents of a target in one failure domain form a ring, and the entries start at even
+/// distances on it (deterministic aperture, as in Finagle). So every agent is used by the same
+/// number of entries, give or take a few, and a change of one instance moves each arc by one place
+/// at most.
+pub fn choose_subset(
+    entry: &Bytes,
+    entries: &[Bytes],
+    candidates: &[Candidate],
+    size: SubsetSize,
+) -> Vec<usize> {
+    let place = Place::new(entry, entries);
     let mut chosen: Vec<usize> = group_by_target(candidates)
         .into_values()
-        .flat_map(|domains| deal(entry, candidates, domains, size.per_target))
+        .flat_map(|domains| arcs(place, candidates, domains, size.per_target))
         .collect();
     chosen.sort_unstable();
     chosen
 }
 
-type Domains<'a> = IndexMap<&'a Bytes, Vec<usize>>;
+/// The place of an entry among all entries.
+#[derive(Clone, Copy, Debug)]
+struct Place {
+    rank: usize,
+    count: usize,
+}
+
+impl Place {
+    fn new(entry: &Bytes, entries: &[Bytes]) -> Self {
+        let own = hash_bytes(entry);
+        let others = entries.iter().filter(|other| *other != entry);
+        let rank = others
+            .clone()
+            .filter(|other| hash_bytes(other) < own)
+            .count();
+        Self {
+            rank,
+            count: others.count() + 1,
+        }
+    }
+
+    /// Returns where the arc of this entry starts on a ring of `length` agents.
+    fn start(self, length: usize) -> usize {
+        self.rank * length / self.count
+    }
+}
+
+type Domains<'a> = BTreeMap<&'a Bytes, Vec<usize>>;
 
-fn group_by_target(candidates: &[Candidate]) -> IndexMap<&Bytes, Domains<'_>> {
-    let mut targets: IndexMap<&Bytes, Domains> = IndexMap::new();
+fn group_by_target(candidates: &[Candidate]) -> BTreeMap<&Bytes, Domains<'_>> {
+    let mut targets: BTreeMap<&Bytes, Domains> = BTreeMap::new();
     for (index, candidate) in candidates.iter().enumerate() {
         let domains = targets.entry(&candidate.target).or_default();
         domains.entry(&candidate.domain).or_default().push(index);
@@ -49,19 +83,35 @@
     targets
 }
 
-fn deal(entry: u64, candidates: &[Candidate], domains: Domains, places: usize) -> Vec<usize> {
-    let rank = |index: &usize| score(entry, hash_bytes(&candidates[*index].instance));
-    let mut hands: Vec<Vec<usize>> = domains.into_values().collect();
-    for hand in &mut hands {
-        hand.sort_by_cached_key(rank);
+fn arcs(place: Place, candidates: &[Candidate], domains: Domains, places: usize) -> Vec<usize> {
+    let mut rings: Vec<Vec<usize>> = domains.into_values().collect();
+    let lengths: Vec<usize> = rings.iter().map(Vec::len).collect();
+    let quotas = quotas(&lengths, places, place.rank);
+    for ring in &mut rings {
+        ring.sort_by_cached_key(|index| hash_bytes(&candidates[*index].instance));
     }
-    hands.sort_by_cached_key(|hand| std::cmp::Reverse(hand.last().map(rank)));
-    let mut dealt = Vec::new();
-    while dealt.len() < places && hands.iter().any(|hand| !hand.is_empty()) {
-        let round = hands.iter_mut().filter_map(Vec::pop);
-        dealt.extend(round.take(places - dealt.len()));
+    let arcs = rings.iter().zip(quotas).flat_map(|(ring, quota)| {
+        let start = place.start(ring.len());
+        ring.iter().cycle().skip(start).take(quota).copied()
+    });
+    arcs.collect()
+}
+
+/// Deals `places` out to rings of the given lengths in turn, the ring at `first` to begin with.
+fn quotas(lengths: &[usize], places: usize, first: usize) -> Vec<usize> {
+    let mut quotas = vec![0; lengths.len()];
+    let total: usize = lengths.iter().sum();
+    let mut left = places.min(total);
+    let mut turn = first;
+    while left > 0 {
+        let ring = turn % lengths.len();
+        turn += 1;
+        if quotas[ring] < lengths[ring] {
+            quotas[ring] += 1;
+            left -= 1;
+        }
     }
-    dealt
+    quotas
 }
 
 impl SubsetSize {
