--- a/crates/oleander-daemon/src/lib.rs
+++ b/crates/oleander-daemon/src/lib.rs
@@ -1,1 +1,58 @@
-//! Placeholder.
+//! Daemons of the oleanderlock rollout service.
+//!
+//! Each daemon is a function that takes a checked configuration and returns a running handle;
+//! the programs only parse their arguments, open, and wait for the stop signal.
+
+mod access;
+pub mod agent;
+pub mod agent_control;
+pub mod agent_cx;
+pub mod agent_event;
+mod agent_http;
+pub mod agent_settings;
+pub mod agent_table;
+pub mod attempt;
+mod caller;
+pub mod cli;
+mod completions;
+pub mod config_object;
+pub mod config_state;
+pub mod config_write;
+pub mod contracts_in_force;
+pub mod engine_client;
+pub mod entry;
+pub mod entry_control;
+pub mod entry_cx;
+pub mod entry_event;
+mod entry_http;
+mod entry_loops;
+pub mod entry_settings;
+pub mod exit_code;
+pub mod http_fault;
+mod http_input;
+mod in_flight;
+pub mod inflight;
+pub mod instance_list;
+pub mod key_desk;
+mod key_use;
+pub mod logging;
+pub mod metrics;
+pub mod monotonic;
+pub mod node_settings;
+pub mod open_fault;
+mod operator_api;
+mod plain_calls;
+pub mod prelude;
+mod publish;
+pub mod refusal_log;
+pub mod request_run;
+pub mod runtime;
+pub mod service_client;
+pub mod settings;
+pub mod sse;
+mod step_host;
+mod step_spec;
+mod step_task;
+pub mod stop_signal;
+pub mod store_client;
+mod trainer_api;
