--- a/Makefile
+++ b/Makefile
@@ -15,13 +15,10 @@
 	cargo build --workspace --bins --locked
 	cargo test --workspace --locked
 
-<<<<<<< HEAD
-
 demo: setup
 	cargo build --release --workspace --bins --locked
 	cargo run --release --locked -p oleander-load --bin oleander-demo
-=======
+
 # Explores the models to their deep bounds and prints states, depth, time and memory.
 model-check: setup
 	cargo test --release --locked -p oleanderlock --test 'model_*' -- --ignored --nocapture --test-threads=1
->>>>>>> request
