--- a/crates/oleander-daemon/src/agent.rs
+++ b/crates/oleander-daemon/src/agent.rs
@@ -59,7 +59,10 @@
 
     /// Waits until the agent has stopped gracefully.
     pub fn wait(self) {
-        let _ = self.control.join();
+        let ended = self.control.join();
+        if ended.is_err() {
+            log::error!("event=control-panicked role=agent");
+        }
         self.server.close();
         runtime::flush_links();
         drop(self.mailbox);
--- a/crates/oleander-daemon/src/entry.rs
+++ b/crates/oleander-daemon/src/entry.rs
@@ -92,7 +92,10 @@
 
     /// Waits until the entry has stopped gracefully.
     pub fn wait(self) {
-        let _ = self.control.join();
+        let ended = self.control.join();
+        if ended.is_err() {
+            log::error!("event=control-panicked role=entry");
+        }
         // Answers that were just made are written before the connections close.
         self.server.close();
         runtime::flush_links();
--- a/crates/oleander-load/src/deployment.rs
+++ b/crates/oleander-load/src/deployment.rs
@@ -283,7 +283,8 @@
     fn drop(&mut self) {
         self.entries.clear();
         self.endpoints.clear();
-        if !self.cfg.keep_folder {
+        // The logs tell why a test failed.
+        if !self.cfg.keep_folder && !std::thread::panicking() {
             let _ = std::fs::remove_dir_all(&self.folder);
         }
     }
