Add the load and experiment tool with its first three experiments

oleander-load plans seeded open-loop calls, drives real daemons on loopback, takes latencies from the intended send time, and judges answers by their text and by what the stand-ins recorded: work that ran although it was refused as not run, and work that may run once and ran again. Experiments are INI files; make bench runs the product and the baselines in turn on the same seeds.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,8 @@
 # Entry points for people and CI. Each target does its own set-up.
 
+BENCH_POLICIES = product random round-robin least-outstanding naive
+BENCH_EXPERIMENTS = steady-80 overload-2x stragglers
+
 .PHONY: setup fmt lint test demo bench capacity model-check
 
 setup:
@@ -19,6 +22,11 @@
 	cargo build --release --workspace --bins --locked
 	cargo run --release --locked -p oleander-load --bin oleander-demo
 
+# Runs the product and the baselines in turn on the same seeds; ends within five minutes.
+bench: setup
+	cargo build --release --workspace --bins --locked
+	target/release/oleander-load $(BENCH_POLICIES:%=--policy %) $(BENCH_EXPERIMENTS:%=crates/oleander-load/experiments/%.ini)
+
 # Explores the models to their deep bounds and prints states, depth, time and memory.
 model-check: setup
 	cargo test --release --locked -p oleanderlock --test 'model_*' -- --ignored --nocapture --test-threads=1
--- /dev/null
+++ b/crates/oleander-load/src/caller.rs
@@ -0,0 +1,138 @@
+//! Sends the calls of a stream on schedule and collects what became of them.
+
+use crate::outcome::{CallEnd, CallOutcome};
+use crate::stream_cfg::{StreamCfg, StreamTarget};
+use crate::stream_plan::{PlannedCall, Work};
+use async_channel::Sender;
+use oleander_daemon::http_fault::ErrorBody;
+use oleander_standins::api::{Api, Reply};
+use oleander_standins::judge;
+use serde::Deserialize;
+use serde_json::json;
+use smol::Timer;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use trillium_client::{Conn, Method};
+use trillium_smol::async_global_executor::spawn;
+
+/// Longest wait for one call.
+const CALL_TIMEOUT: Duration = Duration::from_secs(20);
+
+#[derive(Deserialize)]
+struct CompletionAnswer {
+    choices: Vec<Choice>,
+}
+
+#[derive(Deserialize)]
+struct Choice {
+    text: String,
+}
+
+#[derive(Deserialize)]
+struct ServiceAnswer {
+    echo: String,
+}
+
+struct Caller {
+    cfg: StreamCfg,
+    calls: Vec<PlannedCall>,
+    entries: Vec<Api>,
+    origin: Instant,
+    ended: Sender<CallOutcome>,
+}
+
+/// Sends all calls at their intended times after `origin`, whatever became of earlier ones; each
+/// outcome goes to `ended`, which closes after the last.
+pub async fn send(
+    cfg: StreamCfg,
+    calls: Vec<PlannedCall>,
+    entries: Vec<SocketAddr>,
+    origin: Instant,
+    ended: Sender<CallOutcome>,
+) {
+    let entries = entries
+        .iter()
+        .map(|address| Api::pooled(*address).with_timeout(CALL_TIMEOUT));
+    let caller = Arc::new(Caller {
+        cfg,
+        calls,
+        entries: entries.collect(),
+        origin,
+        ended,
+    });
+    for number in 0..caller.calls.len() {
+        Timer::at(caller.due(number)).await;
+        let caller = Arc::clone(&caller);
+        spawn(async move { caller.call(number).await }).detach();
+    }
+}
+
+impl Caller {
+    fn due(&self, number: usize) -> Instant {
+        self.origin + Duration::from_micros(self.calls[number].at_us)
+    }
+
+    async fn call(&self, number: usize) {
+        let api = &self.entries[number % self.entries.len()];
+        let work = &self.calls[number].work;
+        let end = match api.send(self.conn(api, work)).await {
+            Ok(reply) => end_of(work, &reply),
+            Err(_) => CallEnd::Broken,
+        };
+        let outcome = CallOutcome {
+            number,
+            latency_us: self.due(number).elapsed().as_micros() as u64,
+            end,
+        };
+        let _ = self.ended.try_send(outcome);
+    }
+
+    fn conn(&self, api: &Api, work: &Work) -> Conn {
+        let conn = match (&self.cfg.target, work) {
+            (StreamTarget::Completion { model, .. }, Work::Completion { prompt, tokens }) => {
+                let body = json!({ "model": model, "prompt": prompt, "max_tokens": tokens });
+                api.conn(Method::Post, "/v1/completions")
+                    .with_body(body.to_string())
+            }
+            (StreamTarget::Service { service, path }, Work::Service { body }) => {
+                let path = format!("/v1/services/{service}/{path}");
+                api.conn(Method::Post, &path).with_body(body.clone())
+            }
+            _ => unreachable!("a stream plans calls of its own target"),
+        };
+        conn.with_request_header("content-type", "application/json")
+            .with_request_header("x-class", self.cfg.class.clone())
+    }
+}
+
+fn end_of(work: &Work, reply: &Reply) -> CallEnd {
+    if reply.status == 200 {
+        return if is_whole(work, reply) {
+            CallEnd::Answered
+        } else {
+            CallEnd::Wrong
+        };
+    }
+    let Ok(body) = serde_json::from_str::<ErrorBody>(&reply.body) else {
+        return CallEnd::Broken;
+    };
+    CallEnd::Refused {
+        kind: body.error.kind.parse().ok(),
+        ran: body.error.ran,
+    }
+}
+
+fn is_whole(work: &Work, reply: &Reply) -> bool {
+    match work {
+        Work::Completion { prompt, tokens } => {
+            let answer: Option<CompletionAnswer> = reply.json().ok();
+            let text = answer.and_then(|answer| answer.choices.into_iter().next());
+            text.is_some_and(|choice| judge::versions(prompt, *tokens, &choice.text).is_some())
+        }
+        Work::Service { body } => {
+            let answer: Option<ServiceAnswer> = reply.json().ok();
+            answer.is_some_and(|answer| answer.echo == *body)
+        }
+    }
+}
--- a/crates/oleander-load/src/deployment.rs
+++ b/crates/oleander-load/src/deployment.rs
@@ -137,8 +137,9 @@
     /// Says what is not ready yet.
     async fn missing(&self) -> Option<String> {
         for entry in &self.entries {
-            let Ok(fleet) = self.fleet(entry).await else {
-                return Some(format!("{} does not answer", entry.name));
+            let fleet = match self.fleet(entry).await {
+                Ok(fleet) => fleet,
+                Err(e) => return Some(format!("{}: {e}", entry.name)),
             };
             if fleet.config.len() < self.cfg.contracts.len() {
                 return Some(format!("{} has not all contracts", entry.name));
--- a/crates/oleander-standins/src/api.rs
+++ b/crates/oleander-standins/src/api.rs
@@ -78,6 +78,13 @@
         }
     }
 
+    /// Creates a client that uses its connections again.
+    pub fn pooled(address: SocketAddr) -> Self {
+        let mut api = Self::new(address);
+        api.client = api.client.with_default_pool();
+        api
+    }
+
     /// Shows `token` as bearer token on each call.
     #[must_use]
     pub fn with_token(mut self, token: Option<String>) -> Self {
--- a/crates/oleander-standins/src/server.rs
+++ b/crates/oleander-standins/src/server.rs
@@ -19,7 +19,8 @@
         self.0.load(Ordering::Acquire)
     }
 
-    fn set(&self) {
+    /// Stops what shares this flag.
+    pub fn set(&self) {
         self.0.store(true, Ordering::Release);
     }
 }
