--- a/crates/oleanderlock/src/ejection.rs
+++ b/crates/oleanderlock/src/ejection.rs
@@ -36,68 +36,78 @@
     Silent,
 }
 
-/// Returns why the endpoint must be ejected now; `peers` are all endpoints that serve the same
-/// target, itself included. Only a part of them is ejected at a time, whatever they do.
-pub(crate) fn ejection(
-    now: Millis,
-    endpoint: &Endpoint,
-    peers: &[&Endpoint],
-) -> Option<EjectReason> {
-    if endpoint.outlier.is_ejected(now) || peers.len() < MIN_PEERS {
-        return None;
-    }
-    let ejected = peers
-        .iter()
-        .filter(|peer| peer.outlier.is_ejected(now))
-        .count();
-    let most = (peers.len() * MAX_EJECTED_PERCENT / 100).max(1);
-    if ejected >= most {
-        return None;
-    }
-    fault(now, endpoint, peers)
+/// What is common to the endpoints that serve one target.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Peers {
+    count: usize,
+    ejected: usize,
+    /// Endpoints with a known pace.
+    known: usize,
+    /// Median of the known paces, in microseconds for each token.
+    pace: f64,
+    /// Silence beyond which an endpoint is quiet.
+    silence: Millis,
+    quiet: usize,
+    live: usize,
 }
 
-/// Returns why the endpoint stands out.
-fn fault(now: Millis, endpoint: &Endpoint, peers: &[&Endpoint]) -> Option<EjectReason> {
-    if endpoint.outlier.is_failing() {
-        return Some(EjectReason::Failing);
+impl Peers {
+    /// Sums up the endpoints of one target.
+    pub fn new(now: Millis, endpoints: &[&Endpoint]) -> Self {
+        let outliers = endpoints.iter().map(|endpoint| &endpoint.outlier);
+        let mut paces: Vec<f64> = outliers.clone().filter_map(Outlier::pace).collect();
+        paces.sort_by(f64::total_cmp);
+        let middle = paces.len().saturating_sub(1) / 2;
+        let pace = paces.get(middle).copied().unwrap_or_default();
+        let slowest = (SLOW_FACTOR * pace / 1000.0) as u64;
+        let silence = Millis(SILENCE_MS.max(slowest));
+        let is_quiet = |endpoint: &&&Endpoint| is_quiet(now, endpoint, silence);
+        Self {
+            count: endpoints.len(),
+            ejected: outliers.clone().filter(|it| it.is_ejected(now)).count(),
+            known: paces.len(),
+            pace,
+            silence,
+            quiet: endpoints.iter().filter(is_quiet).count(),
+            live: outliers.filter(|it| it.is_live(now, silence)).count(),
+        }
     }
-    if is_slow(&endpoint.outlier, peers) {
-        return Some(EjectReason::Slow);
+
+    /// Returns why the endpoint, one of these, must be ejected now, and counts it. Only a part of
+    /// the endpoints is ejected at a time, whatever they do.
+    pub fn eject(&mut self, now: Millis, endpoint: &Endpoint) -> Option<EjectReason> {
+        let most = (self.count * MAX_EJECTED_PERCENT / 100).max(1);
+        let is_spared = self.count < MIN_PEERS || self.ejected >= most;
+        if is_spared || endpoint.outlier.is_ejected(now) {
+            return None;
+        }
+        let reason = self.fault(now, endpoint)?;
+        self.ejected += 1;
+        Some(reason)
     }
-    is_silent(now, endpoint, peers).then_some(EjectReason::Silent)
-}
 
-fn is_slow(outlier: &Outlier, peers: &[&Endpoint]) -> bool {
-    let known = peers.iter().filter(|peer| peer.outlier.pace().is_some());
-    let is_comparable = known.count() >= MIN_PEERS;
-    let median = median_pace(peers);
-    is_comparable
-        && outlier
-            .pace()
-            .is_some_and(|pace| pace > SLOW_FACTOR * median)
-}
+    fn fault(&self, now: Millis, endpoint: &Endpoint) -> Option<EjectReason> {
+        if endpoint.outlier.is_failing() {
+            return Some(EjectReason::Failing);
+        }
+        if self.is_slow(&endpoint.outlier) {
+            return Some(EjectReason::Slow);
+        }
+        self.is_silent(now, endpoint).then_some(EjectReason::Silent)
+    }
+
+    fn is_slow(&self, outlier: &Outlier) -> bool {
+        let is_comparable = self.known >= MIN_PEERS;
+        let limit = SLOW_FACTOR * self.pace;
+        is_comparable && outlier.pace().is_some_and(|pace| pace > limit)
+    }
 
-/// Returns whether the endpoint shows no sign of work while more peers do than not.
-fn is_silent(now: Millis, endpoint: &Endpoint, peers: &[&Endpoint]) -> bool {
-    let slowest = SLOW_FACTOR * median_pace(peers) / 1000.0;
-    let limit = Millis(SILENCE_MS.max(slowest as u64));
-    let is_quiet = |it: &Endpoint| it.must_run() && it.outlier.silence(now) > limit;
-    let quiet = peers.iter().filter(|peer| is_quiet(peer)).count();
-    let live = peers
-        .iter()
-        .filter(|peer| peer.outlier.is_live(now, limit))
-        .count();
-    is_quiet(endpoint) && quiet < live
+    /// Returns whether the endpoint shows no sign of work while more peers do than not.
+    fn is_silent(&self, now: Millis, endpoint: &Endpoint) -> bool {
+        is_quiet(now, endpoint, self.silence) && self.quiet < self.live
+    }
 }
 
-/// Returns the median of the peers' microseconds for each token; zero when none is known.
-fn median_pace(peers: &[&Endpoint]) -> f64 {
-    let mut paces: Vec<f64> = peers
-        .iter()
-        .filter_map(|peer| peer.outlier.pace())
-        .collect();
-    paces.sort_by(f64::total_cmp);
-    let middle = paces.len().saturating_sub(1) / 2;
-    paces.get(middle).copied().unwrap_or_default()
+fn is_quiet(now: Millis, endpoint: &Endpoint, silence: Millis) -> bool {
+    endpoint.must_run() && endpoint.outlier.silence(now) > silence
 }
--- a/crates/oleanderlock/src/endpoint_choice.rs
+++ b/crates/oleanderlock/src/endpoint_choice.rs
@@ -7,13 +7,15 @@
 use crate::affinity_score::score;
 use crate::attempt_end::AttemptEnd;
 use crate::choice_request::ChoiceRequest;
-use crate::ejection::{EjectReason, ejection};
+use crate::ejection::{EjectReason, Peers};
 use crate::endpoint::{Endpoint, EndpointKey, EndpointReport, EndpointTerms, Proximity};
 use crate::endpoint_arena::EndpointArena;
 use crate::load::Load;
 use crate::policy::Policy;
 use crate::prelude::*;
 use crate::weigh::Weigh;
+use bytes::Bytes;
+use indexmap::IndexMap;
 
 /// Load up to which an endpoint without a free slot keeps its prefixes, in percent of the mean.
 const BOUNDED_LOAD_PERCENT: u64 = 125;
@@ -124,15 +126,17 @@
         if self.cfg.policy != Policy::Product {
             return Vec::new();
         }
+        let mut groups = self.peers(now);
         let mut actions = Vec::new();
         let keys: Vec<EndpointKey> = self.arena.keys().collect();
         for key in keys {
-            let reason = self.eject_reason(now, key);
             let Some(endpoint) = self.arena.get_mut(key) else {
                 continue;
             };
             endpoint.outlier.forgive(now);
-            if let Some(reason) = reason {
+            let group =
+                groups.get_mut(&endpoint.terms.targets.first().cloned().unwrap_or_default());
+            if let Some(reason) = group.and_then(|peers| peers.eject(now, endpoint)) {
                 endpoint.outlier.eject(now);
                 actions.push(ChoiceAction::Eject(key, reason));
             }
@@ -301,17 +305,17 @@
         (u64::from(endpoint.occupancy()) + 1) * 100 / u64::from(endpoint.capacity())
     }
 
-    fn eject_reason(&self, now: Millis, key: EndpointKey) -> Option<EjectReason> {
-        let endpoint = self.arena.get(key)?;
-        ejection(now, endpoint, &self.peers(endpoint))
-    }
-
-    /// Lists the endpoints that serve the same first target, with the endpoint itself.
-    fn peers(&self, endpoint: &Endpoint) -> Vec<&Endpoint> {
-        let first = endpoint.terms.targets.first();
-        self.arena
-            .endpoints()
-            .filter(|peer| peer.terms.targets.first() == first)
+    /// Sums up the endpoints by their first target.
+    fn peers(&self, now: Millis) -> IndexMap<Bytes, Peers> {
+        let mut groups: IndexMap<Bytes, Vec<&Endpoint>> = IndexMap::new();
+        for endpoint in self.arena.endpoints() {
+            if let Some(target) = endpoint.terms.targets.first() {
+                groups.entry(target.clone()).or_default().push(endpoint);
+            }
+        }
+        let peers = groups.into_iter();
+        peers
+            .map(|(target, group)| (target, Peers::new(now, &group)))
             .collect()
     }
 
