--- a/crates/oleanderlock/tests/admission_load.rs
+++ b/crates/oleanderlock/tests/admission_load.rs
@@ -180,6 +180,10 @@
             .expect("three loads");
         for load in [2.0, 5.0] {
             let got = goodput(load);
+            println!(
+                "figure goodput seed={seed} load={load} percent={}",
+                got * 100 / best
+            );
             assert!(
                 got * 100 >= best * 90,
                 "seed {seed} load {load}: {got} of {best}"
@@ -199,6 +203,7 @@
             let mut driver = driver(&streams, seed);
             driver.run(30_000);
             let p99 = driver.latency("desk", 2_000, 28_000, 0.99);
+            println!("figure accepted seed={seed} load={load} p99={p99}");
             assert!(p99 <= 1_000, "seed {seed} load {load} p99 {p99}");
             let desk = driver
                 .records
--- a/crates/oleanderlock/tests/endpoint_choice_affinity.rs
+++ b/crates/oleanderlock/tests/endpoint_choice_affinity.rs
@@ -111,6 +111,9 @@
         for load in [0.5, 0.8] {
             let product = run(Policy::Product, load, 0, seed).hit_percent;
             let baseline = run(Policy::LeastOutstanding, load, 0, seed).hit_percent;
+            println!(
+                "figure hit-rate seed={seed} load={load} product={product:.1} least-outstanding={baseline:.1}"
+            );
             assert!(
                 product >= 1.5 * baseline,
                 "seed {seed} load {load}: {product} {baseline}"
@@ -124,6 +127,7 @@
     for seed in 0..4 {
         for load in [0.5, 0.8] {
             let most = run(Policy::Product, load, 70, seed).most;
+            println!("figure hot-prefix seed={seed} load={load} most={most}");
             assert!(
                 most <= CAPACITY + CAPACITY / 4,
                 "seed {seed} load {load}: {most}"
