Retry within the budget, with backoff; learn load and pace from answers

Entries retried at once up to three times whatever the budget said, a refusal became no-endpoint once all agents were tried, and the load on an answer was dropped. Now the control thread decides on each retry with the contract's percentage, holds backoffs, tries used agents again when no other takes work, and takes the load from each final word. Attempts tell of their pace twice a second, so that an endpoint with long answers is not taken for a silent one.

--- a/crates/oleander-daemon/src/agent_table.rs
+++ b/crates/oleander-daemon/src/agent_table.rs
@@ -1,6 +1,6 @@
 //! The agents that an entry uses, and the choice among them.
 
-use crate::entry_event::{AgentView, Route, RouteEnd};
+use crate::entry_event::{AgentView, Route, RouteEnd, RouteProgress};
 use crate::entry_settings::EntryConfig;
 use crate::instance_list::{ListedInstance, ListedState};
 use crate::prelude::*;
@@ -228,6 +228,21 @@
         self.route_of(key)
     }
 
+    /// Tells whether an endpoint that is not among the `excluded` takes work for the target.
+    pub fn has_other(&self, target: &[u8], excluded: &[EndpointKey]) -> bool {
+        self.choice.has_other(target, excluded)
+    }
+
+    /// Takes the progress of an attempt.
+    pub fn progress(&mut self, now: Millis, progress: RouteProgress) {
+        let RouteProgress {
+            key,
+            elapsed,
+            units,
+        } = progress;
+        self.choice.observe(now, key, elapsed, units);
+    }
+
     /// Takes the end of an attempt.
     pub fn ended(&mut self, now: Millis, end: RouteEnd) {
         if end.units > 0 {
--- a/crates/oleander-daemon/src/entry_control.rs
+++ b/crates/oleander-daemon/src/entry_control.rs
@@ -9,9 +9,11 @@
 };
 use crate::instance_list::{ListedInstance, ListedState, Role};
 use crate::prelude::*;
+use crate::retry_desk::RetryDesk;
 use crate::store_client::ObjectList;
 use indexmap::IndexMap;
 use oleanderlock::choice_request::ChoiceRequest;
+use oleanderlock::retry_budget::RetryDecision;
 use oleanderlock::weigh::Weigh;
 
 /// Time between two words to each peer.
@@ -33,6 +35,7 @@
     opened: Millis,
     /// Requests for an endpoint that came before the agents were heard.
     held: Vec<ChooseCall>,
+    retries: RetryDesk,
     stopping_since: Option<Millis>,
 }
 
@@ -40,6 +43,7 @@
     /// Creates the state.
     pub fn new(cx: EntryCx) -> Self {
         let agents = AgentTable::new(&cx.cfg);
+        let retries = RetryDesk::new(cx.cfg.policy);
         Self {
             cx,
             agents,
@@ -48,6 +52,7 @@
             hello_due: Millis::ZERO,
             opened: now(),
             held: Vec::new(),
+            retries,
             stopping_since: None,
         }
     }
@@ -64,6 +69,7 @@
             Some(EntryEvent::Locate(incarnation, reply)) => {
                 let _ = reply.try_send(self.agents.locate(now, incarnation));
             }
+            Some(EntryEvent::Progress(progress)) => self.agents.progress(now, progress),
             Some(EntryEvent::Ended(end)) => self.ended(now, end),
             Some(EntryEvent::Listed(instances)) => self.listed(now, instances),
             Some(EntryEvent::Stored(objects)) => self.stored(objects),
@@ -203,8 +209,30 @@
         self.cx.inflight.disconnected(&change.peer);
     }
 
-    /// Answers a request for an endpoint, or holds it back while the agents are not heard yet.
+    /// Decides on a retry, if it is one, and answers the request for an endpoint.
     fn choose(&mut self, now: Millis, call: ChooseCall) {
+        match self.decide(now, &call) {
+            RetryDecision::Retry(Millis::ZERO) => self.answer(now, call),
+            RetryDecision::Retry(after) => self.retries.hold(now.plus(after), call),
+            RetryDecision::GiveUp(refusal) => {
+                let _ = call.reply.try_send(Err(NoRoute {
+                    kind: refusal.error,
+                    retry_after: refusal.retry_after,
+                }));
+            }
+        }
+    }
+
+    fn decide(&mut self, now: Millis, call: &ChooseCall) -> RetryDecision {
+        let Some(contract) = self.config.contracts().of_class(&call.class) else {
+            return RetryDecision::Retry(Millis::ZERO);
+        };
+        let has_other = self.agents.has_other(&call.target, &call.excluded);
+        self.retries.decide(now, contract, call, has_other)
+    }
+
+    /// Answers a request for an endpoint, or holds it back while the agents are not heard yet.
+    fn answer(&mut self, now: Millis, call: ChooseCall) {
         let answer = self.route(now, &call);
         if answer.is_err() && !self.is_settled(now) {
             self.held.push(call);
@@ -218,7 +246,13 @@
 
     fn choose_held(&mut self, now: Millis) {
         for call in std::mem::take(&mut self.held) {
-            self.choose(now, call);
+            self.answer(now, call);
+        }
+    }
+
+    fn choose_due(&mut self, now: Millis) {
+        while let Some(call) = self.retries.due(now) {
+            self.answer(now, call);
         }
     }
 
@@ -250,7 +284,12 @@
                 retry_after: NO_ENDPOINT_RETRY,
             });
         }
+        let anywhere = ChoiceRequest {
+            excluded: &[],
+            ..req
+        };
         let route = self.agents.choose(now, &req);
+        let route = route.or_else(|| self.agents.choose(now, &anywhere));
         route.ok_or(NoRoute {
             kind: ErrorKind::NoEndpoint,
             retry_after: NO_ENDPOINT_RETRY,
@@ -284,6 +323,7 @@
             self.cx.inflight.gone(gone);
         }
         self.choose_held(now);
+        self.choose_due(now);
         if now >= self.hello_due {
             self.hello_due = now.plus(HELLO_EVERY);
             self.say_hello();
--- a/crates/oleander-daemon/src/entry_cx.rs
+++ b/crates/oleander-daemon/src/entry_cx.rs
@@ -1,6 +1,8 @@
 //! What the traffic of an entry acts through.
 
-use crate::entry_event::{ChooseCall, EntryEvent, NoRoute, Route, RouteEnd, Terms, TermsCall};
+use crate::entry_event::{
+    ChooseCall, EntryEvent, NoRoute, Route, RouteEnd, RouteProgress, Terms, TermsCall,
+};
 use crate::entry_settings::EntryConfig;
 use crate::inflight::Inflight;
 use crate::key_desk::KeyDesk;
@@ -88,6 +90,11 @@
         });
     }
 
+    /// Tells the control thread that an attempt made progress.
+    pub fn progress(&self, progress: RouteProgress) {
+        let _ = self.events.send(EntryEvent::Progress(progress));
+    }
+
     /// Tells the control thread that an attempt ended.
     pub fn ended(&self, end: RouteEnd) {
         let _ = self.events.send(EntryEvent::Ended(end));
--- a/crates/oleander-daemon/src/entry_event.rs
+++ b/crates/oleander-daemon/src/entry_event.rs
@@ -26,6 +26,8 @@
     Choose(ChooseCall),
     /// A request must go to one incarnation.
     Locate(Incarnation, Sender<Option<Route>>),
+    /// An attempt made progress.
+    Progress(RouteProgress),
     /// An attempt was not sent, or it ended.
     Ended(RouteEnd),
     /// The platform's list was read.
@@ -55,12 +57,23 @@
     pub class: String,
     /// Endpoints that earlier attempts have used.
     pub excluded: Vec<EndpointKey>,
-    /// Whether an earlier attempt was made.
-    pub is_retry: bool,
+    /// How the attempt before failed; `None` for the first one.
+    pub failed: Option<Failed>,
     /// Gets the route, or why there is none.
     pub reply: Sender<Result<Route, NoRoute>>,
 }
 
+/// A failed attempt of a request that may be tried again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Failed {
+    /// Why it failed.
+    pub error: ErrorKind,
+    /// Attempts so far.
+    pub attempts: u32,
+    /// Time to come back that the agent named.
+    pub retry_after: Millis,
+}
+
 /// Why there is no endpoint, and when to come back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct NoRoute {
@@ -85,6 +98,17 @@
     pub clock: AgentClock,
 }
 
+/// Progress of an attempt at an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RouteProgress {
+    /// The endpoint.
+    pub key: EndpointKey,
+    /// Time since the progress before.
+    pub elapsed: Millis,
+    /// Tokens made in that time.
+    pub units: u64,
+}
+
 /// The end of an attempt at an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RouteEnd {
@@ -94,7 +118,7 @@
     pub end: AttemptEnd,
     /// Load that came with the answer.
     pub load: Option<Load>,
-    /// Time from the first word of the endpoint to the last.
+    /// Time from the last reported progress, or the first word, to the end.
     pub elapsed: Millis,
     /// Tokens made in that time, 1 for a plain call; 0 teaches nothing.
     pub units: u64,
--- a/crates/oleander-daemon/src/inflight.rs
+++ b/crates/oleander-daemon/src/inflight.rs
@@ -15,8 +15,8 @@
 pub enum Word {
     /// Part of the answer.
     Chunk(wire::Chunk),
-    /// The agent's final word.
-    Finished(Ticket, Outcome),
+    /// The agent's final word, and the load that came with it.
+    Finished(Ticket, Outcome, Option<wire::Load>),
     /// The agent's answer to a burial.
     Buried(Ticket, Ran),
     /// The connection to the agent broke.
--- a/crates/oleander-daemon/src/key_use.rs
+++ b/crates/oleander-daemon/src/key_use.rs
@@ -124,7 +124,7 @@
         kind: WorkKind::Interactive,
         class: call.terms.class.clone(),
         excluded: Vec::new(),
-        is_retry: false,
+        failed: None,
         reply,
     });
     let route = route
--- a/crates/oleander-daemon/src/lib.rs
+++ b/crates/oleander-daemon/src/lib.rs
@@ -46,6 +46,7 @@
 mod publish;
 pub mod refusal_log;
 pub mod request_run;
+pub mod retry_desk;
 pub mod runtime;
 pub mod service_client;
 pub mod settings;
--- a/crates/oleander-daemon/src/request_run.rs
+++ b/crates/oleander-daemon/src/request_run.rs
@@ -2,7 +2,7 @@
 
 use crate::agent_table::load_of;
 use crate::entry_cx::EntryCx;
-use crate::entry_event::{ChooseCall, Route, RouteEnd};
+use crate::entry_event::{ChooseCall, Failed, Route, RouteEnd, RouteProgress};
 use crate::inflight::{Inflight, Word, Words};
 use crate::prelude::*;
 use bytes::Bytes;
@@ -25,6 +25,9 @@
 /// Time between two looks for a new connection.
 const RECONNECT_LOOK: Duration = Duration::from_millis(10);
 
+/// Shortest time between two words of progress to the control thread.
+const PROGRESS_EVERY: Millis = Millis(500);
+
 /// One request as the entry runs it.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -74,7 +77,7 @@
         route: None,
         used: Vec::new(),
         attempt_began: now(),
-        first_word: None,
+        pace: None,
         retry_reason: None,
         retry_after: None,
         text_sent: false,
@@ -99,7 +102,7 @@
     route: Option<Route>,
     used: Vec<EndpointKey>,
     attempt_began: Millis,
-    first_word: Option<Millis>,
+    pace: Option<Pace>,
     retry_reason: Option<ErrorKind>,
     retry_after: Option<Millis>,
     text_sent: bool,
@@ -107,6 +110,35 @@
     on_data: F,
 }
 
+/// What is known of the pace of an attempt since the control thread was told last.
+#[derive(Clone, Copy, Debug)]
+struct Pace {
+    since: Millis,
+    /// Tokens of the attempt that the control thread knows of, or that came with its first word.
+    told: u64,
+    tokens: u64,
+}
+
+impl Pace {
+    /// Counts the tokens of a chunk and tells of them from time to time. The tokens of the first
+    /// chunk count for nothing, since the time that they took is not known.
+    fn note(pace: &mut Option<Self>, tokens: u64, tell: impl FnOnce(Millis, u64)) {
+        let now = now();
+        let pace = pace.get_or_insert(Self {
+            since: now,
+            told: tokens,
+            tokens: 0,
+        });
+        pace.tokens += tokens;
+        let elapsed = now.since(pace.since);
+        if elapsed >= PROGRESS_EVERY {
+            tell(elapsed, pace.tokens.saturating_sub(pace.told));
+            pace.since = now;
+            pace.told = pace.tokens;
+        }
+    }
+}
+
 /// Ends an attempt's count at its endpoint even when the request is dropped half-way.
 impl<F> Drop for Run<'_, F> {
     fn drop(&mut self) {
@@ -152,9 +184,12 @@
 
     async fn choose(&mut self) -> TrackEvent {
         self.leave_route(AttemptEnd::Failed, None, 0);
-        if let Some(kind) = self.retry_reason.take() {
-            self.cx.metrics.retried(kind);
-        }
+        let reason = self.retry_reason.take();
+        let failed = reason.map(|error| Failed {
+            error,
+            attempts: self.track.attempts(),
+            retry_after: self.retry_after.take().unwrap_or_default(),
+        });
         let answer = self.cx.choose(|reply| ChooseCall {
             target: self.req.target.clone(),
             prefix: self.req.prefix,
@@ -162,11 +197,14 @@
             kind: self.req.kind,
             class: self.req.class.clone(),
             excluded: self.used.clone(),
-            is_retry: !self.used.is_empty(),
+            failed,
             reply,
         });
         match answer.await {
             Ok(route) => {
+                if let Some(error) = reason {
+                    self.cx.metrics.retried(error);
+                }
                 let incarnation = route.incarnation;
                 self.take_route(route);
                 TrackEvent::Route(incarnation)
@@ -182,7 +220,7 @@
         self.used.push(route.key);
         self.route = Some(route);
         self.attempt_began = now();
-        self.first_word = None;
+        self.pace = None;
     }
 
     /// Sends the submission; an event only when it was not sent.
@@ -282,7 +320,7 @@
     fn take_word(&mut self, word: Word) -> TrackEvent {
         match word {
             Word::Chunk(chunk) => self.take_chunk(chunk),
-            Word::Finished(ticket, outcome) => self.take_finish(ticket, outcome),
+            Word::Finished(ticket, outcome, load) => self.take_finish(ticket, outcome, load),
             Word::Buried(ticket, ran) => TrackEvent::Buried(ticket, ran),
             Word::Disconnected(ticket) => {
                 self.retry_reason = Some(ErrorKind::AgentLost);
@@ -300,7 +338,7 @@
             return TrackEvent::Tick;
         };
         let ticket = chunk.ticket;
-        self.first_word.get_or_insert_with(now);
+        let tokens = chunk.tokens;
         match assembly.chunk(chunk) {
             Ok(Arrival::OtherAttempt) => return TrackEvent::Tick,
             Ok(_) => {}
@@ -312,6 +350,15 @@
                 return self.broken(ticket);
             }
         }
+        if let Some(route) = &self.route {
+            Pace::note(&mut self.pace, tokens, |elapsed, units| {
+                self.cx.progress(RouteProgress {
+                    key: route.key,
+                    elapsed,
+                    units,
+                });
+            });
+        }
         if let Some(released) = assembly.release() {
             self.text_sent = true;
             if !(self.on_data)(released.data) {
@@ -321,7 +368,12 @@
         TrackEvent::Started(ticket)
     }
 
-    fn take_finish(&mut self, ticket: Ticket, outcome: Outcome) -> TrackEvent {
+    fn take_finish(
+        &mut self,
+        ticket: Ticket,
+        outcome: Outcome,
+        load: Option<wire::Load>,
+    ) -> TrackEvent {
         self.retry_reason = outcome.error;
         if outcome.retry_after.is_some() {
             self.retry_after = outcome.retry_after;
@@ -329,7 +381,7 @@
         if outcome.error.is_some() || self.is_plain() {
             let end = end_of(&outcome);
             let units = u64::from(outcome.error.is_none());
-            self.leave_route(end, None, units);
+            self.leave_route(end, load.as_ref(), units);
             return TrackEvent::Finished(ticket, outcome);
         }
         let finished = self
@@ -339,7 +391,10 @@
         match finished {
             Some(Ok(Arrival::OtherAttempt)) | None => TrackEvent::Tick,
             Some(Ok(_)) if self.assembly.as_ref().is_some_and(StreamAssembly::is_whole) => {
-                self.leave_route(AttemptEnd::Finished, None, outcome.total);
+                let units = self
+                    .pace
+                    .map_or(0, |pace| pace.tokens.saturating_sub(pace.told));
+                self.leave_route(AttemptEnd::Finished, load.as_ref(), units);
                 TrackEvent::Finished(ticket, outcome)
             }
             // Chunks were lost on the way, so the answer is not whole.
@@ -393,7 +448,7 @@
         let Some(route) = self.route.take() else {
             return;
         };
-        let since = self.first_word.unwrap_or(self.attempt_began);
+        let since = self.pace.map_or(self.attempt_began, |pace| pace.since);
         self.cx.ended(RouteEnd {
             key: route.key,
             end,
@@ -439,7 +494,7 @@
     let ticket = ticket.as_ref().and_then(wire::Ticket::typed)?;
     let word = match frame.body {
         Some(Body::Chunk(chunk)) => Word::Chunk(chunk),
-        Some(Body::Finish(finish)) => Word::Finished(ticket, outcome_of(&finish)),
+        Some(Body::Finish(finish)) => Word::Finished(ticket, outcome_of(&finish), finish.load),
         Some(Body::Buried(buried)) => Word::Buried(ticket, buried.ran().into()),
         _ => return None,
     };
--- a/crates/oleanderlock/src/endpoint_choice.rs
+++ b/crates/oleanderlock/src/endpoint_choice.rs
@@ -158,6 +158,12 @@
         }
     }
 
+    /// Returns whether an endpoint that is not among the `excluded` takes work for the target.
+    pub fn has_other(&self, target: &[u8], excluded: &[EndpointKey]) -> bool {
+        let mut others = self.arena.keys().filter(|key| !excluded.contains(key));
+        others.any(|key| self.at(key).takes_work() && self.at(key).serves(target))
+    }
+
     /// Returns the attempts in flight at the endpoint.
     pub fn in_flight(&self, key: EndpointKey) -> u32 {
         self.arena.get(key).map_or(0, |endpoint| endpoint.in_flight)
