Wait before a ticket is sent again over a broken connection

A send right after the break most often met a link that was not back yet, and the caller read "unknown" though the agent still had the outcome. The second send now waits 25 ms, doubled each time, up to six sends.

--- a/crates/oleanderlock/src/request_spec.rs
+++ b/crates/oleanderlock/src/request_spec.rs
@@ -9,6 +9,8 @@
     pub max_attempts: u32,
     /// Sends of one ticket at most, the first one included.
     pub max_sends: u32,
+    /// Time from a broken connection to the second send of a ticket; doubles with each further one.
+    pub resend_after: Millis,
     /// How long before the deadline the agent is asked to bury an attempt that has not started.
     pub bury_margin: Millis,
 }
@@ -17,7 +19,8 @@
     fn default() -> Self {
         Self {
             max_attempts: 3,
-            max_sends: 3,
+            max_sends: 6,
+            resend_after: Millis(25),
             bury_margin: Millis(50),
         }
     }
--- a/crates/oleanderlock/src/request_track.rs
+++ b/crates/oleanderlock/src/request_track.rs
@@ -12,6 +12,8 @@
 struct Attempt {
     ticket: Ticket,
     sends: u32,
+    /// When to send the ticket again, after a broken connection.
+    resend_at: Option<Millis>,
     started: bool,
 }
 
@@ -91,9 +93,9 @@
     /// Time of the next `Tick` that matters.
     pub fn wake_at(&self) -> Option<Millis> {
         match self.phase {
-            Phase::Waiting(attempt) if !attempt.started => Some(self.bury_at()),
+            Phase::Waiting(attempt) => Some(self.attempt_wake_at(attempt)),
+            Phase::Choosing | Phase::Burying(_) => Some(self.spec.deadline),
             Phase::Done => None,
-            _ => Some(self.spec.deadline),
         }
     }
 
@@ -108,16 +110,21 @@
             (Phase::Choosing, TrackEvent::NoRoute(kind)) => Some(self.fail(kind, self.past)),
             (Phase::Choosing, _) => None,
             (Phase::Waiting(attempt) | Phase::Burying(attempt), event) => {
-                self.step_attempt(attempt, event)
+                self.step_attempt(now, attempt, event)
             }
         }
     }
 
-    fn step_attempt(&mut self, attempt: Attempt, event: TrackEvent) -> Option<TrackAction> {
+    fn step_attempt(
+        &mut self,
+        now: Millis,
+        attempt: Attempt,
+        event: TrackEvent,
+    ) -> Option<TrackAction> {
         let current = |ticket| ticket == attempt.ticket || !self.guards.ticket;
         match event {
-            TrackEvent::NotSent(ticket) if current(ticket) => self.on_not_sent(attempt),
-            TrackEvent::Disconnected(ticket) if current(ticket) => self.on_disconnect(attempt),
+            TrackEvent::NotSent(ticket) if current(ticket) => self.on_not_sent(now, attempt),
+            TrackEvent::Disconnected(ticket) if current(ticket) => self.on_disconnect(now, attempt),
             TrackEvent::AgentGone(incarnation) if incarnation == attempt.ticket.incarnation => {
                 Some(self.on_lost(attempt))
             }
@@ -146,6 +153,7 @@
         self.phase = Phase::Waiting(Attempt {
             ticket,
             sends: 1,
+            resend_at: None,
             started: false,
         });
         TrackAction::Send(ticket)
@@ -155,6 +163,9 @@
         let Phase::Waiting(attempt) = phase else {
             return None;
         };
+        if attempt.resend_at.is_some_and(|at| now >= at) {
+            return Some(self.resend(attempt));
+        }
         if attempt.started || now < self.bury_at() {
             return None;
         }
@@ -162,27 +173,47 @@
         Some(TrackAction::Bury(attempt.ticket))
     }
 
+    fn attempt_wake_at(&self, attempt: Attempt) -> Millis {
+        let end = match attempt.started {
+            true => self.spec.deadline,
+            false => self.bury_at(),
+        };
+        attempt.resend_at.map_or(end, |at| at.min(end))
+    }
+
     fn bury_at(&self) -> Millis {
         self.spec.deadline.since(self.cfg.bury_margin)
     }
 
-    fn on_not_sent(&mut self, attempt: Attempt) -> Option<TrackAction> {
-        if attempt.sends == 1 && !attempt.started {
+    fn on_not_sent(&mut self, now: Millis, attempt: Attempt) -> Option<TrackAction> {
+        let never_sent = attempt.sends == 1 && attempt.resend_at.is_none() && !attempt.started;
+        if never_sent {
             return Some(self.retry_or_fail(ErrorKind::NoEndpoint, self.past));
         }
-        Some(self.on_lost(attempt))
+        self.on_disconnect(now, attempt)
     }
 
-    /// Sends the same ticket again, which attaches to the attempt or fetches its outcome.
-    fn on_disconnect(&mut self, attempt: Attempt) -> Option<TrackAction> {
+    fn on_disconnect(&mut self, now: Millis, attempt: Attempt) -> Option<TrackAction> {
         if self.spec.idempotent || attempt.sends >= self.cfg.max_sends {
             return Some(self.on_lost(attempt));
         }
+        let doublings = attempt.sends.saturating_sub(1).min(16);
+        let wait = Millis(self.cfg.resend_after.0 << doublings);
+        self.phase = Phase::Waiting(Attempt {
+            resend_at: Some(now.plus(wait)),
+            ..attempt
+        });
+        None
+    }
+
+    /// Sends the same ticket again, which attaches to the attempt or fetches its outcome.
+    fn resend(&mut self, attempt: Attempt) -> TrackAction {
         self.phase = Phase::Waiting(Attempt {
             sends: attempt.sends + 1,
+            resend_at: None,
             ..attempt
         });
-        Some(TrackAction::Send(attempt.ticket))
+        TrackAction::Send(attempt.ticket)
     }
 
     fn on_lost(&mut self, attempt: Attempt) -> TrackAction {
--- a/crates/oleanderlock/tests/request_support/request_world.rs
+++ b/crates/oleanderlock/tests/request_support/request_world.rs
@@ -61,6 +61,7 @@
         TrackConfig {
             max_attempts: 2,
             max_sends: 2,
+            resend_after: Millis(1),
             bury_margin: Millis(1),
         }
     }
