--- a/crates/oleanderlock/src/cursor.rs
+++ b/crates/oleanderlock/src/cursor.rs
@@ -82,6 +82,12 @@
         self.bits[(position / 8) as usize] |= mask(position);
     }
 
+    /// Adds all slots that `other` holds.
+    pub fn insert_all(&mut self, other: &Self) {
+        let pairs = self.bits.iter_mut().zip(&other.bits);
+        pairs.for_each(|(own, o)| *own |= o);
+    }
+
     /// Returns the number of slots held.
     pub fn held(&self) -> u32 {
         self.bits.iter().map(|byte| byte.count_ones()).sum()
--- a/crates/oleanderlock/src/sample_guards.rs
+++ b/crates/oleanderlock/src/sample_guards.rs
@@ -28,6 +28,8 @@
     pub skip_held: bool,
     /// Name in an answer's cursor only samples that the answer carries.
     pub delivered_only: bool,
+    /// Follow a pull whose cursor holds less than the one before.
+    pub follow_rewind: bool,
     /// Make a slot again when its payload is gone and the trainer does not have it.
     pub remake: bool,
     /// Check on the trainer's side that an answer follows its cursor.
@@ -50,6 +52,7 @@
         staleness: true,
         skip_held: true,
         delivered_only: true,
+        follow_rewind: true,
         remake: true,
         follows_cursor: true,
         judged_version: true,
--- a/crates/oleanderlock/src/step.rs
+++ b/crates/oleanderlock/src/step.rs
@@ -228,13 +228,13 @@
         slot.payload = None;
     }
 
-    fn acknowledge(&mut self, cursor: Cursor, actions: &mut Vec<StepAction>) {
-        if self
-            .held
-            .as_ref()
-            .is_some_and(|held| !cursor.includes(held))
-        {
+    fn acknowledge(&mut self, mut cursor: Cursor, actions: &mut Vec<StepAction>) {
+        let before = self.held.take();
+        if let Some(before) = before.filter(|before| !cursor.includes(before)) {
             actions.push(StepAction::Count(StepCount::Rewound));
+            if !self.terms.guards.follow_rewind {
+                cursor.insert_all(&before);
+            }
         }
         for position in 0..self.terms.shape.slots() {
             if self.terms.guards.skip_held && cursor.contains(position) {
--- a/crates/oleanderlock/tests/model_samples.rs
+++ b/crates/oleanderlock/tests/model_samples.rs
@@ -95,12 +95,13 @@
     search
 }
 
-fn assert_caught(search: &Search, invariant: &str) {
+fn assert_caught(name: &str, search: &Search, invariant: &str) {
     let broken = search
         .violation
         .as_ref()
         .map(|violation| violation.invariant);
     assert_eq!(broken, Some(invariant));
+    println!("mutation caught: {name}");
 }
 
 fn assert_holds(searches: &[Search]) {
@@ -177,6 +178,12 @@
         finish_every: 1,
         ..one.clone()
     };
+    let rewound = delivery::Bounds {
+        faults: 1,
+        max_version: 0,
+        faulty: is_network_or_trainer,
+        ..two.clone()
+    };
     let mutations = [
         (
             "cover",
@@ -250,6 +257,15 @@
             },
             CURSOR_LIES,
         ),
+        (
+            "follow_rewind",
+            &rewound,
+            SampleGuards {
+                follow_rewind: false,
+                ..all
+            },
+            CURSOR_LIES,
+        ),
         (
             "remake",
             &live,
@@ -262,7 +278,7 @@
     ];
     for (name, bounds, guards, invariant) in mutations {
         let search = search_delivery(&format!("without {name}"), bounds.clone(), guards);
-        assert_caught(&search, invariant);
+        assert_caught(name, &search, invariant);
     }
 }
 
@@ -333,7 +349,7 @@
     ];
     for (name, bounds, guards, invariant) in mutations {
         let search = search_stream(&format!("without {name}"), bounds.clone(), guards);
-        assert_caught(&search, invariant);
+        assert_caught(name, &search, invariant);
     }
 }
 
