--- /dev/null
+++ b/crates/oleanderlock/src/config_journal.rs
@@ -0,0 +1,237 @@
+//! The configuration that one process has in force.
+//!
+//! Objects are ordered by their last change in this process, and each change has an offset. A
+//! peer that names the offset up to which it has read gets what changed after it; the journal
+//! keeps only the last change of each object, so no offset is ever too old. Digests tell peers in
+//! one number whether they have the same configuration.
+//!
+//! Only a greater generation replaces an object, so nothing reverts, in whatever order and however
+//! often changes arrive.
+
+use crate::journal_cursors::JournalCursors;
+use crate::journal_messages::*;
+use crate::prelude::*;
+use crate::rendezvous::first_u64;
+use bytes::Bytes;
+use indexmap::IndexMap;
+
+/// Objects that a journal holds, deleted ones included.
+pub const MAX_OBJECTS: usize = 4096;
+/// Bytes of all values that a journal holds.
+pub const MAX_VALUE_BYTES: usize = 32 << 20;
+/// Values in one answer, unless a single one is larger.
+const MAX_ANSWER_BYTES: usize = 1 << 20;
+
+/// An object and the offset of its last change.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Kept {
+    generation: Generation,
+    value: Bytes,
+    offset: u64,
+}
+
+/// The objects in force in one process; holds at most [`MAX_OBJECTS`] and [`MAX_VALUE_BYTES`].
+#[derive(Clone, Debug)]
+pub struct ConfigJournal {
+    epoch: Incarnation,
+    offset: u64,
+    digest: u64,
+    /// Ordered by offset.
+    objects: IndexMap<String, Kept>,
+    value_bytes: usize,
+    cursors: JournalCursors,
+    refused: u64,
+}
+
+/// What became of the entries of a peer.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct JournalOutcome {
+    /// Names of the objects that changed.
+    pub changed: Vec<String>,
+    /// The next part, when the answer did not reach the end of the peer's journal.
+    pub fetch: Option<JournalFetch>,
+}
+
+impl ConfigJournal {
+    /// Returns an empty journal for a process that has just started as `epoch`.
+    pub fn new(epoch: Incarnation) -> Self {
+        Self {
+            epoch,
+            offset: 0,
+            digest: 0,
+            objects: IndexMap::new(),
+            value_bytes: 0,
+            cursors: JournalCursors::default(),
+            refused: 0,
+        }
+    }
+
+    /// Puts an object in force unless one of the same or a greater generation is. Returns whether
+    /// it did; the caller then tells its peers the new digest.
+    pub fn apply(&mut self, entry: JournalEntry) -> bool {
+        let earlier = self.objects.get(&entry.name);
+        if earlier.is_some_and(|kept| kept.generation >= entry.generation) {
+            return false;
+        }
+        let freed = earlier.map_or(0, |kept| kept.value.len());
+        let value_bytes = self.value_bytes - freed + entry.value.len();
+        let is_full = earlier.is_none() && self.objects.len() >= MAX_OBJECTS;
+        if is_full || value_bytes > MAX_VALUE_BYTES {
+            self.refused += 1;
+            return false;
+        }
+        self.value_bytes = value_bytes;
+        if let Some(kept) = self.objects.shift_remove(&entry.name) {
+            self.digest = self.digest.wrapping_sub(hash(&entry.name, kept.generation));
+        }
+        self.digest = self
+            .digest
+            .wrapping_add(hash(&entry.name, entry.generation));
+        self.offset += 1;
+        let kept = Kept {
+            generation: entry.generation,
+            value: entry.value,
+            offset: self.offset,
+        };
+        self.objects.insert(entry.name, kept);
+        true
+    }
+
+    /// Applies a whole listing of the store: an object that it lacks was deleted by `revision`,
+    /// unless its generation is greater. Returns the names of the objects that changed.
+    pub fn apply_listing(
+        &mut self,
+        revision: Generation,
+        listing: Vec<JournalEntry>,
+    ) -> Vec<String> {
+        let listed = |name: &str| listing.iter().any(|entry| entry.name == name);
+        let deleted: Vec<JournalEntry> = self
+            .objects
+            .iter()
+            .filter(|(name, kept)| !kept.value.is_empty() && !listed(name))
+            .map(|(name, _)| JournalEntry {
+                name: name.clone(),
+                generation: revision,
+                value: Bytes::new(),
+            })
+            .collect();
+        self.apply_all(listing.into_iter().chain(deleted))
+    }
+
+    fn apply_all(&mut self, entries: impl Iterator<Item = JournalEntry>) -> Vec<String> {
+        let mut changed = Vec::new();
+        for entry in entries {
+            let name = entry.name.clone();
+            if self.apply(entry) {
+                changed.push(name);
+            }
+        }
+        changed
+    }
+
+    /// Returns what to send with each heartbeat, and after each change.
+    pub fn digest(&self) -> JournalDigest {
+        JournalDigest {
+            epoch: self.epoch,
+            offset: self.offset,
+            digest: self.digest,
+        }
+    }
+
+    /// Compares a peer's digest with the own.
+    pub fn on_digest(
+        &mut self,
+        now: Millis,
+        peer: &str,
+        digest: JournalDigest,
+    ) -> Option<JournalAnswer> {
+        self.cursors.see(peer, digest);
+        if digest.digest == self.digest {
+            self.cursors.mark_equal(peer);
+            return None;
+        }
+        if self.cursors.is_behind(peer) {
+            return self.cursors.fetch(now, peer).map(JournalAnswer::Fetch);
+        }
+        let own = self.digest();
+        let may_tell = self.cursors.may_tell(now, peer);
+        may_tell.then_some(JournalAnswer::Tell(own))
+    }
+
+    /// Answers a fetch with as many changes as fit one message.
+    pub fn on_fetch(&self, fetch: JournalFetch) -> JournalEntries {
+        let same_epoch = fetch.epoch == self.epoch;
+        let after = if same_epoch { fetch.after } else { 0 };
+        let mut answer = JournalEntries {
+            epoch: self.epoch,
+            after,
+            upto: self.offset,
+            entries: Vec::new(),
+        };
+        let mut size = 0;
+        let first = self.objects.values().position(|kept| kept.offset > after);
+        for (name, kept) in self
+            .objects
+            .iter()
+            .skip(first.unwrap_or(self.objects.len()))
+        {
+            if size > 0 && size + kept.value.len() > MAX_ANSWER_BYTES {
+                answer.upto = kept.offset - 1;
+                break;
+            }
+            size += kept.value.len();
+            answer.entries.push(kept.entry(name));
+        }
+        answer
+    }
+
+    /// Puts in force what is newer among a peer's entries.
+    pub fn on_entries(
+        &mut self,
+        now: Millis,
+        peer: &str,
+        answer: JournalEntries,
+    ) -> JournalOutcome {
+        let changed = self.apply_all(answer.entries.into_iter());
+        let advanced = self
+            .cursors
+            .advance(peer, answer.epoch, answer.after, answer.upto);
+        let more = advanced && self.cursors.is_behind(peer);
+        let fetch = more.then(|| self.cursors.fetch(now, peer)).flatten();
+        JournalOutcome { changed, fetch }
+    }
+
+    /// Returns an object in force, or `None` when there is none or it was deleted.
+    pub fn get(&self, name: &str) -> Option<JournalEntry> {
+        let kept = self.objects.get(name)?;
+        (!kept.value.is_empty()).then(|| kept.entry(name))
+    }
+
+    /// Returns all entries, deleted objects included, for a snapshot on disk.
+    pub fn entries(&self) -> Vec<JournalEntry> {
+        let kept = self.objects.iter();
+        kept.map(|(name, kept)| kept.entry(name)).collect()
+    }
+
+    /// Counts the objects that were not taken because the journal was full.
+    pub fn refused(&self) -> u64 {
+        self.refused
+    }
+}
+
+impl Kept {
+    fn entry(&self, name: &str) -> JournalEntry {
+        JournalEntry {
+            name: name.to_owned(),
+            generation: self.generation,
+            value: self.value.clone(),
+        }
+    }
+}
+
+fn hash(name: &str, generation: Generation) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&generation.0.to_le_bytes());
+    hasher.update(name.as_bytes());
+    first_u64(hasher.finalize())
+}
--- /dev/null
+++ b/crates/oleanderlock/src/journal_cursors.rs
@@ -0,0 +1,109 @@
+//! How far the journal of each peer has been read.
+
+use crate::journal_messages::{JournalDigest, JournalFetch};
+use crate::prelude::*;
+use indexmap::IndexMap;
+
+/// Peers of which a cursor is kept; the oldest is forgotten first, which costs one snapshot.
+const MAX_CURSORS: usize = 512;
+/// A fetch without an answer is sent again after this long.
+const FETCH_RETRY_MS: u64 = 1000;
+/// Least time between two digests told to one peer in answer to its own.
+const TELL_INTERVAL_MS: u64 = 1000;
+
+/// Position in the journal of one peer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Cursor {
+    epoch: Incarnation,
+    /// Everything up to here was applied.
+    read: u64,
+    /// Last offset that the peer named.
+    head: u64,
+    fetched_at: Option<Millis>,
+    told_at: Option<Millis>,
+}
+
+/// Positions in the journals of all peers; holds at most 512.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct JournalCursors {
+    cursors: IndexMap<String, Cursor>,
+}
+
+impl JournalCursors {
+    /// Notes what a peer says of itself.
+    pub(crate) fn see(&mut self, peer: &str, digest: JournalDigest) {
+        let cursor = self.cursor(peer);
+        if cursor.epoch != digest.epoch {
+            *cursor = Cursor {
+                epoch: digest.epoch,
+                ..Cursor::default()
+            };
+        }
+        cursor.head = cursor.head.max(digest.offset);
+    }
+
+    /// Notes that the peer has nothing that this process lacks.
+    pub(crate) fn mark_equal(&mut self, peer: &str) {
+        let cursor = self.cursor(peer);
+        cursor.read = cursor.head;
+        cursor.fetched_at = None;
+    }
+
+    /// Notes that changes were applied. Returns false, and notes nothing, when they leave a gap
+    /// or belong to another epoch.
+    pub(crate) fn advance(
+        &mut self,
+        peer: &str,
+        epoch: Incarnation,
+        after: u64,
+        upto: u64,
+    ) -> bool {
+        let cursor = self.cursor(peer);
+        if cursor.epoch != epoch || after > cursor.read {
+            return false;
+        }
+        cursor.read = cursor.read.max(upto);
+        cursor.fetched_at = None;
+        true
+    }
+
+    /// Tells whether the peer has changes that were not applied.
+    pub(crate) fn is_behind(&mut self, peer: &str) -> bool {
+        let cursor = self.cursor(peer);
+        cursor.read < cursor.head
+    }
+
+    /// Returns the fetch to send, or `None` while an earlier one may still be answered.
+    pub(crate) fn fetch(&mut self, now: Millis, peer: &str) -> Option<JournalFetch> {
+        let cursor = self.cursor(peer);
+        if waits(cursor.fetched_at, now, FETCH_RETRY_MS) {
+            return None;
+        }
+        cursor.fetched_at = Some(now);
+        Some(JournalFetch {
+            epoch: cursor.epoch,
+            after: cursor.read,
+        })
+    }
+
+    /// Tells whether the peer may be told the own digest now, and notes that it was.
+    pub(crate) fn may_tell(&mut self, now: Millis, peer: &str) -> bool {
+        let cursor = self.cursor(peer);
+        if waits(cursor.told_at, now, TELL_INTERVAL_MS) {
+            return false;
+        }
+        cursor.told_at = Some(now);
+        true
+    }
+
+    fn cursor(&mut self, peer: &str) -> &mut Cursor {
+        if !self.cursors.contains_key(peer) && self.cursors.len() >= MAX_CURSORS {
+            self.cursors.shift_remove_index(0);
+        }
+        self.cursors.entry(peer.to_owned()).or_default()
+    }
+}
+
+fn waits(since: Option<Millis>, now: Millis, interval_ms: u64) -> bool {
+    since.is_some_and(|at| now.since(at) < Millis(interval_ms))
+}
