--- a/Makefile
+++ b/Makefile
@@ -12,5 +12,10 @@
 	cargo clippy --workspace --all-targets --locked -- -D warnings
 
 test: setup
+	cargo build --workspace --bins --locked
 	cargo test --workspace --locked
 
+
+demo: setup
+	cargo build --release --workspace --bins --locked
+	cargo run --release --locked -p oleander-load --bin oleander-demo
