--- a/crates/oleanderlock/src/config_journal.rs
+++ b/crates/oleanderlock/src/config_journal.rs
@@ -8,10 +8,10 @@
 //! Only a greater generation replaces an object, so nothing reverts, in whatever order and however
 //! often changes arrive.
 
+use crate::affinity_score::{hash_bytes, score};
 use crate::journal_cursors::JournalCursors;
 use crate::journal_messages::*;
 use crate::prelude::*;
-use crate::rendezvous::first_u64;
 use bytes::Bytes;
 use indexmap::IndexMap;
 
@@ -230,8 +230,5 @@
 }
 
 fn hash(name: &str, generation: Generation) -> u64 {
-    let mut hasher = blake3::Hasher::new();
-    hasher.update(&generation.0.to_le_bytes());
-    hasher.update(name.as_bytes());
-    first_u64(hasher.finalize())
+    score(hash_bytes(name.as_bytes()), generation.0)
 }
