--- a/crates/oleander-daemon/src/entry_control.rs
+++ b/crates/oleander-daemon/src/entry_control.rs
@@ -115,8 +115,8 @@
         let entries = wire::JournalEntries {
             epoch: 0,
             offset: 0,
-            snapshot: true,
             entries: self.config.entries().cloned().collect(),
+            after: 0,
         };
         let _ = self.cx.peers.send(link, Body::JournalEntries(entries));
     }
@@ -135,14 +135,13 @@
                 name: object.name,
                 generation: object.version,
                 value: object.value?.into(),
-                offset: 0,
             })
         });
         let entries = wire::JournalEntries {
             epoch: 0,
             offset: objects.revision,
-            snapshot: false,
             entries: entries.collect(),
+            after: 0,
         };
         self.take_config(&entries);
     }
