--- a/crates/oleander-daemon/src/agent_control.rs
+++ b/crates/oleander-daemon/src/agent_control.rs
@@ -3,7 +3,7 @@
 use crate::agent_cx::AgentCx;
 use crate::agent_event::{AgentEvent, AgentSummary, Probe, SwapReport};
 use crate::attempt::{Attempt, AttemptEnd, Waiter};
-use crate::config_state::ConfigState;
+use crate::config_desk::ConfigDesk;
 use crate::engine_client::SwapEnd;
 use crate::prelude::*;
 use indexmap::IndexMap;
@@ -13,8 +13,10 @@
 use oleanderlock::request_outcome::Outcome;
 use oleanderlock::work::{AdmissionAction, Refusal, Verdict, Work};
 
-/// Time between two reports to an entry.
-const REPORT_EVERY: Millis = Millis(1000);
+/// Time between two looks for silent entries.
+const LOOK_EVERY: Millis = Millis(1000);
+/// Time to come back after a refusal that admission did not make.
+const REFUSED_RETRY: Millis = Millis(1000);
 /// Time after which an entry that says nothing gets no more reports.
 const ENTRY_SILENT: Millis = Millis::from_secs(10);
 
@@ -40,8 +42,10 @@
     attempts: IndexMap<Ticket, Attempt>,
     /// Entries by link address, with the time of their last word.
     entries: IndexMap<String, Millis>,
-    config: ConfigState,
-    report_due: Millis,
+    config: ConfigDesk,
+    /// The agent's state changed since the last report to all.
+    report_wanted: bool,
+    look_due: Millis,
     probe: Option<Probe>,
     quarantined: bool,
     swapping: bool,
@@ -61,8 +65,9 @@
             admission: Admission::new(AdmissionConfig::for_capacity(capacity)),
             attempts: IndexMap::new(),
             entries: IndexMap::new(),
-            config: ConfigState::default(),
-            report_due: Millis::ZERO,
+            config: ConfigDesk::new(incarnation),
+            report_wanted: false,
+            look_due: Millis::ZERO,
             probe: None,
             quarantined: false,
             swapping: false,
@@ -97,7 +102,12 @@
             Some(Body::Cancel(cancel)) => self.cancel(now, &cancel),
             Some(Body::Bury(bury)) => self.bury(now, &from, &bury),
             Some(Body::Hello(hello)) => self.hello(now, from, &hello),
-            Some(Body::JournalEntries(entries)) => self.take_config(now, &entries),
+            Some(Body::JournalEntries(entries)) => self.take_config(now, &from, entries),
+            Some(Body::JournalDigest(digest)) => self.compare(now, &from, &digest),
+            Some(Body::JournalFetch(fetch)) => {
+                let entries = self.config.on_fetch(&fetch);
+                self.cx.send(&from, entries);
+            }
             Some(Body::WeightOrder(order)) => self.order_weights(from, order),
             Some(Body::DrainOrder(_)) => self.leave(now),
             _ => self.cx.metrics.count("frame-unexpected"),
@@ -151,7 +161,7 @@
                     ticket,
                     Refusal {
                         error,
-                        retry_after: REPORT_EVERY,
+                        retry_after: REFUSED_RETRY,
                     },
                 );
             }
@@ -307,28 +317,32 @@
         );
     }
 
+    /// Answers each word of an entry with a report, so that both know that the other is there.
     fn hello(&mut self, now: Millis, from: String, hello: &wire::Hello) {
-        if hello.config_digest != self.config.digest() {
-            let fetch = wire::JournalFetch {
-                epoch: 0,
-                offset: 0,
-            };
-            self.cx.send(&from, Body::JournalFetch(fetch));
-        }
-        let is_new = self.entries.insert(from.clone(), now).is_none();
-        if is_new {
-            self.report_to(now, &from);
+        self.compare(now, &from, &hello.config.unwrap_or_default());
+        self.report_to(now, &from);
+        self.entries.insert(from, now);
+    }
+
+    fn compare(&mut self, now: Millis, from: &str, digest: &wire::JournalDigest) {
+        if let Some(reply) = self.config.on_digest(now, from, digest) {
+            self.cx.send(from, reply);
         }
     }
 
-    fn take_config(&mut self, now: Millis, entries: &wire::JournalEntries) {
-        if !self.config.take(entries) {
+    fn take_config(&mut self, now: Millis, from: &str, entries: wire::JournalEntries) {
+        let outcome = self.config.on_entries(now, from, entries);
+        if let Some(reply) = outcome.reply {
+            self.cx.send(from, reply);
+        }
+        if !outcome.changed {
             return;
         }
         self.admission
             .set_classes(&self.config.contracts().grants());
         self.plan_swap(now);
-        log::info!("event=config digest={:016x}", self.config.digest());
+        let digest = self.config.digest().digest;
+        log::info!("event=config digest={digest:016x}");
         self.report_to_all(now);
     }
 
@@ -422,7 +436,7 @@
                 self.quarantined = true;
             }
         }
-        self.report_due = Millis::ZERO;
+        self.report_wanted = true;
         self.plan_swap(now);
         if !report.entry.is_empty() {
             self.send_status(&report);
@@ -451,7 +465,7 @@
             self.quarantined = self.cx.is_engine() && (!probe.up || probe.version.is_none());
         }
         if changed {
-            self.report_due = Millis::ZERO;
+            self.report_wanted = true;
             self.plan_swap(now);
         }
     }
@@ -461,8 +475,11 @@
         let actions = self.admission.tick(now);
         self.act(now, actions);
         self.start_planned_swap(now);
-        if now >= self.report_due {
+        if now >= self.look_due {
+            self.look_due = now.plus(LOOK_EVERY);
             self.drop_silent_entries(now);
+        }
+        if self.report_wanted {
             self.report_to_all(now);
         }
     }
@@ -484,7 +501,7 @@
     }
 
     fn report_to_all(&mut self, now: Millis) {
-        self.report_due = now.plus(REPORT_EVERY);
+        self.report_wanted = false;
         for entry in self.entries.keys() {
             self.report_to(now, entry);
         }
@@ -499,7 +516,7 @@
             targets: self.cx.cfg.targets.clone(),
             version: version.unwrap_or_default().0,
             version_unknown: self.cx.is_engine() && version.is_none(),
-            config_digest: self.config.digest(),
+            config: Some(self.config.digest()),
             clock_ms: now.0,
             name: self.cx.cfg.node.name.clone(),
         };
@@ -575,7 +592,7 @@
             running: load.running,
             queued: load.queued,
             records: self.ledger.len(),
-            config_digest: format!("{:016x}", self.config.digest()),
+            config_digest: format!("{:016x}", self.config.digest().digest),
         }
     }
 }
--- /dev/null
+++ b/crates/oleander-daemon/src/agent_heard.rs
@@ -0,0 +1,80 @@
+//! What an agent said of itself.
+
+use crate::prelude::*;
+use bytes::Bytes;
+use oleanderlock::agent_clock::AgentClock;
+use oleanderlock::endpoint::{EndpointKey, EndpointReport, EndpointState};
+use oleanderlock::load::Load;
+
+/// What one incarnation of an agent said of itself.
+#[derive(Clone, Debug)]
+pub struct AgentHeard {
+    /// The endpoint in the entry's arena.
+    pub key: EndpointKey,
+    /// The incarnation.
+    pub incarnation: Incarnation,
+    /// The agent's clock.
+    pub clock: AgentClock,
+    /// Weight version; `None` when there is none or it is unknown.
+    pub version: Option<Version>,
+    /// Whether it takes work.
+    pub state: EndpointState,
+    /// Digest of its configuration.
+    pub config_digest: u64,
+    /// Models and services that it serves.
+    pub targets: Vec<Bytes>,
+}
+
+impl AgentHeard {
+    /// Starts with the first report of an incarnation.
+    pub fn new(
+        key: EndpointKey,
+        incarnation: Incarnation,
+        now: Millis,
+        report: &wire::Report,
+    ) -> Self {
+        Self {
+            key,
+            incarnation,
+            clock: AgentClock::new(Millis(report.clock_ms), now),
+            version: None,
+            state: EndpointState::Serving,
+            config_digest: 0,
+            targets: Vec::new(),
+        }
+    }
+
+    /// Takes a report and returns it as the endpoint choice reads it.
+    pub fn take(&mut self, now: Millis, report: &wire::Report) -> EndpointReport {
+        self.clock.observe(Millis(report.clock_ms), now);
+        let is_known = !report.version_unknown && report.version > 0;
+        self.version = is_known.then_some(Version(report.version));
+        self.state = state_of(report.state());
+        self.config_digest = report.config.unwrap_or_default().digest;
+        let targets = report.targets.iter();
+        self.targets = targets.map(|target| Bytes::from(target.clone())).collect();
+        EndpointReport {
+            state: self.state,
+            load: report.load.as_ref().map(load_of).unwrap_or_default(),
+            version: self.version,
+        }
+    }
+}
+
+fn state_of(state: wire::AgentState) -> EndpointState {
+    match state {
+        wire::AgentState::Serving => EndpointState::Serving,
+        wire::AgentState::Leaving => EndpointState::Leaving,
+        wire::AgentState::Quarantined => EndpointState::Quarantined,
+    }
+}
+
+/// Reads the load of a message.
+pub fn load_of(load: &wire::Load) -> Load {
+    Load {
+        running: load.running,
+        queued: load.queued,
+        capacity: load.capacity,
+        wait: Millis(load.wait_ms),
+    }
+}
--- a/crates/oleander-daemon/src/agent_table.rs
+++ b/crates/oleander-daemon/src/agent_table.rs
@@ -1,210 +1,266 @@
 //! The agents that an entry uses, and the choice among them.
 
+use crate::agent_heard::AgentHeard;
 use crate::entry_event::{AgentView, Route, RouteEnd, RouteProgress};
 use crate::entry_settings::EntryConfig;
 use crate::instance_list::{ListedInstance, ListedState};
 use crate::prelude::*;
 use bytes::Bytes;
-use indexmap::IndexMap;
-use oleanderlock::agent_clock::AgentClock;
+use indexmap::{IndexMap, IndexSet};
 use oleanderlock::choice_request::ChoiceRequest;
-use oleanderlock::endpoint::{
-    EndpointKey, EndpointReport, EndpointState, EndpointTerms, Proximity,
-};
+use oleanderlock::endpoint::{EndpointKey, EndpointState, EndpointTerms, Proximity};
 use oleanderlock::endpoint_choice::{ChoiceConfig, EndpointChoice};
-use oleanderlock::load::Load;
+use oleanderlock::member::MemberState;
+use oleanderlock::membership::{Listed, MemberAction, Membership};
+use oleanderlock::membership_config::MembershipConfig;
+use oleanderlock::subset::{Candidate, SubsetSize, choose_subset};
 
-/// Silence after which an agent is suspected.
-const SUSPECT_AFTER: Millis = Millis(3000);
-/// Silence after which an agent is taken to be gone.
-const GONE_AFTER: Millis = Millis(10_000);
+/// Agents that an entry uses; a smaller fleet is used whole.
+const SUBSET: usize = 24;
+/// Greatest jitter of probes, in thousandths.
+const JITTER_MAX: u64 = 1000;
 
-/// One agent.
+/// One agent that the entry uses.
 struct Agent {
-    name: String,
-    domain: String,
-    region: String,
-    leaving: bool,
-    heard: Option<Heard>,
-}
-
-/// What an agent said of itself.
-struct Heard {
-    key: EndpointKey,
-    incarnation: Incarnation,
-    clock: AgentClock,
-    at: Millis,
-    version: Option<Version>,
-    state: EndpointState,
-    suspected: bool,
-    config_digest: u64,
-    targets: Vec<Bytes>,
+    listed: ListedInstance,
+    heard: Option<AgentHeard>,
 }
 
-/// An agent that is no longer listed.
+/// What the owner of the table must do.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct DroppedAgent {
-    /// Link address.
-    pub link: String,
-    /// The incarnation last heard.
-    pub incarnation: Option<Incarnation>,
+pub enum TableAction {
+    /// Dial the link and say hello.
+    Use(String),
+    /// Forget the link.
+    Forget(String),
+    /// Say hello, which the agent answers at once.
+    Probe(String),
+    /// The incarnation is gone.
+    Gone(Incarnation),
 }
 
 /// Agents by link address; bounded by the platform's list.
 pub struct AgentTable {
+    own_name: String,
     domain: String,
     region: String,
     agents: IndexMap<String, Agent>,
+    /// All agents of the list by name; those that are not in the subset can be used on demand.
+    fleet: IndexMap<String, ListedInstance>,
+    /// Names of agents outside of the subset that keyed requests need.
+    wanted: IndexSet<String>,
     choice: EndpointChoice,
+    members: Membership,
 }
 
 impl AgentTable {
     /// Creates an empty table.
     pub fn new(cfg: &EntryConfig) -> Self {
         Self {
+            own_name: cfg.node.name.clone(),
             domain: cfg.node.domain.clone(),
             region: cfg.node.region.clone(),
             agents: IndexMap::new(),
+            fleet: IndexMap::new(),
+            wanted: IndexSet::new(),
             choice: EndpointChoice::new(ChoiceConfig { policy: cfg.policy }),
+            members: Membership::new(MembershipConfig::default()),
         }
     }
 
-    /// Takes the platform's list; returns the agents that are no longer on it.
-    pub fn listed(&mut self, now: Millis, listed: &[ListedInstance]) -> Vec<DroppedAgent> {
-        for instance in listed {
-            let agent = self
-                .agents
-                .entry(instance.link.clone())
-                .or_insert_with(|| Agent {
-                    name: instance.name.clone(),
-                    domain: instance.domain.clone(),
-                    region: instance.region.clone(),
-                    leaving: false,
-                    heard: None,
-                });
-            agent.leaving = instance.state == ListedState::Leaving;
+    /// Takes the platform's list of agents; `entries` are the names of all entries.
+    pub fn listed<'a>(
+        &mut self,
+        now: Millis,
+        listed: Vec<ListedInstance>,
+        entries: impl Iterator<Item = &'a str>,
+    ) -> Vec<TableAction> {
+        let by_name = listed.into_iter().map(|one| (one.name.clone(), one));
+        self.fleet = by_name.collect();
+        let entries: Vec<Bytes> = entries.map(|name| Bytes::from(name.to_owned())).collect();
+        let chosen = self.subset(&entries);
+        let rows: Vec<Listed> = chosen.iter().map(row).collect();
+        let mut actions = Vec::new();
+        for instance in chosen {
+            self.use_agent(instance, &mut actions);
         }
-        let gone = |link: &&String| !listed.iter().any(|instance| instance.link == **link);
-        let gone: Vec<String> = self.agents.keys().filter(gone).cloned().collect();
-        gone.into_iter()
-            .filter_map(|link| self.drop_silent(now, link))
-            .collect()
+        let changes = self.members.on_list(now, &rows);
+        self.act(changes, &mut actions);
+        actions
     }
 
-    /// The list lags, so an agent that still reports stays.
-    fn drop_silent(&mut self, now: Millis, link: String) -> Option<DroppedAgent> {
-        let heard = self.agents.get(&link)?.heard.as_ref();
-        if heard.is_some_and(|heard| now.since(heard.at) < SUSPECT_AFTER) {
-            return None;
+    /// Uses the agent with this name, although it is not in the subset.
+    pub fn want(&mut self, name: &str) -> Vec<TableAction> {
+        let mut actions = Vec::new();
+        if let Some(instance) = self.fleet.get(name).cloned() {
+            self.wanted.insert(name.to_owned());
+            self.use_agent(instance, &mut actions);
         }
-        let agent = self.agents.swap_remove(&link)?;
-        let incarnation = agent.heard.as_ref().map(|heard| heard.incarnation);
-        if let Some(heard) = agent.heard {
-            self.choice.remove(heard.key);
+        actions
+    }
+
+    fn use_agent(&mut self, instance: ListedInstance, actions: &mut Vec<TableAction>) {
+        let link = instance.link.clone();
+        match self.agents.get_mut(&link) {
+            Some(agent) => agent.listed = instance,
+            None => {
+                actions.push(TableAction::Use(link.clone()));
+                let agent = Agent {
+                    listed: instance,
+                    heard: None,
+                };
+                self.agents.insert(link, agent);
+            }
+        }
+    }
+
+    /// Chooses the agents to use among all that are listed.
+    fn subset(&self, entries: &[Bytes]) -> Vec<ListedInstance> {
+        if self.fleet.len() <= SUBSET {
+            return self.fleet.values().cloned().collect();
         }
-        Some(DroppedAgent { link, incarnation })
+        let candidate = |instance: &ListedInstance| Candidate {
+            instance: Bytes::from(instance.name.clone()),
+            domain: Bytes::from(instance.domain.clone()),
+            // The list does not tell what an agent serves.
+            target: Bytes::new(),
+        };
+        let candidates: Vec<Candidate> = self.fleet.values().map(candidate).collect();
+        let own = Bytes::from(self.own_name.clone());
+        let size = SubsetSize { per_target: SUBSET };
+        let chosen = choose_subset(&own, entries, &candidates, size);
+        let chosen = chosen.into_iter().map(|index| &self.fleet[index]);
+        let wanted = self.wanted.iter().filter_map(|name| self.fleet.get(name));
+        let all: IndexMap<&String, &ListedInstance> =
+            chosen.chain(wanted).map(|one| (&one.name, one)).collect();
+        all.into_values().cloned().collect()
     }
 
-    /// Takes an agent's report; returns the incarnation that it replaces.
+    /// Takes an agent's report.
     pub fn reported(
         &mut self,
         now: Millis,
         link: &str,
         incarnation: Incarnation,
         report: &wire::Report,
-    ) -> Option<Incarnation> {
-        let agent = self.agents.get_mut(link)?;
-        let replaced = agent
-            .heard
-            .take_if(|heard| heard.incarnation != incarnation);
-        if let Some(old) = &replaced {
+    ) -> Vec<TableAction> {
+        let Some(agent) = self.agents.get_mut(link) else {
+            return Vec::new();
+        };
+        let mut actions = Vec::new();
+        let name = agent.listed.name.clone();
+        let other = |heard: &mut AgentHeard| heard.incarnation != incarnation;
+        if let Some(old) = agent.heard.take_if(other) {
             self.choice.remove(old.key);
+            actions.push(TableAction::Gone(old.incarnation));
         }
-        let terms = terms(&self.domain, &self.region, agent, report);
+        let terms = terms(&self.domain, &self.region, &agent.listed, report);
         let choice = &mut self.choice;
-        let heard = agent.heard.get_or_insert_with(|| Heard {
-            key: choice.insert(now, terms.clone()),
-            incarnation,
-            clock: AgentClock::new(Millis(report.clock_ms), now),
-            at: now,
-            version: None,
-            state: EndpointState::Serving,
-            suspected: false,
-            config_digest: 0,
-            targets: Vec::new(),
+        let heard = agent.heard.get_or_insert_with(|| {
+            let key = choice.insert(now, terms.clone());
+            AgentHeard::new(key, incarnation, now, report)
         });
-        heard.clock.observe(Millis(report.clock_ms), now);
-        heard.at = now;
-        heard.version =
-            (!report.version_unknown && report.version > 0).then_some(Version(report.version));
-        heard.state = match agent.leaving {
-            true => EndpointState::Leaving,
-            false => state_of(report.state()),
-        };
-        heard.suspected = false;
-        heard.config_digest = report.config_digest;
-        heard.targets.clone_from(&terms.targets);
-        let endpoint = EndpointReport {
-            state: heard.state,
-            load: report.load.as_ref().map(load_of).unwrap_or_default(),
-            version: heard.version,
-        };
+        let endpoint = heard.take(now, report);
         choice.amend(heard.key, terms);
-        choice.suspect(heard.key, false);
         choice.report(now, heard.key, endpoint);
-        replaced.map(|old| old.incarnation)
+        let is_leaving = heard.state == EndpointState::Leaving;
+        let changes = match is_leaving {
+            true => self.members.on_leaving(now, &name, incarnation),
+            false => self.members.on_heard(now, &name, incarnation),
+        };
+        self.act(changes, &mut actions);
+        self.show_standing(link);
+        actions
     }
 
-    /// Suspects an agent whose connection broke.
-    pub fn disconnected(&mut self, link: &str) {
-        let heard = self
-            .agents
-            .get_mut(link)
-            .and_then(|agent| agent.heard.as_mut());
-        if let Some(heard) = heard {
-            heard.suspected = true;
-            self.choice.suspect(heard.key, true);
+    /// Takes the news that the link to an agent broke.
+    pub fn disconnected(&mut self, now: Millis, link: &str) -> Vec<TableAction> {
+        let Some(agent) = self.agents.get(link) else {
+            return Vec::new();
+        };
+        let name = agent.listed.name.clone();
+        let changes = self.members.on_link_broken(now, &name);
+        let mut actions = Vec::new();
+        self.act(changes, &mut actions);
+        actions
+    }
+
+    /// Takes the news that the link to an agent stands.
+    pub fn connected(&mut self, now: Millis, link: &str) {
+        if let Some(agent) = self.agents.get(link) {
+            self.members.on_link_up(now, &agent.listed.name);
         }
     }
 
-    /// Suspects silent agents; returns the incarnations that are gone.
-    pub fn tick(&mut self, now: Millis) -> Vec<Incarnation> {
+    /// Judges silence and the endpoints' standing.
+    pub fn tick(&mut self, now: Millis) -> Vec<TableAction> {
         self.choice.tick(now);
-        let mut gone = Vec::new();
-        for agent in self.agents.values_mut() {
-            let Some(heard) = agent.heard.as_mut() else {
-                continue;
-            };
-            let silence = now.since(heard.at);
-            if silence >= SUSPECT_AFTER && !heard.suspected {
-                heard.suspected = true;
-                self.choice.suspect(heard.key, true);
-            }
-            if silence >= GONE_AFTER {
-                gone.push(heard.incarnation);
-                self.choice.remove(heard.key);
-                agent.heard = None;
+        let changes = self.members.tick(now, rand::random_range(0..=JITTER_MAX));
+        let mut actions = Vec::new();
+        self.act(changes, &mut actions);
+        actions
+    }
+
+    fn act(&mut self, changes: Vec<MemberAction>, actions: &mut Vec<TableAction>) {
+        for change in changes {
+            match change {
+                MemberAction::Probe { name } => {
+                    actions.extend(self.link_of(&name).map(TableAction::Probe));
+                }
+                MemberAction::Changed { name, state } => {
+                    log::info!("event=agent-state agent={name} state={state}");
+                    self.changed(&name, state, actions);
+                }
             }
         }
-        gone
     }
 
-    /// Tells whether every listed agent that is not leaving was heard.
+    fn changed(&mut self, name: &str, state: MemberState, actions: &mut Vec<TableAction>) {
+        let Some(link) = self.link_of(name) else {
+            return;
+        };
+        if state != MemberState::Gone {
+            return self.show_standing(&link);
+        }
+        let heard = self.agents[&link].heard.take();
+        if let Some(heard) = heard {
+            self.choice.remove(heard.key);
+            actions.push(TableAction::Gone(heard.incarnation));
+        }
+        if self.members.get(name).is_none() {
+            self.agents.swap_remove(&link);
+            self.wanted.swap_remove(name);
+            actions.push(TableAction::Forget(link));
+        }
+    }
+
+    /// Tells the choice whether an agent takes new work.
+    fn show_standing(&mut self, link: &str) {
+        let Some(agent) = self.agents.get(link) else {
+            return;
+        };
+        let Some(heard) = &agent.heard else { return };
+        let member = self.members.get(&agent.listed.name);
+        let is_there = member.is_some_and(|member| member.state == MemberState::There);
+        self.choice.suspect(heard.key, !is_there);
+    }
+
+    fn link_of(&self, name: &str) -> Option<String> {
+        let mut agents = self.agents.iter();
+        let found = agents.find(|(_, agent)| agent.listed.name == name);
+        found.map(|(link, _)| link.clone())
+    }
+
+    /// Tells whether every agent in use that is not leaving was heard.
     pub fn all_heard(&self) -> bool {
-        let mut expected = self
-            .agents
-            .values()
-            .filter(|agent| !agent.leaving)
-            .peekable();
+        let staying = |agent: &&Agent| agent.listed.state == ListedState::Live;
+        let mut expected = self.agents.values().filter(staying).peekable();
         expected.peek().is_some() && expected.all(|agent| agent.heard.is_some())
     }
 
     /// Tells whether any agent is known to serve the target.
     pub fn serves(&self, target: &[u8]) -> bool {
-        let mut heard = self
-            .agents
-            .values()
-            .filter_map(|agent| agent.heard.as_ref());
+        let mut heard = self.all_that_were_heard();
         heard.any(|heard| heard.targets.iter().any(|served| served == target))
     }
 
@@ -218,12 +274,8 @@
 
     /// Returns the way to an incarnation and counts the attempt there.
     pub fn locate(&mut self, now: Millis, incarnation: Incarnation) -> Option<Route> {
-        let found = self
-            .agents
-            .values()
-            .filter_map(|agent| agent.heard.as_ref());
-        let mut found = found.filter(|heard| heard.incarnation == incarnation);
-        let key = found.next()?.key;
+        let is_it = |heard: &&AgentHeard| heard.incarnation == incarnation;
+        let key = self.all_that_were_heard().find(is_it)?.key;
         self.choice.started(now, key);
         self.route_of(key)
     }
@@ -269,19 +321,15 @@
 
     fn view(&self, link: &str, agent: &Agent) -> AgentView {
         let heard = agent.heard.as_ref();
-        let state = heard.map_or_else(
-            || "unheard".to_owned(),
-            |heard| {
-                if heard.suspected {
-                    "suspected".to_owned()
-                } else {
-                    heard.state.to_string()
-                }
-            },
-        );
+        let member = self.members.get(&agent.listed.name);
+        let state = match (heard, member.map(|member| member.state)) {
+            (None, _) => "unheard".to_owned(),
+            (Some(heard), Some(MemberState::There) | None) => heard.state.to_string(),
+            (Some(_), Some(state)) => state.to_string(),
+        };
         AgentView {
-            name: agent.name.clone(),
-            domain: agent.domain.clone(),
+            name: agent.listed.name.clone(),
+            domain: agent.listed.domain.clone(),
             link: link.to_owned(),
             state,
             incarnation: heard.map(|heard| heard.incarnation.to_string()),
@@ -301,16 +349,35 @@
             let heard = agent.heard.as_ref().filter(|heard| heard.key == key)?;
             Some(Route {
                 key,
-                name: agent.name.clone(),
+                name: agent.listed.name.clone(),
                 link: link.clone(),
                 incarnation: heard.incarnation,
                 clock: heard.clock,
             })
         })
     }
+
+    fn all_that_were_heard(&self) -> impl Iterator<Item = &AgentHeard> {
+        self.agents
+            .values()
+            .filter_map(|agent| agent.heard.as_ref())
+    }
 }
 
-fn terms(domain: &str, region: &str, agent: &Agent, report: &wire::Report) -> EndpointTerms {
+fn row(instance: &ListedInstance) -> Listed {
+    Listed {
+        name: instance.name.clone(),
+        domain: instance.domain.clone(),
+        leaving: instance.state == ListedState::Leaving,
+    }
+}
+
+fn terms(
+    domain: &str,
+    region: &str,
+    agent: &ListedInstance,
+    report: &wire::Report,
+) -> EndpointTerms {
     let proximity = if agent.domain == domain {
         Proximity::Domain
     } else if agent.region == region {
@@ -318,33 +385,17 @@
     } else {
         Proximity::Remote
     };
-    let digest = blake3::hash(agent.name.as_bytes());
-    let identity = u64::from_be_bytes(digest.as_bytes()[..8].try_into().unwrap_or_default());
-    let targets = report
-        .targets
-        .iter()
-        .map(|target| Bytes::from(target.clone()));
+    let targets = report.targets.iter();
     EndpointTerms {
-        identity,
+        identity: identity(&agent.name),
         proximity,
-        targets: targets.collect(),
+        targets: targets.map(|target| Bytes::from(target.clone())).collect(),
     }
 }
 
-fn state_of(state: wire::AgentState) -> EndpointState {
-    match state {
-        wire::AgentState::Serving => EndpointState::Serving,
-        wire::AgentState::Leaving => EndpointState::Leaving,
-        wire::AgentState::Quarantined => EndpointState::Quarantined,
-    }
-}
-
-/// Reads the load of a message.
-pub fn load_of(load: &wire::Load) -> Load {
-    Load {
-        running: load.running,
-        queued: load.queued,
-        capacity: load.capacity,
-        wait: Millis(load.wait_ms),
-    }
+/// Returns a hash of the instance name, the same at every entry.
+fn identity(name: &str) -> u64 {
+    let mut word = [0; 8];
+    word.copy_from_slice(&blake3::hash(name.as_bytes()).as_bytes()[..8]);
+    u64::from_be_bytes(word)
 }
--- a/crates/oleander-daemon/src/completions.rs
+++ b/crates/oleander-daemon/src/completions.rs
@@ -147,6 +147,7 @@
         prefix: Some(prefix_of(&body.prompt)),
         cost: max_tokens,
         horizon: None,
+        agent: None,
     })
 }
 
--- a/crates/oleander-daemon/src/contracts_in_force.rs
+++ b/crates/oleander-daemon/src/contracts_in_force.rs
@@ -25,6 +25,11 @@
         true
     }
 
+    /// Takes a deleted contract out of force.
+    pub fn remove(&mut self, name: &str) {
+        self.contracts.shift_remove(name);
+    }
+
     /// Returns the contract that covers a class.
     pub fn of_class(&self, class: &str) -> Option<&Arc<Contract>> {
         self.contracts
--- a/crates/oleander-daemon/src/entry.rs
+++ b/crates/oleander-daemon/src/entry.rs
@@ -15,6 +15,7 @@
 use crate::request_run;
 use crate::runtime::{self, HttpServer};
 use crate::store_client::StoreClient;
+use crate::watch_switch::WatchSwitch;
 use oleander_link::{Delivery, LinkKeys, Mailbox};
 use oleanderlock::issued_key::KeySecrets;
 use std::sync::Arc;
@@ -58,6 +59,7 @@
             peers,
             inflight,
             store,
+            watch: WatchSwitch::default(),
             refusals: RefusalLog::default(),
             secrets: Arc::new(secrets(&cfg)),
             events: events.clone(),
@@ -69,9 +71,13 @@
             cx.cfg.node.list.clone(),
             events.clone(),
         ));
-        runtime::spawn(entry_loops::watch_config(cx.store.clone(), events.clone()));
+        runtime::spawn(entry_loops::watch_config(
+            cx.store.clone(),
+            cx.watch.clone(),
+            events.clone(),
+        ));
         log::info!("event=open role=entry incarnation={incarnation}");
-        let mut state = EntryControl::new(cx);
+        let mut state = EntryControl::new(cx, incarnation);
         let control = runtime::spawn_control(inbox, move |event| state.handle(event))?;
         Ok(Self {
             events,
--- /dev/null
+++ b/crates/oleander-daemon/src/entry_control_choice.rs
@@ -0,0 +1,122 @@
+//! What an entry does to place an attempt: choice, retries, and agents named by keys.
+
+use crate::entry_control::{EntryControl, SETTLE_LIMIT};
+use crate::entry_event::{ChooseCall, LocateCall, NoRoute, Route};
+use crate::prelude::*;
+use oleanderlock::choice_request::ChoiceRequest;
+use oleanderlock::retry_budget::RetryDecision;
+use oleanderlock::weigh::Weigh;
+
+/// Time to come back when nothing is known of the endpoints.
+const NO_ENDPOINT_RETRY: Millis = Millis(500);
+/// Longest wait for an agent that a key names and that was not heard yet.
+const LOCATE_LIMIT: Millis = Millis(500);
+
+impl EntryControl {
+    /// Decides on a retry, if it is one, and answers the request for an endpoint.
+    pub(crate) fn choose(&mut self, now: Millis, call: ChooseCall) {
+        match self.decide(now, &call) {
+            RetryDecision::Retry(Millis::ZERO) => self.answer(now, call),
+            RetryDecision::Retry(after) => self.retries.hold(now.plus(after), call),
+            RetryDecision::GiveUp(refusal) => {
+                let _ = call.reply.try_send(Err(NoRoute {
+                    kind: refusal.error,
+                    retry_after: refusal.retry_after,
+                }));
+            }
+        }
+    }
+
+    fn decide(&mut self, now: Millis, call: &ChooseCall) -> RetryDecision {
+        let Some(contract) = self.config.contracts().of_class(&call.class) else {
+            return RetryDecision::Retry(Millis::ZERO);
+        };
+        let has_other = self.agents.has_other(&call.target, &call.excluded);
+        self.retries.decide(now, contract, call, has_other)
+    }
+
+    /// Answers a request for an endpoint, or holds it back while the agents are not heard yet.
+    fn answer(&mut self, now: Millis, call: ChooseCall) {
+        let answer = self.route(now, &call);
+        if answer.is_err() && !self.is_settled(now) {
+            self.held.push(call);
+            return;
+        }
+        if answer.is_err() {
+            self.cx.metrics.count("no-route");
+        }
+        let _ = call.reply.try_send(answer);
+    }
+
+    pub(crate) fn choose_held(&mut self, now: Millis) {
+        for call in std::mem::take(&mut self.held) {
+            self.answer(now, call);
+        }
+    }
+
+    pub(crate) fn choose_due(&mut self, now: Millis) {
+        while let Some(call) = self.retries.due(now) {
+            self.answer(now, call);
+        }
+    }
+
+    /// A new entry knows its agents once all that are listed were heard, or after a while.
+    pub(crate) fn is_settled(&self, now: Millis) -> bool {
+        let warm = now.since(self.opened) >= SETTLE_LIMIT;
+        warm || self.agents.all_heard()
+    }
+
+    fn route(&mut self, now: Millis, call: &ChooseCall) -> Result<Route, NoRoute> {
+        let contract = self.config.contracts().of_class(&call.class);
+        let weigh = contract.map_or(Weigh::Idle, |contract| contract.weigh);
+        let req = ChoiceRequest {
+            target: &call.target,
+            prefix: call.prefix,
+            deadline: call.deadline,
+            kind: call.kind,
+            weigh,
+            excluded: &call.excluded,
+            draw: rand::random(),
+        };
+        if !self.agents.serves(&call.target) {
+            return Err(no_route(ErrorKind::UnknownTarget));
+        }
+        let anywhere = ChoiceRequest {
+            excluded: &[],
+            ..req
+        };
+        let route = self.agents.choose(now, &req);
+        let route = route.or_else(|| self.agents.choose(now, &anywhere));
+        route.ok_or(no_route(ErrorKind::NoEndpoint))
+    }
+
+    /// Finds the agent that a key names; one outside of the subset is dialled first.
+    pub(crate) fn locate(&mut self, now: Millis, call: LocateCall) {
+        if let Some(route) = self.agents.locate(now, call.incarnation) {
+            let _ = call.reply.try_send(Some(route));
+            return;
+        }
+        let actions = self.agents.want(&call.agent);
+        self.act(actions);
+        self.locating.push(call);
+    }
+
+    /// Answers the requests for agents that are known by now, or were waited for long enough.
+    pub(crate) fn locate_held(&mut self, now: Millis) {
+        for call in std::mem::take(&mut self.locating) {
+            let route = self.agents.locate(now, call.incarnation);
+            if route.is_some() || now.since(call.asked) >= LOCATE_LIMIT {
+                let _ = call.reply.try_send(route);
+                continue;
+            }
+            self.locating.push(call);
+        }
+    }
+}
+
+fn no_route(kind: ErrorKind) -> NoRoute {
+    NoRoute {
+        kind,
+        retry_after: NO_ENDPOINT_RETRY,
+    }
+}
--- /dev/null
+++ b/crates/oleander-daemon/src/entry_control_fleet.rs
@@ -0,0 +1,125 @@
+//! What an entry does about other processes: reports, configuration, lists and links.
+
+use crate::agent_table::TableAction;
+use crate::entry_control::EntryControl;
+use crate::instance_list::{ListedInstance, Role};
+use crate::prelude::*;
+
+impl EntryControl {
+    pub(crate) fn frame(&mut self, now: Millis, frame: wire::Frame) {
+        let incarnation = Incarnation(frame.incarnation);
+        let from = frame.from;
+        match frame.body {
+            Some(Body::Report(report)) => self.reported(now, &from, incarnation, &report),
+            Some(Body::Hello(hello)) => {
+                let digest = hello.config.unwrap_or_default();
+                self.entries.heard(&from, digest.digest);
+                self.compare(now, &from, &digest);
+            }
+            Some(Body::JournalDigest(digest)) => self.compare(now, &from, &digest),
+            Some(Body::JournalFetch(fetch)) => {
+                let entries = self.config.on_fetch(&fetch);
+                self.send(&from, entries);
+            }
+            Some(Body::JournalEntries(entries)) => {
+                let outcome = self.config.on_entries(now, &from, entries);
+                if let Some(reply) = outcome.reply {
+                    self.send(&from, reply);
+                }
+                self.spread(outcome.changed);
+            }
+            _ => self.cx.metrics.count("frame-unexpected"),
+        }
+    }
+
+    fn reported(
+        &mut self,
+        now: Millis,
+        link: &str,
+        incarnation: Incarnation,
+        report: &wire::Report,
+    ) {
+        let actions = self.agents.reported(now, link, incarnation, report);
+        self.act(actions);
+        self.compare(now, link, &report.config.unwrap_or_default());
+        self.choose_held(now);
+        self.locate_held(now);
+    }
+
+    fn compare(&mut self, now: Millis, link: &str, digest: &wire::JournalDigest) {
+        if let Some(reply) = self.config.on_digest(now, link, digest) {
+            self.send(link, reply);
+        }
+    }
+
+    /// Peers compare digests, so a word to each spreads a change at once.
+    pub(crate) fn spread(&mut self, changed: bool) {
+        if !changed {
+            return;
+        }
+        let digest = self.config.digest().digest;
+        log::info!("event=config digest={digest:016x}");
+        self.hello_due = Millis::ZERO;
+    }
+
+    pub(crate) fn listed(&mut self, now: Millis, instances: Vec<ListedInstance>) {
+        let own = &self.cx.cfg.node.link;
+        let (entries, agents): (Vec<_>, Vec<_>) = instances
+            .into_iter()
+            .filter(|instance| instance.link != *own)
+            .partition(|instance| instance.role == Role::Entry);
+        for link in self.entries.listed(&entries) {
+            self.cx.peers.forget(&link);
+        }
+        for link in self.entries.gossip() {
+            let _ = self.cx.peers.dial(link);
+        }
+        self.cx.watch.set(self.entries.is_watcher());
+        let actions = self.agents.listed(now, agents, self.entries.names());
+        self.act(actions);
+    }
+
+    pub(crate) fn peer_changed(&mut self, now: Millis, change: &PeerChange) {
+        if change.connected {
+            self.agents.connected(now, &change.peer);
+            self.hello_to(&change.peer);
+            return;
+        }
+        let actions = self.agents.disconnected(now, &change.peer);
+        self.act(actions);
+        self.cx.inflight.disconnected(&change.peer);
+    }
+
+    pub(crate) fn act(&self, actions: Vec<TableAction>) {
+        for action in actions {
+            match action {
+                TableAction::Use(link) => drop(self.cx.peers.dial(&link)),
+                TableAction::Forget(link) => self.cx.peers.forget(&link),
+                TableAction::Probe(link) => self.hello_to(&link),
+                TableAction::Gone(incarnation) => {
+                    log::warn!("event=agent-gone incarnation={incarnation}");
+                    self.cx.inflight.gone(incarnation);
+                }
+            }
+        }
+    }
+
+    pub(crate) fn say_hello(&self) {
+        for link in self.agents.links().chain(self.entries.gossip()) {
+            self.hello_to(link);
+        }
+    }
+
+    fn hello_to(&self, link: &str) {
+        let hello = wire::Hello {
+            domain: self.cx.cfg.node.domain.clone(),
+            config: Some(self.config.digest()),
+        };
+        let _ = self.cx.peers.send_connected(link, Body::Hello(hello));
+    }
+
+    /// Sends a message; one that can't be sent is made up for by the next comparison.
+    fn send(&self, link: &str, body: Body) {
+        let _ = self.cx.peers.send(link, body);
+    }
+}
--- a/crates/oleander-daemon/src/entry_cx.rs
+++ b/crates/oleander-daemon/src/entry_cx.rs
@@ -1,7 +1,7 @@
 //! What the traffic of an entry acts through.
 
 use crate::entry_event::{
-    ChooseCall, EntryEvent, NoRoute, Route, RouteEnd, RouteProgress, Terms, TermsCall,
+    ChooseCall, EntryEvent, LocateCall, NoRoute, Route, RouteEnd, RouteProgress, Terms, TermsCall,
 };
 use crate::entry_settings::EntryConfig;
 use crate::inflight::Inflight;
@@ -10,6 +10,7 @@
 use crate::prelude::*;
 use crate::refusal_log::RefusalLog;
 use crate::store_client::StoreClient;
+use crate::watch_switch::WatchSwitch;
 use async_channel::Sender;
 use oleanderlock::attempt_end::AttemptEnd;
 use oleanderlock::issued_key::KeySecrets;
@@ -29,6 +30,8 @@
     pub inflight: Inflight,
     /// The platform's object API.
     pub store: StoreClient,
+    /// Whether this process watches the store.
+    pub watch: WatchSwitch,
     /// The latest refusals.
     pub refusals: RefusalLog,
     /// Binds the keys that callers chose.
@@ -60,11 +63,17 @@
         rx.recv().await.unwrap_or(Err(stopping))
     }
 
-    /// Asks the control thread for the way to an incarnation.
-    pub async fn locate(&self, incarnation: Incarnation) -> Option<Route> {
-        self.ask(|tx| EntryEvent::Locate(incarnation, tx))
-            .await
-            .flatten()
+    /// Asks the control thread for the way to an incarnation of an agent.
+    pub async fn locate(&self, incarnation: Incarnation, agent: &str) -> Option<Route> {
+        let ask = |reply| {
+            EntryEvent::Locate(LocateCall {
+                incarnation,
+                agent: agent.to_owned(),
+                asked: now(),
+                reply,
+            })
+        };
+        self.ask(ask).await.flatten()
     }
 
     /// Asks the control thread for the terms of a class or service.
--- a/crates/oleander-daemon/src/entry_event.rs
+++ b/crates/oleander-daemon/src/entry_event.rs
@@ -25,15 +25,17 @@
     /// A request needs an endpoint.
     Choose(ChooseCall),
     /// A request must go to one incarnation.
-    Locate(Incarnation, Sender<Option<Route>>),
+    Locate(LocateCall),
     /// An attempt made progress.
     Progress(RouteProgress),
     /// An attempt was not sent, or it ended.
     Ended(RouteEnd),
     /// The platform's list was read.
     Listed(Vec<ListedInstance>),
-    /// Configuration objects were read from the store; all of them if `whole`.
-    Stored(ObjectList),
+    /// All configuration objects of the store.
+    StoreListing(ObjectList),
+    /// Configuration objects that changed in the store.
+    StoreChanges(ObjectList),
     /// Someone asks which contract covers a class or service.
     Terms(TermsCall),
     /// Someone asks for the fleet.
@@ -74,6 +76,19 @@
     pub retry_after: Millis,
 }
 
+/// A request for the way to one incarnation.
+#[derive(Debug)]
+pub struct LocateCall {
+    /// The incarnation.
+    pub incarnation: Incarnation,
+    /// Name of its agent.
+    pub agent: String,
+    /// When it was asked for.
+    pub asked: Millis,
+    /// Gets the way, or `None` when the incarnation can't be reached.
+    pub reply: Sender<Option<Route>>,
+}
+
 /// Why there is no endpoint, and when to come back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct NoRoute {
--- a/crates/oleander-daemon/src/entry_loops.rs
+++ b/crates/oleander-daemon/src/entry_loops.rs
@@ -5,6 +5,7 @@
 use crate::instance_list;
 use crate::prelude::*;
 use crate::store_client::{StoreClient, StoreError};
+use crate::watch_switch::WatchSwitch;
 use rand::Rng;
 use std::sync::mpsc::Sender;
 use std::time::Duration;
@@ -30,20 +31,23 @@
     }
 }
 
-/// Follows the configuration objects in the store until the control thread has ended.
-pub async fn watch_config(store: StoreClient, events: Sender<EntryEvent>) {
+/// Follows the configuration objects in the store, while the switch is on, until the control
+/// thread has ended.
+pub async fn watch_config(store: StoreClient, switch: WatchSwitch, events: Sender<EntryEvent>) {
     let mut position = None;
     let mut wait = BACKOFF_MIN;
     loop {
-        let answer = match position {
-            None => store.list(CONFIG_PREFIX).await,
-            Some(after) => store.watch(CONFIG_PREFIX, after, WATCH_WAIT).await,
-        };
-        match answer {
-            Ok(objects) => {
+        if !switch.is_on() {
+            // What happens meanwhile comes from peers, and from a listing later.
+            position = None;
+            pause(BACKOFF_MAX).await;
+            continue;
+        }
+        match look(&store, position).await {
+            Ok(Look { revision, event }) => {
                 wait = BACKOFF_MIN;
-                position = Some(objects.revision);
-                if events.send(EntryEvent::Stored(objects)).is_err() {
+                position = Some(revision);
+                if events.send(event).is_err() {
                     return;
                 }
             }
@@ -59,6 +63,27 @@
     }
 }
 
+/// One answer of the store.
+struct Look {
+    revision: u64,
+    event: EntryEvent,
+}
+
+async fn look(store: &StoreClient, position: Option<u64>) -> Result<Look, StoreError> {
+    let Some(after) = position else {
+        let objects = store.list(CONFIG_PREFIX).await?;
+        return Ok(Look {
+            revision: objects.revision,
+            event: EntryEvent::StoreListing(objects),
+        });
+    };
+    let objects = store.watch(CONFIG_PREFIX, after, WATCH_WAIT).await?;
+    Ok(Look {
+        revision: objects.revision,
+        event: EntryEvent::StoreChanges(objects),
+    })
+}
+
 /// Waits between half and the whole of `longest`, so that entries do not come back together.
 async fn pause(longest: Millis) {
     let length = rand::rng().random_range(longest.0 / 2..=longest.0);
--- a/crates/oleander-daemon/src/key_use.rs
+++ b/crates/oleander-daemon/src/key_use.rs
@@ -18,10 +18,12 @@
 const STORE_RETRY: Millis = Millis(500);
 
 /// The only place at which a request with a key may run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct KeyUse {
     /// Identity of the request, the same for all calls with the key.
     pub request: RequestId,
+    /// Name of the agent.
+    pub agent: String,
     /// The only incarnation that may run it.
     pub incarnation: Incarnation,
     /// End of use on the agent's clock.
@@ -75,6 +77,7 @@
         Ok(Self {
             request: key.request_id(),
             incarnation: key.incarnation,
+            agent: key.agent,
             horizon: key.expires,
         })
     }
@@ -106,6 +109,7 @@
         Ok(Self {
             request: key.request_id(),
             incarnation: bound.incarnation,
+            agent: bound.agent,
             horizon: bound.horizon,
         })
     }
--- /dev/null
+++ b/crates/oleander-daemon/src/peer_entries.rs
@@ -0,0 +1,100 @@
+//! The other entries, as one entry knows them.
+
+use crate::entry_event::EntryView;
+use crate::instance_list::{ListedInstance, ListedState};
+use crate::node_settings::NodeConfig;
+use indexmap::IndexMap;
+use oleanderlock::site::Site;
+use oleanderlock::watcher_choice::{WatcherCounts, gossip_peers, is_watcher};
+
+/// One other entry.
+#[derive(Clone, Debug)]
+struct PeerEntry {
+    site: Site,
+    digest: Option<u64>,
+}
+
+/// Other entries by link address; bounded by the platform's list.
+pub struct PeerEntries {
+    own: Site,
+    entries: IndexMap<String, PeerEntry>,
+    /// Links of the entries with which this one compares its configuration.
+    gossip: Vec<String>,
+}
+
+impl PeerEntries {
+    /// Creates an empty table.
+    pub fn new(node: &NodeConfig) -> Self {
+        Self {
+            own: Site::new(&node.name, &node.domain),
+            entries: IndexMap::new(),
+            gossip: Vec::new(),
+        }
+    }
+
+    /// Takes the platform's list; returns the links to forget.
+    pub fn listed(&mut self, listed: &[ListedInstance]) -> Vec<String> {
+        let live = |one: &&ListedInstance| one.state == ListedState::Live;
+        let live: Vec<&ListedInstance> = listed.iter().filter(live).collect();
+        let old_links: Vec<String> = self.gossip.clone();
+        self.entries
+            .retain(|link, _| live.iter().any(|one| one.link == *link));
+        for instance in &live {
+            let site = Site::new(&instance.name, &instance.domain);
+            let fresh = PeerEntry { site, digest: None };
+            self.entries.entry(instance.link.clone()).or_insert(fresh);
+        }
+        self.choose_gossip();
+        old_links
+            .into_iter()
+            .filter(|link| !self.gossip.contains(link))
+            .collect()
+    }
+
+    fn choose_gossip(&mut self) {
+        let sites: Vec<Site> = self.sites();
+        let chosen = gossip_peers(&self.own, &sites, WatcherCounts::default());
+        let is_chosen = |peer: &PeerEntry| chosen.contains(&peer.site);
+        let links = self.entries.iter().filter(|(_, peer)| is_chosen(peer));
+        self.gossip = links.map(|(link, _)| link.clone()).collect();
+    }
+
+    /// Tells whether this entry is among the watchers of its failure domain.
+    pub fn is_watcher(&self) -> bool {
+        is_watcher(&self.own, &self.sites(), WatcherCounts::default())
+    }
+
+    /// Returns the links of the entries with which this one compares its configuration.
+    pub fn gossip(&self) -> &[String] {
+        &self.gossip
+    }
+
+    /// Notes the digest that an entry named.
+    pub fn heard(&mut self, link: &str, digest: u64) {
+        if let Some(peer) = self.entries.get_mut(link) {
+            peer.digest = Some(digest);
+        }
+    }
+
+    /// Returns the names of all entries, the own one included.
+    pub fn names(&self) -> impl Iterator<Item = &str> {
+        let others = self.entries.values().map(|peer| peer.site.name.as_str());
+        others.chain(std::iter::once(self.own.name.as_str()))
+    }
+
+    /// Describes the entries for people.
+    pub fn views(&self) -> Vec<EntryView> {
+        let views = self.entries.values().map(|peer| EntryView {
+            name: peer.site.name.clone(),
+            config_digest: peer.digest.map(|digest| format!("{digest:016x}")),
+        });
+        views.collect()
+    }
+
+    fn sites(&self) -> Vec<Site> {
+        self.entries
+            .values()
+            .map(|peer| peer.site.clone())
+            .collect()
+    }
+}
--- a/crates/oleander-daemon/src/plain_calls.rs
+++ b/crates/oleander-daemon/src/plain_calls.rs
@@ -95,7 +95,8 @@
         route: format!("POST {path}"),
         prefix: None,
         cost: 1,
-        horizon: place.map(|place| place.horizon),
+        horizon: place.as_ref().map(|place| place.horizon),
+        agent: place.map(|place| place.agent),
     })
 }
 
--- a/crates/oleander-daemon/src/request_run.rs
+++ b/crates/oleander-daemon/src/request_run.rs
@@ -1,6 +1,6 @@
 //! Runs one request at an entry, over all its attempts.
 
-use crate::agent_table::load_of;
+use crate::agent_heard::load_of;
 use crate::entry_cx::EntryCx;
 use crate::entry_event::{ChooseCall, Failed, Route, RouteEnd, RouteProgress};
 use crate::inflight::{Inflight, Word, Words};
@@ -51,6 +51,8 @@
     pub fingerprint: u64,
     /// End of use of the request's key on the agent's clock; `None` without a key.
     pub horizon: Option<Millis>,
+    /// Name of the agent that the request's key names.
+    pub agent: Option<String>,
 }
 
 /// The end of a request.
@@ -230,7 +232,8 @@
             .as_ref()
             .is_none_or(|route| route.incarnation != ticket.incarnation)
         {
-            match self.cx.locate(ticket.incarnation).await {
+            let agent = self.req.agent.as_deref().unwrap_or_default();
+            match self.cx.locate(ticket.incarnation, agent).await {
                 Some(route) => self.take_route(route),
                 None => return Some(TrackEvent::NotSent(ticket)),
             }
--- a/crates/oleander-daemon/src/step_task.rs
+++ b/crates/oleander-daemon/src/step_task.rs
@@ -316,6 +316,7 @@
             cost: sample.tokens,
             fingerprint: 0,
             horizon: None,
+            agent: None,
         })
     }
 }
