--- a/crates/oleander-load/src/caller.rs
+++ b/crates/oleander-load/src/caller.rs
@@ -5,11 +5,12 @@
 use crate::stream_plan::{PlannedCall, Work};
 use async_channel::Sender;
 use oleander_daemon::http_fault::ErrorBody;
-use oleander_standins::api::{Api, Reply};
+use oleander_standins::api::{Api, ApiError, Reply};
 use oleander_standins::judge;
 use serde::Deserialize;
 use serde_json::json;
 use smol::Timer;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -74,9 +75,8 @@
     }
 
     async fn call(&self, number: usize) {
-        let api = &self.entries[number % self.entries.len()];
         let work = &self.calls[number].work;
-        let end = match api.send(self.conn(api, work)).await {
+        let end = match self.send(number, work).await {
             Ok(reply) => end_of(work, &reply),
             Err(_) => CallEnd::Broken,
         };
@@ -88,6 +88,21 @@
         let _ = self.ended.try_send(outcome);
     }
 
+    /// Sends a call as a balancer does: to each entry in turn, and to the next one only when a
+    /// connection was refused, so that nothing was sent.
+    async fn send(&self, number: usize, work: &Work) -> Result<Reply, ApiError> {
+        let mut tried = 0;
+        loop {
+            let api = &self.entries[(number + tried) % self.entries.len()];
+            let sent = api.send(self.conn(api, work)).await;
+            tried += 1;
+            match sent {
+                Err(e) if is_refused(&e) && tried < self.entries.len() => {}
+                sent => return sent,
+            }
+        }
+    }
+
     fn conn(&self, api: &Api, work: &Work) -> Conn {
         let conn = match (&self.cfg.target, work) {
             (StreamTarget::Completion { model, .. }, Work::Completion { prompt, tokens }) => {
@@ -106,6 +121,13 @@
     }
 }
 
+fn is_refused(error: &ApiError) -> bool {
+    let ApiError::Broken(trillium_client::Error::Io(error)) = error else {
+        return false;
+    };
+    error.kind() == ErrorKind::ConnectionRefused
+}
+
 fn end_of(work: &Work, reply: &Reply) -> CallEnd {
     if reply.status == 200 {
         return if is_whole(work, reply) {
