--- /dev/null
+++ b/crates/oleanderlock/src/weight_worker.rs
@@ -0,0 +1,67 @@
+//! What the planner of weight orders knows of one worker.
+
+use crate::prelude::*;
+use serde::{Deserialize, Serialize};
+
+/// The weight version that a worker last reported.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum LoadedVersion {
+    /// The engine serves this version.
+    Known(Version),
+    /// A swap failed and the engine has not found out; it serves nothing.
+    Unknown,
+}
+
+/// What a worker says of its weights.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WeightReport {
+    /// What the engine serves.
+    pub loaded: LoadedVersion,
+    /// The version that the engine is loading, whoever ordered it.
+    pub loading: Option<Version>,
+}
+
+/// An order that was sent and is not settled.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct OpenOrder {
+    pub(crate) version: Version,
+    pub(crate) sent_at: Millis,
+}
+
+/// One worker of a model.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct WeightWorker {
+    pub(crate) loaded: LoadedVersion,
+    pub(crate) loading: Option<Version>,
+    pub(crate) order: Option<OpenOrder>,
+    /// Failed swaps since the last one that took effect.
+    pub(crate) failures: u32,
+    pub(crate) retry_at: Millis,
+}
+
+impl WeightWorker {
+    pub(crate) fn new(report: WeightReport) -> Self {
+        Self {
+            loaded: report.loaded,
+            loading: report.loading,
+            order: None,
+            failures: 0,
+            retry_at: Millis::ZERO,
+        }
+    }
+
+    /// Tells whether the worker serves at least `version`.
+    pub(crate) fn has(&self, version: Version) -> bool {
+        matches!(self.loaded, LoadedVersion::Known(loaded) if loaded >= version)
+    }
+
+    /// Tells whether the worker may be out of service.
+    pub(crate) fn is_out(&self) -> bool {
+        self.is_loading() || self.loaded == LoadedVersion::Unknown
+    }
+
+    /// Tells whether the worker loads a version, or was ordered to.
+    pub(crate) fn is_loading(&self) -> bool {
+        self.order.is_some() || self.loading.is_some()
+    }
+}
