--- /dev/null
+++ b/crates/oleanderlock/tests/snapshots.rs
@@ -0,0 +1,110 @@
+//! Snapshot files: only a whole file of this deployment and format is believed.
+
+use bytes::Bytes;
+use oleanderlock::config_journal::ConfigJournal;
+use oleanderlock::journal_messages::JournalEntry;
+use oleanderlock::prelude::*;
+use oleanderlock::snapshot::{SnapshotFault, decode, encode};
+
+fn entry(name: &str, generation: u64, value: &str) -> JournalEntry {
+    JournalEntry {
+        name: name.to_owned(),
+        generation: Generation(generation),
+        value: Bytes::copy_from_slice(value.as_bytes()),
+    }
+}
+
+fn entries() -> Vec<JournalEntry> {
+    vec![
+        entry("config/contracts/kalahari", 7, "weigh = idle\n"),
+        entry("config/versions/advisor", 12, "41"),
+        entry("config/contracts/old", 9, ""),
+    ]
+}
+
+fn file() -> Vec<u8> {
+    encode("windhoek", entries()).expect("text").to_vec()
+}
+
+#[test]
+fn a_whole_file_reads_as_written() {
+    assert_eq!(decode("windhoek", &file()), Ok(entries()));
+    assert_eq!(
+        decode("windhoek", &encode("windhoek", vec![]).unwrap()),
+        Ok(vec![])
+    );
+}
+
+#[test]
+fn a_file_cut_anywhere_is_not_believed() {
+    let file = file();
+    for end in 0..file.len() {
+        assert!(decode("windhoek", &file[..end]).is_err(), "cut at {end}");
+    }
+    let mut longer = file.clone();
+    longer.push(b' ');
+    assert!(matches!(
+        decode("windhoek", &longer),
+        Err(SnapshotFault::Length { .. })
+    ));
+}
+
+#[test]
+fn a_file_with_any_changed_bit_is_not_believed() {
+    let file = file();
+    for at in 0..file.len() * 8 {
+        let mut changed = file.clone();
+        changed[at / 8] ^= 1 << (at % 8);
+        assert!(decode("windhoek", &changed).is_err(), "bit {at}");
+    }
+    // A tail of zeros, as a crash before the flush leaves it.
+    let mut zeros = file.clone();
+    zeros[60..].fill(0);
+    assert_eq!(decode("windhoek", &zeros), Err(SnapshotFault::Checksum));
+}
+
+#[test]
+fn foreign_files_are_named_as_such() {
+    assert_eq!(
+        decode("bangkok", &file()),
+        Err(SnapshotFault::Foreign {
+            found: "windhoek".to_owned()
+        })
+    );
+    let mut newer = file();
+    newer[8] = 2;
+    assert_eq!(
+        decode("windhoek", &newer),
+        Err(SnapshotFault::FormatVersion { found: 2 })
+    );
+    assert_eq!(
+        decode("windhoek", b"[settings]\n"),
+        Err(SnapshotFault::NotASnapshot)
+    );
+    let binary = JournalEntry {
+        value: Bytes::from_static(&[0xff]),
+        ..entry("a", 1, "")
+    };
+    assert_eq!(
+        encode("windhoek", vec![binary]),
+        Err(SnapshotFault::Malformed)
+    );
+}
+
+#[test]
+fn an_old_file_reverts_nothing() {
+    let mut journal = ConfigJournal::new(Incarnation(1));
+    journal.apply(entry("config/versions/advisor", 13, "42"));
+    for old in decode("windhoek", &file()).unwrap() {
+        journal.apply(old);
+    }
+    let version = journal.get("config/versions/advisor").unwrap();
+    assert_eq!(version.value, "42");
+    assert!(journal.get("config/contracts/kalahari").is_some());
+    assert_eq!(
+        decode("windhoek", &encode("windhoek", journal.entries()).unwrap())
+            .unwrap()
+            .len(),
+        3
+    );
+}
