--- a/Makefile
+++ b/Makefile
@@ -22,3 +22,6 @@
 # Explores the models to their deep bounds and prints states, depth, time and memory.
 model-check: setup
 	cargo test --release --locked -p oleanderlock --test 'model_*' -- --ignored --nocapture --test-threads=1
+
+capacity: setup
+	cargo run --release --locked -p oleander-load --bin oleander-capacity -- all
