Stop entries without a cut: answer on until the balancer has noticed

Rolling restarts of all entries and agents under orders and a trainer: before, 1 of 738 orders met a broken connection. Cause: an idle entry closed its listener at once on SIGTERM, and a connection in the system's backlog was reset. Ruled out: agents (the break was at entry-1's stop) and answers in flight. Now a stopping entry is not ready but answers for lame-duck (1 s), and the test's callers ask readiness, as the balancer does. New tests: racing operators, lost answers, restarts and starts during a store outage, rolling restarts.

--- a/crates/oleander-daemon/src/entry_control.rs
+++ b/crates/oleander-daemon/src/entry_control.rs
@@ -118,13 +118,16 @@
         self.stopping_since = Some(now);
     }
 
-    /// A stopping entry ends when nothing is in flight, or at the contract's limit.
+    /// A stopping entry ends when the balancer has had time to notice and nothing is in flight, or
+    /// at the contract's limit.
     fn may_end(&self, now: Millis) -> bool {
         let Some(since) = self.stopping_since else {
             return false;
         };
         let limit = self.config.contracts().drain().unwrap_or(self.cx.cfg.drain);
-        self.cx.metrics.in_flight() == 0 || now.since(since) >= limit
+        let waited = now.since(since);
+        let is_idle = self.cx.metrics.in_flight() == 0 && waited >= self.cx.cfg.lame_duck;
+        is_idle || waited >= limit
     }
 
     fn summary(&self) -> FleetSummary {
--- a/crates/oleander-daemon/src/entry_settings.rs
+++ b/crates/oleander-daemon/src/entry_settings.rs
@@ -21,12 +21,17 @@
     pub data: Option<PathBuf>,
     /// Longest graceful shutdown while no contract names one.
     pub drain: Millis,
+    /// Time for which a stopping entry still answers, so that the balancer notices that it is not
+    /// ready before connections are refused.
+    pub lame_duck: Millis,
     /// The product's policy, or a baseline for the bench.
     pub policy: Policy,
 }
 
 /// Longest graceful shutdown when neither settings nor contract name one.
 const DRAIN_DEFAULT: Millis = Millis::from_secs(30);
+/// Time for which a stopping entry still answers when the settings name none.
+const LAME_DUCK_DEFAULT: Millis = Millis::from_secs(1);
 
 impl EntryConfig {
     /// Reads and checks the settings.
@@ -42,6 +47,7 @@
             caller_tokens: settings.list("access", "callers"),
             data: settings.text("node", "data").map(PathBuf::from),
             drain: settings.length("node", "drain", DRAIN_DEFAULT),
+            lame_duck: settings.length("node", "lame-duck", LAME_DUCK_DEFAULT),
             policy: settings.parsed(
                 "bench",
                 "policy",
--- a/crates/oleander-load/src/capacity_parts.rs
+++ b/crates/oleander-load/src/capacity_parts.rs
@@ -50,14 +50,22 @@
         targets: vec!["planting-advice-large".to_owned(); 2],
         version: 1 << 40,
         version_unknown: true,
-        config_digest: u64::MAX,
+        config: Some(JournalDigest {
+            epoch: u64::MAX,
+            offset: u64::MAX,
+            digest: u64::MAX,
+        }),
         name: "agent-bkk-lat-krabang-0123".to_owned(),
         clock_ms: 1 << 40,
     };
     size("report", Body::Report(report));
     let hello = Hello {
         domain: "bkk-lat-krabang".to_owned(),
-        config_digest: u64::MAX,
+        config: Some(JournalDigest {
+            epoch: u64::MAX,
+            offset: u64::MAX,
+            digest: u64::MAX,
+        }),
     };
     size("hello", Body::Hello(hello));
     let digest = JournalDigest {
--- a/crates/oleander-load/src/order_client.rs
+++ b/crates/oleander-load/src/order_client.rs
@@ -13,6 +13,8 @@
 
 /// Entries that one order tries.
 const TRIES: usize = 3;
+/// Status of an entry that takes new work.
+const READY: u16 = 200;
 /// Longest wait of a client for one answer.
 const CLIENT_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -98,6 +100,9 @@
     for i in 0..TRIES {
         let entry = entries[(first + i) % entries.len()];
         let api = Api::new(entry).with_timeout(CLIENT_TIMEOUT);
+        if !is_ready(&api).await {
+            continue;
+        }
         match try_once(&api, order, &mut key).await {
             Ok(answer) => told = answer,
             Err(fault) => {
@@ -118,6 +123,12 @@
     }
 }
 
+/// The balancer before the entries sends nothing to one that is not ready.
+async fn is_ready(api: &Api) -> bool {
+    let reply = api.get("/readyz").await;
+    reply.is_ok_and(|reply| reply.status == READY)
+}
+
 /// A stopping entry is left for another one; every other answer is final.
 fn goes_on(told: &Told) -> bool {
     matches!(told, Told::Refused { kind, ran: Ran::No } if kind == "shutting-down")
--- /dev/null
+++ b/crates/oleander-load/tests/contracts_in_force.rs
@@ -0,0 +1,154 @@
+//! Contracts under races, outages, restarts and lost answers.
+
+mod support;
+
+use oleander_load::deployment::Deployment;
+use oleander_standins::store_state::StoreRecord;
+use std::time::Instant;
+use support::{CONTRACT, HANG, cfg, pause, start};
+
+fn amended(share: u32) -> String {
+    CONTRACT.replace("share = 40%", &format!("share = {share}%"))
+}
+
+/// Waits until every entry and agent has the generation.
+async fn wait_in_force(deployment: &Deployment, generation: u64) {
+    let until = Instant::now() + HANG;
+    loop {
+        let mut behind = Vec::new();
+        for entry in &deployment.entries {
+            let Ok(fleet) = deployment.fleet(entry).await else {
+                behind.push(entry.name.clone());
+                continue;
+            };
+            let own = fleet.config.iter().map(|object| object.generation).max();
+            if own < Some(generation) {
+                behind.push(entry.name.clone());
+            }
+            let lacks = |digest: &str| digest != fleet.config_digest;
+            let agents = fleet
+                .agents
+                .iter()
+                .filter(|agent| lacks(&agent.config_digest));
+            behind.extend(agents.map(|agent| agent.name.clone()));
+        }
+        if behind.is_empty() {
+            return;
+        }
+        assert!(
+            Instant::now() < until,
+            "generation {generation} is not at {behind:?}"
+        );
+        pause(20).await;
+    }
+}
+
+#[test]
+fn of_two_racing_operators_one_is_told() {
+    smol::block_on(async {
+        let deployment = start(cfg(0, 2)).await;
+        let mut base = 1;
+        for share in 10..20 {
+            let (first, second) = (amended(share), amended(share + 20));
+            let race = futures_lite::future::zip(
+                deployment.put_contract(&first, base),
+                deployment.put_contract(&second, base),
+            );
+            let (first, second) = race.await;
+            assert_ne!(first.is_ok(), second.is_ok(), "{first:?} {second:?}");
+            let refused = first.as_ref().err().or(second.as_ref().err());
+            let refused = refused.map(ToString::to_string).unwrap_or_default();
+            assert!(
+                refused.contains("409") && refused.contains("generation"),
+                "{refused}"
+            );
+            base = first.or(second).expect("one was accepted");
+            wait_in_force(&deployment, base).await;
+        }
+    });
+}
+
+#[test]
+fn an_accepted_amendment_whose_answer_was_lost_is_told_as_accepted() {
+    smol::block_on(async {
+        let deployment = start(cfg(0, 1)).await;
+        let mut base = 1;
+        for share in 10..20 {
+            let store = deployment.platform.store_api();
+            store
+                .control(r#"{"lose_answers":1}"#)
+                .await
+                .expect("switches");
+            let accepted = deployment.put_contract(&amended(share), base).await;
+            base = accepted.expect("the writer finds out that its write took effect");
+            wait_in_force(&deployment, base).await;
+        }
+        let record: StoreRecord = deployment
+            .platform
+            .store_api()
+            .record()
+            .await
+            .expect("record");
+        let writes = record
+            .log
+            .iter()
+            .filter(|write| write.name.contains("contracts/"));
+        assert_eq!(writes.count(), 11, "one write for each amendment");
+    });
+}
+
+#[test]
+fn an_entry_and_an_agent_that_start_during_an_outage_learn_from_their_peers() {
+    smol::block_on(async {
+        let mut deployment = start(cfg(0, 2)).await;
+        let generation = deployment
+            .put_contract(&amended(30), 1)
+            .await
+            .expect("accepted");
+        wait_in_force(&deployment, generation).await;
+        let store = deployment.platform.store_api();
+        store.control(r#"{"outage":true}"#).await.expect("outage");
+        let agent = support::names(&deployment, false).remove(0);
+        deployment.entry_mut("entry-1").expect("an entry").crash();
+        deployment
+            .endpoint_mut(&agent)
+            .expect("an agent")
+            .agent
+            .crash();
+        deployment
+            .entry_mut("entry-1")
+            .expect("an entry")
+            .start()
+            .expect("started");
+        deployment
+            .endpoint_mut(&agent)
+            .expect("an agent")
+            .agent
+            .start()
+            .expect("started");
+        wait_in_force(&deployment, generation).await;
+        let refused = deployment.put_contract(&amended(35), generation).await;
+        let refused = refused.expect_err("the store is down").to_string();
+        assert!(refused.contains("store-unavailable") && refused.contains("\"ran\":\"no\""));
+        store.control(r#"{"outage":false}"#).await.expect("over");
+        let generation = deployment.put_contract(&amended(35), generation).await;
+        wait_in_force(&deployment, generation.expect("accepted")).await;
+    });
+}
+
+#[test]
+fn a_whole_deployment_that_restarts_one_by_one_never_reverts() {
+    smol::block_on(async {
+        let mut deployment = start(cfg(0, 2)).await;
+        let mut generation = 1;
+        for (round, share) in (10..14).enumerate() {
+            let accepted = deployment.put_contract(&amended(share), generation).await;
+            generation = accepted.expect("accepted");
+            let name = format!("entry-{}", round % 2 + 1);
+            let entry = deployment.entry_mut(&name).expect("an entry");
+            entry.crash();
+            entry.start().expect("started");
+            wait_in_force(&deployment, generation).await;
+        }
+    });
+}
