--- a/crates/oleander-load/src/deployment.rs
+++ b/crates/oleander-load/src/deployment.rs
@@ -7,6 +7,7 @@
 use crate::platform::Platform;
 use crate::settings_text::{EndpointText, write_agent, write_entry};
 use oleander_daemon::entry_event::FleetSummary;
+use oleander_standins::api::Api;
 use oleander_standins::engine::EngineCfg;
 use oleander_standins::list::{InstanceState, Role};
 use oleander_standins::runtime;
@@ -96,7 +97,7 @@
     pub async fn put_contract(&self, text: &str, base: u64) -> Result<u64, DeploymentError> {
         let customer = customer_of(text)?;
         let entry = self.entries.first().ok_or_else(|| unknown("entry"))?;
-        let api = entry.api();
+        let api = self.operator(entry);
         let conn = api
             .conn(Method::Put, &format!("/v1/contracts/{customer}"))
             .with_request_header("if-match", base.to_string())
@@ -105,9 +106,14 @@
         Ok(amended.generation)
     }
 
+    /// Client of an entry that shows the operators' token.
+    fn operator(&self, entry: &Node) -> Api {
+        entry.api().with_token(self.cfg.tokens.operators.clone())
+    }
+
     /// What an entry knows of the fleet.
     pub async fn fleet(&self, entry: &Node) -> Result<FleetSummary, DeploymentError> {
-        Ok(entry.api().get("/v1/fleet").await?.json()?)
+        Ok(self.operator(entry).get("/v1/fleet").await?.json()?)
     }
 
     /// Stops all daemons gracefully, entries first.
--- a/crates/oleander-load/src/deployment_cfg.rs
+++ b/crates/oleander-load/src/deployment_cfg.rs
@@ -1,5 +1,6 @@
 //! What a deployment consists of.
 
+use crate::tokens::Tokens;
 use oleander_standins::engine_switches::EngineSwitches;
 use oleander_standins::service::ServiceSwitches;
 use oleander_standins::store_switches::StoreSwitches;
@@ -57,6 +58,8 @@
     pub entry_threads: usize,
     /// Least severe level that the daemons log.
     pub log_level: String,
+    /// Tokens that the entries demand.
+    pub tokens: Tokens,
     /// Keeps settings and logs after the end.
     pub keep_folder: bool,
 }
@@ -78,6 +81,7 @@
             threads: 4,
             entry_threads: 2,
             log_level: "info".to_owned(),
+            tokens: Tokens::default(),
             keep_folder: false,
         }
     }
--- a/crates/oleander-load/src/lib.rs
+++ b/crates/oleander-load/src/lib.rs
@@ -30,3 +30,4 @@
 pub mod settings_text;
 pub mod stream_cfg;
 pub mod stream_plan;
+pub mod tokens;
--- a/crates/oleander-load/src/settings_text.rs
+++ b/crates/oleander-load/src/settings_text.rs
@@ -27,6 +27,16 @@
     let mut ini = common(cfg, node, platform, cfg.entry_threads);
     ini.with_section(Some("bench"))
         .set("policy", cfg.policy.to_string());
+    let tokens = [
+        ("operators", &cfg.tokens.operators),
+        ("trainers", &cfg.tokens.trainers),
+        ("callers", &cfg.tokens.callers),
+    ];
+    for (role, token) in tokens {
+        if let Some(token) = token {
+            ini.with_section(Some("access")).set(role, token);
+        }
+    }
     write(&ini, node)
 }
 
