--- a/crates/oleander-load/src/capacity_config.rs
+++ b/crates/oleander-load/src/capacity_config.rs
@@ -171,6 +171,9 @@
         let mut mailboxes = vec![FakeStore::bind(&store, &keys)];
         mailboxes.extend(nodes.iter().map(|node| LightNode::bind(node, &keys)));
         let stop = Arc::new(AtomicBool::new(false));
+        for node in nodes.iter().filter(|node| node.watches) {
+            node.ask_store();
+        }
         let ticker = spawn_ticker(mechanism, &nodes, &stop);
         Self {
             nodes,
--- a/crates/oleander-load/src/capacity_node.rs
+++ b/crates/oleander-load/src/capacity_node.rs
@@ -15,6 +15,9 @@
 /// Bytes of key, code and lengths around a frame, and of the TCP and IP headers of a message.
 const OVERHEAD_BYTES: u64 = 43 + 60;
 
+/// Two heartbeats.
+const RECENT: Millis = Millis::from_secs(4);
+
 /// How a node learns of changes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::VariantArray)]
 #[strum(serialize_all = "kebab-case")]
@@ -108,6 +111,21 @@
         self.journal.lock().digest().digest
     }
 
+    /// Sends the digest to all neighbours and to the peers that sent theirs of late.
+    fn tell_change(&self) {
+        let journal = self.journal.lock();
+        let recent = journal.recent_peers(self.now(), RECENT);
+        let mut peers = self.neighbours.clone();
+        peers.extend(recent.map(str::to_owned));
+        let digest = journal.digest();
+        drop(journal);
+        peers.sort();
+        peers.dedup();
+        for peer in peers {
+            self.send(&peer, Body::JournalDigest(wire_digest(digest)));
+        }
+    }
+
     /// Sends the digest to all neighbours.
     pub fn tell_neighbours(&self) {
         let digest = self.journal.lock().digest();
@@ -184,7 +202,7 @@
             self.fetch(from, fetch);
         }
         if !outcome.changed.is_empty() {
-            self.tell_neighbours();
+            self.tell_change();
         }
         if from == self.store {
             self.store_read.store(entries.offset, Ordering::Relaxed);
--- a/crates/oleanderlock/src/config_journal.rs
+++ b/crates/oleanderlock/src/config_journal.rs
@@ -145,7 +145,7 @@
         peer: &str,
         digest: JournalDigest,
     ) -> Option<JournalAnswer> {
-        self.cursors.see(peer, digest);
+        self.cursors.see(now, peer, digest);
         if digest.digest == self.digest {
             self.cursors.mark_equal(peer);
             return None;
@@ -158,6 +158,13 @@
         may_tell.then_some(JournalAnswer::Tell(own))
     }
 
+    /// Returns the peers whose digest came within the last `within`. A change is told to them as
+    /// well as to the own choice of peers: a process that nobody chose would otherwise learn of it
+    /// only in answer to its next heartbeat.
+    pub fn recent_peers(&self, now: Millis, within: Millis) -> impl Iterator<Item = &str> {
+        self.cursors.seen(now, within)
+    }
+
     /// Answers a fetch with as many changes as fit one message.
     pub fn on_fetch(&self, fetch: JournalFetch) -> JournalEntries {
         let same_epoch = fetch.epoch == self.epoch;
--- a/crates/oleanderlock/src/journal_cursors.rs
+++ b/crates/oleanderlock/src/journal_cursors.rs
@@ -19,6 +19,7 @@
     read: u64,
     /// Last offset that the peer named.
     head: u64,
+    seen_at: Millis,
     fetched_at: Option<Millis>,
     told_at: Option<Millis>,
 }
@@ -31,7 +32,7 @@
 
 impl JournalCursors {
     /// Notes what a peer says of itself.
-    pub(crate) fn see(&mut self, peer: &str, digest: JournalDigest) {
+    pub(crate) fn see(&mut self, now: Millis, peer: &str, digest: JournalDigest) {
         let cursor = self.cursor(peer);
         if cursor.epoch != digest.epoch {
             *cursor = Cursor {
@@ -40,6 +41,14 @@
             };
         }
         cursor.head = cursor.head.max(digest.offset);
+        cursor.seen_at = now;
+    }
+
+    /// Returns the peers whose digest came within the last `within`.
+    pub(crate) fn seen(&self, now: Millis, within: Millis) -> impl Iterator<Item = &str> {
+        let recent = move |cursor: &Cursor| now.since(cursor.seen_at) <= within;
+        let seen = self.cursors.iter().filter(move |(_, c)| recent(c));
+        seen.map(|(peer, _)| peer.as_str())
     }
 
     /// Notes that the peer has nothing that this process lacks.
--- a/crates/oleanderlock/tests/config_journals.rs
+++ b/crates/oleanderlock/tests/config_journals.rs
@@ -169,6 +169,16 @@
     );
 }
 
+#[test]
+fn a_change_is_told_to_peers_that_were_heard_of_late() {
+    let mut own = journal(1);
+    for (now, peer) in [(0, "quiet"), (3000, "b"), (4000, "c")] {
+        own.on_digest(Millis(now), peer, journal(2).digest());
+    }
+    let recent: Vec<&str> = own.recent_peers(Millis(5000), Millis(2000)).collect();
+    assert_eq!(recent, ["b", "c"]);
+}
+
 /// Processes that exchange messages over a network that loses, repeats and reorders them.
 struct Fleet {
     journals: Vec<ConfigJournal>,
