--- a/crates/oleander-load/src/capacity_main.rs
+++ b/crates/oleander-load/src/capacity_main.rs
@@ -2,6 +2,7 @@
 
 mod capacity_config;
 mod capacity_fit;
+mod capacity_links;
 mod capacity_node;
 mod capacity_parts;
 mod capacity_store;
@@ -43,6 +44,9 @@
 /// Sizes at which the decision parts are measured, in instances.
 const PART_SIZES: [usize; 4] = [50, 200, 600, 1220];
 
+/// Numbers of links that are measured.
+const LINK_SIZES: [usize; 4] = [50, 100, 200, 400];
+
 /// What to measure.
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version)]
@@ -59,6 +63,9 @@
     /// Processor time and memory of the decision parts, sizes of the messages
     #[bpaf(command)]
     Parts,
+    /// Memory of links and processor time of frames
+    #[bpaf(command)]
+    Links,
     /// All of it
     #[bpaf(command)]
     All,
@@ -78,4 +85,7 @@
     if matches!(measure, Measure::Parts | Measure::All) {
         capacity_parts::run(&PART_SIZES);
     }
+    if matches!(measure, Measure::Links | Measure::All) {
+        capacity_links::run(&LINK_SIZES);
+    }
 }
