--- a/crates/oleander-link/src/lib.rs
+++ b/crates/oleander-link/src/lib.rs
@@ -5,6 +5,7 @@
 //! messages but can't repeat them.
 
 pub mod convert;
+mod convert_journal;
 pub mod link_error;
 pub mod link_keys;
 pub mod mailbox;
--- a/crates/oleander-load/src/capacity_node.rs
+++ b/crates/oleander-load/src/capacity_node.rs
@@ -90,7 +90,7 @@
         let owner = node.clone();
         let deliver = move |delivery| {
             if let Delivery::Frame(frame) = delivery {
-                owner.receive(&frame);
+                owner.receive(*frame);
             }
         };
         Mailbox::bind(&node.link, keys.clone(), deliver).expect("a free port")
@@ -122,7 +122,7 @@
         peers.sort();
         peers.dedup();
         for peer in peers {
-            self.send(&peer, Body::JournalDigest(wire_digest(digest)));
+            self.send(&peer, Body::JournalDigest(digest.into()));
         }
     }
 
@@ -130,7 +130,7 @@
     pub fn tell_neighbours(&self) {
         let digest = self.journal.lock().digest();
         for peer in &self.neighbours {
-            self.send(peer, Body::JournalDigest(wire_digest(digest)));
+            self.send(peer, Body::JournalDigest(digest.into()));
         }
     }
 
@@ -147,31 +147,24 @@
         self.started.elapsed().into()
     }
 
-    fn receive(&self, frame: &Frame) {
-        self.count(frame);
-        let Some(body) = &frame.body else {
+    fn receive(&self, frame: Frame) {
+        self.count(&frame);
+        let Some(body) = frame.body else {
             return;
         };
         match body {
-            Body::JournalDigest(digest) => self.on_digest(&frame.from, digest),
-            Body::JournalFetch(fetch) => self.on_fetch(&frame.from, fetch),
-            Body::JournalEntries(entries) => self.on_entries(&frame.from, entries),
+            Body::JournalDigest(digest) => self.on_digest(&frame.from, digest.into()),
+            Body::JournalFetch(fetch) => self.on_fetch(&frame.from, fetch.into()),
+            Body::JournalEntries(entries) => self.on_entries(&frame.from, entries.into()),
             _ => {}
         }
     }
 
-    fn on_digest(&self, from: &str, digest: &wire::JournalDigest) {
-        let digest = JournalDigest {
-            epoch: Incarnation(digest.epoch),
-            offset: digest.offset,
-            digest: digest.digest,
-        };
+    fn on_digest(&self, from: &str, digest: JournalDigest) {
         let answer = self.journal.lock().on_digest(self.now(), from, digest);
         match answer {
             Some(JournalAnswer::Fetch(fetch)) => self.fetch(from, fetch),
-            Some(JournalAnswer::Tell(own)) => {
-                self.send(from, Body::JournalDigest(wire_digest(own)))
-            }
+            Some(JournalAnswer::Tell(own)) => self.send(from, Body::JournalDigest(own.into())),
             None => {}
         }
     }
@@ -186,17 +179,13 @@
         );
     }
 
-    fn on_fetch(&self, from: &str, fetch: &wire::JournalFetch) {
-        let fetch = JournalFetch {
-            epoch: Incarnation(fetch.epoch),
-            after: fetch.offset,
-        };
+    fn on_fetch(&self, from: &str, fetch: JournalFetch) {
         let answer = self.journal.lock().on_fetch(fetch);
-        self.send(from, Body::JournalEntries(wire_entries(answer)));
+        self.send(from, Body::JournalEntries(answer.into()));
     }
 
-    fn on_entries(&self, from: &str, entries: &wire::JournalEntries) {
-        let answer = typed_entries(entries);
+    fn on_entries(&self, from: &str, answer: JournalEntries) {
+        let upto = answer.upto;
         let outcome = self.journal.lock().on_entries(self.now(), from, answer);
         if let Some(fetch) = outcome.fetch {
             self.fetch(from, fetch);
@@ -205,7 +194,7 @@
             self.tell_change();
         }
         if from == self.store {
-            self.store_read.store(entries.offset, Ordering::Relaxed);
+            self.store_read.store(upto, Ordering::Relaxed);
         }
         if from == self.store && self.mechanism != Mechanism::Poll {
             self.ask_store();
@@ -229,40 +218,3 @@
         self.traffic.messages.fetch_add(1, Ordering::Relaxed);
     }
 }
-
-fn wire_digest(digest: JournalDigest) -> wire::JournalDigest {
-    wire::JournalDigest {
-        epoch: digest.epoch.0,
-        offset: digest.offset,
-        digest: digest.digest,
-    }
-}
-
-/// Converts entries for the wire.
-pub fn wire_entries(answer: JournalEntries) -> wire::JournalEntries {
-    let entries = answer.entries.into_iter().map(|entry| wire::JournalEntry {
-        name: entry.name,
-        generation: entry.generation.0,
-        value: entry.value,
-    });
-    wire::JournalEntries {
-        epoch: answer.epoch.0,
-        offset: answer.upto,
-        entries: entries.collect(),
-        after: answer.after,
-    }
-}
-
-fn typed_entries(entries: &wire::JournalEntries) -> JournalEntries {
-    let typed = entries.entries.iter().map(|entry| JournalEntry {
-        name: entry.name.clone(),
-        generation: Generation(entry.generation),
-        value: entry.value.clone(),
-    });
-    JournalEntries {
-        epoch: Incarnation(entries.epoch),
-        after: entries.after,
-        upto: entries.offset,
-        entries: typed.collect(),
-    }
-}
--- a/crates/oleander-load/src/capacity_store.rs
+++ b/crates/oleander-load/src/capacity_store.rs
@@ -1,7 +1,6 @@
 //! A small fake of the store for light nodes: it answers reads and waiting watches over a link
 //! and counts each as a call.
 
-use crate::capacity_node::wire_entries;
 use oleander_link::wire::frame::Body;
 use oleander_link::{Delivery, LinkKeys, Mailbox, Peers};
 use oleanderlock::config_journal::ConfigJournal;
@@ -93,8 +92,6 @@
             .lock()
             .journal
             .on_fetch(JournalFetch { epoch, after });
-        let _ = self
-            .peers
-            .send(link, Body::JournalEntries(wire_entries(answer)));
+        let _ = self.peers.send(link, Body::JournalEntries(answer.into()));
     }
 }
