--- a/crates/oleander-daemon/src/agent_control.rs
+++ b/crates/oleander-daemon/src/agent_control.rs
@@ -54,11 +54,14 @@
 impl AgentControl {
     /// Creates the state of a new incarnation.
     pub fn new(cx: AgentCx, incarnation: Incarnation) -> Self {
-        let capacity = cx.cfg.capacity;
+        let admission = AdmissionConfig {
+            policy: cx.cfg.policy,
+            ..AdmissionConfig::for_capacity(cx.cfg.capacity)
+        };
         Self {
             cx,
             ledger: AttemptLedger::new(incarnation, LedgerLimits::default()),
-            admission: Admission::new(AdmissionConfig::for_capacity(capacity)),
+            admission: Admission::new(admission),
             attempts: IndexMap::new(),
             entries: IndexMap::new(),
             config: ConfigState::default(),
--- a/crates/oleander-daemon/src/agent_settings.rs
+++ b/crates/oleander-daemon/src/agent_settings.rs
@@ -2,6 +2,7 @@
 
 use crate::node_settings::{NodeConfig, read_node};
 use crate::settings::{Settings, SettingsFaults};
+use oleanderlock::policy::Policy;
 use oleanderlock::prelude::*;
 use strum::{Display, EnumString};
 
@@ -30,6 +31,8 @@
     pub capacity: usize,
     /// Longest graceful shutdown while no contract names one.
     pub drain: Millis,
+    /// The product's policy, or a baseline for the bench.
+    pub policy: Policy,
 }
 
 /// Attempts that run at once when the settings name no number.
@@ -62,6 +65,12 @@
                 "a whole number above 0",
             ),
             drain: settings.length("endpoint", "drain", DRAIN_DEFAULT),
+            policy: settings.parsed(
+                "bench",
+                "policy",
+                Policy::Product,
+                "product, random, round-robin, least-outstanding or naive",
+            ),
         };
         if config.targets.is_empty() {
             settings.fault(
--- /dev/null
+++ b/crates/oleander-daemon/src/attempt_progress.rs
@@ -0,0 +1,49 @@
+//! Progress of the attempts of one request, shared with the step that waits for it.
+
+use crate::prelude::*;
+use oleanderlock::endpoint::EndpointKey;
+use parking_lot::Mutex;
+use std::sync::Arc;
+
+/// How far the latest attempt of a request is.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Progress {
+    /// When it began; `None` before an endpoint was chosen.
+    pub began: Option<Millis>,
+    /// The endpoint that it uses.
+    pub endpoint: Option<EndpointKey>,
+    /// When its first token came.
+    pub first: Option<Millis>,
+    /// When its latest token came.
+    pub latest: Option<Millis>,
+    /// Tokens that it has made.
+    pub tokens: u64,
+}
+
+/// A shared view of the progress of one request; cheap to clone.
+#[derive(Clone, Debug, Default)]
+pub struct AttemptProgress(Arc<Mutex<Progress>>);
+
+impl AttemptProgress {
+    /// Notes that an attempt begins at an endpoint.
+    pub fn begin(&self, now: Millis, endpoint: EndpointKey) {
+        *self.0.lock() = Progress {
+            began: Some(now),
+            endpoint: Some(endpoint),
+            ..Progress::default()
+        };
+    }
+
+    /// Notes the tokens of a chunk.
+    pub fn add(&self, now: Millis, tokens: u64) {
+        let mut progress = self.0.lock();
+        progress.first.get_or_insert(now);
+        progress.latest = Some(now);
+        progress.tokens += tokens;
+    }
+
+    /// Returns how far the latest attempt is.
+    pub fn get(&self) -> Progress {
+        *self.0.lock()
+    }
+}
--- a/crates/oleander-daemon/src/entry.rs
+++ b/crates/oleander-daemon/src/entry.rs
@@ -6,6 +6,7 @@
 use crate::entry_http::{self, Readiness};
 use crate::entry_loops;
 use crate::entry_settings::EntryConfig;
+use crate::hedge_desk::HedgeDesk;
 use crate::inflight::Inflight;
 use crate::key_desk::KeyDesk;
 use crate::metrics::Metrics;
@@ -53,6 +54,7 @@
         let peers = dial_peers(&cfg, incarnation, keys, events.clone());
         let store = StoreClient::new(&cfg.node.store);
         let cx = EntryCx {
+            hedges: HedgeDesk::new(cfg.policy),
             keys: KeyDesk::spawn(store.clone()),
             metrics: Metrics::new("oleander_entry"),
             peers,
--- a/crates/oleander-daemon/src/entry_cx.rs
+++ b/crates/oleander-daemon/src/entry_cx.rs
@@ -4,6 +4,7 @@
     ChooseCall, EntryEvent, NoRoute, Route, RouteEnd, RouteProgress, Terms, TermsCall,
 };
 use crate::entry_settings::EntryConfig;
+use crate::hedge_desk::HedgeDesk;
 use crate::inflight::Inflight;
 use crate::key_desk::KeyDesk;
 use crate::metrics::Metrics;
@@ -31,6 +32,8 @@
     pub store: StoreClient,
     /// The latest refusals.
     pub refusals: RefusalLog,
+    /// Decides on hedged attempts.
+    pub hedges: HedgeDesk,
     /// Binds the keys that callers chose.
     pub keys: KeyDesk,
     /// Secrets of issued idempotency keys.
--- a/crates/oleander-daemon/src/request_run.rs
+++ b/crates/oleander-daemon/src/request_run.rs
@@ -1,6 +1,7 @@
 //! Runs one request at an entry, over all its attempts.
 
 use crate::agent_table::load_of;
+use crate::attempt_progress::AttemptProgress;
 use crate::entry_cx::EntryCx;
 use crate::entry_event::{ChooseCall, Failed, Route, RouteEnd, RouteProgress};
 use crate::inflight::{Inflight, Word, Words};
@@ -53,6 +54,15 @@
     pub horizon: Option<Millis>,
 }
 
+/// What a request shares with others of the same work.
+#[derive(Clone, Debug, Default)]
+pub struct Tracking {
+    /// Shows how far the request is.
+    pub progress: AttemptProgress,
+    /// Endpoints that other attempts of the same work use.
+    pub avoid: Vec<EndpointKey>,
+}
+
 /// The end of a request.
 #[derive(Clone, Debug)]
 pub struct RequestEnd {
@@ -67,6 +77,16 @@
 /// Runs a request to its end; `on_data` gets contiguous text of an engine as it comes, once, and
 /// returns false when the caller is gone.
 pub async fn run(cx: &EntryCx, req: Request, on_data: impl FnMut(Bytes) -> bool) -> RequestEnd {
+    run_tracked(cx, req, Tracking::default(), on_data).await
+}
+
+/// As [`run`], with a shared view of the progress.
+pub async fn run_tracked(
+    cx: &EntryCx,
+    req: Request,
+    tracking: Tracking,
+    on_data: impl FnMut(Bytes) -> bool,
+) -> RequestEnd {
     let (track, action) = RequestTrack::open(req.spec, TrackConfig::default());
     let words = cx.inflight.open();
     let mut run = Run {
@@ -75,7 +95,8 @@
         track,
         assembly: None,
         route: None,
-        used: Vec::new(),
+        used: tracking.avoid,
+        progress: tracking.progress,
         attempt_began: now(),
         pace: None,
         retry_reason: None,
@@ -101,6 +122,7 @@
     assembly: Option<StreamAssembly>,
     route: Option<Route>,
     used: Vec<EndpointKey>,
+    progress: AttemptProgress,
     attempt_began: Millis,
     pace: Option<Pace>,
     retry_reason: Option<ErrorKind>,
@@ -218,6 +240,7 @@
 
     fn take_route(&mut self, route: Route) {
         self.used.push(route.key);
+        self.progress.begin(now(), route.key);
         self.route = Some(route);
         self.attempt_began = now();
         self.pace = None;
@@ -350,6 +373,7 @@
                 return self.broken(ticket);
             }
         }
+        self.progress.add(now(), tokens);
         if let Some(route) = &self.route {
             Pace::note(&mut self.pace, tokens, |elapsed, units| {
                 self.cx.progress(RouteProgress {
--- a/crates/oleander-daemon/src/step_task.rs
+++ b/crates/oleander-daemon/src/step_task.rs
@@ -1,16 +1,18 @@
 //! Runs one step that this entry owns.
 
+use crate::attempt_progress::{AttemptProgress, Progress};
 use crate::caller::prefix_of;
 use crate::entry_cx::EntryCx;
 use crate::entry_event::Terms;
 use crate::prelude::*;
-use crate::request_run::{self, Request};
+use crate::request_run::{self, Request, Tracking};
 use crate::runtime;
 use crate::step_spec::{StepName, StepSpec};
 use async_channel::{Receiver, Sender};
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use indexmap::IndexMap;
+use oleanderlock::hedge::HedgeCandidate;
 use oleanderlock::pull::{Pull, PullAnswer, PullId, PullRefusal};
 use oleanderlock::request_track::{Placement, RequestSpec};
 use oleanderlock::sample_guards::SampleGuards;
@@ -30,7 +32,7 @@
 /// Shortest wait before a failed sample is tried again.
 const RETRY_DELAY: Millis = Millis(100);
 /// Longest wait between two looks at the step.
-const LOOK_EVERY: Millis = Millis(1000);
+const LOOK_EVERY: Millis = Millis(100);
 
 /// A pull and who waits for its answer.
 #[derive(Debug)]
@@ -99,6 +101,7 @@
             name: name.clone(),
             spec: spec.clone(),
             deadline: terms.contract.classes[&terms.class].deadline,
+            hedge_percent: terms.contract.limits.hedge_percent,
             class: terms.class.clone(),
             step,
             attempts: IndexMap::new(),
@@ -151,14 +154,21 @@
     attempt: u32,
 }
 
+/// An attempt in flight; dropping it cancels the attempt at its agent.
+struct RunningAttempt {
+    _task: Task<()>,
+    progress: AttemptProgress,
+}
+
 struct StepTask {
     cx: EntryCx,
     name: StepName,
     spec: Arc<StepSpec>,
     class: String,
     deadline: Millis,
+    hedge_percent: u32,
     step: Step,
-    attempts: IndexMap<AttemptKey, Task<()>>,
+    attempts: IndexMap<AttemptKey, RunningAttempt>,
     pulls: IndexMap<PullId, Waiting>,
     next_pull: u64,
     events: async_channel::WeakSender<StepEvent>,
@@ -204,7 +214,10 @@
                     }
                 }
             }
-            None => self.step.tick(now, &mut actions),
+            None => {
+                self.step.tick(now, &mut actions);
+                self.hedge(now, &mut actions);
+            }
         }
         self.act(actions);
     }
@@ -272,14 +285,74 @@
         let _ = waiting.reply.try_send(answer);
     }
 
+    /// Starts second attempts for stragglers, within the budget.
+    fn hedge(&mut self, now: Millis, actions: &mut Vec<StepAction>) {
+        let stragglers = self.step.stragglers(now);
+        let latest: IndexMap<SlotKey, Progress> = self
+            .attempts
+            .iter()
+            .map(|(key, running)| (key.slot, running.progress.get()))
+            .collect();
+        let candidates = stragglers.iter().enumerate();
+        let candidates = candidates.filter_map(|(index, straggler)| {
+            let progress = latest.get(&straggler.slot)?;
+            let began = progress.began?;
+            Some(HedgeCandidate {
+                request: RequestId(index as u128),
+                idempotent: true,
+                in_flight: straggler.attempts,
+                age: now.since(began),
+                first: progress.first.map(|first| first.since(began)),
+                tokens: progress.tokens,
+                missing_in_group: Some(straggler.missing_in_group),
+            })
+        });
+        let candidates: Vec<HedgeCandidate> = candidates.collect();
+        for RequestId(index) in self.cx.hedges.choose(&self.target(), &candidates) {
+            let slot = stragglers[index as usize].slot;
+            self.step.hedge(now, slot, actions);
+        }
+    }
+
+    fn running(&self, slot: SlotKey) -> impl Iterator<Item = &RunningAttempt> {
+        let of_slot = self
+            .attempts
+            .iter()
+            .filter(move |(key, _)| key.slot == slot);
+        of_slot.map(|(_, attempt)| attempt)
+    }
+
+    fn target(&self) -> Bytes {
+        Bytes::from(self.spec.model.clone())
+    }
+
     fn generate(&mut self, slot: SlotKey, attempt: u32) {
         let Some(req) = self.request(slot) else {
             return;
         };
+        let others = self.running(slot);
+        let avoid: Vec<_> = others
+            .filter_map(|other| other.progress.get().endpoint)
+            .collect();
+        if self.running(slot).next().is_none() {
+            self.cx
+                .hedges
+                .first_attempt(&req.target, self.hedge_percent);
+        }
+        let progress = AttemptProgress::default();
+        let tracking = Tracking {
+            progress: progress.clone(),
+            avoid,
+        };
+        let target = req.target.clone();
         let cx = self.cx.clone();
         let events = self.events.clone();
         let task = executor::spawn(async move {
-            let end = request_run::run(&cx, req, |_| true).await;
+            let progress = tracking.progress.clone();
+            let end = request_run::run_tracked(&cx, req, tracking, |_| true).await;
+            if end.answer.is_some() {
+                cx.hedges.observe(&target, progress.get());
+            }
             let wait = end.outcome.retry_after.unwrap_or(RETRY_DELAY);
             let result = end
                 .answer
@@ -293,7 +366,11 @@
                 });
             }
         });
-        self.attempts.insert(AttemptKey { slot, attempt }, task);
+        let running = RunningAttempt {
+            _task: task,
+            progress,
+        };
+        self.attempts.insert(AttemptKey { slot, attempt }, running);
     }
 
     fn request(&self, slot: SlotKey) -> Option<Request> {
@@ -307,7 +384,7 @@
                 first_attempt: 0,
                 placement: Placement::Free,
             },
-            target: Bytes::from(self.spec.model.clone()),
+            target: self.target(),
             class: self.class.clone(),
             kind: WorkKind::Samples,
             payload: Bytes::from(payload),
--- a/crates/oleander-load/src/settings_text.rs
+++ b/crates/oleander-load/src/settings_text.rs
@@ -24,9 +24,7 @@
 
 /// Writes the settings of an entry.
 pub fn write_entry(cfg: &DeploymentCfg, node: &Node, platform: &Platform) -> io::Result<()> {
-    let mut ini = common(cfg, node, platform, cfg.entry_threads);
-    ini.with_section(Some("bench"))
-        .set("policy", cfg.policy.to_string());
+    let ini = common(cfg, node, platform, cfg.entry_threads);
     write(&ini, node)
 }
 
@@ -60,6 +58,8 @@
         .set("store", format!("http://{}", platform.store.address()))
         .set("list", format!("http://{}", platform.list.address()));
     ini.with_section(Some("log")).set("level", &cfg.log_level);
+    ini.with_section(Some("bench"))
+        .set("policy", cfg.policy.to_string());
     ini
 }
 
--- a/crates/oleanderlock/src/retry_budget.rs
+++ b/crates/oleanderlock/src/retry_budget.rs
@@ -76,6 +76,9 @@
         if self.policy == Policy::Naive {
             return naive(&failed);
         }
+        if is_of_load(failed.error) && !failed.has_other {
+            return give_up(failed.error, failed.retry_after);
+        }
         let after = backoff(&failed);
         let is_late = now.plus(after) >= failed.deadline;
         if failed.attempts >= MAX_ATTEMPTS || is_late {
@@ -95,42 +98,36 @@
 
 /// Returns whether the cause lies in one endpoint or passes by itself.
 fn is_passing(error: ErrorKind) -> bool {
-    is_of_endpoint(error)
+    is_of_load(error)
         || matches!(
             error,
-            ErrorKind::Overloaded
-                | ErrorKind::ShareExhausted
+            ErrorKind::Leaving
+                | ErrorKind::ShuttingDown
+                | ErrorKind::Quarantined
+                | ErrorKind::EndpointFailed
+                | ErrorKind::AgentLost
                 | ErrorKind::NoEndpoint
                 | ErrorKind::WrongIncarnation
                 | ErrorKind::StoreUnavailable
         )
 }
 
-/// Returns whether another endpoint can take the work at once.
-fn is_of_endpoint(error: ErrorKind) -> bool {
-    matches!(
-        error,
-        ErrorKind::Leaving
-            | ErrorKind::ShuttingDown
-            | ErrorKind::Quarantined
-            | ErrorKind::EndpointFailed
-            | ErrorKind::AgentLost
-    )
+/// Returns whether there is too much work. Only another endpoint can help then: to wait for the
+/// same one would hold back the caller's final answer.
+fn is_of_load(error: ErrorKind) -> bool {
+    matches!(error, ErrorKind::Overloaded | ErrorKind::ShareExhausted)
 }
 
-/// Full jitter over an exponential range, never before the server's time to come back unless
-/// another endpoint can take the work.
+/// Another endpoint takes the work at once; otherwise full jitter over an exponential range, after
+/// the server's time to come back.
 fn backoff(failed: &FailedAttempt) -> Millis {
-    if failed.has_other && is_of_endpoint(failed.error) {
+    if failed.has_other {
         return Millis::ZERO;
     }
     let doublings = failed.attempts.saturating_sub(1).min(16);
     let range = (FIRST_BACKOFF_MS << doublings).min(MAX_BACKOFF_MS);
     let jitter = Millis(failed.draw % (range + 1));
-    match failed.has_other {
-        true => jitter,
-        false => failed.retry_after.plus(jitter),
-    }
+    failed.retry_after.plus(jitter)
 }
 
 fn naive(failed: &FailedAttempt) -> RetryDecision {
