Keep the configuration on disks, and the store's rate within a share

Calls to the store are limited to an entry's part of a quarter of its rates. Only loops that call again and again back off now.

--- a/crates/oleander-daemon/src/config_desk.rs
+++ b/crates/oleander-daemon/src/config_desk.rs
@@ -46,6 +46,15 @@
         }
     }
 
+    /// Puts the objects of a snapshot in force.
+    pub fn restore(&mut self, entries: Vec<JournalEntry>) {
+        for entry in entries {
+            let name = entry.name.clone();
+            self.journal.apply(entry);
+            self.read_all(&[name]);
+        }
+    }
+
     /// Returns the digest that goes with each heartbeat.
     pub fn digest(&self) -> wire::JournalDigest {
         wire_digest(self.journal.digest())
--- a/crates/oleander-daemon/src/entry_control.rs
+++ b/crates/oleander-daemon/src/entry_control.rs
@@ -9,6 +9,7 @@
 use crate::peer_entries::PeerEntries;
 use crate::prelude::*;
 use crate::retry_desk::RetryDesk;
+use crate::snapshot_file::SnapshotFile;
 
 /// Time between two words to each peer.
 pub(crate) const HELLO_EVERY: Millis = Millis(1000);
@@ -21,6 +22,7 @@
     pub(crate) agents: AgentTable,
     pub(crate) entries: PeerEntries,
     pub(crate) config: ConfigDesk,
+    pub(crate) snapshot: SnapshotFile,
     pub(crate) hello_due: Millis,
     pub(crate) opened: Millis,
     /// Requests for an endpoint that came before the agents were heard.
@@ -34,10 +36,14 @@
 impl EntryControl {
     /// Creates the state of a new incarnation.
     pub fn new(cx: EntryCx, incarnation: Incarnation) -> Self {
+        let snapshot = SnapshotFile::new(cx.cfg.data.as_deref(), &cx.cfg.node.store);
+        let mut config = ConfigDesk::new(incarnation);
+        config.restore(snapshot.load());
         Self {
             agents: AgentTable::new(&cx.cfg),
             entries: PeerEntries::new(&cx.cfg.node),
-            config: ConfigDesk::new(incarnation),
+            config,
+            snapshot,
             hello_due: Millis::ZERO,
             opened: now(),
             held: Vec::new(),
--- a/crates/oleander-daemon/src/entry_control_fleet.rs
+++ b/crates/oleander-daemon/src/entry_control_fleet.rs
@@ -60,6 +60,7 @@
         let digest = self.config.digest().digest;
         log::info!("event=config digest={digest:016x}");
         self.hello_due = Millis::ZERO;
+        self.snapshot.save(self.config.objects());
     }
 
     pub(crate) fn listed(&mut self, now: Millis, instances: Vec<ListedInstance>) {
@@ -75,6 +76,7 @@
             let _ = self.cx.peers.dial(link);
         }
         self.cx.watch.set(self.entries.is_watcher());
+        self.cx.store.share_among(self.entries.names().count());
         let actions = self.agents.listed(now, agents, self.entries.names());
         self.act(actions);
     }
--- a/crates/oleander-daemon/src/entry_loops.rs
+++ b/crates/oleander-daemon/src/entry_loops.rs
@@ -6,7 +6,7 @@
 use crate::prelude::*;
 use crate::store_client::{StoreClient, StoreError};
 use crate::watch_switch::WatchSwitch;
-use rand::Rng;
+use oleanderlock::backoff::{Backoff, BackoffConfig};
 use std::sync::mpsc::Sender;
 use std::time::Duration;
 
@@ -14,10 +14,8 @@
 const LIST_EVERY: Duration = Duration::from_millis(1000);
 /// Longest wait of one watch call.
 const WATCH_WAIT: Millis = Millis(20_000);
-/// First wait after a failed call.
-const BACKOFF_MIN: Millis = Millis(100);
-/// Longest wait after failed calls.
-const BACKOFF_MAX: Millis = Millis(5000);
+/// Time between two looks at whether this process is to watch.
+const SWITCH_LOOK: Duration = Duration::from_secs(5);
 
 /// Reads the list of instances until the control thread has ended.
 pub async fn read_list(base: String, events: Sender<EntryEvent>) {
@@ -35,17 +33,17 @@
 /// thread has ended.
 pub async fn watch_config(store: StoreClient, switch: WatchSwitch, events: Sender<EntryEvent>) {
     let mut position = None;
-    let mut wait = BACKOFF_MIN;
+    let mut backoff = Backoff::new(BackoffConfig::default());
     loop {
         if !switch.is_on() {
             // What happens meanwhile comes from peers, and from a listing later.
             position = None;
-            pause(BACKOFF_MAX).await;
+            smol::Timer::after(SWITCH_LOOK).await;
             continue;
         }
         match look(&store, position).await {
             Ok(Look { revision, event }) => {
-                wait = BACKOFF_MIN;
+                backoff.succeed();
                 position = Some(revision);
                 if events.send(event).is_err() {
                     return;
@@ -56,8 +54,8 @@
                     position = None;
                 }
                 log::debug!("event=watch-failed reason=\"{fault}\"");
-                pause(wait).await;
-                wait = Millis(wait.0 * 2).min(BACKOFF_MAX);
+                let wait = backoff.fail(rand::random());
+                smol::Timer::after(Duration::from(wait)).await;
             }
         }
     }
@@ -83,9 +81,3 @@
         event: EntryEvent::StoreChanges(objects),
     })
 }
-
-/// Waits between half and the whole of `longest`, so that entries do not come back together.
-async fn pause(longest: Millis) {
-    let length = rand::rng().random_range(longest.0 / 2..=longest.0);
-    smol::Timer::after(Duration::from_millis(length)).await;
-}
--- a/crates/oleander-daemon/src/store_client.rs
+++ b/crates/oleander-daemon/src/store_client.rs
@@ -1,7 +1,9 @@
 //! Client of the platform's object API.
 
+use crate::store_limit::StoreLimit;
 use derive_more::{Display, Error};
 use oleanderlock::prelude::*;
+use oleanderlock::store_budget::StoreCall;
 use serde::{Deserialize, Serialize};
 use smol::future::FutureExt;
 use std::time::Duration;
@@ -13,6 +15,9 @@
 /// What a watch may take beyond the wait it asked for.
 const WATCH_GRACE_MS: u64 = 2000;
 
+/// Status of calls that this process does not make, because its rate is used up.
+const OWN_REFUSAL: u16 = 429;
+
 /// One object of the store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoredObject {
@@ -76,6 +81,7 @@
 pub struct StoreClient {
     client: Client,
     base: String,
+    limit: StoreLimit,
 }
 
 impl StoreClient {
@@ -85,6 +91,7 @@
         Self {
             client,
             base: base.trim_end_matches('/').to_owned(),
+            limit: StoreLimit::default(),
         }
     }
 
@@ -95,7 +102,7 @@
     /// [`StoreError::Refused`] or [`StoreError::NoAnswer`].
     pub async fn get(&self, name: &str) -> Result<Option<StoredObject>, StoreError> {
         let conn = self.client.get(self.object_url(name));
-        let reply = call(conn, CALL_TIMEOUT_MS).await?;
+        let reply = self.call(StoreCall::Read, conn, CALL_TIMEOUT_MS).await?;
         match reply.status {
             200 => reply.json().map(Some),
             404 => Ok(None),
@@ -112,7 +119,7 @@
         let conn = self
             .client
             .get(format!("{}/objects?prefix={prefix}", self.base));
-        let reply = call(conn, CALL_TIMEOUT_MS).await?;
+        let reply = self.call(StoreCall::Read, conn, CALL_TIMEOUT_MS).await?;
         match reply.status {
             200 => reply.json(),
             status => Err(StoreError::Refused { status }),
@@ -137,7 +144,8 @@
                 conn.with_request_header("if-match", version.to_string())
             }
         };
-        let reply = call(conn.with_body(value), CALL_TIMEOUT_MS).await?;
+        let conn = conn.with_body(value);
+        let reply = self.call(StoreCall::Write, conn, CALL_TIMEOUT_MS).await?;
         match reply.status {
             200 => reply.json::<VersionBody>().map(|body| body.version),
             412 => {
@@ -163,7 +171,8 @@
     ) -> Result<ObjectList, StoreError> {
         let query = format!("prefix={prefix}&after={after}&wait_ms={}", wait.0);
         let conn = self.client.get(format!("{}/watch?{query}", self.base));
-        let reply = call(conn, wait.0 + WATCH_GRACE_MS).await?;
+        let timeout_ms = wait.0 + WATCH_GRACE_MS;
+        let reply = self.call(StoreCall::Read, conn, timeout_ms).await?;
         match reply.status {
             200 => reply.json(),
             410 => Err(StoreError::HistoryGone),
@@ -171,6 +180,25 @@
         }
     }
 
+    /// Divides the store's rates among this number of entries.
+    pub fn share_among(&self, entries: usize) {
+        self.limit.share_among(entries);
+    }
+
+    async fn call(
+        &self,
+        kind: StoreCall,
+        conn: Conn,
+        timeout_ms: u64,
+    ) -> Result<Reply, StoreError> {
+        if !self.limit.take(kind) {
+            return Err(StoreError::Refused {
+                status: OWN_REFUSAL,
+            });
+        }
+        call(conn, timeout_ms).await
+    }
+
     fn object_url(&self, name: &str) -> String {
         format!("{}/objects/{name}", self.base)
     }
