--- a/crates/oleanderlock/src/admission.rs
+++ b/crates/oleanderlock/src/admission.rs
@@ -208,8 +208,12 @@
         if !self.cfg.policy.has_shares() {
             return self.queue.len() >= self.cfg.queue_limit;
         }
-        let limit = self.cfg.queue_limit as f64 * self.shares.granted_fraction(work.class);
-        self.shares.queued(work.class) >= (limit as usize).max(1)
+        let limit = match work.kind {
+            WorkKind::Interactive => self.cfg.queue_limit,
+            WorkKind::Samples => self.cfg.sample_queue_limit,
+        };
+        let own = limit as f64 * self.shares.granted_fraction(work.class);
+        self.shares.queued(work.class) >= (own as usize).max(1)
     }
 
     fn refusal(&self, work: &Work, retry_after: u64) -> Refusal {
