--- a/crates/oleander-load/src/deployment_cfg.rs
+++ b/crates/oleander-load/src/deployment_cfg.rs
@@ -58,6 +58,8 @@
     pub entry_threads: usize,
     /// Least severe level that the daemons log.
     pub log_level: String,
+    /// Gives the entries a data folder.
+    pub data: bool,
     /// Tokens that the entries demand.
     pub tokens: Tokens,
     /// Keeps settings and logs after the end.
@@ -81,6 +83,7 @@
             threads: 4,
             entry_threads: 2,
             log_level: "info".to_owned(),
+            data: false,
             tokens: Tokens::default(),
             keep_folder: false,
         }
--- a/crates/oleander-load/src/node.rs
+++ b/crates/oleander-load/src/node.rs
@@ -49,6 +49,11 @@
         Ok(())
     }
 
+    /// Folder for data, beside the settings.
+    pub fn data_folder(&self) -> PathBuf {
+        self.settings.with_extension("data")
+    }
+
     /// The process, unless it is down.
     pub fn process(&self) -> Option<&Process> {
         self.process.as_ref()
--- a/crates/oleander-load/src/settings_text.rs
+++ b/crates/oleander-load/src/settings_text.rs
@@ -25,6 +25,10 @@
 /// Writes the settings of an entry.
 pub fn write_entry(cfg: &DeploymentCfg, node: &Node, platform: &Platform) -> io::Result<()> {
     let mut ini = common(cfg, node, platform, cfg.entry_threads);
+    if cfg.data {
+        let data = node.data_folder().display().to_string();
+        ini.with_section(Some("node")).set("data", data);
+    }
     let tokens = [
         ("operators", &cfg.tokens.operators),
         ("trainers", &cfg.tokens.trainers),
--- a/crates/oleander-load/tests/contracts_in_force.rs
+++ b/crates/oleander-load/tests/contracts_in_force.rs
@@ -152,3 +152,68 @@
         }
     });
 }
+
+/// Ends all daemons at once and starts them again while the store is down.
+async fn restart_all_in_an_outage(deployment: &mut Deployment, meanwhile: impl Fn(&Deployment)) {
+    for entry in &mut deployment.entries {
+        entry.crash();
+    }
+    for endpoint in &mut deployment.endpoints {
+        endpoint.agent.crash();
+    }
+    let store = deployment.platform.store_api();
+    store.control(r#"{"outage":true}"#).await.expect("outage");
+    meanwhile(deployment);
+    for entry in &mut deployment.entries {
+        entry.start().expect("started");
+    }
+    for endpoint in &mut deployment.endpoints {
+        endpoint.agent.start().expect("started");
+    }
+}
+
+fn snapshot_of(deployment: &Deployment, entry: usize) -> std::path::PathBuf {
+    deployment.entries[entry]
+        .data_folder()
+        .join("config.snapshot")
+}
+
+#[test]
+fn a_cold_start_of_everything_in_an_outage_works_from_snapshots() {
+    smol::block_on(async {
+        let mut deployment = start(support::with_data(cfg(0, 2))).await;
+        let generation = deployment
+            .put_contract(&amended(30), 1)
+            .await
+            .expect("accepted");
+        wait_in_force(&deployment, generation).await;
+        pause(300).await;
+        restart_all_in_an_outage(&mut deployment, |_| ()).await;
+        wait_in_force(&deployment, generation).await;
+        let told = support::Quote::new(1)
+            .send(deployment.entry_addresses()[0])
+            .await;
+        assert!(matches!(told, support::Told::Answer(_)), "{told:?}");
+    });
+}
+
+#[test]
+fn a_torn_snapshot_is_not_believed_and_a_peer_makes_up_for_it() {
+    smol::block_on(async {
+        let mut deployment = start(support::with_data(cfg(0, 1))).await;
+        let generation = deployment
+            .put_contract(&amended(30), 1)
+            .await
+            .expect("accepted");
+        wait_in_force(&deployment, generation).await;
+        pause(300).await;
+        restart_all_in_an_outage(&mut deployment, |deployment| {
+            let file = snapshot_of(deployment, 0);
+            let mut bytes = std::fs::read(&file).expect("a snapshot");
+            bytes.truncate(bytes.len() / 2);
+            std::fs::write(&file, bytes).expect("written");
+        })
+        .await;
+        wait_in_force(&deployment, generation).await;
+    });
+}
--- a/crates/oleander-load/tests/support/mod.rs
+++ b/crates/oleander-load/tests/support/mod.rs
@@ -156,6 +156,10 @@
     }
 }
 
+pub fn with_data(cfg: DeploymentCfg) -> DeploymentCfg {
+    DeploymentCfg { data: true, ..cfg }
+}
+
 pub async fn start(cfg: DeploymentCfg) -> Deployment {
     Deployment::start(cfg, HANG).await.expect("a deployment")
 }
