--- a/crates/oleander-daemon/src/agent_settings.rs
+++ b/crates/oleander-daemon/src/agent_settings.rs
@@ -72,6 +72,7 @@
                 "product, random, round-robin, least-outstanding or naive",
             ),
         };
+        settings.check_url("endpoint", "url", &config.endpoint);
         if config.targets.is_empty() {
             settings.fault(
                 "endpoint",
--- a/crates/oleander-daemon/src/bin/oleander-agent.rs
+++ b/crates/oleander-daemon/src/bin/oleander-agent.rs
@@ -22,6 +22,7 @@
         }
     };
     if args.check {
+        println!("{}: valid", args.settings.display());
         return ExitCode::Success;
     }
     logging::start(&cfg.node.name, cfg.node.log_level);
--- a/crates/oleander-daemon/src/bin/oleander-entry.rs
+++ b/crates/oleander-daemon/src/bin/oleander-entry.rs
@@ -21,6 +21,7 @@
         }
     };
     if args.check {
+        println!("{}: valid", args.settings.display());
         return ExitCode::Success;
     }
     logging::start(&cfg.node.name, cfg.node.log_level);
--- a/crates/oleander-daemon/src/node_settings.rs
+++ b/crates/oleander-daemon/src/node_settings.rs
@@ -59,7 +59,10 @@
     if config.http.port() == 0 {
         settings.fault("node", "http", "must be set to IP:PORT with a port above 0");
     }
-    if !config.link.starts_with("tcp://") {
+    settings.check_url("platform", "store", &config.store);
+    settings.check_url("platform", "list", &config.list);
+    let link = config.link.strip_prefix("tcp://");
+    if link.is_none_or(|link| link.parse::<SocketAddr>().is_err()) {
         settings.fault("node", "link", "must have the form tcp://IP:PORT");
     }
     if config.link_keys.is_empty() {
--- a/crates/oleander-daemon/src/settings.rs
+++ b/crates/oleander-daemon/src/settings.rs
@@ -121,12 +121,20 @@
         parts.map(str::to_owned).collect()
     }
 
-    /// Notes a fault.
+    /// Notes a fault; of several faults of one key the first counts.
     pub fn fault(&mut self, section: &str, key: &str, problem: &str) {
-        self.faults.push(SettingsFault {
-            place: place(section, key),
-            problem: problem.to_owned(),
-        });
+        let place = place(section, key);
+        if self.faults.iter().all(|fault| fault.place != place) {
+            let problem = problem.to_owned();
+            self.faults.push(SettingsFault { place, problem });
+        }
+    }
+
+    /// Notes a fault of a URL that the process could not call.
+    pub fn check_url(&mut self, section: &str, key: &str, url: &str) {
+        if !url.starts_with("http://") {
+            self.fault(section, key, "must have the form http://IP:PORT");
+        }
     }
 
     /// Ends the reading.
@@ -146,17 +154,40 @@
     }
 
     fn note_unknown_keys(&mut self) {
+        let mut seen = BTreeSet::new();
         for (section, properties) in &self.ini {
             let section = section.unwrap_or_default();
             for (key, _) in properties {
                 let place = place(section, key);
-                if !self.known.contains(&place) {
-                    let problem = "unknown key".to_owned();
-                    self.faults.push(SettingsFault { place, problem });
-                }
+                let problem = if !self.known.contains(&place) {
+                    self.valid_keys(section)
+                } else if seen.insert(place.clone()) {
+                    continue;
+                } else {
+                    "is set twice".to_owned()
+                };
+                self.faults.push(SettingsFault { place, problem });
             }
         }
     }
+
+    /// Says of an unknown key which keys or sections there are.
+    fn valid_keys(&self, section: &str) -> String {
+        let prefix = place(section, "");
+        let keys = self.known.iter();
+        let keys = keys.filter_map(|known| known.strip_prefix(&prefix));
+        let keys: Vec<&str> = keys.collect();
+        if keys.is_empty() {
+            let names = self
+                .known
+                .iter()
+                .filter_map(|known| known.split(' ').next());
+            let names: BTreeSet<&str> = names.collect();
+            let names: Vec<&str> = names.into_iter().collect();
+            return format!("unknown section; valid sections: {}", names.join(", "));
+        }
+        format!("unknown key; valid keys: {}", keys.join(", "))
+    }
 }
 
 fn one_fault(place: String, problem: String) -> SettingsFaults {
--- a/crates/oleanderctl/src/cli.rs
+++ b/crates/oleanderctl/src/cli.rs
@@ -3,26 +3,36 @@
 use bpaf::Bpaf;
 use std::path::PathBuf;
 
-/// Arguments of `oleanderctl`.
+/// Writes, checks, amends and follows contracts, and shows the state of the fleet
+///
+///
+///
+/// Exit codes: 0 done, 1 failed or wrong arguments, 3 the contract has faults, 4 another amendment
+/// was accepted first, 5 not in force in time, 6 no entry answered
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(options, version)]
-/// Writes, checks, amends and follows contracts, and tells how the fleet is
 pub struct Args {
-    /// Ask the entry at this URL; the environment variable OLEANDER_ENTRY names one too
-    #[bpaf(argument("URL"), env("OLEANDER_ENTRY"), fallback("http://127.0.0.1:7080".to_owned()))]
+    /// Entry to ask
+    #[bpaf(
+        argument("URL"),
+        env("OLEANDER_ENTRY"),
+        fallback("http://127.0.0.1:7080".to_owned()),
+        display_fallback
+    )]
     pub entry: String,
-    /// Show this token; the environment variable OLEANDER_TOKEN names one too
+    /// Operator token, if the entry demands one
     #[bpaf(argument("TOKEN"), env("OLEANDER_TOKEN"), optional)]
     pub token: Option<String>,
-    /// Print JSON instead of text
+    /// Print JSON instead of text, errors included
     pub json: bool,
-    /// What to do.
+    #[allow(missing_docs)]
     #[bpaf(external)]
     pub command: Command,
 }
 
 /// The commands.
 #[derive(Bpaf, Clone, Debug)]
+#[bpaf(ignore_rustdoc)]
 pub enum Command {
     /// Write, check, amend and follow contracts
     #[bpaf(command)]
@@ -36,7 +46,7 @@
     /// Tell why a request was refused
     #[bpaf(command)]
     Explain {
-        /// The request, as named in the answer or in a log
+        /// Id of the request, as named in the error's JSON or in a log
         #[bpaf(positional("REQUEST"))]
         request: String,
     },
@@ -44,6 +54,7 @@
 
 /// The commands for contracts.
 #[derive(Bpaf, Clone, Debug)]
+#[bpaf(ignore_rustdoc)]
 pub enum ContractCommand {
     /// Check a contract file and name every fault with its line
     #[bpaf(command)]
@@ -55,7 +66,7 @@
     /// Put a contract in force, or amend the one that is
     #[bpaf(command)]
     Apply {
-        /// Amend only if this generation stands; the one that stands now by default
+        /// Amend only if this generation stands; by default whichever stands now
         #[bpaf(argument("GENERATION"), optional)]
         base: Option<u64>,
         /// The contract file
@@ -86,11 +97,11 @@
     /// Wait until a contract is in force everywhere, and name those that it waits for
     #[bpaf(command)]
     Wait {
-        /// Wait for this generation or a later one; the one that stands now by default
+        /// Generation to wait for, or a later one; by default the one that stands now
         #[bpaf(argument("GENERATION"), optional)]
         generation: Option<u64>,
         /// Give up after this many seconds
-        #[bpaf(argument("SECONDS"), fallback(30))]
+        #[bpaf(argument("SECONDS"), fallback(30), display_fallback)]
         timeout: u64,
         /// The customer
         #[bpaf(positional("CUSTOMER"))]
--- a/crates/oleanderctl/src/contract_commands.rs
+++ b/crates/oleanderctl/src/contract_commands.rs
@@ -4,6 +4,7 @@
 use crate::entry_client::{EntryClient, StandingContract, parse};
 use crate::output::{print, table};
 use oleanderlock::contract::Contract;
+use oleanderlock::prelude::*;
 use serde::Deserialize;
 use serde_json::{Value, json};
 use std::path::Path;
@@ -134,10 +135,14 @@
         None => vec![format!("new contract of {}", read.contract.customer)],
     };
     let generation = standing.map_or(0, |standing| standing.generation);
+    let text = match changes.is_empty() {
+        true => format!("no changes against generation {generation}"),
+        false => changes.join("\n"),
+    };
     print(
         as_json,
         &json!({ "generation": generation, "changes": changes }),
-        &changes.join("\n"),
+        &text,
     );
     Ok(())
 }
@@ -150,10 +155,8 @@
 pub fn history(client: &EntryClient, as_json: bool, customer: &str) -> Result<(), CtlError> {
     let reply = client.get(&format!("/v1/contracts/{customer}/history"))?;
     let mut past = reply.json::<HistoryBody>()?.history;
-    if let Some(standing) = client.contract(customer)? {
-        let StandingContract { generation, text } = standing;
-        past.push(PastContract { generation, text });
-    }
+    let StandingContract { generation, text } = standing(client, customer)?;
+    past.push(PastContract { generation, text });
     let rows: Vec<[String; 2]> = (0..past.len()).map(|at| history_row(&past, at)).collect();
     let body: Vec<Value> = past
         .iter()
@@ -182,11 +185,16 @@
     [generation, changes]
 }
 
-fn standing(client: &EntryClient, customer: &str) -> Result<StandingContract, CtlError> {
+/// Returns the contract of a customer that has one.
+///
+/// # Errors
+///
+/// [`CtlError::Refused`] when there is none, or the entry's refusal.
+pub fn standing(client: &EntryClient, customer: &str) -> Result<StandingContract, CtlError> {
     client.contract(customer)?.ok_or_else(|| CtlError::Refused {
         kind: "not-found".to_owned(),
         message: format!("there is no contract of {customer}"),
-        ran: "no".to_owned(),
+        ran: Ran::No,
     })
 }
 
--- a/crates/oleanderctl/src/ctl_error.rs
+++ b/crates/oleanderctl/src/ctl_error.rs
@@ -3,6 +3,7 @@
 use crate::exit_code::ExitCode;
 use derive_more::{Display, Error};
 use oleanderlock::contract_fault::ContractFault;
+use oleanderlock::prelude::*;
 
 /// Why a command failed.
 #[derive(Clone, Debug, Display, Error)]
@@ -24,17 +25,20 @@
         faults: Vec<ContractFault>,
     },
     /// The entry refused the call.
-    #[display("{message} ({kind}; work ran: {ran})")]
+    #[display("{message} ({kind}){}", doubt(*ran))]
     Refused {
         /// Name of the error kind.
         kind: String,
         /// The entry's sentence.
         message: String,
-        /// Whether anything changed: `no`, `yes` or `unknown`.
-        ran: String,
+        /// Whether the call took effect.
+        ran: Ran,
     },
     /// Another amendment was accepted first.
-    #[display("generation {generation} was accepted first; nothing has changed\n{changes}")]
+    #[display(
+        "generation {generation} was accepted first; your file was not applied. \
+         Against generation {generation} it would change:\n{changes}"
+    )]
     Conflict {
         /// The generation that stands.
         generation: u64,
@@ -78,6 +82,15 @@
     }
 }
 
+/// Says what an operator can't know from a refusal.
+fn doubt(ran: Ran) -> &'static str {
+    match ran {
+        Ran::No => "",
+        Ran::Yes => "; it took effect",
+        Ran::Unknown => "; it may have taken effect: look at `contract get` before trying again",
+    }
+}
+
 fn lines(file: &str, faults: &[ContractFault]) -> String {
     let lines: Vec<String> = faults
         .iter()
--- a/crates/oleanderctl/src/entry_client.rs
+++ b/crates/oleanderctl/src/entry_client.rs
@@ -3,6 +3,7 @@
 use crate::cli::Args;
 use crate::ctl_error::CtlError;
 use oleander_daemon::store_client::within;
+use oleanderlock::prelude::*;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use trillium_client::{Client, Conn};
@@ -44,7 +45,7 @@
 struct ErrorDetail {
     kind: String,
     message: String,
-    ran: String,
+    ran: Ran,
 }
 
 impl EntryClient {
--- a/crates/oleanderctl/src/exit_code.rs
+++ b/crates/oleanderctl/src/exit_code.rs
@@ -1,7 +1,10 @@
 //! Exit codes.
 
+use strum::Display;
+
 /// How a command ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[strum(serialize_all = "kebab-case")]
 pub enum ExitCode {
     /// It did what was asked.
     Success,
@@ -19,7 +22,7 @@
 
 impl From<ExitCode> for std::process::ExitCode {
     fn from(code: ExitCode) -> Self {
-        // 2 is left for wrong arguments.
+        // Wrong arguments end with 1, as the argument parser does; 2 stays free.
         Self::from(match code {
             ExitCode::Success => 0,
             ExitCode::Failure => 1,
--- a/crates/oleanderctl/src/fleet_commands.rs
+++ b/crates/oleanderctl/src/fleet_commands.rs
@@ -69,7 +69,11 @@
     let reply = client.get("/v1/steps")?;
     let body: StepsBody = reply.json()?;
     let json: Value = parse(&reply.body)?;
-    print(as_json, &json, &body.steps.join("\n"));
+    let text = match body.steps.is_empty() {
+        true => "this entry owns no step".to_owned(),
+        false => body.steps.join("\n"),
+    };
+    print(as_json, &json, &text);
     Ok(())
 }
 
--- a/crates/oleanderctl/src/run.rs
+++ b/crates/oleanderctl/src/run.rs
@@ -7,18 +7,34 @@
 use crate::exit_code::ExitCode;
 use crate::fleet_commands::{explain, fleet, steps};
 use crate::wait_command::wait;
+use serde_json::json;
 
 /// Runs a command and prints its result, or its error to standard error.
 pub fn run(args: &Args) -> ExitCode {
     match try_run(args) {
         Ok(()) => ExitCode::Success,
         Err(error) => {
-            eprintln!("oleanderctl: {error}");
-            error.code()
+            let code = error.code();
+            if args.json {
+                let body =
+                    json!({ "error": { "code": code.to_string(), "message": error.to_string() } });
+                eprintln!("{body}");
+            } else {
+                eprintln!("{}{error}", prefix(&error));
+            }
+            code
         }
     }
 }
 
+/// Lines that name file and line start with them, so that editors find the place.
+fn prefix(error: &CtlError) -> &'static str {
+    match error {
+        CtlError::Contract { .. } => "",
+        _ => "oleanderctl: ",
+    }
+}
+
 fn try_run(args: &Args) -> Result<(), CtlError> {
     let client = EntryClient::new(args);
     match &args.command {
--- a/crates/oleanderctl/src/wait_command.rs
+++ b/crates/oleanderctl/src/wait_command.rs
@@ -1,5 +1,6 @@
 //! `oleanderctl contract wait`.
 
+use crate::contract_commands::standing;
 use crate::ctl_error::CtlError;
 use crate::entry_client::EntryClient;
 use crate::fleet_commands::read_fleet;
@@ -25,9 +26,7 @@
 ) -> Result<(), CtlError> {
     let wanted = match generation {
         Some(generation) => generation,
-        None => client
-            .contract(customer)?
-            .map_or(1, |standing| standing.generation),
+        None => standing(client, customer)?.generation,
     };
     let end = Instant::now() + Duration::from_secs(seconds);
     loop {
