Follow requests by id through the logs; tell a deadline in the queue as one

Entry and agent log accepted, sent, started, finished and answered at debug, and the agent's refusals at info, each with the request's id; samples name their requests. An outage of the store was logged at debug only and an ejected endpoint nowhere: both are warnings now, and ejections are counted and shown by `fleet`. Amendments that were refused were logged as amended. Completions refused before they became a request were neither counted nor logged.

A call that waited in an agent's queue at its deadline was told `cancelled`, because the burial that its own entry ordered took it out of the queue.

--- a/crates/oleander-daemon/src/agent_control.rs
+++ b/crates/oleander-daemon/src/agent_control.rs
@@ -6,6 +6,7 @@
 use crate::config_desk::ConfigDesk;
 use crate::engine_client::SwapEnd;
 use crate::prelude::*;
+use crate::request_log;
 use indexmap::IndexMap;
 use oleanderlock::admission::Admission;
 use oleanderlock::admission_config::AdmissionConfig;
@@ -128,6 +129,7 @@
             SubmitAction::Repeat(outcome) => self.send_outcome(now, &attempt.waiters, &outcome),
             SubmitAction::Refuse(kind, ran) => {
                 self.cx.metrics.refused(kind);
+                request_log::refused(attempt.ticket(), kind, ran);
                 self.send_outcome(now, &attempt.waiters, &Outcome::failed(kind, ran));
             }
         }
@@ -216,6 +218,7 @@
             .start(now, ticket, attempt.submission.idempotent)
         {
             Ok(()) => {
+                request_log::started(attempt);
                 self.cx.metrics.began();
                 self.cx.run(attempt.clone());
             }
@@ -229,12 +232,14 @@
 
     fn refuse(&mut self, now: Millis, ticket: Ticket, refusal: Refusal) {
         self.cx.metrics.refused(refusal.error);
+        request_log::refused(ticket, refusal.error, Ran::No);
         let outcome = Outcome::failed(refusal.error, Ran::No).retry_after(refusal.retry_after);
         self.settle(now, ticket, outcome);
     }
 
     fn ended(&mut self, now: Millis, end: AttemptEnd) {
         self.cx.metrics.ended();
+        request_log::finished(end.ticket, &end.outcome);
         let tokens = end.outcome.total;
         self.settle(now, end.ticket, end.outcome);
         let actions = self.admission.finished(now, end.ticket, tokens);
@@ -310,6 +315,7 @@
             fingerprint: bury.fingerprint,
         };
         let burial = self.ledger.bury(now, &submission);
+        request_log::buried(ticket, burial.ran);
         // The attempt may be queued under the ticket of another call with the same key.
         let queued = self.standing(ticket).filter(|_| burial.dequeued);
         if let Some(queued) = queued {
@@ -431,7 +437,7 @@
 
     fn swapped(&mut self, now: Millis, report: SwapReport) {
         self.swapping = false;
-        log::info!("event=swap version={} end={:?}", report.version, report.end);
+        request_log::swapped(report.version, report.end);
         match report.end {
             SwapEnd::Loaded => {
                 self.probe = Some(Probe {
--- a/crates/oleander-daemon/src/agent_table.rs
+++ b/crates/oleander-daemon/src/agent_table.rs
@@ -8,8 +8,9 @@
 use bytes::Bytes;
 use indexmap::{IndexMap, IndexSet};
 use oleanderlock::choice_request::ChoiceRequest;
+use oleanderlock::ejection::EjectReason;
 use oleanderlock::endpoint::{EndpointKey, EndpointState, EndpointTerms, Proximity};
-use oleanderlock::endpoint_choice::{ChoiceConfig, EndpointChoice};
+use oleanderlock::endpoint_choice::{ChoiceAction, ChoiceConfig, EndpointChoice};
 use oleanderlock::member::MemberState;
 use oleanderlock::membership::{Listed, MemberAction, Membership};
 use oleanderlock::membership_config::MembershipConfig;
@@ -37,6 +38,13 @@
     Probe(String),
     /// The incarnation is gone.
     Gone(Incarnation),
+    /// The agent's endpoint gets no work for a while.
+    Ejected {
+        /// The agent.
+        name: String,
+        /// Why.
+        reason: EjectReason,
+    },
 }
 
 /// Agents by link address; bounded by the platform's list.
@@ -194,9 +202,15 @@
 
     /// Judges silence and the endpoints' standing.
     pub fn tick(&mut self, now: Millis) -> Vec<TableAction> {
-        self.choice.tick(now);
+        let ejected = self.choice.tick(now);
+        let mut actions: Vec<TableAction> = ejected
+            .into_iter()
+            .filter_map(|ChoiceAction::Eject(key, reason)| {
+                let name = self.route_of(key)?.name;
+                Some(TableAction::Ejected { name, reason })
+            })
+            .collect();
         let changes = self.members.tick(now, rand::random_range(0..=JITTER_MAX));
-        let mut actions = Vec::new();
         self.act(changes, &mut actions);
         actions
     }
@@ -324,6 +338,11 @@
         let member = self.members.get(&agent.listed.name);
         let state = match (heard, member.map(|member| member.state)) {
             (None, _) => "unheard".to_owned(),
+            (Some(heard), Some(MemberState::There) | None)
+                if self.choice.is_ejected(now(), heard.key) =>
+            {
+                "ejected".to_owned()
+            }
             (Some(heard), Some(MemberState::There) | None) => heard.state.to_string(),
             (Some(_), Some(state)) => state.to_string(),
         };
--- a/crates/oleander-daemon/src/completions.rs
+++ b/crates/oleander-daemon/src/completions.rs
@@ -69,7 +69,7 @@
     let body = http_input::json::<CompletionBody>(&mut conn).await;
     match body {
         Ok(body) => answer(cx, conn, Shape::Completion, body).await,
-        Err(fault) => fault.answer(conn),
+        Err(fault) => refuse(&cx, fault, conn),
     }
 }
 
@@ -77,7 +77,7 @@
 pub async fn chat(cx: EntryCx, mut conn: Conn) -> Conn {
     let body = match http_input::json::<ChatBody>(&mut conn).await {
         Ok(body) => body,
-        Err(fault) => return fault.answer(conn),
+        Err(fault) => return refuse(&cx, fault, conn),
     };
     let lines = body
         .messages
@@ -97,11 +97,11 @@
     let began = now();
     let call = match Call::read(&cx, &conn, None).await {
         Ok(call) => call,
-        Err(fault) => return fault.answer(conn),
+        Err(fault) => return refuse(&cx, fault, conn),
     };
     let req = match request(&call, &body) {
         Ok(req) => req,
-        Err(fault) => return fault.answer(conn),
+        Err(fault) => return refuse(&cx, fault, conn),
     };
     let id = req.spec.id;
     let reply = Reply {
@@ -175,7 +175,9 @@
 pub fn refuse(cx: &EntryCx, fault: HttpFault, conn: Conn) -> Conn {
     cx.metrics.refused(fault.kind);
     cx.refusals.note(&fault);
-    let request = fault.request.map(|id| id.to_string()).unwrap_or_default();
+    let request = fault
+        .request
+        .map_or_else(|| "-".to_owned(), |id| id.to_string());
     log::info!(
         "event=refused request={request} kind={} ran={}",
         fault.kind,
--- a/crates/oleander-daemon/src/entry_control_fleet.rs
+++ b/crates/oleander-daemon/src/entry_control_fleet.rs
@@ -98,6 +98,10 @@
                 TableAction::Use(link) => drop(self.cx.peers.dial(&link)),
                 TableAction::Forget(link) => self.cx.peers.forget(&link),
                 TableAction::Probe(link) => self.hello_to(&link),
+                TableAction::Ejected { name, reason } => {
+                    log::warn!("event=ejected agent={name} reason={reason}");
+                    self.cx.metrics.count("ejected");
+                }
                 TableAction::Gone(incarnation) => {
                     log::warn!("event=agent-gone incarnation={incarnation}");
                     self.cx.inflight.gone(incarnation);
--- a/crates/oleander-daemon/src/entry_loops.rs
+++ b/crates/oleander-daemon/src/entry_loops.rs
@@ -34,6 +34,7 @@
 pub async fn watch_config(store: StoreClient, switch: WatchSwitch, events: Sender<EntryEvent>) {
     let mut position = None;
     let mut backoff = Backoff::new(BackoffConfig::default());
+    let mut is_down = false;
     loop {
         if !switch.is_on() {
             // What happens meanwhile comes from peers, and from a listing later.
@@ -44,6 +45,9 @@
         match look(&store, position).await {
             Ok(Look { revision, event }) => {
                 backoff.succeed();
+                if std::mem::take(&mut is_down) {
+                    log::info!("event=store-back revision={revision}");
+                }
                 position = Some(revision);
                 if events.send(event).is_err() {
                     return;
@@ -53,6 +57,9 @@
                 if fault == StoreError::HistoryGone {
                     position = None;
                 }
+                if !std::mem::replace(&mut is_down, true) {
+                    log::warn!("event=store-down reason=\"{fault}\"");
+                }
                 log::debug!("event=watch-failed reason=\"{fault}\"");
                 let wait = backoff.fail(rand::random());
                 smol::Timer::after(Duration::from(wait)).await;
--- a/crates/oleander-daemon/src/lib.rs
+++ b/crates/oleander-daemon/src/lib.rs
@@ -51,6 +51,7 @@
 pub mod prelude;
 mod publish;
 pub mod refusal_log;
+mod request_log;
 pub mod request_run;
 pub mod retry_desk;
 pub mod runtime;
--- a/crates/oleander-daemon/src/operator_api.rs
+++ b/crates/oleander-daemon/src/operator_api.rs
@@ -81,14 +81,34 @@
     check_contract(&customer, &text)?;
     let standing = read_contract(cx, &customer).await?;
     if standing.generation.0 != base {
-        return Ok(Amended::Conflict(standing));
+        let conflict = Amended::Conflict(standing);
+        log_amended(&customer, base, &conflict);
+        return Ok(conflict);
     }
     let name = format!("{CONTRACT_PREFIX}{customer}");
     let amended = amend(&cx.store, &name, &standing, text).await;
-    log::info!("event=contract-amended customer={customer} base={base}");
+    log_amended(&customer, base, &amended);
     Ok(amended)
 }
 
+fn log_amended(customer: &str, base: u64, amended: &Amended) {
+    match amended {
+        Amended::Accepted(generation) => log::info!(
+            "event=contract-amended customer={customer} base={base} generation={generation}"
+        ),
+        Amended::Conflict(standing) => log::info!(
+            "event=contract-conflict customer={customer} base={base} generation={}",
+            standing.generation
+        ),
+        Amended::Refused => {
+            log::warn!("event=contract-not-amended customer={customer} base={base} ran=no");
+        }
+        Amended::Unknown => {
+            log::warn!("event=contract-not-amended customer={customer} base={base} ran=unknown");
+        }
+    }
+}
+
 fn check_contract(customer: &str, text: &str) -> Result<(), HttpFault> {
     let contract = Contract::parse(text).map_err(|faults| {
         let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
--- a/crates/oleander-daemon/src/request_run.rs
+++ b/crates/oleander-daemon/src/request_run.rs
@@ -6,6 +6,7 @@
 use crate::entry_event::{ChooseCall, Failed, Route, RouteEnd, RouteProgress};
 use crate::inflight::{Inflight, Word, Words};
 use crate::prelude::*;
+use crate::request_log;
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use oleanderlock::assembly_limits::AssemblyLimits;
@@ -89,6 +90,8 @@
     tracking: Tracking,
     on_data: impl FnMut(Bytes) -> bool,
 ) -> RequestEnd {
+    request_log::accepted(&req);
+    let began = now();
     let (track, action) = RequestTrack::open(req.spec, TrackConfig::default());
     let words = cx.inflight.open();
     let mut run = Run {
@@ -109,6 +112,8 @@
         req,
     };
     let outcome = run.drive(action).await;
+    let request = run.req.spec.id;
+    request_log::answered(request, &outcome, run.track.attempts(), now().since(began));
     RequestEnd {
         outcome,
         text_sent: run.text_sent,
@@ -166,6 +171,9 @@
 /// Ends an attempt's count at its endpoint even when the request is dropped half-way.
 impl<F> Drop for Run<'_, F> {
     fn drop(&mut self) {
+        if !self.track.is_done() {
+            request_log::caller_gone(self.req.spec.id);
+        }
         if let Some(TrackAction::Bury(ticket)) = self.track.step(now(), TrackEvent::CallerGone) {
             self.abandon(ticket);
         }
@@ -282,6 +290,7 @@
             self.retry_reason = Some(ErrorKind::NoEndpoint);
             return Some(TrackEvent::NotSent(ticket));
         }
+        request_log::sent(ticket, &route.name);
         None
     }
 
--- a/crates/oleander-daemon/src/step_task.rs
+++ b/crates/oleander-daemon/src/step_task.rs
@@ -5,6 +5,7 @@
 use crate::entry_cx::EntryCx;
 use crate::entry_event::Terms;
 use crate::prelude::*;
+use crate::request_log;
 use crate::request_run::{self, Request, Tracking};
 use crate::runtime;
 use crate::step_spec::{StepName, StepSpec};
@@ -344,6 +345,7 @@
             progress: progress.clone(),
             avoid,
         };
+        request_log::sample(&self.name, slot, req.spec.id);
         let target = req.target.clone();
         let cx = self.cx.clone();
         let events = self.events.clone();
--- a/crates/oleanderlock/src/request_track.rs
+++ b/crates/oleanderlock/src/request_track.rs
@@ -312,10 +312,26 @@
         TrackAction::Answer(Outcome::failed(kind, ran))
     }
 
+    /// Names the deadline as the reason when the burial at the deadline took the attempt out of the
+    /// queue; the agent can tell only that it was cancelled.
+    fn told_error(&self, outcome: &Outcome) -> Option<ErrorKind> {
+        match (self.phase, outcome.error, outcome.ran) {
+            (Phase::Burying(_), Some(ErrorKind::Cancelled), Ran::No) => {
+                Some(ErrorKind::DeadlineBeforeStart)
+            }
+            (_, error, _) => error,
+        }
+    }
+
     fn answer(&mut self, outcome: Outcome) -> TrackAction {
         let ran = self.settled(outcome.ran);
+        let error = self.told_error(&outcome);
         self.phase = Phase::Done;
-        TrackAction::Answer(Outcome { ran, ..outcome })
+        TrackAction::Answer(Outcome {
+            ran,
+            error,
+            ..outcome
+        })
     }
 }
 
