Keep the logs of a deployment that does not become ready

A test deployment whose daemon refused connections for 60 s removed its folder although the error named it, so that the reason was lost. Seen once in three runs of all tests, in contracts_in_force::a_whole_deployment_that_restarts_one_by_one_never_reverts; the cause is not known.

--- a/crates/oleander-load/src/deployment.rs
+++ b/crates/oleander-load/src/deployment.rs
@@ -54,11 +54,14 @@
             endpoints: Vec::new(),
             folder,
         };
+        // The logs tell why a deployment does not become ready.
+        let keep_folder = std::mem::replace(&mut deployment.cfg.keep_folder, true);
         deployment.start_endpoints().await?;
         deployment.start_entries().await?;
         let until = Instant::now() + timeout;
         deployment.put_contracts(until).await?;
         deployment.wait_ready(until).await?;
+        deployment.cfg.keep_folder = keep_folder;
         Ok(deployment)
     }
 
@@ -180,7 +183,9 @@
             loop {
                 match self.put_contract(text, 0).await {
                     Ok(_) => break,
-                    Err(e) if Instant::now() >= until => return Err(e),
+                    Err(e) if Instant::now() >= until => {
+                        return Err(self.not_ready(e.to_string()));
+                    }
                     Err(_) => Timer::after(Duration::from_millis(READY_POLL_MS)).await,
                 };
             }
