Plan weight rollouts at two entries; the agents' own waves go

Entries report-drive the planner of the library: two live entries by rank plan, so that a dead one that the list still names does not stop a rollout.

--- a/crates/oleander-daemon/src/agent_control.rs
+++ b/crates/oleander-daemon/src/agent_control.rs
@@ -20,19 +20,6 @@
 /// Time after which an entry that says nothing gets no more reports.
 const ENTRY_SILENT: Millis = Millis::from_secs(10);
 
-/// Waves in which the engines of one model load a version.
-const WAVES: u64 = 3;
-/// Time between two waves, in milliseconds.
-const WAVE_MS: u64 = 300;
-
-/// A swap that waits for its wave.
-struct PlannedSwap {
-    model: String,
-    version: Version,
-    fence: Fence,
-    due: Millis,
-}
-
 /// The control state of an agent.
 pub struct AgentControl {
     cx: AgentCx,
@@ -48,8 +35,8 @@
     look_due: Millis,
     probe: Option<Probe>,
     quarantined: bool,
-    swapping: bool,
-    planned: Option<PlannedSwap>,
+    /// Version that the engine is loading.
+    loading: Option<Version>,
     last_fence: Fence,
     leaving_since: Option<Millis>,
     stopping: bool,
@@ -73,8 +60,7 @@
             look_due: Millis::ZERO,
             probe: None,
             quarantined: false,
-            swapping: false,
-            planned: None,
+            loading: None,
             last_fence: Fence(0),
             leaving_since: None,
             stopping: false,
@@ -89,8 +75,8 @@
             Some(AgentEvent::Frame(frame)) => self.frame(now, *frame),
             Some(AgentEvent::FrameRefused(_)) => self.cx.metrics.count("frame-refused"),
             Some(AgentEvent::Ended(end)) => self.ended(now, end),
-            Some(AgentEvent::Probed(probe)) => self.probed(now, probe),
-            Some(AgentEvent::Swapped(report)) => self.swapped(now, report),
+            Some(AgentEvent::Probed(probe)) => self.probed(probe),
+            Some(AgentEvent::Swapped(report)) => self.swapped(report),
             Some(AgentEvent::Stop) => self.stop(now),
             Some(AgentEvent::Drain) => self.leave(now),
             Some(AgentEvent::Describe(reply)) => drop(reply.send(self.summary(now))),
@@ -350,63 +336,11 @@
         }
         self.admission
             .set_classes(&self.config.contracts().grants());
-        self.plan_swap(now);
         let digest = self.config.digest().digest;
         log::info!("event=config digest={digest:016x}");
         self.report_to_all(now);
     }
 
-    /// Plans to load the version published for this engine's model.
-    ///
-    /// The agents of one model start at different times, so that enough engines serve meanwhile
-    /// and the weight store is not asked by all at once.
-    fn plan_swap(&mut self, now: Millis) {
-        let Some(model) = self.cx.cfg.targets.first() else {
-            return;
-        };
-        let Some(published) = self.config.published(model) else {
-            return;
-        };
-        let serving = self
-            .probe
-            .and_then(|probe| probe.version)
-            .unwrap_or_default();
-        let is_planned = self
-            .planned
-            .as_ref()
-            .is_some_and(|it| it.version >= published.version);
-        if !self.cx.is_engine() || serving >= published.version || is_planned {
-            return;
-        }
-        let wave = wave_of(&self.cx.cfg.node.name, published.version);
-        self.planned = Some(PlannedSwap {
-            model: model.clone(),
-            version: published.version,
-            fence: published.fence,
-            due: now.plus(Millis(wave * WAVE_MS)),
-        });
-    }
-
-    fn start_planned_swap(&mut self, now: Millis) {
-        if self.swapping
-            || self
-                .planned
-                .as_ref()
-                .is_none_or(|planned| planned.due > now)
-        {
-            return;
-        }
-        let Some(planned) = self.planned.take() else {
-            return;
-        };
-        let order = wire::WeightOrder {
-            fence: planned.fence.0,
-            model: planned.model,
-            version: planned.version.0,
-        };
-        self.order_weights(String::new(), order);
-    }
-
     fn order_weights(&mut self, entry: String, order: wire::WeightOrder) {
         let fence = Fence(order.fence);
         if fence < self.last_fence {
@@ -422,15 +356,18 @@
             return;
         }
         self.last_fence = fence;
-        if self.swapping {
+        let serving = self.probe.and_then(|probe| probe.version);
+        let is_done = serving == Some(Version(order.version)) && !self.quarantined;
+        if self.loading.is_some() || is_done {
             return;
         }
-        self.swapping = true;
+        self.loading = Some(Version(order.version));
+        self.report_wanted = true;
         self.cx.swap(entry, order);
     }
 
-    fn swapped(&mut self, now: Millis, report: SwapReport) {
-        self.swapping = false;
+    fn swapped(&mut self, report: SwapReport) {
+        self.loading = None;
         log::info!("event=swap version={} end={:?}", report.version, report.end);
         match report.end {
             SwapEnd::Loaded => {
@@ -447,10 +384,7 @@
             }
         }
         self.report_wanted = true;
-        self.plan_swap(now);
-        if !report.entry.is_empty() {
-            self.send_status(&report);
-        }
+        self.send_status(&report);
     }
 
     fn send_status(&self, report: &SwapReport) {
@@ -468,15 +402,14 @@
         self.cx.send(&report.entry, Body::WeightStatus(status));
     }
 
-    fn probed(&mut self, now: Millis, probe: Probe) {
+    fn probed(&mut self, probe: Probe) {
         let changed = self.probe != Some(probe);
         self.probe = Some(probe);
-        if !self.swapping {
+        if self.loading.is_none() {
             self.quarantined = self.cx.is_engine() && (!probe.up || probe.version.is_none());
         }
         if changed {
             self.report_wanted = true;
-            self.plan_swap(now);
         }
     }
 
@@ -484,7 +417,6 @@
         self.ledger.forget(now);
         let actions = self.admission.tick(now);
         self.act(now, actions);
-        self.start_planned_swap(now);
         if now >= self.look_due {
             self.look_due = now.plus(LOOK_EVERY);
             self.drop_silent_entries(now);
@@ -528,6 +460,7 @@
             version_unknown: self.cx.is_engine() && version.is_none(),
             config: Some(self.config.digest()),
             clock_ms: now.0,
+            loading: self.loading.unwrap_or_default().0,
             name: self.cx.cfg.node.name.clone(),
         };
         self.cx.send(entry, Body::Report(report));
@@ -606,10 +539,3 @@
         }
     }
 }
-
-fn wave_of(name: &str, version: Version) -> u64 {
-    let mut hasher = blake3::Hasher::new();
-    hasher.update(name.as_bytes());
-    hasher.update(&version.0.to_be_bytes());
-    u64::from(hasher.finalize().as_bytes()[0]) % WAVES
-}
--- a/crates/oleander-daemon/src/config_desk.rs
+++ b/crates/oleander-daemon/src/config_desk.rs
@@ -65,9 +65,9 @@
         &self.contracts
     }
 
-    /// Returns the version that the workers of a model must load.
-    pub fn published(&self, model: &str) -> Option<PublishedVersion> {
-        self.versions.get(model).copied()
+    /// Returns the published versions by model.
+    pub fn all_published(&self) -> impl Iterator<Item = (&String, &PublishedVersion)> {
+        self.versions.iter()
     }
 
     /// Returns all objects, deleted ones included.
--- a/crates/oleander-daemon/src/entry_control.rs
+++ b/crates/oleander-daemon/src/entry_control.rs
@@ -10,6 +10,7 @@
 use crate::prelude::*;
 use crate::retry_desk::RetryDesk;
 use crate::snapshot_file::SnapshotFile;
+use crate::weight_desk::WeightDesk;
 
 /// Time between two words to each peer.
 pub(crate) const HELLO_EVERY: Millis = Millis(1000);
@@ -30,6 +31,7 @@
     /// Requests for an agent outside of the subset that was not heard yet.
     pub(crate) locating: Vec<LocateCall>,
     pub(crate) retries: RetryDesk,
+    pub(crate) weights: WeightDesk,
     stopping_since: Option<Millis>,
 }
 
@@ -49,6 +51,7 @@
             held: Vec::new(),
             locating: Vec::new(),
             retries: RetryDesk::new(cx.cfg.policy),
+            weights: WeightDesk::default(),
             stopping_since: None,
             cx,
         }
@@ -109,6 +112,7 @@
         self.choose_held(now);
         self.choose_due(now);
         self.locate_held(now);
+        self.order_weights(now);
         if now >= self.hello_due {
             self.hello_due = now.plus(HELLO_EVERY);
             self.say_hello();
--- a/crates/oleander-daemon/src/entry_control_fleet.rs
+++ b/crates/oleander-daemon/src/entry_control_fleet.rs
@@ -4,6 +4,7 @@
 use crate::entry_control::EntryControl;
 use crate::instance_list::{ListedInstance, Role};
 use crate::prelude::*;
+use oleanderlock::weight_plan::LoadOrder;
 
 impl EntryControl {
     pub(crate) fn frame(&mut self, now: Millis, frame: wire::Frame) {
@@ -28,6 +29,8 @@
                 }
                 self.spread(outcome.changed);
             }
+            // The next report tells what became of an order.
+            Some(Body::WeightStatus(_)) => {}
             _ => self.cx.metrics.count("frame-unexpected"),
         }
     }
@@ -41,6 +44,7 @@
     ) {
         let actions = self.agents.reported(now, link, incarnation, report);
         self.act(actions);
+        self.weights.on_report(now, link, report);
         self.compare(now, link, &report.config.unwrap_or_default());
         self.choose_held(now);
         self.locate_held(now);
@@ -61,6 +65,10 @@
         log::info!("event=config digest={digest:016x}");
         self.hello_due = Millis::ZERO;
         self.snapshot.save(self.config.objects());
+        for (model, published) in self.config.all_published() {
+            self.weights
+                .publish(model, published.version, published.fence);
+        }
     }
 
     pub(crate) fn listed(&mut self, now: Millis, instances: Vec<ListedInstance>) {
@@ -75,28 +83,40 @@
         for link in self.entries.gossip() {
             let _ = self.cx.peers.dial(link);
         }
-        self.cx.watch.set(self.entries.is_watcher());
+        self.take_parts();
         self.cx.store.share_among(self.entries.names().count());
         let actions = self.agents.listed(now, agents, self.entries.names());
         self.act(actions);
     }
 
+    /// Watches the store and plans rollouts if that is this entry's part now.
+    fn take_parts(&mut self) {
+        self.cx.watch.set(self.entries.is_watcher());
+        self.weights.set_plans(self.entries.is_planner());
+    }
+
     pub(crate) fn peer_changed(&mut self, now: Millis, change: &PeerChange) {
         if change.connected {
             self.agents.connected(now, &change.peer);
             self.hello_to(&change.peer);
             return;
         }
+        self.weights.on_gone(&change.peer);
+        self.entries.disconnected(&change.peer);
+        self.take_parts();
         let actions = self.agents.disconnected(now, &change.peer);
         self.act(actions);
         self.cx.inflight.disconnected(&change.peer);
     }
 
-    pub(crate) fn act(&self, actions: Vec<TableAction>) {
+    pub(crate) fn act(&mut self, actions: Vec<TableAction>) {
         for action in actions {
             match action {
                 TableAction::Use(link) => drop(self.cx.peers.dial(&link)),
-                TableAction::Forget(link) => self.cx.peers.forget(&link),
+                TableAction::Forget(link) => {
+                    self.weights.on_gone(&link);
+                    self.cx.peers.forget(&link);
+                }
                 TableAction::Probe(link) => self.hello_to(&link),
                 TableAction::Gone(incarnation) => {
                     log::warn!("event=agent-gone incarnation={incarnation}");
@@ -106,6 +126,31 @@
         }
     }
 
+    /// Sends the orders of the rollouts, if this entry plans them.
+    pub(crate) fn order_weights(&mut self, now: Millis) {
+        for order in self.weights.tick(now) {
+            let LoadOrder {
+                worker,
+                model,
+                version,
+                fence,
+            } = order;
+            log::info!("event=weight-order worker={worker} model={model} version={version}");
+            let order = wire::WeightOrder {
+                fence: fence.0,
+                model,
+                version: version.0,
+            };
+            let sent = self
+                .cx
+                .peers
+                .send_connected(&worker, Body::WeightOrder(order));
+            if sent.is_err() {
+                self.cx.metrics.count("weight-order-not-sent");
+            }
+        }
+    }
+
     pub(crate) fn say_hello(&self) {
         for link in self.agents.links().chain(self.entries.gossip()) {
             self.hello_to(link);
--- a/crates/oleander-daemon/src/lib.rs
+++ b/crates/oleander-daemon/src/lib.rs
@@ -66,3 +66,4 @@
 pub mod store_limit;
 mod trainer_api;
 mod watch_switch;
+mod weight_desk;
--- a/crates/oleander-daemon/src/peer_entries.rs
+++ b/crates/oleander-daemon/src/peer_entries.rs
@@ -4,14 +4,22 @@
 use crate::instance_list::{ListedInstance, ListedState};
 use crate::node_settings::NodeConfig;
 use indexmap::IndexMap;
+use oleanderlock::rendezvous::top;
 use oleanderlock::site::Site;
 use oleanderlock::watcher_choice::{WatcherCounts, gossip_peers, is_watcher};
 
+/// Entries that plan weight rollouts.
+const PLANNERS: usize = 2;
+/// Key under which entries are ranked for planning rollouts.
+const PLANNER_KEY: &str = "weight-planner";
+
 /// One other entry.
 #[derive(Clone, Debug)]
 struct PeerEntry {
     site: Site,
     digest: Option<u64>,
+    /// Its link broke, and it was not heard since.
+    lost: bool,
 }
 
 /// Other entries by link address; bounded by the platform's list.
@@ -41,7 +49,11 @@
             .retain(|link, _| live.iter().any(|one| one.link == *link));
         for instance in &live {
             let site = Site::new(&instance.name, &instance.domain);
-            let fresh = PeerEntry { site, digest: None };
+            let fresh = PeerEntry {
+                site,
+                digest: None,
+                lost: false,
+            };
             self.entries.entry(instance.link.clone()).or_insert(fresh);
         }
         self.choose_gossip();
@@ -52,7 +64,8 @@
     }
 
     fn choose_gossip(&mut self) {
-        let sites: Vec<Site> = self.sites();
+        let all = self.entries.values().map(|peer| peer.site.clone());
+        let sites: Vec<Site> = all.collect();
         let chosen = gossip_peers(&self.own, &sites, WatcherCounts::default());
         let is_chosen = |peer: &PeerEntry| chosen.contains(&peer.site);
         let links = self.entries.iter().filter(|(_, peer)| is_chosen(peer));
@@ -64,15 +77,32 @@
         is_watcher(&self.own, &self.sites(), WatcherCounts::default())
     }
 
+    /// Tells whether this entry plans weight rollouts. Two do, so that the list's lag does not
+    /// matter when one is gone; both send the same orders.
+    pub fn is_planner(&self) -> bool {
+        let sites = self.sites();
+        let all = sites.iter().chain(std::iter::once(&self.own));
+        let planners = top(PLANNER_KEY, all, |site| &site.name, PLANNERS);
+        planners.iter().any(|site| site.name == self.own.name)
+    }
+
     /// Returns the links of the entries with which this one compares its configuration.
     pub fn gossip(&self) -> &[String] {
         &self.gossip
     }
 
+    /// Notes that the link to an entry broke.
+    pub fn disconnected(&mut self, link: &str) {
+        if let Some(peer) = self.entries.get_mut(link) {
+            peer.lost = true;
+        }
+    }
+
     /// Notes the digest that an entry named.
     pub fn heard(&mut self, link: &str, digest: u64) {
         if let Some(peer) = self.entries.get_mut(link) {
             peer.digest = Some(digest);
+            peer.lost = false;
         }
     }
 
@@ -91,10 +121,9 @@
         views.collect()
     }
 
+    /// Returns the entries that are not known to be lost.
     fn sites(&self) -> Vec<Site> {
-        self.entries
-            .values()
-            .map(|peer| peer.site.clone())
-            .collect()
+        let there = self.entries.values().filter(|peer| !peer.lost);
+        there.map(|peer| peer.site.clone()).collect()
     }
 }
--- a/crates/oleander-load/src/capacity_parts.rs
+++ b/crates/oleander-load/src/capacity_parts.rs
@@ -57,6 +57,7 @@
         }),
         name: "agent-bkk-lat-krabang-0123".to_owned(),
         clock_ms: 1 << 40,
+        loading: 1 << 40,
     };
     size("report", Body::Report(report));
     let hello = Hello {
