--- a/crates/oleander-load/src/deployment.rs
+++ b/crates/oleander-load/src/deployment.rs
@@ -57,11 +57,18 @@
         deployment.start_endpoints().await?;
         deployment.start_entries().await?;
         let until = Instant::now() + timeout;
-        deployment.put_contracts(until).await?;
-        deployment.wait_ready(until).await?;
+        let started = deployment.settle(until).await;
+        // The logs tell why it did not start.
+        deployment.cfg.keep_folder |= started.is_err();
+        started?;
         Ok(deployment)
     }
 
+    async fn settle(&self, until: Instant) -> Result<(), DeploymentError> {
+        self.put_contracts(until).await?;
+        self.wait_ready(until).await
+    }
+
     /// Folder of settings and logs.
     pub fn folder(&self) -> &Path {
         &self.folder
