Bound the load tool's calls in flight, report its own lag, end children on signals

Cause: at 5x the tool offered 5,600 calls a second, more than the machine carries beside other work; calls piled up to the limit of 20,000 open files, each of the stand-ins' accept loops then spun on EMFILE on the four executor threads, and the naive run hung until its time limit (gdb: four threads in accept4, /proc: 20000 descriptors). Ruled out: the product, whose processes were at 2 to 10% of a core each, and a lost wakeup.

--- a/crates/oleander-load/src/caller.rs
+++ b/crates/oleander-load/src/caller.rs
@@ -13,12 +13,15 @@
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 use trillium_client::{Conn, Method};
 use trillium_smol::async_global_executor::spawn;
 
 /// Longest wait for one call.
 const CALL_TIMEOUT: Duration = Duration::from_secs(20);
+/// Most calls of one stream in flight, well below the usual limit of open files.
+const IN_FLIGHT_MAX: usize = 4000;
 
 #[derive(Deserialize)]
 struct CompletionAnswer {
@@ -41,6 +44,7 @@
     entries: Vec<Api>,
     origin: Instant,
     ended: Sender<CallOutcome>,
+    in_flight: AtomicUsize,
 }
 
 /// Sends all calls at their intended times after `origin`, whatever became of earlier ones; each
@@ -61,6 +65,7 @@
         entries: entries.collect(),
         origin,
         ended,
+        in_flight: AtomicUsize::new(0),
     });
     for number in 0..caller.calls.len() {
         Timer::at(caller.due(number)).await;
@@ -74,15 +79,27 @@
         self.origin + Duration::from_micros(self.calls[number].at_us)
     }
 
+    fn since_due(&self, number: usize) -> u64 {
+        self.due(number).elapsed().as_micros() as u64
+    }
+
     async fn call(&self, number: usize) {
+        let lag_us = self.since_due(number);
         let work = &self.calls[number].work;
-        let end = match self.send(number, work).await {
-            Ok(reply) => end_of(work, &reply),
-            Err(_) => CallEnd::Broken,
+        let in_flight = self.in_flight.fetch_add(1, Ordering::Relaxed);
+        let end = if in_flight >= IN_FLIGHT_MAX {
+            CallEnd::Unsent
+        } else {
+            match self.send(number, work).await {
+                Ok(reply) => end_of(work, &reply),
+                Err(_) => CallEnd::Broken,
+            }
         };
+        self.in_flight.fetch_sub(1, Ordering::Relaxed);
         let outcome = CallOutcome {
             number,
-            latency_us: self.due(number).elapsed().as_micros() as u64,
+            latency_us: self.since_due(number),
+            lag_us,
             end,
         };
         let _ = self.ended.try_send(outcome);
--- a/crates/oleander-load/src/main.rs
+++ b/crates/oleander-load/src/main.rs
@@ -4,7 +4,7 @@
 use oleander_load::experiment::Experiment;
 use oleander_load::report::{PolicyReport, keep, print_ratios, print_results};
 use oleander_load::run::RunResult;
-use oleander_load::{experiment_file, measure, plot, run};
+use oleander_load::{experiment_file, measure, plot, process, run};
 use oleanderlock::policy::Policy;
 use std::error::Error;
 use std::io;
@@ -30,6 +30,7 @@
 
 fn main() -> Result<(), Box<dyn Error>> {
     let options = options().run();
+    process::end_children_on_stop()?;
     for path in &options.experiments {
         let experiment = experiment_file::read(path)
             .map_err(|faults| format!("{}:\n{faults}", path.display()))?;
--- a/crates/oleander-load/src/measure.rs
+++ b/crates/oleander-load/src/measure.rs
@@ -54,14 +54,20 @@
     stream: &StreamResult,
     ended: impl Fn(&CallEnd) -> bool,
 ) -> Latencies {
-    histogram(measured(experiment, stream).filter(|outcome| ended(&outcome.end)))
+    let outcomes = measured(experiment, stream).filter(|outcome| ended(&outcome.end));
+    histogram(outcomes.map(|outcome| outcome.latency_us))
 }
 
-fn histogram<'a>(outcomes: impl Iterator<Item = &'a CallOutcome>) -> Latencies {
+/// The tool's own lag; figures of a run in which it is large say little of the product.
+fn lags(experiment: &Experiment, stream: &StreamResult) -> Latencies {
+    histogram(measured(experiment, stream).map(|outcome| outcome.lag_us))
+}
+
+fn histogram(values_us: impl Iterator<Item = u64>) -> Latencies {
     let mut histogram = Histogram::new_with_bounds(1, LATENCY_MAX_US, SIGNIFICANT_DIGITS)
         .expect("the bounds are valid");
-    for outcome in outcomes {
-        histogram.saturating_record(outcome.latency_us.max(1));
+    for value_us in values_us {
+        histogram.saturating_record(value_us.max(1));
     }
     histogram
 }
@@ -129,6 +135,18 @@
             "calls",
         ),
         figure(name, "wrong", count(|end| *end == CallEnd::Wrong), "calls"),
+        figure(
+            name,
+            "unsent",
+            count(|end| *end == CallEnd::Unsent),
+            "calls",
+        ),
+        figure(
+            name,
+            "send-lag-p99",
+            ms(&lags(experiment, stream), 0.99),
+            "ms",
+        ),
         figure(name, "untrue-not-run", untrue, "calls"),
         figure(name, again_name(stream), again as f64, "runs"),
         figure(name, "p50", ms(&answered, 0.5), "ms"),
@@ -139,12 +157,8 @@
         let from_us = (fault.at_ms + SETTLE_MS) * 1000;
         let settled = outcomes_after(stream, from_us);
         let settled = settled.filter(|outcome| outcome.end == CallEnd::Answered);
-        measures.push(figure(
-            name,
-            "p99-settled",
-            ms(&histogram(settled), 0.99),
-            "ms",
-        ));
+        let settled = histogram(settled.map(|outcome| outcome.latency_us));
+        measures.push(figure(name, "p99-settled", ms(&settled, 0.99), "ms"));
     }
     if let Some(bound) = bound {
         measures.push(figure(name, "bound", bound.0 as f64, "ms"));
--- a/crates/oleander-load/src/outcome.rs
+++ b/crates/oleander-load/src/outcome.rs
@@ -18,6 +18,8 @@
     },
     /// No valid answer.
     Broken,
+    /// Never sent, since too many earlier calls were in flight.
+    Unsent,
 }
 
 /// One call that ended.
@@ -27,6 +29,8 @@
     pub number: usize,
     /// Time from the intended send time to the end, in microseconds.
     pub latency_us: u64,
+    /// Time from the intended send time until it was sent, in microseconds; the tool's own lag.
+    pub lag_us: u64,
     /// How it ended.
     pub end: CallEnd,
 }
--- a/crates/oleander-load/src/process.rs
+++ b/crates/oleander-load/src/process.rs
@@ -1,6 +1,9 @@
 //! A child process that ends with its handle.
 
+use parking_lot::Mutex;
 use rustix::process::{Pid, Signal, kill_process};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
 use std::fs::File;
 use std::io;
 use std::path::Path;
@@ -8,6 +11,36 @@
 use std::time::Duration;
 
 const EXIT_POLL_MS: u64 = 20;
+/// Exit code after a stop signal.
+const STOPPED_EXIT_CODE: i32 = 130;
+
+/// Ids of the children that run.
+static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends this process and all its children when it is told to stop.
+pub fn end_children_on_stop() -> io::Result<()> {
+    let mut signals = Signals::new([SIGINT, SIGTERM])?;
+    std::thread::Builder::new()
+        .name("signals".to_owned())
+        .spawn(move || {
+            if signals.forever().next().is_some() {
+                kill_children();
+                std::process::exit(STOPPED_EXIT_CODE);
+            }
+        })?;
+    Ok(())
+}
+
+/// Kills all children; the lock is kept, so that no other starts.
+fn kill_children() {
+    let running = RUNNING.lock();
+    for id in running.iter() {
+        if let Some(pid) = Pid::from_raw(*id as i32) {
+            let _ = kill_process(pid, Signal::KILL);
+        }
+    }
+    std::mem::forget(running);
+}
 
 /// A running child process; dropping it kills the process.
 #[derive(Debug)]
@@ -19,6 +52,7 @@
     /// Starts `program` with a settings file; its output goes to the end of `log`.
     pub fn spawn(program: &Path, settings: &Path, log: &Path) -> io::Result<Self> {
         let log = File::options().create(true).append(true).open(log)?;
+        let mut running = RUNNING.lock();
         let child = Command::new(program)
             .arg("--settings")
             .arg(settings)
@@ -26,6 +60,7 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
+        running.push(child.id());
         Ok(Self { child })
     }
 
@@ -51,7 +86,11 @@
 
     /// Whether the process runs.
     pub fn is_running(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(None))
+        let runs = matches!(self.child.try_wait(), Ok(None));
+        if !runs {
+            self.forget();
+        }
+        runs
     }
 
     /// Waits until the process has ended.
@@ -61,6 +100,11 @@
         }
     }
 
+    /// Takes the child off the list, since its id may soon be another's.
+    fn forget(&self) {
+        RUNNING.lock().retain(|id| *id != self.child.id());
+    }
+
     fn signal(&self, signal: Signal) -> io::Result<()> {
         // The child is not reaped before this handle sees its end, so the id is its own.
         let pid = Pid::from_child(&self.child);
@@ -71,6 +115,7 @@
 
 impl Drop for Process {
     fn drop(&mut self) {
+        self.forget();
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
--- a/crates/oleander-load/tests/experiments.rs
+++ b/crates/oleander-load/tests/experiments.rs
@@ -68,6 +68,7 @@
     let outcomes = (0..calls.len()).map(|number| CallOutcome {
         number,
         latency_us: 1000,
+        lag_us: 0,
         end,
     });
     StreamResult {
