--- a/crates/oleander-daemon/src/entry.rs
+++ b/crates/oleander-daemon/src/entry.rs
@@ -6,6 +6,7 @@
 use crate::entry_http::{self, Readiness};
 use crate::entry_loops;
 use crate::entry_settings::EntryConfig;
+use crate::hedge_desk::HedgeDesk;
 use crate::inflight::Inflight;
 use crate::key_desk::KeyDesk;
 use crate::metrics::Metrics;
@@ -15,6 +16,7 @@
 use crate::request_run;
 use crate::runtime::{self, HttpServer};
 use crate::store_client::StoreClient;
+use crate::watch_switch::WatchSwitch;
 use oleander_link::{Delivery, LinkKeys, Mailbox};
 use oleanderlock::issued_key::KeySecrets;
 use std::sync::Arc;
@@ -53,11 +55,13 @@
         let peers = dial_peers(&cfg, incarnation, keys, events.clone());
         let store = StoreClient::new(&cfg.node.store);
         let cx = EntryCx {
+            hedges: HedgeDesk::new(cfg.policy),
             keys: KeyDesk::spawn(store.clone()),
             metrics: Metrics::new("oleander_entry"),
             peers,
             inflight,
             store,
+            watch: WatchSwitch::default(),
             refusals: RefusalLog::default(),
             secrets: Arc::new(secrets(&cfg)),
             events: events.clone(),
@@ -69,9 +73,13 @@
             cx.cfg.node.list.clone(),
             events.clone(),
         ));
-        runtime::spawn(entry_loops::watch_config(cx.store.clone(), events.clone()));
+        runtime::spawn(entry_loops::watch_config(
+            cx.store.clone(),
+            cx.watch.clone(),
+            events.clone(),
+        ));
         log::info!("event=open role=entry incarnation={incarnation}");
-        let mut state = EntryControl::new(cx);
+        let mut state = EntryControl::new(cx, incarnation);
         let control = runtime::spawn_control(inbox, move |event| state.handle(event))?;
         Ok(Self {
             events,
--- a/crates/oleander-daemon/src/request_run.rs
+++ b/crates/oleander-daemon/src/request_run.rs
@@ -1,6 +1,7 @@
 //! Runs one request at an entry, over all its attempts.
 
-use crate::agent_table::load_of;
+use crate::agent_heard::load_of;
+use crate::attempt_progress::AttemptProgress;
 use crate::entry_cx::EntryCx;
 use crate::entry_event::{ChooseCall, Failed, Route, RouteEnd, RouteProgress};
 use crate::inflight::{Inflight, Word, Words};
@@ -51,6 +52,17 @@
     pub fingerprint: u64,
     /// End of use of the request's key on the agent's clock; `None` without a key.
     pub horizon: Option<Millis>,
+    /// Name of the agent that the request's key names.
+    pub agent: Option<String>,
+}
+
+/// What a request shares with others of the same work.
+#[derive(Clone, Debug, Default)]
+pub struct Tracking {
+    /// Shows how far the request is.
+    pub progress: AttemptProgress,
+    /// Endpoints that other attempts of the same work use.
+    pub avoid: Vec<EndpointKey>,
 }
 
 /// The end of a request.
@@ -67,6 +79,16 @@
 /// Runs a request to its end; `on_data` gets contiguous text of an engine as it comes, once, and
 /// returns false when the caller is gone.
 pub async fn run(cx: &EntryCx, req: Request, on_data: impl FnMut(Bytes) -> bool) -> RequestEnd {
+    run_tracked(cx, req, Tracking::default(), on_data).await
+}
+
+/// As [`run`], with a shared view of the progress.
+pub async fn run_tracked(
+    cx: &EntryCx,
+    req: Request,
+    tracking: Tracking,
+    on_data: impl FnMut(Bytes) -> bool,
+) -> RequestEnd {
     let (track, action) = RequestTrack::open(req.spec, TrackConfig::default());
     let words = cx.inflight.open();
     let mut run = Run {
@@ -75,7 +97,8 @@
         track,
         assembly: None,
         route: None,
-        used: Vec::new(),
+        used: tracking.avoid,
+        progress: tracking.progress,
         attempt_began: now(),
         pace: None,
         retry_reason: None,
@@ -101,6 +124,7 @@
     assembly: Option<StreamAssembly>,
     route: Option<Route>,
     used: Vec<EndpointKey>,
+    progress: AttemptProgress,
     attempt_began: Millis,
     pace: Option<Pace>,
     retry_reason: Option<ErrorKind>,
@@ -218,6 +242,7 @@
 
     fn take_route(&mut self, route: Route) {
         self.used.push(route.key);
+        self.progress.begin(now(), route.key);
         self.route = Some(route);
         self.attempt_began = now();
         self.pace = None;
@@ -230,7 +255,8 @@
             .as_ref()
             .is_none_or(|route| route.incarnation != ticket.incarnation)
         {
-            match self.cx.locate(ticket.incarnation).await {
+            let agent = self.req.agent.as_deref().unwrap_or_default();
+            match self.cx.locate(ticket.incarnation, agent).await {
                 Some(route) => self.take_route(route),
                 None => return Some(TrackEvent::NotSent(ticket)),
             }
@@ -350,6 +376,7 @@
                 return self.broken(ticket);
             }
         }
+        self.progress.add(now(), tokens);
         if let Some(route) = &self.route {
             Pace::note(&mut self.pace, tokens, |elapsed, units| {
                 self.cx.progress(RouteProgress {
@@ -503,6 +530,8 @@
 }
 
 fn outcome_of(finish: &wire::Finish) -> Outcome {
+    // An agent that no longer keeps an answer sends its length without it.
+    let is_whole = finish.status > 0 && finish.data.len() as u64 == finish.total;
     let error =
         (!finish.error.is_empty()).then(|| finish.error.parse().unwrap_or(ErrorKind::Internal));
     Outcome {
@@ -511,7 +540,7 @@
         retry_after: (finish.retry_after_ms > 0).then_some(Millis(finish.retry_after_ms)),
         status: u16::try_from(finish.status).unwrap_or_default(),
         total: finish.total,
-        data: (finish.status > 0).then(|| finish.data.clone()),
+        data: is_whole.then(|| finish.data.clone()),
     }
 }
 
--- a/crates/oleander-load/src/deployment_cfg.rs
+++ b/crates/oleander-load/src/deployment_cfg.rs
@@ -1,5 +1,6 @@
 //! What a deployment consists of.
 
+use crate::tokens::Tokens;
 use oleander_standins::engine_switches::EngineSwitches;
 use oleander_standins::service::ServiceSwitches;
 use oleander_standins::store_switches::StoreSwitches;
@@ -57,6 +58,10 @@
     pub entry_threads: usize,
     /// Least severe level that the daemons log.
     pub log_level: String,
+    /// Gives the entries a data folder.
+    pub data: bool,
+    /// Tokens that the entries demand.
+    pub tokens: Tokens,
     /// Keeps settings and logs after the end.
     pub keep_folder: bool,
 }
@@ -78,6 +83,8 @@
             threads: 4,
             entry_threads: 2,
             log_level: "info".to_owned(),
+            data: false,
+            tokens: Tokens::default(),
             keep_folder: false,
         }
     }
