--- a/crates/oleanderlock/src/bucket_home.rs
+++ b/crates/oleanderlock/src/bucket_home.rs
@@ -1,5 +1,6 @@
 //! The entry at which the bindings of a bucket are best written.
 
+use crate::affinity_score::{hash_bytes, score};
 use crate::prelude::*;
 
 /// Returns the entry with the greatest rendezvous hash for a bucket; `None` if there is none.
@@ -7,11 +8,7 @@
 /// Only an optimisation: entries whose views differ choose different homes, and the conditional
 /// write keeps the binding right.
 pub fn bucket_home(bucket: u32, entries: &[Incarnation]) -> Option<Incarnation> {
-    let weight = |entry: &Incarnation| {
-        let mut hasher = blake3::Hasher::new();
-        hasher.update(&bucket.to_be_bytes());
-        hasher.update(&entry.0.to_be_bytes());
-        *hasher.finalize().as_bytes()
-    };
+    let key = hash_bytes(&bucket.to_be_bytes());
+    let weight = |entry: &Incarnation| score(key, entry.0);
     entries.iter().copied().max_by_key(weight)
 }
