--- a/crates/oleander-daemon/src/agent_control.rs
+++ b/crates/oleander-daemon/src/agent_control.rs
@@ -3,7 +3,7 @@
 use crate::agent_cx::AgentCx;
 use crate::agent_event::{AgentEvent, AgentSummary, Probe, SwapReport};
 use crate::attempt::{Attempt, AttemptEnd, Waiter};
-use crate::config_state::ConfigState;
+use crate::config_desk::ConfigDesk;
 use crate::engine_client::SwapEnd;
 use crate::prelude::*;
 use indexmap::IndexMap;
@@ -13,8 +13,10 @@
 use oleanderlock::request_outcome::Outcome;
 use oleanderlock::work::{AdmissionAction, Refusal, Verdict, Work};
 
-/// Time between two reports to an entry.
-const REPORT_EVERY: Millis = Millis(1000);
+/// Time between two looks for silent entries.
+const LOOK_EVERY: Millis = Millis(1000);
+/// Time to come back after a refusal that admission did not make.
+const REFUSED_RETRY: Millis = Millis(1000);
 /// Time after which an entry that says nothing gets no more reports.
 const ENTRY_SILENT: Millis = Millis::from_secs(10);
 
@@ -40,8 +42,10 @@
     attempts: IndexMap<Ticket, Attempt>,
     /// Entries by link address, with the time of their last word.
     entries: IndexMap<String, Millis>,
-    config: ConfigState,
-    report_due: Millis,
+    config: ConfigDesk,
+    /// The agent's state changed since the last report to all.
+    report_wanted: bool,
+    look_due: Millis,
     probe: Option<Probe>,
     quarantined: bool,
     swapping: bool,
@@ -54,15 +58,19 @@
 impl AgentControl {
     /// Creates the state of a new incarnation.
     pub fn new(cx: AgentCx, incarnation: Incarnation) -> Self {
-        let capacity = cx.cfg.capacity;
+        let admission = AdmissionConfig {
+            policy: cx.cfg.policy,
+            ..AdmissionConfig::for_capacity(cx.cfg.capacity)
+        };
         Self {
             cx,
             ledger: AttemptLedger::new(incarnation, LedgerLimits::default()),
-            admission: Admission::new(AdmissionConfig::for_capacity(capacity)),
+            admission: Admission::new(admission),
             attempts: IndexMap::new(),
             entries: IndexMap::new(),
-            config: ConfigState::default(),
-            report_due: Millis::ZERO,
+            config: ConfigDesk::new(incarnation),
+            report_wanted: false,
+            look_due: Millis::ZERO,
             probe: None,
             quarantined: false,
             swapping: false,
@@ -97,7 +105,12 @@
             Some(Body::Cancel(cancel)) => self.cancel(now, &cancel),
             Some(Body::Bury(bury)) => self.bury(now, &from, &bury),
             Some(Body::Hello(hello)) => self.hello(now, from, &hello),
-            Some(Body::JournalEntries(entries)) => self.take_config(now, &entries),
+            Some(Body::JournalEntries(entries)) => self.take_config(now, &from, entries),
+            Some(Body::JournalDigest(digest)) => self.compare(now, &from, &digest),
+            Some(Body::JournalFetch(fetch)) => {
+                let entries = self.config.on_fetch(&fetch);
+                self.cx.send(&from, entries);
+            }
             Some(Body::WeightOrder(order)) => self.order_weights(from, order),
             Some(Body::DrainOrder(_)) => self.leave(now),
             _ => self.cx.metrics.count("frame-unexpected"),
@@ -122,13 +135,8 @@
 
     /// Adds a sender to the attempt that already stands for its request.
     fn attach(&mut self, attempt: Attempt) {
-        let wanted = attempt.ticket();
-        let same = |found: &&mut Attempt| {
-            let ticket = found.ticket();
-            ticket.request == wanted.request
-                && (!found.submission.idempotent || ticket.attempt == wanted.attempt)
-        };
-        if let Some(found) = self.attempts.values_mut().find(same) {
+        let standing = self.standing(attempt.ticket());
+        if let Some(found) = standing.and_then(|ticket| self.attempts.get_mut(&ticket)) {
             for waiter in attempt.waiters {
                 if !found.waiters.contains(&waiter) {
                     found.waiters.push(waiter);
@@ -137,6 +145,16 @@
         }
     }
 
+    /// Returns the ticket of the attempt that stands for the request of `wanted`.
+    fn standing(&self, wanted: Ticket) -> Option<Ticket> {
+        let same = |found: &&Attempt| {
+            let ticket = found.ticket();
+            ticket.request == wanted.request
+                && (!found.submission.idempotent || ticket.attempt == wanted.attempt)
+        };
+        self.attempts.values().find(same).map(Attempt::ticket)
+    }
+
     fn admit(&mut self, now: Millis, attempt: Attempt) {
         let ticket = attempt.ticket();
         let verdict = self.verdict(now, &attempt);
@@ -151,7 +169,7 @@
                     ticket,
                     Refusal {
                         error,
-                        retry_after: REPORT_EVERY,
+                        retry_after: REFUSED_RETRY,
                     },
                 );
             }
@@ -292,9 +310,11 @@
             fingerprint: bury.fingerprint,
         };
         let burial = self.ledger.bury(now, &submission);
-        if burial.dequeued {
-            self.settle(now, ticket, Outcome::failed(ErrorKind::Cancelled, Ran::No));
-            let actions = self.admission.cancelled(now, ticket);
+        // The attempt may be queued under the ticket of another call with the same key.
+        let queued = self.standing(ticket).filter(|_| burial.dequeued);
+        if let Some(queued) = queued {
+            self.settle(now, queued, Outcome::failed(ErrorKind::Cancelled, Ran::No));
+            let actions = self.admission.cancelled(now, queued);
             self.act(now, actions);
         }
         let ran = wire::Ran::from(burial.ran).into();
@@ -307,28 +327,32 @@
         );
     }
 
+    /// Answers each word of an entry with a report, so that both know that the other is there.
     fn hello(&mut self, now: Millis, from: String, hello: &wire::Hello) {
-        if hello.config_digest != self.config.digest() {
-            let fetch = wire::JournalFetch {
-                epoch: 0,
-                offset: 0,
-            };
-            self.cx.send(&from, Body::JournalFetch(fetch));
-        }
-        let is_new = self.entries.insert(from.clone(), now).is_none();
-        if is_new {
-            self.report_to(now, &from);
+        self.compare(now, &from, &hello.config.unwrap_or_default());
+        self.report_to(now, &from);
+        self.entries.insert(from, now);
+    }
+
+    fn compare(&mut self, now: Millis, from: &str, digest: &wire::JournalDigest) {
+        if let Some(reply) = self.config.on_digest(now, from, digest) {
+            self.cx.send(from, reply);
         }
     }
 
-    fn take_config(&mut self, now: Millis, entries: &wire::JournalEntries) {
-        if !self.config.take(entries) {
+    fn take_config(&mut self, now: Millis, from: &str, entries: wire::JournalEntries) {
+        let outcome = self.config.on_entries(now, from, entries);
+        if let Some(reply) = outcome.reply {
+            self.cx.send(from, reply);
+        }
+        if !outcome.changed {
             return;
         }
         self.admission
             .set_classes(&self.config.contracts().grants());
         self.plan_swap(now);
-        log::info!("event=config digest={:016x}", self.config.digest());
+        let digest = self.config.digest().digest;
+        log::info!("event=config digest={digest:016x}");
         self.report_to_all(now);
     }
 
@@ -422,7 +446,7 @@
                 self.quarantined = true;
             }
         }
-        self.report_due = Millis::ZERO;
+        self.report_wanted = true;
         self.plan_swap(now);
         if !report.entry.is_empty() {
             self.send_status(&report);
@@ -451,7 +475,7 @@
             self.quarantined = self.cx.is_engine() && (!probe.up || probe.version.is_none());
         }
         if changed {
-            self.report_due = Millis::ZERO;
+            self.report_wanted = true;
             self.plan_swap(now);
         }
     }
@@ -461,8 +485,11 @@
         let actions = self.admission.tick(now);
         self.act(now, actions);
         self.start_planned_swap(now);
-        if now >= self.report_due {
+        if now >= self.look_due {
+            self.look_due = now.plus(LOOK_EVERY);
             self.drop_silent_entries(now);
+        }
+        if self.report_wanted {
             self.report_to_all(now);
         }
     }
@@ -484,7 +511,7 @@
     }
 
     fn report_to_all(&mut self, now: Millis) {
-        self.report_due = now.plus(REPORT_EVERY);
+        self.report_wanted = false;
         for entry in self.entries.keys() {
             self.report_to(now, entry);
         }
@@ -499,7 +526,7 @@
             targets: self.cx.cfg.targets.clone(),
             version: version.unwrap_or_default().0,
             version_unknown: self.cx.is_engine() && version.is_none(),
-            config_digest: self.config.digest(),
+            config: Some(self.config.digest()),
             clock_ms: now.0,
             name: self.cx.cfg.node.name.clone(),
         };
@@ -575,7 +602,7 @@
             running: load.running,
             queued: load.queued,
             records: self.ledger.len(),
-            config_digest: format!("{:016x}", self.config.digest()),
+            config_digest: format!("{:016x}", self.config.digest().digest),
         }
     }
 }
--- a/crates/oleander-daemon/src/entry_cx.rs
+++ b/crates/oleander-daemon/src/entry_cx.rs
@@ -1,13 +1,17 @@
 //! What the traffic of an entry acts through.
 
-use crate::entry_event::{ChooseCall, EntryEvent, NoRoute, Route, RouteEnd, Terms, TermsCall};
+use crate::entry_event::{
+    ChooseCall, EntryEvent, LocateCall, NoRoute, Route, RouteEnd, RouteProgress, Terms, TermsCall,
+};
 use crate::entry_settings::EntryConfig;
+use crate::hedge_desk::HedgeDesk;
 use crate::inflight::Inflight;
 use crate::key_desk::KeyDesk;
 use crate::metrics::Metrics;
 use crate::prelude::*;
 use crate::refusal_log::RefusalLog;
 use crate::store_client::StoreClient;
+use crate::watch_switch::WatchSwitch;
 use async_channel::Sender;
 use oleanderlock::attempt_end::AttemptEnd;
 use oleanderlock::issued_key::KeySecrets;
@@ -27,8 +31,12 @@
     pub inflight: Inflight,
     /// The platform's object API.
     pub store: StoreClient,
+    /// Whether this process watches the store.
+    pub watch: WatchSwitch,
     /// The latest refusals.
     pub refusals: RefusalLog,
+    /// Decides on hedged attempts.
+    pub hedges: HedgeDesk,
     /// Binds the keys that callers chose.
     pub keys: KeyDesk,
     /// Secrets of issued idempotency keys.
@@ -58,11 +66,17 @@
         rx.recv().await.unwrap_or(Err(stopping))
     }
 
-    /// Asks the control thread for the way to an incarnation.
-    pub async fn locate(&self, incarnation: Incarnation) -> Option<Route> {
-        self.ask(|tx| EntryEvent::Locate(incarnation, tx))
-            .await
-            .flatten()
+    /// Asks the control thread for the way to an incarnation of an agent.
+    pub async fn locate(&self, incarnation: Incarnation, agent: &str) -> Option<Route> {
+        let ask = |reply| {
+            EntryEvent::Locate(LocateCall {
+                incarnation,
+                agent: agent.to_owned(),
+                asked: now(),
+                reply,
+            })
+        };
+        self.ask(ask).await.flatten()
     }
 
     /// Asks the control thread for the terms of a class or service.
@@ -88,6 +102,11 @@
         });
     }
 
+    /// Tells the control thread that an attempt made progress.
+    pub fn progress(&self, progress: RouteProgress) {
+        let _ = self.events.send(EntryEvent::Progress(progress));
+    }
+
     /// Tells the control thread that an attempt ended.
     pub fn ended(&self, end: RouteEnd) {
         let _ = self.events.send(EntryEvent::Ended(end));
--- a/crates/oleander-daemon/src/entry_event.rs
+++ b/crates/oleander-daemon/src/entry_event.rs
@@ -25,13 +25,17 @@
     /// A request needs an endpoint.
     Choose(ChooseCall),
     /// A request must go to one incarnation.
-    Locate(Incarnation, Sender<Option<Route>>),
+    Locate(LocateCall),
+    /// An attempt made progress.
+    Progress(RouteProgress),
     /// An attempt was not sent, or it ended.
     Ended(RouteEnd),
     /// The platform's list was read.
     Listed(Vec<ListedInstance>),
-    /// Configuration objects were read from the store; all of them if `whole`.
-    Stored(ObjectList),
+    /// All configuration objects of the store.
+    StoreListing(ObjectList),
+    /// Configuration objects that changed in the store.
+    StoreChanges(ObjectList),
     /// Someone asks which contract covers a class or service.
     Terms(TermsCall),
     /// Someone asks for the fleet.
@@ -55,12 +59,36 @@
     pub class: String,
     /// Endpoints that earlier attempts have used.
     pub excluded: Vec<EndpointKey>,
-    /// Whether an earlier attempt was made.
-    pub is_retry: bool,
+    /// How the attempt before failed; `None` for the first one.
+    pub failed: Option<Failed>,
     /// Gets the route, or why there is none.
     pub reply: Sender<Result<Route, NoRoute>>,
 }
 
+/// A failed attempt of a request that may be tried again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Failed {
+    /// Why it failed.
+    pub error: ErrorKind,
+    /// Attempts so far.
+    pub attempts: u32,
+    /// Time to come back that the agent named.
+    pub retry_after: Millis,
+}
+
+/// A request for the way to one incarnation.
+#[derive(Debug)]
+pub struct LocateCall {
+    /// The incarnation.
+    pub incarnation: Incarnation,
+    /// Name of its agent.
+    pub agent: String,
+    /// When it was asked for.
+    pub asked: Millis,
+    /// Gets the way, or `None` when the incarnation can't be reached.
+    pub reply: Sender<Option<Route>>,
+}
+
 /// Why there is no endpoint, and when to come back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct NoRoute {
@@ -85,6 +113,17 @@
     pub clock: AgentClock,
 }
 
+/// Progress of an attempt at an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RouteProgress {
+    /// The endpoint.
+    pub key: EndpointKey,
+    /// Time since the progress before.
+    pub elapsed: Millis,
+    /// Tokens made in that time.
+    pub units: u64,
+}
+
 /// The end of an attempt at an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RouteEnd {
@@ -94,7 +133,7 @@
     pub end: AttemptEnd,
     /// Load that came with the answer.
     pub load: Option<Load>,
-    /// Time from the first word of the endpoint to the last.
+    /// Time from the last reported progress, or the first word, to the end.
     pub elapsed: Millis,
     /// Tokens made in that time, 1 for a plain call; 0 teaches nothing.
     pub units: u64,
--- a/crates/oleander-daemon/src/entry_loops.rs
+++ b/crates/oleander-daemon/src/entry_loops.rs
@@ -5,7 +5,8 @@
 use crate::instance_list;
 use crate::prelude::*;
 use crate::store_client::{StoreClient, StoreError};
-use rand::Rng;
+use crate::watch_switch::WatchSwitch;
+use oleanderlock::backoff::{Backoff, BackoffConfig};
 use std::sync::mpsc::Sender;
 use std::time::Duration;
 
@@ -13,10 +14,8 @@
 const LIST_EVERY: Duration = Duration::from_millis(1000);
 /// Longest wait of one watch call.
 const WATCH_WAIT: Millis = Millis(20_000);
-/// First wait after a failed call.
-const BACKOFF_MIN: Millis = Millis(100);
-/// Longest wait after failed calls.
-const BACKOFF_MAX: Millis = Millis(5000);
+/// Time between two looks at whether this process is to watch.
+const SWITCH_LOOK: Duration = Duration::from_secs(5);
 
 /// Reads the list of instances until the control thread has ended.
 pub async fn read_list(base: String, events: Sender<EntryEvent>) {
@@ -30,20 +29,23 @@
     }
 }
 
-/// Follows the configuration objects in the store until the control thread has ended.
-pub async fn watch_config(store: StoreClient, events: Sender<EntryEvent>) {
+/// Follows the configuration objects in the store, while the switch is on, until the control
+/// thread has ended.
+pub async fn watch_config(store: StoreClient, switch: WatchSwitch, events: Sender<EntryEvent>) {
     let mut position = None;
-    let mut wait = BACKOFF_MIN;
+    let mut backoff = Backoff::new(BackoffConfig::default());
     loop {
-        let answer = match position {
-            None => store.list(CONFIG_PREFIX).await,
-            Some(after) => store.watch(CONFIG_PREFIX, after, WATCH_WAIT).await,
-        };
-        match answer {
-            Ok(objects) => {
-                wait = BACKOFF_MIN;
-                position = Some(objects.revision);
-                if events.send(EntryEvent::Stored(objects)).is_err() {
+        if !switch.is_on() {
+            // What happens meanwhile comes from peers, and from a listing later.
+            position = None;
+            smol::Timer::after(SWITCH_LOOK).await;
+            continue;
+        }
+        match look(&store, position).await {
+            Ok(Look { revision, event }) => {
+                backoff.succeed();
+                position = Some(revision);
+                if events.send(event).is_err() {
                     return;
                 }
             }
@@ -52,15 +54,30 @@
                     position = None;
                 }
                 log::debug!("event=watch-failed reason=\"{fault}\"");
-                pause(wait).await;
-                wait = Millis(wait.0 * 2).min(BACKOFF_MAX);
+                let wait = backoff.fail(rand::random());
+                smol::Timer::after(Duration::from(wait)).await;
             }
         }
     }
 }
 
-/// Waits between half and the whole of `longest`, so that entries do not come back together.
-async fn pause(longest: Millis) {
-    let length = rand::rng().random_range(longest.0 / 2..=longest.0);
-    smol::Timer::after(Duration::from_millis(length)).await;
+/// One answer of the store.
+struct Look {
+    revision: u64,
+    event: EntryEvent,
+}
+
+async fn look(store: &StoreClient, position: Option<u64>) -> Result<Look, StoreError> {
+    let Some(after) = position else {
+        let objects = store.list(CONFIG_PREFIX).await?;
+        return Ok(Look {
+            revision: objects.revision,
+            event: EntryEvent::StoreListing(objects),
+        });
+    };
+    let objects = store.watch(CONFIG_PREFIX, after, WATCH_WAIT).await?;
+    Ok(Look {
+        revision: objects.revision,
+        event: EntryEvent::StoreChanges(objects),
+    })
 }
--- a/crates/oleander-daemon/src/request_run.rs
+++ b/crates/oleander-daemon/src/request_run.rs
@@ -1,8 +1,9 @@
 //! Runs one request at an entry, over all its attempts.
 
-use crate::agent_table::load_of;
+use crate::agent_heard::load_of;
+use crate::attempt_progress::AttemptProgress;
 use crate::entry_cx::EntryCx;
-use crate::entry_event::{ChooseCall, Route, RouteEnd};
+use crate::entry_event::{ChooseCall, Failed, Route, RouteEnd, RouteProgress};
 use crate::inflight::{Inflight, Word, Words};
 use crate::prelude::*;
 use bytes::Bytes;
@@ -25,6 +26,9 @@
 /// Time between two looks for a new connection.
 const RECONNECT_LOOK: Duration = Duration::from_millis(10);
 
+/// Shortest time between two words of progress to the control thread.
+const PROGRESS_EVERY: Millis = Millis(500);
+
 /// One request as the entry runs it.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -48,6 +52,17 @@
     pub fingerprint: u64,
     /// End of use of the request's key on the agent's clock; `None` without a key.
     pub horizon: Option<Millis>,
+    /// Name of the agent that the request's key names.
+    pub agent: Option<String>,
+}
+
+/// What a request shares with others of the same work.
+#[derive(Clone, Debug, Default)]
+pub struct Tracking {
+    /// Shows how far the request is.
+    pub progress: AttemptProgress,
+    /// Endpoints that other attempts of the same work use.
+    pub avoid: Vec<EndpointKey>,
 }
 
 /// The end of a request.
@@ -64,6 +79,16 @@
 /// Runs a request to its end; `on_data` gets contiguous text of an engine as it comes, once, and
 /// returns false when the caller is gone.
 pub async fn run(cx: &EntryCx, req: Request, on_data: impl FnMut(Bytes) -> bool) -> RequestEnd {
+    run_tracked(cx, req, Tracking::default(), on_data).await
+}
+
+/// As [`run`], with a shared view of the progress.
+pub async fn run_tracked(
+    cx: &EntryCx,
+    req: Request,
+    tracking: Tracking,
+    on_data: impl FnMut(Bytes) -> bool,
+) -> RequestEnd {
     let (track, action) = RequestTrack::open(req.spec, TrackConfig::default());
     let words = cx.inflight.open();
     let mut run = Run {
@@ -72,9 +97,10 @@
         track,
         assembly: None,
         route: None,
-        used: Vec::new(),
+        used: tracking.avoid,
+        progress: tracking.progress,
         attempt_began: now(),
-        first_word: None,
+        pace: None,
         retry_reason: None,
         retry_after: None,
         text_sent: false,
@@ -98,8 +124,9 @@
     assembly: Option<StreamAssembly>,
     route: Option<Route>,
     used: Vec<EndpointKey>,
+    progress: AttemptProgress,
     attempt_began: Millis,
-    first_word: Option<Millis>,
+    pace: Option<Pace>,
     retry_reason: Option<ErrorKind>,
     retry_after: Option<Millis>,
     text_sent: bool,
@@ -107,6 +134,35 @@
     on_data: F,
 }
 
+/// What is known of the pace of an attempt since the control thread was told last.
+#[derive(Clone, Copy, Debug)]
+struct Pace {
+    since: Millis,
+    /// Tokens of the attempt that the control thread knows of, or that came with its first word.
+    told: u64,
+    tokens: u64,
+}
+
+impl Pace {
+    /// Counts the tokens of a chunk and tells of them from time to time. The tokens of the first
+    /// chunk count for nothing, since the time that they took is not known.
+    fn note(pace: &mut Option<Self>, tokens: u64, tell: impl FnOnce(Millis, u64)) {
+        let now = now();
+        let pace = pace.get_or_insert(Self {
+            since: now,
+            told: tokens,
+            tokens: 0,
+        });
+        pace.tokens += tokens;
+        let elapsed = now.since(pace.since);
+        if elapsed >= PROGRESS_EVERY {
+            tell(elapsed, pace.tokens.saturating_sub(pace.told));
+            pace.since = now;
+            pace.told = pace.tokens;
+        }
+    }
+}
+
 /// Ends an attempt's count at its endpoint even when the request is dropped half-way.
 impl<F> Drop for Run<'_, F> {
     fn drop(&mut self) {
@@ -152,9 +208,12 @@
 
     async fn choose(&mut self) -> TrackEvent {
         self.leave_route(AttemptEnd::Failed, None, 0);
-        if let Some(kind) = self.retry_reason.take() {
-            self.cx.metrics.retried(kind);
-        }
+        let reason = self.retry_reason.take();
+        let failed = reason.map(|error| Failed {
+            error,
+            attempts: self.track.attempts(),
+            retry_after: self.retry_after.take().unwrap_or_default(),
+        });
         let answer = self.cx.choose(|reply| ChooseCall {
             target: self.req.target.clone(),
             prefix: self.req.prefix,
@@ -162,11 +221,14 @@
             kind: self.req.kind,
             class: self.req.class.clone(),
             excluded: self.used.clone(),
-            is_retry: !self.used.is_empty(),
+            failed,
             reply,
         });
         match answer.await {
             Ok(route) => {
+                if let Some(error) = reason {
+                    self.cx.metrics.retried(error);
+                }
                 let incarnation = route.incarnation;
                 self.take_route(route);
                 TrackEvent::Route(incarnation)
@@ -180,9 +242,10 @@
 
     fn take_route(&mut self, route: Route) {
         self.used.push(route.key);
+        self.progress.begin(now(), route.key);
         self.route = Some(route);
         self.attempt_began = now();
-        self.first_word = None;
+        self.pace = None;
     }
 
     /// Sends the submission; an event only when it was not sent.
@@ -192,7 +255,8 @@
             .as_ref()
             .is_none_or(|route| route.incarnation != ticket.incarnation)
         {
-            match self.cx.locate(ticket.incarnation).await {
+            let agent = self.req.agent.as_deref().unwrap_or_default();
+            match self.cx.locate(ticket.incarnation, agent).await {
                 Some(route) => self.take_route(route),
                 None => return Some(TrackEvent::NotSent(ticket)),
             }
@@ -282,7 +346,7 @@
     fn take_word(&mut self, word: Word) -> TrackEvent {
         match word {
             Word::Chunk(chunk) => self.take_chunk(chunk),
-            Word::Finished(ticket, outcome) => self.take_finish(ticket, outcome),
+            Word::Finished(ticket, outcome, load) => self.take_finish(ticket, outcome, load),
             Word::Buried(ticket, ran) => TrackEvent::Buried(ticket, ran),
             Word::Disconnected(ticket) => {
                 self.retry_reason = Some(ErrorKind::AgentLost);
@@ -300,7 +364,7 @@
             return TrackEvent::Tick;
         };
         let ticket = chunk.ticket;
-        self.first_word.get_or_insert_with(now);
+        let tokens = chunk.tokens;
         match assembly.chunk(chunk) {
             Ok(Arrival::OtherAttempt) => return TrackEvent::Tick,
             Ok(_) => {}
@@ -312,6 +376,16 @@
                 return self.broken(ticket);
             }
         }
+        self.progress.add(now(), tokens);
+        if let Some(route) = &self.route {
+            Pace::note(&mut self.pace, tokens, |elapsed, units| {
+                self.cx.progress(RouteProgress {
+                    key: route.key,
+                    elapsed,
+                    units,
+                });
+            });
+        }
         if let Some(released) = assembly.release() {
             self.text_sent = true;
             if !(self.on_data)(released.data) {
@@ -321,7 +395,12 @@
         TrackEvent::Started(ticket)
     }
 
-    fn take_finish(&mut self, ticket: Ticket, outcome: Outcome) -> TrackEvent {
+    fn take_finish(
+        &mut self,
+        ticket: Ticket,
+        outcome: Outcome,
+        load: Option<wire::Load>,
+    ) -> TrackEvent {
         self.retry_reason = outcome.error;
         if outcome.retry_after.is_some() {
             self.retry_after = outcome.retry_after;
@@ -329,7 +408,7 @@
         if outcome.error.is_some() || self.is_plain() {
             let end = end_of(&outcome);
             let units = u64::from(outcome.error.is_none());
-            self.leave_route(end, None, units);
+            self.leave_route(end, load.as_ref(), units);
             return TrackEvent::Finished(ticket, outcome);
         }
         let finished = self
@@ -339,7 +418,10 @@
         match finished {
             Some(Ok(Arrival::OtherAttempt)) | None => TrackEvent::Tick,
             Some(Ok(_)) if self.assembly.as_ref().is_some_and(StreamAssembly::is_whole) => {
-                self.leave_route(AttemptEnd::Finished, None, outcome.total);
+                let units = self
+                    .pace
+                    .map_or(0, |pace| pace.tokens.saturating_sub(pace.told));
+                self.leave_route(AttemptEnd::Finished, load.as_ref(), units);
                 TrackEvent::Finished(ticket, outcome)
             }
             // Chunks were lost on the way, so the answer is not whole.
@@ -393,7 +475,7 @@
         let Some(route) = self.route.take() else {
             return;
         };
-        let since = self.first_word.unwrap_or(self.attempt_began);
+        let since = self.pace.map_or(self.attempt_began, |pace| pace.since);
         self.cx.ended(RouteEnd {
             key: route.key,
             end,
@@ -439,7 +521,7 @@
     let ticket = ticket.as_ref().and_then(wire::Ticket::typed)?;
     let word = match frame.body {
         Some(Body::Chunk(chunk)) => Word::Chunk(chunk),
-        Some(Body::Finish(finish)) => Word::Finished(ticket, outcome_of(&finish)),
+        Some(Body::Finish(finish)) => Word::Finished(ticket, outcome_of(&finish), finish.load),
         Some(Body::Buried(buried)) => Word::Buried(ticket, buried.ran().into()),
         _ => return None,
     };
@@ -448,6 +530,8 @@
 }
 
 fn outcome_of(finish: &wire::Finish) -> Outcome {
+    // An agent that no longer keeps an answer sends its length without it.
+    let is_whole = finish.status > 0 && finish.data.len() as u64 == finish.total;
     let error =
         (!finish.error.is_empty()).then(|| finish.error.parse().unwrap_or(ErrorKind::Internal));
     Outcome {
@@ -456,7 +540,7 @@
         retry_after: (finish.retry_after_ms > 0).then_some(Millis(finish.retry_after_ms)),
         status: u16::try_from(finish.status).unwrap_or_default(),
         total: finish.total,
-        data: (finish.status > 0).then(|| finish.data.clone()),
+        data: is_whole.then(|| finish.data.clone()),
     }
 }
 
--- a/crates/oleander-load/src/deployment.rs
+++ b/crates/oleander-load/src/deployment.rs
@@ -7,6 +7,7 @@
 use crate::platform::Platform;
 use crate::settings_text::{EndpointText, write_agent, write_entry};
 use oleander_daemon::entry_event::FleetSummary;
+use oleander_standins::api::Api;
 use oleander_standins::engine::EngineCfg;
 use oleander_standins::list::{InstanceState, Role};
 use oleander_standins::runtime;
@@ -96,7 +97,7 @@
     pub async fn put_contract(&self, text: &str, base: u64) -> Result<u64, DeploymentError> {
         let customer = customer_of(text)?;
         let entry = self.entries.first().ok_or_else(|| unknown("entry"))?;
-        let api = entry.api();
+        let api = self.operator(entry);
         let conn = api
             .conn(Method::Put, &format!("/v1/contracts/{customer}"))
             .with_request_header("if-match", base.to_string())
@@ -105,9 +106,14 @@
         Ok(amended.generation)
     }
 
+    /// Client of an entry that shows the operators' token.
+    fn operator(&self, entry: &Node) -> Api {
+        entry.api().with_token(self.cfg.tokens.operators.clone())
+    }
+
     /// What an entry knows of the fleet.
     pub async fn fleet(&self, entry: &Node) -> Result<FleetSummary, DeploymentError> {
-        Ok(entry.api().get("/v1/fleet").await?.json()?)
+        Ok(self.operator(entry).get("/v1/fleet").await?.json()?)
     }
 
     /// Stops all daemons gracefully, entries first.
@@ -137,8 +143,9 @@
     /// Says what is not ready yet.
     async fn missing(&self) -> Option<String> {
         for entry in &self.entries {
-            let Ok(fleet) = self.fleet(entry).await else {
-                return Some(format!("{} does not answer", entry.name));
+            let fleet = match self.fleet(entry).await {
+                Ok(fleet) => fleet,
+                Err(e) => return Some(format!("{}: {e}", entry.name)),
             };
             if fleet.config.len() < self.cfg.contracts.len() {
                 return Some(format!("{} has not all contracts", entry.name));
@@ -283,7 +290,8 @@
     fn drop(&mut self) {
         self.entries.clear();
         self.endpoints.clear();
-        if !self.cfg.keep_folder {
+        // The logs tell why a test failed.
+        if !self.cfg.keep_folder && !std::thread::panicking() {
             let _ = std::fs::remove_dir_all(&self.folder);
         }
     }
