Fetch a change from one peer at a time

Peers tell of one change at about the same time and each was asked for it: 24,453 bytes a node for a 2 KiB object at 400 nodes. One fetch is open at a time, for at most half a second; after its answer, peers whose last digest is now the own are done and one that has more is asked next. The outcome names the peer of the next fetch.

--- a/crates/oleander-daemon/src/agent_control.rs
+++ b/crates/oleander-daemon/src/agent_control.rs
@@ -342,8 +342,9 @@
 
     fn take_config(&mut self, now: Millis, from: &str, entries: wire::JournalEntries) {
         let outcome = self.config.on_entries(now, from, entries);
-        if let Some(reply) = outcome.reply {
-            self.cx.send(from, reply);
+        if let Some(next) = outcome.fetch {
+            self.cx
+                .send(&next.peer, Body::JournalFetch(next.fetch.into()));
         }
         if !outcome.changed {
             return;
--- a/crates/oleander-daemon/src/config_desk.rs
+++ b/crates/oleander-daemon/src/config_desk.rs
@@ -6,9 +6,7 @@
 use crate::store_client::ObjectList;
 use indexmap::IndexMap;
 use oleanderlock::config_journal::ConfigJournal;
-use oleanderlock::journal_messages::{
-    JournalAnswer, JournalDigest, JournalEntries, JournalEntry, JournalFetch,
-};
+use oleanderlock::journal_messages::{JournalAnswer, JournalEntry, PeerFetch};
 
 /// The weight version that all workers of a model must load.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -24,8 +22,8 @@
 pub struct DeskOutcome {
     /// Whether the configuration in force has changed.
     pub changed: bool,
-    /// What to send back.
-    pub reply: Option<Body>,
+    /// What to ask next, and of which peer.
+    pub fetch: Option<PeerFetch>,
 }
 
 /// The journal of one process with its objects read.
@@ -48,7 +46,7 @@
 
     /// Returns the digest that goes with each heartbeat.
     pub fn digest(&self) -> wire::JournalDigest {
-        wire_digest(self.journal.digest())
+        self.journal.digest().into()
     }
 
     /// Returns the contracts in force.
@@ -81,36 +79,17 @@
         peer: &str,
         digest: &wire::JournalDigest,
     ) -> Option<Body> {
-        let digest = JournalDigest {
-            epoch: Incarnation(digest.epoch),
-            offset: digest.offset,
-            digest: digest.digest,
-        };
-        let answer = self.journal.on_digest(now, peer, digest)?;
+        let answer = self.journal.on_digest(now, peer, (*digest).into())?;
         Some(match answer {
-            JournalAnswer::Fetch(fetch) => wire_fetch(fetch),
-            JournalAnswer::Tell(digest) => Body::JournalDigest(wire_digest(digest)),
+            JournalAnswer::Fetch(fetch) => Body::JournalFetch(fetch.into()),
+            JournalAnswer::Tell(digest) => Body::JournalDigest(digest.into()),
         })
     }
 
     /// Answers a fetch.
     pub fn on_fetch(&self, fetch: &wire::JournalFetch) -> Body {
-        let fetch = JournalFetch {
-            epoch: Incarnation(fetch.epoch),
-            after: fetch.offset,
-        };
-        let answer = self.journal.on_fetch(fetch);
-        let entries = answer.entries.into_iter().map(|entry| wire::JournalEntry {
-            name: entry.name,
-            generation: entry.generation.0,
-            value: entry.value,
-        });
-        Body::JournalEntries(wire::JournalEntries {
-            epoch: answer.epoch.0,
-            offset: answer.upto,
-            entries: entries.collect(),
-            after: answer.after,
-        })
+        let answer = self.journal.on_fetch((*fetch).into());
+        Body::JournalEntries(answer.into())
     }
 
     /// Puts in force what is newer among a peer's entries.
@@ -120,17 +99,11 @@
         peer: &str,
         entries: wire::JournalEntries,
     ) -> DeskOutcome {
-        let answer = JournalEntries {
-            epoch: Incarnation(entries.epoch),
-            after: entries.after,
-            upto: entries.offset,
-            entries: entries.entries.into_iter().map(typed_entry).collect(),
-        };
-        let outcome = self.journal.on_entries(now, peer, answer);
+        let outcome = self.journal.on_entries(now, peer, entries.into());
         self.read_all(&outcome.changed);
         DeskOutcome {
             changed: !outcome.changed.is_empty(),
-            reply: outcome.fetch.map(wire_fetch),
+            fetch: outcome.fetch,
         }
     }
 
@@ -192,29 +165,6 @@
     }
 }
 
-fn wire_digest(digest: JournalDigest) -> wire::JournalDigest {
-    wire::JournalDigest {
-        epoch: digest.epoch.0,
-        offset: digest.offset,
-        digest: digest.digest,
-    }
-}
-
-fn wire_fetch(fetch: JournalFetch) -> Body {
-    Body::JournalFetch(wire::JournalFetch {
-        epoch: fetch.epoch.0,
-        offset: fetch.after,
-    })
-}
-
-fn typed_entry(entry: wire::JournalEntry) -> JournalEntry {
-    JournalEntry {
-        name: entry.name,
-        generation: Generation(entry.generation),
-        value: entry.value,
-    }
-}
-
 /// Objects of the store as journal entries; a deleted one has an empty value.
 fn entries_of(objects: ObjectList) -> Vec<JournalEntry> {
     let entries = objects.objects.into_iter().map(|object| JournalEntry {
--- a/crates/oleander-daemon/src/entry_control_fleet.rs
+++ b/crates/oleander-daemon/src/entry_control_fleet.rs
@@ -23,8 +23,8 @@
             }
             Some(Body::JournalEntries(entries)) => {
                 let outcome = self.config.on_entries(now, &from, entries);
-                if let Some(reply) = outcome.reply {
-                    self.send(&from, reply);
+                if let Some(next) = outcome.fetch {
+                    self.send(&next.peer, Body::JournalFetch(next.fetch.into()));
                 }
                 self.spread(outcome.changed);
             }
--- a/crates/oleander-load/src/capacity_node.rs
+++ b/crates/oleander-load/src/capacity_node.rs
@@ -187,8 +187,8 @@
     fn on_entries(&self, from: &str, answer: JournalEntries) {
         let upto = answer.upto;
         let outcome = self.journal.lock().on_entries(self.now(), from, answer);
-        if let Some(fetch) = outcome.fetch {
-            self.fetch(from, fetch);
+        if let Some(next) = outcome.fetch {
+            self.fetch(&next.peer, next.fetch);
         }
         if !outcome.changed.is_empty() {
             self.tell_change();
--- a/crates/oleanderlock/src/config_journal.rs
+++ b/crates/oleanderlock/src/config_journal.rs
@@ -48,8 +48,8 @@
 pub struct JournalOutcome {
     /// Names of the objects that changed.
     pub changed: Vec<String>,
-    /// The next part, when the answer did not reach the end of the peer's journal.
-    pub fetch: Option<JournalFetch>,
+    /// The next fetch: the rest of the answer, or what another peer has besides.
+    pub fetch: Option<PeerFetch>,
 }
 
 impl ConfigJournal {
@@ -200,14 +200,20 @@
         answer: JournalEntries,
     ) -> JournalOutcome {
         let changed = self.apply_all(answer.entries.into_iter());
-        let advanced = self
-            .cursors
-            .advance(peer, answer.epoch, answer.after, answer.upto);
-        let more = advanced && self.cursors.is_behind(peer);
-        let fetch = more.then(|| self.cursors.fetch(now, peer)).flatten();
+        let JournalEntries {
+            epoch, after, upto, ..
+        } = answer;
+        self.cursors.advance(peer, epoch, after, upto);
+        let fetch = self.next_fetch(now, peer);
         JournalOutcome { changed, fetch }
     }
 
+    fn next_fetch(&mut self, now: Millis, last: &str) -> Option<PeerFetch> {
+        let peer = self.cursors.next_behind(self.digest, last)?;
+        let fetch = self.cursors.fetch(now, &peer)?;
+        Some(PeerFetch { peer, fetch })
+    }
+
     /// Returns an object in force, or `None` when there is none or it was deleted.
     pub fn get(&self, name: &str) -> Option<JournalEntry> {
         let kept = self.objects.get(name)?;
--- a/crates/oleanderlock/src/journal_cursors.rs
+++ b/crates/oleanderlock/src/journal_cursors.rs
@@ -6,8 +6,8 @@
 
 /// Peers of which a cursor is kept; the oldest is forgotten first, which costs one snapshot.
 const MAX_CURSORS: usize = 512;
-/// A fetch without an answer is sent again after this long.
-const FETCH_RETRY_MS: u64 = 1000;
+/// A fetch without an answer holds others back for this long.
+const FETCH_TIMEOUT_MS: u64 = 500;
 /// Least time between two digests told to one peer in answer to its own.
 const TELL_INTERVAL_MS: u64 = 1000;
 
@@ -19,15 +19,25 @@
     read: u64,
     /// Last offset that the peer named.
     head: u64,
+    /// Last digest that the peer named.
+    digest: u64,
     seen_at: Millis,
-    fetched_at: Option<Millis>,
     told_at: Option<Millis>,
 }
 
+/// The one fetch that waits for its answer. Peers tell of the same change at about the same time,
+/// and most of them have nothing new once the first has answered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct OpenFetch {
+    peer: String,
+    sent_at: Millis,
+}
+
 /// Positions in the journals of all peers; holds at most 512.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(crate) struct JournalCursors {
     cursors: IndexMap<String, Cursor>,
+    open: Option<OpenFetch>,
 }
 
 impl JournalCursors {
@@ -41,6 +51,7 @@
             };
         }
         cursor.head = cursor.head.max(digest.offset);
+        cursor.digest = digest.digest;
         cursor.seen_at = now;
     }
 
@@ -55,7 +66,23 @@
     pub(crate) fn mark_equal(&mut self, peer: &str) {
         let cursor = self.cursor(peer);
         cursor.read = cursor.head;
-        cursor.fetched_at = None;
+    }
+
+    /// Notes all peers whose last digest is `own`, and returns one that has more, `last` first.
+    pub(crate) fn next_behind(&mut self, own: u64, last: &str) -> Option<String> {
+        for cursor in self
+            .cursors
+            .values_mut()
+            .filter(|cursor| cursor.digest == own)
+        {
+            cursor.read = cursor.head;
+        }
+        if self.is_behind(last) {
+            return Some(last.to_owned());
+        }
+        let behind = |(_, cursor): &(&String, &Cursor)| cursor.read < cursor.head;
+        let next = self.cursors.iter().find(behind);
+        next.map(|(peer, _)| peer.clone())
     }
 
     /// Notes that changes were applied. Returns false, and notes nothing, when they leave a gap
@@ -67,12 +94,12 @@
         after: u64,
         upto: u64,
     ) -> bool {
+        self.open.take_if(|open| open.peer == peer);
         let cursor = self.cursor(peer);
         if cursor.epoch != epoch || after > cursor.read {
             return false;
         }
         cursor.read = cursor.read.max(upto);
-        cursor.fetched_at = None;
         true
     }
 
@@ -82,13 +109,16 @@
         cursor.read < cursor.head
     }
 
-    /// Returns the fetch to send, or `None` while an earlier one may still be answered.
+    /// Returns the fetch to send, or `None` while another one may still be answered.
     pub(crate) fn fetch(&mut self, now: Millis, peer: &str) -> Option<JournalFetch> {
-        let cursor = self.cursor(peer);
-        if waits(cursor.fetched_at, now, FETCH_RETRY_MS) {
+        let sent_at = self.open.as_ref().map(|open| open.sent_at);
+        if waits(sent_at, now, FETCH_TIMEOUT_MS) {
             return None;
         }
-        cursor.fetched_at = Some(now);
+        let peer = peer.to_owned();
+        let cursor = *self.cursor(&peer);
+        let sent_at = now;
+        self.open = Some(OpenFetch { peer, sent_at });
         Some(JournalFetch {
             epoch: cursor.epoch,
             after: cursor.read,
--- a/crates/oleanderlock/src/journal_messages.rs
+++ b/crates/oleanderlock/src/journal_messages.rs
@@ -55,3 +55,12 @@
     /// The peer lacks changes; tell it so.
     Tell(JournalDigest),
 }
+
+/// A fetch and the peer that it goes to.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct PeerFetch {
+    /// The peer.
+    pub peer: String,
+    /// What to ask of it.
+    pub fetch: JournalFetch,
+}
--- a/crates/oleanderlock/tests/config_journals.rs
+++ b/crates/oleanderlock/tests/config_journals.rs
@@ -36,7 +36,7 @@
         let outcome = to.on_entries(Millis(now), "from", from.on_fetch(fetch));
         changed.extend(outcome.changed);
         match outcome.fetch {
-            Some(next) => fetch = next,
+            Some(next) => fetch = next.fetch,
             None => return changed,
         }
     }
@@ -169,6 +169,36 @@
     );
 }
 
+#[test]
+fn a_change_that_several_peers_tell_of_is_fetched_once() {
+    let mut first = journal(1);
+    let mut second = journal(2);
+    let mut own = journal(3);
+    for from in [&mut first, &mut second] {
+        from.apply(entry("a", 1));
+    }
+    second.apply(entry("b", 2));
+    let mut third = second.clone();
+    third.apply(entry("b", 3));
+    let now = Millis(0);
+    let fetch = JournalFetch {
+        epoch: Incarnation(1),
+        after: 0,
+    };
+    let answer = own.on_digest(now, "first", first.digest());
+    assert_eq!(answer, Some(JournalAnswer::Fetch(fetch)));
+    assert_eq!(own.on_digest(now, "same", first.digest()), None);
+    assert_eq!(own.on_digest(now, "second", second.digest()), None);
+    // The first answer makes one peer equal; the other has more.
+    let outcome = own.on_entries(now, "first", first.on_fetch(fetch));
+    let next = outcome.fetch.expect("the second peer has more");
+    assert_eq!(next.peer, "second");
+    // A lost answer holds others back for half a second only.
+    assert_eq!(own.on_digest(Millis(499), "third", third.digest()), None);
+    let answer = own.on_digest(Millis(500), "third", third.digest());
+    assert!(matches!(answer, Some(JournalAnswer::Fetch(_))));
+}
+
 #[test]
 fn a_change_is_told_to_peers_that_were_heard_of_late() {
     let mut own = journal(1);
@@ -238,7 +268,13 @@
             Body::Fetch(fetch) => Some(Body::Entries(self.journals[to].on_fetch(fetch))),
             Body::Entries(entries) => {
                 let outcome = self.journals[to].on_entries(now, &peer, entries);
-                outcome.fetch.map(Body::Fetch)
+                if let Some(PeerFetch { peer, fetch }) = outcome.fetch {
+                    let from = to;
+                    let to = peer.parse().expect("the index of a process");
+                    let body = Body::Fetch(fetch);
+                    self.network.push(Packet { from, to, body });
+                }
+                None
             }
         };
         for entry in before.entries() {
