Hold samples for their version when the contract weighs staleness

Contracts that weigh idle time and the baselines are as before. Ruled out: holding for all contracts, since idle time is what the others weigh.

--- a/crates/oleander-daemon/src/agent_table.rs
+++ b/crates/oleander-daemon/src/agent_table.rs
@@ -233,6 +233,11 @@
         self.choice.has_other(target, excluded)
     }
 
+    /// Returns the newest version that an endpoint of the target serves.
+    pub fn newest(&self, target: &[u8]) -> Option<Version> {
+        self.choice.newest(target)
+    }
+
     /// Takes the progress of an attempt.
     pub fn progress(&mut self, now: Millis, progress: RouteProgress) {
         let RouteProgress {
--- a/crates/oleander-daemon/src/entry_control.rs
+++ b/crates/oleander-daemon/src/entry_control.rs
@@ -7,12 +7,14 @@
     ChooseCall, ConfigSummary, EntryEvent, EntryView, FleetSummary, NoRoute, RouteEnd, Terms,
     TermsCall,
 };
+use crate::fresh_holds::FreshHolds;
 use crate::instance_list::{ListedInstance, ListedState, Role};
 use crate::prelude::*;
 use crate::retry_desk::RetryDesk;
 use crate::store_client::ObjectList;
 use indexmap::IndexMap;
 use oleanderlock::choice_request::ChoiceRequest;
+use oleanderlock::policy::Policy;
 use oleanderlock::retry_budget::RetryDecision;
 use oleanderlock::weigh::Weigh;
 
@@ -36,6 +38,7 @@
     /// Requests for an endpoint that came before the agents were heard.
     held: Vec<ChooseCall>,
     retries: RetryDesk,
+    fresh: FreshHolds,
     stopping_since: Option<Millis>,
 }
 
@@ -53,6 +56,7 @@
             opened: now(),
             held: Vec::new(),
             retries,
+            fresh: FreshHolds::default(),
             stopping_since: None,
         }
     }
@@ -212,7 +216,11 @@
     /// Decides on a retry, if it is one, and answers the request for an endpoint.
     fn choose(&mut self, now: Millis, call: ChooseCall) {
         match self.decide(now, &call) {
-            RetryDecision::Retry(Millis::ZERO) => self.answer(now, call),
+            RetryDecision::Retry(Millis::ZERO) => {
+                if let Some(call) = self.hold_for_version(now, call) {
+                    self.answer(now, call);
+                }
+            }
             RetryDecision::Retry(after) => self.retries.hold(now.plus(after), call),
             RetryDecision::GiveUp(refusal) => {
                 let _ = call.reply.try_send(Err(NoRoute {
@@ -223,6 +231,16 @@
         }
     }
 
+    fn hold_for_version(&mut self, now: Millis, call: ChooseCall) -> Option<ChooseCall> {
+        let contract = self.config.contracts().of_class(&call.class);
+        let is_product = self.cx.cfg.policy == Policy::Product;
+        let Some(contract) = contract.filter(|_| is_product) else {
+            return Some(call);
+        };
+        let newest = self.agents.newest(&call.target);
+        self.fresh.hold(now, contract, newest, call)
+    }
+
     fn decide(&mut self, now: Millis, call: &ChooseCall) -> RetryDecision {
         let Some(contract) = self.config.contracts().of_class(&call.class) else {
             return RetryDecision::Retry(Millis::ZERO);
@@ -254,6 +272,9 @@
         while let Some(call) = self.retries.due(now) {
             self.answer(now, call);
         }
+        for call in self.fresh.due(now, |target| self.agents.newest(target)) {
+            self.answer(now, call);
+        }
     }
 
     /// A new entry knows its agents once all that are listed were heard, or after a while.
--- a/crates/oleander-daemon/src/entry_event.rs
+++ b/crates/oleander-daemon/src/entry_event.rs
@@ -57,6 +57,8 @@
     pub class: String,
     /// Endpoints that earlier attempts have used.
     pub excluded: Vec<EndpointKey>,
+    /// Version that a sample should have at least.
+    pub wanted: Option<Version>,
     /// How the attempt before failed; `None` for the first one.
     pub failed: Option<Failed>,
     /// Gets the route, or why there is none.
--- /dev/null
+++ b/crates/oleander-daemon/src/fresh_holds.rs
@@ -0,0 +1,61 @@
+//! Samples that wait until an endpoint serves the version that they should have.
+
+use crate::entry_event::ChooseCall;
+use crate::prelude::*;
+use bytes::Bytes;
+use indexmap::IndexMap;
+use oleanderlock::contract::Contract;
+use oleanderlock::weigh::Weigh;
+
+/// Longest wait for the version.
+const HOLD: Millis = Millis(1000);
+
+struct Hold {
+    until: Millis,
+    call: ChooseCall,
+}
+
+/// First attempts of samples whose contract weighs staleness more than idle time.
+///
+/// Bounded by the samples in flight.
+#[derive(Default)]
+pub struct FreshHolds {
+    holds: Vec<Hold>,
+}
+
+impl FreshHolds {
+    /// Holds a call back if its contract weighs staleness more and `newest` is older than it
+    /// wants; returns the call otherwise.
+    pub fn hold(
+        &mut self,
+        now: Millis,
+        contract: &Contract,
+        newest: Option<Version>,
+        call: ChooseCall,
+    ) -> Option<ChooseCall> {
+        let is_first = call.failed.is_none() && contract.weigh == Weigh::Staleness;
+        if !is_first || newest >= call.wanted {
+            return Some(call);
+        }
+        let until = now.plus(HOLD).min(call.deadline);
+        self.holds.push(Hold { until, call });
+        None
+    }
+
+    /// Takes the calls whose version is served now or whose time is up.
+    pub fn due(
+        &mut self,
+        now: Millis,
+        newest: impl Fn(&[u8]) -> Option<Version>,
+    ) -> Vec<ChooseCall> {
+        let mut versions: IndexMap<Bytes, Option<Version>> = IndexMap::new();
+        let is_due = |hold: &mut Hold| {
+            let target = &hold.call.target;
+            let version = versions.entry(target.clone());
+            let version = *version.or_insert_with(|| newest(target));
+            version >= hold.call.wanted || now >= hold.until
+        };
+        let due = self.holds.extract_if(.., is_due);
+        due.map(|hold| hold.call).collect()
+    }
+}
--- a/crates/oleander-daemon/src/key_use.rs
+++ b/crates/oleander-daemon/src/key_use.rs
@@ -124,6 +124,7 @@
         kind: WorkKind::Interactive,
         class: call.terms.class.clone(),
         excluded: Vec::new(),
+        wanted: None,
         failed: None,
         reply,
     });
--- a/crates/oleander-daemon/src/lib.rs
+++ b/crates/oleander-daemon/src/lib.rs
@@ -29,6 +29,7 @@
 mod entry_loops;
 pub mod entry_settings;
 pub mod exit_code;
+pub mod fresh_holds;
 pub mod hedge_desk;
 pub mod http_fault;
 mod http_input;
--- a/crates/oleander-daemon/src/request_run.rs
+++ b/crates/oleander-daemon/src/request_run.rs
@@ -61,6 +61,8 @@
     pub progress: AttemptProgress,
     /// Endpoints that other attempts of the same work use.
     pub avoid: Vec<EndpointKey>,
+    /// Version that a sample should have at least.
+    pub wanted: Option<Version>,
 }
 
 /// The end of a request.
@@ -96,6 +98,7 @@
         assembly: None,
         route: None,
         used: tracking.avoid,
+        wanted: tracking.wanted,
         progress: tracking.progress,
         attempt_began: now(),
         pace: None,
@@ -123,6 +126,7 @@
     route: Option<Route>,
     used: Vec<EndpointKey>,
     progress: AttemptProgress,
+    wanted: Option<Version>,
     attempt_began: Millis,
     pace: Option<Pace>,
     retry_reason: Option<ErrorKind>,
@@ -219,6 +223,7 @@
             kind: self.req.kind,
             class: self.req.class.clone(),
             excluded: self.used.clone(),
+            wanted: self.wanted,
             failed,
             reply,
         });
--- a/crates/oleander-daemon/src/step_task.rs
+++ b/crates/oleander-daemon/src/step_task.rs
@@ -343,6 +343,7 @@
         let tracking = Tracking {
             progress: progress.clone(),
             avoid,
+            wanted: Some(self.version),
         };
         let target = req.target.clone();
         let cx = self.cx.clone();
--- a/crates/oleanderlock/src/endpoint_choice.rs
+++ b/crates/oleanderlock/src/endpoint_choice.rs
@@ -164,6 +164,13 @@
         others.any(|key| self.at(key).takes_work() && self.at(key).serves(target))
     }
 
+    /// Returns the newest version of the endpoints that take work for the target.
+    pub fn newest(&self, target: &[u8]) -> Option<Version> {
+        let usable = self.arena.endpoints();
+        let usable = usable.filter(|it| it.takes_work() && it.serves(target));
+        usable.filter_map(|endpoint| endpoint.version).max()
+    }
+
     /// Returns the attempts in flight at the endpoint.
     pub fn in_flight(&self, key: EndpointKey) -> u32 {
         self.arena.get(key).map_or(0, |endpoint| endpoint.in_flight)
