--- a/crates/oleander-daemon/src/request_run.rs
+++ b/crates/oleander-daemon/src/request_run.rs
@@ -1,6 +1,6 @@
 //! Runs one request at an entry, over all its attempts.
 
-use crate::agent_table::load_of;
+use crate::agent_heard::load_of;
 use crate::attempt_progress::AttemptProgress;
 use crate::entry_cx::EntryCx;
 use crate::entry_event::{ChooseCall, Failed, Route, RouteEnd, RouteProgress};
@@ -52,6 +52,8 @@
     pub fingerprint: u64,
     /// End of use of the request's key on the agent's clock; `None` without a key.
     pub horizon: Option<Millis>,
+    /// Name of the agent that the request's key names.
+    pub agent: Option<String>,
 }
 
 /// What a request shares with others of the same work.
@@ -258,7 +260,8 @@
             .as_ref()
             .is_none_or(|route| route.incarnation != ticket.incarnation)
         {
-            match self.cx.locate(ticket.incarnation).await {
+            let agent = self.req.agent.as_deref().unwrap_or_default();
+            match self.cx.locate(ticket.incarnation, agent).await {
                 Some(route) => self.take_route(route),
                 None => return Some(TrackEvent::NotSent(ticket)),
             }
@@ -532,6 +535,8 @@
 }
 
 fn outcome_of(finish: &wire::Finish) -> Outcome {
+    // An agent that no longer keeps an answer sends its length without it.
+    let is_whole = finish.status > 0 && finish.data.len() as u64 == finish.total;
     let error =
         (!finish.error.is_empty()).then(|| finish.error.parse().unwrap_or(ErrorKind::Internal));
     Outcome {
@@ -540,7 +545,7 @@
         retry_after: (finish.retry_after_ms > 0).then_some(Millis(finish.retry_after_ms)),
         status: u16::try_from(finish.status).unwrap_or_default(),
         total: finish.total,
-        data: (finish.status > 0).then(|| finish.data.clone()),
+        data: is_whole.then(|| finish.data.clone()),
     }
 }
 
--- a/crates/oleander-load/src/settings_text.rs
+++ b/crates/oleander-load/src/settings_text.rs
@@ -24,7 +24,21 @@
 
 /// Writes the settings of an entry.
 pub fn write_entry(cfg: &DeploymentCfg, node: &Node, platform: &Platform) -> io::Result<()> {
-    let ini = common(cfg, node, platform, cfg.entry_threads);
+    let mut ini = common(cfg, node, platform, cfg.entry_threads);
+    if cfg.data {
+        let data = node.data_folder().display().to_string();
+        ini.with_section(Some("node")).set("data", data);
+    }
+    let tokens = [
+        ("operators", &cfg.tokens.operators),
+        ("trainers", &cfg.tokens.trainers),
+        ("callers", &cfg.tokens.callers),
+    ];
+    for (role, token) in tokens {
+        if let Some(token) = token {
+            ini.with_section(Some("access")).set(role, token);
+        }
+    }
     write(&ini, node)
 }
 
