--- a/crates/oleander-daemon/src/attempt_progress.rs
+++ b/crates/oleander-daemon/src/attempt_progress.rs
@@ -18,6 +18,8 @@
     pub latest: Option<Millis>,
     /// Tokens that it has made.
     pub tokens: u64,
+    /// Oldest version that made them, as far as it is known.
+    pub oldest: Option<Version>,
 }
 
 /// A shared view of the progress of one request; cheap to clone.
@@ -42,6 +44,15 @@
         progress.tokens += tokens;
     }
 
+    /// Notes a version that made some of the tokens.
+    pub fn note_version(&self, version: Version) {
+        let mut progress = self.0.lock();
+        let oldest = progress
+            .oldest
+            .map_or(version, |oldest| oldest.min(version));
+        progress.oldest = Some(oldest);
+    }
+
     /// Returns how far the latest attempt is.
     pub fn get(&self) -> Progress {
         *self.0.lock()
--- a/crates/oleander-daemon/src/request_run.rs
+++ b/crates/oleander-daemon/src/request_run.rs
@@ -369,6 +369,9 @@
             return TrackEvent::Tick;
         };
         let ticket = chunk.ticket;
+        for version in chunk.segments.iter().filter_map(|segment| segment.version) {
+            self.progress.note_version(version);
+        }
         let tokens = chunk.tokens;
         match assembly.chunk(chunk) {
             Ok(Arrival::OtherAttempt) => return TrackEvent::Tick,
--- a/crates/oleander-daemon/src/step_task.rs
+++ b/crates/oleander-daemon/src/step_task.rs
@@ -216,6 +216,7 @@
             }
             None => {
                 self.step.tick(now, &mut actions);
+                self.show_versions(now, &mut actions);
                 self.hedge(now, &mut actions);
             }
         }
@@ -285,6 +286,17 @@
         let _ = waiting.reply.try_send(answer);
     }
 
+    /// Tells the step which versions its attempts have used, so that one that began with a version
+    /// too old for the trainer is replaced before its end.
+    fn show_versions(&mut self, now: Millis, actions: &mut Vec<StepAction>) {
+        for (key, running) in &self.attempts {
+            if let Some(version) = running.progress.get().oldest {
+                let AttemptKey { slot, attempt } = *key;
+                self.step.progress(now, slot, attempt, version, actions);
+            }
+        }
+    }
+
     /// Starts second attempts for stragglers, within the budget.
     fn hedge(&mut self, now: Millis, actions: &mut Vec<StepAction>) {
         let stragglers = self.step.stragglers(now);
