--- a/crates/oleander-standins/src/batch.rs
+++ b/crates/oleander-standins/src/batch.rs
@@ -3,9 +3,9 @@
 use crate::engine_switches::EngineSwitches;
 use crate::feed::FeedSender;
 use crate::prefix_cache::PrefixCache;
+use crate::running::{Progress, Running, Serving};
 use crate::switches::take_one;
 use crate::token_text::TokenText;
-use bytes::Bytes;
 use indexmap::IndexSet;
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
@@ -68,60 +68,18 @@
     pub capacity: usize,
 }
 
-/// The version that serves, and whether the engine knows it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Serving {
-    /// The version that makes the tokens.
-    pub version: u64,
-    /// The engine reports it.
-    pub known: bool,
-}
-
-#[derive(Serialize)]
-struct ChunkEvent<'a> {
-    offset: u64,
-    tokens: u64,
-    text: &'a str,
-    version: Option<u64>,
-}
-
-#[derive(Serialize)]
-struct DoneEvent {
-    done: bool,
-    total: u64,
-}
-
 #[derive(Debug)]
 struct Waiting {
     req: Generate,
     tx: FeedSender,
 }
 
-#[derive(Debug)]
-struct Running {
-    run: Option<usize>,
-    req: Generate,
-    tx: FeedSender,
-    text: TokenText,
-    next: u64,
-    /// When the token before `next` was complete.
-    paced_us: u64,
-    break_at: Option<u64>,
-}
-
 #[derive(Debug)]
 struct LoadSample {
     at_us: u64,
     load: EngineLoad,
 }
 
-/// What a request does after its due tokens were sent.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Progress {
-    Going,
-    Ended,
-}
-
 /// Requests that wait and run, with the record of those that ran.
 #[derive(Debug, Default)]
 pub struct Batch {
@@ -336,76 +294,6 @@
     }
 }
 
-impl Running {
-    fn due_us(&self, pace_us: u64, chunk: u64) -> u64 {
-        let left = self.req.max_tokens.saturating_sub(self.next);
-        self.paced_us + left.min(chunk) * pace_us
-    }
-
-    /// Sends whole chunks that are due, and a part of one on `flush`.
-    fn send_due(
-        &mut self,
-        pace_us: u64,
-        chunk: u64,
-        serving: Serving,
-        now_us: u64,
-        flush: bool,
-    ) -> Progress {
-        loop {
-            let left = self.req.max_tokens.saturating_sub(self.next);
-            if left == 0 {
-                self.send_done();
-                return Progress::Ended;
-            }
-            let made = now_us.saturating_sub(self.paced_us) / pace_us;
-            let whole = left.min(chunk);
-            let count = if made >= whole { whole } else { made };
-            if count == 0 || (count < whole && !flush) {
-                return Progress::Going;
-            }
-            if self.break_at.is_some_and(|at| self.next + count > at) {
-                let _ = self.tx.try_send(Err(io::ErrorKind::ConnectionReset.into()));
-                return Progress::Ended;
-            }
-            if !self.send_chunk(count, serving) {
-                return Progress::Ended;
-            }
-            self.next += count;
-            self.paced_us += count * pace_us;
-        }
-    }
-
-    fn send_chunk(&self, count: u64, serving: Serving) -> bool {
-        let mut text = String::with_capacity(count as usize * 12);
-        for index in self.next..self.next + count {
-            self.text.push(&mut text, index, serving.version);
-        }
-        let event = ChunkEvent {
-            offset: self.next,
-            tokens: count,
-            text: &text,
-            version: serving.known.then_some(serving.version),
-        };
-        self.tx.try_send(Ok(sse(&event))).is_ok()
-    }
-
-    fn send_done(&self) {
-        let event = DoneEvent {
-            done: true,
-            total: self.req.max_tokens,
-        };
-        let _ = self.tx.try_send(Ok(sse(&event)));
-    }
-}
-
-fn sse(event: &impl Serialize) -> Bytes {
-    let mut buf = Vec::with_capacity(256);
-    buf.extend_from_slice(b"data: ");
-    let _ = serde_json::to_writer(&mut buf, event);
-    buf.extend_from_slice(b"\n\n");
-    buf.into()
-}
-
 fn mark(runs: &mut [Run], at: Option<usize>, change: impl FnOnce(&mut Run)) {
     if let Some(at) = at {
         change(&mut runs[at]);
--- a/crates/oleander-standins/src/lib.rs
+++ b/crates/oleander-standins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod api;
 pub mod batch;
 pub mod engine;
+pub mod engine_state;
 pub mod engine_switches;
 pub mod feed;
 pub mod judge;
@@ -14,6 +15,7 @@
 pub mod prefix_cache;
 pub mod rate;
 pub mod reply;
+pub mod running;
 pub mod runtime;
 pub mod server;
 pub mod service;
