Add the experiment of two trainers with unequal shares

Both always have work; the contract grants 60% and 20%, the rest is lent, so 75% and 25% of the tokens are due.

--- a/crates/oleander-load/src/experiment_file.rs
+++ b/crates/oleander-load/src/experiment_file.rs
@@ -20,6 +20,7 @@
 fn contract(name: &str) -> Option<&'static str> {
     match name {
         "kalahari" => Some(include_str!("../../../contracts/kalahari.ini")),
+        "two-trainers" => Some(include_str!("../contracts/two-trainers.ini")),
         "siam-ascend" => Some(include_str!("../../../contracts/siam-ascend.ini")),
         _ => None,
     }
@@ -81,7 +82,7 @@
             None => s.fault(
                 "deployment",
                 "contracts",
-                "kalahari or siam-ascend expected",
+                "kalahari, siam-ascend or two-trainers expected",
             ),
         }
     }
@@ -175,6 +176,7 @@
         seed: s.parsed(&section, "seed", defaults.seed, NUMBER),
         pause_ms: s.length(&section, "pause", Millis(defaults.pause_ms)).0,
         staleness: s.parsed(&section, "staleness", defaults.staleness, NUMBER),
+        publish: s.parsed(&section, "publish", defaults.publish, "true or false"),
         ..defaults
     }
 }
--- a/crates/oleander-load/src/measure.rs
+++ b/crates/oleander-load/src/measure.rs
@@ -43,6 +43,7 @@
     }
     for trainer in &result.trainers {
         measures.extend(measure_trainer(experiment, trainer));
+        measures.push(token_share(result, &trainer.cfg.trainer));
     }
     measures.extend(measure_engines(result));
     measures
@@ -236,6 +237,17 @@
     model.map_or(0, |group| longest * group.switches.token_us / 1000)
 }
 
+/// The trainer's part of all tokens that the engines made.
+fn token_share(result: &RunResult, trainer: &str) -> Measure {
+    let prefix = StepPlan::prompt_prefix(trainer);
+    let runs = result.engines.iter().flat_map(|engine| &engine.runs);
+    let own = runs.filter(|run| run.prompt.starts_with(&prefix));
+    let own: u64 = own.map(|run| run.tokens).sum();
+    let all: u64 = result.engines.iter().map(|engine| engine.tokens).sum();
+    let share = 100.0 * own as f64 / all.max(1) as f64;
+    figure(trainer, "token-share", share, "%")
+}
+
 fn measure_engines(result: &RunResult) -> Vec<Measure> {
     let runs: Vec<_> = result
         .engines
--- a/crates/oleander-standins/src/step_plan.rs
+++ b/crates/oleander-standins/src/step_plan.rs
@@ -43,6 +43,11 @@
         }
     }
 
+    /// How every prompt of a trainer begins.
+    pub fn prompt_prefix(trainer: &str) -> String {
+        format!("{trainer} step ")
+    }
+
     /// Number of samples.
     pub fn slots(&self) -> usize {
         self.groups.iter().map(|group| group.lengths.len()).sum()
@@ -50,7 +55,8 @@
 }
 
 fn plan_group(cfg: &TrainerCfg, step: u64, group: u32, rng: &mut StdRng) -> Group {
-    let mut prompt = format!("{} step {step} group {group} ", cfg.trainer);
+    let mut prompt = StepPlan::prompt_prefix(&cfg.trainer);
+    prompt.push_str(&format!("{step} group {group} "));
     while prompt.len() < PROMPT_BYTES {
         prompt.push_str("planting advice ");
     }
