--- a/crates/oleander-load/src/capacity_config.rs
+++ b/crates/oleander-load/src/capacity_config.rs
@@ -12,13 +12,14 @@
 use oleanderlock::watcher_choice::{WatcherCounts, gossip_peers, is_watcher};
 use std::net::TcpListener;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU16, Ordering};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
-use strum::VariantArray;
 
 /// Nodes of the fleet that is designed for.
 pub const DESIGN_NODES: f64 = 1220.0;
+/// The port to try next.
+static NEXT_PORT: AtomicU16 = AtomicU16::new(11_000);
 const DOMAINS: usize = 7;
 const OBJECTS: u64 = 20;
 const OBJECT_BYTES: usize = 2048;
@@ -54,12 +55,12 @@
     restart_calls: f64,
 }
 
-/// Runs every mechanism at every size and prints fits.
-pub fn run(sizes: &[usize]) {
+/// Runs the mechanisms at every size and prints fits.
+pub fn run(mechanisms: &[Mechanism], sizes: &[usize]) {
     println!(
         "mechanism nodes everywhere_ms quiet_B/s busiest_B/s B/change quiet_calls/s calls/change cpu_%/node restart_ms restart_calls"
     );
-    for mechanism in Mechanism::VARIANTS {
+    for mechanism in mechanisms {
         let figures: Vec<Figures> = sizes
             .iter()
             .map(|size| measure(*mechanism, *size))
@@ -332,16 +333,15 @@
     turns.map(|turn| &nodes[turn % nodes.len()])
 }
 
-/// Returns addresses that are free now.
+/// Returns addresses that are free now. They lie below the ports that the kernel gives to outgoing
+/// connections, which would otherwise take them before they are bound.
 fn free_links(count: usize) -> Vec<String> {
-    let listeners: Vec<TcpListener> = (0..count)
-        .map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"))
-        .collect();
-    let address = |listener: &TcpListener| listener.local_addr().expect("an address");
-    listeners
-        .iter()
-        .map(|listener| format!("tcp://{}", address(listener)))
-        .collect()
+    let is_free = |port: &u16| TcpListener::bind(("127.0.0.1", *port)).is_ok();
+    let free = std::iter::from_fn(|| Some(NEXT_PORT.fetch_add(1, Ordering::Relaxed)));
+    let links = free
+        .filter(is_free)
+        .map(|port| format!("tcp://127.0.0.1:{port}"));
+    links.take(count).collect()
 }
 
 fn grown(before: &[u64], after: &[u64]) -> Vec<f64> {
--- a/crates/oleander-load/src/capacity_main.rs
+++ b/crates/oleander-load/src/capacity_main.rs
@@ -11,7 +11,9 @@
 mod capacity_weights;
 
 use bpaf::Bpaf;
+use capacity_node::Mechanism;
 use capacity_subset::FleetSize;
+use strum::VariantArray;
 
 /// Sizes at which configuration is measured, in nodes.
 const CONFIG_SIZES: [usize; 4] = [50, 100, 200, 400];
@@ -53,7 +55,11 @@
 enum Measure {
     /// Change of configuration over real links between light nodes
     #[bpaf(command)]
-    Config,
+    Config {
+        /// Mechanisms to measure; all without any
+        #[bpaf(positional("MECHANISM"))]
+        mechanisms: Vec<Mechanism>,
+    },
     /// Spread and churn of the subsets that entries use
     #[bpaf(command)]
     Subset,
@@ -73,8 +79,13 @@
 
 fn main() {
     let measure = measure().run();
-    if matches!(measure, Measure::Config | Measure::All) {
-        capacity_config::run(&CONFIG_SIZES);
+    let mechanisms = match &measure {
+        Measure::Config { mechanisms } if !mechanisms.is_empty() => mechanisms,
+        Measure::Config { .. } | Measure::All => Mechanism::VARIANTS,
+        _ => &[],
+    };
+    if !mechanisms.is_empty() {
+        capacity_config::run(mechanisms, &CONFIG_SIZES);
     }
     if matches!(measure, Measure::Subset | Measure::All) {
         capacity_subset::run(&SUBSET_SIZES);
--- a/crates/oleander-load/src/capacity_node.rs
+++ b/crates/oleander-load/src/capacity_node.rs
@@ -19,7 +19,9 @@
 const RECENT: Millis = Millis::from_secs(4);
 
 /// How a node learns of changes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::VariantArray)]
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumString, strum::VariantArray,
+)]
 #[strum(serialize_all = "kebab-case")]
 pub enum Mechanism {
     /// Every node asks the store once an interval.
