Plan rollouts for each failure domain of a fleet larger than a subset

Now two entries of each domain use all its agents. A new test with 30 engines passes; agents that the subset no longer names are dropped when idle.

--- a/crates/oleander-daemon/src/agent_table.rs
+++ b/crates/oleander-daemon/src/agent_table.rs
@@ -16,7 +16,9 @@
 use oleanderlock::subset::{Candidate, SubsetSize, choose_subset};
 
 /// Agents that an entry uses; a smaller fleet is used whole.
-const SUBSET: usize = 24;
+pub const SUBSET: usize = 24;
+/// Agents outside of the subset that keyed requests may need at once.
+const WANTED_MAX: usize = 64;
 /// Greatest jitter of probes, in thousandths.
 const JITTER_MAX: u64 = 1000;
 
@@ -49,6 +51,8 @@
     fleet: IndexMap<String, ListedInstance>,
     /// Names of agents outside of the subset that keyed requests need.
     wanted: IndexSet<String>,
+    /// Failure domains for which the entry plans, and so uses all agents.
+    planned: IndexSet<String>,
     choice: EndpointChoice,
     members: Membership,
 }
@@ -63,6 +67,7 @@
             agents: IndexMap::new(),
             fleet: IndexMap::new(),
             wanted: IndexSet::new(),
+            planned: IndexSet::new(),
             choice: EndpointChoice::new(ChoiceConfig { policy: cfg.policy }),
             members: Membership::new(MembershipConfig::default()),
         }
@@ -81,6 +86,7 @@
         let chosen = self.subset(&entries);
         let rows: Vec<Listed> = chosen.iter().map(row).collect();
         let mut actions = Vec::new();
+        self.drop_unchosen(&chosen, &mut actions);
         for instance in chosen {
             self.use_agent(instance, &mut actions);
         }
@@ -89,10 +95,49 @@
         actions
     }
 
+    /// Returns the failure domains of all listed agents.
+    pub fn domains(&self) -> IndexSet<String> {
+        let domains = self.fleet.values().map(|one| one.domain.clone());
+        domains.collect()
+    }
+
+    /// Tells whether the entry uses all agents.
+    pub fn is_small_fleet(&self) -> bool {
+        self.fleet.len() <= SUBSET
+    }
+
+    /// Sets the failure domains whose agents are all used, from the next list on.
+    pub fn plan_for(&mut self, domains: IndexSet<String>) {
+        self.planned = domains;
+    }
+
+    /// Stops using agents that are listed but no longer chosen, once they are idle.
+    fn drop_unchosen(&mut self, chosen: &[ListedInstance], actions: &mut Vec<TableAction>) {
+        let keeps = |agent: &Agent| {
+            let name = &agent.listed.name;
+            let key = agent.heard.as_ref().map(|heard| heard.key);
+            let in_flight = key.map_or(0, |key| self.choice.in_flight(key));
+            let is_chosen = chosen.iter().any(|one| one.name == *name);
+            is_chosen || in_flight > 0 || !self.fleet.contains_key(name)
+        };
+        let agents = self.agents.iter();
+        let dropped = agents.filter(|(_, agent)| !keeps(agent));
+        let dropped: Vec<String> = dropped.map(|(link, _)| link.clone()).collect();
+        for link in dropped {
+            if let Some(heard) = self.agents.swap_remove(&link).and_then(|agent| agent.heard) {
+                self.choice.remove(heard.key);
+            }
+            actions.push(TableAction::Forget(link));
+        }
+    }
+
     /// Uses the agent with this name, although it is not in the subset.
     pub fn want(&mut self, name: &str) -> Vec<TableAction> {
         let mut actions = Vec::new();
         if let Some(instance) = self.fleet.get(name).cloned() {
+            if self.wanted.len() >= WANTED_MAX {
+                self.wanted.shift_remove_index(0);
+            }
             self.wanted.insert(name.to_owned());
             self.use_agent(instance, &mut actions);
         }
@@ -116,7 +161,7 @@
 
     /// Chooses the agents to use among all that are listed.
     fn subset(&self, entries: &[Bytes]) -> Vec<ListedInstance> {
-        if self.fleet.len() <= SUBSET {
+        if self.is_small_fleet() {
             return self.fleet.values().cloned().collect();
         }
         let candidate = |instance: &ListedInstance| Candidate {
@@ -131,8 +176,10 @@
         let chosen = choose_subset(&own, entries, &candidates, size);
         let chosen = chosen.into_iter().map(|index| &self.fleet[index]);
         let wanted = self.wanted.iter().filter_map(|name| self.fleet.get(name));
-        let all: IndexMap<&String, &ListedInstance> =
-            chosen.chain(wanted).map(|one| (&one.name, one)).collect();
+        let planned = self.fleet.values();
+        let planned = planned.filter(|one| self.planned.contains(&one.domain));
+        let all = chosen.chain(wanted).chain(planned);
+        let all: IndexMap<&String, &ListedInstance> = all.map(|one| (&one.name, one)).collect();
         all.into_values().cloned().collect()
     }
 
--- a/crates/oleander-daemon/src/entry_control_fleet.rs
+++ b/crates/oleander-daemon/src/entry_control_fleet.rs
@@ -83,16 +83,19 @@
         for link in self.entries.gossip() {
             let _ = self.cx.peers.dial(link);
         }
-        self.take_parts();
         self.cx.store.share_among(self.entries.names().count());
         let actions = self.agents.listed(now, agents, self.entries.names());
         self.act(actions);
+        self.take_parts();
     }
 
     /// Watches the store and plans rollouts if that is this entry's part now.
     fn take_parts(&mut self) {
         self.cx.watch.set(self.entries.is_watcher());
-        self.weights.set_plans(self.entries.is_planner());
+        let small = self.agents.is_small_fleet();
+        let domains = self.entries.planned_domains(self.agents.domains(), small);
+        self.agents.plan_for(domains.clone());
+        self.weights.set_domains(domains);
     }
 
     pub(crate) fn peer_changed(&mut self, now: Millis, change: &PeerChange) {
--- a/crates/oleander-daemon/src/peer_entries.rs
+++ b/crates/oleander-daemon/src/peer_entries.rs
@@ -3,7 +3,7 @@
 use crate::entry_event::EntryView;
 use crate::instance_list::{ListedInstance, ListedState};
 use crate::node_settings::NodeConfig;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use oleanderlock::rendezvous::top;
 use oleanderlock::site::Site;
 use oleanderlock::watcher_choice::{WatcherCounts, gossip_peers, is_watcher};
@@ -77,12 +77,37 @@
         is_watcher(&self.own, &self.sites(), WatcherCounts::default())
     }
 
-    /// Tells whether this entry plans weight rollouts. Two do, so that the list's lag does not
-    /// matter when one is gone; both send the same orders.
-    pub fn is_planner(&self) -> bool {
-        let sites = self.sites();
-        let all = sites.iter().chain(std::iter::once(&self.own));
-        let planners = top(PLANNER_KEY, all, |site| &site.name, PLANNERS);
+    /// Returns those of the agents' failure domains whose weight rollouts this entry plans.
+    ///
+    /// In a `small` fleet the same entries plan for all domains; in a larger one entries of each
+    /// domain do, since none hears all agents. Two plan for each domain, so that the list's lag
+    /// does not matter when one is gone; both send the same orders.
+    pub fn planned_domains(&self, domains: IndexSet<String>, small: bool) -> IndexSet<String> {
+        let plans = |domain: &String| match small {
+            true => self.is_planner(None),
+            false => self.is_planner(Some(domain)),
+        };
+        domains.into_iter().filter(plans).collect()
+    }
+
+    /// Tells whether this entry is among the planners, of one failure domain or of all.
+    fn is_planner(&self, domain: Option<&String>) -> bool {
+        let mut sites = self.sites();
+        sites.push(self.own.clone());
+        let inside = |site: &&Site| domain.is_none_or(|domain| site.domain == *domain);
+        let near: Vec<&Site> = sites.iter().filter(inside).collect();
+        // A domain without entries is planned for from anywhere.
+        let candidates = if near.is_empty() {
+            sites.iter().collect()
+        } else {
+            near
+        };
+        let planners = top(
+            PLANNER_KEY,
+            candidates.into_iter(),
+            |site| &site.name,
+            PLANNERS,
+        );
         planners.iter().any(|site| site.name == self.own.name)
     }
 
--- a/crates/oleander-daemon/src/weight_desk.rs
+++ b/crates/oleander-daemon/src/weight_desk.rs
@@ -1,34 +1,38 @@
 //! Rolls published weight versions out to the engines whose agents this entry hears.
 
 use crate::prelude::*;
+use indexmap::IndexSet;
 use oleanderlock::weight_plan::{LoadOrder, RolloutConfig, WeightPlanner};
 use oleanderlock::weight_worker::{LoadedVersion, WeightReport};
 
-/// The planner of one entry; it orders only while this entry is the one to plan.
+/// The planner of one entry, for the agents of the failure domains that it plans for.
 ///
 /// What it knows comes from reports, so another entry can take over at any moment.
 #[derive(Clone, Debug)]
 pub struct WeightDesk {
     planner: WeightPlanner,
-    plans: bool,
+    /// Failure domains that this entry plans for.
+    domains: IndexSet<String>,
 }
 
 impl Default for WeightDesk {
     fn default() -> Self {
         Self {
             planner: WeightPlanner::new(RolloutConfig::default()),
-            plans: false,
+            domains: IndexSet::new(),
         }
     }
 }
 
 impl WeightDesk {
-    /// Sets whether this entry plans.
-    pub fn set_plans(&mut self, plans: bool) {
-        if self.plans != plans {
-            log::info!("event=weight-planner active={plans}");
+    /// Sets the failure domains that this entry plans for.
+    pub fn set_domains(&mut self, domains: IndexSet<String>) {
+        if self.domains == domains {
+            return;
         }
-        self.plans = plans;
+        log::info!("event=weight-planner domains={}", domains.len());
+        self.planner.forget_workers();
+        self.domains = domains;
     }
 
     /// Takes a published version.
@@ -39,7 +43,8 @@
     /// Takes the report of the engine behind an agent; plain services have no version.
     pub fn on_report(&mut self, now: Millis, link: &str, report: &wire::Report) {
         let is_engine = report.version > 0 || report.version_unknown;
-        let Some(model) = report.targets.first().filter(|_| is_engine) else {
+        let is_planned = is_engine && self.domains.contains(&report.domain);
+        let Some(model) = report.targets.first().filter(|_| is_planned) else {
             return;
         };
         let loaded = match report.version_unknown {
@@ -58,10 +63,6 @@
 
     /// Returns the orders to send now.
     pub fn tick(&mut self, now: Millis) -> Vec<LoadOrder> {
-        if self.plans {
-            self.planner.tick(now)
-        } else {
-            Vec::new()
-        }
+        self.planner.tick(now)
     }
 }
--- a/crates/oleander-load/src/deployment.rs
+++ b/crates/oleander-load/src/deployment.rs
@@ -6,6 +6,7 @@
 use crate::node::{Node, free_address};
 use crate::platform::Platform;
 use crate::settings_text::{EndpointText, write_agent, write_entry};
+use oleander_daemon::agent_table::SUBSET;
 use oleander_daemon::entry_event::FleetSummary;
 use oleander_standins::api::Api;
 use oleander_standins::engine::EngineCfg;
@@ -161,9 +162,13 @@
                 agent.state == "serving" && agent.config_digest == fleet.config_digest
             });
             let serving = serving.count();
-            let all = self.running_agents();
-            if serving < all {
-                return Some(format!("{} hears {serving} of {all} agents", entry.name));
+            // An entry uses a subset of a larger fleet.
+            let expected = self.running_agents().min(SUBSET);
+            if serving < expected {
+                return Some(format!(
+                    "{} hears {serving} of {expected} agents",
+                    entry.name
+                ));
             }
         }
         None
--- a/crates/oleander-load/tests/weight_rollouts.rs
+++ b/crates/oleander-load/tests/weight_rollouts.rs
@@ -71,3 +71,14 @@
         }
     });
 }
+
+#[test]
+fn a_version_reaches_a_fleet_larger_than_the_subset_of_an_entry() {
+    smol::block_on(async {
+        let mut large = cfg(30, 0);
+        large.entries = 3;
+        let deployment = start(large).await;
+        publish(&deployment, 0, 2).await;
+        wait_version(&deployment, 2).await;
+    });
+}
--- a/crates/oleanderlock/src/weight_plan.rs
+++ b/crates/oleanderlock/src/weight_plan.rs
@@ -117,6 +117,13 @@
         }
     }
 
+    /// Forgets all workers; the targets stay. For a planner whose part of the fleet has changed.
+    pub fn forget_workers(&mut self) {
+        for plan in self.models.values_mut() {
+            plan.workers.clear();
+        }
+    }
+
     /// Returns the orders to send now.
     pub fn tick(&mut self, now: Millis) -> Vec<LoadOrder> {
         let cfg = self.cfg;
