--- a/crates/oleanderlock/tests/weight_plans.rs
+++ b/crates/oleanderlock/tests/weight_plans.rs
@@ -324,3 +324,28 @@
         assert_eq!(planner.tick(Millis(now)).len(), 1);
     }
 }
+
+#[test]
+fn two_planners_at_once_send_no_more_than_one() {
+    let mut fleet = Fleet::new(80, RolloutConfig::default());
+    fleet.planner.publish(MODEL, Version(2), Fence(10));
+    let mut second = fleet.planner.clone();
+    for _ in 0..100 {
+        fleet.tick();
+        let first = std::mem::replace(&mut fleet.planner, second);
+        fleet.report();
+        let now = Millis(fleet.now);
+        for order in fleet.planner.tick(now) {
+            fleet.take(&order);
+        }
+        second = std::mem::replace(&mut fleet.planner, first);
+    }
+    assert!(
+        fleet
+            .engines
+            .values()
+            .all(|engine| engine.version == Some(2))
+    );
+    assert_eq!(fleet.swaps, 80);
+    assert!(fleet.most_out <= 20, "{}", fleet.most_out);
+}
