--- a/crates/oleanderlock/tests/weight_plans.rs
+++ b/crates/oleanderlock/tests/weight_plans.rs
@@ -331,14 +331,19 @@
     fleet.planner.publish(MODEL, Version(2), Fence(10));
     let mut second = fleet.planner.clone();
     for _ in 0..100 {
-        fleet.tick();
-        let first = std::mem::replace(&mut fleet.planner, second);
+        // Both hear the same reports before either sends its orders.
+        std::mem::swap(&mut fleet.planner, &mut second);
+        fleet.now += TICK_MS;
+        for engine in fleet.engines.values_mut() {
+            engine.advance(fleet.now);
+        }
         fleet.report();
-        let now = Millis(fleet.now);
-        for order in fleet.planner.tick(now) {
+        std::mem::swap(&mut fleet.planner, &mut second);
+        fleet.now -= TICK_MS;
+        fleet.tick();
+        for order in second.tick(Millis(fleet.now)) {
             fleet.take(&order);
         }
-        second = std::mem::replace(&mut fleet.planner, first);
     }
     assert!(
         fleet
@@ -347,5 +352,7 @@
             .all(|engine| engine.version == Some(2))
     );
     assert_eq!(fleet.swaps, 80);
+    let out = |engine: &&Engine| engine.swap.is_some();
+    assert_eq!(fleet.engines.values().filter(out).count(), 0);
     assert!(fleet.most_out <= 20, "{}", fleet.most_out);
 }
