Test late chunks of agents that were paused in the middle of samples

Each agent in turn is paused for 4 s while its engine goes on, so that its chunks come at once after other attempts have begun.

--- a/crates/oleander-load/tests/failures_samples.rs
+++ b/crates/oleander-load/tests/failures_samples.rs
@@ -157,3 +157,25 @@
         check_trainer(&trainer, &trainer_cfg).await;
     });
 }
+
+#[test]
+fn chunks_of_an_agent_that_was_paused_come_late_and_change_nothing() {
+    smol::block_on(async {
+        let mut deployment = start(cfg(3, 0)).await;
+        let entries = deployment.entry_addresses();
+        let engines = names(&deployment, true);
+        control(&deployment, true, r#"{"token_us":5000}"#).await;
+        let trainer_cfg = trainer_cfg(&entries);
+        let trainer = start_trainer(trainer_cfg.clone());
+        for engine in &engines {
+            let delivered = support::delivered(&trainer).await;
+            wait_delivered(&trainer, delivered + 4).await;
+            let node = &deployment.endpoint_mut(engine).expect("an engine").agent;
+            let process = node.process().expect("a process");
+            process.pause().expect("paused");
+            pause(4000).await;
+            process.resume().expect("resumed");
+        }
+        check_trainer(&trainer, &trainer_cfg).await;
+    });
+}
--- a/crates/oleander-load/tests/support/mod.rs
+++ b/crates/oleander-load/tests/support/mod.rs
@@ -227,12 +227,17 @@
         .expect("a record")
 }
 
+/// Samples that the trainer has taken in all its steps.
+pub async fn delivered(trainer: &Server) -> u64 {
+    let record = trainer_record(trainer).await;
+    record.steps.iter().map(|step| step.delivered).sum()
+}
+
 /// Waits until the trainer has taken at least `delivered` samples in all its steps.
 pub async fn wait_delivered(trainer: &Server, delivered: u64) {
     let until = Instant::now() + HANG;
     loop {
-        let record = trainer_record(trainer).await;
-        let sum: u64 = record.steps.iter().map(|step| step.delivered).sum();
+        let sum = self::delivered(trainer).await;
         if sum >= delivered {
             return;
         }
