--- a/crates/oleander-daemon/src/entry_control_fleet.rs
+++ b/crates/oleander-daemon/src/entry_control_fleet.rs
@@ -121,6 +121,10 @@
                     self.cx.peers.forget(&link);
                 }
                 TableAction::Probe(link) => self.hello_to(&link),
+                TableAction::Ejected { name, reason } => {
+                    log::warn!("event=ejected agent={name} reason={reason}");
+                    self.cx.metrics.count("ejected");
+                }
                 TableAction::Gone(incarnation) => {
                     log::warn!("event=agent-gone incarnation={incarnation}");
                     self.cx.inflight.gone(incarnation);
