--- a/crates/oleanderlock/src/endpoint_choice.rs
+++ b/crates/oleanderlock/src/endpoint_choice.rs
@@ -8,19 +8,14 @@
 use crate::attempt_end::AttemptEnd;
 use crate::choice_request::ChoiceRequest;
 use crate::ejection::{EjectReason, Peers};
-use crate::endpoint::{Endpoint, EndpointKey, EndpointReport, EndpointTerms, Proximity};
+use crate::endpoint::{Endpoint, EndpointKey, EndpointReport, EndpointTerms};
 use crate::endpoint_arena::EndpointArena;
 use crate::load::Load;
 use crate::policy::Policy;
 use crate::prelude::*;
-use crate::weigh::Weigh;
 use bytes::Bytes;
 use indexmap::IndexMap;
 
-/// Load up to which an endpoint without a free slot keeps its prefixes, in percent of the mean.
-const BOUNDED_LOAD_PERCENT: u64 = 125;
-/// All slots of an endpoint, in percent.
-const FULL_PERCENT: u64 = 100;
 /// Sizes and preferences of the choice.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ChoiceConfig {
@@ -41,7 +36,7 @@
 #[derive(Clone, Debug)]
 pub struct EndpointChoice {
     cfg: ChoiceConfig,
-    arena: EndpointArena,
+    pub(crate) arena: EndpointArena,
     turn: u64,
 }
 
@@ -201,87 +196,6 @@
         self.arena.keys().filter(is_usable).collect()
     }
 
-    fn choose_best(
-        &self,
-        now: Millis,
-        req: &ChoiceRequest,
-        usable: Vec<EndpointKey>,
-    ) -> Option<EndpointKey> {
-        let is_healthy = |key: &EndpointKey| self.takes_draw(now, *key, req.draw);
-        let usable = prefer(usable, is_healthy);
-        let usable = self.prefer_version(req, usable);
-        let is_in_time = |key: &EndpointKey| now.plus(self.at(*key).wait(now)) < req.deadline;
-        let usable = prefer(usable, is_in_time);
-        match req.prefix {
-            Some(prefix) => self.choose_home(prefix, req, &usable),
-            None => self.choose_near(req, &usable),
-        }
-    }
-
-    /// Returns whether an endpoint that returns after an ejection takes this draw.
-    fn takes_draw(&self, now: Millis, key: EndpointKey, draw: u64) -> bool {
-        let endpoint = self.at(key);
-        let percent = endpoint.outlier.weight_percent(now);
-        percent == 100 || score(draw, endpoint.terms.identity) % 100 < percent
-    }
-
-    fn prefer_version(&self, req: &ChoiceRequest, usable: Vec<EndpointKey>) -> Vec<EndpointKey> {
-        if req.kind != WorkKind::Samples || req.weigh != Weigh::Staleness {
-            return usable;
-        }
-        let newest = usable.iter().filter_map(|key| self.at(*key).version).max();
-        prefer(usable, |key| self.at(*key).version == newest)
-    }
-
-    /// Chooses the first endpoint in the prefix's order that is not over the bounded load; another
-    /// region's only when no near one has a free slot.
-    fn choose_home(
-        &self,
-        prefix: u64,
-        req: &ChoiceRequest,
-        usable: &[EndpointKey],
-    ) -> Option<EndpointKey> {
-        let is_near = |key: &EndpointKey| self.at(*key).terms.proximity != Proximity::Remote;
-        let near: Vec<EndpointKey> = usable.iter().copied().filter(is_near).collect();
-        let home = self.home(prefix, &near);
-        let is_free = |key: &EndpointKey| self.use_percent(*key) <= FULL_PERCENT;
-        home.filter(is_free)
-            .or_else(|| self.home(prefix, usable))
-            .or_else(|| self.least_used_of_two(req.draw, usable))
-    }
-
-    fn home(&self, prefix: u64, tier: &[EndpointKey]) -> Option<EndpointKey> {
-        let mean = self.mean_use(tier);
-        let has_room = |key: &&EndpointKey| self.is_within(**key, mean);
-        let rank = |key: &&EndpointKey| score(prefix, self.at(**key).terms.identity);
-        tier.iter().filter(has_room).max_by_key(rank).copied()
-    }
-
-    /// Chooses the less used of two drawn endpoints of the nearest tier that has room.
-    fn choose_near(&self, req: &ChoiceRequest, usable: &[EndpointKey]) -> Option<EndpointKey> {
-        for farthest in [Proximity::Domain, Proximity::Region] {
-            let is_near = |key: &EndpointKey| self.at(*key).terms.proximity <= farthest;
-            let has_room = |key: &EndpointKey| self.use_percent(*key) <= FULL_PERCENT;
-            let near = usable
-                .iter()
-                .copied()
-                .filter(|it| is_near(it) && has_room(it));
-            let tier: Vec<EndpointKey> = near.collect();
-            if !tier.is_empty() {
-                return self.least_used_of_two(req.draw, &tier);
-            }
-        }
-        self.least_used_of_two(req.draw, usable)
-    }
-
-    fn least_used_of_two(&self, draw: u64, tier: &[EndpointKey]) -> Option<EndpointKey> {
-        let first = pick(tier, draw)?;
-        let others: Vec<EndpointKey> = tier.iter().copied().filter(|key| *key != first).collect();
-        let second = pick(&others, score(draw, 1)).unwrap_or(first);
-        let rank = |key: &EndpointKey| (self.use_percent(*key), self.at(*key).in_flight);
-        [first, second].into_iter().min_by_key(rank)
-    }
-
     fn least_outstanding(
         &self,
         req: &ChoiceRequest,
@@ -294,30 +208,6 @@
         usable.iter().min_by_key(rank).copied()
     }
 
-    fn is_within(&self, key: EndpointKey, mean: u64) -> bool {
-        let one_slot = FULL_PERCENT / u64::from(self.at(key).capacity());
-        let bound = mean * BOUNDED_LOAD_PERCENT / 100 + one_slot;
-        self.use_percent(key) <= bound.max(FULL_PERCENT)
-    }
-
-    fn mean_use(&self, tier: &[EndpointKey]) -> u64 {
-        let slots: u64 = tier
-            .iter()
-            .map(|key| u64::from(self.at(*key).capacity()))
-            .sum();
-        let used: u64 = tier
-            .iter()
-            .map(|key| u64::from(self.at(*key).occupancy()))
-            .sum();
-        used * 100 / slots.max(1)
-    }
-
-    /// Slots that would be in use with one more request, in percent.
-    fn use_percent(&self, key: EndpointKey) -> u64 {
-        let endpoint = self.at(key);
-        (u64::from(endpoint.occupancy()) + 1) * 100 / u64::from(endpoint.capacity())
-    }
-
     /// Sums up the endpoints by their first target.
     fn peers(&self, now: Millis) -> IndexMap<Bytes, Peers> {
         let mut groups: IndexMap<Bytes, Vec<&Endpoint>> = IndexMap::new();
@@ -332,23 +222,15 @@
             .collect()
     }
 
-    fn at(&self, key: EndpointKey) -> &Endpoint {
+    pub(crate) fn at(&self, key: EndpointKey) -> &Endpoint {
         self.arena
             .get(key)
             .expect("the key was listed by the arena")
     }
 }
 
-fn prefer(keys: Vec<EndpointKey>, is_preferred: impl Fn(&EndpointKey) -> bool) -> Vec<EndpointKey> {
-    let preferred: Vec<EndpointKey> = keys.iter().copied().filter(is_preferred).collect();
-    if preferred.is_empty() {
-        keys
-    } else {
-        preferred
-    }
-}
-
-fn pick(keys: &[EndpointKey], draw: u64) -> Option<EndpointKey> {
+/// Returns the key at a drawn position.
+pub(crate) fn pick(keys: &[EndpointKey], draw: u64) -> Option<EndpointKey> {
     let position = draw.checked_rem(keys.len() as u64)?;
     keys.get(position as usize).copied()
 }
--- a/crates/oleanderlock/src/lib.rs
+++ b/crates/oleanderlock/src/lib.rs
@@ -58,6 +58,7 @@
 pub mod outlier;
 pub mod policy;
 pub mod prelude;
+mod product_choice;
 pub mod pull;
 pub mod quantiles;
 pub mod ran;
