--- a/crates/oleander-daemon/src/entry.rs
+++ b/crates/oleander-daemon/src/entry.rs
@@ -13,7 +13,7 @@
 use crate::open_fault::OpenFault;
 use crate::prelude::*;
 use crate::refusal_log::RefusalLog;
-use crate::request_run;
+use crate::request_words;
 use crate::runtime::{self, HttpServer};
 use crate::store_client::StoreClient;
 use crate::watch_switch::WatchSwitch;
@@ -128,7 +128,9 @@
 ) -> Result<Mailbox, OpenFault> {
     let deliver = move |delivery| {
         let event = match delivery {
-            Delivery::Frame(frame) => request_run::deliver(&inflight, frame).map(EntryEvent::Frame),
+            Delivery::Frame(frame) => {
+                request_words::deliver(&inflight, frame).map(EntryEvent::Frame)
+            }
             Delivery::Refused(fault) => Some(EntryEvent::FrameRefused(fault)),
         };
         if let Some(event) = event {
--- a/crates/oleander-daemon/src/request_log.rs
+++ b/crates/oleander-daemon/src/request_log.rs
@@ -4,7 +4,7 @@
 
 use crate::attempt::Attempt;
 use crate::engine_client::SwapEnd;
-use crate::request_run::Request;
+use crate::request::Request;
 use crate::step_spec::StepName;
 use oleanderlock::prelude::*;
 use oleanderlock::request_outcome::Outcome;
--- a/crates/oleander-daemon/src/request_run.rs
+++ b/crates/oleander-daemon/src/request_run.rs
@@ -4,22 +4,20 @@
 use crate::attempt_progress::AttemptProgress;
 use crate::entry_cx::EntryCx;
 use crate::entry_event::{ChooseCall, Failed, Route, RouteEnd, RouteProgress};
-use crate::inflight::{Inflight, Word, Words};
+use crate::inflight::{Word, Words};
+use crate::pace::Pace;
 use crate::prelude::*;
+use crate::request::{Request, RequestEnd, Tracking};
 use crate::request_log;
+use crate::request_words::typed_chunk;
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use oleanderlock::assembly_limits::AssemblyLimits;
 use oleanderlock::attempt_end::AttemptEnd;
 use oleanderlock::endpoint::EndpointKey;
 use oleanderlock::request_outcome::Outcome;
-use oleanderlock::request_track::{
-    Placement, RequestSpec, RequestTrack, TrackAction, TrackConfig, TrackEvent,
-};
-use oleanderlock::segment::Segment;
+use oleanderlock::request_track::{RequestTrack, TrackAction, TrackConfig, TrackEvent};
 use oleanderlock::stream_assembly::{Arrival, StreamAssembly};
-use oleanderlock::stream_chunk::StreamChunk;
-use oleanderlock::whole_answer::WholeAnswer;
 use std::time::Duration;
 
 /// Looks for a new connection before a broken one counts as lost.
@@ -27,58 +25,6 @@
 /// Time between two looks for a new connection.
 const RECONNECT_LOOK: Duration = Duration::from_millis(10);
 
-/// Shortest time between two words of progress to the control thread.
-const PROGRESS_EVERY: Millis = Millis(500);
-
-/// One request as the entry runs it.
-#[derive(Clone, Debug)]
-pub struct Request {
-    /// Identity, deadline and placement.
-    pub spec: RequestSpec,
-    /// Model or service.
-    pub target: Bytes,
-    /// Class of the contract.
-    pub class: String,
-    /// Who waits for the answer.
-    pub kind: WorkKind,
-    /// Request body as the endpoint expects it.
-    pub payload: Bytes,
-    /// Method and path for a plain service; empty for engines.
-    pub route: String,
-    /// Hash of the prompt prefix.
-    pub prefix: Option<u64>,
-    /// Estimated tokens; 1 for a plain call.
-    pub cost: u64,
-    /// Hash of target and body.
-    pub fingerprint: u64,
-    /// End of use of the request's key on the agent's clock; `None` without a key.
-    pub horizon: Option<Millis>,
-    /// Name of the agent that the request's key names.
-    pub agent: Option<String>,
-}
-
-/// What a request shares with others of the same work.
-#[derive(Clone, Debug, Default)]
-pub struct Tracking {
-    /// Shows how far the request is.
-    pub progress: AttemptProgress,
-    /// Endpoints that other attempts of the same work use.
-    pub avoid: Vec<EndpointKey>,
-    /// Version that a sample should have at least.
-    pub wanted: Option<Version>,
-}
-
-/// The end of a request.
-#[derive(Clone, Debug)]
-pub struct RequestEnd {
-    /// What became of it.
-    pub outcome: Outcome,
-    /// The whole answer of an engine.
-    pub answer: Option<WholeAnswer>,
-    /// Whether any text went to `on_data`.
-    pub text_sent: bool,
-}
-
 /// Runs a request to its end; `on_data` gets contiguous text of an engine as it comes, once, and
 /// returns false when the caller is gone.
 pub async fn run(cx: &EntryCx, req: Request, on_data: impl FnMut(Bytes) -> bool) -> RequestEnd {
@@ -143,35 +89,6 @@
     on_data: F,
 }
 
-/// What is known of the pace of an attempt since the control thread was told last.
-#[derive(Clone, Copy, Debug)]
-struct Pace {
-    since: Millis,
-    /// Tokens of the attempt that the control thread knows of, or that came with its first word.
-    told: u64,
-    tokens: u64,
-}
-
-impl Pace {
-    /// Counts the tokens of a chunk and tells of them from time to time. The tokens of the first
-    /// chunk count for nothing, since the time that they took is not known.
-    fn note(pace: &mut Option<Self>, tokens: u64, tell: impl FnOnce(Millis, u64)) {
-        let now = now();
-        let pace = pace.get_or_insert(Self {
-            since: now,
-            told: tokens,
-            tokens: 0,
-        });
-        pace.tokens += tokens;
-        let elapsed = now.since(pace.since);
-        if elapsed >= PROGRESS_EVERY {
-            tell(elapsed, pace.tokens.saturating_sub(pace.told));
-            pace.since = now;
-            pace.told = pace.tokens;
-        }
-    }
-}
-
 /// Ends an attempt's count at its endpoint even when the request is dropped half-way.
 impl<F> Drop for Run<'_, F> {
     fn drop(&mut self) {
@@ -281,7 +198,7 @@
         }
         self.sent = Some(ticket);
         self.words.expect(ticket, &route.link);
-        let submit = self.submission(ticket, &route, resume);
+        let submit = self.req.submission(ticket, &route, resume);
         let sent = self
             .cx
             .peers
@@ -322,27 +239,6 @@
         }
     }
 
-    fn submission(&self, ticket: Ticket, route: &Route, resume: u64) -> wire::Submit {
-        let deadline = route.clock.at(self.req.spec.deadline);
-        wire::Submit {
-            ticket: Some(ticket.into()),
-            class: Bytes::from(self.req.class.clone()),
-            target: self.req.target.clone(),
-            kind: wire::WorkKind::from(self.req.kind).into(),
-            idempotent: self.req.spec.idempotent,
-            deadline_ms: deadline.0,
-            payload: self.req.payload.clone(),
-            resume_offset: resume,
-            resume_text: Bytes::new(),
-            prefix: self.req.prefix.unwrap_or_default(),
-            route: self.req.route.clone(),
-            kv_handle: String::new(),
-            horizon_ms: self.req.horizon.unwrap_or(deadline).0,
-            fingerprint: self.req.fingerprint,
-            cost: self.req.cost,
-        }
-    }
-
     async fn next_event(&mut self) -> TrackEvent {
         let wake_at = self.track.wake_at().unwrap_or(self.req.spec.deadline);
         let wait = wake_at.since(now()).max(Millis(1));
@@ -422,7 +318,7 @@
         if outcome.retry_after.is_some() {
             self.retry_after = outcome.retry_after;
         }
-        if outcome.error.is_some() || self.is_plain() {
+        if outcome.error.is_some() || self.req.is_plain() {
             let end = end_of(&outcome);
             let units = u64::from(outcome.error.is_none());
             self.leave_route(end, load.as_ref(), units);
@@ -435,9 +331,7 @@
         match finished {
             Some(Ok(Arrival::OtherAttempt)) | None => TrackEvent::Tick,
             Some(Ok(_)) if self.assembly.as_ref().is_some_and(StreamAssembly::is_whole) => {
-                let units = self
-                    .pace
-                    .map_or(0, |pace| pace.tokens.saturating_sub(pace.told));
+                let units = self.pace.as_ref().map_or(0, Pace::untold);
                 self.leave_route(AttemptEnd::Finished, load.as_ref(), units);
                 TrackEvent::Finished(ticket, outcome)
             }
@@ -452,24 +346,13 @@
         let outcome = Outcome::failed(ErrorKind::EndpointFailed, Ran::Yes);
         TrackEvent::Finished(ticket, outcome)
     }
-
-    fn is_plain(&self) -> bool {
-        !self.req.route.is_empty()
-    }
 }
 
 impl<F> Run<'_, F> {
     /// Asks the agent never to start the attempt.
     fn bury(&self, ticket: Ticket) {
         let Some(route) = &self.route else { return };
-        let deadline = route.clock.at(self.req.spec.deadline);
-        let bury = wire::Bury {
-            ticket: Some(ticket.into()),
-            idempotent: self.req.spec.idempotent,
-            deadline_ms: deadline.0,
-            horizon_ms: self.req.horizon.unwrap_or(deadline).0,
-            fingerprint: self.req.fingerprint,
-        };
+        let bury = self.req.burial(ticket, route);
         let _ = self.cx.peers.send_connected(&route.link, Body::Bury(bury));
     }
 
@@ -510,58 +393,3 @@
         Some(_) => AttemptEnd::Refused,
     }
 }
-
-fn typed_chunk(chunk: wire::Chunk) -> Option<StreamChunk> {
-    let ticket = chunk.ticket.as_ref()?.typed()?;
-    let segments = chunk.segments.iter().map(|segment| Segment {
-        version: (!segment.unknown).then_some(Version(segment.version)),
-        first: segment.first,
-        end: segment.end,
-    });
-    Some(StreamChunk {
-        ticket,
-        offset: chunk.offset,
-        tokens: chunk.tokens,
-        data: chunk.data,
-        segments: segments.collect(),
-    })
-}
-
-/// Hands a frame that is for one request to it; returns the frame when it is for control.
-pub fn deliver(inflight: &Inflight, frame: Box<wire::Frame>) -> Option<Box<wire::Frame>> {
-    let ticket = match &frame.body {
-        Some(Body::Chunk(chunk)) => &chunk.ticket,
-        Some(Body::Finish(finish)) => &finish.ticket,
-        Some(Body::Buried(buried)) => &buried.ticket,
-        _ => return Some(frame),
-    };
-    let ticket = ticket.as_ref().and_then(wire::Ticket::typed)?;
-    let word = match frame.body {
-        Some(Body::Chunk(chunk)) => Word::Chunk(chunk),
-        Some(Body::Finish(finish)) => Word::Finished(ticket, outcome_of(&finish), finish.load),
-        Some(Body::Buried(buried)) => Word::Buried(ticket, buried.ran().into()),
-        _ => return None,
-    };
-    inflight.deliver(ticket, word);
-    None
-}
-
-fn outcome_of(finish: &wire::Finish) -> Outcome {
-    // An agent that no longer keeps an answer sends its length without it.
-    let is_whole = finish.status > 0 && finish.data.len() as u64 == finish.total;
-    let error =
-        (!finish.error.is_empty()).then(|| finish.error.parse().unwrap_or(ErrorKind::Internal));
-    Outcome {
-        ran: finish.ran().into(),
-        error,
-        retry_after: (finish.retry_after_ms > 0).then_some(Millis(finish.retry_after_ms)),
-        status: u16::try_from(finish.status).unwrap_or_default(),
-        total: finish.total,
-        data: is_whole.then(|| finish.data.clone()),
-    }
-}
-
-/// Tells whether a placement binds the request to one incarnation.
-pub fn is_bound(placement: Placement) -> bool {
-    matches!(placement, Placement::Bound { .. })
-}
--- /dev/null
+++ b/crates/oleander-daemon/src/request_words.rs
@@ -0,0 +1,58 @@
+//! Hands the words of agents to the requests that wait for them.
+
+use crate::inflight::{Inflight, Word};
+use crate::prelude::*;
+use oleanderlock::request_outcome::Outcome;
+use oleanderlock::segment::Segment;
+use oleanderlock::stream_chunk::StreamChunk;
+
+/// Reads a chunk; `None` when its ticket is malformed.
+pub fn typed_chunk(chunk: wire::Chunk) -> Option<StreamChunk> {
+    let ticket = chunk.ticket.as_ref()?.typed()?;
+    let segments = chunk.segments.iter().map(|segment| Segment {
+        version: (!segment.unknown).then_some(Version(segment.version)),
+        first: segment.first,
+        end: segment.end,
+    });
+    Some(StreamChunk {
+        ticket,
+        offset: chunk.offset,
+        tokens: chunk.tokens,
+        data: chunk.data,
+        segments: segments.collect(),
+    })
+}
+
+/// Hands a frame that is for one request to it; returns the frame when it is for control.
+pub fn deliver(inflight: &Inflight, frame: Box<wire::Frame>) -> Option<Box<wire::Frame>> {
+    let ticket = match &frame.body {
+        Some(Body::Chunk(chunk)) => &chunk.ticket,
+        Some(Body::Finish(finish)) => &finish.ticket,
+        Some(Body::Buried(buried)) => &buried.ticket,
+        _ => return Some(frame),
+    };
+    let ticket = ticket.as_ref().and_then(wire::Ticket::typed)?;
+    let word = match frame.body {
+        Some(Body::Chunk(chunk)) => Word::Chunk(chunk),
+        Some(Body::Finish(finish)) => Word::Finished(ticket, outcome_of(&finish), finish.load),
+        Some(Body::Buried(buried)) => Word::Buried(ticket, buried.ran().into()),
+        _ => return None,
+    };
+    inflight.deliver(ticket, word);
+    None
+}
+
+fn outcome_of(finish: &wire::Finish) -> Outcome {
+    // An agent that no longer keeps an answer sends its length without it.
+    let is_whole = finish.status > 0 && finish.data.len() as u64 == finish.total;
+    let error =
+        (!finish.error.is_empty()).then(|| finish.error.parse().unwrap_or(ErrorKind::Internal));
+    Outcome {
+        ran: finish.ran().into(),
+        error,
+        retry_after: (finish.retry_after_ms > 0).then_some(Millis(finish.retry_after_ms)),
+        status: u16::try_from(finish.status).unwrap_or_default(),
+        total: finish.total,
+        data: is_whole.then(|| finish.data.clone()),
+    }
+}
