--- /dev/null
+++ b/crates/oleander-daemon/src/agent_attempts.rs
@@ -0,0 +1,229 @@
+//! What an agent does with attempts: duplicates, admission, starts, ends, burials.
+
+use crate::agent_control::AgentControl;
+use crate::attempt::{Attempt, AttemptEnd, Waiter};
+use crate::prelude::*;
+use crate::request_log;
+use oleanderlock::attempt_ledger::SubmitAction;
+use oleanderlock::request_outcome::Outcome;
+use oleanderlock::work::{AdmissionAction, Refusal, Verdict, Work};
+
+/// Time to come back after a refusal that admission did not make.
+const REFUSED_RETRY: Millis = Millis(1000);
+
+impl AgentControl {
+    pub(crate) fn submit(&mut self, now: Millis, from: String, submit: wire::Submit) {
+        let Some(attempt) = Attempt::read(from, submit) else {
+            self.cx.metrics.count("frame-malformed");
+            return;
+        };
+        match self.ledger.submit(now, &attempt.submission) {
+            SubmitAction::Start => self.admit(now, attempt),
+            SubmitAction::Attach => self.attach(attempt),
+            SubmitAction::Repeat(outcome) => self.send_outcome(now, &attempt.waiters, &outcome),
+            SubmitAction::Refuse(kind, ran) => {
+                self.cx.metrics.refused(kind);
+                request_log::refused(attempt.ticket(), kind, ran);
+                self.send_outcome(now, &attempt.waiters, &Outcome::failed(kind, ran));
+            }
+        }
+    }
+
+    /// Adds a sender to the attempt that already stands for its request.
+    pub(crate) fn attach(&mut self, attempt: Attempt) {
+        let standing = self.standing(attempt.ticket());
+        if let Some(found) = standing.and_then(|ticket| self.attempts.get_mut(&ticket)) {
+            for waiter in attempt.waiters {
+                if !found.waiters.contains(&waiter) {
+                    found.waiters.push(waiter);
+                }
+            }
+        }
+    }
+
+    /// Returns the ticket of the attempt that stands for the request of `wanted`.
+    pub(crate) fn standing(&self, wanted: Ticket) -> Option<Ticket> {
+        let same = |found: &&Attempt| {
+            let ticket = found.ticket();
+            ticket.request == wanted.request
+                && (!found.submission.idempotent || ticket.attempt == wanted.attempt)
+        };
+        self.attempts.values().find(same).map(Attempt::ticket)
+    }
+
+    pub(crate) fn admit(&mut self, now: Millis, attempt: Attempt) {
+        let ticket = attempt.ticket();
+        let verdict = self.verdict(now, &attempt);
+        self.attempts.insert(ticket, attempt);
+        match verdict {
+            Ok(Verdict::Start) => self.start(now, ticket),
+            Ok(Verdict::Queued | Verdict::Duplicate) => {}
+            Ok(Verdict::Refuse(refusal)) => self.refuse(now, ticket, refusal),
+            Err(error) => {
+                self.refuse(
+                    now,
+                    ticket,
+                    Refusal {
+                        error,
+                        retry_after: REFUSED_RETRY,
+                    },
+                );
+            }
+        }
+    }
+
+    pub(crate) fn verdict(&mut self, now: Millis, attempt: &Attempt) -> Result<Verdict, ErrorKind> {
+        if !self.cx.cfg.targets.contains(&attempt.target) {
+            return Err(ErrorKind::UnknownTarget);
+        }
+        if self.quarantined {
+            return Err(ErrorKind::Quarantined);
+        }
+        let class = self
+            .admission
+            .class(&attempt.class)
+            .ok_or(ErrorKind::NoContract)?;
+        let work = Work {
+            ticket: attempt.ticket(),
+            class,
+            kind: attempt.kind,
+            priority: self.config.priority_of(&attempt.class),
+            deadline: attempt.submission.deadline,
+            cost: attempt.cost,
+        };
+        Ok(self.admission.submit(now, work))
+    }
+
+    pub(crate) fn act(&mut self, now: Millis, actions: Vec<AdmissionAction>) {
+        for action in actions {
+            match action {
+                AdmissionAction::Start(ticket) => self.start(now, ticket),
+                AdmissionAction::Refuse(ticket, refusal) => self.refuse(now, ticket, refusal),
+            }
+        }
+    }
+
+    pub(crate) fn start(&mut self, now: Millis, ticket: Ticket) {
+        let Some(attempt) = self.attempts.get(&ticket) else {
+            return;
+        };
+        match self
+            .ledger
+            .start(now, ticket, attempt.submission.idempotent)
+        {
+            Ok(()) => {
+                request_log::started(attempt);
+                self.cx.metrics.began();
+                self.cx.run(attempt.clone());
+            }
+            Err(outcome) => {
+                let actions = self.admission.cancelled(now, ticket);
+                self.settle(now, ticket, outcome);
+                self.act(now, actions);
+            }
+        }
+    }
+
+    pub(crate) fn refuse(&mut self, now: Millis, ticket: Ticket, refusal: Refusal) {
+        self.cx.metrics.refused(refusal.error);
+        request_log::refused(ticket, refusal.error, Ran::No);
+        let outcome = Outcome::failed(refusal.error, Ran::No).retry_after(refusal.retry_after);
+        self.settle(now, ticket, outcome);
+    }
+
+    pub(crate) fn ended(&mut self, now: Millis, end: AttemptEnd) {
+        self.cx.metrics.ended();
+        request_log::finished(end.ticket, &end.outcome);
+        let tokens = end.outcome.total;
+        self.settle(now, end.ticket, end.outcome);
+        let actions = self.admission.finished(now, end.ticket, tokens);
+        self.act(now, actions);
+    }
+
+    /// Records an outcome and sends it to all that wait for it.
+    pub(crate) fn settle(&mut self, now: Millis, ticket: Ticket, outcome: Outcome) {
+        let Some(attempt) = self.attempts.swap_remove(&ticket) else {
+            return;
+        };
+        self.ledger
+            .finish(ticket, attempt.submission.idempotent, outcome.clone());
+        self.send_outcome(now, &attempt.waiters, &outcome);
+    }
+
+    pub(crate) fn send_outcome(&self, now: Millis, waiters: &[Waiter], outcome: &Outcome) {
+        for waiter in waiters {
+            let finish = wire::Finish {
+                ticket: Some(waiter.ticket.into()),
+                ran: wire::Ran::from(outcome.ran).into(),
+                error: outcome
+                    .error
+                    .map(|kind| kind.to_string())
+                    .unwrap_or_default(),
+                retry_after_ms: outcome.retry_after.unwrap_or_default().0,
+                total: outcome.total,
+                status: u32::from(outcome.status),
+                data: outcome.data.clone().unwrap_or_default(),
+                load: Some(self.load(now)),
+            };
+            self.cx.send(&waiter.entry, Body::Finish(finish));
+        }
+    }
+
+    pub(crate) fn cancel(&mut self, now: Millis, cancel: &wire::Cancel) {
+        let Some(ticket) = cancel.ticket.as_ref().and_then(wire::Ticket::typed) else {
+            return;
+        };
+        let Some(attempt) = self.attempts.get(&ticket) else {
+            return;
+        };
+        // Work that may not be repeated runs to its end, so that its outcome is known.
+        if !attempt.submission.idempotent {
+            return;
+        }
+        self.cancel_attempt(now, ticket);
+    }
+
+    pub(crate) fn cancel_attempt(&mut self, now: Millis, ticket: Ticket) {
+        self.cx.metrics.count("cancelled");
+        if self.cx.stop_run(ticket) {
+            self.cx.metrics.ended();
+        }
+        self.settle(
+            now,
+            ticket,
+            Outcome::failed(ErrorKind::Cancelled, Ran::Unknown),
+        );
+        let actions = self.admission.cancelled(now, ticket);
+        self.act(now, actions);
+    }
+
+    pub(crate) fn bury(&mut self, now: Millis, from: &str, bury: &wire::Bury) {
+        let Some(ticket) = bury.ticket.as_ref().and_then(wire::Ticket::typed) else {
+            return;
+        };
+        let submission = oleanderlock::submission::Submission {
+            ticket,
+            idempotent: bury.idempotent,
+            deadline: Millis(bury.deadline_ms),
+            horizon: Millis(bury.horizon_ms),
+            fingerprint: bury.fingerprint,
+        };
+        let burial = self.ledger.bury(now, &submission);
+        request_log::buried(ticket, burial.ran);
+        // The attempt may be queued under the ticket of another call with the same key.
+        let queued = self.standing(ticket).filter(|_| burial.dequeued);
+        if let Some(queued) = queued {
+            self.settle(now, queued, Outcome::failed(ErrorKind::Cancelled, Ran::No));
+            let actions = self.admission.cancelled(now, queued);
+            self.act(now, actions);
+        }
+        let ran = wire::Ran::from(burial.ran).into();
+        self.cx.send(
+            from,
+            Body::Buried(wire::Buried {
+                ticket: Some(ticket.into()),
+                ran,
+            }),
+        );
+    }
+}
--- a/crates/oleander-daemon/src/agent_control.rs
+++ b/crates/oleander-daemon/src/agent_control.rs
@@ -1,46 +1,38 @@
 //! The control state of an agent: what it does on each event.
 
 use crate::agent_cx::AgentCx;
-use crate::agent_event::{AgentEvent, AgentSummary, Probe, SwapReport};
-use crate::attempt::{Attempt, AttemptEnd, Waiter};
+use crate::agent_event::{AgentEvent, AgentSummary, Probe};
+use crate::attempt::Attempt;
 use crate::config_desk::ConfigDesk;
-use crate::engine_client::SwapEnd;
 use crate::prelude::*;
-use crate::request_log;
 use indexmap::IndexMap;
 use oleanderlock::admission::Admission;
 use oleanderlock::admission_config::AdmissionConfig;
-use oleanderlock::attempt_ledger::{AttemptLedger, LedgerLimits, SubmitAction};
-use oleanderlock::request_outcome::Outcome;
-use oleanderlock::work::{AdmissionAction, Refusal, Verdict, Work};
+use oleanderlock::attempt_ledger::{AttemptLedger, LedgerLimits};
 
 /// Time between two looks for silent entries.
 const LOOK_EVERY: Millis = Millis(1000);
-/// Time to come back after a refusal that admission did not make.
-const REFUSED_RETRY: Millis = Millis(1000);
-/// Time after which an entry that says nothing gets no more reports.
-const ENTRY_SILENT: Millis = Millis::from_secs(10);
 
 /// The control state of an agent.
 pub struct AgentControl {
-    cx: AgentCx,
-    ledger: AttemptLedger,
-    admission: Admission,
+    pub(crate) cx: AgentCx,
+    pub(crate) ledger: AttemptLedger,
+    pub(crate) admission: Admission,
     /// Queued and running attempts by the ticket first seen.
-    attempts: IndexMap<Ticket, Attempt>,
+    pub(crate) attempts: IndexMap<Ticket, Attempt>,
     /// Entries by link address, with the time of their last word.
-    entries: IndexMap<String, Millis>,
-    config: ConfigDesk,
+    pub(crate) entries: IndexMap<String, Millis>,
+    pub(crate) config: ConfigDesk,
     /// The agent's state changed since the last report to all.
-    report_wanted: bool,
-    look_due: Millis,
-    probe: Option<Probe>,
-    quarantined: bool,
+    pub(crate) report_wanted: bool,
+    pub(crate) look_due: Millis,
+    pub(crate) probe: Option<Probe>,
+    pub(crate) quarantined: bool,
     /// Version that the engine is loading.
-    loading: Option<Version>,
-    last_fence: Fence,
-    leaving_since: Option<Millis>,
-    stopping: bool,
+    pub(crate) loading: Option<Version>,
+    pub(crate) last_fence: Fence,
+    pub(crate) leaving_since: Option<Millis>,
+    pub(crate) stopping: bool,
 }
 
 impl AgentControl {
@@ -104,322 +96,6 @@
         }
     }
 
-    fn submit(&mut self, now: Millis, from: String, submit: wire::Submit) {
-        let Some(attempt) = Attempt::read(from, submit) else {
-            self.cx.metrics.count("frame-malformed");
-            return;
-        };
-        match self.ledger.submit(now, &attempt.submission) {
-            SubmitAction::Start => self.admit(now, attempt),
-            SubmitAction::Attach => self.attach(attempt),
-            SubmitAction::Repeat(outcome) => self.send_outcome(now, &attempt.waiters, &outcome),
-            SubmitAction::Refuse(kind, ran) => {
-                self.cx.metrics.refused(kind);
-                request_log::refused(attempt.ticket(), kind, ran);
-                self.send_outcome(now, &attempt.waiters, &Outcome::failed(kind, ran));
-            }
-        }
-    }
-
-    /// Adds a sender to the attempt that already stands for its request.
-    fn attach(&mut self, attempt: Attempt) {
-        let standing = self.standing(attempt.ticket());
-        if let Some(found) = standing.and_then(|ticket| self.attempts.get_mut(&ticket)) {
-            for waiter in attempt.waiters {
-                if !found.waiters.contains(&waiter) {
-                    found.waiters.push(waiter);
-                }
-            }
-        }
-    }
-
-    /// Returns the ticket of the attempt that stands for the request of `wanted`.
-    fn standing(&self, wanted: Ticket) -> Option<Ticket> {
-        let same = |found: &&Attempt| {
-            let ticket = found.ticket();
-            ticket.request == wanted.request
-                && (!found.submission.idempotent || ticket.attempt == wanted.attempt)
-        };
-        self.attempts.values().find(same).map(Attempt::ticket)
-    }
-
-    fn admit(&mut self, now: Millis, attempt: Attempt) {
-        let ticket = attempt.ticket();
-        let verdict = self.verdict(now, &attempt);
-        self.attempts.insert(ticket, attempt);
-        match verdict {
-            Ok(Verdict::Start) => self.start(now, ticket),
-            Ok(Verdict::Queued | Verdict::Duplicate) => {}
-            Ok(Verdict::Refuse(refusal)) => self.refuse(now, ticket, refusal),
-            Err(error) => {
-                self.refuse(
-                    now,
-                    ticket,
-                    Refusal {
-                        error,
-                        retry_after: REFUSED_RETRY,
-                    },
-                );
-            }
-        }
-    }
-
-    fn verdict(&mut self, now: Millis, attempt: &Attempt) -> Result<Verdict, ErrorKind> {
-        if !self.cx.cfg.targets.contains(&attempt.target) {
-            return Err(ErrorKind::UnknownTarget);
-        }
-        if self.quarantined {
-            return Err(ErrorKind::Quarantined);
-        }
-        let class = self
-            .admission
-            .class(&attempt.class)
-            .ok_or(ErrorKind::NoContract)?;
-        let work = Work {
-            ticket: attempt.ticket(),
-            class,
-            kind: attempt.kind,
-            priority: self.config.priority_of(&attempt.class),
-            deadline: attempt.submission.deadline,
-            cost: attempt.cost,
-        };
-        Ok(self.admission.submit(now, work))
-    }
-
-    fn act(&mut self, now: Millis, actions: Vec<AdmissionAction>) {
-        for action in actions {
-            match action {
-                AdmissionAction::Start(ticket) => self.start(now, ticket),
-                AdmissionAction::Refuse(ticket, refusal) => self.refuse(now, ticket, refusal),
-            }
-        }
-    }
-
-    fn start(&mut self, now: Millis, ticket: Ticket) {
-        let Some(attempt) = self.attempts.get(&ticket) else {
-            return;
-        };
-        match self
-            .ledger
-            .start(now, ticket, attempt.submission.idempotent)
-        {
-            Ok(()) => {
-                request_log::started(attempt);
-                self.cx.metrics.began();
-                self.cx.run(attempt.clone());
-            }
-            Err(outcome) => {
-                let actions = self.admission.cancelled(now, ticket);
-                self.settle(now, ticket, outcome);
-                self.act(now, actions);
-            }
-        }
-    }
-
-    fn refuse(&mut self, now: Millis, ticket: Ticket, refusal: Refusal) {
-        self.cx.metrics.refused(refusal.error);
-        request_log::refused(ticket, refusal.error, Ran::No);
-        let outcome = Outcome::failed(refusal.error, Ran::No).retry_after(refusal.retry_after);
-        self.settle(now, ticket, outcome);
-    }
-
-    fn ended(&mut self, now: Millis, end: AttemptEnd) {
-        self.cx.metrics.ended();
-        request_log::finished(end.ticket, &end.outcome);
-        let tokens = end.outcome.total;
-        self.settle(now, end.ticket, end.outcome);
-        let actions = self.admission.finished(now, end.ticket, tokens);
-        self.act(now, actions);
-    }
-
-    /// Records an outcome and sends it to all that wait for it.
-    fn settle(&mut self, now: Millis, ticket: Ticket, outcome: Outcome) {
-        let Some(attempt) = self.attempts.swap_remove(&ticket) else {
-            return;
-        };
-        self.ledger
-            .finish(ticket, attempt.submission.idempotent, outcome.clone());
-        self.send_outcome(now, &attempt.waiters, &outcome);
-    }
-
-    fn send_outcome(&self, now: Millis, waiters: &[Waiter], outcome: &Outcome) {
-        for waiter in waiters {
-            let finish = wire::Finish {
-                ticket: Some(waiter.ticket.into()),
-                ran: wire::Ran::from(outcome.ran).into(),
-                error: outcome
-                    .error
-                    .map(|kind| kind.to_string())
-                    .unwrap_or_default(),
-                retry_after_ms: outcome.retry_after.unwrap_or_default().0,
-                total: outcome.total,
-                status: u32::from(outcome.status),
-                data: outcome.data.clone().unwrap_or_default(),
-                load: Some(self.load(now)),
-            };
-            self.cx.send(&waiter.entry, Body::Finish(finish));
-        }
-    }
-
-    fn cancel(&mut self, now: Millis, cancel: &wire::Cancel) {
-        let Some(ticket) = cancel.ticket.as_ref().and_then(wire::Ticket::typed) else {
-            return;
-        };
-        let Some(attempt) = self.attempts.get(&ticket) else {
-            return;
-        };
-        // Work that may not be repeated runs to its end, so that its outcome is known.
-        if !attempt.submission.idempotent {
-            return;
-        }
-        self.cancel_attempt(now, ticket);
-    }
-
-    fn cancel_attempt(&mut self, now: Millis, ticket: Ticket) {
-        self.cx.metrics.count("cancelled");
-        if self.cx.stop_run(ticket) {
-            self.cx.metrics.ended();
-        }
-        self.settle(
-            now,
-            ticket,
-            Outcome::failed(ErrorKind::Cancelled, Ran::Unknown),
-        );
-        let actions = self.admission.cancelled(now, ticket);
-        self.act(now, actions);
-    }
-
-    fn bury(&mut self, now: Millis, from: &str, bury: &wire::Bury) {
-        let Some(ticket) = bury.ticket.as_ref().and_then(wire::Ticket::typed) else {
-            return;
-        };
-        let submission = oleanderlock::submission::Submission {
-            ticket,
-            idempotent: bury.idempotent,
-            deadline: Millis(bury.deadline_ms),
-            horizon: Millis(bury.horizon_ms),
-            fingerprint: bury.fingerprint,
-        };
-        let burial = self.ledger.bury(now, &submission);
-        request_log::buried(ticket, burial.ran);
-        // The attempt may be queued under the ticket of another call with the same key.
-        let queued = self.standing(ticket).filter(|_| burial.dequeued);
-        if let Some(queued) = queued {
-            self.settle(now, queued, Outcome::failed(ErrorKind::Cancelled, Ran::No));
-            let actions = self.admission.cancelled(now, queued);
-            self.act(now, actions);
-        }
-        let ran = wire::Ran::from(burial.ran).into();
-        self.cx.send(
-            from,
-            Body::Buried(wire::Buried {
-                ticket: Some(ticket.into()),
-                ran,
-            }),
-        );
-    }
-
-    /// Answers each word of an entry with a report, so that both know that the other is there.
-    fn hello(&mut self, now: Millis, from: String, hello: &wire::Hello) {
-        self.compare(now, &from, &hello.config.unwrap_or_default());
-        self.report_to(now, &from);
-        self.entries.insert(from, now);
-    }
-
-    fn compare(&mut self, now: Millis, from: &str, digest: &wire::JournalDigest) {
-        if let Some(reply) = self.config.on_digest(now, from, digest) {
-            self.cx.send(from, reply);
-        }
-    }
-
-    fn take_config(&mut self, now: Millis, from: &str, entries: wire::JournalEntries) {
-        let outcome = self.config.on_entries(now, from, entries);
-        if let Some(next) = outcome.fetch {
-            self.cx
-                .send(&next.peer, Body::JournalFetch(next.fetch.into()));
-        }
-        if !outcome.changed {
-            return;
-        }
-        self.admission
-            .set_classes(&self.config.contracts().grants());
-        let digest = self.config.digest().digest;
-        log::info!("event=config digest={digest:016x}");
-        self.report_to_all(now);
-    }
-
-    fn order_weights(&mut self, entry: String, order: wire::WeightOrder) {
-        let fence = Fence(order.fence);
-        if fence < self.last_fence {
-            self.cx.metrics.refused(ErrorKind::OldFence);
-            let end = SwapEnd::OldFence;
-            let version = Version(order.version);
-            self.send_status(&SwapReport {
-                entry,
-                model: order.model,
-                version,
-                end,
-            });
-            return;
-        }
-        self.last_fence = fence;
-        let serving = self.probe.and_then(|probe| probe.version);
-        let is_done = serving == Some(Version(order.version)) && !self.quarantined;
-        if self.loading.is_some() || is_done {
-            return;
-        }
-        self.loading = Some(Version(order.version));
-        self.report_wanted = true;
-        self.cx.swap(entry, order);
-    }
-
-    fn swapped(&mut self, report: SwapReport) {
-        self.loading = None;
-        request_log::swapped(report.version, report.end);
-        match report.end {
-            SwapEnd::Loaded => {
-                self.probe = Some(Probe {
-                    up: true,
-                    version: Some(report.version),
-                });
-                self.quarantined = false;
-            }
-            SwapEnd::OldFence => {}
-            SwapEnd::Unknown => {
-                self.cx.metrics.count("swap-failed");
-                self.quarantined = true;
-            }
-        }
-        self.report_wanted = true;
-        self.send_status(&report);
-    }
-
-    fn send_status(&self, report: &SwapReport) {
-        let error = match report.end {
-            SwapEnd::Loaded => String::new(),
-            SwapEnd::OldFence => ErrorKind::OldFence.to_string(),
-            SwapEnd::Unknown => ErrorKind::Quarantined.to_string(),
-        };
-        let status = wire::WeightStatus {
-            model: report.model.clone(),
-            version: report.version.0,
-            unknown: report.end == SwapEnd::Unknown,
-            error,
-        };
-        self.cx.send(&report.entry, Body::WeightStatus(status));
-    }
-
-    fn probed(&mut self, probe: Probe) {
-        let changed = self.probe != Some(probe);
-        self.probe = Some(probe);
-        if self.loading.is_none() {
-            self.quarantined = self.cx.is_engine() && (!probe.up || probe.version.is_none());
-        }
-        if changed {
-            self.report_wanted = true;
-        }
-    }
-
     fn tick(&mut self, now: Millis) {
         self.ledger.forget(now);
         let actions = self.admission.tick(now);
@@ -433,66 +109,6 @@
         }
     }
 
-    /// Forgets silent entries and cancels what only they wait for, if it may be repeated.
-    fn drop_silent_entries(&mut self, now: Millis) {
-        self.entries
-            .retain(|_, heard| now.since(*heard) < ENTRY_SILENT);
-        let entries = &self.entries;
-        let is_unwanted = |attempt: &&Attempt| {
-            let heard = |waiter: &Waiter| entries.contains_key(&waiter.entry);
-            attempt.submission.idempotent && !attempt.waiters.iter().any(heard)
-        };
-        let unwanted = self.attempts.values().filter(is_unwanted);
-        let tickets: Vec<Ticket> = unwanted.map(Attempt::ticket).collect();
-        for ticket in tickets {
-            self.cancel_attempt(now, ticket);
-        }
-    }
-
-    fn report_to_all(&mut self, now: Millis) {
-        self.report_wanted = false;
-        for entry in self.entries.keys() {
-            self.report_to(now, entry);
-        }
-    }
-
-    fn report_to(&self, now: Millis, entry: &str) {
-        let version = self.probe.and_then(|probe| probe.version);
-        let report = wire::Report {
-            state: self.state().into(),
-            load: Some(self.load(now)),
-            domain: self.cx.cfg.node.domain.clone(),
-            targets: self.cx.cfg.targets.clone(),
-            version: version.unwrap_or_default().0,
-            version_unknown: self.cx.is_engine() && version.is_none(),
-            config: Some(self.config.digest()),
-            clock_ms: now.0,
-            loading: self.loading.unwrap_or_default().0,
-            name: self.cx.cfg.node.name.clone(),
-        };
-        self.cx.send(entry, Body::Report(report));
-    }
-
-    fn load(&self, now: Millis) -> wire::Load {
-        let load = self.admission.load(now);
-        wire::Load {
-            running: load.running,
-            queued: load.queued,
-            capacity: load.capacity,
-            wait_ms: load.wait.0,
-        }
-    }
-
-    fn state(&self) -> wire::AgentState {
-        if self.leaving_since.is_some() {
-            wire::AgentState::Leaving
-        } else if self.quarantined {
-            wire::AgentState::Quarantined
-        } else {
-            wire::AgentState::Serving
-        }
-    }
-
     fn leave(&mut self, now: Millis) {
         if self.leaving_since.is_some() {
             return;
--- /dev/null
+++ b/crates/oleander-daemon/src/agent_reports.rs
@@ -0,0 +1,99 @@
+//! What an agent tells entries of itself, and the configuration that it learns from them.
+
+use crate::agent_control::AgentControl;
+use crate::attempt::{Attempt, Waiter};
+use crate::prelude::*;
+
+/// Time after which an entry that says nothing gets no more reports.
+const ENTRY_SILENT: Millis = Millis::from_secs(10);
+
+impl AgentControl {
+    /// Answers each word of an entry with a report, so that both know that the other is there.
+    pub(crate) fn hello(&mut self, now: Millis, from: String, hello: &wire::Hello) {
+        self.compare(now, &from, &hello.config.unwrap_or_default());
+        self.report_to(now, &from);
+        self.entries.insert(from, now);
+    }
+
+    pub(crate) fn compare(&mut self, now: Millis, from: &str, digest: &wire::JournalDigest) {
+        if let Some(reply) = self.config.on_digest(now, from, digest) {
+            self.cx.send(from, reply);
+        }
+    }
+
+    pub(crate) fn take_config(&mut self, now: Millis, from: &str, entries: wire::JournalEntries) {
+        let outcome = self.config.on_entries(now, from, entries);
+        if let Some(next) = outcome.fetch {
+            self.cx
+                .send(&next.peer, Body::JournalFetch(next.fetch.into()));
+        }
+        if !outcome.changed {
+            return;
+        }
+        self.admission
+            .set_classes(&self.config.contracts().grants());
+        let digest = self.config.digest().digest;
+        log::info!("event=config digest={digest:016x}");
+        self.report_to_all(now);
+    }
+
+    /// Forgets silent entries and cancels what only they wait for, if it may be repeated.
+    pub(crate) fn drop_silent_entries(&mut self, now: Millis) {
+        self.entries
+            .retain(|_, heard| now.since(*heard) < ENTRY_SILENT);
+        let entries = &self.entries;
+        let is_unwanted = |attempt: &&Attempt| {
+            let heard = |waiter: &Waiter| entries.contains_key(&waiter.entry);
+            attempt.submission.idempotent && !attempt.waiters.iter().any(heard)
+        };
+        let unwanted = self.attempts.values().filter(is_unwanted);
+        let tickets: Vec<Ticket> = unwanted.map(Attempt::ticket).collect();
+        for ticket in tickets {
+            self.cancel_attempt(now, ticket);
+        }
+    }
+
+    pub(crate) fn report_to_all(&mut self, now: Millis) {
+        self.report_wanted = false;
+        for entry in self.entries.keys() {
+            self.report_to(now, entry);
+        }
+    }
+
+    pub(crate) fn report_to(&self, now: Millis, entry: &str) {
+        let version = self.probe.and_then(|probe| probe.version);
+        let report = wire::Report {
+            state: self.state().into(),
+            load: Some(self.load(now)),
+            domain: self.cx.cfg.node.domain.clone(),
+            targets: self.cx.cfg.targets.clone(),
+            version: version.unwrap_or_default().0,
+            version_unknown: self.cx.is_engine() && version.is_none(),
+            config: Some(self.config.digest()),
+            clock_ms: now.0,
+            loading: self.loading.unwrap_or_default().0,
+            name: self.cx.cfg.node.name.clone(),
+        };
+        self.cx.send(entry, Body::Report(report));
+    }
+
+    pub(crate) fn load(&self, now: Millis) -> wire::Load {
+        let load = self.admission.load(now);
+        wire::Load {
+            running: load.running,
+            queued: load.queued,
+            capacity: load.capacity,
+            wait_ms: load.wait.0,
+        }
+    }
+
+    pub(crate) fn state(&self) -> wire::AgentState {
+        if self.leaving_since.is_some() {
+            wire::AgentState::Leaving
+        } else if self.quarantined {
+            wire::AgentState::Quarantined
+        } else {
+            wire::AgentState::Serving
+        }
+    }
+}
--- a/crates/oleander-daemon/src/agent_table.rs
+++ b/crates/oleander-daemon/src/agent_table.rs
@@ -12,21 +12,16 @@
 use oleanderlock::endpoint::{EndpointKey, EndpointState, EndpointTerms, Proximity};
 use oleanderlock::endpoint_choice::{ChoiceAction, ChoiceConfig, EndpointChoice};
 use oleanderlock::member::MemberState;
-use oleanderlock::membership::{Listed, MemberAction, Membership};
+use oleanderlock::membership::{MemberAction, Membership};
 use oleanderlock::membership_config::MembershipConfig;
-use oleanderlock::subset::{Candidate, SubsetSize, choose_subset};
 
-/// Agents that an entry uses; a smaller fleet is used whole.
-pub const SUBSET: usize = 24;
-/// Agents outside of the subset that keyed requests may need at once.
-const WANTED_MAX: usize = 64;
 /// Greatest jitter of probes, in thousandths.
 const JITTER_MAX: u64 = 1000;
 
 /// One agent that the entry uses.
-struct Agent {
-    listed: ListedInstance,
-    heard: Option<AgentHeard>,
+pub(crate) struct Agent {
+    pub(crate) listed: ListedInstance,
+    pub(crate) heard: Option<AgentHeard>,
 }
 
 /// What the owner of the table must do.
@@ -51,18 +46,18 @@
 
 /// Agents by link address; bounded by the platform's list.
 pub struct AgentTable {
-    own_name: String,
-    domain: String,
-    region: String,
-    agents: IndexMap<String, Agent>,
+    pub(crate) own_name: String,
+    pub(crate) domain: String,
+    pub(crate) region: String,
+    pub(crate) agents: IndexMap<String, Agent>,
     /// All agents of the list by name; those that are not in the subset can be used on demand.
-    fleet: IndexMap<String, ListedInstance>,
+    pub(crate) fleet: IndexMap<String, ListedInstance>,
     /// Names of agents outside of the subset that keyed requests need.
-    wanted: IndexSet<String>,
+    pub(crate) wanted: IndexSet<String>,
     /// Failure domains for which the entry plans, and so uses all agents.
-    planned: IndexSet<String>,
-    choice: EndpointChoice,
-    members: Membership,
+    pub(crate) planned: IndexSet<String>,
+    pub(crate) choice: EndpointChoice,
+    pub(crate) members: Membership,
 }
 
 impl AgentTable {
@@ -81,116 +76,6 @@
         }
     }
 
-    /// Takes the platform's list of agents; `entries` are the names of all entries.
-    pub fn listed<'a>(
-        &mut self,
-        now: Millis,
-        listed: Vec<ListedInstance>,
-        entries: impl Iterator<Item = &'a str>,
-    ) -> Vec<TableAction> {
-        let by_name = listed.into_iter().map(|one| (one.name.clone(), one));
-        self.fleet = by_name.collect();
-        let entries: Vec<Bytes> = entries.map(|name| Bytes::from(name.to_owned())).collect();
-        let chosen = self.subset(&entries);
-        let rows: Vec<Listed> = chosen.iter().map(row).collect();
-        let mut actions = Vec::new();
-        self.drop_unchosen(&chosen, &mut actions);
-        for instance in chosen {
-            self.use_agent(instance, &mut actions);
-        }
-        let changes = self.members.on_list(now, &rows);
-        self.act(changes, &mut actions);
-        actions
-    }
-
-    /// Returns the failure domains of all listed agents.
-    pub fn domains(&self) -> IndexSet<String> {
-        let domains = self.fleet.values().map(|one| one.domain.clone());
-        domains.collect()
-    }
-
-    /// Tells whether the entry uses all agents.
-    pub fn is_small_fleet(&self) -> bool {
-        self.fleet.len() <= SUBSET
-    }
-
-    /// Sets the failure domains whose agents are all used, from the next list on.
-    pub fn plan_for(&mut self, domains: IndexSet<String>) {
-        self.planned = domains;
-    }
-
-    /// Stops using agents that are listed but no longer chosen, once they are idle.
-    fn drop_unchosen(&mut self, chosen: &[ListedInstance], actions: &mut Vec<TableAction>) {
-        let keeps = |agent: &Agent| {
-            let name = &agent.listed.name;
-            let key = agent.heard.as_ref().map(|heard| heard.key);
-            let in_flight = key.map_or(0, |key| self.choice.in_flight(key));
-            let is_chosen = chosen.iter().any(|one| one.name == *name);
-            is_chosen || in_flight > 0 || !self.fleet.contains_key(name)
-        };
-        let agents = self.agents.iter();
-        let dropped = agents.filter(|(_, agent)| !keeps(agent));
-        let dropped: Vec<String> = dropped.map(|(link, _)| link.clone()).collect();
-        for link in dropped {
-            if let Some(heard) = self.agents.swap_remove(&link).and_then(|agent| agent.heard) {
-                self.choice.remove(heard.key);
-            }
-            actions.push(TableAction::Forget(link));
-        }
-    }
-
-    /// Uses the agent with this name, although it is not in the subset.
-    pub fn want(&mut self, name: &str) -> Vec<TableAction> {
-        let mut actions = Vec::new();
-        if let Some(instance) = self.fleet.get(name).cloned() {
-            if self.wanted.len() >= WANTED_MAX {
-                self.wanted.shift_remove_index(0);
-            }
-            self.wanted.insert(name.to_owned());
-            self.use_agent(instance, &mut actions);
-        }
-        actions
-    }
-
-    fn use_agent(&mut self, instance: ListedInstance, actions: &mut Vec<TableAction>) {
-        let link = instance.link.clone();
-        match self.agents.get_mut(&link) {
-            Some(agent) => agent.listed = instance,
-            None => {
-                actions.push(TableAction::Use(link.clone()));
-                let agent = Agent {
-                    listed: instance,
-                    heard: None,
-                };
-                self.agents.insert(link, agent);
-            }
-        }
-    }
-
-    /// Chooses the agents to use among all that are listed.
-    fn subset(&self, entries: &[Bytes]) -> Vec<ListedInstance> {
-        if self.is_small_fleet() {
-            return self.fleet.values().cloned().collect();
-        }
-        let candidate = |instance: &ListedInstance| Candidate {
-            instance: Bytes::from(instance.name.clone()),
-            domain: Bytes::from(instance.domain.clone()),
-            // The list does not tell what an agent serves.
-            target: Bytes::new(),
-        };
-        let candidates: Vec<Candidate> = self.fleet.values().map(candidate).collect();
-        let own = Bytes::from(self.own_name.clone());
-        let size = SubsetSize { per_target: SUBSET };
-        let chosen = choose_subset(&own, entries, &candidates, size);
-        let chosen = chosen.into_iter().map(|index| &self.fleet[index]);
-        let wanted = self.wanted.iter().filter_map(|name| self.fleet.get(name));
-        let planned = self.fleet.values();
-        let planned = planned.filter(|one| self.planned.contains(&one.domain));
-        let all = chosen.chain(wanted).chain(planned);
-        let all: IndexMap<&String, &ListedInstance> = all.map(|one| (&one.name, one)).collect();
-        all.into_values().cloned().collect()
-    }
-
     /// Takes an agent's report.
     pub fn reported(
         &mut self,
@@ -262,7 +147,7 @@
         actions
     }
 
-    fn act(&mut self, changes: Vec<MemberAction>, actions: &mut Vec<TableAction>) {
+    pub(crate) fn act(&mut self, changes: Vec<MemberAction>, actions: &mut Vec<TableAction>) {
         for change in changes {
             match change {
                 MemberAction::Probe { name } => {
@@ -435,14 +320,6 @@
     }
 }
 
-fn row(instance: &ListedInstance) -> Listed {
-    Listed {
-        name: instance.name.clone(),
-        domain: instance.domain.clone(),
-        leaving: instance.state == ListedState::Leaving,
-    }
-}
-
 fn terms(
     domain: &str,
     region: &str,
--- a/crates/oleander-daemon/src/lib.rs
+++ b/crates/oleander-daemon/src/lib.rs
@@ -5,13 +5,17 @@
 
 mod access;
 pub mod agent;
+mod agent_attempts;
 pub mod agent_control;
 pub mod agent_cx;
 pub mod agent_event;
 mod agent_heard;
 mod agent_http;
+pub mod agent_list;
+mod agent_reports;
 pub mod agent_settings;
 pub mod agent_table;
+mod agent_weights;
 pub mod attempt;
 pub mod attempt_progress;
 mod caller;
@@ -63,6 +67,7 @@
 pub mod settings;
 mod snapshot_file;
 pub mod sse;
+mod step_handle;
 mod step_host;
 mod step_spec;
 mod step_task;
--- a/crates/oleander-daemon/src/step_host.rs
+++ b/crates/oleander-daemon/src/step_host.rs
@@ -5,8 +5,8 @@
 
 use crate::entry_cx::EntryCx;
 use crate::prelude::*;
+use crate::step_handle::{Beginning, StepHandle};
 use crate::step_spec::{StepName, StepSpec};
-use crate::step_task::{Beginning, StepHandle};
 use crate::store_client::{Condition, StoreError, StoredObject};
 use indexmap::IndexMap;
 use parking_lot::Mutex;
--- a/crates/oleander-daemon/src/step_task.rs
+++ b/crates/oleander-daemon/src/step_task.rs
@@ -8,22 +8,18 @@
 use crate::request::{Request, Tracking};
 use crate::request_log;
 use crate::request_run;
-use crate::runtime;
+use crate::step_handle::{PullCall, StepEvent};
 use crate::step_spec::{StepName, StepSpec};
-use async_channel::{Receiver, Sender};
+use async_channel::{Receiver, Sender, WeakSender};
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use indexmap::IndexMap;
 use oleanderlock::hedge::HedgeCandidate;
 use oleanderlock::pull::{Pull, PullAnswer, PullId, PullRefusal};
 use oleanderlock::request_track::{Placement, RequestSpec};
-use oleanderlock::sample_guards::SampleGuards;
 use oleanderlock::staleness::Staleness;
 use oleanderlock::step::Step;
 use oleanderlock::step_action::{StepAction, StepCount};
-use oleanderlock::step_limits::StepLimits;
-use oleanderlock::step_terms::StepTerms;
-use oleanderlock::whole_answer::WholeAnswer;
 use serde_json::json;
 use std::sync::Arc;
 use std::time::Duration;
@@ -36,115 +32,6 @@
 /// Longest wait between two looks at the step.
 const LOOK_EVERY: Millis = Millis(100);
 
-/// A pull and who waits for its answer.
-#[derive(Debug)]
-pub struct PullCall {
-    /// Text of the trainer's cursor.
-    pub cursor: String,
-    /// Version of the trainer.
-    pub version: Version,
-    /// Longest wait.
-    pub wait: Millis,
-    /// Gets the answer.
-    pub reply: Sender<Result<PullAnswer, PullRefusal>>,
-}
-
-/// What a step reacts to.
-enum StepEvent {
-    Pull(PullCall),
-    Made {
-        slot: SlotKey,
-        attempt: u32,
-        result: Result<WholeAnswer, Millis>,
-    },
-}
-
-/// A running step; dropping the last handle stops it.
-#[derive(Clone)]
-pub struct StepHandle {
-    pulls: Sender<StepEvent>,
-    spec: Arc<StepSpec>,
-}
-
-/// How a step begins at this entry.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Beginning {
-    /// Its trainer has opened it.
-    Opened,
-    /// Another entry owned it before.
-    TakenOver,
-}
-
-impl StepHandle {
-    /// Starts to run a step.
-    ///
-    /// # Errors
-    ///
-    /// A fault when the step breaks a limit.
-    pub fn spawn(
-        cx: &EntryCx,
-        name: &StepName,
-        spec: Arc<StepSpec>,
-        terms: &Terms,
-        beginning: Beginning,
-    ) -> Result<Self, HttpFault> {
-        let (tx, rx) = async_channel::unbounded();
-        let mut actions = Vec::new();
-        let step_terms = terms_of(name, &spec, terms);
-        let version = Version(spec.version);
-        let step = match beginning {
-            Beginning::Opened => Step::open(now(), step_terms, version, &mut actions),
-            Beginning::TakenOver => Step::recover(step_terms, version),
-        };
-        let step = step
-            .map_err(|fault| HttpFault::not_run(ErrorKind::BadRequest).detail(fault.to_string()))?;
-        let mut task = StepTask {
-            cx: cx.clone(),
-            name: name.clone(),
-            spec: spec.clone(),
-            deadline: terms.contract.classes[&terms.class].deadline,
-            hedge_percent: terms.contract.limits.hedge_percent,
-            class: terms.class.clone(),
-            step,
-            attempts: IndexMap::new(),
-            pulls: IndexMap::new(),
-            next_pull: 0,
-            events: tx.downgrade(),
-            last_pull: now(),
-            version,
-        };
-        runtime::spawn(async move {
-            task.act(actions);
-            task.run(rx).await;
-        });
-        Ok(Self { pulls: tx, spec })
-    }
-
-    /// Hands a pull to the step; returns false when the step has ended.
-    pub fn pull(&self, call: PullCall) -> bool {
-        self.pulls.try_send(StepEvent::Pull(call)).is_ok()
-    }
-
-    /// Returns what the trainer asked for.
-    pub fn spec(&self) -> &StepSpec {
-        &self.spec
-    }
-}
-
-fn terms_of(name: &StepName, spec: &StepSpec, terms: &Terms) -> StepTerms {
-    let shape = spec.shape();
-    let class = &terms.contract.classes[&terms.class];
-    StepTerms {
-        tag: shape.tag(&name.trainer, name.step),
-        shape,
-        staleness: Staleness {
-            bound: class.staleness_versions,
-        },
-        limits: StepLimits::default(),
-        guards: SampleGuards::ALL,
-    }
-}
-
 struct Waiting {
     began: Millis,
     reply: Sender<Result<PullAnswer, PullRefusal>>,
@@ -162,7 +49,8 @@
     progress: AttemptProgress,
 }
 
-struct StepTask {
+/// A step with its attempts and waiting pulls.
+pub(crate) struct StepTask {
     cx: EntryCx,
     name: StepName,
     spec: Arc<StepSpec>,
@@ -173,13 +61,40 @@
     attempts: IndexMap<AttemptKey, RunningAttempt>,
     pulls: IndexMap<PullId, Waiting>,
     next_pull: u64,
-    events: async_channel::WeakSender<StepEvent>,
+    events: WeakSender<StepEvent>,
     last_pull: Millis,
     version: Version,
 }
 
 impl StepTask {
-    async fn run(&mut self, events: Receiver<StepEvent>) {
+    /// Creates the task of a step; `events` is where its attempts report.
+    pub fn new(
+        cx: &EntryCx,
+        name: &StepName,
+        spec: Arc<StepSpec>,
+        terms: &Terms,
+        step: Step,
+        events: WeakSender<StepEvent>,
+    ) -> Self {
+        Self {
+            cx: cx.clone(),
+            name: name.clone(),
+            version: Version(spec.version),
+            spec,
+            deadline: terms.contract.classes[&terms.class].deadline,
+            hedge_percent: terms.contract.limits.hedge_percent,
+            class: terms.class.clone(),
+            step,
+            attempts: IndexMap::new(),
+            pulls: IndexMap::new(),
+            next_pull: 0,
+            events,
+            last_pull: now(),
+        }
+    }
+
+    /// Runs until the last handle is dropped, or nobody has pulled for long.
+    pub async fn run(&mut self, events: Receiver<StepEvent>) {
         while now().since(self.last_pull) < IDLE_LIMIT {
             let wake_at = self.step.next_tick().unwrap_or(Millis::MAX);
             let wait = wake_at.since(now()).min(LOOK_EVERY).max(Millis(1));
@@ -246,7 +161,8 @@
         self.step.pull(now, pull, actions);
     }
 
-    fn act(&mut self, actions: Vec<StepAction>) {
+    /// Does what the step asks for.
+    pub fn act(&mut self, actions: Vec<StepAction>) {
         for action in actions {
             match action {
                 StepAction::Generate { slot, attempt, .. } => self.generate(slot, attempt),
--- a/crates/oleander-load/src/deployment.rs
+++ b/crates/oleander-load/src/deployment.rs
@@ -6,7 +6,7 @@
 use crate::node::{Node, free_address};
 use crate::platform::Platform;
 use crate::settings_text::{EndpointText, write_agent, write_entry};
-use oleander_daemon::agent_table::SUBSET;
+use oleander_daemon::agent_list::SUBSET;
 use oleander_daemon::entry_event::FleetSummary;
 use oleander_standins::api::Api;
 use oleander_standins::engine::EngineCfg;
