--- a/crates/oleander-daemon/src/agent_table.rs
+++ b/crates/oleander-daemon/src/agent_table.rs
@@ -12,19 +12,16 @@
 use oleanderlock::endpoint::{EndpointKey, EndpointState, EndpointTerms, Proximity};
 use oleanderlock::endpoint_choice::{ChoiceAction, ChoiceConfig, EndpointChoice};
 use oleanderlock::member::MemberState;
-use oleanderlock::membership::{Listed, MemberAction, Membership};
+use oleanderlock::membership::{MemberAction, Membership};
 use oleanderlock::membership_config::MembershipConfig;
-use oleanderlock::subset::{Candidate, SubsetSize, choose_subset};
 
-/// Agents that an entry uses; a smaller fleet is used whole.
-const SUBSET: usize = 24;
 /// Greatest jitter of probes, in thousandths.
 const JITTER_MAX: u64 = 1000;
 
 /// One agent that the entry uses.
-struct Agent {
-    listed: ListedInstance,
-    heard: Option<AgentHeard>,
+pub(crate) struct Agent {
+    pub(crate) listed: ListedInstance,
+    pub(crate) heard: Option<AgentHeard>,
 }
 
 /// What the owner of the table must do.
@@ -49,16 +46,18 @@
 
 /// Agents by link address; bounded by the platform's list.
 pub struct AgentTable {
-    own_name: String,
-    domain: String,
-    region: String,
-    agents: IndexMap<String, Agent>,
+    pub(crate) own_name: String,
+    pub(crate) domain: String,
+    pub(crate) region: String,
+    pub(crate) agents: IndexMap<String, Agent>,
     /// All agents of the list by name; those that are not in the subset can be used on demand.
-    fleet: IndexMap<String, ListedInstance>,
+    pub(crate) fleet: IndexMap<String, ListedInstance>,
     /// Names of agents outside of the subset that keyed requests need.
-    wanted: IndexSet<String>,
-    choice: EndpointChoice,
-    members: Membership,
+    pub(crate) wanted: IndexSet<String>,
+    /// Failure domains for which the entry plans, and so uses all agents.
+    pub(crate) planned: IndexSet<String>,
+    pub(crate) choice: EndpointChoice,
+    pub(crate) members: Membership,
 }
 
 impl AgentTable {
@@ -71,79 +70,12 @@
             agents: IndexMap::new(),
             fleet: IndexMap::new(),
             wanted: IndexSet::new(),
+            planned: IndexSet::new(),
             choice: EndpointChoice::new(ChoiceConfig { policy: cfg.policy }),
             members: Membership::new(MembershipConfig::default()),
         }
     }
 
-    /// Takes the platform's list of agents; `entries` are the names of all entries.
-    pub fn listed<'a>(
-        &mut self,
-        now: Millis,
-        listed: Vec<ListedInstance>,
-        entries: impl Iterator<Item = &'a str>,
-    ) -> Vec<TableAction> {
-        let by_name = listed.into_iter().map(|one| (one.name.clone(), one));
-        self.fleet = by_name.collect();
-        let entries: Vec<Bytes> = entries.map(|name| Bytes::from(name.to_owned())).collect();
-        let chosen = self.subset(&entries);
-        let rows: Vec<Listed> = chosen.iter().map(row).collect();
-        let mut actions = Vec::new();
-        for instance in chosen {
-            self.use_agent(instance, &mut actions);
-        }
-        let changes = self.members.on_list(now, &rows);
-        self.act(changes, &mut actions);
-        actions
-    }
-
-    /// Uses the agent with this name, although it is not in the subset.
-    pub fn want(&mut self, name: &str) -> Vec<TableAction> {
-        let mut actions = Vec::new();
-        if let Some(instance) = self.fleet.get(name).cloned() {
-            self.wanted.insert(name.to_owned());
-            self.use_agent(instance, &mut actions);
-        }
-        actions
-    }
-
-    fn use_agent(&mut self, instance: ListedInstance, actions: &mut Vec<TableAction>) {
-        let link = instance.link.clone();
-        match self.agents.get_mut(&link) {
-            Some(agent) => agent.listed = instance,
-            None => {
-                actions.push(TableAction::Use(link.clone()));
-                let agent = Agent {
-                    listed: instance,
-                    heard: None,
-                };
-                self.agents.insert(link, agent);
-            }
-        }
-    }
-
-    /// Chooses the agents to use among all that are listed.
-    fn subset(&self, entries: &[Bytes]) -> Vec<ListedInstance> {
-        if self.fleet.len() <= SUBSET {
-            return self.fleet.values().cloned().collect();
-        }
-        let candidate = |instance: &ListedInstance| Candidate {
-            instance: Bytes::from(instance.name.clone()),
-            domain: Bytes::from(instance.domain.clone()),
-            // The list does not tell what an agent serves.
-            target: Bytes::new(),
-        };
-        let candidates: Vec<Candidate> = self.fleet.values().map(candidate).collect();
-        let own = Bytes::from(self.own_name.clone());
-        let size = SubsetSize { per_target: SUBSET };
-        let chosen = choose_subset(&own, entries, &candidates, size);
-        let chosen = chosen.into_iter().map(|index| &self.fleet[index]);
-        let wanted = self.wanted.iter().filter_map(|name| self.fleet.get(name));
-        let all: IndexMap<&String, &ListedInstance> =
-            chosen.chain(wanted).map(|one| (&one.name, one)).collect();
-        all.into_values().cloned().collect()
-    }
-
     /// Takes an agent's report.
     pub fn reported(
         &mut self,
@@ -215,7 +147,7 @@
         actions
     }
 
-    fn act(&mut self, changes: Vec<MemberAction>, actions: &mut Vec<TableAction>) {
+    pub(crate) fn act(&mut self, changes: Vec<MemberAction>, actions: &mut Vec<TableAction>) {
         for change in changes {
             match change {
                 MemberAction::Probe { name } => {
@@ -299,6 +231,11 @@
         self.choice.has_other(target, excluded)
     }
 
+    /// Returns the newest version that an endpoint of the target serves.
+    pub fn newest(&self, target: &[u8]) -> Option<Version> {
+        self.choice.newest(target)
+    }
+
     /// Takes the progress of an attempt.
     pub fn progress(&mut self, now: Millis, progress: RouteProgress) {
         let RouteProgress {
@@ -383,14 +320,6 @@
     }
 }
 
-fn row(instance: &ListedInstance) -> Listed {
-    Listed {
-        name: instance.name.clone(),
-        domain: instance.domain.clone(),
-        leaving: instance.state == ListedState::Leaving,
-    }
-}
-
 fn terms(
     domain: &str,
     region: &str,
--- a/crates/oleander-load/src/capacity_node.rs
+++ b/crates/oleander-load/src/capacity_node.rs
@@ -19,7 +19,9 @@
 const RECENT: Millis = Millis::from_secs(4);
 
 /// How a node learns of changes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::VariantArray)]
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumString, strum::VariantArray,
+)]
 #[strum(serialize_all = "kebab-case")]
 pub enum Mechanism {
     /// Every node asks the store once an interval.
@@ -187,8 +189,8 @@
     fn on_entries(&self, from: &str, answer: JournalEntries) {
         let upto = answer.upto;
         let outcome = self.journal.lock().on_entries(self.now(), from, answer);
-        if let Some(fetch) = outcome.fetch {
-            self.fetch(from, fetch);
+        if let Some(next) = outcome.fetch {
+            self.fetch(&next.peer, next.fetch);
         }
         if !outcome.changed.is_empty() {
             self.tell_change();
--- a/crates/oleander-load/src/deployment.rs
+++ b/crates/oleander-load/src/deployment.rs
@@ -6,6 +6,7 @@
 use crate::node::{Node, free_address};
 use crate::platform::Platform;
 use crate::settings_text::{EndpointText, write_agent, write_entry};
+use oleander_daemon::agent_list::SUBSET;
 use oleander_daemon::entry_event::FleetSummary;
 use oleander_standins::api::Api;
 use oleander_standins::engine::EngineCfg;
@@ -54,17 +55,21 @@
             endpoints: Vec::new(),
             folder,
         };
-        // The logs tell why a deployment does not become ready.
-        let keep_folder = std::mem::replace(&mut deployment.cfg.keep_folder, true);
         deployment.start_endpoints().await?;
         deployment.start_entries().await?;
         let until = Instant::now() + timeout;
-        deployment.put_contracts(until).await?;
-        deployment.wait_ready(until).await?;
-        deployment.cfg.keep_folder = keep_folder;
+        let started = deployment.settle(until).await;
+        // The logs tell why it did not start.
+        deployment.cfg.keep_folder |= started.is_err();
+        started?;
         Ok(deployment)
     }
 
+    async fn settle(&self, until: Instant) -> Result<(), DeploymentError> {
+        self.put_contracts(until).await?;
+        self.wait_ready(until).await
+    }
+
     /// Folder of settings and logs.
     pub fn folder(&self) -> &Path {
         &self.folder
@@ -157,9 +162,13 @@
                 agent.state == "serving" && agent.config_digest == fleet.config_digest
             });
             let serving = serving.count();
-            let all = self.running_agents();
-            if serving < all {
-                return Some(format!("{} hears {serving} of {all} agents", entry.name));
+            // An entry uses a subset of a larger fleet.
+            let expected = self.running_agents().min(SUBSET);
+            if serving < expected {
+                return Some(format!(
+                    "{} hears {serving} of {expected} agents",
+                    entry.name
+                ));
             }
         }
         None
@@ -183,9 +192,7 @@
             loop {
                 match self.put_contract(text, 0).await {
                     Ok(_) => break,
-                    Err(e) if Instant::now() >= until => {
-                        return Err(self.not_ready(e.to_string()));
-                    }
+                    Err(e) if Instant::now() >= until => return Err(e),
                     Err(_) => Timer::after(Duration::from_millis(READY_POLL_MS)).await,
                 };
             }
--- a/crates/oleanderlock/tests/weight_plans.rs
+++ b/crates/oleanderlock/tests/weight_plans.rs
@@ -324,3 +324,35 @@
         assert_eq!(planner.tick(Millis(now)).len(), 1);
     }
 }
+
+#[test]
+fn two_planners_at_once_send_no_more_than_one() {
+    let mut fleet = Fleet::new(80, RolloutConfig::default());
+    fleet.planner.publish(MODEL, Version(2), Fence(10));
+    let mut second = fleet.planner.clone();
+    for _ in 0..100 {
+        // Both hear the same reports before either sends its orders.
+        std::mem::swap(&mut fleet.planner, &mut second);
+        fleet.now += TICK_MS;
+        for engine in fleet.engines.values_mut() {
+            engine.advance(fleet.now);
+        }
+        fleet.report();
+        std::mem::swap(&mut fleet.planner, &mut second);
+        fleet.now -= TICK_MS;
+        fleet.tick();
+        for order in second.tick(Millis(fleet.now)) {
+            fleet.take(&order);
+        }
+    }
+    assert!(
+        fleet
+            .engines
+            .values()
+            .all(|engine| engine.version == Some(2))
+    );
+    assert_eq!(fleet.swaps, 80);
+    let out = |engine: &&Engine| engine.swap.is_some();
+    assert_eq!(fleet.engines.values().filter(out).count(), 0);
+    assert!(fleet.most_out <= 20, "{}", fleet.most_out);
+}
