Let a leaving agent take work for half a second more

Cause: an agent that was told to stop refused new work at once and, when idle, ended its control thread within 20 ms. A call that an entry had sent before it heard of the stop, or one with a key issued for that agent just before, was refused as "leaving", or never read: its caller was told "agent-lost, unknown" in a planned stop.

Change: a leaving agent says so at once, still takes work for 500 ms, and then refuses. It ends when that has passed and nothing is in flight. A leaving endpoint may get work for a few seconds.

A key that is used later than that is still refused as not run, or told "unknown" if it comes in the last 300 ms of the process.

--- a/crates/oleander-daemon/src/agent_control.rs
+++ b/crates/oleander-daemon/src/agent_control.rs
@@ -20,6 +20,10 @@
 /// Time after which an entry that says nothing gets no more reports.
 const ENTRY_SILENT: Millis = Millis::from_secs(10);
 
+/// Time for which a leaving agent still takes work: what entries sent before they heard of it, and
+/// calls with keys that were just issued for it.
+const LEAVE_GRACE: Millis = Millis(500);
+
 /// Waves in which the engines of one model load a version.
 const WAVES: u64 = 3;
 /// Time between two waves, in milliseconds.
@@ -52,6 +56,8 @@
     planned: Option<PlannedSwap>,
     last_fence: Fence,
     leaving_since: Option<Millis>,
+    /// No new work is taken any more.
+    closed: bool,
     stopping: bool,
 }
 
@@ -77,6 +83,7 @@
             planned: None,
             last_fence: Fence(0),
             leaving_since: None,
+            closed: false,
             stopping: false,
         }
     }
@@ -485,6 +492,7 @@
         let actions = self.admission.tick(now);
         self.act(now, actions);
         self.start_planned_swap(now);
+        self.close_after_grace(now);
         if now >= self.look_due {
             self.look_due = now.plus(LOOK_EVERY);
             self.drop_silent_entries(now);
@@ -559,8 +567,16 @@
         }
         log::info!("event=leaving queued={}", self.admission.load(now).queued);
         self.leaving_since = Some(now);
-        // The word goes out before the refusals, so that no entry sends them here again.
         self.report_to_all(now);
+    }
+
+    /// Refuses queued and new work once the entries have had time to hear that the agent leaves.
+    fn close_after_grace(&mut self, now: Millis) {
+        let is_over = |since: Millis| now.since(since) >= LEAVE_GRACE;
+        if self.closed || !self.leaving_since.is_some_and(is_over) {
+            return;
+        }
+        self.closed = true;
         let actions = self.admission.leave();
         self.act(now, actions);
     }
@@ -572,19 +588,21 @@
                 self.attempts.len()
             );
             self.attempts.clear();
+            self.closed = true;
             return;
         }
         self.stopping = true;
         self.leave(now);
     }
 
-    /// A stopping agent ends when nothing is in flight, or at the contract's limit.
+    /// A stopping agent ends when it is closed and nothing is in flight, or at the contract's limit.
     fn may_end(&self, now: Millis) -> bool {
         let Some(since) = self.leaving_since.filter(|_| self.stopping) else {
             return false;
         };
         let limit = self.config.contracts().drain().unwrap_or(self.cx.cfg.drain);
-        self.attempts.is_empty() || now.since(since) >= limit
+        let is_idle = self.closed && self.attempts.is_empty();
+        is_idle || now.since(since) >= limit
     }
 
     fn summary(&self, now: Millis) -> AgentSummary {
