--- a/crates/oleander-daemon/src/completions.rs
+++ b/crates/oleander-daemon/src/completions.rs
@@ -6,7 +6,8 @@
 use crate::http_input;
 use crate::in_flight::InFlight;
 use crate::prelude::*;
-use crate::request_run::{self, Request, RequestEnd};
+use crate::request::{Request, RequestEnd};
+use crate::request_run;
 use crate::runtime;
 use async_channel::{Receiver, Sender};
 use bytes::Bytes;
@@ -69,7 +70,7 @@
     let body = http_input::json::<CompletionBody>(&mut conn).await;
     match body {
         Ok(body) => answer(cx, conn, Shape::Completion, body).await,
-        Err(fault) => fault.answer(conn),
+        Err(fault) => refuse(&cx, fault, conn),
     }
 }
 
@@ -77,7 +78,7 @@
 pub async fn chat(cx: EntryCx, mut conn: Conn) -> Conn {
     let body = match http_input::json::<ChatBody>(&mut conn).await {
         Ok(body) => body,
-        Err(fault) => return fault.answer(conn),
+        Err(fault) => return refuse(&cx, fault, conn),
     };
     let lines = body
         .messages
@@ -97,11 +98,11 @@
     let began = now();
     let call = match Call::read(&cx, &conn, None).await {
         Ok(call) => call,
-        Err(fault) => return fault.answer(conn),
+        Err(fault) => return refuse(&cx, fault, conn),
     };
     let req = match request(&call, &body) {
         Ok(req) => req,
-        Err(fault) => return fault.answer(conn),
+        Err(fault) => return refuse(&cx, fault, conn),
     };
     let id = req.spec.id;
     let reply = Reply {
@@ -175,7 +176,9 @@
 pub fn refuse(cx: &EntryCx, fault: HttpFault, conn: Conn) -> Conn {
     cx.metrics.refused(fault.kind);
     cx.refusals.note(&fault);
-    let request = fault.request.map(|id| id.to_string()).unwrap_or_default();
+    let request = fault
+        .request
+        .map_or_else(|| "-".to_owned(), |id| id.to_string());
     log::info!(
         "event=refused request={request} kind={} ran={}",
         fault.kind,
--- a/crates/oleander-daemon/src/entry_control.rs
+++ b/crates/oleander-daemon/src/entry_control.rs
@@ -6,6 +6,7 @@
 use crate::entry_event::{
     ChooseCall, ConfigSummary, EntryEvent, FleetSummary, LocateCall, RouteEnd, Terms, TermsCall,
 };
+use crate::fresh_holds::FreshHolds;
 use crate::peer_entries::PeerEntries;
 use crate::prelude::*;
 use crate::retry_desk::RetryDesk;
@@ -32,6 +33,7 @@
     pub(crate) locating: Vec<LocateCall>,
     pub(crate) retries: RetryDesk,
     pub(crate) weights: WeightDesk,
+    pub(crate) fresh: FreshHolds,
     stopping_since: Option<Millis>,
 }
 
@@ -52,6 +54,7 @@
             locating: Vec::new(),
             retries: RetryDesk::new(cx.cfg.policy),
             weights: WeightDesk::default(),
+            fresh: FreshHolds::default(),
             stopping_since: None,
             cx,
         }
