--- a/crates/oleander-daemon/src/lib.rs
+++ b/crates/oleander-daemon/src/lib.rs
@@ -75,6 +75,5 @@
 pub mod store_client;
 pub mod store_limit;
 mod trainer_api;
-mod wake_timer;
 mod watch_switch;
 mod weight_desk;
--- a/crates/oleander-daemon/src/request_run.rs
+++ b/crates/oleander-daemon/src/request_run.rs
@@ -10,7 +10,6 @@
 use crate::request::{Request, RequestEnd, Tracking};
 use crate::request_log;
 use crate::request_words::typed_chunk;
-use crate::wake_timer::WakeTimer;
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use oleanderlock::assembly_limits::AssemblyLimits;
@@ -58,7 +57,6 @@
         retry_after: None,
         text_sent: false,
         sent: None,
-        timer: WakeTimer::default(),
         on_data,
         req,
     };
@@ -88,7 +86,6 @@
     retry_after: Option<Millis>,
     text_sent: bool,
     sent: Option<Ticket>,
-    timer: WakeTimer,
     on_data: F,
 }
 
@@ -244,8 +241,9 @@
 
     async fn next_event(&mut self) -> TrackEvent {
         let wake_at = self.track.wake_at().unwrap_or(self.req.spec.deadline);
+        let wait = wake_at.since(now()).max(Millis(1));
         let timer = async {
-            self.timer.wait_until(wake_at).await;
+            smol::Timer::after(Duration::from(wait)).await;
             None
         };
         let word = self.words.next().or(timer).await;
