--- a/crates/oleander-load/src/experiment_file.rs
+++ b/crates/oleander-load/src/experiment_file.rs
@@ -60,6 +60,12 @@
     DeploymentCfg {
         entries: s.parsed("deployment", "entries", defaults.entries, NUMBER),
         threads: s.parsed("deployment", "threads", defaults.threads, NUMBER),
+        entry_threads: s.parsed(
+            "deployment",
+            "entry-threads",
+            defaults.entry_threads,
+            NUMBER,
+        ),
         domains: if domains.is_empty() {
             defaults.domains
         } else {
