Send the first event of a stream at once

Cause: the server library holds back the first 512 bytes of an answer, so a caller saw its first tokens with the second chunk or later. The new test saw 4 events in the first read with 512 bytes; with 64 it sees one.

--- a/crates/oleander-daemon/src/runtime.rs
+++ b/crates/oleander-daemon/src/runtime.rs
@@ -65,6 +65,9 @@
 pub const BODY_MAX_BYTES: u64 = 4 << 20;
 /// Longest wait for connections to close, in milliseconds.
 const CLOSE_LIMIT_MS: u64 = 2000;
+/// Bytes of an answer that are held back to be written together, small enough that the first event
+/// of a stream goes out at once.
+const RESPONSE_BUFFER_BYTES: usize = 64;
 /// Connections that are served at once.
 const CONNECTIONS_MAX: usize = 8192;
 
@@ -78,6 +81,7 @@
     let listener = TcpListener::try_from(listener)?;
     let limits = HttpConfig::default()
         .with_head_max_len(HEAD_MAX_BYTES)
+        .with_response_buffer_len(RESPONSE_BUFFER_BYTES)
         .with_received_body_max_len(BODY_MAX_BYTES);
     let handle = trillium_smol::config()
         .without_signals()
