--- a/crates/oleander-daemon/src/agent_control.rs
+++ b/crates/oleander-daemon/src/agent_control.rs
@@ -10,6 +10,8 @@
 use oleanderlock::admission_config::AdmissionConfig;
 use oleanderlock::attempt_ledger::{AttemptLedger, LedgerLimits};
 
+/// Delay of a look from which on this process was paused.
+const PAUSE: Millis = Millis(1500);
 /// Time between two looks for silent entries.
 const LOOK_EVERY: Millis = Millis(1000);
 
@@ -109,6 +111,7 @@
         self.act(now, actions);
         self.close_after_grace(now);
         if now >= self.look_due {
+            self.excuse_pause(now);
             self.look_due = now.plus(LOOK_EVERY);
             self.drop_silent_entries(now);
         }
@@ -117,6 +120,18 @@
         }
     }
 
+    /// After a pause of this process the silence of entries says nothing.
+    fn excuse_pause(&mut self, now: Millis) {
+        let is_first = self.look_due == Millis::ZERO;
+        if is_first || now.since(self.look_due) < PAUSE {
+            return;
+        }
+        log::warn!("event=paused length={}", now.since(self.look_due));
+        for heard in self.entries.values_mut() {
+            *heard = now;
+        }
+    }
+
     fn leave(&mut self, now: Millis) {
         if self.leaving_since.is_some() {
             return;
--- a/crates/oleander-daemon/src/agent_cx.rs
+++ b/crates/oleander-daemon/src/agent_cx.rs
@@ -74,6 +74,11 @@
         }
     }
 
+    /// Closes the link to an entry that is gone.
+    pub fn forget(&self, entry: &str) {
+        self.peers.forget(entry);
+    }
+
     /// Runs an attempt on the traffic threads.
     pub fn run(&self, attempt: Attempt) {
         let ticket = attempt.ticket();
--- a/crates/oleander-daemon/src/agent_reports.rs
+++ b/crates/oleander-daemon/src/agent_reports.rs
@@ -39,8 +39,12 @@
 
     /// Forgets silent entries and cancels what only they wait for, if it may be repeated.
     pub(crate) fn drop_silent_entries(&mut self, now: Millis) {
-        self.entries
-            .retain(|_, heard| now.since(*heard) < ENTRY_SILENT);
+        let silent = self
+            .entries
+            .extract_if(.., |_, heard| now.since(*heard) >= ENTRY_SILENT);
+        for (entry, _) in silent {
+            self.cx.forget(&entry);
+        }
         let entries = &self.entries;
         let is_unwanted = |attempt: &&Attempt| {
             let heard = |waiter: &Waiter| entries.contains_key(&waiter.entry);
--- a/crates/oleander-daemon/src/bin/oleander-agent.rs
+++ b/crates/oleander-daemon/src/bin/oleander-agent.rs
@@ -3,46 +3,23 @@
 use oleander_daemon::agent::Agent;
 use oleander_daemon::agent_event::AgentEvent;
 use oleander_daemon::agent_settings::AgentConfig;
-use oleander_daemon::cli::{AgentArgs, agent_args};
-use oleander_daemon::exit_code::ExitCode;
-use oleander_daemon::settings::{Settings, SettingsFaults};
-use oleander_daemon::{logging, stop_signal};
+use oleander_daemon::cli::agent_args;
+use oleander_daemon::logging;
+use oleander_daemon::program::{Running, read_settings, run_to_end};
 
 fn main() -> std::process::ExitCode {
     let args = agent_args().run();
-    run(&args).into()
-}
-
-fn run(args: &AgentArgs) -> ExitCode {
-    let cfg = match read(args) {
+    let cfg = match read_settings(&args.settings, args.check, AgentConfig::read) {
         Ok(cfg) => cfg,
-        Err(faults) => {
-            eprintln!("{}:\n{faults}", args.settings.display());
-            return ExitCode::Usage;
-        }
+        Err(code) => return code.into(),
     };
-    if args.check {
-        println!("{}: valid", args.settings.display());
-        return ExitCode::Success;
-    }
     logging::start(&cfg.node.name, cfg.node.log_level);
-    let agent = match Agent::open(cfg) {
-        Ok(agent) => agent,
-        Err(fault) => {
-            log::error!("event=open-failed reason=\"{fault}\"");
-            return ExitCode::Failure;
+    let opened = Agent::open(cfg).map(|agent| {
+        let events = agent.events();
+        Running {
+            stop: move || drop(events.send(AgentEvent::Stop)),
+            wait: move || agent.wait(),
         }
-    };
-    let events = agent.events();
-    let stop = move || drop(events.send(AgentEvent::Stop));
-    if let Err(fault) = stop_signal::on_stop(stop) {
-        log::error!("event=open-failed reason=\"{fault}\"");
-        return ExitCode::Failure;
-    }
-    agent.wait();
-    ExitCode::Success
-}
-
-fn read(args: &AgentArgs) -> Result<AgentConfig, SettingsFaults> {
-    AgentConfig::read(Settings::open(&args.settings)?)
+    });
+    run_to_end(opened).into()
 }
--- a/crates/oleander-daemon/src/bin/oleander-entry.rs
+++ b/crates/oleander-daemon/src/bin/oleander-entry.rs
@@ -1,46 +1,24 @@
 //! The entry daemon.
 
-use oleander_daemon::cli::{EntryArgs, entry_args};
+use oleander_daemon::cli::entry_args;
 use oleander_daemon::entry::Entry;
 use oleander_daemon::entry_settings::EntryConfig;
-use oleander_daemon::exit_code::ExitCode;
-use oleander_daemon::settings::{Settings, SettingsFaults};
-use oleander_daemon::{logging, stop_signal};
+use oleander_daemon::logging;
+use oleander_daemon::program::{Running, read_settings, run_to_end};
 
 fn main() -> std::process::ExitCode {
     let args = entry_args().run();
-    run(&args).into()
-}
-
-fn run(args: &EntryArgs) -> ExitCode {
-    let cfg = match read(args) {
+    let cfg = match read_settings(&args.settings, args.check, EntryConfig::read) {
         Ok(cfg) => cfg,
-        Err(faults) => {
-            eprintln!("{}:\n{faults}", args.settings.display());
-            return ExitCode::Usage;
-        }
+        Err(code) => return code.into(),
     };
-    if args.check {
-        println!("{}: valid", args.settings.display());
-        return ExitCode::Success;
-    }
     logging::start(&cfg.node.name, cfg.node.log_level);
-    let entry = match Entry::open(cfg) {
-        Ok(entry) => entry,
-        Err(fault) => {
-            log::error!("event=open-failed reason=\"{fault}\"");
-            return ExitCode::Failure;
+    let opened = Entry::open(cfg).map(|entry| {
+        let stop = entry.stop_handle();
+        Running {
+            stop: move || stop.stop(),
+            wait: move || entry.wait(),
         }
-    };
-    let stop = entry.stop_handle();
-    if let Err(fault) = stop_signal::on_stop(move || stop.stop()) {
-        log::error!("event=open-failed reason=\"{fault}\"");
-        return ExitCode::Failure;
-    }
-    entry.wait();
-    ExitCode::Success
-}
-
-fn read(args: &EntryArgs) -> Result<EntryConfig, SettingsFaults> {
-    EntryConfig::read(Settings::open(&args.settings)?)
+    });
+    run_to_end(opened).into()
 }
--- a/crates/oleander-daemon/src/lib.rs
+++ b/crates/oleander-daemon/src/lib.rs
@@ -55,6 +55,7 @@
 mod peer_entries;
 mod plain_calls;
 pub mod prelude;
+pub mod program;
 mod publish;
 pub mod refusal_log;
 pub mod request;
