--- a/crates/oleander-daemon/src/agent_table.rs
+++ b/crates/oleander-daemon/src/agent_table.rs
@@ -3,6 +3,7 @@
 use crate::agent_heard::AgentHeard;
 use crate::entry_event::{AgentView, Route, RouteEnd, RouteProgress};
 use crate::entry_settings::EntryConfig;
+use crate::hash64::hash64;
 use crate::instance_list::{ListedInstance, ListedState};
 use crate::prelude::*;
 use bytes::Bytes;
@@ -335,15 +336,8 @@
     };
     let targets = report.targets.iter();
     EndpointTerms {
-        identity: identity(&agent.name),
+        identity: hash64(agent.name.as_bytes()),
         proximity,
         targets: targets.map(|target| Bytes::from(target.clone())).collect(),
     }
 }
-
-/// Returns a hash of the instance name, the same at every entry.
-fn identity(name: &str) -> u64 {
-    let mut word = [0; 8];
-    word.copy_from_slice(&blake3::hash(name.as_bytes()).as_bytes()[..8]);
-    u64::from_be_bytes(word)
-}
--- a/crates/oleander-daemon/src/caller.rs
+++ b/crates/oleander-daemon/src/caller.rs
@@ -3,6 +3,7 @@
 use crate::access;
 use crate::entry_cx::EntryCx;
 use crate::entry_event::Terms;
+use crate::hash64::{first_word, hash64};
 use crate::http_input::header_number;
 use crate::prelude::*;
 use bytes::Bytes;
@@ -58,7 +59,7 @@
 /// Returns the hash of a prompt's prefix.
 pub fn prefix_of(prompt: &str) -> u64 {
     let end = prompt.len().min(PREFIX_BYTES);
-    first_word(&blake3::hash(&prompt.as_bytes()[..end]))
+    hash64(&prompt.as_bytes()[..end])
 }
 
 /// Returns a hash of target and body.
@@ -69,9 +70,3 @@
     hasher.update(body);
     first_word(&hasher.finalize())
 }
-
-fn first_word(hash: &blake3::Hash) -> u64 {
-    let mut word = [0; 8];
-    word.copy_from_slice(&hash.as_bytes()[..8]);
-    u64::from_be_bytes(word)
-}
--- a/crates/oleander-daemon/src/lib.rs
+++ b/crates/oleander-daemon/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod entry_settings;
 pub mod exit_code;
 pub mod fresh_holds;
+mod hash64;
 pub mod hedge_desk;
 pub mod http_fault;
 mod http_input;
