--- /dev/null
+++ b/crates/oleander-rollout/src/agent/agent_process.rs
@@ -0,0 +1,135 @@
+//! The agent process.
+
+use super::engine_client::EngineClient;
+use super::state::State;
+use super::{engine_watch, hand_in, pull};
+use crate::call::caller::Caller;
+use crate::observe::metrics::Metrics;
+use crate::peer::leader_link::LeaderLink;
+use crate::peer::messages::{ReturnReason, ReturnedItem};
+use crate::prelude::*;
+use crate::settings::Config;
+use crate::store::follow::{Interests, spawn_follower};
+use crate::store::view::SharedView;
+use event_listener::Event;
+use oleanderlock::routing::endpoint_entry::{EndpointEntry, EndpointState};
+use std::cell::{Cell, RefCell};
+use std::io::ErrorKind as IoErrorKind;
+use std::rc::Rc;
+
+/// Time that the items which are still running get to go to other agents before the process ends.
+const HAND_OVER: Millis = Millis(2500);
+/// Pause between two looks at the items of a stopping agent.
+const STOP_PAUSE: Millis = Millis(50);
+
+/// What the tasks of an agent share.
+#[derive(Debug)]
+pub struct Agent {
+    /// Settings.
+    pub cfg: Config,
+    /// What the store told.
+    pub view: SharedView,
+    /// Calls to the leading dispatcher.
+    pub link: Rc<LeaderLink>,
+    /// Calls to services that score.
+    pub caller: Rc<Caller>,
+    /// Calls to the engine.
+    pub engine: EngineClient,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Items and the engine's state.
+    pub state: RefCell<State>,
+    /// Notified when items or results come.
+    pub changed: Event,
+    /// Whether the process is to end.
+    pub stopping: Cell<bool>,
+}
+
+impl Agent {
+    /// Opens an agent and starts its tasks on this thread.
+    ///
+    /// # Errors
+    ///
+    /// The system's fault when a thread can't be started, or no engine is set.
+    pub fn open(cfg: Config, metrics: Metrics) -> std::io::Result<Rc<Self>> {
+        let missing =
+            || std::io::Error::new(IoErrorKind::InvalidInput, "[engine] addr must be set");
+        let engine = cfg.engine.ok_or_else(missing)?;
+        let view = SharedView::default();
+        let interests = Interests {
+            config: true,
+            endpoints: true,
+            ..Interests::default()
+        };
+        spawn_follower(cfg.store, interests, view.clone())?;
+        let agent = Rc::new(Self {
+            link: LeaderLink::new(view.clone()),
+            caller: Caller::new(view.clone(), cfg.domain.clone(), metrics.clone()),
+            engine: EngineClient::new(engine),
+            view,
+            metrics,
+            state: RefCell::default(),
+            changed: Event::new(),
+            stopping: Cell::new(false),
+            cfg,
+        });
+        spawn(engine_watch::run(Rc::clone(&agent)));
+        spawn(pull::run(Rc::clone(&agent)));
+        spawn(hand_in::run(Rc::clone(&agent)));
+        Ok(agent)
+    }
+
+    /// Returns what the list says of the engine.
+    pub fn endpoint(&self) -> Option<EndpointEntry> {
+        self.view.get().endpoints.at(self.engine.addr()).cloned()
+    }
+
+    /// Returns the entry of the engine while it takes new work.
+    pub fn ready_endpoint(&self) -> Option<EndpointEntry> {
+        let entry = self.endpoint()?;
+        (entry.state == EndpointState::Ready).then_some(entry)
+    }
+
+    /// Wakes everything that waits for a change.
+    pub fn notify(&self) {
+        self.changed.notify(usize::MAX);
+    }
+
+    /// Gives back all items that match.
+    pub fn give_back_all(&self, reason: ReturnReason, matches: impl Fn(bool) -> bool) {
+        let mut state = self.state.borrow_mut();
+        let items = state.items.values();
+        let items = items.filter(|item| matches(item.run.is_some()));
+        let items: Vec<ReturnedItem> = items
+            .map(|item| ReturnedItem {
+                key: item.work.key.clone(),
+                reason,
+                progress: item.work.progress.clone(),
+            })
+            .collect();
+        for item in items {
+            let name = item.key.to_string();
+            // Cancels the run.
+            state.items.shift_remove(&name);
+            state.returned.insert(name, item);
+        }
+        drop(state);
+        self.notify();
+    }
+
+    /// Stops it: runs end if they can in time, the rest goes to other agents.
+    pub async fn stop(&self) {
+        self.stopping.set(true);
+        self.give_back_all(ReturnReason::EngineLost, |running| !running);
+        let until = now().plus(self.cfg.grace.since(HAND_OVER));
+        let busy = || !self.state.borrow().names().is_empty();
+        while busy() && now() < until {
+            sleep(STOP_PAUSE).await;
+        }
+        self.give_back_all(ReturnReason::EngineLost, |_| true);
+        let until = now().plus(HAND_OVER.since(Millis(1000)));
+        while busy() && now() < until {
+            sleep(STOP_PAUSE).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/oleander-rollout/src/agent/engine_client.rs
@@ -0,0 +1,150 @@
+//! Calls to the engine beside the agent.
+
+use crate::http::exchange::Exchange;
+use crate::http::pool::{Destination, Pool};
+use crate::http::send_fault::SendFault;
+use crate::peer::messages::WorkItem;
+use crate::prelude::*;
+use http::header::{CONTENT_TYPE, HOST, HeaderValue};
+use http::{HeaderName, Method, Request, StatusCode};
+use http_body_util::Full;
+use oleander_platform::job::body_bytes;
+use oleander_platform::order::{LoadOrder, encode_load};
+use oleander_platform::report::{EngineReport, decode_report};
+use oleander_platform::{calls, headers};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// Longest time to open a connection to the engine.
+const CONNECT_LIMIT: Millis = Millis(300);
+/// Longest wait for a report or the answer to an order.
+const CALL_LIMIT: Millis = Millis(1000);
+/// Greatest report, in bytes.
+const REPORT_MAX_BYTES: usize = 1 << 20;
+
+/// Calls to the engine beside the agent.
+#[derive(Debug)]
+pub struct EngineClient {
+    addr: SocketAddr,
+    pool: Rc<Pool>,
+}
+
+impl EngineClient {
+    /// A client of the engine at `addr`.
+    pub fn new(addr: SocketAddr) -> Self {
+        Self {
+            addr,
+            pool: Pool::new(CONNECT_LIMIT),
+        }
+    }
+
+    /// Returns the engine's address.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Asks the engine for its report.
+    ///
+    /// # Errors
+    ///
+    /// A fault, also when the report can't be read.
+    pub async fn report(&self) -> Result<EngineReport, SendFault> {
+        let req = Request::builder()
+            .method(Method::GET)
+            .uri(calls::REPORT)
+            .header(HOST, self.addr.to_string())
+            .body(Full::default())
+            .map_err(SendFault::not_sent)?;
+        let (_, body) = self.exchange("", req).await?;
+        decode_report(&body).map_err(SendFault::no_answer)
+    }
+
+    /// Orders a load of weights.
+    ///
+    /// # Errors
+    ///
+    /// A fault; after [`SendFault::NoAnswer`] the order may be carried out, also later.
+    pub async fn order(
+        &self,
+        instance: &str,
+        order: &LoadOrder<'_>,
+    ) -> Result<StatusCode, SendFault> {
+        let req = Request::builder()
+            .method(Method::POST)
+            .uri(calls::ORDER)
+            .header(HOST, self.addr.to_string())
+            .header(CONTENT_TYPE, "application/json")
+            .header(headers::EXPECT_INSTANCE, instance)
+            .body(Full::new(Bytes::from(encode_load(order))))
+            .map_err(SendFault::not_sent)?;
+        let (status, _) = self.exchange(instance, req).await?;
+        Ok(status)
+    }
+
+    async fn exchange(
+        &self,
+        instance: &str,
+        req: Request<Full<Bytes>>,
+    ) -> Result<(StatusCode, Bytes), SendFault> {
+        let to = self.destination(instance);
+        let exchange = async {
+            let exchange = self.pool.send(&to, req).await?;
+            exchange.whole(REPORT_MAX_BYTES).await
+        };
+        let answered = within(CALL_LIMIT, exchange).await;
+        let (head, body) = answered.unwrap_or_else(|| Err(SendFault::no_answer("timeout")))?;
+        Ok((head.status, body))
+    }
+
+    /// Starts a run of an item behind event `last_event`, at one instance with one version of the
+    /// weights.
+    ///
+    /// # Errors
+    ///
+    /// A fault.
+    pub async fn run(
+        &self,
+        work: &WorkItem,
+        instance: &str,
+        last_event: u64,
+    ) -> Result<Exchange, SendFault> {
+        let mut req = Request::builder()
+            .method(Method::POST)
+            .uri(work.item.path.as_str())
+            .body(Full::new(Bytes::from(body_bytes(&work.item.body_base64))))
+            .map_err(SendFault::not_sent)?;
+        let all = req.headers_mut();
+        for (name, value) in &work.item.headers {
+            let name = name.parse::<HeaderName>().map_err(SendFault::not_sent)?;
+            let value = HeaderValue::from_str(value).map_err(SendFault::not_sent)?;
+            all.insert(name, value);
+        }
+        let mut set = vec![
+            (HOST, work.host.clone()),
+            (
+                HeaderName::from_static(headers::REQUEST_ID),
+                work.key.item.clone(),
+            ),
+            (
+                HeaderName::from_static(headers::EXPECT_INSTANCE),
+                instance.to_owned(),
+            ),
+        ];
+        if last_event > 0 {
+            let name = HeaderName::from_static(headers::LAST_EVENT_ID);
+            set.push((name, last_event.to_string()));
+        }
+        for (name, value) in set {
+            let value = HeaderValue::from_str(&value).map_err(SendFault::not_sent)?;
+            all.insert(name, value);
+        }
+        self.pool.send(&self.destination(instance), req).await
+    }
+
+    fn destination(&self, instance: &str) -> Destination {
+        Destination {
+            addr: self.addr,
+            instance: instance.to_owned(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/oleander-rollout/src/agent/pull.rs
@@ -0,0 +1,104 @@
+//! Reports to the leading dispatcher and takes work from it.
+
+use super::agent_process::Agent;
+use super::state::HeldItem;
+use super::{load, runner};
+use crate::peer::leader_link::LeaderFault;
+use crate::peer::messages::{PULL, PullAnswer};
+use crate::prelude::*;
+use http::{Method, StatusCode};
+use oleanderlock::batch::agent_state::AgentReport;
+use std::rc::Rc;
+
+/// Longest wait for the answer to a report.
+const PULL_LIMIT: Millis = Millis(1800);
+/// Pause after a report without an answer.
+const RETRY_PAUSE: Millis = Millis(150);
+/// Longest wait for a dispatcher that is asked who leads.
+const ASK_LIMIT: Millis = Millis(300);
+
+/// Reports until the process ends.
+pub async fn run(agent: Rc<Agent>) {
+    let mut failing = false;
+    loop {
+        match pull(&agent).await {
+            Ok(answer) => {
+                if failing {
+                    event(log::Level::Info, "leader-regained", String::new);
+                    failing = false;
+                }
+                take(&agent, answer);
+            }
+            Err(fault) => {
+                if !failing {
+                    event(log::Level::Warn, "leader-lost", || {
+                        format!("reason=\"{fault}\"")
+                    });
+                    failing = true;
+                }
+                agent.link.ask_for_leader(ASK_LIMIT).await;
+                sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn pull(agent: &Agent) -> Result<PullAnswer, LeaderFault> {
+    let fault = |reason: String| LeaderFault::NoAnswer { reason };
+    let report = report(agent);
+    let body = serde_json::to_vec(&report).map_err(|bad| fault(bad.to_string()))?;
+    let called = agent.link.call(Method::POST, PULL, body, PULL_LIMIT).await;
+    let (status, body) = called?;
+    if status != StatusCode::OK {
+        return Err(fault(status.to_string()));
+    }
+    serde_json::from_slice(&body).map_err(|bad| fault(bad.to_string()))
+}
+
+fn report(agent: &Agent) -> AgentReport {
+    let endpoint = agent.endpoint();
+    let ready = agent.ready_endpoint().is_some() && !agent.stopping.get();
+    let state = agent.state.borrow();
+    let engine = state.engine_now();
+    let slots = match (&endpoint, engine) {
+        (Some(endpoint), Some(_)) if ready => endpoint.slots,
+        _ => 0,
+    };
+    AgentReport {
+        agent: agent.cfg.node.clone(),
+        instance: endpoint
+            .as_ref()
+            .map(|entry| entry.instance.clone())
+            .unwrap_or_default(),
+        service: endpoint.map(|entry| entry.service).unwrap_or_default(),
+        slots,
+        leaving: !ready,
+        weights: engine
+            .map(|report| report.weights.clone())
+            .unwrap_or_default(),
+        loading: state.loading.clone(),
+        event_us: state.event_us,
+        items: state.names(),
+    }
+}
+
+fn take(agent: &Rc<Agent>, answer: PullAnswer) {
+    {
+        let mut state = agent.state.borrow_mut();
+        for name in &answer.drop {
+            if state.drop_item(name) {
+                event(log::Level::Info, "item-dropped", || format!("item={name}"));
+            }
+        }
+        for work in answer.work {
+            let name = work.key.to_string();
+            if !state.names().contains(&name) {
+                state.items.insert(name, HeldItem { work, run: None });
+            }
+        }
+    }
+    if let Some(work) = answer.load {
+        load::start(agent, work);
+    }
+    runner::start_waiting(agent);
+}
--- /dev/null
+++ b/crates/oleander-rollout/src/agent/run.rs
@@ -0,0 +1,219 @@
+//! The run of one item: its events, the version of each, and its score.
+
+use super::agent_process::Agent;
+use super::runner;
+use super::score::{Scored, score};
+use crate::http::exchange::Exchange;
+use crate::http::send_fault::SendFault;
+use crate::peer::messages::{ReturnReason, ReturnedItem, WorkItem};
+use crate::prelude::*;
+use http::StatusCode;
+use oleander_platform::events::{EventBuffer, RunEvent};
+use oleander_platform::headers;
+use oleanderlock::batch::progress::Progress;
+use oleanderlock::batch::sample::{Sample, SampleEnd};
+use std::rc::Rc;
+
+/// Longest silence of a run; a load of weights pauses runs for about a second.
+const SILENCE_MAX: Millis = Millis(4000);
+/// Pause after the engine refused a run or broke one off.
+const RETRY_PAUSE: Millis = Millis(60);
+/// Refusals in a row after which an item goes to another engine.
+const REFUSALS_MAX: u32 = 25;
+/// Runs that broke off after which an item goes to another engine.
+const BREAKS_MAX: u32 = 4;
+
+/// How one run of an item ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RunEnd {
+    /// The text is whole.
+    Whole,
+    /// The engine did not run it.
+    Refused,
+    /// The stream broke off.
+    Broken,
+    /// The engine answered with a failure.
+    Failed,
+    /// The engine says that the item can never be done.
+    Impossible,
+    /// The weights are too old, or changed where they may not.
+    WrongWeights,
+    /// The engine that was meant is gone.
+    OtherInstance,
+}
+
+/// Runs an item until it has a result, or can't have one here.
+pub async fn run_item(agent: Rc<Agent>, work: WorkItem) {
+    let began = now();
+    let mut progress = work.progress.clone().unwrap_or_default();
+    let ended = make_text(&agent, &work, &mut progress).await;
+    let events = progress.last_event;
+    event(log::Level::Info, "run-ended", || {
+        format!(
+            "request={} job={} end={ended:?} events={events} versions={:?} took={}",
+            work.key.item,
+            work.key.job,
+            progress.versions,
+            now().since(began)
+        )
+    });
+    agent.metrics.took("run", now().since(began));
+    match ended {
+        RunEnd::Whole => finish(&agent, &work, progress).await,
+        RunEnd::Impossible => give_up(&agent, &work),
+        RunEnd::Failed => give_back(&agent, &work, ReturnReason::EngineFailed, progress),
+        RunEnd::WrongWeights => {
+            give_back(&agent, &work, ReturnReason::TooOld, Progress::default());
+        }
+        RunEnd::Refused | RunEnd::Broken | RunEnd::OtherInstance => {
+            give_back(&agent, &work, ReturnReason::EngineLost, progress);
+        }
+    }
+    agent.notify();
+    runner::start_waiting(&agent);
+}
+
+async fn finish(agent: &Agent, work: &WorkItem, progress: Progress) {
+    let scored = score(agent, work).await;
+    let end = match scored {
+        Scored::Score(score) => SampleEnd::Done {
+            text: progress.text,
+            versions: progress.versions,
+            score,
+        },
+        Scored::NeverScored => SampleEnd::GivenUp,
+    };
+    agent.state.borrow_mut().finish(Sample {
+        key: work.key.clone(),
+        end,
+    });
+}
+
+fn give_up(agent: &Agent, work: &WorkItem) {
+    agent.state.borrow_mut().finish(Sample {
+        key: work.key.clone(),
+        end: SampleEnd::GivenUp,
+    });
+}
+
+fn give_back(agent: &Agent, work: &WorkItem, reason: ReturnReason, progress: Progress) {
+    agent.metrics.retried(&reason.to_string());
+    agent.state.borrow_mut().give_back(ReturnedItem {
+        key: work.key.clone(),
+        reason,
+        progress: (progress.last_event > 0).then_some(progress),
+    });
+}
+
+async fn make_text(agent: &Agent, work: &WorkItem, progress: &mut Progress) -> RunEnd {
+    let (mut refusals, mut breaks) = (0, 0);
+    loop {
+        let end = run_once(agent, work, progress).await;
+        save_progress(agent, work, progress);
+        match end {
+            RunEnd::Refused if refusals < REFUSALS_MAX => refusals += 1,
+            RunEnd::Broken if breaks < BREAKS_MAX => breaks += 1,
+            end => return end,
+        }
+        sleep(RETRY_PAUSE).await;
+        if agent.ready_endpoint().is_none() || agent.state.borrow().engine_now().is_none() {
+            return end;
+        }
+    }
+}
+
+/// Keeps what was made, for when the run is cancelled.
+fn save_progress(agent: &Agent, work: &WorkItem, progress: &Progress) {
+    let mut state = agent.state.borrow_mut();
+    if let Some(item) = state.items.get_mut(&work.key.to_string())
+        && progress.last_event > 0
+    {
+        item.work.progress = Some(progress.clone());
+    }
+}
+
+async fn run_once(agent: &Agent, work: &WorkItem, progress: &mut Progress) -> RunEnd {
+    let Some(endpoint) = agent.ready_endpoint() else {
+        return RunEnd::OtherInstance;
+    };
+    let opening = agent
+        .engine
+        .run(work, &endpoint.instance, progress.last_event);
+    let exchange = match within(SILENCE_MAX, opening).await {
+        None => return RunEnd::Broken,
+        Some(Err(SendFault::NotSent { .. })) => return RunEnd::Refused,
+        Some(Err(SendFault::NoAnswer { .. })) => return RunEnd::Broken,
+        Some(Ok(exchange)) => exchange,
+    };
+    let header = |name: &str| exchange.head.headers.get(name)?.to_str().ok();
+    if header(headers::REQUEST_ID).is_some_and(|id| id != work.key.item) {
+        return RunEnd::Broken;
+    }
+    let not_run = header(headers::NOT_RUN).is_some();
+    let version = header(headers::WEIGHT_VERSION).and_then(|text| text.trim().parse().ok());
+    match exchange.head.status {
+        StatusCode::OK => {}
+        StatusCode::MISDIRECTED_REQUEST => return RunEnd::OtherInstance,
+        StatusCode::UNPROCESSABLE_ENTITY => return RunEnd::Impossible,
+        _ if not_run => return RunEnd::Refused,
+        _ => return RunEnd::Failed,
+    }
+    read_events(agent, work, exchange, version, progress).await
+}
+
+async fn read_events(
+    agent: &Agent,
+    work: &WorkItem,
+    mut exchange: Exchange,
+    mut version: Option<u64>,
+    progress: &mut Progress,
+) -> RunEnd {
+    let mut buf = EventBuffer::default();
+    let mut last = None;
+    loop {
+        while let Some(run_event) = buf.next_event() {
+            let now = now();
+            if let Some(last) = last.replace(now) {
+                agent.state.borrow_mut().saw_event_after(now.since(last));
+            }
+            version = run_event.version.or(version);
+            if let Some(end) = take_event(work, run_event, version, progress) {
+                return end;
+            }
+        }
+        match within(SILENCE_MAX, exchange.next_piece()).await {
+            Some(Ok(Some(piece))) => buf.push(&piece),
+            Some(Ok(None)) if buf.has_partial() => return RunEnd::Broken,
+            Some(Ok(None)) => return RunEnd::Whole,
+            Some(Err(_)) | None => return RunEnd::Broken,
+        }
+    }
+}
+
+/// Adds an event to the text; returns how the run ends if it does here.
+fn take_event(
+    work: &WorkItem,
+    run_event: RunEvent,
+    version: Option<u64>,
+    progress: &mut Progress,
+) -> Option<RunEnd> {
+    let Some(version) = version.filter(|version| *version >= work.oldest_version) else {
+        return Some(RunEnd::WrongWeights);
+    };
+    let number = run_event.id.unwrap_or(progress.last_event + 1);
+    if number != progress.last_event + 1 {
+        return Some(RunEnd::Broken);
+    }
+    if !progress.versions.contains(&version) {
+        progress.versions.push(version);
+        if work.single_version && progress.versions.len() > 1 {
+            return Some(RunEnd::WrongWeights);
+        }
+    }
+    if progress.last_event > 0 {
+        progress.text.push('\n');
+    }
+    progress.text.push_str(&run_event.data);
+    progress.last_event = number;
+    None
+}
--- /dev/null
+++ b/crates/oleander-rollout/src/agent/score.rs
@@ -0,0 +1,97 @@
+//! Has a text scored.
+
+use super::agent_process::Agent;
+use crate::call::call_request::CallRequest;
+use crate::call::caller::CallOutcome;
+use crate::peer::messages::WorkItem;
+use crate::prelude::*;
+use http::header::{CONTENT_TYPE, HOST, HeaderMap, HeaderValue};
+use http::{Method, Uri};
+use oleander_platform::headers;
+use oleander_platform::job::body_bytes;
+use oleanderlock::batch::job::ScoreCall;
+use oleanderlock::routing::route_kind::RouteKind;
+
+/// Pause after a scoring call that brought nothing.
+const RETRY_PAUSE: Millis = Millis(100);
+/// Pause while no route leads to the scoring service.
+const NO_ROUTE_PAUSE: Millis = Millis(500);
+
+/// What came of a scoring call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Scored {
+    /// The score; `None` when none was asked for.
+    Score(Option<String>),
+    /// The service failed as often as it may.
+    NeverScored,
+}
+
+/// Has a text scored; goes on until there is a score or the service has failed too often.
+pub async fn score(agent: &Agent, work: &WorkItem) -> Scored {
+    let Some(call) = &work.item.score_call else {
+        return Scored::Score(None);
+    };
+    let began = now();
+    let mut failures = 0;
+    loop {
+        let Some((req, attempts)) = request(agent, call) else {
+            event(log::Level::Warn, "score-no-route", || {
+                format!("request={} host={} path={}", call.id, call.host, call.path)
+            });
+            sleep(NO_ROUTE_PAUSE).await;
+            continue;
+        };
+        let outcome = agent.caller.call(&req).await;
+        let reason = match outcome {
+            CallOutcome::Answered(answer) => {
+                let signature = answer.head.headers.get(headers::SIGNATURE);
+                let signature = signature.and_then(|value| value.to_str().ok());
+                if let Some(score) = signature.filter(|_| answer.head.status.is_success()) {
+                    agent.metrics.took("score", now().since(began));
+                    return Scored::Score(Some(score.to_owned()));
+                }
+                failures += answer.failures.max(1);
+                "failure"
+            }
+            CallOutcome::NotRun(_) => "not-run",
+            CallOutcome::Unknown => "unknown",
+            CallOutcome::TimedOut => "timeout",
+        };
+        event(log::Level::Info, "score-failed", || {
+            format!(
+                "request={} item={} reason={reason} failures={failures}",
+                call.id, work.key
+            )
+        });
+        agent.metrics.retried("score");
+        if failures >= attempts {
+            return Scored::NeverScored;
+        }
+        sleep(RETRY_PAUSE).await;
+    }
+}
+
+/// Builds the call, and returns it with the failures after which the item may be given up.
+fn request(agent: &Agent, call: &ScoreCall) -> Option<(CallRequest, u32)> {
+    let view = agent.view.get();
+    let route = view.routes.as_ref()?.find(&call.host, &call.path)?;
+    let mut all = HeaderMap::new();
+    all.insert(HOST, HeaderValue::from_str(&call.host).ok()?);
+    all.insert(
+        CONTENT_TYPE,
+        HeaderValue::from_static("application/octet-stream"),
+    );
+    let req = CallRequest {
+        id: call.id.clone(),
+        method: Method::POST,
+        target: call.path.parse::<Uri>().ok()?,
+        headers: all,
+        body: Bytes::from(body_bytes(&call.body_base64)),
+        service: route.service(rand::random())?.to_owned(),
+        kind: RouteKind::Safe,
+        attempts: route.attempts,
+        objective: route.objective,
+        deadline: now().plus(route.timeout),
+    };
+    Some((req, route.attempts))
+}
--- /dev/null
+++ b/crates/oleander-rollout/src/agent/state.rs
@@ -0,0 +1,115 @@
+//! What an agent knows.
+
+use crate::peer::messages::{ReturnedItem, WorkItem};
+use crate::prelude::*;
+use indexmap::IndexMap;
+use oleander_platform::report::EngineReport;
+use oleanderlock::batch::item_key::ItemKey;
+use oleanderlock::batch::sample::Sample;
+use smol::Task;
+
+/// Weight of the newest time between two events in their mean, in parts of 16.
+const PACE_NEW_SIXTEENTHS: u64 = 1;
+/// Age at which the engine's report no longer says that the engine is there.
+const REPORT_FRESH: Millis = Millis(1500);
+
+/// An item that the agent has.
+#[derive(Debug)]
+pub struct HeldItem {
+    /// What to run.
+    pub work: WorkItem,
+    /// The run; dropping it closes its connection.
+    pub run: Option<Task<()>>,
+}
+
+/// What an agent knows.
+#[derive(Debug, Default)]
+pub struct State {
+    /// Items that wait or run, by `JOB/ITEM`.
+    pub items: IndexMap<String, HeldItem>,
+    /// Results that the dispatcher has not listed yet.
+    pub samples: IndexMap<String, Sample>,
+    /// Items to give back.
+    pub returned: IndexMap<String, ReturnedItem>,
+    /// The engine's last report, and when it came.
+    pub engine: Option<(EngineReport, Millis)>,
+    /// Model that is being loaded.
+    pub loading: Option<String>,
+    /// Mean time between two events of a run, in microseconds; 0 when not known.
+    pub event_us: u64,
+}
+
+impl State {
+    /// Returns the engine's report, if it is fresh.
+    pub fn engine_now(&self) -> Option<&EngineReport> {
+        let (report, at) = self.engine.as_ref()?;
+        (now().since(*at) < REPORT_FRESH).then_some(report)
+    }
+
+    /// Returns the version of a model's weights on the engine.
+    pub fn version_of(&self, model: &str) -> Option<u64> {
+        self.engine_now()?.weights.get(model).copied()
+    }
+
+    /// Returns the number of runs.
+    pub fn running(&self) -> usize {
+        self.items
+            .values()
+            .filter(|item| item.run.is_some())
+            .count()
+    }
+
+    /// Notes the time between two events.
+    pub fn saw_event_after(&mut self, length: Millis) {
+        let us = length.0.saturating_mul(1000);
+        let old = self.event_us;
+        self.event_us = if old == 0 {
+            us
+        } else {
+            (old * (16 - PACE_NEW_SIXTEENTHS) + us * PACE_NEW_SIXTEENTHS) / 16
+        };
+    }
+
+    /// Takes an item out; its run is cancelled.
+    pub fn drop_item(&mut self, name: &str) -> bool {
+        let held = self.items.shift_remove(name).is_some();
+        let done = self.samples.shift_remove(name).is_some();
+        let returned = self.returned.shift_remove(name).is_some();
+        held || done || returned
+    }
+
+    /// Ends an item with a result.
+    pub fn finish(&mut self, sample: Sample) {
+        let name = sample.key.to_string();
+        if let Some(mut item) = self.items.shift_remove(&name) {
+            // The run that calls this ends by itself.
+            if let Some(run) = item.run.take() {
+                run.detach();
+            }
+            self.samples.insert(name, sample);
+        }
+    }
+
+    /// Ends an item without a result.
+    pub fn give_back(&mut self, item: ReturnedItem) {
+        let name = item.key.to_string();
+        if let Some(mut held) = self.items.shift_remove(&name) {
+            if let Some(run) = held.run.take() {
+                run.detach();
+            }
+            self.returned.insert(name, item);
+        }
+    }
+
+    /// Returns the names of all items that the agent answers for.
+    pub fn names(&self) -> Vec<String> {
+        let held = self.items.keys().chain(self.samples.keys());
+        held.chain(self.returned.keys()).cloned().collect()
+    }
+
+    /// Returns the keys of the items that wait for a slot.
+    pub fn waiting(&self) -> Vec<ItemKey> {
+        let waiting = self.items.values().filter(|item| item.run.is_none());
+        waiting.map(|item| item.work.key.clone()).collect()
+    }
+}
--- /dev/null
+++ b/crates/oleander-rollout/src/dispatch/agents_api.rs
@@ -0,0 +1,148 @@
+//! Calls of agents.
+
+use super::dispatcher::Dispatcher;
+use super::http_api::to_json;
+use super::ticks::give_up;
+use crate::http::answer::{self, Answer};
+use crate::peer::messages::{HandIn, PullAnswer, ReturnReason, ReturnedItem};
+use crate::prelude::*;
+use http::StatusCode;
+use oleanderlock::batch::agent_state::AgentReport;
+use oleanderlock::batch::item_key::ItemKey;
+use oleanderlock::batch::sample::SampleEnd;
+
+/// Longest time that a report waits for work.
+const PULL_WAIT: Millis = Millis(1000);
+/// Longest time that results wait to be listed before the agent hands them in again.
+const LIST_WAIT: Millis = Millis(4000);
+
+/// Takes the report of an agent, and answers when there is something for it to do.
+pub async fn pull(dispatcher: &Dispatcher, body: &[u8]) -> Answer {
+    let mut report: AgentReport = match serde_json::from_slice(body) {
+        Ok(report) => report,
+        Err(fault) => return unreadable(&fault),
+    };
+    let agent = report.agent.clone();
+    {
+        let mut state = dispatcher.state.borrow_mut();
+        let undelivered = state.outbox(&agent).work.iter();
+        let undelivered: Vec<String> = undelivered.map(|work| work.key.to_string()).collect();
+        report.items.extend(undelivered);
+        let heard = state.board.hear(now(), report);
+        for key in &heard.returned {
+            event(log::Level::Warn, "item-lost", || {
+                format!("request={} job={} agent={agent}", key.item, key.job)
+            });
+        }
+        state.outbox(&agent).drop.extend(heard.drop);
+    }
+    dispatcher.pump();
+    let waited = within(PULL_WAIT, next_for(dispatcher, &agent)).await;
+    to_json(&waited.unwrap_or_default())
+}
+
+async fn next_for(dispatcher: &Dispatcher, agent: &str) -> PullAnswer {
+    loop {
+        let listener = dispatcher.changed.listen();
+        {
+            let mut state = dispatcher.state.borrow_mut();
+            let outbox = state.outbox(agent);
+            if !outbox.is_empty() {
+                return outbox.take();
+            }
+        }
+        listener.await;
+    }
+}
+
+/// Takes what came of items; answers when the results are listed.
+pub async fn hand_in(dispatcher: &Dispatcher, body: &[u8]) -> Answer {
+    let hand_in: HandIn = match serde_json::from_slice(body) {
+        Ok(hand_in) => hand_in,
+        Err(fault) => return unreadable(&fault),
+    };
+    let mut keys = Vec::new();
+    {
+        let mut state = dispatcher.state.borrow_mut();
+        for sample in hand_in.samples {
+            let key = sample.key.clone();
+            if state.ended.contains(&key.job) || !state.jobs.contains_key(&key.job) {
+                continue;
+            }
+            let given_up = sample.end == SampleEnd::GivenUp;
+            let first = state.log.stage(sample);
+            event(log::Level::Info, "result-taken", || {
+                let agent = &hand_in.agent;
+                format!(
+                    "request={} job={} agent={agent} first={first} given_up={given_up}",
+                    key.item, key.job
+                )
+            });
+            state.board.finish(&key);
+            keys.push(key);
+        }
+    }
+    for item in hand_in.returned {
+        take_back(dispatcher, &hand_in.agent, item);
+    }
+    dispatcher.pump();
+    dispatcher.notify();
+    if within(LIST_WAIT, listed(dispatcher, &keys)).await == Some(true) {
+        answer::status(StatusCode::OK)
+    } else {
+        answer::refusal(Millis(100))
+    }
+}
+
+/// Waits until all items are listed; returns false when this dispatcher no longer leads.
+async fn listed(dispatcher: &Dispatcher, keys: &[ItemKey]) -> bool {
+    loop {
+        let listener = dispatcher.changed.listen();
+        {
+            let state = dispatcher.state.borrow();
+            if state.leads().is_none() {
+                return false;
+            }
+            let settled = |key: &ItemKey| {
+                state.ended.contains(&key.job) || state.log.listed_sample(key).is_some()
+            };
+            if keys.iter().all(settled) {
+                return true;
+            }
+        }
+        listener.await;
+    }
+}
+
+fn take_back(dispatcher: &Dispatcher, agent: &str, item: ReturnedItem) {
+    let mut state = dispatcher.state.borrow_mut();
+    let ReturnedItem {
+        key,
+        reason,
+        progress,
+    } = item;
+    event(log::Level::Info, "item-returned", || {
+        let made = progress.as_ref().map_or(0, |made| made.last_event);
+        format!(
+            "request={} job={} agent={agent} reason={reason} events={made}",
+            key.item, key.job
+        )
+    });
+    dispatcher.metrics.retried(&reason.to_string());
+    let attempts = state
+        .board
+        .job(&key.job)
+        .map_or(0, |job| job.terms.attempts);
+    if reason == ReturnReason::EngineFailed && state.board.count_failure(&key) >= attempts {
+        give_up(&mut state, key, "the engine failed too often");
+        return;
+    }
+    state.board.give_back(agent, &key, progress);
+}
+
+fn unreadable(fault: &serde_json::Error) -> Answer {
+    event(log::Level::Error, "message-unreadable", || {
+        format!("reason=\"{fault}\"")
+    });
+    answer::status(StatusCode::BAD_REQUEST)
+}
--- /dev/null
+++ b/crates/oleander-rollout/src/dispatch/http_api.rs
@@ -0,0 +1,93 @@
+//! The interface of a dispatcher to entries, agents and other dispatchers.
+
+use super::dispatcher::Dispatcher;
+use super::{agents_api, jobs_api};
+use crate::http::answer::{self, Answer};
+use crate::http::server::{ServerLimits, bind, serve};
+use crate::peer::messages::{DispatcherHealth, HAND_IN, HEALTH, JOBS, PULL};
+use crate::prelude::*;
+use http::{Method, Request, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use std::convert::Infallible;
+use std::rc::Rc;
+
+/// Bounds on connections of peers.
+const LIMITS: ServerLimits = ServerLimits {
+    head_bytes: 16 << 10,
+    idle: Millis::from_secs(20),
+};
+/// Greatest body of a peer, in bytes.
+const BODY_MAX_BYTES: usize = 32 << 20;
+
+/// Serves the interface.
+///
+/// # Errors
+///
+/// The system's fault when the address can't be bound.
+pub fn open(dispatcher: &Rc<Dispatcher>) -> std::io::Result<()> {
+    let listener = bind(dispatcher.cfg.peers)?;
+    let closing = Rc::clone(&dispatcher.closing);
+    let dispatcher = Rc::clone(dispatcher);
+    let handler = Rc::new(move |req| {
+        let dispatcher = Rc::clone(&dispatcher);
+        async move { Ok::<_, Infallible>(handle(&dispatcher, req).await) }
+    });
+    spawn(serve(listener, || LIMITS, closing, handler));
+    Ok(())
+}
+
+async fn handle(dispatcher: &Rc<Dispatcher>, req: Request<Incoming>) -> Answer {
+    let (head, body) = req.into_parts();
+    let body = match Limited::new(body, BODY_MAX_BYTES).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(fault) => {
+            event(log::Level::Warn, "peer-body-broken", || {
+                format!("reason=\"{fault}\"")
+            });
+            return answer::status(StatusCode::BAD_REQUEST);
+        }
+    };
+    let path = head.uri.path();
+    if path == HEALTH {
+        return health(dispatcher);
+    }
+    if dispatcher.state.borrow().leads().is_none() {
+        return answer::status(StatusCode::MISDIRECTED_REQUEST);
+    }
+    match (&head.method, path) {
+        (&Method::POST, PULL) => agents_api::pull(dispatcher, &body).await,
+        (&Method::POST, HAND_IN) => agents_api::hand_in(dispatcher, &body).await,
+        (_, path) if path.starts_with(JOBS) => {
+            let rest = path.strip_prefix(JOBS).unwrap_or_default();
+            jobs_api::handle(dispatcher, rest, head.uri.query()).await
+        }
+        _ => answer::status(StatusCode::NOT_FOUND),
+    }
+}
+
+fn health(dispatcher: &Dispatcher) -> Answer {
+    let leads = dispatcher.state.borrow().leads();
+    let view = dispatcher.view.get();
+    let known = view.leader.as_ref().map(|(leader, _)| leader);
+    let health = DispatcherHealth {
+        leads: leads.is_some(),
+        epoch: leads.or(known.map(|known| known.epoch)).unwrap_or_default(),
+        store_age_ms: dispatcher.store.answer_age().0,
+        leader: known.and_then(|known| known.addr),
+    };
+    to_json(&health)
+}
+
+/// Returns an answer with a message.
+pub fn to_json(message: &impl serde::Serialize) -> Answer {
+    match serde_json::to_vec(message) {
+        Ok(body) => answer::json(body),
+        Err(fault) => {
+            event(log::Level::Error, "message-unwritable", || {
+                format!("reason=\"{fault}\"")
+            });
+            answer::status(StatusCode::INTERNAL_SERVER_ERROR)
+        }
+    }
+}
--- /dev/null
+++ b/crates/oleander-rollout/src/dispatch/jobs.rs
@@ -0,0 +1,204 @@
+//! Jobs and their ends, as the store tells them.
+
+use super::dispatcher::Dispatcher;
+use super::state::{JobRecord, Standing};
+use crate::prelude::*;
+use crate::store::fault::StoreFault;
+use crate::store::job_objects::{JOB_END_KIND, JOB_KIND, read_job};
+use crate::store::watch::{Followed, follow};
+use oleander_platform::object::StoredObject;
+use oleanderlock::batch::job::Job;
+use oleanderlock::batch::job_terms::JobTerms;
+use std::cell::Cell;
+use std::rc::Rc;
+
+/// Failures after which an item is given up, where no route says it.
+const ATTEMPTS_DEFAULT: u32 = 3;
+/// Time within which results are due, where no route says it.
+const DUE_DEFAULT: Millis = Millis::from_secs(10);
+/// Time after which items may be given up, where no route says it.
+const KEEP_DEFAULT: Millis = Millis::from_secs(60);
+
+/// Follows jobs and their ends in `epoch`; returns when all that the store holds are known.
+pub async fn follow_until_known(dispatcher: &Rc<Dispatcher>, epoch: u64) {
+    let ends = Rc::new(Cell::new(false));
+    let jobs = Rc::new(Cell::new(false));
+    spawn(follow_ends(Rc::clone(dispatcher), epoch, Rc::clone(&ends)));
+    spawn(follow_jobs(Rc::clone(dispatcher), epoch, Rc::clone(&jobs)));
+    while !(ends.get() && jobs.get()) && stands_in(dispatcher, epoch) {
+        let listener = dispatcher.changed.listen();
+        if !(ends.get() && jobs.get()) {
+            listener.await;
+        }
+    }
+}
+
+fn stands_in(dispatcher: &Dispatcher, epoch: u64) -> bool {
+    let standing = dispatcher.state.borrow().standing;
+    standing == Standing::Recovering { epoch } || standing == Standing::Leading { epoch }
+}
+
+async fn follow_ends(dispatcher: Rc<Dispatcher>, epoch: u64, known: Rc<Cell<bool>>) {
+    let store = Rc::clone(&dispatcher.store);
+    follow(store, JOB_END_KIND, move |change| {
+        if !stands_in(&dispatcher, epoch) {
+            return false;
+        }
+        match change {
+            Followed::All(objects, _) => {
+                for object in &objects {
+                    end(&dispatcher, &object.name);
+                }
+                known.set(true);
+                dispatcher.notify();
+            }
+            Followed::Put(object) => end(&dispatcher, &object.name),
+            Followed::Gone(_) | Followed::Regained | Followed::Lost => {}
+        }
+        true
+    })
+    .await;
+}
+
+async fn follow_jobs(dispatcher: Rc<Dispatcher>, epoch: u64, known: Rc<Cell<bool>>) {
+    let store = Rc::clone(&dispatcher.store);
+    follow(store, JOB_KIND, move |change| {
+        if !stands_in(&dispatcher, epoch) {
+            return false;
+        }
+        match change {
+            Followed::All(objects, _) => {
+                let (dispatcher, known) = (Rc::clone(&dispatcher), Rc::clone(&known));
+                spawn(async move {
+                    for object in objects {
+                        accept_object(&dispatcher, epoch, &object).await;
+                    }
+                    known.set(true);
+                    dispatcher.notify();
+                });
+            }
+            Followed::Put(object) => {
+                let dispatcher = Rc::clone(&dispatcher);
+                spawn(async move { accept_object(&dispatcher, epoch, &object).await });
+            }
+            Followed::Gone(_) | Followed::Regained | Followed::Lost => {}
+        }
+        true
+    })
+    .await;
+}
+
+async fn accept_object(dispatcher: &Dispatcher, epoch: u64, object: &StoredObject) {
+    if dispatcher.state.borrow().jobs.contains_key(&object.name) {
+        return;
+    }
+    match read_job(&dispatcher.store, object).await {
+        Ok(job) if stands_in(dispatcher, epoch) => accept(dispatcher, job),
+        Ok(_) => {}
+        Err(fault) => event(log::Level::Error, "job-unreadable", || {
+            format!("job={} reason=\"{fault}\"", object.name)
+        }),
+    }
+}
+
+/// Takes an accepted job.
+fn accept(dispatcher: &Dispatcher, job: Job) {
+    let unix_ms = u64::try_from(unix_ms()).unwrap_or_default();
+    let age = Millis(unix_ms.saturating_sub(job.submitted_unix_ms));
+    let terms = terms_of(dispatcher, &job);
+    let record = JobRecord {
+        total: job.items.len(),
+        submitted_unix_ms: job.submitted_unix_ms,
+    };
+    let mut state = dispatcher.state.borrow_mut();
+    let id = job.id.clone();
+    if state.jobs.insert(id.clone(), record).is_some() {
+        return;
+    }
+    event(log::Level::Info, "job-known", || {
+        format!(
+            "job={id} model={} step={:?} items={} oldest_version={} age={age}",
+            job.model, job.step, record.total, job.oldest_version
+        )
+    });
+    let keys: Vec<String> = job.items.iter().map(|item| item.id.clone()).collect();
+    state.board.accept(job, terms, now().since(age));
+    for item in keys {
+        let key = oleanderlock::batch::item_key::ItemKey {
+            job: id.clone(),
+            item,
+        };
+        if state.log.is_known(&key) {
+            state.board.finish(&key);
+        }
+    }
+    if state.ended.contains(&id) {
+        state.board.end(&id);
+    }
+    drop(state);
+    dispatcher.pump();
+}
+
+fn terms_of(dispatcher: &Dispatcher, job: &Job) -> JobTerms {
+    let view = dispatcher.view.get();
+    let route = view.routes.as_ref();
+    let route = route.and_then(|routes| routes.find(&job.host, &job.path));
+    route.map_or(
+        JobTerms {
+            attempts: ATTEMPTS_DEFAULT,
+            due_after: DUE_DEFAULT,
+            keep: KEEP_DEFAULT,
+            single_version: false,
+        },
+        |route| JobTerms {
+            attempts: route.attempts,
+            due_after: route.run_objective,
+            keep: route.keep,
+            single_version: route.single_version,
+        },
+    )
+}
+
+/// Ends a job: agents drop its items.
+pub fn end(dispatcher: &Dispatcher, id: &str) {
+    let mut state = dispatcher.state.borrow_mut();
+    if !state.ended.insert(id.to_owned()) {
+        return;
+    }
+    let running = state.board.end(id);
+    event(log::Level::Info, "job-ended", || {
+        format!(
+            "job={id} dropped={} listed={}",
+            running.len(),
+            state.log.count(id)
+        )
+    });
+    for (agent, key) in running {
+        state.outbox(&agent).drop.push(key.to_string());
+    }
+    drop(state);
+    dispatcher.pump();
+}
+
+/// Makes sure that a job is known if the store has it.
+///
+/// # Errors
+///
+/// A fault of the store; `Ok(false)` means that there is no such job.
+pub async fn is_known(dispatcher: &Dispatcher, id: &str) -> Result<bool, StoreFault> {
+    let epoch = {
+        let state = dispatcher.state.borrow();
+        if state.jobs.contains_key(id) {
+            return Ok(true);
+        }
+        state.leads()
+    };
+    let Some(epoch) = epoch else {
+        return Err(StoreFault::not_done("not leading"));
+    };
+    let Some(object) = dispatcher.store.get(JOB_KIND, id).await? else {
+        return Ok(false);
+    };
+    accept_object(dispatcher, epoch, &object).await;
+    Ok(dispatcher.state.borrow().jobs.contains_key(id))
+}
--- /dev/null
+++ b/crates/oleander-rollout/src/dispatch/jobs_api.rs
@@ -0,0 +1,126 @@
+//! Calls of entries about jobs.
+
+use super::dispatcher::Dispatcher;
+use super::{commit, jobs};
+use crate::http::answer::{self, Answer};
+use crate::prelude::*;
+use crate::store::fault::StoreFault;
+use crate::store::job_objects::JOB_END_KIND;
+use http::StatusCode;
+use oleander_platform::job::body_bytes;
+use oleander_platform::results::encode_results;
+use serde_json::value::RawValue;
+
+/// Greatest sum of results in one answer, in bytes.
+const RESULTS_MAX_BYTES: usize = 900 << 10;
+/// Longest wait for new results.
+const WAIT_MAX: Millis = Millis(1000);
+/// Part of the time to settle for which this dispatcher's results count as all there are, in
+/// parts of 100.
+const FRESH_PERCENT: u64 = 70;
+/// Time after which a caller that could not be answered for sure may come back.
+const UNSURE_RETRY: Millis = Millis(200);
+
+/// Answers a call `JOB/results`, `JOB/items/ITEM` or `JOB/end`.
+pub async fn handle(dispatcher: &Dispatcher, rest: &str, query: Option<&str>) -> Answer {
+    let mut parts = rest.splitn(3, '/');
+    let job = parts.next().unwrap_or_default();
+    match (parts.next(), parts.next()) {
+        (Some("results"), None) => results(dispatcher, job, query).await,
+        (Some("items"), Some(item)) => item_body(dispatcher, job, item).await,
+        (Some("end"), None) => end(dispatcher, job).await,
+        _ => answer::status(StatusCode::NOT_FOUND),
+    }
+}
+
+fn parameter(query: Option<&str>, name: &str) -> u64 {
+    let pairs = query.unwrap_or_default().split('&');
+    let pairs = pairs.filter_map(|pair| pair.split_once('='));
+    let mut values = pairs.filter(|(key, _)| *key == name);
+    let value = values.next().and_then(|(_, value)| value.parse().ok());
+    value.unwrap_or_default()
+}
+
+/// Answers for a job that is not known, or whose standing is not sure.
+async fn unless_known(dispatcher: &Dispatcher, job: &str) -> Option<Answer> {
+    match jobs::is_known(dispatcher, job).await {
+        Ok(true) => None,
+        Ok(false) => Some(answer::status(StatusCode::NOT_FOUND)),
+        Err(fault) => {
+            event(log::Level::Info, "job-unsure", || {
+                format!("job={job} reason=\"{fault}\"")
+            });
+            Some(answer::refusal(UNSURE_RETRY))
+        }
+    }
+}
+
+async fn results(dispatcher: &Dispatcher, job: &str, query: Option<&str>) -> Answer {
+    if let Some(answer) = unless_known(dispatcher, job).await {
+        return answer;
+    }
+    let after = usize::try_from(parameter(query, "after")).unwrap_or(usize::MAX);
+    let wait = Millis(parameter(query, "wait_ms")).min(WAIT_MAX);
+    within(wait, more_than(dispatcher, job, after)).await;
+    let max_age = Millis(dispatcher.cfg.settle.0 * FRESH_PERCENT / 100);
+    if !commit::verify(dispatcher, max_age).await {
+        return answer::refusal(UNSURE_RETRY);
+    }
+    let state = dispatcher.state.borrow();
+    let Some(record) = state.jobs.get(job) else {
+        return answer::refusal(UNSURE_RETRY);
+    };
+    let samples = state.log.read(job, after, RESULTS_MAX_BYTES);
+    answer::json(encode_results(record.total, after, samples))
+}
+
+/// Waits until a job has more than `count` results.
+async fn more_than(dispatcher: &Dispatcher, job: &str, count: usize) {
+    loop {
+        let listener = dispatcher.changed.listen();
+        {
+            let state = dispatcher.state.borrow();
+            if state.leads().is_none() || state.log.count(job) > count {
+                return;
+            }
+        }
+        listener.await;
+    }
+}
+
+async fn item_body(dispatcher: &Dispatcher, job: &str, item: &str) -> Answer {
+    if let Some(answer) = unless_known(dispatcher, job).await {
+        return answer;
+    }
+    let state = dispatcher.state.borrow();
+    let found = state.board.job(job).filter(|state| !state.ended);
+    match found.and_then(|job| job.items.get(item)) {
+        Some(item) => answer::bytes(body_bytes(&item.item.body_base64)),
+        None => answer::status(StatusCode::NOT_FOUND),
+    }
+}
+
+async fn end(dispatcher: &Dispatcher, job: &str) -> Answer {
+    if dispatcher.state.borrow().ended.contains(job) {
+        return answer::status(StatusCode::OK);
+    }
+    if let Some(answer) = unless_known(dispatcher, job).await {
+        return answer;
+    }
+    match dispatcher
+        .store
+        .create(JOB_END_KIND, job, RawValue::TRUE)
+        .await
+    {
+        Ok(()) | Err(StoreFault::Conflict) => {
+            jobs::end(dispatcher, job);
+            answer::status(StatusCode::OK)
+        }
+        Err(fault) => {
+            event(log::Level::Warn, "end-failed", || {
+                format!("job={job} reason=\"{fault}\"")
+            });
+            answer::refusal(UNSURE_RETRY)
+        }
+    }
+}
--- /dev/null
+++ b/crates/oleander-rollout/src/dispatch/leading.rs
@@ -0,0 +1,268 @@
+//! Who leads: winning an epoch, reading what the store holds, handing over.
+
+use super::dispatcher::Dispatcher;
+use super::state::{Standing, State};
+use super::{commit, jobs};
+use crate::peer::messages::{DispatcherHealth, HEALTH};
+use crate::prelude::*;
+use crate::store::fault::StoreFault;
+use crate::store::job_objects::{RESULT_KIND, decode_chunk};
+use crate::store::leader_object::{
+    DISPATCHER_KIND, DispatcherObject, LEADER_NAME, LeaderObject, NODE_PREFIX,
+};
+use crate::store::watch::list_all;
+use http::Method;
+use oleanderlock::batch::board::Board;
+use oleanderlock::batch::board_config::BoardConfig;
+use oleanderlock::batch::leadership::{LeaderProbe, LeaderWatch};
+use serde_json::value::to_raw_value;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// Time between two probes of the leader.
+const PROBE_EVERY: Millis = Millis(500);
+/// Longest wait for the answer to a probe.
+const PROBE_LIMIT: Millis = Millis(400);
+/// Time between two looks of a leader at its own standing.
+const CHECK_EVERY: Millis = Millis(200);
+/// Pause after the store failed.
+const STORE_PAUSE: Millis = Millis(200);
+/// Head start of each standby over the next when nobody leads.
+const RANK_PAUSE: Millis = Millis(120);
+
+/// Registers this dispatcher, then leads or stands by until the process ends.
+pub async fn run(dispatcher: Rc<Dispatcher>) {
+    spawn(register(Rc::clone(&dispatcher)));
+    let mut watch = LeaderWatch::default();
+    while !dispatcher.stopping.get() {
+        let standing = dispatcher.state.borrow().standing;
+        match standing {
+            Standing::Standby => stand_by(&dispatcher, &mut watch).await,
+            Standing::Recovering { epoch } | Standing::Leading { epoch } => {
+                watch.reset();
+                lead(&dispatcher, epoch).await;
+            }
+        }
+    }
+}
+
+/// Writes where this dispatcher is.
+async fn register(dispatcher: Rc<Dispatcher>) {
+    let name = format!("{NODE_PREFIX}{}", dispatcher.cfg.node);
+    let addr = dispatcher.cfg.peers;
+    let Ok(spec) = to_raw_value(&DispatcherObject { addr }) else {
+        return;
+    };
+    loop {
+        let store = &dispatcher.store;
+        let written = match store.create(DISPATCHER_KIND, &name, &spec).await {
+            Err(StoreFault::Conflict) => match store.get(DISPATCHER_KIND, &name).await {
+                Ok(Some(object)) if object.spec.get() == spec.get() => Ok(()),
+                Ok(Some(object)) => {
+                    let revision = object.revision;
+                    store.replace(DISPATCHER_KIND, &name, revision, &spec).await
+                }
+                Ok(None) => Err(StoreFault::Conflict),
+                Err(fault) => Err(fault),
+            },
+            other => other,
+        };
+        match written {
+            Ok(()) => return,
+            Err(fault) => event(log::Level::Warn, "register-failed", || {
+                format!("reason=\"{fault}\"")
+            }),
+        }
+        sleep(STORE_PAUSE).await;
+    }
+}
+
+async fn stand_by(dispatcher: &Rc<Dispatcher>, watch: &mut LeaderWatch) {
+    let view = dispatcher.view.get();
+    let node = &dispatcher.cfg.node;
+    if !view.dispatchers_known || view.retiring.contains(node) {
+        sleep(CHECK_EVERY).await;
+        return;
+    }
+    let vacant = match &view.leader {
+        None => true,
+        Some((leader, _)) => leader.node.is_empty() || &leader.node == node,
+    };
+    if vacant {
+        let rank = view
+            .dispatchers
+            .keys()
+            .filter(|other| *other < node)
+            .count() as u64;
+        let own = view
+            .leader
+            .as_ref()
+            .is_some_and(|(leader, _)| &leader.node == node);
+        sleep(Millis(if own { 0 } else { RANK_PAUSE.0 * rank })).await;
+        take_over(dispatcher, "nobody leads").await;
+        return;
+    }
+    let Some((leader, _)) = &view.leader else {
+        return;
+    };
+    let probe = match leader.addr {
+        Some(addr) => probe(dispatcher, addr, leader.epoch).await,
+        None => LeaderProbe::NoAnswer,
+    };
+    if watch.probed(probe) {
+        watch.reset();
+        take_over(dispatcher, &format!("{probe:?}")).await;
+    }
+    dispatcher
+        .view
+        .wait_until(PROBE_EVERY, |now| now.leader != view.leader)
+        .await;
+}
+
+async fn probe(dispatcher: &Dispatcher, addr: SocketAddr, epoch: u64) -> LeaderProbe {
+    let link = &dispatcher.link;
+    let answer = link
+        .call_at(addr, Method::GET, HEALTH, Vec::new(), PROBE_LIMIT)
+        .await;
+    let Ok((_, body)) = answer else {
+        return LeaderProbe::NoAnswer;
+    };
+    let Ok(health) = serde_json::from_slice::<DispatcherHealth>(&body) else {
+        return LeaderProbe::NoAnswer;
+    };
+    if !health.leads || health.epoch < epoch {
+        return LeaderProbe::NotLeading;
+    }
+    LeaderProbe::Leading {
+        store_age: Millis(health.store_age_ms),
+    }
+}
+
+/// Tries to win the next epoch, on the condition that the object is as this process knows it.
+async fn take_over(dispatcher: &Rc<Dispatcher>, reason: &str) {
+    let known = dispatcher.view.get().leader.clone();
+    let epoch = known.as_ref().map_or(0, |(leader, _)| leader.epoch) + 1;
+    let object = LeaderObject {
+        epoch,
+        node: dispatcher.cfg.node.clone(),
+        addr: Some(dispatcher.cfg.peers),
+    };
+    let won = write_leader(dispatcher, &object, known.map(|(_, revision)| revision)).await;
+    if let Err(fault) = won {
+        event(log::Level::Info, "take-over-failed", || {
+            format!("epoch={epoch} reason=\"{reason}\" fault=\"{fault}\"")
+        });
+        // What won instead arrives with the watch.
+        sleep(STORE_PAUSE).await;
+        return;
+    }
+    event(log::Level::Warn, "took-over", || {
+        format!("epoch={epoch} reason=\"{reason}\"")
+    });
+    *dispatcher.state.borrow_mut() = State {
+        standing: Standing::Recovering { epoch },
+        board: Board::new(BoardConfig::default()),
+        ..State::default()
+    };
+    dispatcher.notify();
+}
+
+async fn write_leader(
+    dispatcher: &Dispatcher,
+    object: &LeaderObject,
+    revision: Option<u64>,
+) -> Result<(), StoreFault> {
+    let store = &dispatcher.store;
+    let spec = to_raw_value(object).map_err(StoreFault::not_done)?;
+    let written = match revision {
+        None => store.create(DISPATCHER_KIND, LEADER_NAME, &spec).await,
+        Some(revision) => {
+            store
+                .replace(DISPATCHER_KIND, LEADER_NAME, revision, &spec)
+                .await
+        }
+    };
+    if !matches!(written, Err(StoreFault::NoAnswer { .. })) {
+        return written;
+    }
+    // The write may have taken effect.
+    let found = store.get(DISPATCHER_KIND, LEADER_NAME).await?;
+    match found {
+        Some(found) if found.spec.get() == spec.get() => Ok(()),
+        _ => written,
+    }
+}
+
+/// Reads the store after winning an epoch, then watches over the own standing.
+async fn lead(dispatcher: &Rc<Dispatcher>, epoch: u64) {
+    let recovering = dispatcher.state.borrow().standing == Standing::Recovering { epoch };
+    if recovering && let Err(fault) = recover(dispatcher, epoch).await {
+        event(log::Level::Warn, "recovery-failed", || {
+            format!("epoch={epoch} reason=\"{fault}\"")
+        });
+        sleep(STORE_PAUSE).await;
+    }
+    let view = dispatcher.view.get();
+    let newer = view
+        .leader
+        .as_ref()
+        .filter(|(leader, _)| leader.epoch > epoch);
+    if let Some((leader, _)) = newer {
+        dispatcher.step_down(&format!("{} leads in epoch {}", leader.node, leader.epoch));
+        return;
+    }
+    if view.retiring.contains(&dispatcher.cfg.node) {
+        hand_over(dispatcher).await;
+        return;
+    }
+    sleep(CHECK_EVERY).await;
+}
+
+async fn recover(dispatcher: &Rc<Dispatcher>, epoch: u64) -> Result<(), StoreFault> {
+    let began = now();
+    let (objects, _) = list_all(&dispatcher.store, RESULT_KIND).await?;
+    let mut results = 0;
+    for object in &objects {
+        let chunk = decode_chunk(object)?;
+        results += chunk.samples.len();
+        commit::apply(&mut dispatcher.state.borrow_mut(), &chunk);
+    }
+    jobs::follow_until_known(dispatcher, epoch).await;
+    let mut state = dispatcher.state.borrow_mut();
+    if state.standing != (Standing::Recovering { epoch }) {
+        return Ok(());
+    }
+    state.standing = Standing::Leading { epoch };
+    state.verified = began;
+    let (jobs, ended) = (state.jobs.len(), state.ended.len());
+    drop(state);
+    event(log::Level::Info, "leading", || {
+        let took = now().since(began);
+        format!("epoch={epoch} jobs={jobs} ended={ended} results={results} took={took}")
+    });
+    spawn(commit::run(Rc::clone(dispatcher), epoch));
+    dispatcher.notify();
+    Ok(())
+}
+
+/// Lets another dispatcher take over at once.
+pub async fn hand_over(dispatcher: &Dispatcher) {
+    let standing = dispatcher.state.borrow().standing;
+    let (Standing::Leading { epoch } | Standing::Recovering { epoch }) = standing else {
+        return;
+    };
+    commit::flush(dispatcher, epoch).await;
+    dispatcher.step_down("handing over");
+    let known = dispatcher.view.get().leader.clone();
+    let Some((_, revision)) = known.filter(|(leader, _)| leader.epoch == epoch) else {
+        return;
+    };
+    let vacant = LeaderObject {
+        epoch: epoch + 1,
+        ..LeaderObject::default()
+    };
+    let written = write_leader(dispatcher, &vacant, Some(revision)).await;
+    event(log::Level::Info, "handed-over", || {
+        format!("epoch={epoch} result={written:?}")
+    });
+}
--- /dev/null
+++ b/crates/oleander-rollout/src/dispatch/state.rs
@@ -0,0 +1,70 @@
+//! What a leading dispatcher knows.
+
+use super::outbox::Outbox;
+use crate::prelude::*;
+use indexmap::{IndexMap, IndexSet};
+use oleanderlock::batch::board::Board;
+use oleanderlock::batch::result_log::ResultLog;
+
+/// How the dispatcher stands.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Standing {
+    /// Another one leads, or none.
+    #[default]
+    Standby,
+    /// It has won an epoch and reads the store.
+    Recovering {
+        /// The epoch.
+        epoch: u64,
+    },
+    /// It leads.
+    Leading {
+        /// The epoch.
+        epoch: u64,
+    },
+}
+
+/// What is kept of a job besides its items.
+#[derive(Clone, Copy, Debug)]
+pub struct JobRecord {
+    /// Number of its items.
+    pub total: usize,
+    /// Unix time of its submission in milliseconds.
+    pub submitted_unix_ms: u64,
+}
+
+/// What a leading dispatcher knows.
+#[derive(Debug, Default)]
+pub struct State {
+    /// How the dispatcher stands.
+    pub standing: Standing,
+    /// Jobs, agents and what runs where.
+    pub board: Board,
+    /// Results.
+    pub log: ResultLog,
+    /// Unix time at which each chunk of the log was written, by number.
+    pub chunks: IndexMap<u64, u64>,
+    /// All jobs that are kept.
+    pub jobs: IndexMap<String, JobRecord>,
+    /// Jobs that have ended.
+    pub ended: IndexSet<String>,
+    /// What waits for each agent.
+    pub outboxes: IndexMap<String, Outbox>,
+    /// Start of the last call that showed that no other dispatcher has listed results.
+    pub verified: Millis,
+}
+
+impl State {
+    /// Returns the epoch in which it leads.
+    pub fn leads(&self) -> Option<u64> {
+        match self.standing {
+            Standing::Leading { epoch } => Some(epoch),
+            Standing::Standby | Standing::Recovering { .. } => None,
+        }
+    }
+
+    /// Returns what waits for an agent.
+    pub fn outbox(&mut self, agent: &str) -> &mut Outbox {
+        self.outboxes.entry(agent.to_owned()).or_default()
+    }
+}
--- /dev/null
+++ b/crates/oleander-rollout/src/entry/calls.rs
@@ -0,0 +1,89 @@
+//! Calls to plain services.
+
+use super::entry_process::Entry;
+use super::head::RequestHead;
+use crate::call::call_request::CallRequest;
+use crate::call::caller::CallOutcome;
+use crate::http::answer::{self, Answer};
+use crate::http::hop_headers;
+use crate::prelude::*;
+use http::request::Parts;
+use http::{Response, StatusCode};
+use http_body_util::Full;
+use oleander_platform::headers;
+use oleanderlock::routing::attempt_rule::retry_after;
+use oleanderlock::routing::route::Route;
+
+/// Returns the point after which nobody waits for an answer.
+pub fn deadline(head: &RequestHead, route: &Route) -> Millis {
+    let patience = head.patience.unwrap_or(route.timeout);
+    head.arrived.plus(patience.min(route.timeout))
+}
+
+/// Builds the call that a request asks for, or returns `None` when its route has no service.
+pub fn request(
+    head: &RequestHead,
+    route: &Route,
+    parts: &Parts,
+    body: Bytes,
+) -> Option<CallRequest> {
+    let mut all = parts.headers.clone();
+    hop_headers::remove(&mut all);
+    for name in [headers::DEADLINE_MS, headers::EXPECT_INSTANCE] {
+        all.remove(name);
+    }
+    Some(CallRequest {
+        id: head.id.clone(),
+        method: parts.method.clone(),
+        target: parts.uri.clone(),
+        headers: all,
+        body,
+        service: route.service(rand::random())?.to_owned(),
+        kind: route.kind,
+        attempts: route.attempts,
+        objective: route.objective,
+        deadline: deadline(head, route),
+    })
+}
+
+/// Answers a call to a plain service.
+pub async fn handle(
+    entry: &Entry,
+    head: &RequestHead,
+    route: &Route,
+    parts: &Parts,
+    body: Bytes,
+) -> Answer {
+    let Some(req) = request(head, route, parts, body) else {
+        entry.metrics.refused("no-service");
+        return answer::refusal(retry_after(route.timeout));
+    };
+    let outcome = entry.caller.call(&req).await;
+    let took = now().since(head.arrived);
+    entry.metrics.took("call", took);
+    let left = req.deadline.since(now());
+    let (answer, told) = match outcome {
+        CallOutcome::Answered(answer) => {
+            let mut head = answer.head;
+            hop_headers::remove(&mut head.headers);
+            let answer = Response::from_parts(head, Full::new(answer.body));
+            (answer, "answered")
+        }
+        CallOutcome::NotRun(after) => (answer::refusal(after.max(retry_after(left))), "not-run"),
+        CallOutcome::Unknown => (answer::status(StatusCode::BAD_GATEWAY), "unknown"),
+        CallOutcome::TimedOut => (answer::status(StatusCode::GATEWAY_TIMEOUT), "timeout"),
+    };
+    if told != "answered" {
+        entry.metrics.refused(told);
+    }
+    event(log::Level::Info, "call", || {
+        format!(
+            "request={} route={} service={} outcome={told} status={} took={took} left={left}",
+            req.id,
+            route.name,
+            req.service,
+            answer.status().as_u16()
+        )
+    });
+    answer
+}
--- /dev/null
+++ b/crates/oleander-rollout/src/entry/job_calls.rs
@@ -0,0 +1,81 @@
+//! Calls about batch jobs: results, bodies and ends, answered by the leading dispatcher.
+
+use super::entry_process::Entry;
+use super::head::{RequestHead, number};
+use crate::http::answer::{self, Answer};
+use crate::peer::leader_link::LeaderFault;
+use crate::peer::messages::JOBS;
+use crate::prelude::*;
+use http::{HeaderMap, Method, StatusCode};
+use oleander_platform::calls::JobCall;
+use oleander_platform::headers;
+
+/// Longest wait for the leader beyond the wait that the caller asks for.
+const LEADER_LIMIT: Millis = Millis(1500);
+/// Pause between two tries at the leader.
+const LEADER_PAUSE: Millis = Millis(150);
+/// Time after which a caller may come back when no dispatcher answers.
+const LEADER_RETRY: Millis = Millis(300);
+/// Longest wait for a dispatcher that is asked who leads.
+const ASK_LIMIT: Millis = Millis(300);
+
+/// Answers a call about a job.
+pub async fn handle(
+    entry: &Entry,
+    head: &RequestHead,
+    header: &HeaderMap,
+    call: JobCall,
+) -> Answer {
+    let wait = Millis(number(header, headers::WAIT_MS).unwrap_or_default());
+    let (method, path) = match &call {
+        JobCall::Read { after: None, .. } => return answer::status(StatusCode::BAD_REQUEST),
+        JobCall::Read {
+            job,
+            after: Some(after),
+        } => {
+            let path = format!("{JOBS}{job}/results?after={after}&wait_ms={}", wait.0);
+            (Method::GET, path)
+        }
+        JobCall::Body { job, item } => (Method::GET, format!("{JOBS}{job}/items/{item}")),
+        JobCall::End { job } => (Method::POST, format!("{JOBS}{job}/end")),
+    };
+    let until = head.arrived.plus(wait).plus(LEADER_LIMIT);
+    let mut fault = LeaderFault::Unknown;
+    while now() < until {
+        let limit = until.since(now());
+        let called = entry
+            .link
+            .call(method.clone(), &path, Vec::new(), limit)
+            .await;
+        match called {
+            Ok((status, body)) => return told(head, &call, status, body),
+            Err(LeaderFault::Unsure) => {
+                fault = LeaderFault::Unsure;
+                break;
+            }
+            Err(other) => fault = other,
+        }
+        entry.link.ask_for_leader(ASK_LIMIT).await;
+        sleep(LEADER_PAUSE).await;
+    }
+    event(log::Level::Info, "job-call-refused", || {
+        format!("request={} call={call:?} reason=\"{fault}\"", head.id)
+    });
+    entry.metrics.refused("no-leader");
+    answer::refusal(LEADER_RETRY)
+}
+
+fn told(head: &RequestHead, call: &JobCall, status: StatusCode, body: Bytes) -> Answer {
+    if let JobCall::End { job } = call {
+        event(log::Level::Info, "job-end", || {
+            format!("request={} job={job} status={}", head.id, status.as_u16())
+        });
+    }
+    let mut answer = match call {
+        JobCall::Read { .. } if status == StatusCode::OK => answer::json(body),
+        JobCall::Body { .. } if status == StatusCode::OK => answer::bytes(body),
+        _ => answer::status(status),
+    };
+    *answer.status_mut() = status;
+    answer
+}
--- /dev/null
+++ b/crates/oleander-rollout/src/entry/mod.rs
@@ -0,0 +1,10 @@
+//! The entry: takes the requests of callers and trainers.
+
+pub mod body;
+mod calls;
+pub mod entry_process;
+mod front;
+mod head;
+mod job_calls;
+mod streams;
+mod submit;
--- /dev/null
+++ b/crates/oleander-rollout/src/entry/streams.rs
@@ -0,0 +1,68 @@
+//! Streams of events, passed on as they arrive.
+
+use super::body::{BodyFault, FrontAnswer, relayed, whole};
+use super::calls::{deadline, request};
+use super::entry_process::Entry;
+use super::head::RequestHead;
+use crate::call::caller::StreamOutcome;
+use crate::http::answer;
+use crate::http::exchange::Exchange;
+use crate::http::hop_headers;
+use crate::prelude::*;
+use futures_util::StreamExt as _;
+use futures_util::stream::unfold;
+use http::request::Parts;
+use http::{Response, StatusCode};
+use hyper::body::Frame;
+use oleanderlock::routing::attempt_rule::retry_after;
+use oleanderlock::routing::route::Route;
+
+/// Answers a request whose answer is a stream.
+pub async fn handle(
+    entry: &Entry,
+    head: &RequestHead,
+    route: &Route,
+    parts: &Parts,
+    body: Bytes,
+) -> FrontAnswer {
+    let Some(req) = request(head, route, parts, body) else {
+        entry.metrics.refused("no-service");
+        return whole(answer::refusal(retry_after(route.timeout)));
+    };
+    let outcome = entry.caller.open_stream(&req).await;
+    let took = now().since(head.arrived);
+    entry.metrics.took("first-event", took);
+    let left = deadline(head, route).since(now());
+    let (told, answer) = match outcome {
+        StreamOutcome::Opened(exchange) => ("opened", relay(*exchange)),
+        StreamOutcome::NotRun(after) => {
+            let answer = answer::refusal(after.max(retry_after(left)));
+            ("not-run", whole(answer))
+        }
+        StreamOutcome::Unknown => ("unknown", whole(answer::status(StatusCode::BAD_GATEWAY))),
+    };
+    event(log::Level::Info, "stream", || {
+        format!(
+            "request={} route={} outcome={told} took={took}",
+            req.id, route.name
+        )
+    });
+    answer
+}
+
+/// Passes pieces on as they arrive; when the endpoint breaks off, so does the answer.
+fn relay(exchange: Exchange) -> FrontAnswer {
+    let mut head = Response::new(());
+    *head.status_mut() = exchange.head.status;
+    *head.headers_mut() = exchange.head.headers.clone();
+    hop_headers::remove(head.headers_mut());
+    let pieces = unfold(Some(exchange), |exchange| async move {
+        let mut exchange = exchange?;
+        match exchange.next_piece().await {
+            Ok(Some(piece)) => Some((Ok(Frame::data(piece)), Some(exchange))),
+            Ok(None) => None,
+            Err(fault) => Some((Err(BodyFault::from(fault)), None)),
+        }
+    });
+    relayed(head, pieces.boxed_local())
+}
--- /dev/null
+++ b/crates/oleander-rollout/src/http/socket.rs
@@ -0,0 +1,47 @@
+//! Options of TCP connections.
+
+use crate::prelude::*;
+use smol::net::TcpStream;
+use socket2::{SockRef, TcpKeepalive};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Silence after which a connection is probed.
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(2);
+/// Time between two probes.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Probes without an answer after which a connection counts as dead.
+const KEEPALIVE_PROBES: u32 = 2;
+/// Time for which sent bytes may stay unacknowledged.
+const UNACKNOWLEDGED_MAX: Duration = Duration::from_millis(2500);
+
+/// Opens a connection.
+///
+/// # Errors
+///
+/// The system's fault, or `TimedOut` after `limit`.
+pub async fn connect(addr: SocketAddr, limit: Millis) -> std::io::Result<TcpStream> {
+    let connected = within(limit, TcpStream::connect(addr)).await;
+    let stream = connected.ok_or(std::io::ErrorKind::TimedOut)??;
+    set_options(&stream);
+    Ok(stream)
+}
+
+/// Sets the options that let a dead peer be noticed.
+pub fn set_options(stream: &TcpStream) {
+    let socket = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_IDLE)
+        .with_interval(KEEPALIVE_INTERVAL)
+        .with_retries(KEEPALIVE_PROBES);
+    let results = [
+        stream.set_nodelay(true),
+        socket.set_tcp_keepalive(&keepalive),
+        socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_MAX)),
+    ];
+    if let Some(fault) = results.into_iter().find_map(Result::err) {
+        event(log::Level::Warn, "socket-option", || {
+            format!("reason=\"{fault}\"")
+        });
+    }
+}
--- /dev/null
+++ b/crates/oleander-rollout/src/observe/metrics.rs
@@ -0,0 +1,89 @@
+//! Metrics of a process.
+
+use crate::observe::log_sink;
+use crate::prelude::*;
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry, TextEncoder,
+};
+
+/// Upper bounds of latency buckets, in seconds.
+const LATENCY_BUCKETS_S: [f64; 12] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0,
+];
+
+/// Metrics of a process; cheap to clone.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    registry: Registry,
+    refusals: IntCounterVec,
+    retries: IntCounterVec,
+    events: IntCounterVec,
+    latency: HistogramVec,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let counters = |name: &str, help: &str, label: &str| {
+            IntCounterVec::new(Opts::new(name, help), &[label]).expect("a valid metric name")
+        };
+        let latency = HistogramOpts::new("oleanderlock_latency_seconds", "Time by kind of work")
+            .buckets(LATENCY_BUCKETS_S.to_vec());
+        let metrics = Self {
+            registry: Registry::new(),
+            refusals: counters("oleanderlock_refusals_total", "Refused work", "reason"),
+            retries: counters("oleanderlock_retries_total", "Repeated attempts", "reason"),
+            events: counters("oleanderlock_events_total", "Other events", "event"),
+            latency: HistogramVec::new(latency, &["work"]).expect("a valid metric name"),
+        };
+        let registered = [
+            metrics
+                .registry
+                .register(Box::new(metrics.refusals.clone())),
+            metrics.registry.register(Box::new(metrics.retries.clone())),
+            metrics.registry.register(Box::new(metrics.events.clone())),
+            metrics.registry.register(Box::new(metrics.latency.clone())),
+        ];
+        assert!(
+            registered.iter().all(Result::is_ok),
+            "metric names are distinct"
+        );
+        metrics
+    }
+}
+
+impl Metrics {
+    /// Counts refused work.
+    pub fn refused(&self, reason: &str) {
+        self.refusals.with_label_values(&[reason]).inc();
+    }
+
+    /// Counts a repeated attempt.
+    pub fn retried(&self, reason: &str) {
+        self.retries.with_label_values(&[reason]).inc();
+    }
+
+    /// Counts another event.
+    pub fn count(&self, name: &str) {
+        self.events.with_label_values(&[name]).inc();
+    }
+
+    /// Notes how long a piece of work took.
+    pub fn took(&self, work: &str, length: Millis) {
+        let seconds = length.0 as f64 / 1000.0;
+        self.latency.with_label_values(&[work]).observe(seconds);
+    }
+
+    /// Returns all metrics in the text format of Prometheus.
+    pub fn text(&self) -> String {
+        let dropped = self.events.with_label_values(&["log_lines_dropped"]);
+        let more = log_sink::dropped().saturating_sub(dropped.get());
+        dropped.inc_by(more);
+        let mut buf = Vec::new();
+        if let Err(fault) = TextEncoder::new().encode(&self.registry.gather(), &mut buf) {
+            event(log::Level::Warn, "metrics-failed", || {
+                format!("reason=\"{fault}\"")
+            });
+        }
+        String::from_utf8(buf).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/oleander-rollout/src/observe/mod.rs
@@ -0,0 +1,6 @@
+//! Logs and metrics.
+
+pub mod event_log;
+pub mod log_sink;
+pub mod metrics;
+pub mod metrics_server;
--- /dev/null
+++ b/crates/oleander-rollout/src/peer/messages.rs
@@ -0,0 +1,107 @@
+//! Messages between agents, entries and dispatchers.
+
+use oleanderlock::batch::item_key::ItemKey;
+use oleanderlock::batch::job::JobItem;
+use oleanderlock::batch::progress::Progress;
+use oleanderlock::batch::sample::Sample;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// Path at which an agent reports on itself and waits for work.
+pub const PULL: &str = "/pull";
+/// Path at which an agent hands in what came of items.
+pub const HAND_IN: &str = "/hand-in";
+/// Path at which a dispatcher says how it stands.
+pub const HEALTH: &str = "/health";
+/// Path below which jobs are read and ended.
+pub const JOBS: &str = "/jobs/";
+
+/// An item that an agent is to run.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct WorkItem {
+    /// The item.
+    pub key: ItemKey,
+    /// What to run.
+    pub item: JobItem,
+    /// Host that the request names.
+    pub host: String,
+    /// Model whose weights make the text.
+    pub model: String,
+    /// Oldest weight version that may make it.
+    pub oldest_version: u64,
+    /// Whether one version must make the whole of it.
+    pub single_version: bool,
+    /// Failures after which a scoring call is given up.
+    pub score_attempts: u32,
+    /// Where to go on, when an earlier run was interrupted.
+    pub progress: Option<Progress>,
+}
+
+/// A load of weights that an agent is to order.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadWork {
+    /// Model to load.
+    pub model: String,
+    /// Version to load.
+    pub version: u64,
+}
+
+/// The answer to a report of an agent.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct PullAnswer {
+    /// Items to run.
+    pub work: Vec<WorkItem>,
+    /// Items to drop, as `JOB/ITEM`.
+    pub drop: Vec<String>,
+    /// Weights to load now.
+    pub load: Option<LoadWork>,
+}
+
+/// Why an item came back without a result.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum ReturnReason {
+    /// The engine answered the run with a failure.
+    EngineFailed,
+    /// The engine is gone or leaving, or the agent is stopping.
+    EngineLost,
+    /// The engine's weights are too old.
+    TooOld,
+    /// The score could not be had, but may be later.
+    NoScore,
+}
+
+/// An item that came back without a result.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ReturnedItem {
+    /// The item.
+    pub key: ItemKey,
+    /// Why it came back.
+    pub reason: ReturnReason,
+    /// What the run has made.
+    pub progress: Option<Progress>,
+}
+
+/// What came of items.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct HandIn {
+    /// Name of the agent.
+    pub agent: String,
+    /// Results.
+    pub samples: Vec<Sample>,
+    /// Items without a result.
+    pub returned: Vec<ReturnedItem>,
+}
+
+/// How a dispatcher stands.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DispatcherHealth {
+    /// Whether it leads.
+    pub leads: bool,
+    /// Epoch in which it leads, or the newest that it knows.
+    pub epoch: u64,
+    /// Time since the store last answered it, in milliseconds.
+    pub store_age_ms: u64,
+    /// Address of the leader that it knows.
+    pub leader: Option<SocketAddr>,
+}
--- /dev/null
+++ b/crates/oleander-rollout/src/peer/mod.rs
@@ -0,0 +1,4 @@
+//! Messages between the processes of the system, as JSON over HTTP.
+
+pub mod leader_link;
+pub mod messages;
--- /dev/null
+++ b/crates/oleander-rollout/src/process.rs
@@ -0,0 +1,138 @@
+//! What all roles do: start, reload, stop.
+
+use crate::agent::agent_process::Agent;
+use crate::cli::{Args, Role};
+use crate::dispatch::dispatcher::Dispatcher;
+use crate::entry::entry_process::Entry;
+use crate::observe::log_sink;
+use crate::observe::metrics::Metrics;
+use crate::observe::metrics_server;
+use crate::prelude::*;
+use crate::settings::Config;
+use log::LevelFilter;
+use oleander_base::exit_code::ExitCode;
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+use smol::channel::{Receiver, unbounded};
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+
+/// Time between two looks at the settings file.
+const SETTINGS_LOOK_EVERY: Millis = Millis(2000);
+/// Time for the last log lines to be written before the process ends.
+const LOG_FLUSH: Millis = Millis(120);
+
+/// A process of one role that runs.
+enum Running {
+    Entry(Rc<Entry>),
+    Agent(Rc<Agent>),
+    Dispatcher(Rc<Dispatcher>),
+}
+
+/// Runs the process until it is told to stop.
+pub fn run(args: &Args) -> ExitCode {
+    let file = args.settings.display();
+    let cfg = match Config::open(&args.settings) {
+        Ok(_) if args.check => {
+            println!("{file}: valid");
+            return ExitCode::Success;
+        }
+        Ok(cfg) => cfg,
+        Err(faults) => {
+            eprintln!("{file}:\n{faults}");
+            return ExitCode::Usage;
+        }
+    };
+    match open_and_wait(args, cfg) {
+        Ok(()) => ExitCode::Success,
+        Err(fault) => {
+            eprintln!("can't open: {fault}");
+            ExitCode::Failure
+        }
+    }
+}
+
+fn open_and_wait(args: &Args, cfg: Config) -> std::io::Result<()> {
+    log_sink::start(&cfg.node, &args.role.to_string(), LevelFilter::Info)?;
+    let signals = spawn_signals()?;
+    crate::runtime::run(async {
+        let metrics = Metrics::default();
+        metrics_server::open(cfg.metrics, metrics.clone())?;
+        event(log::Level::Info, "start", || {
+            format!(
+                "domain={} store={} peers={}",
+                cfg.domain, cfg.store, cfg.peers
+            )
+        });
+        let running = open(args.role, cfg.clone(), metrics)?;
+        spawn(watch_settings(args.settings.clone(), cfg));
+        while let Ok(signal) = signals.recv().await {
+            if signal != SIGHUP {
+                break;
+            }
+            event(log::Level::Info, "hangup", || {
+                "settings=\"read on change\"".to_owned()
+            });
+        }
+        event(log::Level::Info, "stop", String::new);
+        running.stop().await;
+        event(log::Level::Info, "stopped", String::new);
+        sleep(LOG_FLUSH).await;
+        Ok(())
+    })
+}
+
+fn open(role: Role, cfg: Config, metrics: Metrics) -> std::io::Result<Running> {
+    Ok(match role {
+        Role::Entry => Running::Entry(Entry::open(cfg, metrics)?),
+        Role::Agent => Running::Agent(Agent::open(cfg, metrics)?),
+        Role::Dispatcher => Running::Dispatcher(Dispatcher::open(cfg, metrics)?),
+    })
+}
+
+impl Running {
+    async fn stop(&self) {
+        match self {
+            Self::Entry(entry) => entry.stop().await,
+            Self::Agent(agent) => agent.stop().await,
+            Self::Dispatcher(dispatcher) => dispatcher.stop().await,
+        }
+    }
+}
+
+fn spawn_signals() -> std::io::Result<Receiver<i32>> {
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
+    let (tx, rx) = unbounded();
+    std::thread::Builder::new()
+        .name("signals".to_owned())
+        .spawn(move || {
+            for signal in signals.forever() {
+                if tx.send_blocking(signal).is_err() {
+                    return;
+                }
+            }
+        })?;
+    Ok(rx)
+}
+
+/// Reads the settings again when their file changes, and logs what that brings.
+async fn watch_settings(file: PathBuf, cfg: Config) {
+    let mut known = cfg;
+    loop {
+        sleep(SETTINGS_LOOK_EVERY).await;
+        match read_quietly(&file) {
+            Ok(cfg) if cfg == known => {}
+            Ok(cfg) => {
+                event(log::Level::Info, "reload", || format!("settings={cfg:?}"));
+                known = cfg;
+            }
+            Err(fault) => event(log::Level::Error, "reload-failed", || {
+                format!("reason=\"{}\"", fault.replace('\n', "; "))
+            }),
+        }
+    }
+}
+
+fn read_quietly(file: &Path) -> Result<Config, String> {
+    Config::open(file).map_err(|faults| faults.to_string())
+}
--- /dev/null
+++ b/crates/oleander-rollout/src/store/client.rs
@@ -0,0 +1,226 @@
+//! The client of the platform's store.
+
+use super::fault::StoreFault;
+use crate::http::pool::{Destination, Pool};
+use crate::http::send_fault::SendFault;
+use crate::prelude::*;
+use http::header::{CONTENT_TYPE, HOST, HeaderValue};
+use http::{Method, Request, StatusCode};
+use http_body_util::Full;
+use oleander_platform::calls;
+use oleander_platform::object::{self, ObjectPage, StoredObject, WatchPage};
+use serde_json::Value;
+use serde_json::value::RawValue;
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// Longest time to open a connection to the store.
+const CONNECT_LIMIT: Millis = Millis(800);
+/// Longest wait for an answer that is not a watch.
+const CALL_LIMIT: Millis = Millis(2500);
+/// What a watch may take beyond the wait that it asks for.
+const WATCH_GRACE: Millis = Millis(2000);
+/// Greatest answer, in bytes: a page of a list is about 1 MB.
+const ANSWER_MAX_BYTES: usize = 16 << 20;
+/// Age of the last answer before the first one.
+const NEVER: Millis = Millis(1 << 40);
+
+/// The client of the platform's store, for the tasks of one thread.
+#[derive(Debug)]
+pub struct StoreClient {
+    pool: Rc<Pool>,
+    to: Destination,
+    host: HeaderValue,
+    answered: Cell<Option<Millis>>,
+    calls: Cell<u64>,
+}
+
+impl StoreClient {
+    /// A client of the store at `addr`.
+    pub fn new(addr: SocketAddr) -> Rc<Self> {
+        let host = HeaderValue::from_str(&addr.to_string());
+        Rc::new(Self {
+            pool: Pool::new(CONNECT_LIMIT),
+            to: Destination::any(addr),
+            host: host.unwrap_or(HeaderValue::from_static("store")),
+            answered: Cell::new(None),
+            calls: Cell::new(0),
+        })
+    }
+
+    /// Returns the time since the store last carried out a call of this client.
+    pub fn answer_age(&self) -> Millis {
+        self.answered.get().map_or(NEVER, |at| now().since(at))
+    }
+
+    /// Returns the number of calls made.
+    pub fn calls(&self) -> u64 {
+        self.calls.get()
+    }
+
+    /// Reads one object.
+    ///
+    /// # Errors
+    ///
+    /// A fault; `Ok(None)` means that the store says there is none.
+    pub async fn get(&self, kind: &str, name: &str) -> Result<Option<StoredObject>, StoreFault> {
+        let path = calls::object(kind, name);
+        let (status, body) = self
+            .call(Method::GET, &path, Vec::new(), CALL_LIMIT)
+            .await?;
+        match status {
+            StatusCode::OK => object::decode_object(&body)
+                .map(Some)
+                .map_err(StoreFault::no_answer),
+            StatusCode::NOT_FOUND => Ok(None),
+            other => Err(StoreFault::not_done(other)),
+        }
+    }
+
+    /// Reads one page of a kind, behind the name `after`.
+    ///
+    /// # Errors
+    ///
+    /// A fault.
+    pub async fn page(&self, kind: &str, after: Option<&str>) -> Result<ObjectPage, StoreFault> {
+        let path = calls::list_objects(kind, after);
+        let (status, body) = self
+            .call(Method::GET, &path, Vec::new(), CALL_LIMIT)
+            .await?;
+        match status {
+            StatusCode::OK => object::decode_page(&body).map_err(StoreFault::no_answer),
+            other => Err(StoreFault::not_done(other)),
+        }
+    }
+
+    /// Waits for changes of a kind after a revision.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreFault::HistoryGone`] when the kind must be listed anew.
+    pub async fn watch(
+        &self,
+        kind: &str,
+        revision: u64,
+        wait: Millis,
+    ) -> Result<WatchPage, StoreFault> {
+        let path = calls::watch_objects(kind, revision, wait);
+        let limit = wait.plus(WATCH_GRACE);
+        let (status, body) = self.call(Method::GET, &path, Vec::new(), limit).await?;
+        match status {
+            StatusCode::OK => object::decode_watch(&body).map_err(StoreFault::no_answer),
+            StatusCode::GONE => Err(StoreFault::HistoryGone),
+            other => Err(StoreFault::not_done(other)),
+        }
+    }
+
+    /// Creates an object.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreFault::Conflict`] when it exists.
+    pub async fn create(&self, kind: &str, name: &str, spec: &RawValue) -> Result<(), StoreFault> {
+        let path = calls::list_objects(kind, None);
+        let body = object::encode_create(name, spec);
+        let (status, _) = self.call(Method::POST, &path, body, CALL_LIMIT).await?;
+        written(status)
+    }
+
+    /// Replaces an object whose last change has `revision`.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreFault::Conflict`] when it has changed since.
+    pub async fn replace(
+        &self,
+        kind: &str,
+        name: &str,
+        revision: u64,
+        spec: &RawValue,
+    ) -> Result<(), StoreFault> {
+        let path = calls::object(kind, name);
+        let body = object::encode_replace(name, revision, spec);
+        let (status, _) = self.call(Method::PUT, &path, body, CALL_LIMIT).await?;
+        written(status)
+    }
+
+    /// Replaces the status of an object.
+    ///
+    /// # Errors
+    ///
+    /// A fault.
+    pub async fn put_status(
+        &self,
+        kind: &str,
+        name: &str,
+        status: &Value,
+    ) -> Result<(), StoreFault> {
+        let path = calls::object_status(kind, name);
+        let body = object::encode_status(name, status);
+        let (status, _) = self.call(Method::PUT, &path, body, CALL_LIMIT).await?;
+        written(status)
+    }
+
+    /// Removes an object; it is no fault when it is gone already.
+    ///
+    /// # Errors
+    ///
+    /// A fault.
+    pub async fn delete(&self, kind: &str, name: &str) -> Result<(), StoreFault> {
+        let path = calls::object(kind, name);
+        let (status, _) = self
+            .call(Method::DELETE, &path, Vec::new(), CALL_LIMIT)
+            .await?;
+        if status == StatusCode::NOT_FOUND {
+            return Ok(());
+        }
+        written(status)
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+        limit: Millis,
+    ) -> Result<(StatusCode, Bytes), StoreFault> {
+        self.calls.set(self.calls.get() + 1);
+        let began = now();
+        let req = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(HOST, self.host.clone())
+            .header(CONTENT_TYPE, "application/json")
+            .body(Full::new(Bytes::from(body)))
+            .map_err(StoreFault::not_done)?;
+        let exchange = async {
+            let exchange = self.pool.send(&self.to, req).await?;
+            exchange.whole(ANSWER_MAX_BYTES).await
+        };
+        let answer = match within(limit, exchange).await {
+            None => return Err(StoreFault::no_answer("timeout")),
+            Some(Err(SendFault::NotSent { reason })) => return Err(StoreFault::not_done(reason)),
+            Some(Err(SendFault::NoAnswer { reason })) => return Err(StoreFault::no_answer(reason)),
+            Some(Ok((head, body))) => (head.status, body),
+        };
+        match answer.0 {
+            StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
+                Err(StoreFault::not_done(answer.0))
+            }
+            status if status.is_server_error() => Err(StoreFault::no_answer(status)),
+            _ => {
+                self.answered.set(Some(began));
+                Ok(answer)
+            }
+        }
+    }
+}
+
+fn written(status: StatusCode) -> Result<(), StoreFault> {
+    match status {
+        status if status.is_success() => Ok(()),
+        StatusCode::CONFLICT => Err(StoreFault::Conflict),
+        other => Err(StoreFault::not_done(other)),
+    }
+}
--- /dev/null
+++ b/crates/oleander-rollout/src/store/follow.rs
@@ -0,0 +1,349 @@
+//! The control thread: follows the store and keeps the view.
+
+use super::client::StoreClient;
+use super::leader_object::{
+    DISPATCHER_KIND, DispatcherObject, LEADER_NAME, LeaderObject, NODE_PREFIX,
+};
+use super::view::{SharedView, View};
+use super::watch::{Followed, follow};
+use crate::prelude::*;
+use oleander_platform::config::decode_config;
+use oleander_platform::endpoint::decode_endpoint;
+use oleander_platform::object::{
+    CONFIG_KIND, CONFIG_NAME, ENDPOINT_KIND, RETIREMENT_KIND, StoredObject, VERSION_KIND,
+};
+use oleander_platform::retirement;
+use oleander_platform::version::decode_version;
+use oleanderlock::routing::route_table::RouteTable;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+
+/// Time after the store's return within which entries that lapsed come back.
+const LAPSED_BACK: Millis = Millis(2200);
+/// Shortest time without the store after which entries may have lapsed.
+const LAPSE_AFTER: Millis = Millis(600);
+
+/// What a process follows.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Interests {
+    /// The configuration.
+    pub config: bool,
+    /// The list of endpoints.
+    pub endpoints: bool,
+    /// Named weight versions.
+    pub versions: bool,
+    /// Store machines to be emptied.
+    pub retirements: bool,
+}
+
+/// Starts the thread that keeps `view`.
+///
+/// # Errors
+///
+/// The system's fault when the thread can't be started.
+pub fn spawn_follower(
+    store: SocketAddr,
+    interests: Interests,
+    view: SharedView,
+) -> std::io::Result<JoinHandle<()>> {
+    std::thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || crate::runtime::run(follow_all(store, interests, view)))
+}
+
+async fn follow_all(store: SocketAddr, interests: Interests, view: SharedView) {
+    let store = StoreClient::new(store);
+    if interests.config {
+        let view = view.clone();
+        spawn(follow(Rc::clone(&store), CONFIG_KIND, move |change| {
+            apply_config(&view, change);
+            true
+        }));
+    }
+    if interests.endpoints {
+        let endpoints = Endpoints::new(view.clone());
+        spawn(follow(Rc::clone(&store), ENDPOINT_KIND, move |change| {
+            endpoints.apply(change);
+            true
+        }));
+    }
+    if interests.versions {
+        let view = view.clone();
+        spawn(follow(Rc::clone(&store), VERSION_KIND, move |change| {
+            apply_version(&view, change);
+            true
+        }));
+    }
+    if interests.retirements {
+        let view = view.clone();
+        spawn(follow(Rc::clone(&store), RETIREMENT_KIND, move |change| {
+            apply_retirement(&view, change);
+            true
+        }));
+    }
+    follow(store, DISPATCHER_KIND, move |change| {
+        apply_dispatcher(&view, change);
+        true
+    })
+    .await;
+}
+
+fn objects_of(change: Followed) -> Vec<StoredObject> {
+    match change {
+        Followed::All(objects, _) => objects,
+        Followed::Put(object) => vec![object],
+        Followed::Gone(_) | Followed::Regained | Followed::Lost => Vec::new(),
+    }
+}
+
+fn apply_config(view: &SharedView, change: Followed) {
+    let named = objects_of(change).into_iter();
+    for object in named.filter(|object| object.name == CONFIG_NAME) {
+        match decode_config(object.spec.get()) {
+            Ok((config, faults)) => {
+                for fault in faults {
+                    event(log::Level::Warn, "config-part-unreadable", || {
+                        format!("reason=\"{fault}\"")
+                    });
+                }
+                adopt_config(view, RouteTable::new(config));
+            }
+            Err(fault) => event(log::Level::Error, "config-unreadable", || {
+                format!("reason=\"{fault}\"")
+            }),
+        }
+    }
+}
+
+fn adopt_config(view: &SharedView, table: RouteTable) {
+    let version = table.config.version;
+    let known = view.get();
+    let known = known.routes.as_ref().map(|routes| routes.config.version);
+    if known.is_some_and(|known| known >= version) {
+        return;
+    }
+    let routes = table.config.routes.len();
+    view.update(|view| view.routes = Some(Arc::new(table)));
+    event(log::Level::Info, "config-in-force", || {
+        let before = known.map_or("none".to_owned(), |known| known.to_string());
+        format!("version={version} before={before} routes={routes}")
+    });
+}
+
+fn apply_version(view: &SharedView, change: Followed) {
+    for object in objects_of(change) {
+        match decode_version(object.spec.get()) {
+            Ok(named) => {
+                event(log::Level::Info, "version-named", || {
+                    format!("model={} version={}", named.model, named.version)
+                });
+                view.update(|view| {
+                    let newest = view.versions.entry(named.model).or_default();
+                    *newest = named.version.max(*newest);
+                });
+            }
+            Err(fault) => event(log::Level::Warn, "version-unreadable", || {
+                format!("name={} reason=\"{fault}\"", object.name)
+            }),
+        }
+    }
+}
+
+fn apply_retirement(view: &SharedView, change: Followed) {
+    if let Followed::Gone(name) = &change {
+        view.update(|view| {
+            view.retiring.shift_remove(name);
+        });
+    }
+    for object in objects_of(change) {
+        let status = object.status.as_ref().map_or("", |status| status.get());
+        let done = !status.is_empty() && retirement::is_done(status);
+        view.update(|view| {
+            if done {
+                view.retiring.shift_remove(&object.name);
+            } else {
+                view.retiring.insert(object.name.clone());
+            }
+        });
+    }
+}
+
+fn apply_dispatcher(view: &SharedView, change: Followed) {
+    if matches!(change, Followed::Lost | Followed::Regained) {
+        return;
+    }
+    if let Followed::Gone(name) = &change
+        && let Some(node) = name.strip_prefix(NODE_PREFIX)
+    {
+        view.update(|view| {
+            view.dispatchers.shift_remove(node);
+        });
+    }
+    for object in objects_of(change) {
+        view.update(|view| apply_dispatcher_object(view, &object));
+    }
+    if !view.get().dispatchers_known {
+        view.update(|view| view.dispatchers_known = true);
+    }
+}
+
+fn apply_dispatcher_object(view: &mut View, object: &StoredObject) {
+    let spec = object.spec.get();
+    if object.name == LEADER_NAME {
+        match serde_json::from_str::<LeaderObject>(spec) {
+            Ok(leader) => {
+                event(log::Level::Info, "leader-known", || {
+                    format!("epoch={} leader={}", leader.epoch, leader.node)
+                });
+                view.leader = Some((leader, object.revision));
+            }
+            Err(fault) => event(log::Level::Error, "leader-unreadable", || {
+                format!("reason=\"{fault}\"")
+            }),
+        }
+    } else if let Some(node) = object.name.strip_prefix(NODE_PREFIX) {
+        match serde_json::from_str::<DispatcherObject>(spec) {
+            Ok(dispatcher) => {
+                view.dispatchers.insert(node.to_owned(), dispatcher.addr);
+            }
+            Err(fault) => event(log::Level::Warn, "dispatcher-unreadable", || {
+                format!("name={} reason=\"{fault}\"", object.name)
+            }),
+        }
+    }
+}
+
+/// Keeps the endpoints of the view.
+///
+/// Entries lapse while the store is away and come back shortly after its return, so what vanished
+/// meanwhile stays for that time.
+struct Endpoints {
+    view: SharedView,
+    state: Rc<RefCell<LapseState>>,
+}
+
+#[derive(Default)]
+struct LapseState {
+    lost: Option<Millis>,
+    kept_until: Millis,
+    missing: Vec<String>,
+}
+
+impl LapseState {
+    /// Whether entries may be missing only because they lapsed while the store was away.
+    fn may_have_lapsed(&self, now: Millis) -> bool {
+        let away = self.lost.is_some_and(|at| now.since(at) > LAPSE_AFTER);
+        away || now < self.kept_until
+    }
+}
+
+impl Endpoints {
+    fn new(view: SharedView) -> Self {
+        Self {
+            view,
+            state: Rc::default(),
+        }
+    }
+
+    fn apply(&self, change: Followed) {
+        match change {
+            Followed::All(objects, revision) => self.put_all(&objects, revision),
+            Followed::Put(object) => self.put(&object),
+            Followed::Gone(instance) => self.gone(instance),
+            Followed::Lost => {
+                self.state.borrow_mut().lost.get_or_insert(now());
+            }
+            Followed::Regained => self.regained(),
+        }
+    }
+
+    fn put_all(&self, objects: &[StoredObject], revision: u64) {
+        let known: Vec<String> = {
+            let view = self.view.get();
+            view.endpoints.instances().map(str::to_owned).collect()
+        };
+        for object in objects {
+            self.put(object);
+        }
+        let listed = |instance: &String| objects.iter().any(|object| &object.name == instance);
+        for instance in known.into_iter().filter(|instance| !listed(instance)) {
+            self.gone(instance);
+        }
+        self.view.update(|view| {
+            if view.first_revision == 0 {
+                view.first_revision = revision;
+            }
+        });
+    }
+
+    fn put(&self, object: &StoredObject) {
+        let instance = &object.name;
+        self.state
+            .borrow_mut()
+            .missing
+            .retain(|missing| missing != instance);
+        match decode_endpoint(instance, object.spec.get()) {
+            Ok(entry) => self.view.update(|view| {
+                event(log::Level::Debug, "endpoint-listed", || {
+                    format!(
+                        "instance={instance} service={} state={:?}",
+                        entry.service, entry.state
+                    )
+                });
+                Arc::make_mut(&mut view.endpoints).put(entry);
+            }),
+            Err(fault) => {
+                event(log::Level::Warn, "endpoint-unreadable", || {
+                    format!("instance={instance} reason=\"{fault}\"")
+                });
+                self.remove(instance, "unreadable");
+            }
+        }
+    }
+
+    fn gone(&self, instance: String) {
+        let mut state = self.state.borrow_mut();
+        if state.may_have_lapsed(now()) {
+            state.missing.push(instance);
+        } else {
+            drop(state);
+            self.remove(&instance, "left the list");
+        }
+    }
+
+    fn remove(&self, instance: &str, reason: &str) {
+        let mut removed = false;
+        self.view
+            .update(|view| removed = Arc::make_mut(&mut view.endpoints).remove(instance));
+        if removed {
+            event(log::Level::Info, "endpoint-gone", || {
+                format!("instance={instance} reason=\"{reason}\"")
+            });
+        }
+    }
+
+    /// Waits until lapsed entries should be back, then drops those that are still missing.
+    fn regained(&self) {
+        {
+            let mut state = self.state.borrow_mut();
+            if state.may_have_lapsed(now()) {
+                state.kept_until = now().plus(LAPSED_BACK);
+            }
+            state.lost = None;
+        }
+        let this = Self {
+            view: self.view.clone(),
+            state: Rc::clone(&self.state),
+        };
+        spawn(async move {
+            sleep(LAPSED_BACK).await;
+            let missing = std::mem::take(&mut this.state.borrow_mut().missing);
+            for instance in missing {
+                this.remove(&instance, "not back after the store's return");
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/oleander-rollout/src/store/job_objects.rs
@@ -0,0 +1,149 @@
+//! Batch jobs and results as objects of the platform's store.
+//!
+//! A job whose items do not fit into one value has further parts, which are written before it.
+
+use super::client::StoreClient;
+use super::fault::StoreFault;
+use oleander_platform::object::StoredObject;
+use oleanderlock::batch::job::{Job, JobItem};
+use oleanderlock::batch::result_chunk::ResultChunk;
+use serde::{Deserialize, Serialize};
+use serde_json::value::{RawValue, to_raw_value};
+
+/// Kind of accepted jobs.
+pub const JOB_KIND: &str = "jobs";
+/// Kind of further parts of jobs.
+pub const JOB_PART_KIND: &str = "job-parts";
+/// Kind of the marks that a job has ended.
+pub const JOB_END_KIND: &str = "job-ends";
+/// Kind of the chunks of the result log.
+pub const RESULT_KIND: &str = "results";
+
+/// Bytes of a value that are left for names and brackets around its items.
+const VALUE_MARGIN_BYTES: usize = 16 << 10;
+/// Digits of a chunk's number in its name, so that names sort like numbers.
+const INDEX_DIGITS: usize = 12;
+
+#[derive(Serialize, Deserialize)]
+struct StoredJob {
+    job: Job,
+    /// Further parts that hold the rest of the items.
+    more_parts: usize,
+}
+
+/// Writes a job that was submitted.
+///
+/// # Errors
+///
+/// [`StoreFault::Conflict`] when a job with its id was accepted before.
+pub async fn create_job(
+    store: &StoreClient,
+    mut job: Job,
+    value_bytes: usize,
+) -> Result<(), StoreFault> {
+    let mut parts = split_items(std::mem::take(&mut job.items), value_bytes);
+    let first = if parts.is_empty() {
+        Vec::new()
+    } else {
+        parts.remove(0)
+    };
+    for (number, part) in parts.iter().enumerate() {
+        let name = part_name(&job.id, number);
+        match store.create(JOB_PART_KIND, &name, &raw(part)?).await {
+            // A repeated submission of the same job.
+            Ok(()) | Err(StoreFault::Conflict) => {}
+            Err(fault) => return Err(fault),
+        }
+    }
+    job.items = first;
+    let id = job.id.clone();
+    let stored = StoredJob {
+        job,
+        more_parts: parts.len(),
+    };
+    store.create(JOB_KIND, &id, &raw(&stored)?).await
+}
+
+/// Reads a job from its object, and the further parts that it names.
+///
+/// # Errors
+///
+/// A fault of the store, or [`StoreFault::NoAnswer`] when an object can't be read.
+pub async fn read_job(store: &StoreClient, object: &StoredObject) -> Result<Job, StoreFault> {
+    let stored: StoredJob =
+        serde_json::from_str(object.spec.get()).map_err(StoreFault::no_answer)?;
+    let mut job = stored.job;
+    for number in 0..stored.more_parts {
+        let name = part_name(&job.id, number);
+        let part = store.get(JOB_PART_KIND, &name).await?;
+        let part = part.ok_or_else(|| StoreFault::no_answer("a part is missing"))?;
+        let items: Vec<JobItem> =
+            serde_json::from_str(part.spec.get()).map_err(StoreFault::no_answer)?;
+        job.items.extend(items);
+    }
+    Ok(job)
+}
+
+/// Creates a chunk of the result log.
+///
+/// # Errors
+///
+/// [`StoreFault::Conflict`] when its number is taken.
+pub async fn create_chunk(store: &StoreClient, chunk: &ResultChunk) -> Result<(), StoreFault> {
+    let name = chunk_name(chunk.index);
+    store.create(RESULT_KIND, &name, &raw(chunk)?).await
+}
+
+/// Reads the chunk with a number.
+///
+/// # Errors
+///
+/// A fault of the store; `Ok(None)` means that there is none.
+pub async fn read_chunk(
+    store: &StoreClient,
+    index: u64,
+) -> Result<Option<ResultChunk>, StoreFault> {
+    let object = store.get(RESULT_KIND, &chunk_name(index)).await?;
+    object.map(|object| decode_chunk(&object)).transpose()
+}
+
+/// Reads a chunk from its object.
+///
+/// # Errors
+///
+/// [`StoreFault::NoAnswer`] when the object can't be read.
+pub fn decode_chunk(object: &StoredObject) -> Result<ResultChunk, StoreFault> {
+    serde_json::from_str(object.spec.get()).map_err(StoreFault::no_answer)
+}
+
+/// Returns the name of the chunk with a number.
+pub fn chunk_name(index: u64) -> String {
+    format!("{index:0INDEX_DIGITS$}")
+}
+
+fn part_name(job: &str, number: usize) -> String {
+    format!("{job}.{number}")
+}
+
+fn raw(value: &impl Serialize) -> Result<Box<RawValue>, StoreFault> {
+    to_raw_value(value).map_err(StoreFault::not_done)
+}
+
+/// Splits items so that each part fits into one value.
+fn split_items(items: Vec<JobItem>, value_bytes: usize) -> Vec<Vec<JobItem>> {
+    let limit = value_bytes.saturating_sub(VALUE_MARGIN_BYTES);
+    let mut parts: Vec<Vec<JobItem>> = Vec::new();
+    let mut bytes = 0;
+    for item in items {
+        let size = serde_json::to_vec(&item).map_or(0, |text| text.len() + 1);
+        if parts.is_empty() || bytes + size > limit {
+            parts.push(Vec::new());
+            bytes = 0;
+        }
+        bytes += size;
+        if let Some(part) = parts.last_mut() {
+            part.push(item);
+        }
+    }
+    parts
+}
--- /dev/null
+++ b/crates/oleander-rollout/src/store/leader_object.rs
@@ -0,0 +1,29 @@
+//! Who dispatches: an object in the platform's store.
+
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// Kind of the objects about dispatchers.
+pub const DISPATCHER_KIND: &str = "dispatchers";
+/// Name of the object that says who leads.
+pub const LEADER_NAME: &str = "leader";
+/// Prefix of the names of objects that say where a dispatcher is.
+pub const NODE_PREFIX: &str = "node-";
+
+/// Who leads.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaderObject {
+    /// Rises with each change of the leader.
+    pub epoch: u64,
+    /// Name of the leader's node; empty when the last one has left.
+    pub node: String,
+    /// Address of the leader for its peers.
+    pub addr: Option<SocketAddr>,
+}
+
+/// Where a dispatcher is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DispatcherObject {
+    /// Address for its peers.
+    pub addr: SocketAddr,
+}
--- /dev/null
+++ b/crates/oleander-rollout/src/store/mod.rs
@@ -0,0 +1,9 @@
+//! The platform's store: one client, watches of whole kinds, and what they tell this process.
+
+pub mod client;
+pub mod fault;
+pub mod follow;
+pub mod job_objects;
+pub mod leader_object;
+pub mod view;
+pub mod watch;
--- /dev/null
+++ b/crates/oleander-rollout/src/store/watch.rs
@@ -0,0 +1,140 @@
+//! Follows all objects of one kind.
+
+use super::client::StoreClient;
+use super::fault::StoreFault;
+use crate::prelude::*;
+use oleander_platform::decode_fault::DecodeFault;
+use oleander_platform::object::{ObjectChange, StoredObject};
+use std::rc::Rc;
+
+/// Longest wait of one watch.
+const WATCH_WAIT: Millis = Millis::from_secs(25);
+/// Pause after the first failure; it doubles with each in a row.
+const FIRST_PAUSE: Millis = Millis(50);
+/// Longest pause between two tries.
+const LONGEST_PAUSE: Millis = Millis(400);
+
+/// What following a kind brings.
+#[derive(Debug)]
+pub enum Followed {
+    /// All objects, at a revision of the store.
+    All(Vec<StoredObject>, u64),
+    /// An object was created or changed.
+    Put(StoredObject),
+    /// An object is gone.
+    Gone(String),
+    /// The store answers again after it could not be reached.
+    Regained,
+    /// The store can't be reached.
+    Lost,
+}
+
+/// Follows all objects of a kind until `apply` returns false.
+pub async fn follow(
+    store: Rc<StoreClient>,
+    kind: &'static str,
+    mut apply: impl FnMut(Followed) -> bool,
+) {
+    let mut revision = None;
+    let mut failures = 0;
+    loop {
+        let step = match revision {
+            None => list(&store, kind, &mut apply).await,
+            Some(from) => watch(&store, kind, from, &mut apply).await,
+        };
+        match step {
+            Ok(None) => return,
+            Ok(next) => {
+                revision = next;
+                if failures > 0 {
+                    event(log::Level::Info, "store-regained", || {
+                        format!("kind={kind}")
+                    });
+                    failures = 0;
+                    apply(Followed::Regained);
+                }
+            }
+            Err(StoreFault::HistoryGone) => {
+                event(log::Level::Info, "history-gone", || format!("kind={kind}"));
+                revision = None;
+            }
+            Err(fault) => {
+                if failures == 0 {
+                    event(log::Level::Warn, "store-lost", || {
+                        format!("kind={kind} reason=\"{fault}\"")
+                    });
+                    apply(Followed::Lost);
+                }
+                sleep(pause(failures)).await;
+                failures += 1;
+            }
+        }
+    }
+}
+
+fn pause(failures: u32) -> Millis {
+    let doubled = FIRST_PAUSE.0 << failures.min(8);
+    Millis(doubled.min(LONGEST_PAUSE.0))
+}
+
+/// Reads all objects of a kind.
+///
+/// # Errors
+///
+/// The fault of the first page that could not be read.
+pub async fn list_all(
+    store: &StoreClient,
+    kind: &str,
+) -> Result<(Vec<StoredObject>, u64), StoreFault> {
+    let mut all = Vec::new();
+    let mut after = None;
+    let mut revision = None;
+    loop {
+        let page = store.page(kind, after.as_deref()).await?;
+        log_faults(kind, &page.faults);
+        all.extend(page.objects);
+        // Changes between two pages are seen again by watching from the first page's revision.
+        let first = *revision.get_or_insert(page.revision);
+        after = page.last_name;
+        if !page.more || after.is_none() {
+            return Ok((all, first));
+        }
+    }
+}
+
+async fn list(
+    store: &StoreClient,
+    kind: &str,
+    apply: &mut impl FnMut(Followed) -> bool,
+) -> Result<Option<u64>, StoreFault> {
+    let (all, revision) = list_all(store, kind).await?;
+    Ok(apply(Followed::All(all, revision)).then_some(revision))
+}
+
+async fn watch(
+    store: &StoreClient,
+    kind: &str,
+    from: u64,
+    apply: &mut impl FnMut(Followed) -> bool,
+) -> Result<Option<u64>, StoreFault> {
+    let page = store.watch(kind, from, WATCH_WAIT).await?;
+    log_faults(kind, &page.faults);
+    for change in page.changes {
+        let go_on = match change {
+            ObjectChange::Put(object) => apply(Followed::Put(object)),
+            ObjectChange::Gone(name) => apply(Followed::Gone(name)),
+        };
+        if !go_on {
+            return Ok(None);
+        }
+    }
+    Ok(Some(page.revision))
+}
+
+fn log_faults(kind: &str, faults: &[DecodeFault]) {
+    for fault in faults {
+        event(log::Level::Warn, "object-unreadable", || {
+            format!("kind={kind} reason=\"{fault}\"")
+        });
+    }
+}
--- /dev/null
+++ b/crates/oleanderlock/src/batch/board_assign.rs
@@ -0,0 +1,191 @@
+//! Which waiting groups go to which agents, and which engines load new weights.
+//!
+//! Load pattern: each trainer submits a step of groups every few seconds and waits for nine tenths
+//! of them; a group counts only when all of its items are listed in time. The jobs that are due
+//! first come first, groups stay together on one engine so that their prompt is read once, and the
+//! engine with the least work before it, measured by its own pace, takes the next group.
+
+use super::agent_state::AgentState;
+use super::board::Board;
+use super::item_key::ItemKey;
+use super::item_state::ItemPhase;
+use super::job::JobItem;
+use super::job_state::JobState;
+use super::progress::Progress;
+use crate::prelude::*;
+use indexmap::IndexMap;
+
+/// Longest time for which a granted load counts as running before its agent says so.
+const LOAD_GRANT: Millis = Millis(1500);
+/// How much more wait an engine of the model's own set may have before another engine that holds
+/// fitting weights takes a group, in parts of 100.
+const OWN_SET_PERCENT: u64 = 200;
+
+/// One item that goes to an agent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Assignment {
+    /// The agent.
+    pub agent: String,
+    /// The item.
+    pub key: ItemKey,
+    /// What to run.
+    pub item: JobItem,
+    /// Where to go on, when an earlier run was interrupted.
+    pub progress: Option<Progress>,
+}
+
+/// A load of weights that an agent may order now.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LoadGrant {
+    /// The agent.
+    pub agent: String,
+    /// Model to load.
+    pub model: String,
+    /// Version to load.
+    pub version: u64,
+}
+
+impl Board {
+    /// Assigns waiting groups to agents that have room.
+    pub fn assign(&mut self, now: Millis) -> Vec<Assignment> {
+        let mut order: Vec<usize> = (0..self.jobs.len())
+            .filter(|index| !self.jobs[*index].ended)
+            .collect();
+        order.sort_by_key(|index| self.jobs[*index].due());
+        let mut assigned = Vec::new();
+        for index in order {
+            let groups = self.jobs[index].groups.len();
+            for group in 0..groups {
+                self.assign_group(now, index, group, &mut assigned);
+            }
+        }
+        assigned
+    }
+
+    fn assign_group(
+        &mut self,
+        now: Millis,
+        index: usize,
+        group: usize,
+        assigned: &mut Vec<Assignment>,
+    ) {
+        let job = &self.jobs[index];
+        let waiting = job.waiting_in(&job.groups[group]);
+        if waiting.is_empty() {
+            return;
+        }
+        let Some(name) = self.choose_agent(job, waiting.len()) else {
+            return;
+        };
+        let job = &mut self.jobs[index];
+        let oldest = job.oldest_version;
+        for place in &waiting {
+            let item = &mut job.items[*place];
+            item.phase = ItemPhase::Running {
+                agent: name.clone(),
+                since: now,
+            };
+            let progress = item.progress.take();
+            assigned.push(Assignment {
+                agent: name.clone(),
+                key: ItemKey {
+                    job: job.id.clone(),
+                    item: item.item.id.clone(),
+                },
+                item: item.item.clone(),
+                progress: progress.filter(|made| made.is_fresh(oldest)),
+            });
+        }
+        if let Some(agent) = self.agents.get_mut(&name) {
+            agent.outstanding += waiting.len();
+        }
+    }
+
+    /// The agent that would finish `more` items of a job first.
+    fn choose_agent(&self, job: &JobState, more: usize) -> Option<String> {
+        let fits = |agent: &AgentState| {
+            let version = agent.report.weights.get(&job.model);
+            let loading = agent.report.loading.as_ref() == Some(&job.model);
+            agent.takes_work() && !loading && version.is_some_and(|has| *has >= job.oldest_version)
+        };
+        let wait = |agent: &AgentState| {
+            let own_set = self.sets.model_of(&agent.report.agent) == Some(&job.model);
+            let percent = if own_set { 100 } else { OWN_SET_PERCENT };
+            agent.expected_wait(more) * percent
+        };
+        let fitting = self.agents.values().filter(|agent| fits(agent));
+        let best = fitting.min_by_key(|agent| wait(agent))?;
+        Some(best.report.agent.clone())
+    }
+
+    /// Gives each engine its model, and returns the loads that may begin now.
+    pub fn plan_loads(&mut self, now: Millis) -> Vec<LoadGrant> {
+        self.balance_sets();
+        let at_once = (self.agents.len() / self.cfg.loads_share).max(self.cfg.loads_min);
+        let running =
+            |agent: &&AgentState| agent.report.loading.is_some() || agent.load_granted_until > now;
+        let mut free = at_once.saturating_sub(self.agents.values().filter(running).count());
+        let mut grants = Vec::new();
+        let mut names: Vec<String> = self.agents.keys().cloned().collect();
+        names.sort_by_key(|name| self.agents[name].outstanding);
+        for name in names {
+            if free == 0 {
+                break;
+            }
+            if let Some(grant) = self.load_for(now, &name) {
+                free -= 1;
+                self.agents[&name].load_granted_until = now.plus(LOAD_GRANT);
+                grants.push(grant);
+            }
+        }
+        grants
+    }
+
+    fn load_for(&self, now: Millis, name: &str) -> Option<LoadGrant> {
+        let agent = &self.agents[name];
+        let busy = agent.report.loading.is_some() || agent.load_granted_until > now;
+        if busy || agent.report.slots == 0 {
+            return None;
+        }
+        let model = self.sets.model_of(name)?;
+        let version = *self.wanted.get(model)?;
+        let held = *agent.report.weights.get(model)?;
+        (held < version).then(|| LoadGrant {
+            agent: name.to_owned(),
+            model: model.to_owned(),
+            version,
+        })
+    }
+
+    fn balance_sets(&mut self) {
+        let live = self
+            .agents
+            .iter()
+            .filter(|(_, agent)| !agent.report.leaving);
+        let live = live.filter(|(_, agent)| !agent.report.weights.is_empty());
+        let mut models: Vec<String> = Vec::new();
+        let mut agents: IndexMap<String, Option<String>> = IndexMap::new();
+        for (name, agent) in live {
+            for model in agent.report.weights.keys() {
+                if !models.contains(model) {
+                    models.push(model.clone());
+                }
+            }
+            agents.insert(name.clone(), self.freshest_model(agent));
+        }
+        models.sort();
+        agents.sort_keys();
+        self.sets.balance(&models, &agents);
+    }
+
+    /// The model whose version on the engine is least behind the one that was named.
+    fn freshest_model(&self, agent: &AgentState) -> Option<String> {
+        let behind = |model: &String, held: &u64| {
+            let wanted = self.wanted.get(model).copied().unwrap_or_default();
+            wanted.saturating_sub(*held)
+        };
+        let weights = agent.report.weights.iter();
+        let freshest = weights.min_by_key(|(model, held)| behind(model, held))?;
+        Some(freshest.0.clone())
+    }
+}
--- /dev/null
+++ b/crates/oleanderlock/src/batch/board_config.rs
@@ -0,0 +1,27 @@
+//! Limits of the board.
+
+use crate::prelude::*;
+
+/// Limits of the board.
+#[derive(Clone, Copy, Debug)]
+pub struct BoardConfig {
+    /// Silence after which an agent's items go to others.
+    pub agent_silence: Millis,
+    /// Time for an assignment to arrive before an agent that does not name it has lost it.
+    pub assignment_grace: Millis,
+    /// Part of the engines that may load weights at once: one in this many.
+    pub loads_share: usize,
+    /// Loads that may run at once however few engines there are.
+    pub loads_min: usize,
+}
+
+impl Default for BoardConfig {
+    fn default() -> Self {
+        Self {
+            agent_silence: Millis(2500),
+            assignment_grace: Millis(800),
+            loads_share: 5,
+            loads_min: 2,
+        }
+    }
+}
--- /dev/null
+++ b/crates/oleanderlock/src/batch/mod.rs
@@ -0,0 +1,19 @@
+//! Batch jobs of trainers: which groups run where, in which order results are listed, who
+//! dispatches, and when engines load new weights.
+
+pub mod agent_state;
+pub mod board;
+pub mod board_assign;
+pub mod board_config;
+pub mod group_state;
+pub mod item_key;
+pub mod item_state;
+pub mod job;
+pub mod job_state;
+pub mod job_terms;
+pub mod leadership;
+pub mod model_sets;
+pub mod progress;
+pub mod result_chunk;
+pub mod result_log;
+pub mod sample;
--- /dev/null
+++ b/crates/oleanderlock/src/batch/result_log.rs
@@ -0,0 +1,153 @@
+//! The order in which results are listed.
+//!
+//! All results of all jobs form one log of chunks. Chunk `n` is created under its number on the
+//! condition that it does not exist, so of two dispatchers that both believe to lead only one
+//! appends it; the other reads it and goes on behind it. The position of a result within its job
+//! follows from the log alone, and is the same for every reader.
+//!
+//! Bounded by the jobs that are kept; [`ResultLog::forget`] drops one.
+
+use super::item_key::ItemKey;
+use super::result_chunk::ResultChunk;
+use super::sample::Sample;
+use indexmap::{IndexMap, IndexSet};
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+/// The listed results, and those that wait to be listed.
+#[derive(Clone, Debug, Default)]
+pub struct ResultLog {
+    next_index: u64,
+    listed: IndexMap<String, Vec<Arc<Sample>>>,
+    known: IndexSet<ItemKey>,
+    waiting: VecDeque<Sample>,
+    writing: Option<Arc<ResultChunk>>,
+}
+
+impl ResultLog {
+    /// Takes a result that is to be listed; returns false when its item has one already.
+    pub fn stage(&mut self, sample: Sample) -> bool {
+        if !self.known.insert(sample.key.clone()) {
+            return false;
+        }
+        self.waiting.push_back(sample);
+        true
+    }
+
+    /// Whether an item has a result, listed or about to be.
+    pub fn is_known(&self, key: &ItemKey) -> bool {
+        self.known.contains(key)
+    }
+
+    /// Returns a listed result of an item.
+    pub fn listed_sample(&self, key: &ItemKey) -> Option<&Arc<Sample>> {
+        let listed = self.listed.get(&key.job)?;
+        listed.iter().find(|sample| sample.key.item == key.item)
+    }
+
+    /// Whether results wait to be listed.
+    pub fn has_waiting(&self) -> bool {
+        self.writing.is_some() || !self.waiting.is_empty()
+    }
+
+    /// Returns the number of the chunk that comes next.
+    pub fn next_index(&self) -> u64 {
+        self.next_index
+    }
+
+    /// Returns the chunk to create next, of at most about `max_bytes`; the same one again until
+    /// [`ResultLog::apply`] has seen a chunk with its number.
+    pub fn chunk(
+        &mut self,
+        writer: &str,
+        unix_ms: u64,
+        max_bytes: usize,
+    ) -> Option<Arc<ResultChunk>> {
+        if self.writing.is_none() {
+            let samples = self.take_waiting(max_bytes);
+            if samples.is_empty() {
+                return None;
+            }
+            let index = self.next_index;
+            self.writing = Some(Arc::new(ResultChunk {
+                index,
+                writer: format!("{writer}-{index}"),
+                written_unix_ms: unix_ms,
+                samples,
+            }));
+        }
+        self.writing.clone()
+    }
+
+    fn take_waiting(&mut self, max_bytes: usize) -> Vec<Sample> {
+        let mut samples = Vec::new();
+        let mut bytes = 0;
+        while let Some(sample) = self.waiting.front() {
+            bytes += sample.size();
+            if bytes > max_bytes && !samples.is_empty() {
+                break;
+            }
+            samples.extend(self.waiting.pop_front());
+        }
+        samples
+    }
+
+    /// Takes a chunk that stands in the store, own or another's; returns false when it is not the
+    /// next one.
+    ///
+    /// The first chunk may have any number, since old chunks are deleted.
+    ///
+    /// Own results whose number another writer took wait again, without those that it listed.
+    pub fn apply(&mut self, chunk: &ResultChunk) -> bool {
+        let is_first = self.next_index == 0;
+        if chunk.index != self.next_index && !is_first {
+            return false;
+        }
+        self.next_index = chunk.index + 1;
+        let own = self.writing.take();
+        for sample in &chunk.samples {
+            self.known.insert(sample.key.clone());
+            if self.listed_sample(&sample.key).is_none() {
+                let listed = self.listed.entry(sample.key.job.clone()).or_default();
+                listed.push(Arc::new(sample.clone()));
+            }
+        }
+        if let Some(own) = own.filter(|own| own.writer != chunk.writer) {
+            for sample in own.samples.iter().rev() {
+                self.waiting.push_front(sample.clone());
+            }
+        }
+        let listed = &self.listed;
+        self.waiting.retain(|sample| {
+            let of_job = listed.get(&sample.key.job);
+            of_job.is_none_or(|all| all.iter().all(|one| one.key != sample.key))
+        });
+        true
+    }
+
+    /// Returns the results of a job from position `after` on, of at most about `max_bytes`, but
+    /// at least one if there is one.
+    pub fn read(&self, job: &str, after: usize, max_bytes: usize) -> &[Arc<Sample>] {
+        let listed = self.listed.get(job).map_or(&[][..], Vec::as_slice);
+        let rest = listed.get(after..).unwrap_or_default();
+        let mut bytes = 0;
+        let fitting = rest.iter().take_while(|sample| {
+            bytes += sample.size();
+            bytes <= max_bytes
+        });
+        let count = fitting.count().max(usize::from(!rest.is_empty()));
+        &rest[..count]
+    }
+
+    /// Returns how many results of a job are listed.
+    pub fn count(&self, job: &str) -> usize {
+        self.listed.get(job).map_or(0, Vec::len)
+    }
+
+    /// Drops the results of a job.
+    pub fn forget(&mut self, job: &str) {
+        self.listed.swap_remove(job);
+        self.known.retain(|key| key.job != job);
+        self.waiting.retain(|sample| sample.key.job != job);
+    }
+}
--- /dev/null
+++ b/crates/oleanderlock/src/routing/endpoint_entry.rs
@@ -0,0 +1,37 @@
+//! What the platform's list says of one endpoint.
+
+use crate::prelude::*;
+use indexmap::IndexMap;
+use std::net::SocketAddr;
+
+/// Whether an endpoint takes new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndpointState {
+    /// It takes work.
+    Ready,
+    /// It is leaving: it finishes what it has.
+    Draining,
+}
+
+/// What the platform's list says of one endpoint.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EndpointEntry {
+    /// Identity of the running incarnation.
+    pub instance: String,
+    /// Unix time of its start in milliseconds, when it says so.
+    pub started_unix_ms: Option<u64>,
+    /// Service that it serves.
+    pub service: String,
+    /// Address that takes its calls.
+    pub addr: SocketAddr,
+    /// Failure domain.
+    pub domain: String,
+    /// Calls that it works on at once.
+    pub slots: usize,
+    /// Whether it takes new work.
+    pub state: EndpointState,
+    /// How much longer it stays slow after its start.
+    pub warm_up: Millis,
+    /// Weight version of each model that it holds.
+    pub weights: IndexMap<String, u64>,
+}
--- /dev/null
+++ b/crates/oleanderlock/src/routing/endpoint_pick.rs
@@ -0,0 +1,60 @@
+//! The choice of an endpoint for one attempt of an interactive call.
+//!
+//! Load pattern: many entries share a few endpoints, each sees only its own calls, and some
+//! endpoints are slow, full or broken. The choice goes by the expected wait in this process, avoids
+//! endpoints that just failed, and prefers the own failure domain only between equals.
+
+use super::endpoint_entry::EndpointEntry;
+use super::endpoint_load::EndpointLoad;
+use crate::prelude::*;
+
+/// Time to an answer that is assumed of an endpoint that has not answered yet, in microseconds.
+const UNKNOWN_MEAN_US: u64 = 30_000;
+/// What a call to another failure domain costs beside the wait, in microseconds.
+const OTHER_DOMAIN_US: u64 = 5_000;
+
+/// An endpoint that may be chosen.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate<'a> {
+    /// What the list says of it.
+    pub entry: &'a EndpointEntry,
+    /// What this process has seen of it.
+    pub load: EndpointLoad,
+}
+
+/// Returns the candidate with the least expected wait, avoided ones last.
+///
+/// `tried` names instances that this call was sent to before; they come only when no other is
+/// left and `may_repeat` holds. `draw` orders equals.
+pub fn pick<'a>(
+    now: Millis,
+    domain: &str,
+    candidates: &[Candidate<'a>],
+    tried: &[String],
+    draw: u64,
+) -> Option<&'a EndpointEntry> {
+    let cost = |candidate: &Candidate<'a>, position: usize| {
+        let avoided = candidate.load.avoid_until > now;
+        let mean = match candidate.load.mean_us {
+            0 => UNKNOWN_MEAN_US,
+            mean => mean,
+        };
+        let slots = candidate.entry.slots.max(1) as u64;
+        let waiting = candidate.load.in_flight as u64 + 1;
+        let wait = mean * (slots + waiting) / slots;
+        let far = if candidate.entry.domain == domain {
+            0
+        } else {
+            OTHER_DOMAIN_US
+        };
+        let tie = (draw.wrapping_add(position as u64)) % candidates.len().max(1) as u64;
+        (avoided, wait + far, tie)
+    };
+    let untried = candidates
+        .iter()
+        .enumerate()
+        .filter(|(_, candidate)| !tried.contains(&candidate.entry.instance));
+    untried
+        .min_by_key(|(position, candidate)| cost(candidate, *position))
+        .map(|(_, candidate)| candidate.entry)
+}
--- /dev/null
+++ b/crates/oleanderlock/src/routing/endpoint_table.rs
@@ -0,0 +1,62 @@
+//! The endpoints that the platform's list names.
+
+use super::endpoint_entry::{EndpointEntry, EndpointState};
+use indexmap::IndexMap;
+use std::net::SocketAddr;
+
+/// The endpoints that are known, by instance.
+///
+/// Bounded by the platform's list.
+#[derive(Clone, Debug, Default)]
+pub struct EndpointTable {
+    entries: IndexMap<String, EndpointEntry>,
+}
+
+impl EndpointTable {
+    /// Adds or replaces an entry; returns whether anything but its absence changed.
+    pub fn put(&mut self, entry: EndpointEntry) -> bool {
+        let before = self.entries.insert(entry.instance.clone(), entry);
+        before.as_ref() != self.entries.last().map(|(_, now)| now)
+    }
+
+    /// Removes an entry that left the list; returns whether it was there.
+    pub fn remove(&mut self, instance: &str) -> bool {
+        self.entries.swap_remove(instance).is_some()
+    }
+
+    /// Returns the endpoints of a service that take new work.
+    pub fn ready<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a EndpointEntry> {
+        let of_service = self.entries.values();
+        of_service
+            .filter(move |entry| entry.service == service && entry.state == EndpointState::Ready)
+    }
+
+    /// Returns the newest incarnation at an address, leaving or not.
+    pub fn at(&self, addr: SocketAddr) -> Option<&EndpointEntry> {
+        let there = self.entries.values().filter(|entry| entry.addr == addr);
+        there.max_by_key(|entry| {
+            let ready = entry.state == EndpointState::Ready;
+            (entry.started_unix_ms.unwrap_or_default(), ready)
+        })
+    }
+
+    /// Returns an entry by its instance.
+    pub fn get(&self, instance: &str) -> Option<&EndpointEntry> {
+        self.entries.get(instance)
+    }
+
+    /// Returns the instances of all entries.
+    pub fn instances(&self) -> impl Iterator<Item = &str> {
+        self.entries.keys().map(String::as_str)
+    }
+
+    /// Returns the number of entries.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether no endpoint is known.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/oleanderlock/src/routing/route_table.rs
@@ -0,0 +1,37 @@
+//! The routes of one configuration, by host and longest prefix.
+
+use super::deployment_config::DeploymentConfig;
+use super::route::Route;
+use std::collections::HashMap;
+
+/// The routes of one configuration.
+#[derive(Clone, Debug)]
+pub struct RouteTable {
+    /// The configuration that the table was made from.
+    pub config: DeploymentConfig,
+    by_host: HashMap<String, Vec<usize>>,
+}
+
+impl RouteTable {
+    /// Orders the routes of each host by the length of their prefixes, longest first.
+    pub fn new(config: DeploymentConfig) -> Self {
+        let mut by_host: HashMap<String, Vec<usize>> = HashMap::new();
+        for (index, route) in config.routes.iter().enumerate() {
+            by_host.entry(route.host.clone()).or_default().push(index);
+        }
+        for indexes in by_host.values_mut() {
+            let length = |index: &usize| config.routes[*index].path_prefix.len();
+            indexes.sort_by_key(|index| std::cmp::Reverse(length(index)));
+        }
+        Self { config, by_host }
+    }
+
+    /// Returns the route with the longest prefix that begins `path`.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
+        let indexes = self.by_host.get(host)?;
+        let routes = indexes.iter().map(|index| &self.config.routes[*index]);
+        routes
+            .into_iter()
+            .find(|route| path.starts_with(&route.path_prefix))
+    }
+}
