List a kind anew after a broken watch; elect one dispatcher at a time

Standbys also took over from a leader that had just won, and from one that was idle and so had no fresh answer of the store (9 epochs before traffic). Ruled out: an unread 410 (none came), a lost answer of the first list. Conclusion: a broken watch says nothing of what was missed; list.

--- a/crates/oleander-rollout/src/dispatch/jobs.rs
+++ b/crates/oleander-rollout/src/dispatch/jobs.rs
@@ -5,7 +5,7 @@
 use crate::prelude::*;
 use crate::store::fault::StoreFault;
 use crate::store::job_objects::{JOB_END_KIND, JOB_KIND, read_job};
-use crate::store::watch::{Followed, follow};
+use crate::store::watch::{AfterBreak, Followed, follow};
 use oleander_platform::object::StoredObject;
 use oleanderlock::batch::job::Job;
 use oleanderlock::batch::job_terms::JobTerms;
@@ -40,7 +40,7 @@
 
 async fn follow_ends(dispatcher: Rc<Dispatcher>, epoch: u64, known: Rc<Cell<bool>>) {
     let store = Rc::clone(&dispatcher.store);
-    follow(store, JOB_END_KIND, move |change| {
+    follow(store, JOB_END_KIND, AfterBreak::List, move |change| {
         if !stands_in(&dispatcher, epoch) {
             return false;
         }
@@ -62,7 +62,7 @@
 
 async fn follow_jobs(dispatcher: Rc<Dispatcher>, epoch: u64, known: Rc<Cell<bool>>) {
     let store = Rc::clone(&dispatcher.store);
-    follow(store, JOB_KIND, move |change| {
+    follow(store, JOB_KIND, AfterBreak::Resume, move |change| {
         if !stands_in(&dispatcher, epoch) {
             return false;
         }
--- a/crates/oleander-rollout/src/dispatch/leading.rs
+++ b/crates/oleander-rollout/src/dispatch/leading.rs
@@ -10,6 +10,7 @@
 use crate::store::leader_object::{
     DISPATCHER_KIND, DispatcherObject, LEADER_NAME, LeaderObject, NODE_PREFIX,
 };
+use crate::store::view::View;
 use crate::store::watch::list_all;
 use http::Method;
 use oleanderlock::batch::board::Board;
@@ -25,6 +26,8 @@
 const PROBE_LIMIT: Millis = Millis(400);
 /// Time between two looks of a leader at its own standing.
 const CHECK_EVERY: Millis = Millis(200);
+/// Time without an answer of the store after which a leader asks it.
+const ASK_STORE_AFTER: Millis = Millis(1000);
 /// Pause after the store failed.
 const STORE_PAUSE: Millis = Millis(200);
 /// Head start of each standby over the next when nobody leads.
@@ -84,11 +87,7 @@
         sleep(CHECK_EVERY).await;
         return;
     }
-    let vacant = match &view.leader {
-        None => true,
-        Some((leader, _)) => leader.node.is_empty() || &leader.node == node,
-    };
-    if vacant {
+    if is_vacant(&view, node) {
         let rank = view
             .dispatchers
             .keys()
@@ -99,7 +98,9 @@
             .as_ref()
             .is_some_and(|(leader, _)| &leader.node == node);
         sleep(Millis(if own { 0 } else { RANK_PAUSE.0 * rank })).await;
-        take_over(dispatcher, "nobody leads").await;
+        if is_vacant(&dispatcher.view.get(), node) {
+            take_over(dispatcher, "nobody leads").await;
+        }
         return;
     }
     let Some((leader, _)) = &view.leader else {
@@ -119,6 +120,12 @@
         .await;
 }
 
+/// Whether nobody leads, or this node did before it was restarted.
+fn is_vacant(view: &View, node: &str) -> bool {
+    let leader = view.leader.as_ref().map(|(leader, _)| leader);
+    leader.is_none_or(|leader| leader.node.is_empty() || leader.node == node)
+}
+
 async fn probe(dispatcher: &Dispatcher, addr: SocketAddr, epoch: u64) -> LeaderProbe {
     let link = &dispatcher.link;
     let answer = link
@@ -216,6 +223,10 @@
         return;
     }
     sleep(CHECK_EVERY).await;
+    // An idle leader asks the store now and then, so that its standbys see whether it reaches it.
+    if dispatcher.store.answer_age() > ASK_STORE_AFTER {
+        commit::verify(dispatcher, ASK_STORE_AFTER).await;
+    }
 }
 
 async fn recover(dispatcher: &Rc<Dispatcher>, epoch: u64) -> Result<(), StoreFault> {
--- a/crates/oleander-rollout/src/store/follow.rs
+++ b/crates/oleander-rollout/src/store/follow.rs
@@ -5,7 +5,7 @@
     DISPATCHER_KIND, DispatcherObject, LEADER_NAME, LeaderObject, NODE_PREFIX,
 };
 use super::view::{SharedView, View};
-use super::watch::{Followed, follow};
+use super::watch::{AfterBreak, Followed, follow};
 use crate::prelude::*;
 use oleander_platform::config::decode_config;
 use oleander_platform::endpoint::decode_endpoint;
@@ -58,33 +58,53 @@
     let store = StoreClient::new(store);
     if interests.config {
         let view = view.clone();
-        spawn(follow(Rc::clone(&store), CONFIG_KIND, move |change| {
-            apply_config(&view, change);
-            true
-        }));
+        spawn(follow(
+            Rc::clone(&store),
+            CONFIG_KIND,
+            AfterBreak::List,
+            move |change| {
+                apply_config(&view, change);
+                true
+            },
+        ));
     }
     if interests.endpoints {
         let endpoints = Endpoints::new(view.clone());
-        spawn(follow(Rc::clone(&store), ENDPOINT_KIND, move |change| {
-            endpoints.apply(change);
-            true
-        }));
+        spawn(follow(
+            Rc::clone(&store),
+            ENDPOINT_KIND,
+            AfterBreak::List,
+            move |change| {
+                endpoints.apply(change);
+                true
+            },
+        ));
     }
     if interests.versions {
         let view = view.clone();
-        spawn(follow(Rc::clone(&store), VERSION_KIND, move |change| {
-            apply_version(&view, change);
-            true
-        }));
+        spawn(follow(
+            Rc::clone(&store),
+            VERSION_KIND,
+            AfterBreak::List,
+            move |change| {
+                apply_version(&view, change);
+                true
+            },
+        ));
     }
     if interests.retirements {
         let view = view.clone();
-        spawn(follow(Rc::clone(&store), RETIREMENT_KIND, move |change| {
-            apply_retirement(&view, change);
-            true
-        }));
+        spawn(follow(
+            Rc::clone(&store),
+            RETIREMENT_KIND,
+            AfterBreak::List,
+            move |change| {
+                apply_retirement(&view, change);
+                true
+            },
+        ));
     }
-    follow(store, DISPATCHER_KIND, move |change| {
+    follow(store, DISPATCHER_KIND, AfterBreak::List, move |change| {
         apply_dispatcher(&view, change);
         true
     })
--- a/crates/oleander-rollout/src/store/watch.rs
+++ b/crates/oleander-rollout/src/store/watch.rs
@@ -29,10 +29,21 @@
     Lost,
 }
 
+/// What to do when a watch broke off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AfterBreak {
+    /// List the kind anew: a store that lost its history may be silent on a resumed watch for
+    /// seconds.
+    List,
+    /// Resume the watch, because the kind is large and its objects are also heard of otherwise.
+    Resume,
+}
+
 /// Follows all objects of a kind until `apply` returns false.
 pub async fn follow(
     store: Rc<StoreClient>,
     kind: &'static str,
+    after_break: AfterBreak,
     mut apply: impl FnMut(Followed) -> bool,
 ) {
     let mut revision = None;
@@ -67,6 +78,9 @@
                 }
                 sleep(pause(failures)).await;
                 failures += 1;
+                if after_break == AfterBreak::List {
+                    revision = None;
+                }
             }
         }
     }
--- a/crates/oleanderlock/src/batch/leadership.rs
+++ b/crates/oleanderlock/src/batch/leadership.rs
@@ -8,7 +8,7 @@
 /// Probes in a row without an answer after which a leader counts as gone.
 const MISSES_MAX: u32 = 3;
 /// Time for which a leader may be without the store before a standby tries to take over.
-const WITHOUT_STORE_MAX: Millis = Millis(1500);
+const WITHOUT_STORE_MAX: Millis = Millis(2000);
 
 /// What a probe of the leader brought.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
