--- a/crates/oleander-rollout/src/agent/agent_process.rs
+++ b/crates/oleander-rollout/src/agent/agent_process.rs
@@ -10,6 +10,7 @@
 use crate::prelude::*;
 use crate::settings::Config;
 use crate::store::follow::{Interests, spawn_follower};
+use crate::store::gate::Gate;
 use crate::store::view::SharedView;
 use event_listener::Event;
 use oleanderlock::routing::endpoint_entry::{EndpointEntry, EndpointState};
@@ -56,12 +57,8 @@
             || std::io::Error::new(IoErrorKind::InvalidInput, "[engine] addr must be set");
         let engine = cfg.engine.ok_or_else(missing)?;
         let view = SharedView::default();
-        let interests = Interests {
-            config: true,
-            endpoints: true,
-            ..Interests::default()
-        };
-        spawn_follower(cfg.store, interests, view.clone())?;
+        // The leader tells the rest.
+        spawn_follower(cfg.store, Interests::default(), Gate::open(), view.clone())?;
         let agent = Rc::new(Self {
             link: LeaderLink::new(view.clone()),
             caller: Caller::new(view.clone(), cfg.domain.clone(), metrics.clone()),
@@ -117,6 +114,26 @@
         self.notify();
     }
 
+    /// Gives back the items with these names, as `JOB/ITEM`, with what was made of them.
+    pub fn give_back_named(&self, names: &[String]) {
+        let mut state = self.state.borrow_mut();
+        for name in names {
+            // Removing an item cancels its run.
+            if let Some(item) = state.items.shift_remove(name) {
+                let returned = ReturnedItem {
+                    key: item.work.key.clone(),
+                    reason: ReturnReason::Recalled,
+                    progress: item.work.progress.clone(),
+                };
+                state.returned.insert(name.clone(), returned);
+            }
+        }
+        drop(state);
+        if !names.is_empty() {
+            self.notify();
+        }
+    }
+
     /// Stops it: runs end if they can in time, the rest goes to other agents.
     pub async fn stop(&self) {
         self.stopping.set(true);
--- a/crates/oleander-rollout/src/agent/pull.rs
+++ b/crates/oleander-rollout/src/agent/pull.rs
@@ -4,11 +4,15 @@
 use super::state::HeldItem;
 use super::{load, runner};
 use crate::peer::leader_link::LeaderFault;
-use crate::peer::messages::{PULL, PullAnswer};
+use crate::peer::messages::{PULL, PlatformNews, PullAnswer};
 use crate::prelude::*;
+use crate::store::follow::adopt_config;
 use http::{Method, StatusCode};
 use oleanderlock::batch::agent_state::AgentReport;
+use oleanderlock::routing::endpoint_table::EndpointTable;
+use oleanderlock::routing::route_table::RouteTable;
 use std::rc::Rc;
+use std::sync::Arc;
 
 /// Longest wait for the answer to a report.
 const PULL_LIMIT: Millis = Millis(1800);
@@ -55,7 +59,23 @@
     serde_json::from_slice(&body).map_err(|bad| fault(bad.to_string()))
 }
 
+fn take_news(agent: &Agent, news: PlatformNews) {
+    if let Some(config) = news.config {
+        adopt_config(&agent.view, RouteTable::new(config));
+    }
+    if let Some((entries, digest)) = news.endpoints {
+        event(log::Level::Info, "endpoints-told", || {
+            format!("endpoints={} digest={digest:016x}", entries.len())
+        });
+        agent.state.borrow_mut().endpoints_digest = digest;
+        agent
+            .view
+            .update(|view| view.endpoints = Arc::new(EndpointTable::of(entries)));
+    }
+}
+
 fn report(agent: &Agent) -> AgentReport {
+    let view = agent.view.get();
     let endpoint = agent.endpoint();
     let ready = agent.ready_endpoint().is_some() && !agent.stopping.get();
     let state = agent.state.borrow();
@@ -70,19 +90,27 @@
             .as_ref()
             .map(|entry| entry.instance.clone())
             .unwrap_or_default(),
-        service: endpoint.map(|entry| entry.service).unwrap_or_default(),
+        service: endpoint.map(|entry| entry.service),
+        engine: Some(agent.engine.addr()),
         slots,
         leaving: !ready,
         weights: engine
             .map(|report| report.weights.clone())
             .unwrap_or_default(),
         loading: state.loading.clone(),
-        event_us: state.event_us,
+        event_us: state.pace_now(),
         items: state.names(),
+        config_version: view
+            .routes
+            .as_ref()
+            .map_or(0, |routes| routes.config.version),
+        endpoints_digest: state.endpoints_digest,
     }
 }
 
 fn take(agent: &Rc<Agent>, answer: PullAnswer) {
+    take_news(agent, answer.news);
+    agent.give_back_named(&answer.recall);
     {
         let mut state = agent.state.borrow_mut();
         for name in &answer.drop {
--- a/crates/oleander-rollout/src/agent/run.rs
+++ b/crates/oleander-rollout/src/agent/run.rs
@@ -180,6 +180,7 @@
             if let Some(end) = take_event(work, run_event, version, progress) {
                 return end;
             }
+            save_progress(agent, work, progress);
         }
         match within(SILENCE_MAX, exchange.next_piece()).await {
             Some(Ok(Some(piece))) => buf.push(&piece),
--- a/crates/oleander-rollout/src/agent/state.rs
+++ b/crates/oleander-rollout/src/agent/state.rs
@@ -10,6 +10,8 @@
 
 /// Weight of the newest time between two events in their mean, in parts of 16.
 const PACE_NEW_SIXTEENTHS: u64 = 1;
+/// Age at which the pace of past runs says nothing of the engine's pace now.
+const PACE_FRESH: Millis = Millis(4000);
 /// Age at which the engine's report no longer says that the engine is there.
 const REPORT_FRESH: Millis = Millis(1500);
 
@@ -37,6 +39,10 @@
     pub loading: Option<String>,
     /// Mean time between two events of a run, in microseconds; 0 when not known.
     pub event_us: u64,
+    /// When the last event of any run came.
+    pub event_at: Millis,
+    /// Digest of the endpoints that the leader told; 0 for none.
+    pub endpoints_digest: u64,
 }
 
 impl State {
@@ -63,13 +69,22 @@
     pub fn saw_event_after(&mut self, length: Millis) {
         let us = length.0.saturating_mul(1000);
         let old = self.event_us;
-        self.event_us = if old == 0 {
+        let stale = now().since(std::mem::replace(&mut self.event_at, now())) > PACE_FRESH;
+        self.event_us = if old == 0 || stale {
             us
         } else {
             (old * (16 - PACE_NEW_SIXTEENTHS) + us * PACE_NEW_SIXTEENTHS) / 16
         };
     }
 
+    /// Returns the mean time between two events, or 0 when no run showed it lately.
+    pub fn pace_now(&self) -> u64 {
+        if now().since(self.event_at) > PACE_FRESH {
+            return 0;
+        }
+        self.event_us
+    }
+
     /// Takes an item out; its run is cancelled.
     pub fn drop_item(&mut self, name: &str) -> bool {
         let held = self.items.shift_remove(name).is_some();
--- a/crates/oleander-rollout/src/dispatch/agents_api.rs
+++ b/crates/oleander-rollout/src/dispatch/agents_api.rs
@@ -2,6 +2,7 @@
 
 use super::dispatcher::Dispatcher;
 use super::http_api::to_json;
+use super::news;
 use super::ticks::give_up;
 use crate::http::answer::{self, Answer};
 use crate::peer::messages::{HandIn, PullAnswer, ReturnReason, ReturnedItem};
@@ -25,10 +26,11 @@
     let agent = report.agent.clone();
     {
         let mut state = dispatcher.state.borrow_mut();
+        news::refresh(dispatcher, &mut state);
         let undelivered = state.outbox(&agent).work.iter();
         let undelivered: Vec<String> = undelivered.map(|work| work.key.to_string()).collect();
         report.items.extend(undelivered);
-        let heard = state.board.hear(now(), report);
+        let heard = state.board.hear(now(), report.clone());
         for key in &heard.returned {
             event(log::Level::Warn, "item-lost", || {
                 format!("request={} job={} agent={agent}", key.item, key.job)
@@ -37,18 +39,22 @@
         state.outbox(&agent).drop.extend(heard.drop);
     }
     dispatcher.pump();
-    let waited = within(PULL_WAIT, next_for(dispatcher, &agent)).await;
+    let waited = within(PULL_WAIT, next_for(dispatcher, &report)).await;
     to_json(&waited.unwrap_or_default())
 }
 
-async fn next_for(dispatcher: &Dispatcher, agent: &str) -> PullAnswer {
+async fn next_for(dispatcher: &Dispatcher, report: &AgentReport) -> PullAnswer {
     loop {
         let listener = dispatcher.changed.listen();
         {
             let mut state = dispatcher.state.borrow_mut();
-            let outbox = state.outbox(agent);
-            if !outbox.is_empty() {
-                return outbox.take();
+            let news = news::for_agent(dispatcher, &state, report);
+            let outbox = state.outbox(&report.agent);
+            if !outbox.is_empty() || !news.is_empty() {
+                return PullAnswer {
+                    news,
+                    ..outbox.take()
+                };
             }
         }
         listener.await;
--- a/crates/oleander-rollout/src/dispatch/dispatcher.rs
+++ b/crates/oleander-rollout/src/dispatch/dispatcher.rs
@@ -9,6 +9,7 @@
 use crate::settings::Config;
 use crate::store::client::StoreClient;
 use crate::store::follow::{Interests, spawn_follower};
+use crate::store::gate::Gate;
 use crate::store::view::SharedView;
 use event_listener::Event;
 use oleanderlock::batch::board::Board;
@@ -33,6 +34,8 @@
     pub state: RefCell<State>,
     /// Notified when results, outboxes or the standing change.
     pub changed: Event,
+    /// Open while it leads: a standby follows only who leads.
+    pub leading: Gate,
     /// Whether the process is to end.
     pub stopping: Cell<bool>,
     /// Ends the server.
@@ -49,11 +52,12 @@
         let view = SharedView::default();
         let interests = Interests {
             config: true,
+            endpoints: true,
             versions: true,
             retirements: true,
-            ..Interests::default()
         };
-        spawn_follower(cfg.store, interests, view.clone())?;
+        let leading = Gate::default();
+        spawn_follower(cfg.store, interests, leading.clone(), view.clone())?;
         let dispatcher = Rc::new(Self {
             store: StoreClient::new(cfg.store),
             link: LeaderLink::new(view.clone()),
@@ -61,6 +65,7 @@
             metrics,
             state: RefCell::default(),
             changed: Event::new(),
+            leading,
             stopping: Cell::new(false),
             closing: Rc::default(),
             cfg,
@@ -83,6 +88,8 @@
         *state = State::default();
         state.board = Board::new(BoardConfig::default());
         drop(state);
+        self.leading.set(false);
+        self.view.update(|view| view.endpoints_known = false);
         event(log::Level::Warn, "stepped-down", || {
             format!("standing={standing:?} reason=\"{reason}\"")
         });
--- a/crates/oleander-rollout/src/dispatch/jobs.rs
+++ b/crates/oleander-rollout/src/dispatch/jobs.rs
@@ -4,6 +4,7 @@
 use super::state::{JobRecord, Standing};
 use crate::prelude::*;
 use crate::store::fault::StoreFault;
+use crate::store::gate::Gate;
 use crate::store::job_objects::{JOB_END_KIND, JOB_KIND, read_job};
 use crate::store::watch::{AfterBreak, Followed, follow};
 use oleander_platform::object::StoredObject;
@@ -40,51 +41,63 @@
 
 async fn follow_ends(dispatcher: Rc<Dispatcher>, epoch: u64, known: Rc<Cell<bool>>) {
     let store = Rc::clone(&dispatcher.store);
-    follow(store, JOB_END_KIND, AfterBreak::List, move |change| {
-        if !stands_in(&dispatcher, epoch) {
-            return false;
-        }
-        match change {
-            Followed::All(objects, _) => {
-                for object in &objects {
-                    end(&dispatcher, &object.name);
+    follow(
+        store,
+        JOB_END_KIND,
+        AfterBreak::List,
+        Gate::open(),
+        move |change| {
+            if !stands_in(&dispatcher, epoch) {
+                return false;
+            }
+            match change {
+                Followed::All(objects, _) => {
+                    for object in &objects {
+                        end(&dispatcher, &object.name);
+                    }
+                    known.set(true);
+                    dispatcher.notify();
                 }
-                known.set(true);
-                dispatcher.notify();
+                Followed::Put(object) => end(&dispatcher, &object.name),
+                Followed::Gone(_) | Followed::Regained | Followed::Lost => {}
             }
-            Followed::Put(object) => end(&dispatcher, &object.name),
-            Followed::Gone(_) | Followed::Regained | Followed::Lost => {}
-        }
-        true
-    })
+            true
+        },
+    )
     .await;
 }
 
 async fn follow_jobs(dispatcher: Rc<Dispatcher>, epoch: u64, known: Rc<Cell<bool>>) {
     let store = Rc::clone(&dispatcher.store);
-    follow(store, JOB_KIND, AfterBreak::Resume, move |change| {
-        if !stands_in(&dispatcher, epoch) {
-            return false;
-        }
-        match change {
-            Followed::All(objects, _) => {
-                let (dispatcher, known) = (Rc::clone(&dispatcher), Rc::clone(&known));
-                spawn(async move {
-                    for object in objects {
-                        accept_object(&dispatcher, epoch, &object).await;
-                    }
-                    known.set(true);
-                    dispatcher.notify();
-                });
+    follow(
+        store,
+        JOB_KIND,
+        AfterBreak::Resume,
+        Gate::open(),
+        move |change| {
+            if !stands_in(&dispatcher, epoch) {
+                return false;
             }
-            Followed::Put(object) => {
-                let dispatcher = Rc::clone(&dispatcher);
-                spawn(async move { accept_object(&dispatcher, epoch, &object).await });
+            match change {
+                Followed::All(objects, _) => {
+                    let (dispatcher, known) = (Rc::clone(&dispatcher), Rc::clone(&known));
+                    spawn(async move {
+                        for object in objects {
+                            accept_object(&dispatcher, epoch, &object).await;
+                        }
+                        known.set(true);
+                        dispatcher.notify();
+                    });
+                }
+                Followed::Put(object) => {
+                    let dispatcher = Rc::clone(&dispatcher);
+                    spawn(async move { accept_object(&dispatcher, epoch, &object).await });
+                }
+                Followed::Gone(_) | Followed::Regained | Followed::Lost => {}
             }
-            Followed::Gone(_) | Followed::Regained | Followed::Lost => {}
-        }
-        true
-    })
+            true
+        },
+    )
     .await;
 }
 
--- a/crates/oleander-rollout/src/dispatch/leading.rs
+++ b/crates/oleander-rollout/src/dispatch/leading.rs
@@ -166,6 +166,7 @@
     event(log::Level::Warn, "took-over", || {
         format!("epoch={epoch} reason=\"{reason}\"")
     });
+    dispatcher.leading.set(true);
     *dispatcher.state.borrow_mut() = State {
         standing: Standing::Recovering { epoch },
         board: Board::new(BoardConfig::default()),
--- a/crates/oleander-rollout/src/dispatch/mod.rs
+++ b/crates/oleander-rollout/src/dispatch/mod.rs
@@ -10,6 +10,7 @@
 mod jobs;
 mod jobs_api;
 mod leading;
+mod news;
 mod outbox;
 mod retire;
 mod state;
--- a/crates/oleander-rollout/src/dispatch/state.rs
+++ b/crates/oleander-rollout/src/dispatch/state.rs
@@ -1,5 +1,6 @@
 //! What a leading dispatcher knows.
 
+use super::news::EndpointNews;
 use super::outbox::Outbox;
 use crate::prelude::*;
 use indexmap::{IndexMap, IndexSet};
@@ -50,6 +51,10 @@
     pub ended: IndexSet<String>,
     /// What waits for each agent.
     pub outboxes: IndexMap<String, Outbox>,
+    /// Endpoints as agents know them.
+    pub endpoints: EndpointNews,
+    /// Version of the configuration that agents were told of; 0 for none.
+    pub config_told: u64,
     /// Start of the last call that showed that no other dispatcher has listed results.
     pub verified: Millis,
 }
--- a/crates/oleander-rollout/src/dispatch/ticks.rs
+++ b/crates/oleander-rollout/src/dispatch/ticks.rs
@@ -1,8 +1,8 @@
 //! What happens with time: silent agents, items that are kept too long, old objects.
 
 use super::dispatcher::Dispatcher;
-use super::retire;
 use super::state::State;
+use super::{news, retire};
 use crate::peer::messages::{LoadWork, WorkItem};
 use crate::prelude::*;
 use crate::store::job_objects::{JOB_END_KIND, JOB_KIND, RESULT_KIND, chunk_name};
@@ -31,6 +31,8 @@
             continue;
         }
         drop_silent(&dispatcher);
+        tell_news(&dispatcher);
+        recall_slow(&dispatcher);
         give_up_old(&dispatcher);
         dispatcher.pump();
         retire::run(&dispatcher).await;
@@ -106,6 +108,30 @@
     state.outbox(&agent).work.push(work);
 }
 
+/// Wakes the agents when the store told something that they need.
+fn tell_news(dispatcher: &Dispatcher) {
+    let changed = news::refresh(dispatcher, &mut dispatcher.state.borrow_mut());
+    if changed {
+        dispatcher.notify();
+    }
+}
+
+/// Recalls runs from slow engines.
+fn recall_slow(dispatcher: &Dispatcher) {
+    let mut state = dispatcher.state.borrow_mut();
+    for (agent, key) in state.board.recalls(now()) {
+        let name = key.to_string();
+        let outbox = state.outbox(&agent);
+        if outbox.recall.contains(&name) {
+            continue;
+        }
+        outbox.recall.push(name);
+        event(log::Level::Info, "item-recalled", || {
+            format!("request={} job={} agent={agent}", key.item, key.job)
+        });
+    }
+}
+
 fn drop_silent(dispatcher: &Dispatcher) {
     let mut state = dispatcher.state.borrow_mut();
     for agent in state.board.drop_silent(now()) {
--- a/crates/oleander-rollout/src/entry/entry_process.rs
+++ b/crates/oleander-rollout/src/entry/entry_process.rs
@@ -10,6 +10,7 @@
 use crate::settings::Config;
 use crate::store::client::StoreClient;
 use crate::store::follow::{Interests, spawn_follower};
+use crate::store::gate::Gate;
 use crate::store::view::SharedView;
 use http::StatusCode;
 use std::cell::Cell;
@@ -71,7 +72,7 @@
             endpoints: true,
             ..Interests::default()
         };
-        spawn_follower(cfg.store, interests, view.clone())?;
+        spawn_follower(cfg.store, interests, Gate::open(), view.clone())?;
         let entry = Rc::new(Self {
             store: StoreClient::new(cfg.store),
             link: LeaderLink::new(view.clone()),
--- a/crates/oleander-rollout/src/peer/messages.rs
+++ b/crates/oleander-rollout/src/peer/messages.rs
@@ -4,6 +4,8 @@
 use oleanderlock::batch::job::JobItem;
 use oleanderlock::batch::progress::Progress;
 use oleanderlock::batch::sample::Sample;
+use oleanderlock::routing::deployment_config::DeploymentConfig;
+use oleanderlock::routing::endpoint_entry::EndpointEntry;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -53,8 +55,28 @@
     pub work: Vec<WorkItem>,
     /// Items to drop, as `JOB/ITEM`.
     pub drop: Vec<String>,
+    /// Items to give back with what was made, so that a faster engine goes on with them.
+    pub recall: Vec<String>,
     /// Weights to load now.
     pub load: Option<LoadWork>,
+    /// What the platform's store told the leader, where the agent does not know it.
+    pub news: PlatformNews,
+}
+
+/// What the platform's store told the leader, where an agent does not know it.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct PlatformNews {
+    /// The configuration in force.
+    pub config: Option<DeploymentConfig>,
+    /// The agent's own endpoint and those of other services, with the digest to name them by.
+    pub endpoints: Option<(Vec<EndpointEntry>, u64)>,
+}
+
+impl PlatformNews {
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.config.is_none() && self.endpoints.is_none()
+    }
 }
 
 /// Why an item came back without a result.
@@ -65,6 +87,8 @@
     EngineFailed,
     /// The engine is gone or leaving, or the agent is stopping.
     EngineLost,
+    /// The dispatcher recalled it, for a faster engine.
+    Recalled,
     /// The engine's weights are too old.
     TooOld,
     /// The score could not be had, but may be later.
--- a/crates/oleander-rollout/src/store/follow.rs
+++ b/crates/oleander-rollout/src/store/follow.rs
@@ -1,6 +1,7 @@
 //! The control thread: follows the store and keeps the view.
 
 use super::client::StoreClient;
+use super::gate::Gate;
 use super::leader_object::{
     DISPATCHER_KIND, DispatcherObject, LEADER_NAME, LeaderObject, NODE_PREFIX,
 };
@@ -39,7 +40,8 @@
     pub retirements: bool,
 }
 
-/// Starts the thread that keeps `view`.
+/// Starts the thread that keeps `view`: who dispatches always, what else is of interest while
+/// `gate` is open.
 ///
 /// # Errors
 ///
@@ -47,14 +49,15 @@
 pub fn spawn_follower(
     store: SocketAddr,
     interests: Interests,
+    gate: Gate,
     view: SharedView,
 ) -> std::io::Result<JoinHandle<()>> {
     std::thread::Builder::new()
         .name("control".to_owned())
-        .spawn(move || crate::runtime::run(follow_all(store, interests, view)))
+        .spawn(move || crate::runtime::run(follow_all(store, interests, gate, view)))
 }
 
-async fn follow_all(store: SocketAddr, interests: Interests, view: SharedView) {
+async fn follow_all(store: SocketAddr, interests: Interests, gate: Gate, view: SharedView) {
     let store = StoreClient::new(store);
     if interests.config {
         let view = view.clone();
@@ -62,6 +65,7 @@
             Rc::clone(&store),
             CONFIG_KIND,
             AfterBreak::List,
+            gate.clone(),
             move |change| {
                 apply_config(&view, change);
                 true
@@ -74,6 +78,7 @@
             Rc::clone(&store),
             ENDPOINT_KIND,
             AfterBreak::List,
+            gate.clone(),
             move |change| {
                 endpoints.apply(change);
                 true
@@ -86,6 +91,7 @@
             Rc::clone(&store),
             VERSION_KIND,
             AfterBreak::List,
+            gate.clone(),
             move |change| {
                 apply_version(&view, change);
                 true
@@ -98,16 +104,23 @@
             Rc::clone(&store),
             RETIREMENT_KIND,
             AfterBreak::List,
+            gate.clone(),
             move |change| {
                 apply_retirement(&view, change);
                 true
             },
         ));
     }
-    follow(store, DISPATCHER_KIND, AfterBreak::List, move |change| {
-        apply_dispatcher(&view, change);
-        true
-    })
+    follow(
+        store,
+        DISPATCHER_KIND,
+        AfterBreak::List,
+        Gate::open(),
+        move |change| {
+            apply_dispatcher(&view, change);
+            true
+        },
+    )
     .await;
 }
 
@@ -138,7 +151,8 @@
     }
 }
 
-fn adopt_config(view: &SharedView, table: RouteTable) {
+/// Puts a configuration in force, unless a newer one is.
+pub fn adopt_config(view: &SharedView, table: RouteTable) {
     let version = table.config.version;
     let known = view.get();
     let known = known.routes.as_ref().map(|routes| routes.config.version);
@@ -195,6 +209,11 @@
     if matches!(change, Followed::Lost | Followed::Regained) {
         return;
     }
+    if let Followed::All(_, revision) = &change
+        && view.get().first_revision == 0
+    {
+        view.update(|view| view.first_revision = *revision);
+    }
     if let Followed::Gone(name) = &change
         && let Some(node) = name.strip_prefix(NODE_PREFIX)
     {
@@ -270,7 +289,7 @@
 
     fn apply(&self, change: Followed) {
         match change {
-            Followed::All(objects, revision) => self.put_all(&objects, revision),
+            Followed::All(objects, _) => self.put_all(&objects),
             Followed::Put(object) => self.put(&object),
             Followed::Gone(instance) => self.gone(instance),
             Followed::Lost => {
@@ -280,7 +299,7 @@
         }
     }
 
-    fn put_all(&self, objects: &[StoredObject], revision: u64) {
+    fn put_all(&self, objects: &[StoredObject]) {
         let known: Vec<String> = {
             let view = self.view.get();
             view.endpoints.instances().map(str::to_owned).collect()
@@ -293,9 +312,7 @@
             self.gone(instance);
         }
         self.view.update(|view| {
-            if view.first_revision == 0 {
-                view.first_revision = revision;
-            }
+            view.endpoints_known = true;
         });
     }
 
--- a/crates/oleander-rollout/src/store/mod.rs
+++ b/crates/oleander-rollout/src/store/mod.rs
@@ -3,6 +3,7 @@
 pub mod client;
 pub mod fault;
 pub mod follow;
+pub mod gate;
 pub mod job_objects;
 pub mod leader_object;
 pub mod view;
--- a/crates/oleander-rollout/src/store/view.rs
+++ b/crates/oleander-rollout/src/store/view.rs
@@ -27,7 +27,9 @@
     pub dispatchers: IndexMap<String, SocketAddr>,
     /// Store machines that are to be emptied and are not yet.
     pub retiring: IndexSet<String>,
-    /// Revision of the store when the endpoints were first listed.
+    /// Whether the endpoints are those of the list, not of an earlier time.
+    pub endpoints_known: bool,
+    /// Revision of the store when this process first read it.
     pub first_revision: u64,
 }
 
--- a/crates/oleander-rollout/src/store/watch.rs
+++ b/crates/oleander-rollout/src/store/watch.rs
@@ -2,6 +2,7 @@
 
 use super::client::StoreClient;
 use super::fault::StoreFault;
+use super::gate::Gate;
 use crate::prelude::*;
 use oleander_platform::decode_fault::DecodeFault;
 use oleander_platform::object::{ObjectChange, StoredObject};
@@ -39,16 +40,21 @@
     Resume,
 }
 
-/// Follows all objects of a kind until `apply` returns false.
+/// Follows all objects of a kind while `gate` is open, until `apply` returns false.
 pub async fn follow(
     store: Rc<StoreClient>,
     kind: &'static str,
     after_break: AfterBreak,
+    gate: Gate,
     mut apply: impl FnMut(Followed) -> bool,
 ) {
     let mut revision = None;
     let mut failures = 0;
     loop {
+        if !gate.is_open() {
+            gate.opened().await;
+            revision = None;
+        }
         let step = match revision {
             None => list(&store, kind, &mut apply).await,
             Some(from) => watch(&store, kind, from, &mut apply).await,
--- a/crates/oleanderlock/src/batch/agent_state.rs
+++ b/crates/oleanderlock/src/batch/agent_state.rs
@@ -3,6 +3,12 @@
 use crate::prelude::*;
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// Time between two events that is assumed while it is not known, in microseconds.
+const UNKNOWN_PACE_US: u64 = 30_000;
+/// Factor between two steps of pace.
+const PACE_STEP: f64 = 1.25;
 
 /// What an agent says of itself and its engine with each call.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -11,8 +17,10 @@
     pub agent: String,
     /// Incarnation of the engine; empty while none is there.
     pub instance: String,
-    /// Service that the engine belongs to.
-    pub service: String,
+    /// Service that the engine belongs to, once known.
+    pub service: Option<String>,
+    /// Address of the engine.
+    pub engine: Option<SocketAddr>,
     /// Requests that the engine runs at once; 0 when it takes no work now.
     pub slots: usize,
     /// Whether the agent is stopping, or its engine leaving.
@@ -25,6 +33,10 @@
     pub event_us: u64,
     /// Items that the agent has, as `JOB/ITEM`.
     pub items: Vec<String>,
+    /// Version of the configuration that the agent knows; 0 for none.
+    pub config_version: u64,
+    /// Digest of the endpoints that the agent knows; 0 for none.
+    pub endpoints_digest: u64,
 }
 
 /// What the board knows of an agent.
@@ -46,10 +58,29 @@
         !self.report.leaving && self.report.slots > self.outstanding
     }
 
-    /// Expected time, in microseconds of one event, until `more` items have had their turn.
-    pub fn expected_wait(&self, more: usize) -> u64 {
-        let slots = self.report.slots.max(1) as u64;
-        let load = (self.outstanding + more) as u64;
-        load * self.report.event_us.max(1) / slots
+    /// Returns the time between two events of a run, or what is assumed of an engine that has
+    /// not shown its pace lately.
+    pub fn pace_us(&self) -> u64 {
+        match self.report.event_us {
+            0 => UNKNOWN_PACE_US,
+            pace => pace,
+        }
+    }
+
+    /// Returns how long one event of each of the items takes when `more` come, in steps of a
+    /// quarter: engines of about the same pace count as equal.
+    pub fn pace_step(&self, more: usize) -> u32 {
+        let slots = self.report.slots.max(1) as f64;
+        let turns = ((self.outstanding + more) as f64 / slots).max(1.0);
+        let us = self.pace_us() as f64 * turns;
+        (us.ln() / PACE_STEP.ln()) as u32
+    }
+
+    /// Returns the number of items that could begin at once.
+    pub fn free_slots(&self) -> usize {
+        if self.report.leaving {
+            return 0;
+        }
+        self.report.slots.saturating_sub(self.outstanding)
     }
 }
--- a/crates/oleanderlock/src/batch/board_assign.rs
+++ b/crates/oleanderlock/src/batch/board_assign.rs
@@ -17,9 +17,8 @@
 
 /// Longest time for which a granted load counts as running before its agent says so.
 const LOAD_GRANT: Millis = Millis(1500);
-/// How much more wait an engine of the model's own set may have before another engine that holds
-/// fitting weights takes a group, in parts of 100.
-const OWN_SET_PERCENT: u64 = 200;
+/// Steps of pace by which an engine of another model's set must be better to take a group.
+const OTHER_SET_STEPS: u32 = 3;
 
 /// One item that goes to an agent.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -108,13 +107,13 @@
             let loading = agent.report.loading.as_ref() == Some(&job.model);
             agent.takes_work() && !loading && version.is_some_and(|has| *has >= job.oldest_version)
         };
-        let wait = |agent: &AgentState| {
+        let cost = |agent: &AgentState| {
             let own_set = self.sets.model_of(&agent.report.agent) == Some(&job.model);
-            let percent = if own_set { 100 } else { OWN_SET_PERCENT };
-            agent.expected_wait(more) * percent
+            let steps = if own_set { 0 } else { OTHER_SET_STEPS };
+            (agent.pace_step(more) + steps, agent.outstanding)
         };
         let fitting = self.agents.values().filter(|agent| fits(agent));
-        let best = fitting.min_by_key(|agent| wait(agent))?;
+        let best = fitting.min_by_key(|agent| cost(agent))?;
         Some(best.report.agent.clone())
     }
 
--- /dev/null
+++ b/crates/oleanderlock/src/batch/board_recall.rs
@@ -0,0 +1,59 @@
+//! Which runs move from a slow engine to a faster one.
+//!
+//! Load pattern: some engines run several times slower for seconds. A run there would end after its
+//! step is due; the same run goes on elsewhere behind its last event for the price of reading its
+//! prompt again.
+
+use super::agent_state::AgentState;
+use super::board::Board;
+use super::item_key::ItemKey;
+use super::item_state::ItemPhase;
+use crate::prelude::*;
+
+/// How many times slower an engine must be than one with free slots for its runs to move.
+const SLOWER_TIMES: u64 = 2;
+/// Shortest time that a run stays where it was assigned.
+const STAY_MIN: Millis = Millis(600);
+
+impl Board {
+    /// Returns runs that should move, with the agents that have them. They stay assigned until
+    /// the agents give them back.
+    pub fn recalls(&self, now: Millis) -> Vec<(String, ItemKey)> {
+        let mut recalls = Vec::new();
+        for (name, agent) in &self.agents {
+            if agent.outstanding == 0 || agent.report.event_us == 0 {
+                continue;
+            }
+            for job in self.jobs.values().filter(|job| !job.ended) {
+                let mut room = self.faster_room(agent, &job.model, job.oldest_version);
+                for (id, item) in &job.items {
+                    let ItemPhase::Running { agent, since } = &item.phase else {
+                        continue;
+                    };
+                    if room == 0 || agent != name || now.since(*since) < STAY_MIN {
+                        continue;
+                    }
+                    room -= 1;
+                    let key = ItemKey {
+                        job: job.id.clone(),
+                        item: id.clone(),
+                    };
+                    recalls.push((name.clone(), key));
+                }
+            }
+        }
+        recalls
+    }
+
+    /// Free slots of engines that are much faster than `slow` and may run items of the model.
+    fn faster_room(&self, slow: &AgentState, model: &str, oldest_version: u64) -> usize {
+        let fits = |agent: &&AgentState| {
+            let version = agent.report.weights.get(model);
+            let fresh = version.is_some_and(|has| *has >= oldest_version);
+            let loading = agent.report.loading.as_deref() == Some(model);
+            fresh && !loading && agent.pace_us() * SLOWER_TIMES < slow.pace_us()
+        };
+        let faster = self.agents.values().filter(fits);
+        faster.map(AgentState::free_slots).sum()
+    }
+}
--- a/crates/oleanderlock/src/routing/deployment_config.rs
+++ b/crates/oleanderlock/src/routing/deployment_config.rs
@@ -3,9 +3,10 @@
 use super::route::Route;
 use crate::prelude::*;
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
 
 /// Bounds on what a client may send, and how long it may take.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClientLimits {
     /// Greatest request head, in bytes.
     pub header_bytes: usize,
@@ -18,7 +19,7 @@
 }
 
 /// What the configuration says of a service.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceConfig {
     /// Path of the health check.
     pub health_path: String,
@@ -27,7 +28,7 @@
 }
 
 /// One version of the deployment's configuration.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DeploymentConfig {
     /// Number of the version; greater is newer.
     pub version: u64,
--- a/crates/oleanderlock/src/routing/endpoint_entry.rs
+++ b/crates/oleanderlock/src/routing/endpoint_entry.rs
@@ -2,10 +2,11 @@
 
 use crate::prelude::*;
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
 /// Whether an endpoint takes new work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum EndpointState {
     /// It takes work.
     Ready,
@@ -14,7 +15,7 @@
 }
 
 /// What the platform's list says of one endpoint.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointEntry {
     /// Identity of the running incarnation.
     pub instance: String,
--- a/crates/oleanderlock/src/routing/endpoint_table.rs
+++ b/crates/oleanderlock/src/routing/endpoint_table.rs
@@ -45,6 +45,21 @@
         self.entries.get(instance)
     }
 
+    /// Makes a table of entries.
+    pub fn of(entries: Vec<EndpointEntry>) -> Self {
+        let entries = entries.into_iter();
+        Self {
+            entries: entries
+                .map(|entry| (entry.instance.clone(), entry))
+                .collect(),
+        }
+    }
+
+    /// Returns all entries.
+    pub fn entries(&self) -> impl Iterator<Item = &EndpointEntry> {
+        self.entries.values()
+    }
+
     /// Returns the instances of all entries.
     pub fn instances(&self) -> impl Iterator<Item = &str> {
         self.entries.keys().map(String::as_str)
--- a/crates/oleanderlock/src/routing/route.rs
+++ b/crates/oleanderlock/src/routing/route.rs
@@ -2,9 +2,10 @@
 
 use super::route_kind::RouteKind;
 use crate::prelude::*;
+use serde::{Deserialize, Serialize};
 
 /// A service that a route leads to, with its share of the calls.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RouteTarget {
     /// Name of the service.
     pub service: String,
@@ -13,7 +14,7 @@
 }
 
 /// One route of the configuration.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Route {
     /// Name of the route.
     pub name: String,
--- a/crates/oleanderlock/src/routing/route_kind.rs
+++ b/crates/oleanderlock/src/routing/route_kind.rs
@@ -1,9 +1,10 @@
 //! What may be repeated on a route.
 
+use serde::{Deserialize, Serialize};
 use strum::{Display, EnumString};
 
 /// The kind of a route decides which attempts may follow a failed one.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, EnumString)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, EnumString, Serialize, Deserialize)]
 #[strum(serialize_all = "lowercase")]
 pub enum RouteKind {
     /// Idempotent calls: they may run more than once.
