--- a/crates/oleander-rollout/src/agent/state.rs
+++ b/crates/oleander-rollout/src/agent/state.rs
@@ -122,9 +122,14 @@
         held.chain(self.returned.keys()).cloned().collect()
     }
 
-    /// Returns the keys of the items that wait for a slot.
+    /// Returns the keys of the items that wait for a slot, those expected to take longest first.
     pub fn waiting(&self) -> Vec<ItemKey> {
         let waiting = self.items.values().filter(|item| item.run.is_none());
-        waiting.map(|item| item.work.key.clone()).collect()
+        let mut waiting: Vec<&HeldItem> = waiting.collect();
+        waiting.sort_by_key(|item| std::cmp::Reverse(item.work.item.expected_tokens));
+        waiting
+            .into_iter()
+            .map(|item| item.work.key.clone())
+            .collect()
     }
 }
--- a/crates/oleanderlock/src/batch/board_assign.rs
+++ b/crates/oleanderlock/src/batch/board_assign.rs
@@ -4,6 +4,10 @@
 //! of them; a group counts only when all of its items are listed in time. The jobs that are due
 //! first come first, groups stay together on one engine so that their prompt is read once, and the
 //! engine with the least work before it, measured by its own pace, takes the next group.
+//!
+//! A trainer names a version and asks for the next step at once, and a step allows the version
+//! before. An engine that loaded at that moment would make the step wait; it loads in the pause in
+//! which the trainer trains.
 
 use super::agent_state::AgentState;
 use super::board::Board;
@@ -53,8 +57,7 @@
         order.sort_by_key(|index| self.jobs[*index].due());
         let mut assigned = Vec::new();
         for index in order {
-            let groups = self.jobs[index].groups.len();
-            for group in 0..groups {
+            for group in self.jobs[index].groups_longest_first() {
                 self.assign_group(now, index, group, &mut assigned);
             }
         }
@@ -149,13 +152,22 @@
         let model = self.sets.model_of(name)?;
         let version = *self.wanted.get(model)?;
         let held = *agent.report.weights.get(model)?;
-        (held < version).then(|| LoadGrant {
+        // An engine that still may run the open jobs of its model loads between them.
+        let is_due = agent.outstanding == 0 || held < self.needed_version(model);
+        (held < version && is_due).then(|| LoadGrant {
             agent: name.to_owned(),
             model: model.to_owned(),
             version,
         })
     }
 
+    /// The oldest version that every open job of a model allows.
+    fn needed_version(&self, model: &str) -> u64 {
+        let open = self.jobs.values();
+        let open = open.filter(|job| !job.ended && job.model == model);
+        open.map(|job| job.oldest_version).max().unwrap_or_default()
+    }
+
     fn balance_sets(&mut self) {
         let live = self
             .agents
--- a/crates/oleanderlock/src/batch/job.rs
+++ b/crates/oleanderlock/src/batch/job.rs
@@ -28,6 +28,8 @@
     pub body_base64: String,
     /// Tokens of the prompt and of the longest answer together.
     pub tokens: u64,
+    /// The trainer's estimate of the number of tokens to be made, where it gives one.
+    pub expected_tokens: Option<u64>,
     /// Group whose items share a prompt and count only together.
     pub group: String,
     /// The call that scores the text, where the job asks for scores.
--- a/crates/oleanderlock/src/batch/job_state.rs
+++ b/crates/oleanderlock/src/batch/job_state.rs
@@ -62,6 +62,19 @@
         self.submitted.plus(self.terms.due_after)
     }
 
+    /// Returns the groups, by place, that are expected to take longest first: a step is whole
+    /// sooner when its long runs begin first.
+    pub fn groups_longest_first(&self) -> Vec<usize> {
+        let expected = |place: &usize| {
+            let items = self.groups[*place].items.iter();
+            let tokens = items.filter_map(|item| self.items[*item].item.expected_tokens);
+            tokens.max().unwrap_or_default()
+        };
+        let mut order: Vec<usize> = (0..self.groups.len()).collect();
+        order.sort_by_key(|place| std::cmp::Reverse(expected(place)));
+        order
+    }
+
     /// Returns the places of a group's items that wait for an engine.
     pub fn waiting_in(&self, group: &GroupState) -> Vec<usize> {
         let waits = |place: &&usize| self.items[**place].phase == ItemPhase::Waiting;
