--- a/crates/oleander-rollout/src/agent/agent_process.rs
+++ b/crates/oleander-rollout/src/agent/agent_process.rs
@@ -84,7 +84,9 @@
     /// Returns the entry of the engine while it takes new work.
     pub fn ready_endpoint(&self) -> Option<EndpointEntry> {
         let entry = self.endpoint()?;
-        (entry.state == EndpointState::Ready).then_some(entry)
+        let state = self.state.borrow();
+        let replaced = state.replaced_instance.as_ref() == Some(&entry.instance);
+        (entry.state == EndpointState::Ready && !replaced).then_some(entry)
     }
 
     /// Wakes everything that waits for a change.
--- a/crates/oleander-rollout/src/agent/load.rs
+++ b/crates/oleander-rollout/src/agent/load.rs
@@ -97,6 +97,9 @@
         orders_accepted,
     };
     let answer = agent.engine.order(&endpoint.instance, &order).await;
+    if matches!(answer, Ok(StatusCode::MISDIRECTED_REQUEST)) {
+        agent.state.borrow_mut().replaced_instance = Some(endpoint.instance.clone());
+    }
     event(log::Level::Info, "order", || {
         format!(
             "instance={} model={} version={} fence={} orders_accepted={orders_accepted} answer={answer:?}",
--- a/crates/oleander-rollout/src/agent/run.rs
+++ b/crates/oleander-rollout/src/agent/run.rs
@@ -153,7 +153,13 @@
     let version = header(headers::WEIGHT_VERSION).and_then(|text| text.trim().parse().ok());
     match exchange.head.status {
         StatusCode::OK => {}
-        StatusCode::MISDIRECTED_REQUEST => return RunEnd::OtherInstance,
+        StatusCode::MISDIRECTED_REQUEST => {
+            event(log::Level::Warn, "engine-replaced", || {
+                format!("request={} listed={}", work.key.item, endpoint.instance)
+            });
+            agent.state.borrow_mut().replaced_instance = Some(endpoint.instance);
+            return RunEnd::OtherInstance;
+        }
         StatusCode::UNPROCESSABLE_ENTITY => return RunEnd::Impossible,
         _ if not_run => return RunEnd::Refused,
         _ => return RunEnd::Failed,
--- a/crates/oleander-rollout/src/agent/state.rs
+++ b/crates/oleander-rollout/src/agent/state.rs
@@ -35,6 +35,9 @@
     pub returned: IndexMap<String, ReturnedItem>,
     /// The engine's last report, and when it came.
     pub engine: Option<(EngineReport, Millis)>,
+    /// Instance of the list that another one has replaced at the engine's address, as that one
+    /// said; the list lags behind.
+    pub replaced_instance: Option<String>,
     /// Model that is being loaded.
     pub loading: Option<String>,
     /// Mean time between two events of a run, in microseconds; 0 when not known.
