--- /dev/null
+++ b/crates/oleanderlock/tests/batch_board.rs
@@ -0,0 +1,317 @@
+//! Which items go where: the board of batch jobs under slow, lost, restarted and loading engines.
+
+use indexmap::IndexMap;
+use oleanderlock::batch::agent_state::AgentReport;
+use oleanderlock::batch::board::Board;
+use oleanderlock::batch::board_assign::Assignment;
+use oleanderlock::batch::board_config::BoardConfig;
+use oleanderlock::batch::item_key::ItemKey;
+use oleanderlock::batch::job::{Job, JobItem};
+use oleanderlock::batch::job_terms::JobTerms;
+use oleanderlock::batch::progress::Progress;
+use oleanderlock::prelude::*;
+
+const MODEL: &str = "advisor";
+const TERMS: JobTerms = JobTerms {
+    attempts: 3,
+    due_after: Millis(7500),
+    keep: Millis(40_000),
+    single_version: false,
+};
+
+fn item(id: &str, group: &str, expected_tokens: Option<u64>) -> JobItem {
+    JobItem {
+        id: id.to_owned(),
+        path: "/rollout/x".to_owned(),
+        headers: Vec::new(),
+        body_base64: String::new(),
+        tokens: 1000,
+        expected_tokens,
+        group: group.to_owned(),
+        score_call: None,
+    }
+}
+
+fn job(id: &str, oldest_version: u64, items: Vec<JobItem>) -> Job {
+    Job {
+        id: id.to_owned(),
+        host: "host".to_owned(),
+        path: "/rollout/".to_owned(),
+        submitted_unix_ms: 0,
+        step: Some(1),
+        model: MODEL.to_owned(),
+        oldest_version,
+        groups_wanted: 1,
+        items,
+    }
+}
+
+fn group(name: &str, size: usize) -> Vec<JobItem> {
+    let ids = (0..size).map(|number| format!("{name}-{number}"));
+    ids.map(|id| item(&id, name, None)).collect()
+}
+
+fn report(agent: &str, slots: usize, version: u64) -> AgentReport {
+    AgentReport {
+        agent: agent.to_owned(),
+        instance: format!("instance-of-{agent}"),
+        slots,
+        weights: IndexMap::from([(MODEL.to_owned(), version)]),
+        ..AgentReport::default()
+    }
+}
+
+fn with_pace(pace_us: u64, mut report: AgentReport) -> AgentReport {
+    report.event_us = pace_us;
+    report
+}
+
+fn with_items(names: &[&str], mut report: AgentReport) -> AgentReport {
+    report.items = names.iter().map(|&name| name.to_owned()).collect();
+    report
+}
+
+fn board() -> Board {
+    Board::new(BoardConfig::default())
+}
+
+fn agents_of(assigned: &[Assignment]) -> Vec<&str> {
+    let mut agents: Vec<&str> = assigned.iter().map(|one| one.agent.as_str()).collect();
+    agents.dedup();
+    agents
+}
+
+fn key(job: &str, item: &str) -> ItemKey {
+    ItemKey {
+        job: job.to_owned(),
+        item: item.to_owned(),
+    }
+}
+
+#[test]
+fn a_group_stays_on_one_engine() {
+    let mut board = board();
+    board.hear(Millis(0), report("a", 8, 1));
+    board.hear(Millis(0), report("b", 8, 1));
+    board.accept(job("j", 1, group("g", 6)), TERMS, Millis(0));
+    let assigned = board.assign(Millis(0));
+    assert_eq!(assigned.len(), 6);
+    assert_eq!(agents_of(&assigned).len(), 1);
+}
+
+#[test]
+fn groups_spread_over_engines_of_the_same_pace() {
+    let mut board = board();
+    board.hear(Millis(0), report("a", 8, 1));
+    board.hear(Millis(0), report("b", 8, 1));
+    let items = [group("g", 4), group("h", 4)].concat();
+    board.accept(job("j", 1, items), TERMS, Millis(0));
+    let assigned = board.assign(Millis(0));
+    assert_eq!(agents_of(&assigned).len(), 2);
+}
+
+#[test]
+fn the_job_that_is_due_first_comes_first() {
+    let mut board = board();
+    board.hear(Millis(0), report("a", 1, 1));
+    board.accept(job("late", 1, group("g", 1)), TERMS, Millis(500));
+    board.accept(job("early", 1, group("h", 1)), TERMS, Millis(100));
+    let assigned = board.assign(Millis(600));
+    assert_eq!(assigned.len(), 1);
+    assert_eq!(assigned[0].key.job, "early");
+}
+
+#[test]
+fn the_longest_group_begins_first() {
+    let mut board = board();
+    board.hear(Millis(0), report("a", 1, 1));
+    let items = vec![item("short", "g", Some(100)), item("long", "h", Some(4000))];
+    board.accept(job("j", 1, items), TERMS, Millis(0));
+    let assigned = board.assign(Millis(0));
+    assert_eq!(assigned.len(), 1);
+    assert_eq!(assigned[0].key.item, "long");
+}
+
+#[test]
+fn a_slow_engine_gets_no_group_while_a_fast_one_has_room() {
+    let mut board = board();
+    board.hear(Millis(0), with_pace(135_000, report("a-slow", 8, 1)));
+    board.hear(Millis(0), with_pace(36_000, report("b-fast", 8, 1)));
+    board.accept(job("j", 1, group("g", 4)), TERMS, Millis(0));
+    board.accept(job("k", 1, group("h", 4)), TERMS, Millis(0));
+    assert_eq!(agents_of(&board.assign(Millis(0))), ["b-fast"]);
+}
+
+#[test]
+fn runs_move_from_a_slow_engine_and_go_on_where_they_were() {
+    let mut board = board();
+    board.hear(Millis(0), report("slow", 8, 1));
+    board.accept(job("j", 1, group("g", 1)), TERMS, Millis(0));
+    assert_eq!(board.assign(Millis(0)).len(), 1);
+    let slow = with_items(&["j/g-0"], report("slow", 8, 1));
+    board.hear(Millis(1000), with_pace(135_000, slow));
+    assert_eq!(board.recalls(Millis(1000)), []);
+    board.hear(Millis(1000), with_pace(36_000, report("fast", 8, 1)));
+    let recalled = board.recalls(Millis(1000));
+    assert_eq!(recalled, [("slow".to_owned(), key("j", "g-0"))]);
+    let progress = Progress {
+        last_event: 7,
+        text: "text".to_owned(),
+        versions: vec![1],
+    };
+    board.give_back("slow", &key("j", "g-0"), Some(progress.clone()));
+    let assigned = board.assign(Millis(1100));
+    assert_eq!(agents_of(&assigned), ["fast"]);
+    assert_eq!(assigned[0].progress, Some(progress));
+}
+
+#[test]
+fn what_older_weights_made_is_not_kept() {
+    let mut board = board();
+    board.hear(Millis(0), report("a", 8, 3));
+    board.accept(job("j", 3, group("g", 1)), TERMS, Millis(0));
+    board.assign(Millis(0));
+    let progress = Progress {
+        last_event: 7,
+        text: "text".to_owned(),
+        versions: vec![2, 3],
+    };
+    board.give_back("a", &key("j", "g-0"), Some(progress));
+    assert_eq!(board.assign(Millis(1))[0].progress, None);
+}
+
+#[test]
+fn an_engine_with_weights_that_are_too_old_gets_nothing() {
+    let mut board = board();
+    board.hear(Millis(0), report("a", 8, 1));
+    board.accept(job("j", 2, group("g", 1)), TERMS, Millis(0));
+    assert_eq!(board.assign(Millis(0)), []);
+}
+
+#[test]
+fn an_assignment_that_got_lost_is_made_again() {
+    let mut board = board();
+    board.hear(Millis(0), report("a", 8, 1));
+    board.accept(job("j", 1, group("g", 1)), TERMS, Millis(0));
+    assert_eq!(board.assign(Millis(0)).len(), 1);
+    let early = board.hear(Millis(500), report("a", 8, 1));
+    assert_eq!(early.returned, []);
+    let late = board.hear(Millis(900), report("a", 8, 1));
+    assert_eq!(late.returned, [key("j", "g-0")]);
+    assert_eq!(board.assign(Millis(900)).len(), 1);
+}
+
+#[test]
+fn the_items_of_a_silent_agent_go_to_others() {
+    let mut board = board();
+    board.hear(Millis(0), report("a", 8, 1));
+    board.accept(job("j", 1, group("g", 1)), TERMS, Millis(0));
+    board.assign(Millis(0));
+    assert_eq!(board.drop_silent(Millis(2500)), Vec::<String>::new());
+    board.hear(Millis(2000), report("b", 8, 1));
+    assert_eq!(board.drop_silent(Millis(2600)), ["a"]);
+    assert_eq!(agents_of(&board.assign(Millis(2600))), ["b"]);
+}
+
+#[test]
+fn a_returning_agent_drops_what_another_one_has() {
+    let mut board = board();
+    board.hear(Millis(0), report("a", 8, 1));
+    board.accept(job("j", 1, group("g", 1)), TERMS, Millis(0));
+    board.assign(Millis(0));
+    board.drop_silent(Millis(3000));
+    board.hear(Millis(3000), report("b", 8, 1));
+    board.assign(Millis(3000));
+    let heard = board.hear(Millis(3100), with_items(&["j/g-0"], report("a", 8, 1)));
+    assert_eq!(heard.drop, ["j/g-0"]);
+}
+
+#[test]
+fn a_new_leader_learns_from_agents_what_runs() {
+    let mut board = board();
+    board.accept(job("j", 1, group("g", 2)), TERMS, Millis(0));
+    let heard = board.hear(
+        Millis(0),
+        with_items(&["j/g-0", "j/g-1"], report("a", 8, 1)),
+    );
+    assert_eq!(heard.drop, Vec::<String>::new());
+    assert_eq!(board.assign(Millis(0)), []);
+}
+
+#[test]
+fn ending_a_job_names_what_still_runs() {
+    let mut board = board();
+    board.hear(Millis(0), report("a", 8, 1));
+    board.accept(job("j", 1, group("g", 2)), TERMS, Millis(0));
+    board.assign(Millis(0));
+    board.finish(&key("j", "g-0"));
+    assert_eq!(board.end("j"), [("a".to_owned(), key("j", "g-1"))]);
+    assert_eq!(board.assign(Millis(1)), []);
+}
+
+#[test]
+fn an_engine_loads_between_steps() {
+    let mut board = board();
+    board.hear(Millis(0), report("a", 8, 1));
+    board.accept(job("j", 1, group("g", 1)), TERMS, Millis(0));
+    board.assign(Millis(0));
+    board.want(MODEL, 2);
+    // The step that runs allows the weights that are there.
+    assert_eq!(board.plan_loads(Millis(10)), []);
+    board.end("j");
+    let grants = board.plan_loads(Millis(20));
+    assert_eq!(grants.len(), 1);
+    assert_eq!(grants[0].version, 2);
+}
+
+#[test]
+fn an_engine_loads_at_once_when_a_step_needs_it() {
+    let mut board = board();
+    board.hear(Millis(0), report("a", 8, 1));
+    board.accept(job("j", 1, group("g", 1)), TERMS, Millis(0));
+    board.assign(Millis(0));
+    board.want(MODEL, 3);
+    board.accept(job("k", 2, group("h", 1)), TERMS, Millis(0));
+    assert_eq!(board.plan_loads(Millis(10)).len(), 1);
+}
+
+#[test]
+fn few_engines_load_at_once() {
+    let mut board = board();
+    for agent in ["a", "b", "c", "d"] {
+        board.hear(Millis(0), report(agent, 8, 1));
+    }
+    board.want(MODEL, 2);
+    assert_eq!(board.plan_loads(Millis(0)).len(), 2);
+    assert_eq!(board.plan_loads(Millis(100)), []);
+}
+
+#[test]
+fn models_share_the_engines_evenly() {
+    let mut board = board();
+    let weights: IndexMap<String, u64> = ["m", "n", "o"].map(|name| (name.to_owned(), 1)).into();
+    for number in 0..9 {
+        let report = AgentReport {
+            weights: weights.clone(),
+            ..report(&format!("agent-{number}"), 8, 1)
+        };
+        board.hear(Millis(0), report);
+    }
+    for model in ["m", "n", "o"] {
+        board.want(model, 2);
+    }
+    let mut loads: IndexMap<String, usize> = IndexMap::new();
+    for step in 0..20 {
+        for grant in board.plan_loads(Millis(step * 2000)) {
+            *loads.entry(grant.model.clone()).or_default() += 1;
+            let mut weights = weights.clone();
+            weights.insert(grant.model, grant.version);
+            let report = AgentReport {
+                weights,
+                ..report(&grant.agent, 8, 1)
+            };
+            board.hear(Millis(step * 2000), report);
+        }
+    }
+    assert_eq!(loads.values().copied().collect::<Vec<_>>(), [3, 3, 3]);
+}
--- /dev/null
+++ b/crates/oleanderlock/tests/routing_rules.rs
@@ -0,0 +1,208 @@
+//! Routes, the choice of an endpoint, and what follows a failed attempt.
+
+use indexmap::IndexMap;
+use oleanderlock::prelude::*;
+use oleanderlock::routing::attempt_rule::{
+    AfterFailure, AttemptFailure, CallState, after_failure, retry_after,
+};
+use oleanderlock::routing::deployment_config::{ClientLimits, DeploymentConfig};
+use oleanderlock::routing::endpoint_entry::{EndpointEntry, EndpointState};
+use oleanderlock::routing::endpoint_load::EndpointLoad;
+use oleanderlock::routing::endpoint_pick::{Candidate, pick};
+use oleanderlock::routing::endpoint_table::EndpointTable;
+use oleanderlock::routing::route::{Route, RouteTarget};
+use oleanderlock::routing::route_kind::RouteKind;
+use oleanderlock::routing::route_table::RouteTable;
+
+fn route(name: &str, path_prefix: &str) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: "desk.example".to_owned(),
+        path_prefix: path_prefix.to_owned(),
+        kind: RouteKind::Safe,
+        timeout: Millis(1500),
+        objective: Millis(150),
+        attempts: 3,
+        rank: 2,
+        targets: vec![
+            RouteTarget {
+                service: "desk".to_owned(),
+                weight: 90,
+            },
+            RouteTarget {
+                service: "spare".to_owned(),
+                weight: 10,
+            },
+        ],
+        resumable: false,
+        run_objective: Millis(1500),
+        keep: Millis(40_000),
+        single_version: false,
+    }
+}
+
+fn table(routes: Vec<Route>) -> RouteTable {
+    RouteTable::new(DeploymentConfig {
+        version: 1,
+        routes,
+        services: IndexMap::new(),
+        limits: ClientLimits {
+            header_bytes: 16 << 10,
+            body_bytes: 1 << 20,
+            header_time: Millis(3000),
+            idle_time: Millis(15_000),
+        },
+    })
+}
+
+fn endpoint(instance: &str, domain: &str) -> EndpointEntry {
+    EndpointEntry {
+        instance: instance.to_owned(),
+        started_unix_ms: None,
+        service: "desk".to_owned(),
+        addr: "127.0.0.1:1000".parse().expect("an address"),
+        domain: domain.to_owned(),
+        slots: 6,
+        state: EndpointState::Ready,
+        warm_up: Millis::ZERO,
+        weights: IndexMap::new(),
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let table = table(vec![route("short", "/a/"), route("long", "/a/b/")]);
+    let name = |host, path| table.find(host, path).map(|route| route.name.as_str());
+    assert_eq!(name("desk.example", "/a/b/c"), Some("long"));
+    assert_eq!(name("desk.example", "/a/c"), Some("short"));
+    assert_eq!(name("desk.example", "/b/"), None);
+    assert_eq!(name("other.example", "/a/c"), None);
+}
+
+#[test]
+fn shares_follow_the_weights() {
+    let route = route("r", "/a/");
+    let spare = (0..1000).filter(|draw| route.service(*draw) == Some("spare"));
+    assert_eq!(spare.count(), 100);
+}
+
+#[test]
+fn an_endpoint_that_leaves_takes_no_new_calls() {
+    let mut table = EndpointTable::default();
+    table.put(endpoint("a", "z"));
+    let mut leaving = endpoint("b", "z");
+    leaving.state = EndpointState::Draining;
+    table.put(leaving);
+    let ready: Vec<&str> = table
+        .ready("desk")
+        .map(|one| one.instance.as_str())
+        .collect();
+    assert_eq!(ready, ["a"]);
+}
+
+#[test]
+fn the_newest_incarnation_at_an_address_counts() {
+    let mut table = EndpointTable::default();
+    let mut old = endpoint("old", "z");
+    old.started_unix_ms = Some(1);
+    let mut new = endpoint("new", "z");
+    new.started_unix_ms = Some(2);
+    let addr = new.addr;
+    table.put(new);
+    table.put(old);
+    assert_eq!(table.at(addr).map(|one| one.instance.as_str()), Some("new"));
+}
+
+fn picked(loads: [EndpointLoad; 2], tried: &[String]) -> Option<String> {
+    let entries = [endpoint("near", "z"), endpoint("far", "y")];
+    let candidates: Vec<Candidate<'_>> = entries
+        .iter()
+        .zip(loads)
+        .map(|(entry, load)| Candidate { entry, load })
+        .collect();
+    pick(Millis(1000), "z", &candidates, tried, 0).map(|entry| entry.instance.clone())
+}
+
+#[test]
+fn the_own_failure_domain_comes_first_between_equals() {
+    let loads = [EndpointLoad::default(); 2];
+    assert_eq!(picked(loads, &[]), Some("near".to_owned()));
+}
+
+#[test]
+fn a_loaded_endpoint_is_passed_over() {
+    let mut loads = [EndpointLoad::default(); 2];
+    loads[0].in_flight = 6;
+    assert_eq!(picked(loads, &[]), Some("far".to_owned()));
+}
+
+#[test]
+fn an_endpoint_that_failed_is_avoided_but_better_than_none() {
+    let mut loads = [EndpointLoad::default(); 2];
+    loads[0].failed(Millis(900));
+    assert_eq!(picked(loads, &[]), Some("far".to_owned()));
+    assert_eq!(picked(loads, &["far".to_owned()]), Some("near".to_owned()));
+    let both = ["far".to_owned(), "near".to_owned()];
+    assert_eq!(picked(loads, &both), None);
+}
+
+#[test]
+fn failures_in_a_row_lengthen_the_pause_and_an_answer_ends_it() {
+    let mut load = EndpointLoad::default();
+    load.failed(Millis(0));
+    let first = load.avoid_until;
+    load.failed(Millis(0));
+    assert!(load.avoid_until > first);
+    load.answered(Millis(20));
+    assert_eq!(load.avoid_until, Millis::ZERO);
+}
+
+fn call(kind: RouteKind) -> CallState {
+    CallState {
+        kind,
+        sent: 1,
+        attempts: 3,
+        may_have_run: false,
+        left: Millis(1000),
+        has_other: true,
+    }
+}
+
+#[test]
+fn a_call_that_may_run_once_is_not_sent_again_when_it_may_have_run() {
+    let unsafe_call = call(RouteKind::Unsafe);
+    let unknown = after_failure(unsafe_call, AttemptFailure::Unknown);
+    assert_eq!(unknown, AfterFailure::FailUnknown);
+    let not_run = after_failure(unsafe_call, AttemptFailure::NotRun);
+    assert_eq!(not_run, AfterFailure::Again);
+}
+
+#[test]
+fn not_run_is_said_only_when_no_attempt_may_have_run() {
+    let mut after_unknown = call(RouteKind::Safe);
+    after_unknown.may_have_run = true;
+    after_unknown.has_other = false;
+    let outcome = after_failure(after_unknown, AttemptFailure::NotRun);
+    assert_eq!(outcome, AfterFailure::FailUnknown);
+    let mut refused = call(RouteKind::Unsafe);
+    refused.has_other = false;
+    let outcome = after_failure(refused, AttemptFailure::NotRun);
+    assert!(matches!(outcome, AfterFailure::RefuseNotRun(_)));
+}
+
+#[test]
+fn a_call_goes_to_no_more_endpoints_than_its_route_allows() {
+    let mut safe = call(RouteKind::Safe);
+    safe.sent = 3;
+    let outcome = after_failure(safe, AttemptFailure::Unknown);
+    assert_eq!(outcome, AfterFailure::FailUnknown);
+}
+
+#[test]
+fn a_refused_caller_may_come_back_in_time() {
+    for left in [0, 100, 400, 2000, 60_000] {
+        let after = retry_after(Millis(left));
+        assert!(after >= Millis(50) && after <= Millis(1000));
+        assert!(left < 200 || after.0 * 2 < left);
+    }
+}
