Accept a job through the leader when the store turns the entry away

Ruled out: the store being away for all (other entries reached it). A submission also waits longer while the store is away for all, so that two attempts bridge most outages.

--- a/crates/oleander-rollout/src/dispatch/http_api.rs
+++ b/crates/oleander-rollout/src/dispatch/http_api.rs
@@ -60,7 +60,7 @@
         (&Method::POST, HAND_IN) => agents_api::hand_in(dispatcher, &body).await,
         (_, path) if path.starts_with(JOBS) => {
             let rest = path.strip_prefix(JOBS).unwrap_or_default();
-            jobs_api::handle(dispatcher, rest, head.uri.query()).await
+            jobs_api::handle(dispatcher, rest, head.uri.query(), &body).await
         }
         _ => answer::status(StatusCode::NOT_FOUND),
     }
--- a/crates/oleander-rollout/src/dispatch/jobs.rs
+++ b/crates/oleander-rollout/src/dispatch/jobs.rs
@@ -115,7 +115,7 @@
 }
 
 /// Takes an accepted job.
-fn accept(dispatcher: &Dispatcher, job: Job) {
+pub fn accept(dispatcher: &Dispatcher, job: Job) {
     let unix_ms = u64::try_from(unix_ms()).unwrap_or_default();
     let age = Millis(unix_ms.saturating_sub(job.submitted_unix_ms));
     let terms = terms_of(dispatcher, &job);
--- a/crates/oleander-rollout/src/dispatch/jobs_api.rs
+++ b/crates/oleander-rollout/src/dispatch/jobs_api.rs
@@ -5,10 +5,11 @@
 use crate::http::answer::{self, Answer};
 use crate::prelude::*;
 use crate::store::fault::StoreFault;
-use crate::store::job_objects::JOB_END_KIND;
+use crate::store::job_objects::{JOB_END_KIND, create_job};
 use http::StatusCode;
 use oleander_platform::job::body_bytes;
 use oleander_platform::results::encode_results;
+use oleanderlock::batch::job::Job;
 use serde_json::value::RawValue;
 
 /// Greatest sum of results in one answer, in bytes.
@@ -21,14 +22,20 @@
 /// Time after which a caller that could not be answered for sure may come back.
 const UNSURE_RETRY: Millis = Millis(200);
 
-/// Answers a call `JOB/results`, `JOB/items/ITEM` or `JOB/end`.
-pub async fn handle(dispatcher: &Dispatcher, rest: &str, query: Option<&str>) -> Answer {
+/// Answers a call `JOB/results`, `JOB/items/ITEM`, `JOB/end` or `JOB/accept`.
+pub async fn handle(
+    dispatcher: &Dispatcher,
+    rest: &str,
+    query: Option<&str>,
+    body: &[u8],
+) -> Answer {
     let mut parts = rest.splitn(3, '/');
     let job = parts.next().unwrap_or_default();
     match (parts.next(), parts.next()) {
         (Some("results"), None) => results(dispatcher, job, query).await,
         (Some("items"), Some(item)) => item_body(dispatcher, job, item).await,
         (Some("end"), None) => end(dispatcher, job).await,
+        (Some("accept"), None) => accept(dispatcher, body).await,
         _ => answer::status(StatusCode::NOT_FOUND),
     }
 }
@@ -124,3 +131,32 @@
         }
     }
 }
+
+/// Writes a job for an entry that the store turns away.
+async fn accept(dispatcher: &Dispatcher, body: &[u8]) -> Answer {
+    let job: Job = match serde_json::from_slice(body) {
+        Ok(job) => job,
+        Err(fault) => {
+            event(log::Level::Error, "message-unreadable", || {
+                format!("reason=\"{fault}\"")
+            });
+            return answer::status(StatusCode::BAD_REQUEST);
+        }
+    };
+    let id = job.id.clone();
+    let written = create_job(&dispatcher.store, job.clone(), dispatcher.cfg.value_bytes).await;
+    event(log::Level::Info, "job-relayed", || {
+        format!("request={id} result={written:?}")
+    });
+    match written {
+        Ok(()) => {
+            jobs::accept(dispatcher, job);
+            answer::status(StatusCode::OK)
+        }
+        Err(StoreFault::Conflict) => answer::status(StatusCode::CONFLICT),
+        Err(StoreFault::NotDone { .. }) => answer::refusal(UNSURE_RETRY),
+        Err(StoreFault::NoAnswer { .. } | StoreFault::HistoryGone) => {
+            answer::status(StatusCode::BAD_GATEWAY)
+        }
+    }
+}
--- a/crates/oleander-rollout/src/entry/submit.rs
+++ b/crates/oleander-rollout/src/entry/submit.rs
@@ -3,17 +3,23 @@
 use super::entry_process::Entry;
 use super::head::RequestHead;
 use crate::http::answer::{self, Answer};
+use crate::peer::leader_link::LeaderFault;
+use crate::peer::messages::JOBS;
 use crate::prelude::*;
 use crate::store::fault::StoreFault;
 use crate::store::job_objects::create_job;
-use http::StatusCode;
 use http::request::Parts;
+use http::{Method, StatusCode};
 use oleander_platform::job::{Arrival, decode_job};
+use oleanderlock::batch::job::Job;
 use oleanderlock::routing::attempt_rule::retry_after;
 use oleanderlock::routing::route::Route;
 
-/// Longest time that a submission waits for the store before the trainer is told to come back.
-const STORE_WAIT: Millis = Millis(1500);
+/// Part of the trainer's patience for which a submission waits for the store before the trainer
+/// is told to come back, in parts of 10: two attempts then bridge most outages.
+const STORE_WAIT_TENTHS: u64 = 3;
+/// Longest wait for the leading dispatcher.
+const LEADER_LIMIT: Millis = Millis(1500);
 /// Pause between two tries at the store.
 const STORE_PAUSE: Millis = Millis(100);
 
@@ -41,24 +47,11 @@
             return answer::status(StatusCode::BAD_REQUEST);
         }
     };
-    let until = head.arrived.plus(STORE_WAIT);
-    let mut may_be_stored = false;
-    let outcome = loop {
-        match create_job(&entry.store, job.clone(), entry.cfg.value_bytes).await {
-            Ok(()) => break "accepted",
-            Err(StoreFault::Conflict) => break "accepted before",
-            Err(fault) => {
-                may_be_stored |= !matches!(fault, StoreFault::NotDone { .. });
-                event(log::Level::Warn, "job-not-stored", || {
-                    format!("request={} reason=\"{fault}\"", head.id)
-                });
-                if now() > until {
-                    break if may_be_stored { "unknown" } else { "refused" };
-                }
-            }
-        }
-        sleep(STORE_PAUSE).await;
-    };
+    let patience = head.patience.unwrap_or(route.timeout);
+    let until = head
+        .arrived
+        .plus(Millis(patience.0 * STORE_WAIT_TENTHS / 10));
+    let outcome = store(entry, &job, until).await;
     let took = now().since(head.arrived);
     event(log::Level::Info, "job-submitted", || {
         format!(
@@ -68,15 +61,82 @@
     });
     entry.metrics.took("submit", took);
     match outcome {
-        "refused" => {
+        Stored::Accepted | Stored::AcceptedBefore => answer::status(StatusCode::ACCEPTED),
+        Stored::Refused => {
             entry.metrics.refused("store-away");
-            let left = head.patience.unwrap_or(route.timeout).since(took);
-            answer::refusal(retry_after(left))
+            answer::refusal(retry_after(patience.since(took)))
         }
-        "unknown" => {
+        Stored::Unknown => {
             entry.metrics.refused("store-unsure");
             answer::status(StatusCode::BAD_GATEWAY)
         }
-        _ => answer::status(StatusCode::ACCEPTED),
+    }
+}
+
+/// What became of a submission at the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+enum Stored {
+    /// It was written now.
+    Accepted,
+    /// It was written before.
+    AcceptedBefore,
+    /// It was not written, and will not be.
+    Refused,
+    /// It may have been written, or may still be.
+    Unknown,
+}
+
+/// Writes a job to the store, through the leading dispatcher when the store turns this entry away.
+async fn store(entry: &Entry, job: &Job, until: Millis) -> Stored {
+    let mut may_be_stored = false;
+    loop {
+        let direct = create_job(&entry.store, job.clone(), entry.cfg.value_bytes).await;
+        let tried = match direct {
+            Err(StoreFault::NotDone { reason }) => {
+                event(log::Level::Warn, "job-not-stored", || {
+                    format!("request={} reason=\"{reason}\"", job.id)
+                });
+                through_leader(entry, job).await
+            }
+            other => other,
+        };
+        match tried {
+            Ok(()) => return Stored::Accepted,
+            Err(StoreFault::Conflict) => return Stored::AcceptedBefore,
+            Err(fault) => {
+                may_be_stored |= !matches!(fault, StoreFault::NotDone { .. });
+                event(log::Level::Warn, "job-not-stored", || {
+                    format!("request={} reason=\"{fault}\"", job.id)
+                });
+            }
+        }
+        if now() > until {
+            let unsure = may_be_stored;
+            return if unsure {
+                Stored::Unknown
+            } else {
+                Stored::Refused
+            };
+        }
+        sleep(STORE_PAUSE).await;
+    }
+}
+
+async fn through_leader(entry: &Entry, job: &Job) -> Result<(), StoreFault> {
+    let body = serde_json::to_vec(job).map_err(StoreFault::not_done)?;
+    let path = format!("{JOBS}{}/accept", job.id);
+    let called = entry
+        .link
+        .call(Method::POST, &path, body, LEADER_LIMIT)
+        .await;
+    match called {
+        Ok((StatusCode::OK, _)) => Ok(()),
+        Ok((StatusCode::CONFLICT, _)) => Err(StoreFault::Conflict),
+        Err(LeaderFault::Unknown | LeaderFault::NotLeading | LeaderFault::Unsure) => {
+            Err(StoreFault::not_done("no leader with a store"))
+        }
+        Ok((status, _)) => Err(StoreFault::no_answer(status)),
+        Err(LeaderFault::NoAnswer { reason }) => Err(StoreFault::no_answer(reason)),
     }
 }
