--- a/crates/oleander-load/src/deployment.rs
+++ b/crates/oleander-load/src/deployment.rs
@@ -3,13 +3,14 @@
 use crate::deployment_cfg::DeploymentCfg;
 use crate::deployment_error::DeploymentError;
 use crate::endpoint::{self, Endpoint, EndpointCfg};
-use crate::node::{Node, free_address};
+use crate::node::Node;
 use crate::platform::Platform;
 use crate::settings_text::{EndpointText, write_agent, write_entry};
 use oleander_daemon::agent_list::SUBSET;
 use oleander_daemon::entry_event::FleetSummary;
 use oleander_standins::api::Api;
 use oleander_standins::engine::EngineCfg;
+use oleander_standins::free_address::free_address;
 use oleander_standins::list::{InstanceState, Role};
 use oleander_standins::runtime;
 use oleanderlock::contract::Contract;
--- a/crates/oleander-load/src/node.rs
+++ b/crates/oleander-load/src/node.rs
@@ -3,9 +3,8 @@
 use crate::process::Process;
 use oleander_standins::api::Api;
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::atomic::{AtomicU32, Ordering};
 
 /// A daemon with its settings; its process may be down.
 #[derive(Debug)]
@@ -70,32 +69,3 @@
         Api::new(self.http)
     }
 }
-
-/// First port given out, below the range from which the system takes ports for outgoing
-/// connections.
-const FIRST_PORT: u32 = 10_000;
-/// Ports that may be given out.
-const PORTS: u32 = 22_000;
-/// Distance between the first ports of two processes with neighbouring ids.
-const PORTS_PER_PROCESS: u32 = 97;
-
-/// Returns a loopback address that is free, and that no outgoing connection takes meanwhile.
-///
-/// # Errors
-///
-/// The system's fault when no port at all is free.
-pub fn free_address() -> io::Result<SocketAddr> {
-    static GIVEN: AtomicU32 = AtomicU32::new(0);
-    let first = std::process::id().wrapping_mul(PORTS_PER_PROCESS);
-    let mut fault = io::Error::from(io::ErrorKind::AddrInUse);
-    for _ in 0..PORTS {
-        let given = GIVEN.fetch_add(1, Ordering::Relaxed);
-        let port = FIRST_PORT + first.wrapping_add(given) % PORTS;
-        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
-        match TcpListener::bind(address) {
-            Ok(_) => return Ok(address),
-            Err(e) => fault = e,
-        }
-    }
-    Err(fault)
-}
--- /dev/null
+++ b/crates/oleander-rollout/tests/support/mod.rs
@@ -0,0 +1,283 @@
+//! A deployment of real processes between stand-ins in the platform's form.
+#![allow(dead_code, reason = "each test file uses a part of the harness")]
+
+pub mod http;
+pub mod process;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use http::{Reply, call};
+use oleander_standins::free_address::free_address;
+use oleander_standins::prepared::engine::PreparedEngine;
+use oleander_standins::prepared::service::PreparedService;
+use oleander_standins::prepared::store::PreparedStore;
+use process::Process;
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::thread;
+use std::time::{Duration, Instant};
+
+pub const HOST: &str = "desk.example";
+pub const MODEL: &str = "advisor";
+/// Longest wait for something that must come; no test passes because it is reached.
+const PATIENCE: Duration = Duration::from_secs(30);
+const EVENT_TIME: Duration = Duration::from_millis(15);
+
+/// How large a deployment is.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    pub entries: usize,
+    pub engines: usize,
+    pub dispatchers: usize,
+    pub services: usize,
+}
+
+pub const SMALL: Size = Size {
+    entries: 2,
+    engines: 2,
+    dispatchers: 2,
+    services: 2,
+};
+
+/// One process with its settings; the process may be down.
+pub struct Node {
+    pub name: String,
+    pub role: &'static str,
+    pub calls: SocketAddr,
+    pub ready: SocketAddr,
+    pub peers: SocketAddr,
+    pub metrics: SocketAddr,
+    engine: Option<SocketAddr>,
+    store: SocketAddr,
+    pub process: Option<Process>,
+}
+
+impl Node {
+    fn new(name: &str, role: &'static str, store: SocketAddr, engine: Option<SocketAddr>) -> Self {
+        let free = || free_address().expect("a free address");
+        Self {
+            name: name.to_owned(),
+            role,
+            calls: free(),
+            ready: free(),
+            peers: free(),
+            metrics: free(),
+            engine,
+            store,
+            process: None,
+        }
+    }
+
+    fn settings(&self) -> String {
+        let engine = self.engine.map(|addr| addr.to_string()).unwrap_or_default();
+        format!(
+            "[node]\nname = {}\ndomain = z\n[listen]\ncalls = {}\nready = {}\npeers = {}\n\
+             metrics = {}\n[store]\naddr = {}\n[engine]\naddr = {engine}\n[bounds]\ngrace = 6s\n",
+            self.name, self.calls, self.ready, self.peers, self.metrics, self.store
+        )
+    }
+
+    pub fn start(&mut self) {
+        self.process = Some(Process::start(&self.name, self.role, &self.settings()));
+    }
+
+    pub fn kill(&mut self) {
+        self.process = None;
+    }
+
+    pub fn process(&self) -> &Process {
+        self.process.as_ref().expect("it runs")
+    }
+}
+
+/// Processes of the system and the stand-ins around them.
+pub struct Deployment {
+    pub store: PreparedStore,
+    pub engines: Vec<PreparedEngine>,
+    pub services: Vec<PreparedService>,
+    pub entries: Vec<Node>,
+    pub agents: Vec<Node>,
+    pub dispatchers: Vec<Node>,
+}
+
+impl Deployment {
+    pub fn start(size: Size) -> Self {
+        let store = PreparedStore::spawn();
+        let engines: Vec<PreparedEngine> = (0..size.engines)
+            .map(|n| PreparedEngine::spawn(&format!("engine-{n}"), MODEL, EVENT_TIME))
+            .collect();
+        let services: Vec<PreparedService> = (0..size.services)
+            .map(|n| PreparedService::spawn(&format!("desk-{n}")))
+            .collect();
+        store.put("config", "main", &config(1));
+        for engine in &engines {
+            store.put("servers", &engine.instance(), &engine.entry("llm"));
+        }
+        for (n, service) in services.iter().enumerate() {
+            store.put("servers", &format!("desk-{n}"), &service.entry("desk"));
+        }
+        let nodes = |count: usize, role: &'static str| -> Vec<Node> {
+            let names = (0..count).map(|n| format!("{role}-{n}"));
+            names
+                .map(|name| Node::new(&name, role, store.addr(), None))
+                .collect()
+        };
+        let agents = engines.iter().enumerate().map(|(n, engine)| {
+            Node::new(
+                &format!("agent-{n}"),
+                "agent",
+                store.addr(),
+                Some(engine.addr()),
+            )
+        });
+        let mut deployment = Self {
+            entries: nodes(size.entries, "entry"),
+            agents: agents.collect(),
+            dispatchers: nodes(size.dispatchers, "dispatcher"),
+            store,
+            engines,
+            services,
+        };
+        for node in deployment.nodes_mut() {
+            node.start();
+        }
+        for n in 0..size.entries {
+            let ready = deployment.entries[n].ready;
+            wait_for("an entry is ready", || {
+                call(ready, "GET", "/-/ready", &[], b"").is_some_and(|reply| reply.status == 200)
+            });
+        }
+        deployment
+    }
+
+    pub fn nodes_mut(&mut self) -> impl Iterator<Item = &mut Node> {
+        let nodes = self.entries.iter_mut().chain(&mut self.agents);
+        nodes.chain(&mut self.dispatchers)
+    }
+
+    /// Calls an entry.
+    pub fn call(
+        &self,
+        entry: usize,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &[u8],
+    ) -> Option<Reply> {
+        let mut all = vec![("host", HOST)];
+        all.extend_from_slice(headers);
+        call(self.entries[entry].calls, method, path, &all, body)
+    }
+
+    /// Submits a job until it is accepted.
+    pub fn submit(&self, entry: usize, job: &str, body: &Value) {
+        wait_for("a job is accepted", || {
+            self.try_submit(entry, job, body) == Some(202)
+        });
+    }
+
+    pub fn try_submit(&self, entry: usize, job: &str, body: &Value) -> Option<u16> {
+        let path = format!("/rollout/{job}");
+        let headers = [("request-id", job), ("deadline-ms", "3000")];
+        let reply = self.call(entry, "POST", &path, &headers, body.to_string().as_bytes());
+        reply.map(|reply| reply.status)
+    }
+
+    /// Reads all results that are listed now; `None` when the entry can't be sure.
+    pub fn read(&self, entry: usize, job: &str, after: usize) -> Option<Value> {
+        let path = format!("/-/lots/{job}?after={after}");
+        let reply = self.call(entry, "GET", &path, &[("wait-ms", "200")], b"")?;
+        let read = (reply.status == 200).then(|| serde_json::from_slice(&reply.body).ok());
+        read.flatten()
+    }
+
+    /// Reads until all items of a job are listed, and returns the results.
+    pub fn read_all(&self, entry: usize, job: &str, total: usize) -> Vec<Value> {
+        let mut results: Vec<Value> = Vec::new();
+        wait_for("all results are listed", || {
+            if let Some(read) = self.read(entry, job, results.len()) {
+                assert_eq!(read["total"], total);
+                let new = read["results"].as_array().expect("results");
+                results.extend(new.iter().cloned());
+                assert_eq!(read["next"], results.len());
+            }
+            results.len() >= total
+        });
+        results
+    }
+
+    /// Returns the dispatcher that the store says leads.
+    pub fn leader(&self) -> Option<usize> {
+        let object = self.store.get("dispatchers", "leader")?;
+        let node = object["spec"]["node"].as_str()?.to_owned();
+        self.dispatchers.iter().position(|one| one.name == node)
+    }
+}
+
+/// A configuration with a route for calls, one for calls that run once at most, and one for jobs.
+pub fn config(version: u64) -> Value {
+    let route = |name: &str, prefix: &str, kind: &str, service: &str| {
+        json!({"name": name, "host": HOST, "path_prefix": prefix, "kind": kind,
+            "timeout_ms": 1500, "goal_ms": 150, "prio": 2, "service": service, "attempts": 3})
+    };
+    let mut jobs = route("jobs", "/rollout/", "rollout", "llm");
+    jobs["run_goal_ms"] = json!(7500);
+    jobs["keep_s"] = json!(40);
+    json!({
+        "version": version,
+        "routes": [route("calls", "/calls/", "safe", "desk"), jobs,
+                   route("once", "/once/", "unsafe", "desk")],
+        "services": [{"name": "desk", "health_path": "/health", "max_conns": 100},
+                     {"name": "llm", "health_path": "/health", "max_conns": 100}],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 1_000_000,
+                   "header_ms": 3000, "idle_ms": 15000}
+    })
+}
+
+/// A job of `groups` groups of two items; item `n` makes `events + n % 3` events.
+pub fn job(step: u64, oldest_version: u64, groups: usize, events: usize) -> Value {
+    let items: Vec<Value> = (0..groups * 2)
+        .map(|n| {
+            let id = format!("{step:04x}{n:04x}");
+            json!({"id": id, "path": format!("/rollout/{id}"),
+                "headers": {"Model": MODEL, "Token-Count": "100,200"},
+                "body": STANDARD.encode((events + n % 3).to_string()), "tokens": 300,
+                "group": format!("g{}", n / 2),
+                "scorer_url": {"id": format!("score-{id}"), "host": HOST, "path": "/calls/score",
+                               "body": STANDARD.encode("score me")}})
+        })
+        .collect();
+    json!({"step": step, "model": MODEL, "min_ver": oldest_version, "group_count": groups,
+        "items": items})
+}
+
+/// Checks results against what the stand-ins do: each item once, whole texts, true scores.
+pub fn check_results(results: &[Value], body: &Value) {
+    let items = body["items"].as_array().expect("items");
+    assert_eq!(results.len(), items.len());
+    for item in items {
+        let id = item["id"].as_str().expect("an id");
+        let of_item: Vec<&Value> = results.iter().filter(|one| one["id"] == id).collect();
+        assert_eq!(of_item.len(), 1, "results of {id}");
+        let count = STANDARD
+            .decode(item["body"].as_str().expect("a body"))
+            .expect("base64");
+        let count: u64 = String::from_utf8_lossy(&count).parse().expect("a number");
+        let lines: Vec<String> = (1..=count).map(|number| format!("{id}:{number}")).collect();
+        assert_eq!(of_item[0]["state"], "done");
+        assert_eq!(of_item[0]["text"], lines.join("\n"), "text of {id}");
+        assert_eq!(of_item[0]["score"], format!("stamp-score-{id}"));
+    }
+}
+
+/// Waits until something holds.
+pub fn wait_for(what: &str, mut holds: impl FnMut() -> bool) {
+    let began = Instant::now();
+    while !holds() {
+        assert!(
+            began.elapsed() < PATIENCE,
+            "{what}: not within {PATIENCE:?}"
+        );
+        thread::sleep(Duration::from_millis(20));
+    }
+}
--- /dev/null
+++ b/crates/oleander-rollout/tests/support/process.rs
@@ -0,0 +1,65 @@
+//! A process of the system that a test started, and ends by its id.
+
+use std::fs;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+
+/// A process of the system.
+pub struct Process {
+    child: Child,
+    pub settings: PathBuf,
+    pub log: PathBuf,
+}
+
+impl Process {
+    /// Starts a process of a role with settings of its own.
+    pub fn start(name: &str, role: &str, settings: &str) -> Self {
+        static STARTED: AtomicU32 = AtomicU32::new(0);
+        let number = STARTED.fetch_add(1, Ordering::Relaxed);
+        let dir = std::env::temp_dir().join(format!("oleander-rollout-{}", std::process::id()));
+        fs::create_dir_all(&dir).expect("a folder for settings");
+        let path = dir.join(format!("{name}-{number}.ini"));
+        fs::write(&path, settings).expect("settings are written");
+        let log = dir.join(format!("{name}-{number}.log"));
+        let out = fs::File::create(&log).expect("a log file");
+        let child = Command::new(env!("CARGO_BIN_EXE_oleanderlock"))
+            .args(["--settings".as_ref(), path.as_os_str(), role.as_ref()])
+            .stdin(Stdio::null())
+            .stdout(out)
+            .spawn()
+            .expect("the program starts");
+        Self {
+            child,
+            settings: path,
+            log,
+        }
+    }
+
+    /// Sends a signal by its name.
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let sent = Command::new("kill")
+            .args([&format!("-{name}"), &id])
+            .status();
+        assert!(sent.expect("kill runs").success());
+    }
+
+    /// Waits for its end, and returns the exit code.
+    pub fn wait(&mut self) -> Option<i32> {
+        self.child.wait().expect("a child to wait for").code()
+    }
+
+    /// Returns what it logged so far.
+    pub fn log(&self) -> String {
+        fs::read_to_string(&self.log).unwrap_or_default()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- /dev/null
+++ b/crates/oleander-standins/src/prepared/engine.rs
@@ -0,0 +1,252 @@
+//! Stand-in for a model engine of the platform.
+//!
+//! An item's body names how many events its run makes; event `n` of item `id` has the data `id:n`.
+
+use super::engine_record::{MadeEvent, OrderRecord, RunRecord};
+use super::exchange::{Request, Then, answer, serve};
+use parking_lot::Mutex;
+use serde_json::{Value, json};
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+/// Time of a load of weights.
+const LOAD: Duration = Duration::from_millis(100);
+
+/// Faults of an engine.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct EngineFaults {
+    /// Breaks each stream off before this event; 0 for never.
+    pub break_before: u64,
+    /// Answers runs with 500.
+    pub fail: bool,
+    /// Carries orders out but does not answer them.
+    pub lose_orders: bool,
+}
+
+#[derive(Debug)]
+struct State {
+    instance: String,
+    model: String,
+    version: u64,
+    loading: bool,
+    orders_accepted: u64,
+    event_time: Duration,
+    faults: EngineFaults,
+    running: usize,
+    runs: Vec<RunRecord>,
+    orders: Vec<OrderRecord>,
+}
+
+/// Stand-in for a model engine; cheap to clone.
+#[derive(Clone, Debug)]
+pub struct PreparedEngine {
+    addr: SocketAddr,
+    state: Arc<Mutex<State>>,
+}
+
+impl PreparedEngine {
+    /// Starts an engine for one model at version 1.
+    pub fn spawn(instance: &str, model: &str, event_time: Duration) -> Self {
+        let state = Arc::new(Mutex::new(State {
+            instance: instance.to_owned(),
+            model: model.to_owned(),
+            version: 1,
+            loading: false,
+            orders_accepted: 0,
+            event_time,
+            faults: EngineFaults::default(),
+            running: 0,
+            runs: Vec::new(),
+            orders: Vec::new(),
+        }));
+        let of_server = Arc::clone(&state);
+        let addr = serve(move |req, stream| handle(&of_server, req, stream));
+        Self { addr, state }
+    }
+
+    /// Returns its address.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Returns its entry for the platform's list.
+    pub fn entry(&self, service: &str) -> Value {
+        let state = self.state.lock();
+        json!({"service": service, "addr": self.addr.to_string(), "zone": "z", "version": "v1",
+            "slots": 8, "state": "ready", "cold_left_ms": 0, "seq": 1, "born": 1,
+            "models": [{"name": state.model, "version": state.version, "adapters": []}]})
+    }
+
+    /// Returns the instance that it is.
+    pub fn instance(&self) -> String {
+        self.state.lock().instance.clone()
+    }
+
+    /// Makes it another instance, as after a restart.
+    pub fn become_instance(&self, instance: &str) {
+        let mut state = self.state.lock();
+        state.instance = instance.to_owned();
+        state.orders_accepted = 0;
+    }
+
+    /// Sets its faults.
+    pub fn set_faults(&self, faults: EngineFaults) {
+        self.state.lock().faults = faults;
+    }
+
+    /// Sets the time between two events.
+    pub fn set_event_time(&self, time: Duration) {
+        self.state.lock().event_time = time;
+    }
+
+    /// Returns the runs that it began.
+    pub fn runs(&self) -> Vec<RunRecord> {
+        self.state.lock().runs.clone()
+    }
+
+    /// Returns how many runs it works on.
+    pub fn running(&self) -> usize {
+        self.state.lock().running
+    }
+
+    /// Returns the orders that it took.
+    pub fn orders(&self) -> Vec<OrderRecord> {
+        self.state.lock().orders.clone()
+    }
+}
+
+fn handle(
+    state: &Arc<Mutex<State>>,
+    req: &Request,
+    stream: &mut TcpStream,
+) -> std::io::Result<Then> {
+    let expected = req.header("expect-instance").map(str::to_owned);
+    let instance = state.lock().instance.clone();
+    if expected.is_some_and(|expected| expected != instance) {
+        return answer(stream, 421, &[("instance-id", &instance)], b"");
+    }
+    match (req.method.as_str(), req.path()) {
+        ("GET", "/-/report") => report(state, stream),
+        ("POST", "/-/order") => order(state, req, stream),
+        ("POST", _) => run(state, req, stream),
+        _ => answer(stream, 404, &[], b""),
+    }
+}
+
+fn report(state: &Mutex<State>, stream: &mut TcpStream) -> std::io::Result<Then> {
+    let body = {
+        let state = state.lock();
+        json!({"stage": "both", "busy": state.loading, "seq": state.orders_accepted, "queued": 0,
+            "running": state.running, "born": 1,
+            "models": [{"name": state.model, "version": state.version, "adapters": []}]})
+    };
+    answer(stream, 200, &[], body.to_string().as_bytes())
+}
+
+fn order(
+    state: &Arc<Mutex<State>>,
+    req: &Request,
+    stream: &mut TcpStream,
+) -> std::io::Result<Then> {
+    let body: Value = serde_json::from_slice(&req.body).unwrap_or_default();
+    let version = body["version"].as_u64().unwrap_or_default();
+    let lose = {
+        let mut now = state.lock();
+        if now.loading || body["expected"].as_u64() != Some(now.orders_accepted) {
+            drop(now);
+            return answer(stream, 409, &[], b"");
+        }
+        now.orders.push(OrderRecord {
+            holder: body["holder"].as_str().unwrap_or_default().to_owned(),
+            fence: body["fence"].as_u64().unwrap_or_default(),
+            version,
+        });
+        now.orders_accepted += 1;
+        now.loading = true;
+        now.faults.lose_orders
+    };
+    let state = Arc::clone(state);
+    thread::spawn(move || {
+        thread::sleep(LOAD);
+        let mut state = state.lock();
+        state.version = version;
+        state.loading = false;
+    });
+    if lose {
+        return Ok(Then::Close);
+    }
+    answer(stream, 202, &[], b"")
+}
+
+fn run(state: &Mutex<State>, req: &Request, stream: &mut TcpStream) -> std::io::Result<Then> {
+    let id = req.header("request-id").unwrap_or_default().to_owned();
+    let after_event = req
+        .header("last-event-id")
+        .and_then(|text| text.parse().ok());
+    let after_event: u64 = after_event.unwrap_or(0);
+    let total: u64 = String::from_utf8_lossy(&req.body).parse().unwrap_or(1);
+    let (place, version, faults) = {
+        let mut state = state.lock();
+        if state.faults.fail {
+            drop(state);
+            return answer(stream, 500, &[("request-id", &id)], b"");
+        }
+        state.running += 1;
+        state.runs.push(RunRecord {
+            id: id.clone(),
+            after_event,
+            events: Vec::new(),
+        });
+        (state.runs.len() - 1, state.version, state.faults)
+    };
+    let result = stream_events(
+        state,
+        stream,
+        &id,
+        (after_event, total),
+        (place, version, faults),
+    );
+    state.lock().running -= 1;
+    result
+}
+
+fn stream_events(
+    state: &Mutex<State>,
+    stream: &mut TcpStream,
+    id: &str,
+    (after_event, total): (u64, u64),
+    (place, mut version, faults): (usize, u64, EngineFaults),
+) -> std::io::Result<Then> {
+    let head = format!(
+        "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nrequest-id: {id}\r\n\
+         server-stamp: run-{id}\r\nweight-versions: {version}\r\ntransfer-encoding: chunked\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes())?;
+    for number in after_event + 1..=total {
+        let pause = state.lock().event_time;
+        thread::sleep(pause);
+        if number == faults.break_before && after_event + 1 < number {
+            // The middle of an event.
+            stream.write_all(b"8\r\nid: 9\nda\r\n")?;
+            return Ok(Then::Close);
+        }
+        let now = state.lock().version;
+        let change = if now == version {
+            String::new()
+        } else {
+            format!("weight-versions: {now}\n")
+        };
+        version = now;
+        let event = format!("{change}id: {number}\ndata: {id}:{number}\n\n");
+        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+        stream.write_all(chunk.as_bytes())?;
+        state.lock().runs[place]
+            .events
+            .push(MadeEvent { number, version });
+    }
+    stream.write_all(b"0\r\n\r\n")?;
+    Ok(Then::KeepOpen)
+}
--- /dev/null
+++ b/crates/oleander-standins/src/prepared/mod.rs
@@ -0,0 +1,11 @@
+//! Stand-ins for the prepared platform: its store, model engines and plain services.
+//!
+//! Each listens on a loopback address on threads of its own, keeps a record of what it saw, and has
+//! switches for its faults.
+
+pub mod engine;
+pub mod engine_record;
+pub mod exchange;
+pub mod objects;
+pub mod service;
+pub mod store;
--- /dev/null
+++ b/crates/oleander-standins/src/prepared/store.rs
@@ -0,0 +1,203 @@
+//! Stand-in for the platform's store.
+
+use super::exchange::{Request, Then, answer, serve};
+use super::objects::{Objects, Written};
+use parking_lot::{Condvar, Mutex};
+use serde_json::{Value, json};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Objects of one page.
+const PAGE_OBJECTS: usize = 50;
+const PREFIX: &str = "/-/objects/";
+
+/// Faults of the store.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct StoreFaults {
+    /// Refuses every call: nothing is done.
+    pub down: bool,
+    /// Loses the answer of each write that it carries out, one in this many; 0 for none.
+    pub lose_one_in: u64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    objects: Objects,
+    faults: StoreFaults,
+    writes: u64,
+    calls: u64,
+}
+
+/// Stand-in for the platform's store; cheap to clone.
+#[derive(Clone, Debug)]
+pub struct PreparedStore {
+    addr: SocketAddr,
+    shared: Arc<(Mutex<State>, Condvar)>,
+}
+
+impl PreparedStore {
+    /// Starts a store.
+    pub fn spawn() -> Self {
+        let shared: Arc<(Mutex<State>, Condvar)> = Arc::default();
+        let of_server = Arc::clone(&shared);
+        let addr = serve(move |req, stream| handle(&of_server, req, stream));
+        Self { addr, shared }
+    }
+
+    /// Returns its address.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Sets its faults; waiting watches end.
+    pub fn set_faults(&self, faults: StoreFaults) {
+        self.shared.0.lock().faults = faults;
+        self.shared.1.notify_all();
+    }
+
+    /// Writes an object, as the operator does.
+    pub fn put(&self, kind: &str, name: &str, spec: &Value) {
+        self.shared.0.lock().objects.put(kind, name, spec);
+        self.shared.1.notify_all();
+    }
+
+    /// Removes an object.
+    pub fn remove(&self, kind: &str, name: &str) {
+        self.shared.0.lock().objects.remove(kind, name);
+        self.shared.1.notify_all();
+    }
+
+    /// Drops the history; waiting watches end.
+    pub fn compact(&self) {
+        self.shared.0.lock().objects.compact();
+        self.shared.1.notify_all();
+    }
+
+    /// Returns an object.
+    pub fn get(&self, kind: &str, name: &str) -> Option<Value> {
+        self.shared.0.lock().objects.get(kind, name).cloned()
+    }
+
+    /// Returns the specs of all objects of a kind, in order of names.
+    pub fn specs(&self, kind: &str) -> Vec<Value> {
+        let state = self.shared.0.lock();
+        let (all, _) = state.objects.list(kind, None, usize::MAX);
+        all.into_iter()
+            .map(|object| object["spec"].clone())
+            .collect()
+    }
+
+    /// Returns the number of calls so far.
+    pub fn calls(&self) -> u64 {
+        self.shared.0.lock().calls
+    }
+}
+
+fn handle(
+    shared: &(Mutex<State>, Condvar),
+    req: &Request,
+    stream: &mut TcpStream,
+) -> std::io::Result<Then> {
+    let mut state = shared.0.lock();
+    state.calls += 1;
+    if state.faults.down {
+        return answer(stream, 503, &[], b"");
+    }
+    let Some(rest) = req.path().strip_prefix(PREFIX) else {
+        return answer(stream, 404, &[], b"");
+    };
+    let mut parts = rest.split('/');
+    let kind = parts.next().unwrap_or_default().to_owned();
+    let name = parts.next().map(str::to_owned);
+    let is_status = parts.next().is_some();
+    if req.method != "GET" {
+        let (status, body) = write(&mut state, req, &kind, name.as_deref(), is_status);
+        state.writes += 1;
+        let one_in = state.faults.lose_one_in;
+        let lost = one_in > 0 && state.writes.is_multiple_of(one_in);
+        drop(state);
+        shared.1.notify_all();
+        if lost {
+            return Ok(Then::Close);
+        }
+        return answer(stream, status, &[], body.to_string().as_bytes());
+    }
+    if let Some(name) = name {
+        let found = state.objects.get(&kind, &name).cloned();
+        drop(state);
+        return match found {
+            Some(object) => answer(stream, 200, &[], object.to_string().as_bytes()),
+            None => answer(stream, 404, &[], b""),
+        };
+    }
+    if let Some(after) = req.parameter("watch").and_then(|text| text.parse().ok()) {
+        drop(state);
+        return watch(shared, req, &kind, after, stream);
+    }
+    let (items, more) = state
+        .objects
+        .list(&kind, req.parameter("after"), PAGE_OBJECTS);
+    let body = json!({"items": items, "has_more": more, "as_of": state.objects.revision()});
+    drop(state);
+    answer(stream, 200, &[], body.to_string().as_bytes())
+}
+
+fn write(
+    state: &mut State,
+    req: &Request,
+    kind: &str,
+    name: Option<&str>,
+    is_status: bool,
+) -> (u16, Value) {
+    let body: Value = serde_json::from_slice(&req.body).unwrap_or_default();
+    let revision = body["meta"]["rev"].as_u64();
+    let written = match (req.method.as_str(), name) {
+        ("POST", None) => {
+            let name = body["meta"]["name"].as_str().unwrap_or_default();
+            state.objects.create(kind, name, &body["spec"])
+        }
+        ("PUT", Some(name)) if is_status => {
+            state
+                .objects
+                .replace(kind, name, "status", &body["status"], revision)
+        }
+        ("PUT", Some(name)) => state
+            .objects
+            .replace(kind, name, "spec", &body["spec"], revision),
+        ("DELETE", Some(name)) if state.objects.remove(kind, name) => Written::Done(json!({})),
+        _ => Written::Missing,
+    };
+    match written {
+        Written::Done(object) => (200, object),
+        Written::Conflict(object) => (409, object),
+        Written::Missing => (404, Value::Null),
+    }
+}
+
+fn watch(
+    shared: &(Mutex<State>, Condvar),
+    req: &Request,
+    kind: &str,
+    after: u64,
+    stream: &mut TcpStream,
+) -> std::io::Result<Then> {
+    let wait = req.parameter("wait_ms").and_then(|text| text.parse().ok());
+    let until = Instant::now() + Duration::from_millis(wait.unwrap_or(0));
+    let mut state = shared.0.lock();
+    loop {
+        if state.faults.down {
+            return Ok(Then::Close);
+        }
+        let Some(events) = state.objects.changes(kind, after) else {
+            drop(state);
+            return answer(stream, 410, &[], b"");
+        };
+        if !events.is_empty() || Instant::now() >= until {
+            let body = json!({"events": events, "as_of": state.objects.revision()});
+            drop(state);
+            return answer(stream, 200, &[], body.to_string().as_bytes());
+        }
+        shared.1.wait_until(&mut state, until);
+    }
+}
