--- a/crates/oleander-rollout/src/dispatch/http_api.rs
+++ b/crates/oleander-rollout/src/dispatch/http_api.rs
@@ -67,7 +67,8 @@
 }
 
 fn health(dispatcher: &Dispatcher) -> Answer {
-    let leads = dispatcher.state.borrow().leads();
+    // One that still reads the store has won its epoch too: another take-over would begin anew.
+    let leads = dispatcher.state.borrow().standing.epoch();
     let view = dispatcher.view.get();
     let known = view.leader.as_ref().map(|(leader, _)| leader);
     let health = DispatcherHealth {
--- a/crates/oleander-rollout/src/dispatch/state.rs
+++ b/crates/oleander-rollout/src/dispatch/state.rs
@@ -25,6 +25,16 @@
     },
 }
 
+impl Standing {
+    /// Returns the epoch that it has won, if any.
+    pub fn epoch(self) -> Option<u64> {
+        match self {
+            Self::Standby => None,
+            Self::Recovering { epoch } | Self::Leading { epoch } => Some(epoch),
+        }
+    }
+}
+
 /// What is kept of a job besides its items.
 #[derive(Clone, Copy, Debug)]
 pub struct JobRecord {
--- a/crates/oleander-rollout/src/peer/messages.rs
+++ b/crates/oleander-rollout/src/peer/messages.rs
@@ -120,7 +120,7 @@
 /// How a dispatcher stands.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DispatcherHealth {
-    /// Whether it leads.
+    /// Whether it leads, or reads the store in order to.
     pub leads: bool,
     /// Epoch in which it leads, or the newest that it knows.
     pub epoch: u64,
