Go on trying to take over when the store was away

Ruled out: a split between the dispatchers (all reached the store at 9.3 s). Test first: a_leader_that_is_lost_while_the_store_is_away_is_replaced_soon_after_its_return.

--- a/crates/oleander-rollout/src/dispatch/leading.rs
+++ b/crates/oleander-rollout/src/dispatch/leading.rs
@@ -110,9 +110,10 @@
         Some(addr) => probe(dispatcher, addr, leader.epoch).await,
         None => LeaderProbe::NoAnswer,
     };
+    // The count goes on after a failed try, so that the first write that the store takes wins.
     if watch.probed(probe) {
-        watch.reset();
-        take_over(dispatcher, &format!("{probe:?}")).await;
+        let reason = format!("{probe:?} misses={}", watch.misses());
+        take_over(dispatcher, &reason).await;
     }
     dispatcher
         .view
--- a/crates/oleander-rollout/src/store/client.rs
+++ b/crates/oleander-rollout/src/store/client.rs
@@ -18,8 +18,11 @@
 
 /// Longest time to open a connection to the store.
 const CONNECT_LIMIT: Millis = Millis(800);
-/// Longest wait for an answer that is not a watch.
-const CALL_LIMIT: Millis = Millis(2500);
+/// Longest wait for the answer to a call about one object. A silent store is asked again soon after
+/// its return; a slow one takes 0.3 s.
+const CALL_LIMIT: Millis = Millis(1200);
+/// Longest wait for a page of a list.
+const PAGE_LIMIT: Millis = Millis(2500);
 /// What a watch may take beyond the wait that it asks for.
 const WATCH_GRACE: Millis = Millis(2000);
 /// Greatest answer, in bytes: a page of a list is about 1 MB.
@@ -89,7 +92,7 @@
     pub async fn page(&self, kind: &str, after: Option<&str>) -> Result<ObjectPage, StoreFault> {
         let path = calls::list_objects(kind, after);
         let (status, body) = self
-            .call(Method::GET, &path, Vec::new(), CALL_LIMIT)
+            .call(Method::GET, &path, Vec::new(), PAGE_LIMIT)
             .await?;
         match status {
             StatusCode::OK => object::decode_page(&body).map_err(StoreFault::no_answer),
--- a/crates/oleander-rollout/tests/batch_jobs.rs
+++ b/crates/oleander-rollout/tests/batch_jobs.rs
@@ -109,6 +109,42 @@
     assert_eq!(deployment.read_all(0, "job-d", 16), results);
 }
 
+#[test]
+fn a_leader_that_is_lost_while_the_store_is_away_is_replaced_soon_after_its_return() {
+    let mut deployment = Deployment::start(SMALL);
+    wait_for("a dispatcher leads", || deployment.leader().is_some());
+    let leader = deployment.leader().expect("a leader");
+    deployment.store.set_faults(StoreFaults {
+        down: true,
+        ..StoreFaults::default()
+    });
+    deployment.dispatchers[leader].kill();
+    let standby = &deployment.dispatchers[1 - leader];
+    let tries = || {
+        standby
+            .process()
+            .log()
+            .matches("event=take-over-failed")
+            .count()
+    };
+    wait_for("the standby has tried several times", || tries() >= 3);
+    deployment.store.set_faults(StoreFaults::default());
+    wait_for("the standby leads", || {
+        deployment.leader() == Some(1 - leader)
+    });
+    // Each try follows one more probe, not a new count of them.
+    let log = standby.process().log();
+    let misses = log
+        .lines()
+        .filter(|line| line.contains("event=take-over-failed"));
+    let misses = misses.filter_map(|line| line.split("misses=").nth(1)?.split('"').next());
+    let misses: Vec<u32> = misses.filter_map(|text| text.parse().ok()).collect();
+    assert!(
+        misses.windows(2).all(|pair| pair[1] == pair[0] + 1),
+        "{misses:?}"
+    );
+}
+
 #[test]
 fn a_paused_leader_shows_nothing_older_when_it_wakes() {
     let deployment = Deployment::start(SMALL);
--- a/crates/oleanderlock/src/batch/leadership.rs
+++ b/crates/oleanderlock/src/batch/leadership.rs
@@ -36,6 +36,11 @@
         self.misses = 0;
     }
 
+    /// Returns how many probes in a row brought no answer of a leader that can list results.
+    pub fn misses(&self) -> u32 {
+        self.misses
+    }
+
     /// Takes a probe; returns whether to try to take over. A standby that has no store either
     /// fails at the conditional write.
     pub fn probed(&mut self, probe: LeaderProbe) -> bool {
--- a/crates/oleanderlock/tests/batch_results.rs
+++ b/crates/oleanderlock/tests/batch_results.rs
@@ -116,6 +116,13 @@
     assert!(watch.probed(LeaderProbe::NoAnswer));
 }
 
+#[test]
+fn a_standby_tries_at_each_further_miss() {
+    let mut watch = LeaderWatch::default();
+    let tries = (0..10).filter(|_| watch.probed(LeaderProbe::NoAnswer));
+    assert_eq!(tries.count(), 8);
+}
+
 #[test]
 fn an_answer_of_the_leader_starts_the_count_anew() {
     let mut watch = LeaderWatch::default();
