Size each model's set of engines by its work

Cause: three models shared nine engines evenly, though a step of pest-advice needs 2.3 times the tokens of one of quality-notes; its trainer fell 11 s behind. Test first: models_share_the_engines_by_their_work.

--- a/crates/oleanderlock/src/batch/board.rs
+++ b/crates/oleanderlock/src/batch/board.rs
@@ -15,6 +15,9 @@
 use indexmap::IndexMap;
 use std::collections::HashSet;
 
+/// Weight of the newest step in the mean work of a model's steps, in parts of 8.
+const WORK_NEW_EIGHTHS: u64 = 2;
+
 /// The open batch jobs, the agents, and which item is where.
 #[derive(Clone, Debug, Default)]
 pub struct Board {
@@ -23,6 +26,8 @@
     pub(super) agents: IndexMap<String, AgentState>,
     pub(super) sets: ModelSets,
     pub(super) wanted: IndexMap<String, u64>,
+    /// Tokens that a step of each model needs, on average.
+    pub(super) work: IndexMap<String, u64>,
 }
 
 /// What the board makes of a call of an agent.
@@ -48,11 +53,23 @@
         if self.jobs.contains_key(&job.id) {
             return false;
         }
+        self.note_work(&job);
         let id = job.id.clone();
         self.jobs.insert(id, JobState::new(job, terms, submitted));
         true
     }
 
+    /// Notes the work of a step, so that the sets of engines follow it.
+    fn note_work(&mut self, job: &Job) {
+        let expected = job
+            .items
+            .iter()
+            .map(|item| item.expected_tokens.unwrap_or(item.tokens));
+        let tokens: u64 = expected.sum();
+        let mean = self.work.entry(job.model.clone()).or_insert(tokens);
+        *mean = (*mean * (8 - WORK_NEW_EIGHTHS) + tokens * WORK_NEW_EIGHTHS) / 8;
+    }
+
     /// Returns a job.
     pub fn job(&self, id: &str) -> Option<&JobState> {
         self.jobs.get(id)
--- a/crates/oleanderlock/src/batch/board_assign.rs
+++ b/crates/oleanderlock/src/batch/board_assign.rs
@@ -162,19 +162,18 @@
             .iter()
             .filter(|(_, agent)| !agent.report.leaving);
         let live = live.filter(|(_, agent)| !agent.report.weights.is_empty());
-        let mut models: Vec<String> = Vec::new();
+        let mut work: IndexMap<String, u64> = IndexMap::new();
         let mut agents: IndexMap<String, Option<String>> = IndexMap::new();
         for (name, agent) in live {
             for model in agent.report.weights.keys() {
-                if !models.contains(model) {
-                    models.push(model.clone());
-                }
+                let of_model = self.work.get(model).copied();
+                work.insert(model.clone(), of_model.unwrap_or(1));
             }
             agents.insert(name.clone(), self.freshest_model(agent));
         }
-        models.sort();
+        work.sort_keys();
         agents.sort_keys();
-        self.sets.balance(&models, &agents);
+        self.sets.balance(&work, &agents);
     }
 
     /// The model whose version on the engine is least behind the one that was named.
--- a/crates/oleanderlock/tests/batch_board.rs
+++ b/crates/oleanderlock/tests/batch_board.rs
@@ -8,6 +8,7 @@
 use oleanderlock::batch::item_key::ItemKey;
 use oleanderlock::batch::job::{Job, JobItem};
 use oleanderlock::batch::job_terms::JobTerms;
+use oleanderlock::batch::model_sets::ModelSets;
 use oleanderlock::batch::progress::Progress;
 use oleanderlock::prelude::*;
 
@@ -287,6 +288,33 @@
     assert_eq!(board.plan_loads(Millis(100)), []);
 }
 
+#[test]
+fn models_share_the_engines_by_their_work() {
+    let mut sets = ModelSets::default();
+    let agents: IndexMap<String, Option<String>> =
+        (0..9).map(|n| (format!("agent-{n}"), None)).collect();
+    let work =
+        |m, n, o| IndexMap::from([("m", m), ("n", n), ("o", o)].map(|(k, v)| (k.to_owned(), v)));
+    let counts = |sets: &ModelSets| {
+        ["m", "n", "o"].map(|model| {
+            let of_model = agents
+                .keys()
+                .filter(|agent| sets.model_of(agent) == Some(model));
+            of_model.count()
+        })
+    };
+    sets.balance(&work(1, 1, 1), &agents);
+    assert_eq!(counts(&sets), [3, 3, 3]);
+    sets.balance(&work(647, 1277, 1459), &agents);
+    assert_eq!(counts(&sets), [2, 3, 4]);
+    // Small changes move nothing.
+    sets.balance(&work(750, 1300, 1300), &agents);
+    assert_eq!(counts(&sets), [2, 3, 4]);
+    // A model with hardly any work keeps one engine.
+    sets.balance(&work(1, 1000, 1000), &agents);
+    assert_eq!(counts(&sets)[0], 1);
+}
+
 #[test]
 fn models_share_the_engines_evenly() {
     let mut board = board();
