--- a/crates/oleander-rollout/src/cli.rs
+++ b/crates/oleander-rollout/src/cli.rs
@@ -1,11 +1,9 @@
 //! Arguments of the program.
 
 use bpaf::Bpaf;
+use oleander_platform::SETTINGS_VARIABLE;
 use std::path::PathBuf;
 
-/// Environment variable with the path of the settings file.
-pub const SETTINGS_VARIABLE: &str = "OLEANDERLOCK_SETTINGS";
-
 /// What the process does in the deployment.
 #[derive(Bpaf, Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "lowercase")]
--- a/crates/oleander-rollout/tests/batch_jobs.rs
+++ b/crates/oleander-rollout/tests/batch_jobs.rs
@@ -2,8 +2,8 @@
 
 mod support;
 
-use oleander_standins::prepared::engine::EngineFaults;
-use oleander_standins::prepared::store::StoreFaults;
+use oleander_platform_standins::engine::EngineFaults;
+use oleander_platform_standins::store::StoreFaults;
 use serde_json::{Value, json};
 use std::thread;
 use std::time::Duration;
--- a/crates/oleander-rollout/tests/calls.rs
+++ b/crates/oleander-rollout/tests/calls.rs
@@ -2,8 +2,8 @@
 
 mod support;
 
-use oleander_standins::prepared::service::Treatment;
-use oleander_standins::prepared::store::StoreFaults;
+use oleander_platform_standins::service::Treatment;
+use oleander_platform_standins::store::StoreFaults;
 use std::io::Read;
 use std::thread;
 use std::time::Duration;
--- a/crates/oleander-standins/src/lib.rs
+++ b/crates/oleander-standins/src/lib.rs
@@ -14,7 +14,6 @@
 pub mod judge;
 pub mod list;
 pub mod prefix_cache;
-pub mod prepared;
 pub mod rate;
 pub mod reply;
 pub mod running;
