--- a/crates/oleander-rollout/src/call/caller.rs
+++ b/crates/oleander-rollout/src/call/caller.rs
@@ -106,14 +106,22 @@
         let mut progress = Progress::default();
         let left = req.deadline.since(now());
         let outcome = within(left, self.run(req, &mut progress)).await;
-        outcome.unwrap_or_else(|| {
-            let failure = progress.failure.take();
-            match failure {
-                Some(answer) => CallOutcome::Answered(answer),
-                None if progress.may_have_run || progress.sent > 0 => CallOutcome::TimedOut,
-                None => CallOutcome::NotRun(Millis::ZERO),
-            }
-        })
+        let outcome = outcome.unwrap_or_else(|| match progress.failure.take() {
+            Some(answer) => CallOutcome::Answered(answer),
+            None if progress.may_have_run || progress.sent > 0 => CallOutcome::TimedOut,
+            None => CallOutcome::NotRun(Millis::ZERO),
+        });
+        if !matches!(outcome, CallOutcome::Answered(_)) {
+            event(log::Level::Info, "call-gave-up", || {
+                let (tried, sent) = (progress.tried.join(","), progress.sent);
+                let may_have_run = progress.may_have_run || sent > 0;
+                format!(
+                    "request={} tried={tried} may_have_run={may_have_run}",
+                    req.id
+                )
+            });
+        }
+        outcome
     }
 
     /// Sends a request for a stream to one endpoint after the other until one has begun.
