--- a/crates/oleanderlock/src/batch/board.rs
+++ b/crates/oleanderlock/src/batch/board.rs
@@ -2,11 +2,11 @@
 //!
 //! Bounded by the jobs that are kept and the agents that were heard.
 
-use super::agent_state::{AgentReport, AgentState};
+use super::agent_state::{AgentReport, AgentState, Assigned};
 use super::board_config::BoardConfig;
 use super::item_key::ItemKey;
 use super::item_state::{ItemPhase, ItemState};
-use super::job::Job;
+use super::job::{Job, JobItem};
 use super::job_state::JobState;
 use super::job_terms::JobTerms;
 use super::model_sets::ModelSets;
@@ -61,11 +61,7 @@
 
     /// Notes the work of a step, so that the sets of engines follow it.
     fn note_work(&mut self, job: &Job) {
-        let expected = job
-            .items
-            .iter()
-            .map(|item| item.expected_tokens.unwrap_or(item.tokens));
-        let tokens: u64 = expected.sum();
+        let tokens: u64 = job.items.iter().map(JobItem::work).sum();
         let mean = self.work.entry(job.model.clone()).or_insert(tokens);
         *mean = (*mean * (8 - WORK_NEW_EIGHTHS) + tokens * WORK_NEW_EIGHTHS) / 8;
     }
@@ -150,8 +146,8 @@
         };
         let held: HashSet<&str> = report.items.iter().map(String::as_str).collect();
         let grace = self.cfg.assignment_grace;
-        assigned.retain(|key, since| {
-            let lost = now.since(*since) > grace && !held.contains(key.to_string().as_str());
+        assigned.retain(|key, item| {
+            let lost = now.since(item.since) > grace && !held.contains(key.to_string().as_str());
             if lost {
                 heard.returned.push(key.clone());
             }
@@ -186,7 +182,7 @@
         &mut self,
         agent: &str,
         key: &ItemKey,
-        assigned: &mut IndexMap<ItemKey, Millis>,
+        assigned: &mut IndexMap<ItemKey, Assigned>,
     ) -> bool {
         let Some(item) = self.item_mut(key) else {
             return false;
@@ -197,7 +193,11 @@
         item.phase = ItemPhase::Running {
             agent: agent.to_owned(),
         };
-        assigned.insert(key.clone(), Millis::ZERO);
+        let adopted = Assigned {
+            since: Millis::ZERO,
+            tokens: item.item.work(),
+        };
+        assigned.insert(key.clone(), adopted);
         true
     }
 
