--- a/crates/oleanderlock/src/batch/agent_state.rs
+++ b/crates/oleanderlock/src/batch/agent_state.rs
@@ -42,15 +42,6 @@
     pub endpoints_digest: u64,
 }
 
-/// An item that the board has assigned to an agent.
-#[derive(Clone, Copy, Debug)]
-pub struct Assigned {
-    /// When it was assigned.
-    pub since: Millis,
-    /// Tokens that it is expected to need.
-    pub tokens: u64,
-}
-
 /// What the board knows of an agent.
 #[derive(Clone, Debug)]
 pub struct AgentState {
@@ -58,8 +49,8 @@
     pub report: AgentReport,
     /// When it was heard last.
     pub heard: Millis,
-    /// Items that the board has assigned to it.
-    pub assigned: IndexMap<ItemKey, Assigned>,
+    /// Items that the board has assigned to it, with the time of the assignment.
+    pub assigned: IndexMap<ItemKey, Millis>,
     /// Until when a load that the board granted counts as running.
     pub load_granted_until: Millis,
 }
@@ -76,12 +67,6 @@
         !self.report.leaving && most > self.outstanding()
     }
 
-    /// Returns the tokens that the assigned items are expected to need. Long runs slow each other
-    /// down, and are put off when the engine's memory is full.
-    pub fn expected_tokens(&self) -> u64 {
-        self.assigned.values().map(|assigned| assigned.tokens).sum()
-    }
-
     /// Returns the time between two events of a run, or what is assumed of an engine that has
     /// not shown its pace lately.
     pub fn pace_us(&self) -> u64 {
--- a/crates/oleanderlock/src/batch/board.rs
+++ b/crates/oleanderlock/src/batch/board.rs
@@ -2,11 +2,11 @@
 //!
 //! Bounded by the jobs that are kept and the agents that were heard.
 
-use super::agent_state::{AgentReport, AgentState, Assigned};
+use super::agent_state::{AgentReport, AgentState};
 use super::board_config::BoardConfig;
 use super::item_key::ItemKey;
 use super::item_state::{ItemPhase, ItemState};
-use super::job::{Job, JobItem};
+use super::job::Job;
 use super::job_state::JobState;
 use super::job_terms::JobTerms;
 use super::model_sets::ModelSets;
@@ -61,7 +61,11 @@
 
     /// Notes the work of a step, so that the sets of engines follow it.
     fn note_work(&mut self, job: &Job) {
-        let tokens: u64 = job.items.iter().map(JobItem::work).sum();
+        let expected = job
+            .items
+            .iter()
+            .map(|item| item.expected_tokens.unwrap_or(item.tokens));
+        let tokens: u64 = expected.sum();
         let mean = self.work.entry(job.model.clone()).or_insert(tokens);
         *mean = (*mean * (8 - WORK_NEW_EIGHTHS) + tokens * WORK_NEW_EIGHTHS) / 8;
     }
@@ -146,8 +150,8 @@
         };
         let held: HashSet<&str> = report.items.iter().map(String::as_str).collect();
         let grace = self.cfg.assignment_grace;
-        assigned.retain(|key, item| {
-            let lost = now.since(item.since) > grace && !held.contains(key.to_string().as_str());
+        assigned.retain(|key, since| {
+            let lost = now.since(*since) > grace && !held.contains(key.to_string().as_str());
             if lost {
                 heard.returned.push(key.clone());
             }
@@ -182,7 +186,7 @@
         &mut self,
         agent: &str,
         key: &ItemKey,
-        assigned: &mut IndexMap<ItemKey, Assigned>,
+        assigned: &mut IndexMap<ItemKey, Millis>,
     ) -> bool {
         let Some(item) = self.item_mut(key) else {
             return false;
@@ -193,11 +197,7 @@
         item.phase = ItemPhase::Running {
             agent: agent.to_owned(),
         };
-        let adopted = Assigned {
-            since: Millis::ZERO,
-            tokens: item.item.work(),
-        };
-        assigned.insert(key.clone(), adopted);
+        assigned.insert(key.clone(), Millis::ZERO);
         true
     }
 
--- a/crates/oleanderlock/src/batch/board_assign.rs
+++ b/crates/oleanderlock/src/batch/board_assign.rs
@@ -3,14 +3,14 @@
 //! Load pattern: each trainer submits a step of groups every few seconds and waits for nine tenths
 //! of them; a group counts only when all of its items are listed in time. The jobs that are due
 //! first come first. Within a job the items that are expected to take longest begin first, each on
-//! the engine with the least work among those of the best pace: an engine reads a shared prompt of a
+//! the engine with the most room among those of the best pace: an engine reads a shared prompt of a
 //! thousand tokens in the time of a few tokens, so splitting a group costs less than waiting does.
 //!
 //! A trainer names a version and asks for the next step at once, and a step allows the version
 //! before. An engine that loaded at that moment would make the step wait; it loads in the pause in
 //! which the trainer trains.
 
-use super::agent_state::{AgentState, Assigned};
+use super::agent_state::AgentState;
 use super::board::Board;
 use super::item_key::ItemKey;
 use super::item_state::ItemPhase;
@@ -81,11 +81,7 @@
             item: item.item.id.clone(),
         };
         if let Some(agent) = self.agents.get_mut(&name) {
-            let assigned = Assigned {
-                since: now,
-                tokens: item.item.work(),
-            };
-            agent.assigned.insert(key.clone(), assigned);
+            agent.assigned.insert(key.clone(), now);
         }
         Assignment {
             agent: name,
@@ -105,7 +101,7 @@
         let cost = |agent: &AgentState| {
             let own_set = self.sets.model_of(&agent.report.agent) == Some(&job.model);
             let steps = if own_set { 0 } else { OTHER_SET_STEPS };
-            (agent.pace_step(1) + steps, agent.expected_tokens())
+            (agent.pace_step(1) + steps, agent.outstanding())
         };
         let fitting = self.agents.values().filter(|agent| fits(agent));
         let best = fitting.min_by_key(|agent| cost(agent))?;
--- a/crates/oleanderlock/src/batch/board_recall.rs
+++ b/crates/oleanderlock/src/batch/board_recall.rs
@@ -25,14 +25,14 @@
                 continue;
             }
             let mut room: IndexMap<&str, usize> = IndexMap::new();
-            for (key, assigned) in &agent.assigned {
+            for (key, since) in &agent.assigned {
                 let Some(job) = self.jobs.get(&key.job) else {
                     continue;
                 };
                 let room = room
                     .entry(&key.job)
                     .or_insert_with(|| self.faster_room(agent, &job.model, job.oldest_version));
-                if *room > 0 && now.since(assigned.since) >= STAY_MIN {
+                if *room > 0 && now.since(*since) >= STAY_MIN {
                     *room -= 1;
                     recalls.push((name.clone(), key.clone()));
                 }
--- a/crates/oleanderlock/src/batch/job.rs
+++ b/crates/oleanderlock/src/batch/job.rs
@@ -36,13 +36,6 @@
     pub score_call: Option<ScoreCall>,
 }
 
-impl JobItem {
-    /// Returns the tokens that the item is expected to need.
-    pub fn work(&self) -> u64 {
-        self.expected_tokens.unwrap_or(self.tokens)
-    }
-}
-
 /// A batch job as a trainer submitted it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Job {
