--- a/crates/oleander-rollout/src/agent/pull.rs
+++ b/crates/oleander-rollout/src/agent/pull.rs
@@ -6,7 +6,7 @@
 use crate::peer::leader_link::LeaderFault;
 use crate::peer::messages::{PULL, PullAnswer, REPORT};
 use crate::prelude::*;
-use crate::store::told::take_news;
+use crate::store::news_intake::take_news;
 use http::{Method, StatusCode};
 use oleanderlock::batch::agent_state::AgentReport;
 use std::rc::Rc;
--- a/crates/oleander-rollout/src/call/caller.rs
+++ b/crates/oleander-rollout/src/call/caller.rs
@@ -96,11 +96,6 @@
         })
     }
 
-    /// Returns how many connections to endpoints were opened.
-    pub fn opened(&self) -> u64 {
-        self.pool.opened()
-    }
-
     /// Sends a call until one endpoint has answered it, or nothing more can be done in time.
     pub async fn call(&self, req: &CallRequest) -> CallOutcome {
         let mut progress = Progress::default();
--- a/crates/oleander-rollout/src/entry/news.rs
+++ b/crates/oleander-rollout/src/entry/news.rs
@@ -7,7 +7,7 @@
 use crate::peer::leader_link::LeaderFault;
 use crate::peer::messages::{KnownNews, NEWS, PlatformNews};
 use crate::prelude::*;
-use crate::store::told::take_news;
+use crate::store::news_intake::take_news;
 use http::{Method, StatusCode};
 use std::rc::Rc;
 
--- a/crates/oleander-rollout/src/http/pool.rs
+++ b/crates/oleander-rollout/src/http/pool.rs
@@ -11,7 +11,7 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use smol_hyper::rt::FuturesIo;
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -53,7 +53,6 @@
 pub struct Pool {
     idle: RefCell<HashMap<Destination, Vec<Idle>>>,
     connect_limit: Millis,
-    opened: Cell<u64>,
 }
 
 impl Pool {
@@ -62,15 +61,9 @@
         Rc::new(Self {
             idle: RefCell::default(),
             connect_limit,
-            opened: Cell::new(0),
         })
     }
 
-    /// Returns how many connections were opened.
-    pub fn opened(&self) -> u64 {
-        self.opened.get()
-    }
-
     /// Sends a request and waits for the head of its answer.
     ///
     /// # Errors
@@ -102,11 +95,6 @@
         }
     }
 
-    /// Closes all idle connections.
-    pub fn clear(&self) {
-        self.idle.borrow_mut().clear();
-    }
-
     fn take(&self, to: &Destination) -> Option<Idle> {
         let now = now();
         let mut all = self.idle.borrow_mut();
@@ -119,7 +107,6 @@
     async fn open(&self, to: &Destination) -> Result<Idle, SendFault> {
         let stream = connect(to.addr, self.connect_limit).await;
         let stream = stream.map_err(SendFault::not_sent)?;
-        self.opened.set(self.opened.get() + 1);
         let (sender, connection) = Builder::new()
             .handshake(FuturesIo::new(stream))
             .await
--- a/crates/oleander-rollout/src/store/client.rs
+++ b/crates/oleander-rollout/src/store/client.rs
@@ -38,7 +38,6 @@
     host: HeaderValue,
     health: StoreHealth,
     answered: Cell<Option<Millis>>,
-    calls: Cell<u64>,
 }
 
 impl StoreClient {
@@ -51,7 +50,6 @@
             host: host.unwrap_or(HeaderValue::from_static("store")),
             health,
             answered: Cell::new(None),
-            calls: Cell::new(0),
         })
     }
 
@@ -60,11 +58,6 @@
         self.answered.get().map_or(NEVER, |at| now().since(at))
     }
 
-    /// Returns the number of calls made.
-    pub fn calls(&self) -> u64 {
-        self.calls.get()
-    }
-
     /// Reads one object.
     ///
     /// # Errors
@@ -220,7 +213,6 @@
         body: Vec<u8>,
         limit: Millis,
     ) -> Result<(StatusCode, Bytes), StoreFault> {
-        self.calls.set(self.calls.get() + 1);
         let began = now();
         let req = Request::builder()
             .method(method)
--- a/crates/oleander-rollout/src/store/mod.rs
+++ b/crates/oleander-rollout/src/store/mod.rs
@@ -7,6 +7,7 @@
 pub mod health;
 pub mod job_objects;
 pub mod leader_object;
-pub mod told;
+pub mod news_intake;
+
 pub mod view;
 pub mod watch;
--- a/crates/oleanderlock/src/batch/board.rs
+++ b/crates/oleanderlock/src/batch/board.rs
@@ -226,11 +226,6 @@
         self.agents.get(agent).map(|agent| agent.report.slots)
     }
 
-    /// Returns the agents.
-    pub fn agents(&self) -> impl Iterator<Item = &AgentState> {
-        self.agents.values()
-    }
-
     fn item_mut(&mut self, key: &ItemKey) -> Option<&mut ItemState> {
         self.jobs.get_mut(&key.job)?.items.get_mut(&key.item)
     }
--- a/crates/oleanderlock/src/routing/endpoint_table.rs
+++ b/crates/oleanderlock/src/routing/endpoint_table.rs
@@ -40,11 +40,6 @@
         })
     }
 
-    /// Returns an entry by its instance.
-    pub fn get(&self, instance: &str) -> Option<&EndpointEntry> {
-        self.entries.get(instance)
-    }
-
     /// Makes a table of entries.
     pub fn of(entries: Vec<EndpointEntry>) -> Self {
         let entries = entries.into_iter();
@@ -64,14 +59,4 @@
     pub fn instances(&self) -> impl Iterator<Item = &str> {
         self.entries.keys().map(String::as_str)
     }
-
-    /// Returns the number of entries.
-    pub fn len(&self) -> usize {
-        self.entries.len()
-    }
-
-    /// Whether no endpoint is known.
-    pub fn is_empty(&self) -> bool {
-        self.entries.is_empty()
-    }
 }
