Count only answers of 500 as failures of a scoring call; a refusal without "not run" is unclear

The same answers, without the mark that the call did not run, were passed on to callers as a promise. Tests first: an_item_is_not_given_up_for_refusals_of_the_scoring_service, and Busy in a_call_that_runs_once_is_not_repeated_when_it_may_have_run. Ruled out: failures carried over from an earlier job (counted for each call).

--- a/crates/oleander-rollout/src/agent/run.rs
+++ b/crates/oleander-rollout/src/agent/run.rs
@@ -163,7 +163,8 @@
         }
         StatusCode::UNPROCESSABLE_ENTITY => return RunEnd::Impossible,
         _ if not_run => return RunEnd::Refused,
-        _ => return RunEnd::Failed,
+        StatusCode::INTERNAL_SERVER_ERROR => return RunEnd::Failed,
+        _ => return RunEnd::Broken,
     }
     read_events(agent, work, exchange, version, progress).await
 }
--- a/crates/oleander-rollout/src/agent/score.rs
+++ b/crates/oleander-rollout/src/agent/score.rs
@@ -50,7 +50,7 @@
                     agent.metrics.took("score", now().since(began));
                     return Scored::Score(Some(score.to_owned()));
                 }
-                failures += answer.failures.max(1);
+                failures += answer.failures;
                 "failure"
             }
             CallOutcome::NotRun(_) => "not-run",
--- a/crates/oleander-rollout/src/call/caller.rs
+++ b/crates/oleander-rollout/src/call/caller.rs
@@ -16,7 +16,7 @@
 use futures_util::future::{Either, LocalBoxFuture, select};
 use futures_util::stream::FuturesUnordered;
 use http::header::HeaderValue;
-use http::{HeaderName, Request};
+use http::{HeaderName, Request, StatusCode};
 use http_body_util::Full;
 use oleander_platform::headers;
 use oleanderlock::routing::attempt_rule::{AfterFailure, AttemptFailure, CallState, after_failure};
@@ -132,6 +132,9 @@
                     Verdict::NotRun => AttemptEnd::NotRun("full"),
                     Verdict::OtherInstance => AttemptEnd::NotRun("other-instance"),
                     Verdict::Foreign => AttemptEnd::Lost("an answer to another request".to_owned()),
+                    Verdict::Unclear => {
+                        AttemptEnd::Lost("a refusal that does not say not run".to_owned())
+                    }
                     Verdict::Answer | Verdict::Failure => {
                         return StreamOutcome::Opened(Box::new(exchange));
                     }
@@ -206,7 +209,9 @@
             AttemptEnd::Failure(mut answer) => {
                 let reason = format!("status {}", answer.head.status.as_u16());
                 progress.may_have_run = true;
-                progress.failures += 1;
+                if answer.head.status == StatusCode::INTERNAL_SERVER_ERROR {
+                    progress.failures += 1;
+                }
                 answer.failures = progress.failures;
                 progress.failure = Some(answer);
                 self.metrics.retried("endpoint-failure");
@@ -328,6 +333,7 @@
         (Verdict::NotRun, _) => AttemptEnd::NotRun("full"),
         (Verdict::OtherInstance, _) => AttemptEnd::NotRun("other-instance"),
         (Verdict::Foreign, _) => AttemptEnd::Lost("an answer to another request".to_owned()),
+        (Verdict::Unclear, _) => AttemptEnd::Lost("a refusal that does not say not run".to_owned()),
         (_, Err(fault)) => AttemptEnd::Lost(fault.to_string()),
         (Verdict::Failure, Ok(answer)) => AttemptEnd::Failure(answer),
         (Verdict::Answer, Ok(answer)) => AttemptEnd::Answer(answer),
--- a/crates/oleander-rollout/src/call/endpoint_answer.rs
+++ b/crates/oleander-rollout/src/call/endpoint_answer.rs
@@ -12,7 +12,7 @@
     pub head: Parts,
     /// Whole body.
     pub body: Bytes,
-    /// Endpoints that ran the call and failed, this one included.
+    /// Endpoints that answered with 500, this one included.
     pub failures: u32,
 }
 
@@ -29,8 +29,17 @@
     OtherInstance,
     /// It is not an answer to this call.
     Foreign,
+    /// Its status promises that the call did not run, but the endpoint does not say so.
+    Unclear,
 }
 
+/// Statuses that promise a caller that its call has not run.
+const PROMISES: [StatusCode; 3] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
+
 /// Says how the head of an answer to the call `id` is to be taken.
 pub fn judge(head: &Parts, id: &str) -> Verdict {
     let header = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
@@ -43,7 +52,10 @@
     if header(headers::REQUEST_ID).is_some_and(|echoed| echoed != id) {
         return Verdict::Foreign;
     }
-    if head.status.is_server_error() || head.status == StatusCode::TOO_MANY_REQUESTS {
+    if PROMISES.contains(&head.status) {
+        return Verdict::Unclear;
+    }
+    if head.status.is_server_error() {
         return Verdict::Failure;
     }
     if head.status.is_success() && header(headers::SIGNATURE).is_none() {
--- a/crates/oleander-rollout/tests/batch_jobs.rs
+++ b/crates/oleander-rollout/tests/batch_jobs.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use oleander_platform_standins::engine::EngineFaults;
+use oleander_platform_standins::service::Treatment;
 use oleander_platform_standins::store::StoreFaults;
 use serde_json::{Value, json};
 use std::thread;
@@ -307,6 +308,34 @@
     check_results(&deployment.read_all(0, "job-q", 2), &body);
 }
 
+#[test]
+fn an_item_is_not_given_up_for_refusals_of_the_scoring_service() {
+    let deployment = Deployment::start(SMALL);
+    for service in &deployment.services {
+        service.treat_all(Treatment::Busy);
+    }
+    let body = job(1, 1, 1, 3);
+    deployment.submit(0, "job-v", &body);
+    let scored = || {
+        deployment
+            .services
+            .iter()
+            .map(|one| one.ran().len())
+            .sum::<usize>()
+    };
+    wait_for("the service has refused many scoring calls", || {
+        scored() >= 30
+    });
+    assert_eq!(
+        deployment.read(0, "job-v", 0).expect("an answer")["results"],
+        json!([])
+    );
+    for service in &deployment.services {
+        service.treat_all(Treatment::Answer);
+    }
+    check_results(&deployment.read_all(0, "job-v", 2), &body);
+}
+
 #[test]
 fn ended_jobs_stop_at_the_engines() {
     let deployment = Deployment::start(SMALL);
--- a/crates/oleander-rollout/tests/calls.rs
+++ b/crates/oleander-rollout/tests/calls.rs
@@ -108,6 +108,7 @@
         Treatment::LoseAnswer,
         Treatment::Truncate,
         Treatment::OtherId,
+        Treatment::Busy,
     ] {
         let deployment = deployment();
         treat_next(&deployment, treatment);
