Keep entries that are missing when an entry begins to look at the list itself

If that is after the store's return, no call of its own had failed, so it took entries that had lapsed for gone. Not the load: it depends on when the leader's answer comes. A new leader likewise told its first list while entries were not yet back; it waits for them now. Test first: entries_that_are_missing_when_the_leader_is_lost_are_kept_until_they_should_be_back, which stops the leader, so that nothing depends on time. Ruled out: a slow stand-in (no call to it was late in the log).

--- a/crates/oleander-rollout/src/entry/entry_process.rs
+++ b/crates/oleander-rollout/src/entry/entry_process.rs
@@ -46,6 +46,8 @@
     pub link: Rc<LeaderLink>,
     /// Calls to endpoints.
     pub caller: Rc<Caller>,
+    /// When the store last failed a call.
+    pub health: StoreHealth,
     /// Open while it follows the list of endpoints itself.
     pub own_list: Gate,
     /// Metrics.
@@ -85,10 +87,11 @@
             view.clone(),
         )?;
         let entry = Rc::new(Self {
-            store: StoreClient::new(cfg.store, health),
+            store: StoreClient::new(cfg.store, health.clone()),
             link: LeaderLink::new(view.clone()),
             caller: Caller::new(view.clone(), cfg.domain.clone(), metrics.clone()),
             view,
+            health,
             own_list,
             metrics,
             stopping: Cell::new(false),
--- a/crates/oleander-rollout/src/entry/news.rs
+++ b/crates/oleander-rollout/src/entry/news.rs
@@ -35,6 +35,8 @@
                     event(log::Level::Warn, "leader-lost", || {
                         format!("reason=\"{fault}\"")
                     });
+                    // The leader may be lost with the store, whose list may have lapsed.
+                    entry.health.failed();
                     entry.own_list.set(true);
                 }
                 endpoints_digest = 0;
--- a/crates/oleander-rollout/src/store/follow.rs
+++ b/crates/oleander-rollout/src/store/follow.rs
@@ -325,9 +325,7 @@
         for instance in known.into_iter().filter(|instance| !listed(instance)) {
             self.gone(instance);
         }
-        self.view.update(|view| {
-            view.endpoints_known = true;
-        });
+        spawn(self.clone().know_when_settled());
     }
 
     fn put(&self, object: &StoredObject) {
@@ -363,6 +361,16 @@
         }
     }
 
+    /// Waits until entries that lapsed should be back; only then others may go by this list.
+    async fn know_when_settled(self) {
+        while self.health.failed_within(LAPSED_BACK) {
+            sleep(LOOK_EVERY).await;
+        }
+        if self.gate.is_open() {
+            self.view.update(|view| view.endpoints_known = true);
+        }
+    }
+
     /// Waits until a lapsed entry should be back, then drops it if it is still missing.
     async fn remove_unless_back(self, instance: String) {
         while self.health.failed_within(LAPSED_BACK) {
--- a/crates/oleander-rollout/tests/calls.rs
+++ b/crates/oleander-rollout/tests/calls.rs
@@ -329,3 +329,31 @@
         deployment.services[1].ran().len() == before
     });
 }
+
+#[test]
+fn entries_that_are_missing_when_the_leader_is_lost_are_kept_until_they_should_be_back() {
+    let deployment = deployment();
+    wait_for("a dispatcher leads", || deployment.leader().is_some());
+    wait_for("the entry hears from the leader", || {
+        let log = deployment.entries[0].process().log();
+        log.contains("event=leader-regained")
+    });
+    deployment.dispatchers[0].process().signal("STOP");
+    deployment.store.remove("servers", "desk-0");
+    deployment.store.remove("servers", "desk-1");
+    let log = || deployment.entries[0].process().log();
+    let lost = |log: String| {
+        let heard = log.rfind("event=leader-regained");
+        let lost = log.rfind("event=leader-lost");
+        lost > heard
+    };
+    wait_for("the entry looks itself", || lost(log()));
+    for n in 0..5 {
+        thread::sleep(Duration::from_millis(150));
+        assert!(get(&deployment, "/calls/x", &format!("kept-{n}")).is_some_and(whole));
+    }
+    wait_for("they are gone", || {
+        get(&deployment, "/calls/x", "gone").is_some_and(|reply| reply.status == 503)
+    });
+    deployment.dispatchers[0].process().signal("CONT");
+}
