Replace a leader lost during an outage after one more probe

Ruled out: reading pulses all the time (a store call per standby and second); taking over on refused connections (the machine was gone, it refused nothing).

Now the first look after 3 s of silence of both calls for one more probe. A standby that had itself been cut off reaches the leader again with the store; a leader that answers, whatever its own age of the store, is left to the pulse.

--- a/crates/oleander-rollout/src/dispatch/leading.rs
+++ b/crates/oleander-rollout/src/dispatch/leading.rs
@@ -14,17 +14,21 @@
 use crate::store::view::View;
 use crate::store::watch::list_all;
 use http::Method;
+use oleander_platform::object::StoredObject;
 use oleanderlock::batch::board::Board;
 use oleanderlock::batch::board_config::BoardConfig;
-use oleanderlock::batch::leadership::{LeaderProbe, LeaderWatch};
+use oleanderlock::batch::leadership::{LeaderProbe, LeaderWatch, PulseVerdict};
 use serde_json::value::to_raw_value;
-use std::net::SocketAddr;
 use std::rc::Rc;
 
 /// Time between two probes of the leader.
 const PROBE_EVERY: Millis = Millis(500);
 /// Longest wait for the answer to a probe.
 const PROBE_LIMIT: Millis = Millis(400);
+/// Longest wait for the leader's pulse; a slow store takes 0.3 s.
+const PULSE_LIMIT: Millis = Millis(700);
+/// Shortest pause before the next probe, when the last one and the look for the pulse took long.
+const PAUSE_MIN: Millis = Millis(50);
 /// Time between two looks of a leader at its own standing.
 const CHECK_EVERY: Millis = Millis(200);
 /// Time between two pulses of a leader.
@@ -113,35 +117,70 @@
     let Some((leader, _)) = &view.leader else {
         return;
     };
-    let probe = match leader.addr {
-        Some(addr) => probe(dispatcher, addr, leader.epoch).await,
-        None => LeaderProbe::NoAnswer,
-    };
-    if watch.probed(probe) && pulse_is_stale(dispatcher, watch).await {
+    let began = now();
+    let answer = probe(dispatcher, leader).await;
+    if watch.probed(now(), answer) && is_lost(dispatcher, leader, watch).await {
         // The count goes on after a failed try, so that the first write that the store takes wins.
-        let reason = format!("{probe:?} misses={}", watch.misses());
+        let reason = format!("{answer:?} misses={}", watch.misses());
         take_over(dispatcher, view.leader.clone(), &reason).await;
     }
+    let rest = PROBE_EVERY.0.saturating_sub(now().since(began).0);
     dispatcher
         .view
-        .wait_until(PROBE_EVERY, |now| now.leader != view.leader)
+        .wait_until(Millis(rest.max(PAUSE_MIN.0)), |now| {
+            now.leader != view.leader
+        })
         .await;
 }
 
-/// Looks for the leader's pulse in the store; returns whether there was no new one for long.
-async fn pulse_is_stale(dispatcher: &Dispatcher, watch: &mut LeaderWatch) -> bool {
-    let found = dispatcher.store.get(PULSE_KIND, PULSE_NAME).await;
-    let pulse = match &found {
-        Ok(Some(object)) => serde_json::from_str(object.spec.get()).unwrap_or_default(),
-        Ok(None) => Pulse::default(),
+/// Looks for the pulse of a leader that missed a probe; returns whether to take over.
+async fn is_lost(dispatcher: &Dispatcher, leader: &LeaderObject, watch: &mut LeaderWatch) -> bool {
+    let look = dispatcher.store.get(PULSE_KIND, PULSE_NAME);
+    let found = within(PULSE_LIMIT, look).await;
+    let number = match found {
+        Some(Ok(found)) => pulse_number(found),
+        Some(Err(fault)) => return pulse_unknown(watch, &fault),
+        None => return pulse_unknown(watch, &StoreFault::no_answer("timeout")),
+    };
+    let verdict = watch.saw_pulse(now(), number);
+    event(log::Level::Info, "pulse-read", || {
+        format!(
+            "misses={} number={number} verdict={verdict:?}",
+            watch.misses()
+        )
+    });
+    match verdict {
+        PulseVerdict::Wait => false,
+        PulseVerdict::ProbeAgain => {
+            let answer = probe(dispatcher, leader).await;
+            watch.probed(now(), answer);
+            !matches!(answer, LeaderProbe::Leading { .. })
+        }
+        PulseVerdict::TakeOver => true,
+    }
+}
+
+fn pulse_unknown(watch: &LeaderWatch, fault: &StoreFault) -> bool {
+    event(log::Level::Info, "pulse-unknown", || {
+        format!("misses={} reason=\"{fault}\"", watch.misses())
+    });
+    false
+}
+
+/// Returns the number of a pulse; 0 stands for none and for one that can't be read.
+fn pulse_number(found: Option<StoredObject>) -> u64 {
+    let Some(object) = found else {
+        return 0;
+    };
+    match serde_json::from_str::<Pulse>(object.spec.get()) {
+        Ok(pulse) => pulse.number,
         Err(fault) => {
-            event(log::Level::Info, "pulse-unknown", || {
-                format!("misses={} reason=\"{fault}\"", watch.misses())
+            event(log::Level::Warn, "pulse-unreadable", || {
+                format!("reason=\"{fault}\"")
             });
-            return false;
+            0
         }
-    };
-    watch.saw_pulse(now(), pulse.number)
+    }
 }
 
 /// Writes a pulse now and then for as long as this dispatcher stands in `epoch`.
@@ -168,7 +207,10 @@
     leader.is_none_or(|leader| leader.node.is_empty() || leader.node == node)
 }
 
-async fn probe(dispatcher: &Dispatcher, addr: SocketAddr, epoch: u64) -> LeaderProbe {
+async fn probe(dispatcher: &Dispatcher, leader: &LeaderObject) -> LeaderProbe {
+    let Some(addr) = leader.addr else {
+        return LeaderProbe::NoAnswer;
+    };
     let link = &dispatcher.link;
     let answer = link
         .call_at(addr, Method::GET, HEALTH, Vec::new(), PROBE_LIMIT)
@@ -179,7 +221,7 @@
     let Ok(health) = serde_json::from_slice::<DispatcherHealth>(&body) else {
         return LeaderProbe::NoAnswer;
     };
-    if !health.leads || health.epoch < epoch {
+    if !health.leads || health.epoch < leader.epoch {
         return LeaderProbe::NotLeading;
     }
     LeaderProbe::Leading {
--- a/crates/oleander-rollout/tests/batch_jobs.rs
+++ b/crates/oleander-rollout/tests/batch_jobs.rs
@@ -128,11 +128,16 @@
             .matches("event=pulse-unknown")
             .count()
     };
-    wait_for("the standby has looked several times", || looks() >= 4);
+    wait_for("the standby has looked for over three seconds", || {
+        looks() >= 8
+    });
     deployment.store.set_faults(StoreFaults::default());
     wait_for("the standby leads", || {
         deployment.leader() == Some(1 - leader)
     });
+    wait_for("its log says so", || {
+        standby.process().log().contains("event=took-over")
+    });
     // The misses count on from one look to the next, and are not counted anew.
     let log = standby.process().log();
     let lines = log
@@ -141,11 +146,13 @@
     let misses = lines.filter_map(|line| line.split("misses=").nth(1));
     let misses = misses.filter_map(|rest| rest.split([' ', '"']).next()?.parse().ok());
     let misses: Vec<u32> = misses.collect();
-    assert!(misses.len() >= 4, "{log}");
+    assert!(misses.len() >= 8, "{log}");
     assert!(
         misses.windows(2).all(|pair| pair[1] > pair[0]),
         "{misses:?}"
     );
+    // The first pulse after the outage decides, together with one more probe.
+    assert_eq!(log.matches("event=pulse-read").count(), 1, "{log}");
 }
 
 #[test]
--- a/crates/oleanderlock/src/batch/leadership.rs
+++ b/crates/oleanderlock/src/batch/leadership.rs
@@ -3,7 +3,9 @@
 //! Taking over is safe at any time: the conditional create of the next chunk of the result log
 //! decides who lists results. So the rule only weighs a short pause against needless changes. A
 //! standby that can't reach the leader may itself be the one that is cut off, so it also looks for
-//! the leader's pulse in the store.
+//! the leader's pulse in the store. While the store is away too, a lost leader has no pulse that
+//! could be seen to stand still; then one more probe after the store's return tells whether the
+//! standby had been cut off from both.
 
 use crate::prelude::*;
 
@@ -14,6 +16,10 @@
 /// Time without a new pulse after which a leader that does not answer counts as gone; a leader
 /// writes one each 0.8 s.
 const PULSE_STALE: Millis = Millis(1300);
+/// Time without an answer of the leader, nor of the store, after which the first answer of the
+/// store calls for one more probe in place of a second look; a cut-off machine is back together
+/// with both.
+const SILENCE_LONG: Millis = Millis(3000);
 
 /// What a probe of the leader brought.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -29,10 +35,22 @@
     },
 }
 
+/// What to do after a look for the leader's pulse.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PulseVerdict {
+    /// It may live: look again later.
+    Wait,
+    /// Probe the leader once more at once; without an answer, take over.
+    ProbeAgain,
+    /// Take over.
+    TakeOver,
+}
+
 /// Watches the leader from a standby.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LeaderWatch {
     misses: u32,
+    first_miss: Millis,
     pulse: Option<(u64, Millis)>,
 }
 
@@ -48,7 +66,7 @@
     }
 
     /// Takes a probe; returns whether to look for the leader's pulse in the store.
-    pub fn probed(&mut self, probe: LeaderProbe) -> bool {
+    pub fn probed(&mut self, now: Millis, probe: LeaderProbe) -> bool {
         let missed = match probe {
             LeaderProbe::NoAnswer | LeaderProbe::NotLeading => true,
             LeaderProbe::Leading { store_age } => store_age > WITHOUT_STORE_MAX,
@@ -57,26 +75,37 @@
             self.reset();
             return false;
         }
+        if self.misses == 0 {
+            self.first_miss = now;
+        }
         self.misses += 1;
         true
     }
 
-    /// Takes the number of the leader's last pulse as the store has it now; returns whether to try
-    /// to take over.
-    pub fn saw_pulse(&mut self, now: Millis, number: u64) -> bool {
+    /// Takes the number of the leader's last pulse as the store has it now.
+    pub fn saw_pulse(&mut self, now: Millis, number: u64) -> PulseVerdict {
         match self.pulse {
             Some((known, at)) if known == number => {
-                self.misses >= MISSES_MAX && now.since(at) >= PULSE_STALE
+                let is_gone = self.misses >= MISSES_MAX && now.since(at) >= PULSE_STALE;
+                if is_gone {
+                    PulseVerdict::TakeOver
+                } else {
+                    PulseVerdict::Wait
+                }
             }
             Some(_) => {
                 // It lives; only this process does not reach it.
                 self.pulse = Some((number, now));
                 self.misses = 1;
-                false
+                PulseVerdict::Wait
             }
             None => {
                 self.pulse = Some((number, now));
-                false
+                if now.since(self.first_miss) >= SILENCE_LONG {
+                    PulseVerdict::ProbeAgain
+                } else {
+                    PulseVerdict::Wait
+                }
             }
         }
     }
--- a/crates/oleanderlock/tests/batch_results.rs
+++ b/crates/oleanderlock/tests/batch_results.rs
@@ -1,7 +1,7 @@
 //! The result log: one order for all readers, whoever writes.
 
 use oleanderlock::batch::item_key::ItemKey;
-use oleanderlock::batch::leadership::{LeaderProbe, LeaderWatch};
+use oleanderlock::batch::leadership::{LeaderProbe, LeaderWatch, PulseVerdict};
 use oleanderlock::batch::result_log::ResultLog;
 use oleanderlock::batch::sample::{Sample, SampleEnd};
 use oleanderlock::prelude::*;
@@ -115,23 +115,23 @@
 #[test]
 fn a_standby_takes_over_after_three_misses_and_without_a_new_pulse() {
     let mut watch = LeaderWatch::default();
-    assert!(watch.probed(LeaderProbe::NoAnswer));
-    assert!(!watch.saw_pulse(Millis(0), 7));
-    assert!(watch.probed(LeaderProbe::NotLeading));
-    assert!(!watch.saw_pulse(Millis(1700), 7));
-    assert!(watch.probed(LeaderProbe::NoAnswer));
-    assert!(watch.saw_pulse(Millis(1800), 7));
+    assert!(watch.probed(Millis(0), LeaderProbe::NoAnswer));
+    assert_eq!(watch.saw_pulse(Millis(0), 7), PulseVerdict::Wait);
+    assert!(watch.probed(Millis(1700), LeaderProbe::NotLeading));
+    assert_eq!(watch.saw_pulse(Millis(1700), 7), PulseVerdict::Wait);
+    assert!(watch.probed(Millis(1800), LeaderProbe::NoAnswer));
+    assert_eq!(watch.saw_pulse(Millis(1800), 7), PulseVerdict::TakeOver);
     // It tries at each further miss.
-    assert!(watch.probed(LeaderProbe::NoAnswer));
-    assert!(watch.saw_pulse(Millis(1900), 7));
+    assert!(watch.probed(Millis(1900), LeaderProbe::NoAnswer));
+    assert_eq!(watch.saw_pulse(Millis(1900), 7), PulseVerdict::TakeOver);
 }
 
 #[test]
 fn three_misses_alone_are_not_enough() {
     let mut watch = LeaderWatch::default();
     for at in [0, 400, 800, 1200] {
-        assert!(watch.probed(LeaderProbe::NoAnswer));
-        assert!(!watch.saw_pulse(Millis(at), 7));
+        assert!(watch.probed(Millis(at), LeaderProbe::NoAnswer));
+        assert_eq!(watch.saw_pulse(Millis(at), 7), PulseVerdict::Wait);
     }
 }
 
@@ -139,8 +139,9 @@
 fn a_standby_that_is_cut_off_does_not_take_over_from_a_leader_that_lives() {
     let mut watch = LeaderWatch::default();
     for beat in 0..20 {
-        assert!(watch.probed(LeaderProbe::NoAnswer));
-        assert!(!watch.saw_pulse(Millis(beat * 1000), beat));
+        let at = Millis(beat * 1000);
+        assert!(watch.probed(at, LeaderProbe::NoAnswer));
+        assert_eq!(watch.saw_pulse(at, beat), PulseVerdict::Wait);
     }
 }
 
@@ -148,12 +149,12 @@
 fn an_answer_of_the_leader_starts_the_count_anew() {
     let mut watch = LeaderWatch::default();
     for at in [0, 1000] {
-        assert!(watch.probed(LeaderProbe::NoAnswer));
-        assert!(!watch.saw_pulse(Millis(at), 7));
+        assert!(watch.probed(Millis(at), LeaderProbe::NoAnswer));
+        assert_eq!(watch.saw_pulse(Millis(at), 7), PulseVerdict::Wait);
     }
-    assert!(!watch.probed(LEADS));
-    assert!(watch.probed(LeaderProbe::NoAnswer));
-    assert!(!watch.saw_pulse(Millis(5000), 7));
+    assert!(!watch.probed(Millis(1500), LEADS));
+    assert!(watch.probed(Millis(5000), LeaderProbe::NoAnswer));
+    assert_eq!(watch.saw_pulse(Millis(5000), 7), PulseVerdict::Wait);
 }
 
 #[test]
@@ -163,9 +164,23 @@
         store_age: Millis(2500),
     };
     for at in [0, 1000] {
-        assert!(watch.probed(without_store));
-        assert!(!watch.saw_pulse(Millis(at), 7));
+        assert!(watch.probed(Millis(at), without_store));
+        assert_eq!(watch.saw_pulse(Millis(at), 7), PulseVerdict::Wait);
     }
-    assert!(watch.probed(without_store));
-    assert!(watch.saw_pulse(Millis(2000), 7));
+    assert!(watch.probed(Millis(2000), without_store));
+    assert_eq!(watch.saw_pulse(Millis(2000), 7), PulseVerdict::TakeOver);
+}
+
+#[test]
+fn a_leader_lost_during_an_outage_of_the_store_is_probed_again_after_the_outage() {
+    let mut watch = LeaderWatch::default();
+    // The store does not answer any look until second 5.
+    for at in [0, 1600, 3200, 4800] {
+        assert!(watch.probed(Millis(at), LeaderProbe::NoAnswer));
+    }
+    assert_eq!(watch.saw_pulse(Millis(5000), 7), PulseVerdict::ProbeAgain);
+    // If that take-over fails, the pulse counts as usual.
+    assert!(watch.probed(Millis(5500), LeaderProbe::NoAnswer));
+    assert_eq!(watch.saw_pulse(Millis(5600), 7), PulseVerdict::Wait);
+    assert_eq!(watch.saw_pulse(Millis(6400), 7), PulseVerdict::TakeOver);
 }
