Add a fault soak; share what calls and streams, and follows of jobs, do alike

The soak runs real processes between stand-ins, with a relay on every link that delays, cuts (also one way), silences, refuses or resets; processes are killed, paused, stopped and started; the store is down, loses answers, forgets; engines are slow, break off, lose orders, start anew; endpoints answer in faulty ways. Callers on kept connections, a trainer and readers check meanwhile, the stand-ins' records at the end.

[listen] told: the address under which other processes find a dispatcher, for one behind a relay.

--- a/crates/oleander-rollout/src/dispatch/jobs.rs
+++ b/crates/oleander-rollout/src/dispatch/jobs.rs
@@ -39,66 +39,54 @@
     standing == Standing::Recovering { epoch } || standing == Standing::Leading { epoch }
 }
 
+/// Follows the ends of jobs; sets `known` when those that stand were read.
 async fn follow_ends(dispatcher: Rc<Dispatcher>, epoch: u64, known: Rc<Cell<bool>>) {
     let store = Rc::clone(&dispatcher.store);
-    follow(
-        store,
-        JOB_END_KIND,
-        AfterBreak::List,
-        Gate::open(),
-        move |change| {
-            if !stands_in(&dispatcher, epoch) {
-                return false;
-            }
-            match change {
-                Followed::All(objects, _) => {
-                    for object in &objects {
-                        end(&dispatcher, &object.name);
-                    }
-                    known.set(true);
-                    dispatcher.notify();
+    let apply = move |change| {
+        if !stands_in(&dispatcher, epoch) {
+            return false;
+        }
+        match change {
+            Followed::All(objects, _) => {
+                for object in &objects {
+                    end(&dispatcher, &object.name);
                 }
-                Followed::Put(object) => end(&dispatcher, &object.name),
-                Followed::Gone(_) | Followed::Regained | Followed::Lost => {}
+                known.set(true);
+                dispatcher.notify();
             }
-            true
-        },
-    )
-    .await;
+            Followed::Put(object) => end(&dispatcher, &object.name),
+            Followed::Gone(_) | Followed::Regained | Followed::Lost => {}
+        }
+        true
+    };
+    follow(store, JOB_END_KIND, AfterBreak::List, Gate::open(), apply).await;
 }
 
+/// Follows jobs; sets `known` when those that stand were read with all their parts.
 async fn follow_jobs(dispatcher: Rc<Dispatcher>, epoch: u64, known: Rc<Cell<bool>>) {
     let store = Rc::clone(&dispatcher.store);
-    follow(
-        store,
-        JOB_KIND,
-        AfterBreak::Resume,
-        Gate::open(),
-        move |change| {
-            if !stands_in(&dispatcher, epoch) {
-                return false;
+    let apply = move |change| {
+        if !stands_in(&dispatcher, epoch) {
+            return false;
+        }
+        let (objects, is_all) = match change {
+            Followed::All(objects, _) => (objects, true),
+            Followed::Put(object) => (vec![object], false),
+            Followed::Gone(_) | Followed::Regained | Followed::Lost => return true,
+        };
+        let (dispatcher, known) = (Rc::clone(&dispatcher), Rc::clone(&known));
+        spawn(async move {
+            for object in objects {
+                accept_object(&dispatcher, epoch, &object).await;
             }
-            match change {
-                Followed::All(objects, _) => {
-                    let (dispatcher, known) = (Rc::clone(&dispatcher), Rc::clone(&known));
-                    spawn(async move {
-                        for object in objects {
-                            accept_object(&dispatcher, epoch, &object).await;
-                        }
-                        known.set(true);
-                        dispatcher.notify();
-                    });
-                }
-                Followed::Put(object) => {
-                    let dispatcher = Rc::clone(&dispatcher);
-                    spawn(async move { accept_object(&dispatcher, epoch, &object).await });
-                }
-                Followed::Gone(_) | Followed::Regained | Followed::Lost => {}
+            if is_all {
+                known.set(true);
+                dispatcher.notify();
             }
-            true
-        },
-    )
-    .await;
+        });
+        true
+    };
+    follow(store, JOB_KIND, AfterBreak::Resume, Gate::open(), apply).await;
 }
 
 async fn accept_object(dispatcher: &Dispatcher, epoch: u64, object: &StoredObject) {
--- a/crates/oleander-rollout/src/dispatch/jobs_api.rs
+++ b/crates/oleander-rollout/src/dispatch/jobs_api.rs
@@ -7,6 +7,7 @@
 use crate::store::fault::StoreFault;
 use crate::store::job_objects::{JOB_END_KIND, create_job};
 use http::StatusCode;
+use oleander_platform::calls::parameter;
 use oleander_platform::job::body_bytes;
 use oleander_platform::results::encode_results;
 use oleanderlock::batch::job::Job;
@@ -40,12 +41,10 @@
     }
 }
 
-fn parameter(query: Option<&str>, name: &str) -> u64 {
-    let pairs = query.unwrap_or_default().split('&');
-    let pairs = pairs.filter_map(|pair| pair.split_once('='));
-    let mut values = pairs.filter(|(key, _)| *key == name);
-    let value = values.next().and_then(|(_, value)| value.parse().ok());
-    value.unwrap_or_default()
+/// Returns a number of a query; 0 when it is missing.
+fn number(query: Option<&str>, name: &str) -> u64 {
+    let text = parameter(query, name);
+    text.and_then(|text| text.parse().ok()).unwrap_or_default()
 }
 
 /// Answers for a job that is not known, or whose standing is not sure.
@@ -66,8 +65,8 @@
     if let Some(answer) = unless_known(dispatcher, job).await {
         return answer;
     }
-    let after = usize::try_from(parameter(query, "after")).unwrap_or(usize::MAX);
-    let wait = Millis(parameter(query, "wait_ms")).min(WAIT_MAX);
+    let after = usize::try_from(number(query, "after")).unwrap_or(usize::MAX);
+    let wait = Millis(number(query, "wait_ms")).min(WAIT_MAX);
     within(wait, more_than(dispatcher, job, after)).await;
     let max_age = Millis(dispatcher.cfg.settle.0 * FRESH_PERCENT / 100);
     if !commit::verify(dispatcher, max_age).await {
--- a/crates/oleander-rollout/src/dispatch/leading.rs
+++ b/crates/oleander-rollout/src/dispatch/leading.rs
@@ -61,9 +61,15 @@
 /// Writes where this dispatcher is.
 async fn register(dispatcher: Rc<Dispatcher>) {
     let name = format!("{NODE_PREFIX}{}", dispatcher.cfg.node);
-    let addr = dispatcher.cfg.peers;
-    let Ok(spec) = to_raw_value(&DispatcherObject { addr }) else {
-        return;
+    let addr = dispatcher.cfg.told;
+    let spec = match to_raw_value(&DispatcherObject { addr }) {
+        Ok(spec) => spec,
+        Err(fault) => {
+            event(log::Level::Error, "register-failed", || {
+                format!("reason=\"{fault}\"")
+            });
+            return;
+        }
     };
     loop {
         let store = &dispatcher.store;
@@ -235,7 +241,7 @@
     let object = LeaderObject {
         epoch,
         node: dispatcher.cfg.node.clone(),
-        addr: Some(dispatcher.cfg.peers),
+        addr: Some(dispatcher.cfg.told),
     };
     let won = write_leader(dispatcher, &object, known.map(|(_, revision)| revision)).await;
     if let Err(fault) = won {
--- a/crates/oleander-rollout/src/entry/calls.rs
+++ b/crates/oleander-rollout/src/entry/calls.rs
@@ -15,18 +15,23 @@
 use oleanderlock::routing::route::Route;
 
 /// Returns the point after which nobody waits for an answer.
-pub fn deadline(head: &RequestHead, route: &Route) -> Millis {
+fn deadline(head: &RequestHead, route: &Route) -> Millis {
     let patience = head.patience.unwrap_or(route.timeout);
     head.arrived.plus(patience.min(route.timeout))
 }
 
 /// Builds the call that a request asks for, or returns `None` when its route has no service.
 pub fn request(
+    entry: &Entry,
     head: &RequestHead,
     route: &Route,
     parts: &Parts,
     body: Bytes,
 ) -> Option<CallRequest> {
+    let Some(service) = route.service(rand::random()) else {
+        entry.metrics.refused("no-service");
+        return None;
+    };
     let mut all = parts.headers.clone();
     hop_headers::remove(&mut all);
     for name in [headers::DEADLINE_MS, headers::EXPECT_INSTANCE] {
@@ -38,7 +43,7 @@
         target: parts.uri.clone(),
         headers: all,
         body,
-        service: route.service(rand::random())?.to_owned(),
+        service: service.to_owned(),
         kind: route.kind,
         attempts: route.attempts,
         objective: route.objective,
@@ -54,8 +59,7 @@
     parts: &Parts,
     body: Bytes,
 ) -> Answer {
-    let Some(req) = request(head, route, parts, body) else {
-        entry.metrics.refused("no-service");
+    let Some(req) = request(entry, head, route, parts, body) else {
         return answer::refusal(retry_after(route.timeout));
     };
     let outcome = entry.caller.call(&req).await;
--- a/crates/oleander-rollout/src/entry/streams.rs
+++ b/crates/oleander-rollout/src/entry/streams.rs
@@ -1,7 +1,7 @@
 //! Streams of events, passed on as they arrive.
 
 use super::body::{BodyFault, FrontAnswer, relayed, whole};
-use super::calls::{deadline, request};
+use super::calls::request;
 use super::entry_process::Entry;
 use super::head::RequestHead;
 use crate::call::caller::StreamOutcome;
@@ -25,14 +25,13 @@
     parts: &Parts,
     body: Bytes,
 ) -> FrontAnswer {
-    let Some(req) = request(head, route, parts, body) else {
-        entry.metrics.refused("no-service");
+    let Some(req) = request(entry, head, route, parts, body) else {
         return whole(answer::refusal(retry_after(route.timeout)));
     };
     let outcome = entry.caller.open_stream(&req).await;
     let took = now().since(head.arrived);
     entry.metrics.took("first-event", took);
-    let left = deadline(head, route).since(now());
+    let left = req.deadline.since(now());
     let (told, answer) = match outcome {
         StreamOutcome::Opened(exchange) => ("opened", relay(*exchange)),
         StreamOutcome::NotRun(after) => {
@@ -41,6 +40,9 @@
         }
         StreamOutcome::Unknown => ("unknown", whole(answer::status(StatusCode::BAD_GATEWAY))),
     };
+    if told != "opened" {
+        entry.metrics.refused(told);
+    }
     event(log::Level::Info, "stream", || {
         format!(
             "request={} route={} outcome={told} took={took}",
--- a/crates/oleander-rollout/src/settings.rs
+++ b/crates/oleander-rollout/src/settings.rs
@@ -18,6 +18,8 @@
     pub ready: Option<SocketAddr>,
     /// Address for other processes of the system.
     pub peers: SocketAddr,
+    /// Address under which those find it; another one than `peers` behind a relay.
+    pub told: SocketAddr,
     /// Address of the metrics.
     pub metrics: SocketAddr,
     /// Address of the platform's store.
@@ -59,12 +61,14 @@
     ///
     /// All faults at once.
     pub fn read(mut settings: Settings) -> Result<Self, SettingsFaults> {
+        let peers = addr(&mut settings, "listen", "peers");
         let cfg = Self {
             node: settings.required("node", "name"),
             domain: settings.required("node", "domain"),
             calls: optional_addr(&mut settings, "listen", "calls"),
             ready: optional_addr(&mut settings, "listen", "ready"),
-            peers: addr(&mut settings, "listen", "peers"),
+            peers,
+            told: optional_addr(&mut settings, "listen", "told").unwrap_or(peers),
             metrics: addr(&mut settings, "listen", "metrics"),
             store: addr(&mut settings, "store", "addr"),
             value_bytes: settings.parsed(
--- a/crates/oleander-rollout/src/store/mod.rs
+++ b/crates/oleander-rollout/src/store/mod.rs
@@ -8,6 +8,5 @@
 pub mod job_objects;
 pub mod leader_object;
 pub mod news_intake;
-
 pub mod view;
 pub mod watch;
--- /dev/null
+++ b/crates/oleander-rollout/tests/soak_support/trainer.rs
@@ -0,0 +1,193 @@
+//! A trainer that asks step after step, and readers that look at its jobs through all entries.
+
+use super::world::{KnownJob, Seen};
+use crate::support::http::{Reply, call};
+use crate::support::{HOST, MODEL, job};
+use oleander_platform_standins::store::PreparedStore;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Groups of a step.
+const GROUPS: usize = 6;
+/// Events of an item, at least.
+const EVENTS: usize = 12;
+/// Time after which a trainer ends a step that is not whole.
+const STEP_MAX: Duration = Duration::from_secs(9);
+/// Attempts to submit a job.
+const ATTEMPTS: usize = 5;
+/// Time after its acceptance at which every entry must know a job.
+const SETTLE: Duration = Duration::from_secs(1);
+/// Pause between two looks.
+const PAUSE: Duration = Duration::from_millis(60);
+
+/// Trains until the soak is over.
+pub fn train(seed: u64, entries: &[SocketAddr], store: &PreparedStore, seen: &Seen) {
+    let mut rng = StdRng::seed_from_u64(seed ^ 0x7472_6169);
+    let mut version = 1;
+    let mut step = 0;
+    while !seen.is_done() {
+        step += 1;
+        let oldest = u64::max(1, version - 1);
+        let body = job(step, oldest, GROUPS, EVENTS);
+        let id = format!("soak-{step}");
+        if !submit(&id, &body, entries, &mut rng, seen) {
+            thread::sleep(PAUSE);
+            continue;
+        }
+        if read_step(&id, entries, &mut rng, seen) {
+            seen.whole_steps.fetch_add(1, Ordering::Relaxed);
+            version += 1;
+            store.put(
+                "versions",
+                MODEL,
+                &json!({"model": MODEL, "version": version}),
+            );
+        }
+        end(&id, entries, &mut rng);
+    }
+}
+
+fn pick(entries: &[SocketAddr], rng: &mut StdRng) -> SocketAddr {
+    entries[rng.random_range(0..entries.len())]
+}
+
+/// Submits a job until it is accepted or was refused too often; returns whether it is accepted.
+pub fn submit(
+    id: &str,
+    body: &Value,
+    entries: &[SocketAddr],
+    rng: &mut StdRng,
+    seen: &Seen,
+) -> bool {
+    let known = KnownJob {
+        body: body.clone(),
+        accepted: None,
+        refused: true,
+        results: Vec::new(),
+    };
+    seen.jobs.lock().insert(id.to_owned(), known);
+    for _ in 0..ATTEMPTS {
+        let headers = [("host", HOST), ("request-id", id), ("deadline-ms", "2000")];
+        let path = format!("/rollout/{id}");
+        let bytes = body.to_string();
+        let reply = call(
+            pick(entries, rng),
+            "POST",
+            &path,
+            &headers,
+            bytes.as_bytes(),
+        );
+        let status = reply.map(|reply| reply.status);
+        let mut jobs = seen.jobs.lock();
+        let known = jobs.get_mut(id).expect("just inserted");
+        match status {
+            Some(202) => {
+                known.accepted = Some(Instant::now());
+                known.refused = false;
+                return true;
+            }
+            Some(429 | 503 | 408 | 421) => {}
+            Some(status @ 400..500) => seen.violation(format!("{id} denied with {status}")),
+            _ => known.refused = false,
+        }
+        drop(jobs);
+        thread::sleep(PAUSE);
+    }
+    false
+}
+
+/// Reads a step until it is whole or its time is up; returns whether it is whole.
+fn read_step(id: &str, entries: &[SocketAddr], rng: &mut StdRng, seen: &Seen) -> bool {
+    let began = Instant::now();
+    let mut after = 0;
+    while after < GROUPS * 2 && began.elapsed() < STEP_MAX {
+        after = read(id, after, pick(entries, rng), seen).unwrap_or(after);
+        thread::sleep(PAUSE);
+    }
+    after >= GROUPS * 2
+}
+
+fn end(id: &str, entries: &[SocketAddr], rng: &mut StdRng) {
+    for _ in 0..ATTEMPTS {
+        let path = format!("/-/lots/{id}");
+        let reply = call(pick(entries, rng), "DELETE", &path, &[("host", HOST)], b"");
+        if reply.is_some_and(|reply| reply.status == 200) {
+            return;
+        }
+        thread::sleep(PAUSE);
+    }
+}
+
+/// Reads the results of a job behind a position and compares them with what was seen before;
+/// returns the next position, or `None` when the entry could not tell.
+pub fn read(id: &str, after: usize, entry: SocketAddr, seen: &Seen) -> Option<usize> {
+    let asked = Instant::now();
+    let path = format!("/-/lots/{id}?after={after}");
+    let reply: Reply = call(
+        entry,
+        "GET",
+        &path,
+        &[("host", HOST), ("wait-ms", "200")],
+        b"",
+    )?;
+    let mut jobs = seen.jobs.lock();
+    let known = jobs.get_mut(id).expect("a known job");
+    match reply.status {
+        200 => {}
+        404 | 410 => {
+            if known.accepted.is_some_and(|at| asked > at + SETTLE) {
+                seen.violation(format!("{id} is lost: {}", reply.status));
+            }
+            return None;
+        }
+        _ => return None,
+    }
+    let answer: Value = serde_json::from_slice(&reply.body).unwrap_or_default();
+    let Some(results) = answer["results"].as_array() else {
+        seen.violation(format!("{id}: no results in {answer}"));
+        return None;
+    };
+    if answer["total"] != GROUPS * 2 || answer["next"] != after + results.len() {
+        seen.violation(format!("{id}: wrong total or next in {answer}"));
+    }
+    for (place, result) in (after..).zip(results) {
+        match known.results.get(place) {
+            Some(before) if before != result => {
+                seen.violation(format!("{id}: position {place} changed"));
+            }
+            Some(_) => {}
+            None if place == known.results.len() => known.results.push(result.clone()),
+            None => {}
+        }
+    }
+    Some(after + results.len())
+}
+
+/// Looks at accepted jobs from any position at any entry until the soak is over.
+pub fn look_around(seed: u64, entries: &[SocketAddr], seen: &Seen) {
+    let mut rng = StdRng::seed_from_u64(seed ^ 0x6c6f_6f6b);
+    while !seen.is_done() {
+        thread::sleep(PAUSE);
+        let jobs: Vec<String> = {
+            let jobs = seen.jobs.lock();
+            let accepted = jobs.iter().filter(|(_, job)| job.accepted.is_some());
+            accepted.map(|(id, _)| id.clone()).collect()
+        };
+        if jobs.is_empty() {
+            continue;
+        }
+        let id = &jobs[rng.random_range(0..jobs.len())];
+        let after = rng.random_range(0..GROUPS * 2);
+        let known = seen.jobs.lock()[id].results.len();
+        let next = read(id, after, pick(entries, &mut rng), seen);
+        // What was seen before this look must be there.
+        if next.is_some_and(|next| next < known) {
+            seen.violation(format!("{id}: {next:?} results of {known} known"));
+        }
+    }
+}
--- a/crates/oleander-rollout/tests/support/mod.rs
+++ b/crates/oleander-rollout/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod http;
 pub mod process;
+pub mod relay;
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
@@ -46,21 +47,30 @@
     pub calls: SocketAddr,
     pub ready: SocketAddr,
     pub peers: SocketAddr,
+    /// Where others find it.
+    pub told: SocketAddr,
     pub metrics: SocketAddr,
-    engine: Option<SocketAddr>,
-    store: SocketAddr,
+    pub engine: Option<SocketAddr>,
+    pub store: SocketAddr,
     pub process: Option<Process>,
 }
 
 impl Node {
-    fn new(name: &str, role: &'static str, store: SocketAddr, engine: Option<SocketAddr>) -> Self {
+    pub fn new(
+        name: &str,
+        role: &'static str,
+        store: SocketAddr,
+        engine: Option<SocketAddr>,
+    ) -> Self {
         let free = || free_address().expect("a free address");
+        let peers = free();
         Self {
             name: name.to_owned(),
             role,
             calls: free(),
             ready: free(),
-            peers: free(),
+            peers,
+            told: peers,
             metrics: free(),
             engine,
             store,
@@ -72,8 +82,9 @@
         let engine = self.engine.map(|addr| addr.to_string()).unwrap_or_default();
         format!(
             "[node]\nname = {}\ndomain = z\n[listen]\ncalls = {}\nready = {}\npeers = {}\n\
-             metrics = {}\n[store]\naddr = {}\n[engine]\naddr = {engine}\n[bounds]\ngrace = 6s\n",
-            self.name, self.calls, self.ready, self.peers, self.metrics, self.store
+             told = {}\nmetrics = {}\n[store]\naddr = {}\n[engine]\naddr = {engine}\n\
+             [bounds]\ngrace = 6s\n",
+            self.name, self.calls, self.ready, self.peers, self.told, self.metrics, self.store
         )
     }
 
--- a/crates/oleander-rollout/tests/support/process.rs
+++ b/crates/oleander-rollout/tests/support/process.rs
@@ -50,6 +50,12 @@
         self.child.wait().expect("a child to wait for").code()
     }
 
+    /// Returns the exit code if it has ended; -1 for the end by a signal.
+    pub fn ended(&mut self) -> Option<i32> {
+        let status = self.child.try_wait().expect("a child to ask");
+        status.map(|status| status.code().unwrap_or(-1))
+    }
+
     /// Returns what it logged so far.
     pub fn log(&self) -> String {
         fs::read_to_string(&self.log).unwrap_or_default()
