Give the files of oleander-daemon rooms

Moves only: 70 files from one folder into agent, entry, steps, contracts, http, store and process, with the paths that name them. agent.rs and entry.rs become agent_process.rs and entry_process.rs, since a module may not bear its folder's name; what was visible to the crate's root stays visible to the crate.

--- a/crates/oleander-daemon/src/agent_attempts.rs
+++ b/crates/oleander-daemon/src/agent/agent_attempts.rs
@@ -1,9 +1,9 @@
 //! What an agent does with attempts: duplicates, admission, starts, ends, burials.
 
-use crate::agent_control::AgentControl;
-use crate::attempt::{Attempt, AttemptEnd, Waiter};
+use crate::agent::agent_control::AgentControl;
+use crate::entry::attempt::{Attempt, AttemptEnd, Waiter};
+use crate::entry::request_log;
 use crate::prelude::*;
-use crate::request_log;
 use oleanderlock::attempt_ledger::SubmitAction;
 use oleanderlock::request_outcome::Outcome;
 use oleanderlock::work::{AdmissionAction, Refusal, Verdict, Work};
--- a/crates/oleander-daemon/src/agent_control.rs
+++ b/crates/oleander-daemon/src/agent/agent_control.rs
@@ -1,9 +1,9 @@
 //! The control state of an agent: what it does on each event.
 
-use crate::agent_cx::AgentCx;
-use crate::agent_event::{AgentEvent, AgentSummary, Probe};
-use crate::attempt::Attempt;
-use crate::config_desk::ConfigDesk;
+use crate::agent::agent_cx::AgentCx;
+use crate::agent::agent_event::{AgentEvent, AgentSummary, Probe};
+use crate::contracts::config_desk::ConfigDesk;
+use crate::entry::attempt::Attempt;
 use crate::prelude::*;
 use indexmap::IndexMap;
 use oleanderlock::admission::Admission;
--- a/crates/oleander-daemon/src/agent_cx.rs
+++ b/crates/oleander-daemon/src/agent/agent_cx.rs
@@ -1,13 +1,13 @@
 //! What the control thread of an agent acts through.
 
-use crate::agent_event::{AgentEvent, Probe, SwapReport};
-use crate::agent_settings::{AgentConfig, EndpointKind};
-use crate::attempt::{Attempt, AttemptEnd, Waiter};
-use crate::engine_client::EngineClient;
-use crate::metrics::Metrics;
+use crate::agent::agent_event::{AgentEvent, Probe, SwapReport};
+use crate::agent::agent_settings::{AgentConfig, EndpointKind};
+use crate::agent::engine_client::EngineClient;
+use crate::agent::service_client::ServiceClient;
+use crate::entry::attempt::{Attempt, AttemptEnd, Waiter};
 use crate::prelude::*;
-use crate::runtime;
-use crate::service_client::ServiceClient;
+use crate::process::metrics::Metrics;
+use crate::process::runtime;
 use parking_lot::Mutex;
 use std::collections::HashMap;
 use std::sync::Arc;
--- a/crates/oleander-daemon/src/agent_event.rs
+++ b/crates/oleander-daemon/src/agent/agent_event.rs
@@ -1,7 +1,7 @@
 //! What the control thread of an agent reacts to.
 
-use crate::attempt::AttemptEnd;
-use crate::engine_client::SwapEnd;
+use crate::agent::engine_client::SwapEnd;
+use crate::entry::attempt::AttemptEnd;
 use crate::prelude::*;
 use std::sync::mpsc::Sender;
 
--- a/crates/oleander-daemon/src/agent_http.rs
+++ b/crates/oleander-daemon/src/agent/agent_http.rs
@@ -1,9 +1,9 @@
 //! HTTP of an agent: health, metrics and drain.
 
-use crate::agent_event::{AgentEvent, AgentSummary};
-use crate::http_fault::json;
-use crate::metrics::Metrics;
+use crate::agent::agent_event::{AgentEvent, AgentSummary};
+use crate::http::http_fault::json;
 use crate::prelude::*;
+use crate::process::metrics::Metrics;
 use std::sync::mpsc::{Sender, channel};
 use std::time::Duration;
 use trillium::{Conn, Handler, Status};
--- a/crates/oleander-daemon/src/agent.rs
+++ b/crates/oleander-daemon/src/agent/agent_process.rs
@@ -1,14 +1,14 @@
 //! The agent daemon.
 
-use crate::agent_control::AgentControl;
-use crate::agent_cx::AgentCx;
-use crate::agent_event::AgentEvent;
-use crate::agent_http;
-use crate::agent_settings::AgentConfig;
-use crate::metrics::Metrics;
-use crate::open_fault::OpenFault;
+use crate::agent::agent_control::AgentControl;
+use crate::agent::agent_cx::AgentCx;
+use crate::agent::agent_event::AgentEvent;
+use crate::agent::agent_http;
+use crate::agent::agent_settings::AgentConfig;
 use crate::prelude::*;
-use crate::runtime::{self, HttpServer};
+use crate::process::metrics::Metrics;
+use crate::process::open_fault::OpenFault;
+use crate::process::runtime::{self, HttpServer};
 use oleander_link::{Delivery, LinkKeys, Mailbox};
 use std::sync::Arc;
 use std::sync::mpsc::{Sender, channel};
--- a/crates/oleander-daemon/src/agent_reports.rs
+++ b/crates/oleander-daemon/src/agent/agent_reports.rs
@@ -1,7 +1,7 @@
 //! What an agent tells entries of itself, and the configuration that it learns from them.
 
-use crate::agent_control::AgentControl;
-use crate::attempt::{Attempt, Waiter};
+use crate::agent::agent_control::AgentControl;
+use crate::entry::attempt::{Attempt, Waiter};
 use crate::prelude::*;
 
 /// Time after which an entry that says nothing gets no more reports.
--- a/crates/oleander-daemon/src/agent_weights.rs
+++ b/crates/oleander-daemon/src/agent/agent_weights.rs
@@ -1,10 +1,10 @@
 //! What an agent does with weight orders and what its engine says of its version.
 
-use crate::agent_control::AgentControl;
-use crate::agent_event::{Probe, SwapReport};
-use crate::engine_client::SwapEnd;
+use crate::agent::agent_control::AgentControl;
+use crate::agent::agent_event::{Probe, SwapReport};
+use crate::agent::engine_client::SwapEnd;
+use crate::entry::request_log;
 use crate::prelude::*;
-use crate::request_log;
 
 impl AgentControl {
     pub(crate) fn order_weights(&mut self, entry: String, order: wire::WeightOrder) {
--- a/crates/oleander-daemon/src/engine_client.rs
+++ b/crates/oleander-daemon/src/agent/engine_client.rs
@@ -1,9 +1,9 @@
 //! Client of a model engine.
 
-use crate::attempt::{Attempt, AttemptEnd};
+use crate::entry::attempt::{Attempt, AttemptEnd};
+use crate::http::sse::{EngineEvent, EventReader};
 use crate::prelude::*;
-use crate::sse::{EngineEvent, EventReader};
-use crate::store_client::within;
+use crate::store::store_client::within;
 use bytes::Bytes;
 use serde::Deserialize;
 use serde_json::{Value, json};
--- a/crates/oleander-daemon/src/service_client.rs
+++ b/crates/oleander-daemon/src/agent/service_client.rs
@@ -1,6 +1,6 @@
 //! Client of a plain service.
 
-use crate::attempt::{Attempt, AttemptEnd};
+use crate::entry::attempt::{Attempt, AttemptEnd};
 use crate::prelude::*;
 use bytes::Bytes;
 use oleanderlock::request_outcome::Outcome;
--- a/crates/oleander-daemon/src/bin/oleander-agent.rs
+++ b/crates/oleander-daemon/src/bin/oleander-agent.rs
@@ -1,11 +1,11 @@
 //! The agent daemon.
 
-use oleander_daemon::agent::Agent;
-use oleander_daemon::agent_event::AgentEvent;
-use oleander_daemon::agent_settings::AgentConfig;
-use oleander_daemon::cli::agent_args;
+use oleander_daemon::agent::agent_event::AgentEvent;
+use oleander_daemon::agent::agent_process::Agent;
+use oleander_daemon::agent::agent_settings::AgentConfig;
 use oleander_daemon::logging;
-use oleander_daemon::program::{Running, read_settings, run_to_end};
+use oleander_daemon::process::cli::agent_args;
+use oleander_daemon::process::program::{Running, read_settings, run_to_end};
 
 fn main() -> std::process::ExitCode {
     let args = agent_args().run();
--- a/crates/oleander-daemon/src/bin/oleander-entry.rs
+++ b/crates/oleander-daemon/src/bin/oleander-entry.rs
@@ -1,10 +1,10 @@
 //! The entry daemon.
 
-use oleander_daemon::cli::entry_args;
-use oleander_daemon::entry::Entry;
-use oleander_daemon::entry_settings::EntryConfig;
+use oleander_daemon::entry::entry_process::Entry;
+use oleander_daemon::entry::entry_settings::EntryConfig;
 use oleander_daemon::logging;
-use oleander_daemon::program::{Running, read_settings, run_to_end};
+use oleander_daemon::process::cli::entry_args;
+use oleander_daemon::process::program::{Running, read_settings, run_to_end};
 
 fn main() -> std::process::ExitCode {
     let args = entry_args().run();
--- a/crates/oleander-daemon/src/config_desk.rs
+++ b/crates/oleander-daemon/src/contracts/config_desk.rs
@@ -1,9 +1,9 @@
 //! The configuration that a process has in force, and how it is spread among processes.
 
-use crate::config_object::{CONTRACT_PREFIX, ConfigObject, VERSION_PREFIX};
-use crate::contracts_in_force::ContractsInForce;
+use crate::contracts::config_object::{CONTRACT_PREFIX, ConfigObject, VERSION_PREFIX};
+use crate::contracts::contracts_in_force::ContractsInForce;
 use crate::prelude::*;
-use crate::store_client::ObjectList;
+use crate::store::store_client::ObjectList;
 use indexmap::IndexMap;
 use oleanderlock::config_journal::ConfigJournal;
 use oleanderlock::journal_messages::{JournalAnswer, JournalEntry, PeerFetch};
--- a/crates/oleander-daemon/src/config_write.rs
+++ b/crates/oleander-daemon/src/contracts/config_write.rs
@@ -1,8 +1,8 @@
 //! Conditional writes of configuration objects, with answers that may be lost.
 
-use crate::config_object::ConfigObject;
+use crate::contracts::config_object::ConfigObject;
 use crate::prelude::*;
-use crate::store_client::{Condition, StoreClient, StoreError, StoredObject};
+use crate::store::store_client::{Condition, StoreClient, StoreError, StoredObject};
 use oleanderlock::store_answer::NO_VERSION;
 use oleanderlock::store_write::{READ_BACK_MS, StoreWrite, WriteFate, WriteId};
 use std::time::Duration;
--- a/crates/oleander-daemon/src/snapshot_file.rs
+++ b/crates/oleander-daemon/src/contracts/snapshot_file.rs
@@ -1,6 +1,6 @@
 //! The configuration in force, kept on the instances that have a disk.
 
-use crate::runtime;
+use crate::process::runtime;
 use oleanderlock::journal_messages::JournalEntry;
 use oleanderlock::snapshot::{decode, encode};
 use std::io::Write;
--- a/crates/oleander-daemon/src/agent_table.rs
+++ b/crates/oleander-daemon/src/entry/agent_table.rs
@@ -1,11 +1,11 @@
 //! The agents that an entry uses, and the choice among them.
 
-use crate::agent_heard::AgentHeard;
-use crate::entry_event::{AgentView, Route, RouteEnd, RouteProgress};
-use crate::entry_settings::EntryConfig;
-use crate::hash64::hash64;
-use crate::instance_list::{ListedInstance, ListedState};
+use crate::agent::agent_heard::AgentHeard;
+use crate::entry::entry_event::{AgentView, Route, RouteEnd, RouteProgress};
+use crate::entry::entry_settings::EntryConfig;
 use crate::prelude::*;
+use crate::process::hash64::hash64;
+use crate::store::instance_list::{ListedInstance, ListedState};
 use bytes::Bytes;
 use indexmap::{IndexMap, IndexSet};
 use oleanderlock::choice_request::ChoiceRequest;
--- a/crates/oleander-daemon/src/caller.rs
+++ b/crates/oleander-daemon/src/entry/caller.rs
@@ -1,11 +1,11 @@
 //! What every interactive call has in common.
 
-use crate::access;
-use crate::entry_cx::EntryCx;
-use crate::entry_event::Terms;
-use crate::hash64::{first_word, hash64};
-use crate::http_input::header_number;
+use crate::entry::entry_cx::EntryCx;
+use crate::entry::entry_event::Terms;
+use crate::http::access;
+use crate::http::http_input::header_number;
 use crate::prelude::*;
+use crate::process::hash64::{first_word, hash64};
 use bytes::Bytes;
 use oleanderlock::request_track::{Placement, RequestSpec};
 use trillium::Conn;
--- a/crates/oleander-daemon/src/completions.rs
+++ b/crates/oleander-daemon/src/entry/completions.rs
@@ -1,14 +1,14 @@
 //! `POST /v1/completions` and `/v1/chat/completions`.
 
-use crate::caller::{Call, fingerprint, prefix_of};
-use crate::entry_cx::EntryCx;
-use crate::http_fault::json;
-use crate::http_input;
-use crate::in_flight::InFlight;
+use crate::entry::caller::{Call, fingerprint, prefix_of};
+use crate::entry::entry_cx::EntryCx;
+use crate::entry::request::{Request, RequestEnd};
+use crate::entry::request_run;
+use crate::http::http_fault::json;
+use crate::http::http_input;
+use crate::http::in_flight::InFlight;
 use crate::prelude::*;
-use crate::request::{Request, RequestEnd};
-use crate::request_run;
-use crate::runtime;
+use crate::process::runtime;
 use async_channel::{Receiver, Sender};
 use bytes::Bytes;
 use futures_util::{StreamExt, TryStreamExt};
--- a/crates/oleander-daemon/src/entry_control.rs
+++ b/crates/oleander-daemon/src/entry/entry_control.rs
@@ -1,17 +1,17 @@
 //! The control state of an entry: what it does on each event.
 
-use crate::agent_table::AgentTable;
-use crate::config_desk::ConfigDesk;
-use crate::entry_cx::EntryCx;
-use crate::entry_event::{
+use crate::contracts::config_desk::ConfigDesk;
+use crate::contracts::snapshot_file::SnapshotFile;
+use crate::entry::agent_table::AgentTable;
+use crate::entry::entry_cx::EntryCx;
+use crate::entry::entry_event::{
     ChooseCall, ConfigSummary, EntryEvent, FleetSummary, LocateCall, RouteEnd, Terms, TermsCall,
 };
-use crate::fresh_holds::FreshHolds;
-use crate::peer_entries::PeerEntries;
+use crate::entry::fresh_holds::FreshHolds;
+use crate::entry::peer_entries::PeerEntries;
+use crate::entry::retry_desk::RetryDesk;
+use crate::entry::weight_desk::WeightDesk;
 use crate::prelude::*;
-use crate::retry_desk::RetryDesk;
-use crate::snapshot_file::SnapshotFile;
-use crate::weight_desk::WeightDesk;
 
 /// Time between two words to each peer.
 pub(crate) const HELLO_EVERY: Millis = Millis(1000);
--- a/crates/oleander-daemon/src/entry_control_choice.rs
+++ b/crates/oleander-daemon/src/entry/entry_control_choice.rs
@@ -1,7 +1,7 @@
 //! What an entry does to place an attempt: choice, retries, and agents named by keys.
 
-use crate::entry_control::{EntryControl, SETTLE_LIMIT};
-use crate::entry_event::{ChooseCall, LocateCall, NoRoute, Route};
+use crate::entry::entry_control::{EntryControl, SETTLE_LIMIT};
+use crate::entry::entry_event::{ChooseCall, LocateCall, NoRoute, Route};
 use crate::prelude::*;
 use oleanderlock::choice_request::ChoiceRequest;
 use oleanderlock::policy::Policy;
--- a/crates/oleander-daemon/src/entry_control_fleet.rs
+++ b/crates/oleander-daemon/src/entry/entry_control_fleet.rs
@@ -1,9 +1,9 @@
 //! What an entry does about other processes: reports, configuration, lists and links.
 
-use crate::agent_table::TableAction;
-use crate::entry_control::EntryControl;
-use crate::instance_list::{ListedInstance, Role};
+use crate::entry::agent_table::TableAction;
+use crate::entry::entry_control::EntryControl;
 use crate::prelude::*;
+use crate::store::instance_list::{ListedInstance, Role};
 use oleanderlock::weight_plan::LoadOrder;
 
 impl EntryControl {
--- a/crates/oleander-daemon/src/entry_cx.rs
+++ b/crates/oleander-daemon/src/entry/entry_cx.rs
@@ -1,17 +1,17 @@
 //! What the traffic of an entry acts through.
 
-use crate::entry_event::{
+use crate::entry::entry_event::{
     ChooseCall, EntryEvent, LocateCall, NoRoute, Route, RouteEnd, RouteProgress, Terms, TermsCall,
 };
-use crate::entry_settings::EntryConfig;
-use crate::hedge_desk::HedgeDesk;
-use crate::inflight::Inflight;
-use crate::key_desk::KeyDesk;
-use crate::metrics::Metrics;
+use crate::entry::entry_settings::EntryConfig;
+use crate::entry::hedge_desk::HedgeDesk;
+use crate::entry::inflight::Inflight;
+use crate::entry::key_desk::KeyDesk;
+use crate::entry::refusal_log::RefusalLog;
 use crate::prelude::*;
-use crate::refusal_log::RefusalLog;
-use crate::store_client::StoreClient;
-use crate::watch_switch::WatchSwitch;
+use crate::process::metrics::Metrics;
+use crate::store::store_client::StoreClient;
+use crate::store::watch_switch::WatchSwitch;
 use async_channel::Sender;
 use oleanderlock::attempt_end::AttemptEnd;
 use oleanderlock::issued_key::KeySecrets;
--- a/crates/oleander-daemon/src/entry_http.rs
+++ b/crates/oleander-daemon/src/entry/entry_http.rs
@@ -1,14 +1,14 @@
 //! HTTP of an entry.
 
-use crate::completions;
-use crate::entry_cx::EntryCx;
-use crate::entry_event::EntryEvent;
-use crate::http_fault::HttpFault;
-use crate::operator_api;
-use crate::plain_calls;
+use crate::entry::completions;
+use crate::entry::entry_cx::EntryCx;
+use crate::entry::entry_event::EntryEvent;
+use crate::entry::operator_api;
+use crate::entry::plain_calls;
+use crate::http::http_fault::HttpFault;
 use crate::prelude::*;
-use crate::step_host::StepHost;
-use crate::trainer_api;
+use crate::steps::step_host::StepHost;
+use crate::steps::trainer_api;
 use std::future::Future;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
--- a/crates/oleander-daemon/src/entry_loops.rs
+++ b/crates/oleander-daemon/src/entry/entry_loops.rs
@@ -1,11 +1,11 @@
 //! What an entry reads again and again from the platform.
 
-use crate::config_object::CONFIG_PREFIX;
-use crate::entry_event::EntryEvent;
-use crate::instance_list;
+use crate::contracts::config_object::CONFIG_PREFIX;
+use crate::entry::entry_event::EntryEvent;
 use crate::prelude::*;
-use crate::store_client::{StoreClient, StoreError};
-use crate::watch_switch::WatchSwitch;
+use crate::store::instance_list;
+use crate::store::store_client::{StoreClient, StoreError};
+use crate::store::watch_switch::WatchSwitch;
 use oleanderlock::backoff::{Backoff, BackoffConfig};
 use std::sync::mpsc::Sender;
 use std::time::Duration;
--- a/crates/oleander-daemon/src/entry.rs
+++ b/crates/oleander-daemon/src/entry/entry_process.rs
@@ -1,22 +1,22 @@
 //! The entry daemon.
 
-use crate::entry_control::EntryControl;
-use crate::entry_cx::EntryCx;
-use crate::entry_event::EntryEvent;
-use crate::entry_http::{self, Readiness};
-use crate::entry_loops;
-use crate::entry_settings::EntryConfig;
-use crate::hedge_desk::HedgeDesk;
-use crate::inflight::Inflight;
-use crate::key_desk::KeyDesk;
-use crate::metrics::Metrics;
-use crate::open_fault::OpenFault;
+use crate::entry::entry_control::EntryControl;
+use crate::entry::entry_cx::EntryCx;
+use crate::entry::entry_event::EntryEvent;
+use crate::entry::entry_http::{self, Readiness};
+use crate::entry::entry_loops;
+use crate::entry::entry_settings::EntryConfig;
+use crate::entry::hedge_desk::HedgeDesk;
+use crate::entry::inflight::Inflight;
+use crate::entry::key_desk::KeyDesk;
+use crate::entry::refusal_log::RefusalLog;
+use crate::entry::request_words;
 use crate::prelude::*;
-use crate::refusal_log::RefusalLog;
-use crate::request_words;
-use crate::runtime::{self, HttpServer};
-use crate::store_client::StoreClient;
-use crate::watch_switch::WatchSwitch;
+use crate::process::metrics::Metrics;
+use crate::process::open_fault::OpenFault;
+use crate::process::runtime::{self, HttpServer};
+use crate::store::store_client::StoreClient;
+use crate::store::watch_switch::WatchSwitch;
 use oleander_link::{Delivery, LinkKeys, Mailbox};
 use oleanderlock::issued_key::KeySecrets;
 use std::sync::Arc;
--- a/crates/oleander-daemon/src/entry_settings.rs
+++ b/crates/oleander-daemon/src/entry/entry_settings.rs
@@ -1,6 +1,6 @@
 //! Settings of the entry daemon.
 
-use crate::node_settings::{NodeConfig, read_node};
+use crate::process::node_settings::{NodeConfig, read_node};
 use crate::settings::{Settings, SettingsFaults};
 use oleanderlock::policy::Policy;
 use oleanderlock::prelude::*;
--- a/crates/oleander-daemon/src/fresh_holds.rs
+++ b/crates/oleander-daemon/src/entry/fresh_holds.rs
@@ -1,6 +1,6 @@
 //! Samples that wait until an endpoint serves the version that they should have.
 
-use crate::entry_event::ChooseCall;
+use crate::entry::entry_event::ChooseCall;
 use crate::prelude::*;
 use bytes::Bytes;
 use indexmap::IndexMap;
--- a/crates/oleander-daemon/src/hedge_desk.rs
+++ b/crates/oleander-daemon/src/entry/hedge_desk.rs
@@ -1,6 +1,6 @@
 //! Hedged attempts of an entry, with a budget for each target.
 
-use crate::attempt_progress::Progress;
+use crate::entry::attempt_progress::Progress;
 use crate::prelude::*;
 use bytes::Bytes;
 use indexmap::IndexMap;
--- a/crates/oleander-daemon/src/key_desk.rs
+++ b/crates/oleander-daemon/src/entry/key_desk.rs
@@ -2,8 +2,8 @@
 
 use crate::logging::unix_ms;
 use crate::prelude::*;
-use crate::runtime;
-use crate::store_client::{Condition, StoreClient, StoreError};
+use crate::process::runtime;
+use crate::store::store_client::{Condition, StoreClient, StoreError};
 use async_channel::{Receiver, Sender};
 use futures_lite::FutureExt;
 use indexmap::IndexMap;
--- a/crates/oleander-daemon/src/key_use.rs
+++ b/crates/oleander-daemon/src/entry/key_use.rs
@@ -1,9 +1,9 @@
 //! Where a call with an idempotency key runs.
 
-use crate::caller::Call;
-use crate::entry_cx::EntryCx;
-use crate::entry_event::{ChooseCall, Route};
-use crate::key_desk::{BindRequest, wall};
+use crate::entry::caller::Call;
+use crate::entry::entry_cx::EntryCx;
+use crate::entry::entry_event::{ChooseCall, Route};
+use crate::entry::key_desk::{BindRequest, wall};
 use crate::prelude::*;
 use bytes::Bytes;
 use oleanderlock::issued_key::{IssuedKey, KeyError};
--- /dev/null
+++ b/crates/oleander-daemon/src/entry/mod.rs
@@ -0,0 +1,32 @@
+//! The entry: callers, choices, retries, keys and what it knows of its peers.
+
+pub mod agent_table;
+pub mod attempt;
+pub mod attempt_progress;
+pub(crate) mod caller;
+pub(crate) mod completions;
+pub mod entry_control;
+pub(crate) mod entry_control_choice;
+pub(crate) mod entry_control_fleet;
+pub mod entry_cx;
+pub mod entry_event;
+pub(crate) mod entry_http;
+pub(crate) mod entry_loops;
+pub mod entry_process;
+pub mod entry_settings;
+pub mod fresh_holds;
+pub mod hedge_desk;
+pub mod inflight;
+pub mod key_desk;
+pub(crate) mod key_use;
+pub(crate) mod operator_api;
+pub(crate) mod peer_entries;
+pub(crate) mod plain_calls;
+pub(crate) mod publish;
+pub mod refusal_log;
+pub mod request;
+pub(crate) mod request_log;
+pub mod request_run;
+pub(crate) mod request_words;
+pub mod retry_desk;
+pub(crate) mod weight_desk;
--- a/crates/oleander-daemon/src/operator_api.rs
+++ b/crates/oleander-daemon/src/entry/operator_api.rs
@@ -1,14 +1,14 @@
 //! The paths that operators call.
 
-use crate::access;
-use crate::config_object::CONTRACT_PREFIX;
-use crate::config_write::{Amended, Standing, amend, read};
-use crate::entry_cx::EntryCx;
-use crate::entry_event::EntryEvent;
-use crate::http_fault::json;
-use crate::http_input;
+use crate::contracts::config_object::CONTRACT_PREFIX;
+use crate::contracts::config_write::{Amended, Standing, amend, read};
+use crate::entry::entry_cx::EntryCx;
+use crate::entry::entry_event::EntryEvent;
+use crate::http::access;
+use crate::http::http_fault::json;
+use crate::http::http_input;
 use crate::prelude::*;
-use crate::step_host::StepHost;
+use crate::steps::step_host::StepHost;
 use oleanderlock::contract::Contract;
 use serde::Serialize;
 use serde_json::{Value, json as value};
--- a/crates/oleander-daemon/src/peer_entries.rs
+++ b/crates/oleander-daemon/src/entry/peer_entries.rs
@@ -1,8 +1,8 @@
 //! The other entries, as one entry knows them.
 
-use crate::entry_event::EntryView;
-use crate::instance_list::{ListedInstance, ListedState};
-use crate::node_settings::NodeConfig;
+use crate::entry::entry_event::EntryView;
+use crate::process::node_settings::NodeConfig;
+use crate::store::instance_list::{ListedInstance, ListedState};
 use indexmap::{IndexMap, IndexSet};
 use oleanderlock::rendezvous::top;
 use oleanderlock::site::Site;
--- a/crates/oleander-daemon/src/plain_calls.rs
+++ b/crates/oleander-daemon/src/entry/plain_calls.rs
@@ -1,15 +1,15 @@
 //! `POST /v1/services/{service}/{path}` and `POST /v1/keys`.
 
-use crate::caller::{Call, fingerprint};
-use crate::completions::{fault_of, refuse};
-use crate::entry_cx::EntryCx;
-use crate::http_fault::json;
-use crate::http_input;
-use crate::in_flight::InFlight;
-use crate::key_use::{KEY_LIFE, KeyUse, route};
+use crate::entry::caller::{Call, fingerprint};
+use crate::entry::completions::{fault_of, refuse};
+use crate::entry::entry_cx::EntryCx;
+use crate::entry::key_use::{KEY_LIFE, KeyUse, route};
+use crate::entry::request::Request;
+use crate::entry::request_run;
+use crate::http::http_fault::json;
+use crate::http::http_input;
+use crate::http::in_flight::InFlight;
 use crate::prelude::*;
-use crate::request::Request;
-use crate::request_run;
 use bytes::Bytes;
 use oleanderlock::issued_key::IssuedKey;
 use serde::Deserialize;
--- a/crates/oleander-daemon/src/publish.rs
+++ b/crates/oleander-daemon/src/entry/publish.rs
@@ -1,8 +1,8 @@
 //! Publishes weight versions.
 
-use crate::config_object::VERSION_PREFIX;
-use crate::config_write::{Amended, amend, read};
-use crate::entry_cx::EntryCx;
+use crate::contracts::config_object::VERSION_PREFIX;
+use crate::contracts::config_write::{Amended, amend, read};
+use crate::entry::entry_cx::EntryCx;
 use crate::prelude::*;
 
 /// Attempts against other writers of the same model.
--- a/crates/oleander-daemon/src/refusal_log.rs
+++ b/crates/oleander-daemon/src/entry/refusal_log.rs
@@ -1,6 +1,6 @@
 //! The latest refusals of an entry, for operators who ask why.
 
-use crate::http_fault::HttpFault;
+use crate::http::http_fault::HttpFault;
 use crate::prelude::*;
 use indexmap::IndexMap;
 use parking_lot::Mutex;
--- a/crates/oleander-daemon/src/request.rs
+++ b/crates/oleander-daemon/src/entry/request.rs
@@ -1,7 +1,7 @@
 //! One request as an entry runs it.
 
-use crate::attempt_progress::AttemptProgress;
-use crate::entry_event::Route;
+use crate::entry::attempt_progress::AttemptProgress;
+use crate::entry::entry_event::Route;
 use crate::prelude::*;
 use bytes::Bytes;
 use oleanderlock::endpoint::EndpointKey;
--- a/crates/oleander-daemon/src/request_log.rs
+++ b/crates/oleander-daemon/src/entry/request_log.rs
@@ -2,10 +2,10 @@
 //!
 //! All are made from `log` macros, which format nothing when their level is off.
 
-use crate::attempt::Attempt;
-use crate::engine_client::SwapEnd;
-use crate::request::Request;
-use crate::step_spec::StepName;
+use crate::agent::engine_client::SwapEnd;
+use crate::entry::attempt::Attempt;
+use crate::entry::request::Request;
+use crate::steps::step_spec::StepName;
 use oleanderlock::prelude::*;
 use oleanderlock::request_outcome::Outcome;
 
--- a/crates/oleander-daemon/src/request_run.rs
+++ b/crates/oleander-daemon/src/entry/request_run.rs
@@ -1,15 +1,15 @@
 //! Runs one request at an entry, over all its attempts.
 
-use crate::agent_heard::load_of;
-use crate::attempt_progress::AttemptProgress;
-use crate::entry_cx::EntryCx;
-use crate::entry_event::{ChooseCall, Failed, Route, RouteEnd, RouteProgress};
-use crate::inflight::{Word, Words};
-use crate::pace::Pace;
+use crate::agent::agent_heard::load_of;
+use crate::agent::pace::Pace;
+use crate::entry::attempt_progress::AttemptProgress;
+use crate::entry::entry_cx::EntryCx;
+use crate::entry::entry_event::{ChooseCall, Failed, Route, RouteEnd, RouteProgress};
+use crate::entry::inflight::{Word, Words};
+use crate::entry::request::{Request, RequestEnd, Tracking};
+use crate::entry::request_log;
+use crate::entry::request_words::typed_chunk;
 use crate::prelude::*;
-use crate::request::{Request, RequestEnd, Tracking};
-use crate::request_log;
-use crate::request_words::typed_chunk;
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use oleanderlock::assembly_limits::AssemblyLimits;
--- a/crates/oleander-daemon/src/request_words.rs
+++ b/crates/oleander-daemon/src/entry/request_words.rs
@@ -1,6 +1,6 @@
 //! Hands the words of agents to the requests that wait for them.
 
-use crate::inflight::{Inflight, Word};
+use crate::entry::inflight::{Inflight, Word};
 use crate::prelude::*;
 use oleanderlock::request_outcome::Outcome;
 use oleanderlock::segment::Segment;
--- a/crates/oleander-daemon/src/retry_desk.rs
+++ b/crates/oleander-daemon/src/entry/retry_desk.rs
@@ -1,6 +1,6 @@
 //! Retry budgets of an entry, and the retries that wait for their backoff.
 
-use crate::entry_event::ChooseCall;
+use crate::entry::entry_event::ChooseCall;
 use crate::prelude::*;
 use indexmap::IndexMap;
 use oleanderlock::contract::Contract;
--- a/crates/oleander-daemon/src/http_input.rs
+++ b/crates/oleander-daemon/src/http/http_input.rs
@@ -1,8 +1,8 @@
 //! Reads what callers send, within limits.
 
 use crate::prelude::*;
-use crate::runtime::BODY_MAX_BYTES;
-use crate::store_client::within;
+use crate::process::runtime::BODY_MAX_BYTES;
+use crate::store::store_client::within;
 use serde::de::DeserializeOwned;
 use trillium::Conn;
 
--- a/crates/oleander-daemon/src/in_flight.rs
+++ b/crates/oleander-daemon/src/http/in_flight.rs
@@ -1,6 +1,6 @@
 //! Counts work in flight, for graceful shutdown.
 
-use crate::metrics::Metrics;
+use crate::process::metrics::Metrics;
 
 /// One piece of work in flight; counted until dropped.
 pub struct InFlight {
--- a/crates/oleander-daemon/src/program.rs
+++ b/crates/oleander-daemon/src/process/program.rs
@@ -1,7 +1,7 @@
 //! What both programs do: read and check settings, wait for the stop signal.
 
 use crate::exit_code::ExitCode;
-use crate::open_fault::OpenFault;
+use crate::process::open_fault::OpenFault;
 use crate::settings::{Settings, SettingsFaults};
 use crate::stop_signal::on_stop;
 use std::path::Path;
--- a/crates/oleander-daemon/src/runtime.rs
+++ b/crates/oleander-daemon/src/process/runtime.rs
@@ -1,6 +1,6 @@
 //! Threads of a process: one for control state, a fixed number for traffic.
 
-use crate::store_client::within;
+use crate::store::store_client::within;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
--- a/crates/oleander-daemon/src/step_handle.rs
+++ b/crates/oleander-daemon/src/steps/step_handle.rs
@@ -1,11 +1,11 @@
 //! The handle of a step that runs at this entry.
 
-use crate::entry_cx::EntryCx;
-use crate::entry_event::Terms;
+use crate::entry::entry_cx::EntryCx;
+use crate::entry::entry_event::Terms;
 use crate::prelude::*;
-use crate::runtime;
-use crate::step_spec::{StepName, StepSpec};
-use crate::step_task::StepTask;
+use crate::process::runtime;
+use crate::steps::step_spec::{StepName, StepSpec};
+use crate::steps::step_task::StepTask;
 use async_channel::Sender;
 use oleanderlock::pull::{PullAnswer, PullRefusal};
 use oleanderlock::sample_guards::SampleGuards;
--- a/crates/oleander-daemon/src/step_host.rs
+++ b/crates/oleander-daemon/src/steps/step_host.rs
@@ -3,11 +3,11 @@
 //! Safety does not depend on who owns a step, because the trainer's cursor decides what it gets.
 //! The object in the store only tells other entries where to send a pull.
 
-use crate::entry_cx::EntryCx;
+use crate::entry::entry_cx::EntryCx;
 use crate::prelude::*;
-use crate::step_handle::{Beginning, StepHandle};
-use crate::step_spec::{StepName, StepSpec};
-use crate::store_client::{Condition, StoreError, StoredObject};
+use crate::steps::step_handle::{Beginning, StepHandle};
+use crate::steps::step_spec::{StepName, StepSpec};
+use crate::store::store_client::{Condition, StoreError, StoredObject};
 use indexmap::IndexMap;
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
--- a/crates/oleander-daemon/src/step_task.rs
+++ b/crates/oleander-daemon/src/steps/step_task.rs
@@ -1,15 +1,15 @@
 //! Runs one step that this entry owns.
 
-use crate::attempt_progress::{AttemptProgress, Progress};
-use crate::caller::prefix_of;
-use crate::entry_cx::EntryCx;
-use crate::entry_event::Terms;
+use crate::entry::attempt_progress::{AttemptProgress, Progress};
+use crate::entry::caller::prefix_of;
+use crate::entry::entry_cx::EntryCx;
+use crate::entry::entry_event::Terms;
+use crate::entry::request::{Request, Tracking};
+use crate::entry::request_log;
+use crate::entry::request_run;
 use crate::prelude::*;
-use crate::request::{Request, Tracking};
-use crate::request_log;
-use crate::request_run;
-use crate::step_handle::{PullCall, StepEvent};
-use crate::step_spec::{StepName, StepSpec};
+use crate::steps::step_handle::{PullCall, StepEvent};
+use crate::steps::step_spec::{StepName, StepSpec};
 use async_channel::{Receiver, Sender, WeakSender};
 use bytes::Bytes;
 use futures_lite::FutureExt;
--- a/crates/oleander-daemon/src/trainer_api.rs
+++ b/crates/oleander-daemon/src/steps/trainer_api.rs
@@ -1,16 +1,16 @@
 //! The paths that trainers call.
 
-use crate::access;
-use crate::entry_cx::EntryCx;
-use crate::http_fault::json;
-use crate::http_input;
-use crate::in_flight::InFlight;
+use crate::entry::entry_cx::EntryCx;
+use crate::entry::publish;
+use crate::http::access;
+use crate::http::http_fault::json;
+use crate::http::http_input;
+use crate::http::in_flight::InFlight;
 use crate::prelude::*;
-use crate::publish;
-use crate::step_handle::{PullCall, StepHandle};
-use crate::step_host::{StepHost, StepPlace};
-use crate::step_spec::{StepName, StepSpec};
-use crate::store_client::within;
+use crate::steps::step_handle::{PullCall, StepHandle};
+use crate::steps::step_host::{StepHost, StepPlace};
+use crate::steps::step_spec::{StepName, StepSpec};
+use crate::store::store_client::within;
 use oleanderlock::pull::{PullAnswer, PullRefusal, SlotSample};
 use serde::{Deserialize, Serialize};
 use serde_json::json as value;
--- a/crates/oleander-daemon/src/agent_list.rs
+++ b/crates/oleander-daemon/src/store/agent_list.rs
@@ -1,8 +1,8 @@
 //! Which of the platform's agents an entry uses.
 
-use crate::agent_table::{Agent, AgentTable, TableAction};
-use crate::instance_list::{ListedInstance, ListedState};
+use crate::entry::agent_table::{Agent, AgentTable, TableAction};
 use crate::prelude::*;
+use crate::store::instance_list::{ListedInstance, ListedState};
 use bytes::Bytes;
 use indexmap::{IndexMap, IndexSet};
 use oleanderlock::membership::Listed;
--- a/crates/oleander-daemon/src/store_client.rs
+++ b/crates/oleander-daemon/src/store/store_client.rs
@@ -1,6 +1,6 @@
 //! Client of the platform's object API.
 
-use crate::store_limit::StoreLimit;
+use crate::store::store_limit::StoreLimit;
 use derive_more::{Display, Error};
 use oleanderlock::prelude::*;
 use oleanderlock::store_budget::StoreCall;
--- a/crates/oleander-daemon/tests/fresh_holds.rs
+++ b/crates/oleander-daemon/tests/fresh_holds.rs
@@ -1,7 +1,7 @@
 //! Samples wait for the version that they should have, if their contract says so.
 
-use oleander_daemon::entry_event::{ChooseCall, Failed};
-use oleander_daemon::fresh_holds::FreshHolds;
+use oleander_daemon::entry::entry_event::{ChooseCall, Failed};
+use oleander_daemon::entry::fresh_holds::FreshHolds;
 use oleanderlock::contract::Contract;
 use oleanderlock::limits::Limits;
 use oleanderlock::prelude::*;
--- a/crates/oleander-daemon/tests/settings.rs
+++ b/crates/oleander-daemon/tests/settings.rs
@@ -1,7 +1,7 @@
 //! Settings files: every fault at once, unknown keys, and `--check`.
 
-use oleander_daemon::agent_settings::{AgentConfig, EndpointKind};
-use oleander_daemon::entry_settings::EntryConfig;
+use oleander_daemon::agent::agent_settings::{AgentConfig, EndpointKind};
+use oleander_daemon::entry::entry_settings::EntryConfig;
 use oleander_daemon::settings::{Settings, SettingsFaults};
 use oleanderlock::prelude::*;
 use std::process::{Command, Output};
--- a/crates/oleanderctl/src/entry_client.rs
+++ b/crates/oleanderctl/src/entry_client.rs
@@ -2,7 +2,7 @@
 
 use crate::cli::Args;
 use crate::ctl_error::CtlError;
-use oleander_daemon::store_client::within;
+use oleander_daemon::store::store_client::within;
 use oleanderlock::prelude::*;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
--- a/crates/oleanderctl/src/fleet_commands.rs
+++ b/crates/oleanderctl/src/fleet_commands.rs
@@ -3,8 +3,8 @@
 use crate::ctl_error::CtlError;
 use crate::entry_client::{EntryClient, parse};
 use crate::output::{print, table};
-use oleander_daemon::entry_event::{AgentView, FleetSummary};
-use oleander_daemon::refusal_log::Refusal;
+use oleander_daemon::entry::entry_event::{AgentView, FleetSummary};
+use oleander_daemon::entry::refusal_log::Refusal;
 use serde::Deserialize;
 use serde_json::Value;
 
