Send an idempotent call again to an endpoint that lost its answer when all were tried

Finding: stray_bytes_belong_to_no_call failed once, beside a soak. The entry's log: 'an answer to another request' from both endpoints within 2 ms (their stray bytes came after the connections had gone back to the pool), then 502 with one of three attempts left, since only endpoints that were not tried were chosen. Ruled out: the soak's ports (the answers are those of the test's own endpoints).

Now the remaining attempts go to any endpoint after an answer that was lost, broken or another's, if the call may be repeated. Refusals are not repeated: a call that no endpoint takes is still refused at once.

--- a/crates/oleander-rollout/src/call/caller.rs
+++ b/crates/oleander-rollout/src/call/caller.rs
@@ -82,6 +82,8 @@
     may_have_run: bool,
     failures: u32,
     failure: Option<EndpointAnswer>,
+    /// Whether the last attempt brought an answer that was broken, lost or not the call's own.
+    answer_lost: bool,
 }
 
 impl Caller {
@@ -190,6 +192,8 @@
         if !req.kind.is_idempotent() || running.len() > 1 {
             return;
         }
+        // A second request to an endpoint that has not answered the first would not help.
+        progress.answer_lost = false;
         if let Some(endpoint) = self.next_endpoint(req, progress) {
             self.metrics.retried("no-answer-yet");
             running.push(Box::pin(self.attempt(req, endpoint)));
@@ -204,6 +208,7 @@
         instance: &str,
         end: AttemptEnd,
     ) -> Option<EndpointAnswer> {
+        progress.answer_lost = matches!(end, AttemptEnd::Lost(_));
         let reason = match end {
             AttemptEnd::Answer(answer) => return Some(answer),
             AttemptEnd::Failure(mut answer) => {
@@ -237,10 +242,15 @@
     /// Chooses the endpoint of the next attempt, if one may follow.
     fn next_endpoint(&self, req: &CallRequest, progress: &mut Progress) -> Option<EndpointEntry> {
         let view = self.view.get();
-        let (endpoints, tried) = (&view.endpoints, &progress.tried);
-        let chosen = self
-            .loads
-            .choose(endpoints, &req.service, &self.domain, tried);
+        let choose = |tried: &[String]| {
+            let (endpoints, service) = (&view.endpoints, &req.service);
+            self.loads.choose(endpoints, service, &self.domain, tried)
+        };
+        let mut chosen = choose(&progress.tried);
+        if chosen.is_none() && progress.answer_lost && req.kind.is_idempotent() {
+            // All have been tried; one that lost an answer may bring the next one.
+            chosen = choose(&[]);
+        }
         let call = CallState {
             kind: req.kind,
             sent: progress.sent,
--- a/crates/oleander-rollout/tests/calls.rs
+++ b/crates/oleander-rollout/tests/calls.rs
@@ -163,6 +163,29 @@
     }
 }
 
+#[test]
+fn a_call_that_may_be_repeated_goes_again_to_an_endpoint_that_lost_its_answer() {
+    for treatment in [Treatment::LoseAnswer, Treatment::OtherId] {
+        let deployment = deployment();
+        treat_next(&deployment, treatment);
+        let reply = get(&deployment, "/calls/x", "thrice").expect("an answer");
+        assert_eq!(reply.body, b"for thrice", "{treatment:?}");
+        assert_eq!(ran(&deployment, "thrice"), 3);
+    }
+}
+
+#[test]
+fn a_call_that_no_endpoint_takes_is_refused_at_once() {
+    let deployment = deployment();
+    for service in &deployment.services {
+        service.treat_all(Treatment::Refuse);
+    }
+    let reply = get(&deployment, "/calls/x", "full").expect("an answer");
+    assert_eq!(reply.status, 503);
+    let refused = deployment.services.iter().map(|one| one.refused().len());
+    assert_eq!(refused.sum::<usize>(), 2);
+}
+
 #[test]
 fn a_client_that_leaves_ends_the_run() {
     let deployment = deployment();
--- a/crates/oleanderlock/src/routing/endpoint_pick.rs
+++ b/crates/oleanderlock/src/routing/endpoint_pick.rs
@@ -24,8 +24,7 @@
 
 /// Returns the candidate with the least expected wait, avoided ones last.
 ///
-/// `tried` names instances that this call was sent to before; they come only when no other is
-/// left and `may_repeat` holds. `draw` orders equals.
+/// `tried` names instances that are left out. `draw` orders equals.
 pub fn pick<'a>(
     now: Millis,
     domain: &str,
