--- a/crates/oleander-rollout/src/dispatch/dispatcher.rs
+++ b/crates/oleander-rollout/src/dispatch/dispatcher.rs
@@ -12,6 +12,7 @@
 use crate::store::gate::Gate;
 use crate::store::health::StoreHealth;
 use crate::store::view::SharedView;
+use crate::store::watch::PROMPT_PAUSE;
 use event_listener::Event;
 use oleanderlock::batch::board::Board;
 use oleanderlock::batch::board_config::BoardConfig;
@@ -58,6 +59,7 @@
             endpoints: true,
             versions: true,
             retirements: true,
+            longest_pause: PROMPT_PAUSE,
         };
         let leading = Gate::default();
         let health = StoreHealth::default();
--- a/crates/oleander-rollout/src/store/follow.rs
+++ b/crates/oleander-rollout/src/store/follow.rs
@@ -48,6 +48,8 @@
     pub versions: bool,
     /// Store machines to be emptied.
     pub retirements: bool,
+    /// Longest pause between two tries while the store is away.
+    pub longest_pause: Millis,
 }
 
 /// Starts the thread that keeps `view`: who dispatches always, what else is of interest while
@@ -76,6 +78,7 @@
     view: SharedView,
 ) {
     let store = StoreClient::new(store, health.clone());
+    let longest_pause = interests.longest_pause;
     if let Some(interest) = interests.config {
         let view = view.clone();
         let gate = match interest {
@@ -86,6 +89,7 @@
             Rc::clone(&store),
             CONFIG_KIND,
             AfterBreak::List,
+            longest_pause,
             gate,
             move |change| {
                 apply_config(&view, change);
@@ -99,6 +103,7 @@
             Rc::clone(&store),
             ENDPOINT_KIND,
             AfterBreak::List,
+            longest_pause,
             gate.clone(),
             move |change| {
                 endpoints.apply(change);
@@ -112,6 +117,7 @@
             Rc::clone(&store),
             VERSION_KIND,
             AfterBreak::List,
+            longest_pause,
             gate.clone(),
             move |change| {
                 apply_version(&view, change);
@@ -125,6 +131,7 @@
             Rc::clone(&store),
             RETIREMENT_KIND,
             AfterBreak::List,
+            longest_pause,
             gate.clone(),
             move |change| {
                 apply_retirement(&view, change);
@@ -136,6 +143,7 @@
         store,
         DISPATCHER_KIND,
         AfterBreak::List,
+        longest_pause,
         Gate::open(),
         move |change| {
             apply_dispatcher(&view, change);
