--- a/crates/oleander-rollout/src/agent/agent_process.rs
+++ b/crates/oleander-rollout/src/agent/agent_process.rs
@@ -21,8 +21,6 @@
 
 /// Time that the items which are still running get to go to other agents before the process ends.
 const HAND_OVER: Millis = Millis(2500);
-/// Longest pause between two tries while the store is away; dispatchers too tell who leads.
-const STORE_PAUSE_MAX: Millis = Millis(1600);
 /// Pause between two looks at the items of a stopping agent.
 const STOP_PAUSE: Millis = Millis(50);
 
@@ -64,10 +62,7 @@
         let health = StoreHealth::default();
         spawn_follower(
             cfg.store,
-            Interests {
-                longest_pause: STORE_PAUSE_MAX,
-                ..Interests::default()
-            },
+            Interests::default(),
             Gate::open(),
             health,
             view.clone(),
--- a/crates/oleander-rollout/src/dispatch/dispatcher.rs
+++ b/crates/oleander-rollout/src/dispatch/dispatcher.rs
@@ -12,7 +12,6 @@
 use crate::store::gate::Gate;
 use crate::store::health::StoreHealth;
 use crate::store::view::SharedView;
-use crate::store::watch::PROMPT_PAUSE;
 use event_listener::Event;
 use oleanderlock::batch::board::Board;
 use oleanderlock::batch::board_config::BoardConfig;
@@ -59,7 +58,6 @@
             endpoints: true,
             versions: true,
             retirements: true,
-            longest_pause: PROMPT_PAUSE,
         };
         let leading = Gate::default();
         let health = StoreHealth::default();
--- a/crates/oleander-rollout/src/dispatch/jobs.rs
+++ b/crates/oleander-rollout/src/dispatch/jobs.rs
@@ -6,7 +6,7 @@
 use crate::store::fault::StoreFault;
 use crate::store::gate::Gate;
 use crate::store::job_objects::{JOB_END_KIND, JOB_KIND, read_job};
-use crate::store::watch::{AfterBreak, Followed, PROMPT_PAUSE, follow};
+use crate::store::watch::{AfterBreak, Followed, follow};
 use oleander_platform::object::StoredObject;
 use oleanderlock::batch::job::Job;
 use oleanderlock::batch::job_terms::JobTerms;
@@ -59,8 +59,7 @@
         }
         true
     };
-    let (break_rule, pause, gate) = (AfterBreak::List, PROMPT_PAUSE, Gate::open());
-    follow(store, JOB_END_KIND, break_rule, pause, gate, apply).await;
+    follow(store, JOB_END_KIND, AfterBreak::List, Gate::open(), apply).await;
 }
 
 /// Follows jobs; sets `known` when those that stand were read with all their parts.
@@ -87,8 +86,7 @@
         });
         true
     };
-    let (break_rule, pause, gate) = (AfterBreak::Resume, PROMPT_PAUSE, Gate::open());
-    follow(store, JOB_KIND, break_rule, pause, gate, apply).await;
+    follow(store, JOB_KIND, AfterBreak::Resume, Gate::open(), apply).await;
 }
 
 async fn accept_object(dispatcher: &Dispatcher, epoch: u64, object: &StoredObject) {
--- a/crates/oleander-rollout/src/entry/entry_process.rs
+++ b/crates/oleander-rollout/src/entry/entry_process.rs
@@ -23,9 +23,6 @@
 const NOTICE: Millis = Millis(3000);
 /// How long before the end of the grace period the process ends.
 const END_MARGIN: Millis = Millis(600);
-/// Longest pause between two tries while the store is away: a configuration must be in force 2 s
-/// after its acknowledgement.
-const STORE_PAUSE_MAX: Millis = Millis(800);
 /// Greatest request head while no configuration is known, in bytes.
 const HEAD_BYTES_DEFAULT: usize = 16 << 10;
 /// Longest idle time of a connection while no configuration is known.
@@ -78,7 +75,6 @@
         let interests = Interests {
             config: Some(ConfigInterest::Always),
             endpoints: true,
-            longest_pause: STORE_PAUSE_MAX,
             ..Interests::default()
         };
         let own_list = Gate::open();
--- a/crates/oleander-rollout/src/store/follow.rs
+++ b/crates/oleander-rollout/src/store/follow.rs
@@ -48,8 +48,6 @@
     pub versions: bool,
     /// Store machines to be emptied.
     pub retirements: bool,
-    /// Longest pause between two tries while the store is away.
-    pub longest_pause: Millis,
 }
 
 /// Starts the thread that keeps `view`: who dispatches always, what else is of interest while
@@ -78,7 +76,6 @@
     view: SharedView,
 ) {
     let store = StoreClient::new(store, health.clone());
-    let longest_pause = interests.longest_pause;
     if let Some(interest) = interests.config {
         let view = view.clone();
         let gate = match interest {
@@ -89,7 +86,6 @@
             Rc::clone(&store),
             CONFIG_KIND,
             AfterBreak::List,
-            longest_pause,
             gate,
             move |change| {
                 apply_config(&view, change);
@@ -103,7 +99,6 @@
             Rc::clone(&store),
             ENDPOINT_KIND,
             AfterBreak::List,
-            longest_pause,
             gate.clone(),
             move |change| {
                 endpoints.apply(change);
@@ -117,7 +112,6 @@
             Rc::clone(&store),
             VERSION_KIND,
             AfterBreak::List,
-            longest_pause,
             gate.clone(),
             move |change| {
                 apply_version(&view, change);
@@ -131,7 +125,6 @@
             Rc::clone(&store),
             RETIREMENT_KIND,
             AfterBreak::List,
-            longest_pause,
             gate.clone(),
             move |change| {
                 apply_retirement(&view, change);
@@ -143,7 +136,6 @@
         store,
         DISPATCHER_KIND,
         AfterBreak::List,
-        longest_pause,
         Gate::open(),
         move |change| {
             apply_dispatcher(&view, change);
--- a/crates/oleander-rollout/src/store/watch.rs
+++ b/crates/oleander-rollout/src/store/watch.rs
@@ -12,8 +12,8 @@
 const WATCH_WAIT: Millis = Millis::from_secs(25);
 /// Pause after the first failure; it doubles with each in a row.
 const FIRST_PAUSE: Millis = Millis(50);
-/// Longest pause between two tries of a process on which others wait.
-pub const PROMPT_PAUSE: Millis = Millis(400);
+/// Longest pause between two tries.
+const LONGEST_PAUSE: Millis = Millis(400);
 
 /// What following a kind brings.
 #[derive(Debug)]
@@ -40,13 +40,11 @@
     Resume,
 }
 
-/// Follows all objects of a kind while `gate` is open, until `apply` returns false. Pauses between
-/// two tries grow up to `longest_pause`.
+/// Follows all objects of a kind while `gate` is open, until `apply` returns false.
 pub async fn follow(
     store: Rc<StoreClient>,
     kind: &'static str,
     after_break: AfterBreak,
-    longest_pause: Millis,
     gate: Gate,
     mut apply: impl FnMut(Followed) -> bool,
 ) {
@@ -84,7 +82,7 @@
                     });
                     apply(Followed::Lost);
                 }
-                sleep(pause(failures).min(longest_pause)).await;
+                sleep(pause(failures)).await;
                 failures += 1;
                 if after_break == AfterBreak::List {
                     revision = None;
@@ -95,7 +93,8 @@
 }
 
 fn pause(failures: u32) -> Millis {
-    Millis(FIRST_PAUSE.0 << failures.min(8))
+    let doubled = FIRST_PAUSE.0 << failures.min(8);
+    Millis(doubled.min(LONGEST_PAUSE.0))
 }
 
 /// Reads all objects of a kind.
