--- a/crates/oleanderlock/src/batch/board_loads.rs
+++ b/crates/oleanderlock/src/batch/board_loads.rs
@@ -45,7 +45,8 @@
         let loading = self.agents.values().filter(|agent| agent.is_loading(now));
         let mut free = at_once.saturating_sub(loading.count());
         let mut names: Vec<String> = self.agents.keys().cloned().collect();
-        names.sort_by_key(|name| (!self.blocks_a_job(name), self.agents[name].outstanding()));
+        names
+            .sort_by_cached_key(|name| (!self.blocks_a_job(name), self.agents[name].outstanding()));
         let mut grants = Vec::new();
         for name in names {
             if free == 0 {
