Ask the store before an entry that a watch reports as gone is dropped

Cause, from the entry's log: the entry had not yet heard from the leader (the store went away before the leader had listed the endpoints, so it had nothing to tell) and went by its own watch. That watch waited through the loss of the store; it reported the lapsed entry, the entry had made no other call to the store since, so nothing spoke against it: 'left the list', 0 ms before its next call was refused. The same holds for an entry that lost the leader more than 2.2 s before the store. Ruled out: the leader (it told nothing in that run); time of the machine (the order of events decides, not their speed). Mended: what a watch reports as gone stays until the store answers a call about that entry. A list is such a call already. Test: entries_that_lapse_unnoticed_by_an_entry_without_a_leader_are_kept, which failed each time before.

--- a/crates/oleander-rollout/src/store/follow.rs
+++ b/crates/oleander-rollout/src/store/follow.rs
@@ -1,6 +1,7 @@
 //! The control thread: follows the store and keeps the view.
 
 use super::client::StoreClient;
+use super::endpoints::Endpoints;
 use super::gate::Gate;
 use super::health::StoreHealth;
 use super::leader_object::{
@@ -10,24 +11,17 @@
 use super::watch::{AfterBreak, Followed, follow};
 use crate::prelude::*;
 use oleander_platform::config::decode_config;
-use oleander_platform::endpoint::decode_endpoint;
 use oleander_platform::object::{
     CONFIG_KIND, CONFIG_NAME, ENDPOINT_KIND, RETIREMENT_KIND, StoredObject, VERSION_KIND,
 };
 use oleander_platform::retirement;
 use oleander_platform::version::decode_version;
 use oleanderlock::routing::route_table::RouteTable;
-use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::thread::JoinHandle;
 
-/// Time after the store's return within which entries that lapsed come back.
-const LAPSED_BACK: Millis = Millis(2200);
-/// Time between two looks at whether the store has returned.
-const LOOK_EVERY: Millis = Millis(100);
-
 /// When a process follows the configuration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConfigInterest {
@@ -94,7 +88,12 @@
         ));
     }
     if interests.endpoints {
-        let endpoints = Endpoints::new(view.clone(), gate.clone(), health.clone());
+        let endpoints = Endpoints::new(
+            Rc::clone(&store),
+            view.clone(),
+            gate.clone(),
+            health.clone(),
+        );
         spawn(follow(
             Rc::clone(&store),
             ENDPOINT_KIND,
@@ -275,126 +274,3 @@
         }
     }
 }
-
-/// Keeps the endpoints of the view.
-///
-/// Entries lapse while the store is away and come back shortly after its return, so what vanished
-/// then stays for that time. A store that is away for new calls may still answer a watch that
-/// waits, so failures of all calls of the process count.
-#[derive(Clone)]
-struct Endpoints {
-    view: SharedView,
-    gate: Gate,
-    health: StoreHealth,
-    // Entries that vanished but may have lapsed.
-    missing: Rc<RefCell<Vec<String>>>,
-}
-
-impl Endpoints {
-    fn new(view: SharedView, gate: Gate, health: StoreHealth) -> Self {
-        Self {
-            view,
-            gate,
-            health,
-            missing: Rc::default(),
-        }
-    }
-
-    fn apply(&self, change: Followed) {
-        if !self.gate.is_open() {
-            // Another list rules now.
-            return;
-        }
-        match change {
-            Followed::All(objects, _) => self.put_all(&objects),
-            Followed::Put(object) => self.put(&object),
-            Followed::Gone(instance) => self.gone(instance),
-            Followed::Lost | Followed::Regained => {}
-        }
-    }
-
-    fn put_all(&self, objects: &[StoredObject]) {
-        let known: Vec<String> = {
-            let view = self.view.get();
-            view.endpoints.instances().map(str::to_owned).collect()
-        };
-        for object in objects {
-            self.put(object);
-        }
-        let listed = |instance: &String| objects.iter().any(|object| &object.name == instance);
-        for instance in known.into_iter().filter(|instance| !listed(instance)) {
-            self.gone(instance);
-        }
-        spawn(self.clone().know_when_settled());
-    }
-
-    fn put(&self, object: &StoredObject) {
-        let instance = &object.name;
-        self.missing
-            .borrow_mut()
-            .retain(|missing| missing != instance);
-        match decode_endpoint(instance, object.spec.get()) {
-            Ok(entry) => self.view.update(|view| {
-                event(log::Level::Debug, "endpoint-listed", || {
-                    format!(
-                        "instance={instance} service={} state={:?}",
-                        entry.service, entry.state
-                    )
-                });
-                Arc::make_mut(&mut view.endpoints).put(entry);
-            }),
-            Err(fault) => {
-                event(log::Level::Warn, "endpoint-unreadable", || {
-                    format!("instance={instance} reason=\"{fault}\"")
-                });
-                self.remove(instance, "unreadable");
-            }
-        }
-    }
-
-    fn gone(&self, instance: String) {
-        if self.health.failed_within(LAPSED_BACK) {
-            self.missing.borrow_mut().push(instance.clone());
-            spawn(self.clone().remove_unless_back(instance));
-        } else {
-            self.remove(&instance, "left the list");
-        }
-    }
-
-    /// Waits until entries that lapsed should be back; only then others may go by this list.
-    async fn know_when_settled(self) {
-        while self.health.failed_within(LAPSED_BACK) {
-            sleep(LOOK_EVERY).await;
-        }
-        if self.gate.is_open() {
-            self.view.update(|view| view.endpoints_known = true);
-        }
-    }
-
-    /// Waits until a lapsed entry should be back, then drops it if it is still missing.
-    async fn remove_unless_back(self, instance: String) {
-        while self.health.failed_within(LAPSED_BACK) {
-            sleep(LOOK_EVERY).await;
-        }
-        let mut missing = self.missing.borrow_mut();
-        let Some(place) = missing.iter().position(|one| one == &instance) else {
-            return;
-        };
-        missing.swap_remove(place);
-        drop(missing);
-        if self.gate.is_open() {
-            self.remove(&instance, "not back after the store's return");
-        }
-    }
-
-    fn remove(&self, instance: &str, reason: &str) {
-        let mut removed = false;
-        self.view
-            .update(|view| removed = Arc::make_mut(&mut view.endpoints).remove(instance));
-        if removed {
-            event(log::Level::Info, "endpoint-gone", || {
-                format!("instance={instance} reason=\"{reason}\"")
-            });
-        }
-    }
-}
--- a/crates/oleander-rollout/src/store/mod.rs
+++ b/crates/oleander-rollout/src/store/mod.rs
@@ -1,6 +1,7 @@
 //! The platform's store: one client, watches of whole kinds, and what they tell this process.
 
 pub mod client;
+pub mod endpoints;
 pub mod fault;
 pub mod follow;
 pub mod gate;
--- a/crates/oleander-rollout/tests/calls.rs
+++ b/crates/oleander-rollout/tests/calls.rs
@@ -380,3 +380,33 @@
     });
     deployment.dispatchers[0].process().signal("CONT");
 }
+
+#[test]
+fn entries_that_lapse_unnoticed_by_an_entry_without_a_leader_are_kept() {
+    let deployment = Deployment::start(Size {
+        services: 1,
+        ..ONE_ENTRY
+    });
+    wait_for("the entry hears from the leader", || {
+        let log = deployment.entries[0].process().log();
+        log.contains("event=leader-regained")
+    });
+    deployment.dispatchers[0].process().signal("STOP");
+    wait_for("the entry looks itself", || {
+        let log = deployment.entries[0].process().log();
+        log.contains("event=leader-lost")
+    });
+    // Longer than the loss of the leader speaks for a loss of the store.
+    thread::sleep(Duration::from_millis(2500));
+    deployment.store.set_faults(StoreFaults {
+        down: true,
+        watches_wait: true,
+        ..StoreFaults::default()
+    });
+    deployment.store.remove("servers", "desk-0");
+    for n in 0..10 {
+        thread::sleep(Duration::from_millis(150));
+        assert!(get(&deployment, "/calls/x", &format!("kept-{n}")).is_some_and(whole));
+    }
+    deployment.dispatchers[0].process().signal("CONT");
+}
