--- a/crates/oleander-load/tests/failures_quotes.rs
+++ b/crates/oleander-load/tests/failures_quotes.rs
@@ -19,6 +19,29 @@
     )
 }
 
+/// Ends the agent's process.
+fn crash(deployment: &mut Deployment, agent: &str) {
+    let endpoint = deployment.endpoint_mut(agent).expect("the agent");
+    endpoint.agent.crash();
+}
+
+/// Starts a process of the agent.
+fn start_again(deployment: &mut Deployment, agent: &str) {
+    let endpoint = deployment.endpoint_mut(agent).expect("the agent");
+    endpoint.agent.start().expect("started");
+}
+
+/// Ends the agent's process and starts another one at once.
+fn replace_agent(deployment: &mut Deployment, agent: &str) {
+    crash(deployment, agent);
+    start_again(deployment, agent);
+}
+
+async fn wait_ready(deployment: &Deployment) {
+    let until = std::time::Instant::now() + support::HANG;
+    deployment.wait_ready(until).await.expect("ready");
+}
+
 #[test]
 fn a_connection_that_breaks_after_the_run_doubles_nothing() {
     smol::block_on(async {
@@ -92,21 +115,11 @@
                 async move { quote.send(entry).await }
             });
             pause(150).await;
-            deployment
-                .endpoint_mut(&agent)
-                .expect("the agent")
-                .agent
-                .crash();
+            crash(&mut deployment, &agent);
             let first = sent.await;
             assert!(is_unknown(&first), "{first:?}");
-            deployment
-                .endpoint_mut(&agent)
-                .expect("the agent")
-                .agent
-                .start()
-                .expect("started");
-            let until = std::time::Instant::now() + support::HANG;
-            deployment.wait_ready(until).await.expect("ready");
+            start_again(&mut deployment, &agent);
+            wait_ready(&deployment).await;
             // The new incarnation can't know what the old one ran.
             for entry in &entries {
                 let again = quote.send(*entry).await;
@@ -124,25 +137,15 @@
         let entries = deployment.entry_addresses();
         let agent = names(&deployment, false).remove(0);
         let key = issue_key(entries[0]).await;
-        deployment
-            .endpoint_mut(&agent)
-            .expect("the agent")
-            .agent
-            .crash();
+        crash(&mut deployment, &agent);
         let quote = Quote {
             first_call: true,
             ..Quote::keyed(1, &key).within(1500)
         };
         let first = quote.send(entries[0]).await;
         assert!(matches!(first, Told::Error { .. }), "{first:?}");
-        deployment
-            .endpoint_mut(&agent)
-            .expect("the agent")
-            .agent
-            .start()
-            .expect("started");
-        let until = std::time::Instant::now() + support::HANG;
-        deployment.wait_ready(until).await.expect("ready");
+        start_again(&mut deployment, &agent);
+        wait_ready(&deployment).await;
         let told_not_run = matches!(first, Told::Error { ran: Ran::No, .. });
         let ran = runs(&deployment, 1).await;
         assert_eq!(ran, 0, "told {first:?}, not run: {told_not_run}");
@@ -254,8 +257,7 @@
         let quote = Quote::keyed(1, "mine");
         let first = quote.send(entries[0]).await;
         assert!(matches!(first, Told::Answer(_)), "{first:?}");
-        let node = &mut deployment.endpoint_mut(&agent).expect("the agent").agent;
-        node.crash();
+        crash(&mut deployment, &agent);
         // Long enough for both entries to learn that the agent is gone.
         for retry in 0..30 {
             let told = quote.clone().within(300).send(entries[retry % 2]).await;
@@ -266,18 +268,6 @@
     });
 }
 
-/// Ends the agent's process and starts another one at once.
-fn replace_agent(deployment: &mut Deployment, agent: &str) {
-    let node = &mut deployment.endpoint_mut(agent).expect("the agent").agent;
-    node.crash();
-    node.start().expect("started");
-}
-
-async fn wait_ready(deployment: &Deployment) {
-    let until = std::time::Instant::now() + support::HANG;
-    deployment.wait_ready(until).await.expect("ready");
-}
-
 #[test]
 fn an_agent_does_not_run_again_what_its_predecessor_ran() {
     smol::block_on(async {
--- a/crates/oleander-rollout/src/call/caller.rs
+++ b/crates/oleander-rollout/src/call/caller.rs
@@ -74,6 +74,15 @@
     Lost(String),
 }
 
+/// Among which endpoints the next attempt of an idempotent call chooses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Among {
+    /// Those that have not been tried.
+    Untried,
+    /// Those that have not been tried, and all others if there are none.
+    All,
+}
+
 /// The state of a call between its attempts.
 #[derive(Default)]
 struct Progress {
@@ -86,6 +95,17 @@
     answer_lost: bool,
 }
 
+impl Progress {
+    /// An endpoint that lost an answer may bring the next one.
+    fn among(&self) -> Among {
+        if self.answer_lost {
+            Among::All
+        } else {
+            Among::Untried
+        }
+    }
+}
+
 impl Caller {
     /// A caller of the endpoints in the view.
     pub fn new(view: SharedView, domain: String, metrics: Metrics) -> Rc<Self> {
@@ -193,8 +213,7 @@
             return;
         }
         // A second request to an endpoint that has not answered the first would not help.
-        progress.answer_lost = false;
-        if let Some(endpoint) = self.next_endpoint(req, progress) {
+        if let Some(endpoint) = self.next_among(req, progress, Among::Untried) {
             self.metrics.retried("no-answer-yet");
             running.push(Box::pin(self.attempt(req, endpoint)));
         }
@@ -241,14 +260,23 @@
 
     /// Chooses the endpoint of the next attempt, if one may follow.
     fn next_endpoint(&self, req: &CallRequest, progress: &mut Progress) -> Option<EndpointEntry> {
+        let among = progress.among();
+        self.next_among(req, progress, among)
+    }
+
+    fn next_among(
+        &self,
+        req: &CallRequest,
+        progress: &mut Progress,
+        among: Among,
+    ) -> Option<EndpointEntry> {
         let view = self.view.get();
         let choose = |tried: &[String]| {
             let (endpoints, service) = (&view.endpoints, &req.service);
             self.loads.choose(endpoints, service, &self.domain, tried)
         };
         let mut chosen = choose(&progress.tried);
-        if chosen.is_none() && progress.answer_lost && req.kind.is_idempotent() {
-            // All have been tried; one that lost an answer may bring the next one.
+        if chosen.is_none() && among == Among::All && req.kind.is_idempotent() {
             chosen = choose(&[]);
         }
         let call = CallState {
--- a/crates/oleander-rollout/src/dispatch/ticks.rs
+++ b/crates/oleander-rollout/src/dispatch/ticks.rs
@@ -7,6 +7,7 @@
 use crate::prelude::*;
 use crate::store::job_objects::{JOB_END_KIND, JOB_KIND, RESULT_KIND, chunk_name};
 use oleanderlock::batch::board_assign::Assignment;
+use oleanderlock::batch::board_recall::Recall;
 use oleanderlock::batch::item_key::ItemKey;
 use oleanderlock::batch::sample::{Sample, SampleEnd};
 use std::rc::Rc;
@@ -116,10 +117,11 @@
     }
 }
 
-/// Recalls runs from slow engines.
+/// Recalls runs from slow engines and from those that are emptied for a load.
 fn recall_slow(dispatcher: &Dispatcher) {
     let mut state = dispatcher.state.borrow_mut();
-    for (agent, key) in state.board.recalls(now()) {
+    for recall in state.board.recalls(now()) {
+        let Recall { agent, key, reason } = recall;
         let name = key.to_string();
         let outbox = state.outbox(&agent);
         if outbox.recall.contains(&name) {
@@ -127,7 +129,9 @@
         }
         outbox.recall.push(name);
         event(log::Level::Info, "item-recalled", || {
-            format!("request={} job={} agent={agent}", key.item, key.job)
+            let reason: &str = reason.into();
+            let (item, job) = (&key.item, &key.job);
+            format!("request={item} job={job} agent={agent} reason={reason}")
         });
     }
 }
--- a/crates/oleander-rollout/tests/soak_support/run.rs
+++ b/crates/oleander-rollout/tests/soak_support/run.rs
@@ -5,7 +5,7 @@
 use super::plan::{Step, plan};
 use super::trainer::{look_around, read, submit, submit_more, train};
 use super::world::{Seen, World};
-use crate::support::{HOST, job, wait_for};
+use crate::support::{HOST, Size, job, wait_for};
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use oleander_platform_standins::engine::PreparedEngine;
@@ -21,10 +21,7 @@
 /// How large a soak is.
 #[derive(Clone, Copy, Debug)]
 pub struct Scale {
-    pub entries: usize,
-    pub engines: usize,
-    pub dispatchers: usize,
-    pub services: usize,
+    pub size: Size,
     /// Acts, and the time in which they begin.
     pub acts: usize,
     pub time: Duration,
@@ -33,28 +30,34 @@
 impl Scale {
     /// For every run of the tests.
     pub const SHORT: Self = Self {
-        entries: 2,
-        engines: 2,
-        dispatchers: 2,
-        services: 2,
+        size: Size {
+            entries: 2,
+            engines: 2,
+            dispatchers: 2,
+            services: 2,
+        },
         acts: 8,
         time: Duration::from_secs(5),
     };
     /// By hand.
     pub const USUAL: Self = Self {
-        entries: 2,
-        engines: 3,
-        dispatchers: 3,
-        services: 2,
+        size: Size {
+            entries: 2,
+            engines: 3,
+            dispatchers: 3,
+            services: 2,
+        },
         acts: 20,
         time: Duration::from_secs(9),
     };
     /// By hand, each tenth seed.
     pub const LARGE: Self = Self {
-        entries: 6,
-        engines: 16,
-        dispatchers: 4,
-        services: 4,
+        size: Size {
+            entries: 6,
+            engines: 16,
+            dispatchers: 4,
+            services: 4,
+        },
         acts: 40,
         time: Duration::from_secs(12),
     };
@@ -70,7 +73,7 @@
         let seen = Arc::clone(&seen);
         clients.push(thread::spawn(move || call_on(number, entry, &seen)));
     }
-    let (entries, store) = (world.entries.clone(), world.store.clone());
+    let (entries, store) = (world.entries.clone(), world.around.store.clone());
     let of_trainer = Arc::clone(&seen);
     clients.push(thread::spawn(move || {
         train(seed, &entries, &store, &of_trainer)
@@ -146,7 +149,7 @@
 }
 
 fn newest_version(world: &World) -> u64 {
-    let object = world.store.get("versions", crate::support::MODEL);
+    let object = world.around.store.get("versions", crate::support::MODEL);
     object
         .and_then(|object| object["spec"]["version"].as_u64())
         .unwrap_or(1)
@@ -172,7 +175,12 @@
 fn check_calls(world: &World, seen: &Seen) {
     let calls = seen.calls.lock();
     let mut ran: HashMap<String, usize> = HashMap::new();
-    for req in world.services.iter().flat_map(|service| service.ran()) {
+    for req in world
+        .around
+        .services
+        .iter()
+        .flat_map(|service| service.ran())
+    {
         let id = req.header("request-id").unwrap_or_default().to_owned();
         if id.starts_with("score-") {
             if req.body != b"score me" || req.target != "/calls/score" {
@@ -204,7 +212,7 @@
 
 /// Results are whole, scored, listed once, and name versions that made them.
 fn check_results(world: &World, seen: &Seen) {
-    let runs = world.engines.iter().flat_map(PreparedEngine::runs);
+    let runs = world.around.engines.iter().flat_map(PreparedEngine::runs);
     let mut made: HashMap<String, HashSet<u64>> = HashMap::new();
     for run in runs {
         let versions = run.events.iter().map(|event| event.version);
@@ -259,7 +267,7 @@
 
 /// Each engine heard one holder, whose tokens never fell.
 fn check_engines(world: &World, seen: &Seen) {
-    for (n, engine) in world.engines.iter().enumerate() {
+    for (n, engine) in world.around.engines.iter().enumerate() {
         let orders = engine.orders();
         if orders
             .iter()
--- a/crates/oleander-rollout/tests/soak_support/world.rs
+++ b/crates/oleander-rollout/tests/soak_support/world.rs
@@ -2,12 +2,12 @@
 
 use crate::support::process::Process;
 use crate::support::relay::{Mode, Relay};
-use crate::support::{MODEL, Node, config};
+use crate::support::{Node, Surroundings, config};
 use oleander_platform_standins::engine::{EngineFaults, PreparedEngine};
-use oleander_platform_standins::service::{PreparedService, Treatment};
-use oleander_platform_standins::store::{PreparedStore, StoreFaults};
+use oleander_platform_standins::service::Treatment;
+use oleander_platform_standins::store::StoreFaults;
 use parking_lot::Mutex;
-use serde_json::{Value, json};
+use serde_json::Value;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -81,9 +81,7 @@
 
 /// The deployment.
 pub struct World {
-    pub store: PreparedStore,
-    pub engines: Vec<PreparedEngine>,
-    pub services: Vec<PreparedService>,
+    pub around: Surroundings,
     pub entries: Vec<SocketAddr>,
     nodes: Vec<(Node, NodeState)>,
     links: Vec<Relay>,
@@ -100,41 +98,39 @@
 
 impl World {
     pub fn start(scale: Scale) -> Self {
-        let store = PreparedStore::spawn();
-        store.put("config", "main", &config(1));
-        let engines: Vec<PreparedEngine> = (0..scale.engines)
-            .map(|n| PreparedEngine::spawn(&format!("engine-{n}"), MODEL, EVENT_TIME))
-            .collect();
-        let services: Vec<PreparedService> = (0..scale.services)
-            .map(|n| PreparedService::spawn(&format!("desk-{n}")))
-            .collect();
+        let size = scale.size;
+        let around = Surroundings::spawn(size);
         let mut links = Vec::new();
         let mut link = |target: SocketAddr| {
             let relay = Relay::spawn(target);
             links.push(relay.clone());
             relay
         };
-        let engine_links: Vec<Relay> = engines.iter().map(|one| link(one.addr())).collect();
-        for (n, service) in services.iter().enumerate() {
-            let mut entry = service.entry("desk");
-            let addr = entry["addr"].as_str().and_then(|text| text.parse().ok());
-            entry["addr"] = json!(link(addr.expect("an address")).addr().to_string());
-            store.put("servers", &format!("desk-{n}"), &entry);
+        let engine_links: Vec<Relay> = {
+            let engines = around.engines.iter();
+            engines.map(|engine| link(engine.addr())).collect()
+        };
+        for (n, relay) in engine_links.iter().enumerate() {
+            around.list_engine(n, relay.addr());
+        }
+        for (n, service) in around.services.iter().enumerate() {
+            around.list_service(n, link(service.addr()).addr());
         }
+        let store = around.store.addr();
         let mut nodes = Vec::new();
-        for n in 0..scale.entries {
-            let to_store = link(store.addr()).addr();
+        for n in 0..size.entries {
+            let to_store = link(store).addr();
             nodes.push(Node::new(&format!("entry-{n}"), "entry", to_store, None));
         }
         for (n, engine) in engine_links.iter().enumerate() {
-            let to_store = link(store.addr()).addr();
+            let to_store = link(store).addr();
             let engine = Some(engine.addr());
             nodes.push(Node::new(&format!("agent-{n}"), "agent", to_store, engine));
         }
         let first_dispatcher = nodes.len();
         let mut dispatcher_links = Vec::new();
-        for n in 0..scale.dispatchers {
-            dispatcher_links.push(link(store.addr()));
+        for n in 0..size.dispatchers {
+            dispatcher_links.push(link(store));
             let to_store = dispatcher_links[n].addr();
             let mut node = Node::new(&format!("dispatcher-{n}"), "dispatcher", to_store, None);
             node.told = link(node.peers).addr();
@@ -143,9 +139,7 @@
         let entries = nodes.iter().filter(|node| node.role == "entry");
         let entries = entries.map(|node| node.calls).collect();
         let mut world = Self {
-            store,
-            engines,
-            services,
+            around,
             entries,
             nodes: nodes
                 .into_iter()
@@ -159,14 +153,11 @@
             config_version: 1,
             reborn: 0,
         };
-        for n in 0..world.engines.len() {
-            world.list_engine(n);
-        }
         world.start_all_down();
         world
     }
 
-    /// Where the links lead, for the report.
+    /// Returns the paths of the processes' logs.
     pub fn logs(&self) -> Vec<String> {
         let processes = self.nodes.iter().filter_map(|(node, _)| {
             let process: &Process = node.process.as_ref()?;
@@ -175,13 +166,6 @@
         processes.collect()
     }
 
-    fn list_engine(&self, n: usize) {
-        let engine = &self.engines[n];
-        let mut entry = engine.entry("llm");
-        entry["addr"] = json!(self.engine_links[n].addr().to_string());
-        self.store.put("servers", &engine.instance(), &entry);
-    }
-
     fn start_all_down(&mut self) {
         for (node, state) in &mut self.nodes {
             if *state == NodeState::Down {
@@ -194,16 +178,16 @@
     /// Begins an act.
     pub fn begin(&mut self, act: Act) {
         match act {
-            Act::StoreDown { watches_wait } => self.store.set_faults(StoreFaults {
+            Act::StoreDown { watches_wait } => self.around.store.set_faults(StoreFaults {
                 down: true,
                 watches_wait,
                 ..StoreFaults::default()
             }),
-            Act::StoreLoses { one_in } => self.store.set_faults(StoreFaults {
+            Act::StoreLoses { one_in } => self.around.store.set_faults(StoreFaults {
                 lose_one_in: one_in,
                 ..StoreFaults::default()
             }),
-            Act::StoreCompacts => self.store.compact(),
+            Act::StoreCompacts => self.around.store.compact(),
             Act::Kill { node } => self.kill(node % self.nodes.len()),
             Act::Pause { node } => self.signal(node, "STOP", NodeState::Paused),
             Act::Stop { node } => self.signal(node, "TERM", NodeState::Stopping),
@@ -250,14 +234,15 @@
                 lose_orders: true,
                 ..EngineFaults::default()
             }),
-            Act::Reborn { engine } => self.begin_anew(engine % self.engines.len()),
+            Act::Reborn { engine } => self.begin_anew(engine % self.around.engines.len()),
             Act::FaultyService { service, way } => {
-                let service = &self.services[service % self.services.len()];
+                let service = &self.around.services[service % self.around.services.len()];
                 service.treat_all(WAYS[way % WAYS.len()]);
             }
             Act::NewConfig => {
                 self.config_version += 1;
-                self.store
+                self.around
+                    .store
                     .put("config", "main", &config(self.config_version));
             }
         }
@@ -267,7 +252,7 @@
     pub fn end(&mut self, act: Act, seen: &Seen) {
         match act {
             Act::StoreDown { .. } | Act::StoreLoses { .. } => {
-                self.store.set_faults(StoreFaults::default());
+                self.around.store.set_faults(StoreFaults::default());
             }
             Act::Kill { .. } | Act::KillAll | Act::KillLeader => self.start_all_down(),
             Act::PauseLeader => {
@@ -290,7 +275,8 @@
                 self.engine(engine).set_faults(EngineFaults::default());
             }
             Act::FaultyService { service, .. } => {
-                self.services[service % self.services.len()].treat_all(Treatment::Answer);
+                self.around.services[service % self.around.services.len()]
+                    .treat_all(Treatment::Answer);
             }
             Act::StoreCompacts
             | Act::Silence { .. }
@@ -302,15 +288,15 @@
 
     /// Ends all that still goes on.
     pub fn heal(&mut self, seen: &Seen) {
-        self.store.set_faults(StoreFaults::default());
+        self.around.store.set_faults(StoreFaults::default());
         for link in &self.links {
             link.set(Mode::Pass);
         }
-        for engine in &self.engines {
+        for engine in &self.around.engines {
             engine.set_faults(EngineFaults::default());
             engine.set_event_time(EVENT_TIME);
         }
-        for service in &self.services {
+        for service in &self.around.services {
             service.treat_all(Treatment::Answer);
         }
         for node in 0..self.nodes.len() {
@@ -334,7 +320,7 @@
 
     /// Returns which dispatcher leads now, by the store.
     fn strike_leader(&mut self) -> usize {
-        let leader = self.store.get("dispatchers", "leader");
+        let leader = self.around.store.get("dispatchers", "leader");
         let node = leader.and_then(|leader| leader["spec"]["node"].as_str().map(str::to_owned));
         let place = node.and_then(|node| node.strip_prefix("dispatcher-")?.parse().ok());
         let place = place.unwrap_or(0);
@@ -351,7 +337,7 @@
     }
 
     fn engine(&self, engine: usize) -> &PreparedEngine {
-        &self.engines[engine % self.engines.len()]
+        &self.around.engines[engine % self.around.engines.len()]
     }
 
     fn kill(&mut self, node: usize) {
@@ -402,11 +388,12 @@
     /// An engine starts anew: its old entry goes, its runs end, and a new one is listed.
     fn begin_anew(&mut self, n: usize) {
         self.reborn += 1;
-        let engine = &self.engines[n];
+        let engine = &self.around.engines[n];
         let before = engine.instance();
         engine.become_instance(&format!("engine-{n}-{}", self.reborn));
         self.engine_links[n].reset();
-        self.store.remove("servers", &before);
-        self.list_engine(n);
+        self.around.store.remove("servers", &before);
+        let relay = &self.engine_links[n];
+        self.around.list_engine(n, relay.addr());
     }
 }
--- a/crates/oleander-rollout/tests/support/mod.rs
+++ b/crates/oleander-rollout/tests/support/mod.rs
@@ -101,6 +101,44 @@
     }
 }
 
+/// The stand-ins around a deployment.
+pub struct Surroundings {
+    pub store: PreparedStore,
+    pub engines: Vec<PreparedEngine>,
+    pub services: Vec<PreparedService>,
+}
+
+impl Surroundings {
+    /// Starts them, with a configuration and no endpoint in the store.
+    pub fn spawn(size: Size) -> Self {
+        let store = PreparedStore::spawn();
+        store.put("config", "main", &config(1));
+        let engines = (0..size.engines)
+            .map(|n| PreparedEngine::spawn(&format!("engine-{n}"), MODEL, EVENT_TIME));
+        let services = (0..size.services).map(|n| PreparedService::spawn(&format!("desk-{n}")));
+        Self {
+            store,
+            engines: engines.collect(),
+            services: services.collect(),
+        }
+    }
+
+    /// Lists an engine under the address at which it is reached.
+    pub fn list_engine(&self, n: usize, addr: SocketAddr) {
+        let engine = &self.engines[n];
+        let mut entry = engine.entry("llm");
+        entry["addr"] = json!(addr.to_string());
+        self.store.put("servers", &engine.instance(), &entry);
+    }
+
+    /// Lists a service under the address at which it is reached.
+    pub fn list_service(&self, n: usize, addr: SocketAddr) {
+        let mut entry = self.services[n].entry("desk");
+        entry["addr"] = json!(addr.to_string());
+        self.store.put("servers", &format!("desk-{n}"), &entry);
+    }
+}
+
 /// Processes of the system and the stand-ins around them.
 pub struct Deployment {
     pub store: PreparedStore,
@@ -113,20 +151,18 @@
 
 impl Deployment {
     pub fn start(size: Size) -> Self {
-        let store = PreparedStore::spawn();
-        let engines: Vec<PreparedEngine> = (0..size.engines)
-            .map(|n| PreparedEngine::spawn(&format!("engine-{n}"), MODEL, EVENT_TIME))
-            .collect();
-        let services: Vec<PreparedService> = (0..size.services)
-            .map(|n| PreparedService::spawn(&format!("desk-{n}")))
-            .collect();
-        store.put("config", "main", &config(1));
-        for engine in &engines {
-            store.put("servers", &engine.instance(), &engine.entry("llm"));
+        let around = Surroundings::spawn(size);
+        for n in 0..size.engines {
+            around.list_engine(n, around.engines[n].addr());
         }
-        for (n, service) in services.iter().enumerate() {
-            store.put("servers", &format!("desk-{n}"), &service.entry("desk"));
+        for n in 0..size.services {
+            around.list_service(n, around.services[n].addr());
         }
+        let Surroundings {
+            store,
+            engines,
+            services,
+        } = around;
         let nodes = |count: usize, role: &'static str| -> Vec<Node> {
             let names = (0..count).map(|n| format!("{role}-{n}"));
             names
--- a/crates/oleanderlock/src/batch/board_recall.rs
+++ b/crates/oleanderlock/src/batch/board_recall.rs
@@ -10,21 +10,47 @@
 use super::item_key::ItemKey;
 use crate::prelude::*;
 use indexmap::IndexMap;
+use strum::IntoStaticStr;
 
 /// How many times slower an engine must be than one with free slots for its runs to move.
 const SLOWER_TIMES: u64 = 2;
 /// Shortest time that a run stays where it was assigned.
 const STAY_MIN: Millis = Millis(600);
 
+/// Why a run should move.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum RecallReason {
+    /// Its engine is much slower than one with free slots.
+    SlowEngine,
+    /// Its engine is emptied for a load.
+    Load,
+}
+
+/// A run that should move.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Recall {
+    /// The agent that has it.
+    pub agent: String,
+    /// The item.
+    pub key: ItemKey,
+    /// Why it should move.
+    pub reason: RecallReason,
+}
+
 impl Board {
-    /// Returns runs that should move, with the agents that have them. They stay assigned until
-    /// the agents give them back.
-    pub fn recalls(&self, now: Millis) -> Vec<(String, ItemKey)> {
+    /// Returns runs that should move. They stay assigned until the agents give them back.
+    pub fn recalls(&self, now: Millis) -> Vec<Recall> {
         let mut recalls = Vec::new();
         for (name, agent) in &self.agents {
+            let recall = |key: &ItemKey, reason| Recall {
+                agent: name.clone(),
+                key: key.clone(),
+                reason,
+            };
             if agent.is_clearing(now) {
                 let runs = agent.assigned.keys();
-                recalls.extend(runs.map(|key| (name.clone(), key.clone())));
+                recalls.extend(runs.map(|key| recall(key, RecallReason::Load)));
                 continue;
             }
             if agent.report.event_us == 0 {
@@ -40,7 +66,7 @@
                     .or_insert_with(|| self.faster_room(agent, &job.model, job.oldest_version));
                 if *room > 0 && now.since(*since) >= STAY_MIN {
                     *room -= 1;
-                    recalls.push((name.clone(), key.clone()));
+                    recalls.push(recall(key, RecallReason::SlowEngine));
                 }
             }
         }
--- a/crates/oleanderlock/src/batch/mod.rs
+++ b/crates/oleanderlock/src/batch/mod.rs
@@ -6,7 +6,7 @@
 pub mod board_assign;
 pub mod board_config;
 pub mod board_loads;
-mod board_recall;
+pub mod board_recall;
 pub mod item_key;
 pub mod item_state;
 pub mod job;
--- a/crates/oleanderlock/tests/batch_board.rs
+++ b/crates/oleanderlock/tests/batch_board.rs
@@ -5,6 +5,7 @@
 use oleanderlock::batch::board::Board;
 use oleanderlock::batch::board_assign::Assignment;
 use oleanderlock::batch::board_config::BoardConfig;
+use oleanderlock::batch::board_recall::{Recall, RecallReason};
 use oleanderlock::batch::item_key::ItemKey;
 use oleanderlock::batch::job::{Job, JobItem};
 use oleanderlock::batch::job_terms::JobTerms;
@@ -155,7 +156,12 @@
     assert_eq!(board.recalls(Millis(1000)), []);
     board.hear(Millis(1000), with_pace(36_000, report("fast", 8, 1)));
     let recalled = board.recalls(Millis(1000));
-    assert_eq!(recalled, [("slow".to_owned(), key("j", "g-0"))]);
+    let expected = Recall {
+        agent: "slow".to_owned(),
+        key: key("j", "g-0"),
+        reason: RecallReason::SlowEngine,
+    };
+    assert_eq!(recalled, [expected]);
     let progress = Progress {
         last_event: 7,
         text: "text".to_owned(),
@@ -345,7 +351,12 @@
     assert_eq!(board.plan_loads(Millis(700)), []);
     let recalls = board.recalls(Millis(700));
     assert_eq!(recalls.len(), 1);
-    let (emptied, moved) = recalls[0].clone();
+    let Recall {
+        agent: emptied,
+        key: moved,
+        reason,
+    } = recalls[0].clone();
+    assert_eq!(reason, RecallReason::Load);
     let made = Progress {
         text: "x".to_owned(),
         versions: vec![1],
--- a/crates/oleanderlock/tests/batch_loads.rs
+++ b/crates/oleanderlock/tests/batch_loads.rs
@@ -5,6 +5,7 @@
 use oleanderlock::batch::agent_state::AgentReport;
 use oleanderlock::batch::board::Board;
 use oleanderlock::batch::board_config::BoardConfig;
+use oleanderlock::batch::board_recall::Recall;
 use oleanderlock::batch::item_key::ItemKey;
 use oleanderlock::batch::job::{Job, JobItem};
 use oleanderlock::batch::job_terms::JobTerms;
@@ -129,7 +130,7 @@
                 board.hear(Millis(now), engine.report());
             }
             if moving {
-                for (agent, key) in board.recalls(Millis(now)) {
+                for Recall { agent, key, .. } in board.recalls(Millis(now)) {
                     let engine = engines.iter_mut().find(|one| one.name == agent);
                     let left = engine.and_then(|one| one.runs.shift_remove(&key));
                     let made = Progress {
