Read the results of jobs that go on before leading, older ones while leading

Ruled out: the election (0.13 s after the processes' start), the store's answers (40 ms a page on other calls). Now a pulse names the first chunk with a result of a job that has not ended; a new leader reads from there beside ends and jobs, of ended jobs only their size. Older chunks follow with pauses; until then jobs that had ended are answered 'unsure'. An end was deleted even if its job was not, which would have let the job begin anew: now the job goes first.

--- /dev/null
+++ b/crates/oleander-rollout/src/dispatch/history.rs
@@ -0,0 +1,135 @@
+//! What a new leader reads of the result log: at first the newest chunks, which hold all results
+//! of jobs that have not ended; older ones while it leads.
+
+use super::dispatcher::Dispatcher;
+use super::{commit, jobs};
+use crate::prelude::*;
+use crate::store::fault::StoreFault;
+use crate::store::job_objects::{RESULT_KIND, chunk_name, decode_chunk};
+use oleander_platform::object::ObjectPage;
+use oleanderlock::batch::result_chunk::ResultChunk;
+use std::rc::Rc;
+
+/// Pause after the store failed.
+const STORE_PAUSE: Millis = Millis(200);
+/// Pause after each page of older chunks, which leaves the processor to what is urgent.
+const OLDER_PAUSE: Millis = Millis(100);
+
+/// What was read before leading.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Newest {
+    /// Number of the first chunk that was read.
+    pub first: u64,
+    /// Number of results in all of them.
+    pub results: usize,
+    /// Whether older chunks may be left.
+    pub has_older: bool,
+}
+
+/// Reads the chunks from number `from` on; `None` when this dispatcher no longer stands in `epoch`.
+pub async fn read_newest(dispatcher: &Dispatcher, epoch: u64, from: u64) -> Option<Newest> {
+    while jobs::stands_in(dispatcher, epoch) {
+        if dispatcher.view.get().newer_leader(epoch).is_some() {
+            return None;
+        }
+        match newest_chunks(dispatcher, from).await {
+            Ok(chunks) => return Some(take(dispatcher, &chunks, from)),
+            Err(fault) => event(log::Level::Warn, "recovery-failed", || {
+                format!("epoch={epoch} reason=\"{fault}\"")
+            }),
+        }
+        sleep(STORE_PAUSE).await;
+    }
+    None
+}
+
+/// Reads the chunks from number `from` on, or all if there is none.
+async fn newest_chunks(dispatcher: &Dispatcher, from: u64) -> Result<Vec<ResultChunk>, StoreFault> {
+    let chunks = chunks_from(dispatcher, from).await?;
+    if chunks.is_empty() && from > 0 {
+        return chunks_from(dispatcher, 0).await;
+    }
+    Ok(chunks)
+}
+
+fn take(dispatcher: &Dispatcher, chunks: &[ResultChunk], from: u64) -> Newest {
+    let mut state = dispatcher.state.borrow_mut();
+    for chunk in chunks {
+        commit::apply(&mut state, chunk);
+    }
+    let first = chunks.first().map_or(0, |chunk| chunk.index);
+    Newest {
+        first,
+        results: chunks.iter().map(|chunk| chunk.samples.len()).sum(),
+        has_older: from > 0 && first > 0,
+    }
+}
+
+/// Reads the chunks from number `from` on, and the one before, by which the numbers go on.
+async fn chunks_from(dispatcher: &Dispatcher, from: u64) -> Result<Vec<ResultChunk>, StoreFault> {
+    let mut after = from.checked_sub(2).map(chunk_name);
+    let mut chunks = Vec::new();
+    loop {
+        let page = dispatcher.store.page(RESULT_KIND, after.as_deref()).await?;
+        chunks.extend(decode(&page)?);
+        after = page.last_name;
+        if !page.more || after.is_none() {
+            return Ok(chunks);
+        }
+    }
+}
+
+fn decode(page: &ObjectPage) -> Result<Vec<ResultChunk>, StoreFault> {
+    if let Some(fault) = page.faults.first() {
+        return Err(StoreFault::no_answer(fault));
+    }
+    page.objects.iter().map(decode_chunk).collect()
+}
+
+/// Reads the chunks before number `before`, while this dispatcher leads in `epoch`.
+pub async fn read_older(dispatcher: Rc<Dispatcher>, epoch: u64, before: u64) {
+    let began = now();
+    let mut chunks: Vec<ResultChunk> = Vec::new();
+    let mut after: Option<String> = None;
+    while dispatcher.leads_in(epoch) {
+        let page = dispatcher.store.page(RESULT_KIND, after.as_deref()).await;
+        let read = page.and_then(|page| Ok((decode(&page)?, page)));
+        let (read, page) = match read {
+            Ok(read) => read,
+            Err(fault) => {
+                event(log::Level::Warn, "history-failed", || {
+                    format!("epoch={epoch} reason=\"{fault}\"")
+                });
+                sleep(STORE_PAUSE).await;
+                continue;
+            }
+        };
+        let count = read.len();
+        chunks.extend(read.into_iter().filter(|chunk| chunk.index < before));
+        let reached = chunks.len() < count || !page.more || page.last_name.is_none();
+        after = page.last_name;
+        if reached {
+            put_older(&dispatcher, epoch, chunks, began);
+            return;
+        }
+        sleep(OLDER_PAUSE).await;
+    }
+}
+
+fn put_older(dispatcher: &Dispatcher, epoch: u64, chunks: Vec<ResultChunk>, began: Millis) {
+    if !dispatcher.leads_in(epoch) {
+        return;
+    }
+    event(log::Level::Info, "history-read", || {
+        let took = now().since(began);
+        format!("epoch={epoch} chunks={} took={took}", chunks.len())
+    });
+    let mut state = dispatcher.state.borrow_mut();
+    for chunk in &chunks {
+        state.chunks.insert(chunk.index, chunk.written_unix_ms);
+    }
+    state.log.put_before(chunks);
+    state.unread.clear();
+    drop(state);
+    dispatcher.notify();
+}
--- a/crates/oleander-rollout/src/dispatch/jobs.rs
+++ b/crates/oleander-rollout/src/dispatch/jobs.rs
@@ -1,11 +1,11 @@
 //! Jobs and their ends, as the store tells them.
 
 use super::dispatcher::Dispatcher;
-use super::state::{JobRecord, Standing};
+use super::state::Standing;
 use crate::prelude::*;
 use crate::store::fault::StoreFault;
 use crate::store::gate::Gate;
-use crate::store::job_objects::{JOB_END_KIND, JOB_KIND, read_job};
+use crate::store::job_objects::{JOB_END_KIND, JOB_KIND, JobRecord, decode_record, read_job};
 use crate::store::watch::{AfterBreak, Followed, follow};
 use oleander_platform::object::StoredObject;
 use oleanderlock::batch::job::Job;
@@ -22,19 +22,26 @@
 
 /// Follows jobs and their ends in `epoch`; returns when all that the store holds are known.
 pub async fn follow_until_known(dispatcher: &Rc<Dispatcher>, epoch: u64) {
+    // Ends come first: of a job that has ended no items are read.
     let ends = Rc::new(Cell::new(false));
-    let jobs = Rc::new(Cell::new(false));
     spawn(follow_ends(Rc::clone(dispatcher), epoch, Rc::clone(&ends)));
+    wait_until_known(dispatcher, epoch, &ends).await;
+    let jobs = Rc::new(Cell::new(false));
     spawn(follow_jobs(Rc::clone(dispatcher), epoch, Rc::clone(&jobs)));
-    while !(ends.get() && jobs.get()) && stands_in(dispatcher, epoch) {
+    wait_until_known(dispatcher, epoch, &jobs).await;
+}
+
+async fn wait_until_known(dispatcher: &Dispatcher, epoch: u64, known: &Cell<bool>) {
+    while !known.get() && stands_in(dispatcher, epoch) {
         let listener = dispatcher.changed.listen();
-        if !(ends.get() && jobs.get()) {
+        if !known.get() {
             listener.await;
         }
     }
 }
 
-fn stands_in(dispatcher: &Dispatcher, epoch: u64) -> bool {
+/// Whether a dispatcher has won `epoch` and not given it up.
+pub fn stands_in(dispatcher: &Dispatcher, epoch: u64) -> bool {
     let standing = dispatcher.state.borrow().standing;
     standing == Standing::Recovering { epoch } || standing == Standing::Leading { epoch }
 }
@@ -93,6 +100,10 @@
     if dispatcher.state.borrow().jobs.contains_key(&object.name) {
         return;
     }
+    if dispatcher.state.borrow().ended.contains(&object.name) {
+        accept_ended(dispatcher, object);
+        return;
+    }
     match read_job(&dispatcher.store, object).await {
         Ok(job) if stands_in(dispatcher, epoch) => accept(dispatcher, job),
         Ok(_) => {}
@@ -102,6 +113,19 @@
     }
 }
 
+/// Takes a job that has ended.
+fn accept_ended(dispatcher: &Dispatcher, object: &StoredObject) {
+    match decode_record(object) {
+        Ok(record) => {
+            let mut state = dispatcher.state.borrow_mut();
+            state.jobs.insert(object.name.clone(), record);
+        }
+        Err(fault) => event(log::Level::Error, "job-unreadable", || {
+            format!("job={} reason=\"{fault}\"", object.name)
+        }),
+    }
+}
+
 /// Takes an accepted job.
 pub fn accept(dispatcher: &Dispatcher, job: Job) {
     let unix_ms = u64::try_from(unix_ms()).unwrap_or_default();
--- a/crates/oleander-rollout/src/dispatch/jobs_api.rs
+++ b/crates/oleander-rollout/src/dispatch/jobs_api.rs
@@ -73,7 +73,8 @@
         return answer::refusal(UNSURE_RETRY);
     }
     let state = dispatcher.state.borrow();
-    let Some(record) = state.jobs.get(job) else {
+    let record = state.jobs.get(job).filter(|_| !state.unread.contains(job));
+    let Some(record) = record else {
         return answer::refusal(UNSURE_RETRY);
     };
     let samples = state.log.read(job, after, RESULTS_MAX_BYTES);
--- a/crates/oleander-rollout/src/dispatch/leading.rs
+++ b/crates/oleander-rollout/src/dispatch/leading.rs
@@ -2,17 +2,16 @@
 
 use super::dispatcher::Dispatcher;
 use super::state::{Standing, State};
-use super::{commit, jobs};
+use super::{commit, history, jobs};
 use crate::peer::messages::{DispatcherHealth, HEALTH};
 use crate::prelude::*;
 use crate::store::fault::StoreFault;
-use crate::store::job_objects::{RESULT_KIND, decode_chunk};
 use crate::store::leader_object::{
     DISPATCHER_KIND, DispatcherObject, LEADER_NAME, LeaderObject, NODE_PREFIX, PULSE_KIND,
     PULSE_NAME, Pulse,
 };
 use crate::store::view::View;
-use crate::store::watch::list_all;
+use futures_util::future::join;
 use http::Method;
 use oleander_platform::object::StoredObject;
 use oleanderlock::batch::board::Board;
@@ -144,7 +143,7 @@
     let look = dispatcher.store.get(PULSE_KIND, PULSE_NAME);
     let found = within(PULSE_LIMIT, look).await;
     let number = match found {
-        Some(Ok(found)) => pulse_number(found),
+        Some(Ok(found)) => decode_pulse(found).number,
         Some(Err(fault)) => return pulse_unknown(watch, &fault),
         None => return pulse_unknown(watch, &StoreFault::no_answer("timeout")),
     };
@@ -173,19 +172,32 @@
     false
 }
 
-/// Returns the number of a pulse; 0 stands for none and for one that can't be read.
-fn pulse_number(found: Option<StoredObject>) -> u64 {
+/// Returns a pulse; that with all numbers 0 stands for none and for one that can't be read.
+fn decode_pulse(found: Option<StoredObject>) -> Pulse {
     let Some(object) = found else {
-        return 0;
+        return Pulse::default();
     };
-    match serde_json::from_str::<Pulse>(object.spec.get()) {
-        Ok(pulse) => pulse.number,
-        Err(fault) => {
-            event(log::Level::Warn, "pulse-unreadable", || {
+    serde_json::from_str(object.spec.get()).unwrap_or_else(|fault| {
+        event(log::Level::Warn, "pulse-unreadable", || {
+            format!("reason=\"{fault}\"")
+        });
+        Pulse::default()
+    })
+}
+
+/// Returns the number of the first chunk that a leader must read, as the one before it wrote; 0
+/// for all.
+async fn needed_from(dispatcher: &Dispatcher) -> u64 {
+    let look = dispatcher.store.get(PULSE_KIND, PULSE_NAME);
+    match within(PULSE_LIMIT, look).await {
+        Some(Ok(found)) => decode_pulse(found).needed_from,
+        Some(Err(fault)) => {
+            event(log::Level::Info, "pulse-unknown", || {
                 format!("reason=\"{fault}\"")
             });
             0
         }
+        None => 0,
     }
 }
 
@@ -194,7 +206,13 @@
     let mut number = rand::random::<u64>() >> 1;
     while dispatcher.state.borrow().standing.epoch() == Some(epoch) {
         number += 1;
-        let written = match to_raw_value(&Pulse { epoch, number }) {
+        let needed_from = dispatcher.state.borrow().needed_from();
+        let pulse = Pulse {
+            epoch,
+            number,
+            needed_from,
+        };
+        let written = match to_raw_value(&pulse) {
             Ok(spec) => dispatcher.store.put(PULSE_KIND, PULSE_NAME, &spec).await,
             Err(fault) => Err(StoreFault::not_done(fault)),
         };
@@ -256,8 +274,11 @@
         format!("epoch={epoch} reason=\"{reason}\"")
     });
     dispatcher.leading.set(true);
+    // Before the first own pulse takes its place.
+    let read_from = needed_from(dispatcher).await;
     *dispatcher.state.borrow_mut() = State {
         standing: Standing::Recovering { epoch },
+        read_from,
         board: Board::new(BoardConfig::default()),
         ..State::default()
     };
@@ -294,18 +315,11 @@
 /// Reads the store after winning an epoch, then watches over the own standing.
 async fn lead(dispatcher: &Rc<Dispatcher>, epoch: u64) {
     let recovering = dispatcher.state.borrow().standing == Standing::Recovering { epoch };
-    if recovering && let Err(fault) = recover(dispatcher, epoch).await {
-        event(log::Level::Warn, "recovery-failed", || {
-            format!("epoch={epoch} reason=\"{fault}\"")
-        });
-        sleep(STORE_PAUSE).await;
+    if recovering {
+        recover(dispatcher, epoch).await;
     }
     let view = dispatcher.view.get();
-    let newer = view
-        .leader
-        .as_ref()
-        .filter(|(leader, _)| leader.epoch > epoch);
-    if let Some((leader, _)) = newer {
+    if let Some(leader) = view.newer_leader(epoch) {
         dispatcher.step_down(&format!("{} leads in epoch {}", leader.node, leader.epoch));
         return;
     }
@@ -325,31 +339,39 @@
     sleep(CHECK_EVERY).await;
 }
 
-async fn recover(dispatcher: &Rc<Dispatcher>, epoch: u64) -> Result<(), StoreFault> {
+/// Reads what a leader must know: all jobs, and all results of those that have not ended.
+async fn recover(dispatcher: &Rc<Dispatcher>, epoch: u64) {
     let began = now();
-    let (objects, _) = list_all(&dispatcher.store, RESULT_KIND).await?;
-    let mut results = 0;
-    for object in &objects {
-        let chunk = decode_chunk(object)?;
-        results += chunk.samples.len();
-        commit::apply(&mut dispatcher.state.borrow_mut(), &chunk);
-    }
-    jobs::follow_until_known(dispatcher, epoch).await;
+    let read_from = dispatcher.state.borrow().read_from;
+    let results = history::read_newest(dispatcher, epoch, read_from);
+    let (newest, ()) = join(results, jobs::follow_until_known(dispatcher, epoch)).await;
     let mut state = dispatcher.state.borrow_mut();
-    if state.standing != (Standing::Recovering { epoch }) {
-        return Ok(());
-    }
+    let Some(newest) = newest.filter(|_| state.standing == (Standing::Recovering { epoch })) else {
+        return;
+    };
     state.standing = Standing::Leading { epoch };
     state.verified = began;
     let (jobs, ended) = (state.jobs.len(), state.ended.len());
+    if newest.has_older {
+        state.unread = state.ended.clone();
+    }
     drop(state);
     event(log::Level::Info, "leading", || {
         let took = now().since(began);
-        format!("epoch={epoch} jobs={jobs} ended={ended} results={results} took={took}")
+        let results = newest.results;
+        format!(
+            "epoch={epoch} jobs={jobs} ended={ended} results={results} from={read_from} took={took}"
+        )
     });
     spawn(commit::run(Rc::clone(dispatcher), epoch));
+    if newest.has_older {
+        spawn(history::read_older(
+            Rc::clone(dispatcher),
+            epoch,
+            newest.first,
+        ));
+    }
     dispatcher.notify();
-    Ok(())
 }
 
 /// Lets another dispatcher take over at once.
--- a/crates/oleander-rollout/src/dispatch/mod.rs
+++ b/crates/oleander-rollout/src/dispatch/mod.rs
@@ -6,6 +6,7 @@
 mod agents_api;
 mod commit;
 pub mod dispatcher;
+mod history;
 mod http_api;
 mod jobs;
 mod jobs_api;
--- a/crates/oleander-rollout/src/dispatch/state.rs
+++ b/crates/oleander-rollout/src/dispatch/state.rs
@@ -3,6 +3,7 @@
 use super::news::EndpointNews;
 use super::outbox::Outbox;
 use crate::prelude::*;
+use crate::store::job_objects::JobRecord;
 use indexmap::{IndexMap, IndexSet};
 use oleanderlock::batch::board::Board;
 use oleanderlock::batch::result_log::ResultLog;
@@ -35,15 +36,6 @@
     }
 }
 
-/// What is kept of a job besides its items.
-#[derive(Clone, Copy, Debug)]
-pub struct JobRecord {
-    /// Number of its items.
-    pub total: usize,
-    /// Unix time of its submission in milliseconds.
-    pub submitted_unix_ms: u64,
-}
-
 /// What a leading dispatcher knows.
 #[derive(Debug, Default)]
 pub struct State {
@@ -59,6 +51,10 @@
     pub jobs: IndexMap<String, JobRecord>,
     /// Jobs that have ended.
     pub ended: IndexSet<String>,
+    /// Jobs that had ended before it led and whose results it has not read yet.
+    pub unread: IndexSet<String>,
+    /// Number of the first chunk that it had to read before it led.
+    pub read_from: u64,
     /// What waits for each agent.
     pub outboxes: IndexMap<String, Outbox>,
     /// Endpoints as agents know them.
@@ -80,6 +76,14 @@
         }
     }
 
+    /// Returns the number of the first chunk that the next leader must read before it leads.
+    pub fn needed_from(&self) -> u64 {
+        match self.standing {
+            Standing::Leading { .. } => self.log.needed_from(&self.ended),
+            Standing::Standby | Standing::Recovering { .. } => self.read_from,
+        }
+    }
+
     /// Returns what waits for an agent.
     pub fn outbox(&mut self, agent: &str) -> &mut Outbox {
         self.outboxes.entry(agent.to_owned()).or_default()
--- a/crates/oleander-rollout/src/dispatch/ticks.rs
+++ b/crates/oleander-rollout/src/dispatch/ticks.rs
@@ -191,11 +191,12 @@
         (jobs, chunks)
     };
     for id in jobs {
-        let deleted = [
-            dispatcher.store.delete(JOB_KIND, &id).await,
-            dispatcher.store.delete(JOB_END_KIND, &id).await,
-        ];
-        if deleted.iter().all(Result::is_ok) {
+        // A job without its end would begin anew.
+        let mut deleted = dispatcher.store.delete(JOB_KIND, &id).await;
+        if deleted.is_ok() {
+            deleted = dispatcher.store.delete(JOB_END_KIND, &id).await;
+        }
+        if deleted.is_ok() {
             let mut state = dispatcher.state.borrow_mut();
             state.jobs.shift_remove(&id);
             state.ended.shift_remove(&id);
--- a/crates/oleander-rollout/src/store/job_objects.rs
+++ b/crates/oleander-rollout/src/store/job_objects.rs
@@ -29,6 +29,29 @@
     job: Job,
     /// Further parts that hold the rest of the items.
     more_parts: usize,
+    /// Number of items in all parts.
+    total: usize,
+}
+
+/// A stored job without its items.
+#[derive(Deserialize)]
+struct StoredHead {
+    job: JobHead,
+    total: usize,
+}
+
+#[derive(Deserialize)]
+struct JobHead {
+    submitted_unix_ms: u64,
+}
+
+/// What is kept of a job besides its items.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct JobRecord {
+    /// Number of its items.
+    pub total: usize,
+    /// Unix time of its submission in milliseconds.
+    pub submitted_unix_ms: u64,
 }
 
 /// Writes a job that was submitted.
@@ -41,6 +64,7 @@
     mut job: Job,
     value_bytes: usize,
 ) -> Result<(), StoreFault> {
+    let total = job.items.len();
     let mut parts = split_items(std::mem::take(&mut job.items), value_bytes);
     let first = if parts.is_empty() {
         Vec::new()
@@ -60,10 +84,25 @@
     let stored = StoredJob {
         job,
         more_parts: parts.len(),
+        total,
     };
     store.create(JOB_KIND, &id, &raw(&stored)?).await
 }
 
+/// Reads what is kept of a job that has ended from its object.
+///
+/// # Errors
+///
+/// [`StoreFault::NoAnswer`] when the object can't be read.
+pub fn decode_record(object: &StoredObject) -> Result<JobRecord, StoreFault> {
+    let head: StoredHead =
+        serde_json::from_str(object.spec.get()).map_err(StoreFault::no_answer)?;
+    Ok(JobRecord {
+        total: head.total,
+        submitted_unix_ms: head.job.submitted_unix_ms,
+    })
+}
+
 /// Reads a job from its object, and the further parts that it names.
 ///
 /// # Errors
--- a/crates/oleander-rollout/src/store/leader_object.rs
+++ b/crates/oleander-rollout/src/store/leader_object.rs
@@ -22,6 +22,10 @@
     pub epoch: u64,
     /// Rises with each pulse; unlike that of any other start of the leader.
     pub number: u64,
+    /// Number of the first chunk of results that the next leader must read before it leads; 0
+    /// stands for all.
+    #[serde(default)]
+    pub needed_from: u64,
 }
 
 /// Who leads.
--- a/crates/oleander-rollout/src/store/view.rs
+++ b/crates/oleander-rollout/src/store/view.rs
@@ -33,6 +33,14 @@
     pub first_revision: u64,
 }
 
+impl View {
+    /// Returns the leader if it won a later epoch than `epoch`.
+    pub fn newer_leader(&self, epoch: u64) -> Option<&LeaderObject> {
+        let leader = self.leader.as_ref().map(|(leader, _)| leader);
+        leader.filter(|leader| leader.epoch > epoch)
+    }
+}
+
 /// A view that one thread writes and others read.
 #[derive(Clone, Debug, Default)]
 pub struct SharedView {
--- a/crates/oleander-rollout/tests/batch_jobs.rs
+++ b/crates/oleander-rollout/tests/batch_jobs.rs
@@ -226,6 +226,47 @@
     check_results(&deployment.read_all(0, "job-i", 6), &job(2, 1, 3, 4));
 }
 
+#[test]
+fn a_new_leader_reads_old_results_only_after_it_leads() {
+    let mut deployment = Deployment::start(SMALL);
+    let mut old = Vec::new();
+    for step in 1..=3 {
+        let id = format!("job-old-{step}");
+        deployment.submit(0, &id, &job(step, 1, 4, 4));
+        old.push(deployment.read_all(0, &id, 8));
+        deployment.call(0, "DELETE", &format!("/-/lots/{id}"), &[], b"");
+    }
+    let body = job(4, 1, 2, 4);
+    deployment.submit(0, "job-new", &body);
+    let before = deployment.read_all(0, "job-new", 4);
+    // The next pulse of the leader tells what is needed from now on.
+    let pulse = || deployment.store.get("dispatcher-pulses", "leader");
+    wait_for("the pulse tells", || {
+        pulse().is_some_and(|pulse| pulse["spec"]["needed_from"].as_u64() > Some(0))
+    });
+    let leader = deployment.leader().expect("a leader");
+    deployment.dispatchers[leader].kill();
+    wait_for("another leads", || {
+        deployment.leader().is_some_and(|now| now != leader)
+    });
+    assert_eq!(deployment.read_all(1, "job-new", 4), before);
+    let next = deployment.leader().expect("a leader");
+    let mut results_read = None;
+    wait_for("it logs what it read", || {
+        let log = deployment.dispatchers[next].process().log();
+        let leading = log.lines().find(|line| line.contains("event=leading"));
+        let read = leading.and_then(|line| line.split(" results=").nth(1));
+        results_read = read.and_then(|rest| rest.split(' ').next()?.parse::<usize>().ok());
+        results_read.is_some()
+    });
+    // The chunk before the first that is needed is read too.
+    assert!(results_read < Some(3 * 8), "{results_read:?}");
+    for (step, results) in (1..=3).zip(&old) {
+        let again = deployment.read_all(1, &format!("job-old-{step}"), 8);
+        assert_eq!(&again, results);
+    }
+}
+
 #[test]
 fn a_store_that_is_down_delays_and_loses_nothing() {
     let deployment = Deployment::start(SMALL);
--- a/crates/oleanderlock/src/batch/result_log.rs
+++ b/crates/oleanderlock/src/batch/result_log.rs
@@ -22,6 +22,8 @@
     known: IndexSet<ItemKey>,
     waiting: VecDeque<Sample>,
     writing: Option<Arc<ResultChunk>>,
+    /// Number of the first chunk that holds a result of a job.
+    first_chunks: IndexMap<String, u64>,
 }
 
 impl ResultLog {
@@ -107,6 +109,8 @@
         let own = self.writing.take();
         for sample in &chunk.samples {
             self.known.insert(sample.key.clone());
+            let job = sample.key.job.clone();
+            self.first_chunks.entry(job).or_insert(chunk.index);
             if self.listed_sample(&sample.key).is_none() {
                 let listed = self.listed.entry(sample.key.job.clone()).or_default();
                 listed.push(Arc::new(sample.clone()));
@@ -125,6 +129,43 @@
         true
     }
 
+    /// Returns the number of the first chunk that a new leader must read before it leads: all
+    /// results of jobs that have not ended stand in this one or behind it.
+    ///
+    /// Jobs of which this log holds results count even if they are not known otherwise, since a
+    /// job may be listed by another leader before it is known here. An older answer is too low at
+    /// worst, since a job that has ended never goes on.
+    pub fn needed_from(&self, ended: &IndexSet<String>) -> u64 {
+        let jobs = self.first_chunks.iter();
+        let going_on = jobs.filter(|(job, _)| !ended.contains(*job));
+        let first = going_on.map(|(_, index)| *index).min();
+        first.unwrap_or(self.next_index)
+    }
+
+    /// Puts older chunks, in their order, before those that were taken already.
+    pub fn put_before(&mut self, chunks: Vec<ResultChunk>) {
+        let mut older: IndexMap<String, IndexMap<ItemKey, Arc<Sample>>> = IndexMap::new();
+        for chunk in chunks {
+            for sample in chunk.samples {
+                let job = &sample.key.job;
+                let first = self.first_chunks.entry(job.clone()).or_insert(chunk.index);
+                *first = chunk.index.min(*first);
+                let of_job = older.entry(job.clone()).or_default();
+                of_job
+                    .entry(sample.key.clone())
+                    .or_insert_with(|| Arc::new(sample));
+            }
+        }
+        for (job, mut results) in older {
+            self.known.extend(results.keys().cloned());
+            let listed = self.listed.entry(job).or_default();
+            for sample in std::mem::take(listed) {
+                results.entry(sample.key.clone()).or_insert(sample);
+            }
+            *listed = results.into_values().collect();
+        }
+    }
+
     /// Returns the results of a job from position `after` on, of at most about `max_bytes`, but
     /// at least one if there is one.
     pub fn read(&self, job: &str, after: usize, max_bytes: usize) -> &[Arc<Sample>] {
@@ -147,6 +188,7 @@
     /// Drops the results of a job.
     pub fn forget(&mut self, job: &str) {
         self.listed.swap_remove(job);
+        self.first_chunks.swap_remove(job);
         self.known.retain(|key| key.job != job);
         self.waiting.retain(|sample| sample.key.job != job);
     }
