--- a/crates/oleander-rollout/src/dispatch/agents_api.rs
+++ b/crates/oleander-rollout/src/dispatch/agents_api.rs
@@ -128,6 +128,7 @@
                     key.item, key.job
                 )
             });
+            state.board.note_run(&key, now());
             state.board.finish(&key);
             keys.push(key);
         }
--- a/crates/oleanderlock/src/batch/mod.rs
+++ b/crates/oleanderlock/src/batch/mod.rs
@@ -17,4 +17,5 @@
 pub mod progress;
 pub mod result_chunk;
 pub mod result_log;
+pub mod run_times;
 pub mod sample;
