--- a/crates/oleander-rollout/src/dispatch/agents_api.rs
+++ b/crates/oleander-rollout/src/dispatch/agents_api.rs
@@ -128,7 +128,6 @@
                     key.item, key.job
                 )
             });
-            state.board.note_run(&key, now());
             state.board.finish(&key);
             keys.push(key);
         }
--- a/crates/oleanderlock/src/batch/board.rs
+++ b/crates/oleanderlock/src/batch/board.rs
@@ -11,7 +11,6 @@
 use super::job_terms::JobTerms;
 use super::model_sets::ModelSets;
 use super::progress::Progress;
-use super::run_times::RunTimes;
 use crate::prelude::*;
 use indexmap::IndexMap;
 use std::collections::HashSet;
@@ -32,8 +31,6 @@
     /// Greatest oldest version that a job of each model has allowed: the next step of the model
     /// will not run on weights as old as that.
     pub(super) oldest_seen: IndexMap<String, u64>,
-    /// How long the runs of each model take.
-    pub(super) run_times: IndexMap<String, RunTimes>,
 }
 
 /// What the board makes of a call of an agent.
@@ -113,30 +110,6 @@
         *wanted = version.max(*wanted);
     }
 
-    /// Notes how long the run of an item took that ends now.
-    pub fn note_run(&mut self, key: &ItemKey, now: Millis) {
-        let Some(job) = self.jobs.get(&key.job) else {
-            return;
-        };
-        let Some(item) = job.items.get(&key.item) else {
-            return;
-        };
-        let ItemPhase::Running { agent } = &item.phase else {
-            return;
-        };
-        let since = self
-            .agents
-            .get(agent)
-            .and_then(|agent| agent.assigned.get(key));
-        // When a run began that was there before this board is not known.
-        let since = since.filter(|since| **since > Millis::ZERO);
-        if let (Some(since), Some(tokens)) = (since, item.item.expected_tokens) {
-            let took = now.since(*since);
-            let of_model = self.run_times.entry(job.model.clone()).or_default();
-            of_model.note(tokens, took);
-        }
-    }
-
     /// Notes that an item has a result.
     pub fn finish(&mut self, key: &ItemKey) {
         let Some(item) = self.item_mut(key) else {
--- a/crates/oleanderlock/src/batch/mod.rs
+++ b/crates/oleanderlock/src/batch/mod.rs
@@ -17,5 +17,4 @@
 pub mod progress;
 pub mod result_chunk;
 pub mod result_log;
-pub mod run_times;
 pub mod sample;
