--- a/crates/oleanderlock/src/batch/board_config.rs
+++ b/crates/oleanderlock/src/batch/board_config.rs
@@ -13,9 +13,6 @@
     pub loads_share: usize,
     /// Loads that may run at once however few engines there are.
     pub loads_min: usize,
-    /// Part of a model's engines that should be able to run its next step before that is asked: one
-    /// in this many. The long runs of a step, a tenth of all, begin there.
-    pub ready_part: usize,
 }
 
 impl Default for BoardConfig {
@@ -25,7 +22,6 @@
             assignment_grace: Millis(800),
             loads_share: 5,
             loads_min: 2,
-            ready_part: 2,
         }
     }
 }
