--- a/crates/oleander-rollout/src/dispatch/leading.rs
+++ b/crates/oleander-rollout/src/dispatch/leading.rs
@@ -274,15 +274,15 @@
         format!("epoch={epoch} reason=\"{reason}\"")
     });
     dispatcher.leading.set(true);
-    // Before the first own pulse takes its place.
-    let read_from = needed_from(dispatcher).await;
     *dispatcher.state.borrow_mut() = State {
         standing: Standing::Recovering { epoch },
-        read_from,
         board: Board::new(BoardConfig::default()),
         ..State::default()
     };
     dispatcher.notify();
+    // Before the first own pulse takes its place.
+    let read_from = needed_from(dispatcher).await;
+    dispatcher.state.borrow_mut().read_from = read_from;
     spawn(beat(Rc::clone(dispatcher), epoch));
 }
 
