--- a/crates/oleander-rollout/tests/batch_jobs.rs
+++ b/crates/oleander-rollout/tests/batch_jobs.rs
@@ -396,6 +396,33 @@
     wait_for("the runs end", || running(&deployment) == 0);
 }
 
+#[test]
+fn a_job_that_is_ended_while_its_leader_is_frozen_stops_and_stays_ended() {
+    let deployment = Deployment::start(SMALL);
+    for engine in &deployment.engines {
+        engine.set_event_time(Duration::from_secs(1));
+    }
+    deployment.submit(0, "job-w", &job(1, 1, 4, 100));
+    wait_for("the items run", || running(&deployment) == 8);
+    let leader = deployment.leader().expect("a leader");
+    deployment.dispatchers[leader].process().signal("STOP");
+    let end = || deployment.call(1, "DELETE", "/-/lots/job-w", &[], b"");
+    wait_for("a new leader ends it", || {
+        end().is_some_and(|reply| reply.status == 200)
+    });
+    wait_for("the runs end", || running(&deployment) == 0);
+    let runs = || {
+        let engines = deployment.engines.iter();
+        engines.map(|engine| engine.runs().len()).sum::<usize>()
+    };
+    let before = runs();
+    deployment.dispatchers[leader].process().signal("CONT");
+    // Longer than a report of each agent and a look of the old leader at its standing take.
+    thread::sleep(Duration::from_millis(2500));
+    assert_eq!(runs(), before);
+    assert_eq!(running(&deployment), 0);
+}
+
 #[test]
 fn samples_name_the_versions_that_made_them() {
     let deployment = Deployment::start(SMALL);
--- a/crates/oleander-rollout/tests/calls.rs
+++ b/crates/oleander-rollout/tests/calls.rs
@@ -258,6 +258,21 @@
     assert_eq!(log.matches("event=endpoint-unreadable").count(), 2, "{log}");
 }
 
+#[test]
+fn an_address_that_another_service_uses_again_runs_no_call() {
+    let deployment = deployment();
+    let before = deployment.services[0].ran().len();
+    deployment.services[0].become_instance("of-another-service");
+    for n in 0..10 {
+        let id = format!("again-{n}");
+        assert!(get(&deployment, "/calls/x", &id).is_some_and(whole));
+        let headers = [("request-id", id.as_str()), ("deadline-ms", "1400")];
+        let once = deployment.call(0, "POST", "/once/x", &headers, b"body");
+        assert!(once.is_some_and(whole));
+    }
+    assert_eq!(deployment.services[0].ran().len(), before);
+}
+
 #[test]
 fn a_stop_cuts_off_nothing() {
     let mut deployment = deployment();
--- /dev/null
+++ b/crates/oleander-rollout/tests/streams.rs
@@ -0,0 +1,130 @@
+//! Streams of events on routes for interactive calls, through real processes.
+
+mod support;
+
+use serde_json::json;
+use std::io::{BufRead, BufReader, Read};
+use std::net::TcpStream;
+use support::http::send;
+use support::{Deployment, HOST, Size, wait_for};
+
+const ENGINES: Size = Size {
+    entries: 1,
+    engines: 2,
+    dispatchers: 1,
+    services: 0,
+};
+/// Events of a run that outlasts each test.
+const ENDLESS: usize = 100_000;
+
+/// A deployment with a route for streams to the engines.
+fn deployment() -> Deployment {
+    let deployment = Deployment::start(ENGINES);
+    let mut config = support::config(2);
+    let routes = config["routes"].as_array_mut().expect("routes");
+    routes.push(
+        json!({"name": "talk", "host": HOST, "path_prefix": "/talk/", "kind": "stream",
+        "timeout_ms": 60_000, "goal_ms": 400, "prio": 1, "service": "llm", "attempts": 3}),
+    );
+    deployment.store.put("config", "main", &config);
+    wait_for("the route is there", || {
+        read(open(&deployment, "warm", 1)).contains("data: warm:1\n")
+    });
+    deployment
+}
+
+fn open(deployment: &Deployment, id: &str, events: usize) -> TcpStream {
+    let headers = [("host", HOST), ("request-id", id), ("deadline-ms", "60000")];
+    let body = events.to_string();
+    let addr = deployment.entries[0].calls;
+    let stream = send(addr, "POST", "/talk/x", &headers, body.as_bytes());
+    stream.expect("a connection")
+}
+
+/// Reads until the connection ends, in whatever way.
+fn read(mut stream: TcpStream) -> String {
+    let mut bytes = Vec::new();
+    // A reset is one of the ways.
+    let _ = stream.read_to_end(&mut bytes);
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+fn is_complete(text: &str) -> bool {
+    text.ends_with("\r\n0\r\n\r\n")
+}
+
+fn events_of(text: &str) -> Vec<&str> {
+    let lines = text.lines();
+    lines
+        .filter_map(|line| line.strip_prefix("data: "))
+        .collect()
+}
+
+fn runs(deployment: &Deployment, id: &str) -> usize {
+    let engines = deployment.engines.iter();
+    let runs = engines.flat_map(|engine| engine.runs());
+    runs.filter(|run| run.id == id).count()
+}
+
+fn running(deployment: &Deployment) -> usize {
+    let engines = deployment.engines.iter();
+    engines.map(|engine| engine.running()).sum()
+}
+
+#[test]
+fn a_stream_is_passed_on_whole_and_in_order() {
+    let deployment = deployment();
+    let text = read(open(&deployment, "whole", 20));
+    assert!(text.starts_with("HTTP/1.1 200 OK\r\n"), "{text}");
+    assert!(text.contains("server-stamp: run-whole\r\n"), "{text}");
+    assert!(text.contains("request-id: whole\r\n"), "{text}");
+    let expected: Vec<String> = (1..=20).map(|number| format!("whole:{number}")).collect();
+    assert_eq!(events_of(&text), expected);
+    assert!(is_complete(&text), "{text}");
+    assert_eq!(runs(&deployment, "whole"), 1);
+}
+
+#[test]
+fn events_are_passed_on_while_the_run_goes_on() {
+    let deployment = deployment();
+    let mut lines = BufReader::new(open(&deployment, "early", ENDLESS)).lines();
+    let first = lines.find(|line| line.as_ref().is_ok_and(|line| line == "data: early:1"));
+    assert!(first.is_some());
+    assert_eq!(running(&deployment), 1);
+}
+
+#[test]
+fn a_stream_that_breaks_off_neither_looks_complete_nor_runs_again() {
+    let deployment = deployment();
+    for engine in &deployment.engines {
+        engine.set_faults(oleander_platform_standins::engine::EngineFaults {
+            break_before: 5,
+            ..Default::default()
+        });
+    }
+    let text = read(open(&deployment, "broken", 20));
+    assert_eq!(events_of(&text).len(), 4, "{text}");
+    assert!(!is_complete(&text), "{text}");
+    assert_eq!(runs(&deployment, "broken"), 1);
+}
+
+#[test]
+fn a_caller_that_leaves_ends_the_run() {
+    let deployment = deployment();
+    let mut stream = open(&deployment, "left", ENDLESS);
+    let mut bytes = [0; 64];
+    assert!(stream.read(&mut bytes).is_ok_and(|count| count > 0));
+    wait_for("it runs", || running(&deployment) == 1);
+    drop(stream);
+    wait_for("the run has ended", || running(&deployment) == 0);
+}
+
+#[test]
+fn an_engine_that_begins_anew_under_another_id_runs_no_stream_meant_for_the_one_before() {
+    let deployment = deployment();
+    deployment.engines[0].become_instance("another");
+    deployment.engines[1].become_instance("yet-another");
+    let text = read(open(&deployment, "meant", 3));
+    assert!(text.starts_with("HTTP/1.1 503 "), "{text}");
+    assert_eq!(runs(&deployment, "meant"), 0);
+}
