Leave results of deleted jobs out of the older results; say why a read is unsure

Found on reading the diff: chunks outlast their jobs by seconds, so a new leader could take results of a deleted job into its log, which nothing would ever forget and which would have made the next leader read from there. Jobs that did not exist when it began to lead are left out. Test: older_results_of_jobs_that_were_deleted_are_left_out (failed with the filter taken out).

--- a/crates/oleander-rollout/src/dispatch/history.rs
+++ b/crates/oleander-rollout/src/dispatch/history.rs
@@ -125,11 +125,14 @@
         format!("epoch={epoch} chunks={} took={took}", chunks.len())
     });
     let mut state = dispatcher.state.borrow_mut();
+    let state = &mut *state;
     for chunk in &chunks {
         state.chunks.insert(chunk.index, chunk.written_unix_ms);
     }
-    state.log.put_before(chunks);
+    // A job that was not there when this dispatcher began to lead has been deleted.
+    state
+        .log
+        .put_before(chunks, |job| state.jobs.contains_key(job));
     state.unread.clear();
-    drop(state);
     dispatcher.notify();
 }
--- a/crates/oleander-rollout/src/dispatch/jobs_api.rs
+++ b/crates/oleander-rollout/src/dispatch/jobs_api.rs
@@ -73,8 +73,13 @@
         return answer::refusal(UNSURE_RETRY);
     }
     let state = dispatcher.state.borrow();
-    let record = state.jobs.get(job).filter(|_| !state.unread.contains(job));
-    let Some(record) = record else {
+    if state.unread.contains(job) {
+        event(log::Level::Info, "job-unsure", || {
+            format!("job={job} reason=\"its results are not read yet\"")
+        });
+        return answer::refusal(UNSURE_RETRY);
+    }
+    let Some(record) = state.jobs.get(job) else {
         return answer::refusal(UNSURE_RETRY);
     };
     let samples = state.log.read(job, after, RESULTS_MAX_BYTES);
--- a/crates/oleanderlock/src/batch/result_log.rs
+++ b/crates/oleanderlock/src/batch/result_log.rs
@@ -142,11 +142,13 @@
         first.unwrap_or(self.next_index)
     }
 
-    /// Puts older chunks, in their order, before those that were taken already.
-    pub fn put_before(&mut self, chunks: Vec<ResultChunk>) {
+    /// Puts the results of older chunks, in their order, before those that were taken already.
+    /// Those of jobs that are not kept any more are left out; they would never be forgotten.
+    pub fn put_before(&mut self, chunks: Vec<ResultChunk>, is_kept: impl Fn(&str) -> bool) {
         let mut older: IndexMap<String, IndexMap<ItemKey, Arc<Sample>>> = IndexMap::new();
         for chunk in chunks {
-            for sample in chunk.samples {
+            let kept = chunk.samples.into_iter();
+            for sample in kept.filter(|sample| is_kept(&sample.key.job)) {
                 let job = &sample.key.job;
                 let first = self.first_chunks.entry(job.clone()).or_insert(chunk.index);
                 *first = chunk.index.min(*first);
--- a/crates/oleanderlock/tests/batch_recovery.rs
+++ b/crates/oleanderlock/tests/batch_recovery.rs
@@ -96,7 +96,7 @@
             "{job} from {from}"
         );
     }
-    log.put_before(story.chunks[..first].to_vec());
+    log.put_before(story.chunks[..first].to_vec(), |_| true);
     for job in &jobs {
         assert_eq!(results(&log, job), results(&whole, job), "{job} in the end");
     }
@@ -155,3 +155,20 @@
     story.ended.insert("j1".to_owned());
     assert_eq!(log.needed_from(&story.ended), 4);
 }
+
+#[test]
+fn older_results_of_jobs_that_were_deleted_are_left_out() {
+    let chunk = |index, job| ResultChunk {
+        index,
+        writer: String::new(),
+        written_unix_ms: 0,
+        samples: vec![sample(job, 0)],
+    };
+    let mut log = log_of(&[chunk(2, 1)]);
+    log.put_before(vec![chunk(0, 0), chunk(1, 2)], |job| job == "j2");
+    assert_eq!(results(&log, "j0"), []);
+    assert_eq!(results(&log, "j2").len(), 1);
+    // The deleted job would else be read again by each later leader.
+    let ended = IndexSet::from(["j2".to_owned()]);
+    assert_eq!(log.needed_from(&ended), 2);
+}
