Keep children from holding an address that was just probed as free

Another test thread that starts a child at that moment gives it a copy of the probe until its exec, and the process that was meant to have the port can't bind it and ends. Ruled out: ports of outgoing connections (they start at 32768), two processes given the same number, TIME_WAIT.

Change: probing and starting a child exclude each other (spawn_child), in the tests of all crates. A deployment that does not start now says which process ended and what it said; its stderr is kept with its log.

--- a/crates/oleander-link/tests/link.rs
+++ b/crates/oleander-link/tests/link.rs
@@ -3,6 +3,7 @@
 use oleander_link::wire::frame::Body;
 use oleander_link::wire::{DrainOrder, Frame};
 use oleander_link::{Delivery, LinkError, LinkKeys, Mailbox, Peers};
+use oleander_standins::free_address::free_address;
 use oleanderlock::prelude::*;
 use std::sync::mpsc;
 use std::time::Duration;
@@ -23,9 +24,8 @@
     }
 }
 
-fn free_address() -> String {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-    format!("tcp://{}", listener.local_addr().expect("an address"))
+fn free_link_address() -> String {
+    format!("tcp://{}", free_address().expect("a free address"))
 }
 
 #[test]
@@ -50,7 +50,7 @@
 
 #[test]
 fn frames_arrive_in_order_and_once() {
-    let address = free_address();
+    let address = free_link_address();
     let (tx, rx) = mpsc::channel();
     let deliver = move |delivery| drop(tx.send(delivery));
     let _mailbox = Mailbox::bind(&address, keys(&["k"]), deliver).expect("bound");
@@ -72,7 +72,7 @@
 #[test]
 fn a_frame_is_refused_at_once_without_a_connection() {
     let peers = Peers::new("tcp://127.0.0.1:1", Incarnation(7), keys(&["k"]), |_| ());
-    let address = free_address();
+    let address = free_link_address();
     peers.dial(&address).expect("dialling");
     let sent = peers.send_connected(&address, Body::DrainOrder(DrainOrder { fence: 1 }));
     assert_eq!(sent, Err(LinkError::NotConnected { peer: address }));
--- a/crates/oleander-load/src/demo.rs
+++ b/crates/oleander-load/src/demo.rs
@@ -7,6 +7,7 @@
 use crate::deployment_error::DeploymentError;
 use crate::order_client::{self, Order, OrderEnd, OrderKind};
 use oleander_standins::engine_switches::EngineSwitches;
+use oleander_standins::free_address::spawn_child;
 use oleander_standins::server::Server;
 use oleander_standins::service::ServiceSwitches;
 use oleander_standins::step_record::TrainerRecord;
@@ -120,7 +121,7 @@
 async fn ctl(program: &Path, entry: &str, args: &[&str]) -> Result<(), DeploymentError> {
     let mut command = std::process::Command::new(program);
     command.arg("--entry").arg(entry).args(args);
-    let status = smol::unblock(move || command.status()).await?;
+    let status = smol::unblock(move || spawn_child(&mut command)?.wait()).await?;
     if status.success() {
         return Ok(());
     }
--- a/crates/oleander-load/src/process.rs
+++ b/crates/oleander-load/src/process.rs
@@ -1,5 +1,6 @@
 //! A child process that ends with its handle.
 
+use oleander_standins::free_address::spawn_child;
 use parking_lot::Mutex;
 use rustix::process::{Pid, Signal, kill_process};
 use signal_hook::consts::{SIGINT, SIGTERM};
@@ -53,13 +54,14 @@
     pub fn spawn(program: &Path, settings: &Path, log: &Path) -> io::Result<Self> {
         let log = File::options().create(true).append(true).open(log)?;
         let mut running = RUNNING.lock();
-        let child = Command::new(program)
+        let mut command = Command::new(program);
+        let command = command
             .arg("--settings")
             .arg(settings)
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
-            .stderr(log)
-            .spawn()?;
+            .stderr(log);
+        let child = spawn_child(command)?;
         running.push(child.id());
         Ok(Self { child })
     }
--- a/crates/oleander-load/tests/oleanderctl.rs
+++ b/crates/oleander-load/tests/oleanderctl.rs
@@ -5,9 +5,10 @@
 use oleander_load::deployment::Deployment;
 use oleander_load::deployment_cfg::DeploymentCfg;
 use oleander_load::tokens::Tokens;
+use oleander_standins::free_address::spawn_child;
 use serde_json::{Value, json};
 use std::path::{Path, PathBuf};
-use std::process::Command;
+use std::process::{Command, Stdio};
 use std::time::Instant;
 use support::{CONTRACT, HANG, cfg, names, pause, start};
 
@@ -44,12 +45,16 @@
 
 fn ctl_at(entry: &str, args: &[&str]) -> Ran {
     let program = DeploymentCfg::default().programs.join("oleanderctl");
-    let output = Command::new(program)
+    let mut command = Command::new(program);
+    let command = command
         .env("OLEANDER_ENTRY", entry)
         .env_remove("OLEANDER_TOKEN")
         .args(args)
-        .output()
-        .expect("oleanderctl is built");
+        .stdin(Stdio::null())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped());
+    let child = spawn_child(command).expect("oleanderctl is built");
+    let output = child.wait_with_output().expect("its output");
     Ran {
         code: output.status.code().expect("an exit code"),
         out: String::from_utf8(output.stdout).expect("text"),
--- a/crates/oleander-rollout/tests/support/mod.rs
+++ b/crates/oleander-rollout/tests/support/mod.rs
@@ -99,6 +99,14 @@
     pub fn process(&self) -> &Process {
         self.process.as_ref().expect("it runs")
     }
+
+    /// Fails the test, with what the process said, if it has ended by itself.
+    fn expect_running(&mut self) {
+        let process = self.process.as_mut().expect("it was started");
+        if let Some(code) = process.ended() {
+            panic!("{} ended with {code}: {}", self.name, process.log());
+        }
+    }
 }
 
 /// The stand-ins around a deployment.
@@ -191,10 +199,12 @@
         for n in 0..size.entries {
             let ready = deployment.entries[n].ready;
             wait_for("an entry is ready", || {
+                deployment.nodes_mut().for_each(Node::expect_running);
                 call(ready, "GET", "/-/ready", &[], b"").is_some_and(|reply| reply.status == 200)
             });
         }
         wait_for("a dispatcher knows all engines", || {
+            deployment.nodes_mut().for_each(Node::expect_running);
             let leader = deployment.leader();
             let log = leader.map(|n| deployment.dispatchers[n].process().log());
             let log = log.unwrap_or_default();
--- a/crates/oleander-rollout/tests/support/process.rs
+++ b/crates/oleander-rollout/tests/support/process.rs
@@ -1,5 +1,6 @@
 //! A process of the system that a test started, and ends by its id.
 
+use oleander_standins::free_address::spawn_child;
 use std::fs;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -23,12 +24,13 @@
         fs::write(&path, settings).expect("settings are written");
         let log = dir.join(format!("{name}-{number}.log"));
         let out = fs::File::create(&log).expect("a log file");
-        let child = Command::new(env!("CARGO_BIN_EXE_oleanderlock"))
+        let mut command = Command::new(env!("CARGO_BIN_EXE_oleanderlock"));
+        let command = command
             .args(["--settings".as_ref(), path.as_os_str(), role.as_ref()])
             .stdin(Stdio::null())
-            .stdout(out)
-            .spawn()
-            .expect("the program starts");
+            .stdout(out.try_clone().expect("a second handle"))
+            .stderr(out);
+        let child = spawn_child(command).expect("the program starts");
         Self {
             child,
             settings: path,
@@ -39,9 +41,9 @@
     /// Sends a signal by its name.
     pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
-        let sent = Command::new("kill")
-            .args([&format!("-{name}"), &id])
-            .status();
+        let mut command = Command::new("kill");
+        let sent = spawn_child(command.args([&format!("-{name}"), &id]));
+        let sent = sent.and_then(|mut kill| kill.wait());
         assert!(sent.expect("kill runs").success());
     }
 
