--- /dev/null
+++ b/crates/oleander-link/tests/link_stress.rs
@@ -0,0 +1,91 @@
+//! Peers that are killed and forgotten while other threads send to them; run by hand.
+
+use oleander_link::wire::DrainOrder;
+use oleander_link::wire::frame::Body;
+use oleander_link::{LinkKeys, Mailbox, Peers};
+use oleander_standins::free_address::{free_address, spawn_child};
+use oleanderlock::prelude::*;
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::Duration;
+
+/// Receivers that are started and killed one after the other.
+const RECEIVERS: u64 = 6000;
+/// Threads that send at once.
+const SENDERS: usize = 3;
+/// Address that a receiver binds.
+const ADDRESS_VARIABLE: &str = "OLEANDER_LINK_ADDRESS";
+
+fn keys() -> LinkKeys {
+    LinkKeys::derive(&["k".to_owned()])
+}
+
+/// The part of the child: receives until it is killed.
+#[test]
+#[ignore = "a part of the test below"]
+fn receive_until_killed() {
+    let Ok(address) = std::env::var(ADDRESS_VARIABLE) else {
+        return;
+    };
+    // The child before may not have ended yet.
+    let _mailbox = loop {
+        match Mailbox::bind(&address, keys(), |_| ()) {
+            Ok(mailbox) => break mailbox,
+            Err(_) => thread::sleep(Duration::from_millis(1)),
+        }
+    };
+    loop {
+        thread::sleep(Duration::from_secs(1));
+    }
+}
+
+fn start_receiver(address: &str) -> Child {
+    let mut command = Command::new(std::env::current_exe().expect("a path"));
+    let command = command
+        .args(["--ignored", "--exact", "receive_until_killed"])
+        .env(ADDRESS_VARIABLE, address)
+        .stdout(Stdio::null());
+    spawn_child(command).expect("it starts")
+}
+
+#[test]
+#[ignore = "takes minutes; a fault of the library nng ends the process, see KNOWN-RED.txt"]
+fn peers_may_be_killed_and_forgotten_while_others_send() {
+    let address = format!("tcp://{}", free_address().expect("a free address"));
+    let peers = Peers::new("tcp://127.0.0.1:1", Incarnation(7), keys(), |_| ());
+    let stop = Arc::new(AtomicBool::new(false));
+    let mut threads = Vec::new();
+    for _ in 0..SENDERS {
+        let (peers, address, stop) = (peers.clone(), address.clone(), Arc::clone(&stop));
+        threads.push(thread::spawn(move || {
+            while !stop.load(Ordering::Relaxed) {
+                let order = DrainOrder { fence: 1 };
+                if peers.send(&address, Body::DrainOrder(order)).is_err() {
+                    thread::sleep(Duration::from_micros(50));
+                }
+            }
+        }));
+    }
+    let (of_forgetter, stop_forgetter) = ((peers.clone(), address.clone()), Arc::clone(&stop));
+    threads.push(thread::spawn(move || {
+        let (peers, address) = of_forgetter;
+        let mut turn = 0;
+        while !stop_forgetter.load(Ordering::Relaxed) {
+            turn += 1;
+            thread::sleep(Duration::from_micros(500 + (turn * 7919) % 9000));
+            peers.forget(&address);
+        }
+    }));
+    for number in 0..RECEIVERS {
+        let mut receiver = start_receiver(&address);
+        thread::sleep(Duration::from_millis(4 + number % 7));
+        receiver.kill().expect("it runs");
+        receiver.wait().expect("it ends");
+    }
+    stop.store(true, Ordering::Relaxed);
+    for thread in threads {
+        thread.join().expect("it ends");
+    }
+}
