Move items that wait for a slot to engines of their model that have one

The board gives each engine two items ahead and never took them back. Ruled out: late submissions (0.1 s), the scoring calls and listing (0.13 s behind the run's end).

Change: agents say which of their items wait; the board takes them back when an engine of the model's set, of about the pace, has a slot free.

--- a/crates/oleander-rollout/src/agent/agent_process.rs
+++ b/crates/oleander-rollout/src/agent/agent_process.rs
@@ -145,6 +145,19 @@
         }
     }
 
+    /// Gives back those of the items with these names that still wait for a slot.
+    pub fn give_back_waiting(&self, names: &[String]) {
+        let waiting: Vec<String> = {
+            let state = self.state.borrow();
+            let waits = |name: &&String| {
+                let item = state.items.get(*name);
+                item.is_some_and(|item| item.run.is_none())
+            };
+            names.iter().filter(waits).cloned().collect()
+        };
+        self.give_back_named(&waiting);
+    }
+
     /// Stops it: runs end if they can in time, the rest goes to other agents.
     pub async fn stop(&self) {
         self.stopping.set(true);
--- a/crates/oleander-rollout/src/agent/pull.rs
+++ b/crates/oleander-rollout/src/agent/pull.rs
@@ -104,6 +104,7 @@
         loading: state.loading.clone(),
         event_us: state.pace_now(),
         items: state.names(),
+        waiting: state.waiting().iter().map(ToString::to_string).collect(),
         config_version: view
             .routes
             .as_ref()
@@ -118,6 +119,7 @@
         agent.notify();
     }
     agent.give_back_named(&answer.recall);
+    agent.give_back_waiting(&answer.recall_waiting);
     {
         let mut state = agent.state.borrow_mut();
         for name in &answer.drop {
--- a/crates/oleander-rollout/src/dispatch/outbox.rs
+++ b/crates/oleander-rollout/src/dispatch/outbox.rs
@@ -11,6 +11,8 @@
     pub drop: Vec<String>,
     /// Items to give back, as `JOB/ITEM`.
     pub recall: Vec<String>,
+    /// Items to give back if they still wait for a slot, as `JOB/ITEM`.
+    pub recall_waiting: Vec<String>,
     /// Weights to load.
     pub load: Option<LoadWork>,
 }
@@ -18,8 +20,8 @@
 impl Outbox {
     /// Whether nothing waits.
     pub fn is_empty(&self) -> bool {
-        let lists_empty = self.work.is_empty() && self.drop.is_empty() && self.recall.is_empty();
-        lists_empty && self.load.is_none()
+        let no_recall = self.recall.is_empty() && self.recall_waiting.is_empty();
+        self.work.is_empty() && self.drop.is_empty() && no_recall && self.load.is_none()
     }
 
     /// Takes all that waits.
@@ -28,6 +30,7 @@
             work: std::mem::take(&mut self.work),
             drop: std::mem::take(&mut self.drop),
             recall: std::mem::take(&mut self.recall),
+            recall_waiting: std::mem::take(&mut self.recall_waiting),
             load: self.load.take(),
             news: PlatformNews::default(),
         }
--- a/crates/oleander-rollout/src/dispatch/ticks.rs
+++ b/crates/oleander-rollout/src/dispatch/ticks.rs
@@ -7,7 +7,7 @@
 use crate::prelude::*;
 use crate::store::job_objects::{JOB_END_KIND, JOB_KIND, RESULT_KIND, chunk_name};
 use oleanderlock::batch::board_assign::Assignment;
-use oleanderlock::batch::board_recall::Recall;
+use oleanderlock::batch::board_recall::{Recall, RecallReason};
 use oleanderlock::batch::item_key::ItemKey;
 use oleanderlock::batch::sample::{Sample, SampleEnd};
 use std::rc::Rc;
@@ -33,7 +33,7 @@
         }
         drop_silent(&dispatcher);
         tell_news(&dispatcher);
-        recall_slow(&dispatcher);
+        recall(&dispatcher);
         give_up_old(&dispatcher);
         dispatcher.pump();
         retire::run(&dispatcher).await;
@@ -117,17 +117,21 @@
     }
 }
 
-/// Recalls runs from slow engines and from those that are emptied for a load.
-fn recall_slow(dispatcher: &Dispatcher) {
+/// Recalls items that should move to another engine.
+fn recall(dispatcher: &Dispatcher) {
     let mut state = dispatcher.state.borrow_mut();
     for recall in state.board.recalls(now()) {
         let Recall { agent, key, reason } = recall;
         let name = key.to_string();
         let outbox = state.outbox(&agent);
-        if outbox.recall.contains(&name) {
+        let list = match reason {
+            RecallReason::SlowEngine | RecallReason::Load => &mut outbox.recall,
+            RecallReason::NoSlot => &mut outbox.recall_waiting,
+        };
+        if list.contains(&name) {
             continue;
         }
-        outbox.recall.push(name);
+        list.push(name);
         event(log::Level::Info, "item-recalled", || {
             let reason: &str = reason.into();
             let (item, job) = (&key.item, &key.job);
--- a/crates/oleander-rollout/src/peer/messages.rs
+++ b/crates/oleander-rollout/src/peer/messages.rs
@@ -61,6 +61,8 @@
     pub drop: Vec<String>,
     /// Items to give back with what was made, so that a faster engine goes on with them.
     pub recall: Vec<String>,
+    /// Items to give back if they still wait for a slot, as `JOB/ITEM`.
+    pub recall_waiting: Vec<String>,
     /// Weights to load now.
     pub load: Option<LoadWork>,
     /// What the platform's store told the leader, where the agent does not know it.
@@ -101,7 +103,7 @@
     EngineFailed,
     /// The engine is gone or leaving, or the agent is stopping.
     EngineLost,
-    /// The dispatcher recalled it, for a faster engine.
+    /// The dispatcher recalled it, for another engine.
     Recalled,
     /// The engine's weights are too old.
     TooOld,
--- a/crates/oleanderlock/src/batch/agent_state.rs
+++ b/crates/oleanderlock/src/batch/agent_state.rs
@@ -1,6 +1,7 @@
 //! What the board knows of an agent and its engine.
 
 use super::item_key::ItemKey;
+use super::job_state::JobState;
 use crate::prelude::*;
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
@@ -36,6 +37,8 @@
     pub event_us: u64,
     /// Items that the agent has, as `JOB/ITEM`.
     pub items: Vec<String>,
+    /// Those of them that wait for a slot of the engine.
+    pub waiting: Vec<String>,
     /// Version of the configuration that the agent knows; 0 for none.
     pub config_version: u64,
     /// Digest of the endpoints that the agent knows; 0 for none.
@@ -63,10 +66,20 @@
         self.assigned.len()
     }
 
-    /// Whether the agent may be given work now.
-    pub fn takes_work(&self, now: Millis) -> bool {
+    /// Whether the agent has room for one more item.
+    pub fn has_room(&self) -> bool {
         let most = self.report.slots + AHEAD_MAX.min(self.report.slots);
-        !self.report.leaving && !self.is_clearing(now) && most > self.outstanding()
+        most > self.outstanding()
+    }
+
+    /// Whether its engine may begin items of a job now, if it has room.
+    pub fn may_run(&self, now: Millis, job: &JobState) -> bool {
+        let version = self.report.weights.get(&job.model);
+        let loading = self.report.loading.as_ref() == Some(&job.model);
+        !self.report.leaving
+            && !self.is_clearing(now)
+            && !loading
+            && version.is_some_and(|has| *has >= job.oldest_version)
     }
 
     /// Whether its engine is being emptied for a load.
--- a/crates/oleanderlock/src/batch/board_assign.rs
+++ b/crates/oleanderlock/src/batch/board_assign.rs
@@ -75,13 +75,7 @@
 
     /// The agent that would end one more item of a job first.
     fn choose_agent(&self, now: Millis, job: &JobState) -> Option<String> {
-        let fits = |agent: &AgentState| {
-            let version = agent.report.weights.get(&job.model);
-            let loading = agent.report.loading.as_ref() == Some(&job.model);
-            agent.takes_work(now)
-                && !loading
-                && version.is_some_and(|has| *has >= job.oldest_version)
-        };
+        let fits = |agent: &AgentState| agent.has_room() && agent.may_run(now, job);
         let cost = |agent: &AgentState| {
             let own_set = self.sets.model_of(&agent.report.agent) == Some(&job.model);
             let steps = if own_set { 0 } else { OTHER_SET_STEPS };
--- a/crates/oleanderlock/src/batch/board_recall.rs
+++ b/crates/oleanderlock/src/batch/board_recall.rs
@@ -1,13 +1,15 @@
-//! Which runs move to another engine: from a slow engine to a faster one, and from an engine that
-//! is emptied for a load.
+//! Which items move to another engine: runs from a slow engine to a faster one and from an engine
+//! that is emptied for a load, and items that wait for a slot to an engine that has one.
 //!
 //! Load pattern: some engines run several times slower for seconds. A run there would end after its
 //! step is due; the same run goes on elsewhere behind its last event for the price of reading its
-//! prompt again.
+//! prompt again. At the start of a step all engines are full; one that got only long runs would
+//! begin the items that wait there seconds after the others have room.
 
 use super::agent_state::AgentState;
 use super::board::Board;
 use super::item_key::ItemKey;
+use super::job_state::JobState;
 use crate::prelude::*;
 use indexmap::IndexMap;
 use strum::IntoStaticStr;
@@ -17,7 +19,12 @@
 /// Shortest time that a run stays where it was assigned.
 const STAY_MIN: Millis = Millis(600);
 
-/// Why a run should move.
+/// Shortest time that an item waits where it was assigned: its engine may be about to begin it.
+const WAIT_MIN: Millis = Millis(150);
+/// An item that waits goes to an engine whose pace is at most this many quarters of its own's.
+const PACE_MAX_QUARTERS: u64 = 6;
+
+/// Why an item should move.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
 pub enum RecallReason {
@@ -25,9 +32,11 @@
     SlowEngine,
     /// Its engine is emptied for a load.
     Load,
+    /// It waits for a slot while another engine has one free.
+    NoSlot,
 }
 
-/// A run that should move.
+/// An item that should move.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Recall {
     /// The agent that has it.
@@ -39,9 +48,9 @@
 }
 
 impl Board {
-    /// Returns runs that should move. They stay assigned until the agents give them back.
+    /// Returns items that should move. They stay assigned until the agents give them back.
     pub fn recalls(&self, now: Millis) -> Vec<Recall> {
-        let mut recalls = Vec::new();
+        let mut recalls = self.recalls_of_waiting(now);
         for (name, agent) in &self.agents {
             let recall = |key: &ItemKey, reason| Recall {
                 agent: name.clone(),
@@ -73,6 +82,54 @@
         recalls
     }
 
+    /// Items that wait for a slot, as far as other engines of about the pace have slots free.
+    fn recalls_of_waiting(&self, now: Millis) -> Vec<Recall> {
+        let mut taken: IndexMap<&str, usize> = IndexMap::new();
+        let mut recalls = Vec::new();
+        for (name, agent) in &self.agents {
+            let waiting = agent.report.waiting.iter();
+            for key in waiting.filter_map(|item| ItemKey::parse(item)) {
+                let long_there = agent
+                    .assigned
+                    .get(&key)
+                    .is_some_and(|since| now.since(*since) >= WAIT_MIN);
+                let job = self.jobs.get(&key.job).filter(|_| long_there);
+                let other = job.and_then(|job| self.free_beside(now, agent, job, &taken));
+                if let Some(other) = other {
+                    *taken.entry(other).or_default() += 1;
+                    recalls.push(Recall {
+                        agent: name.clone(),
+                        key,
+                        reason: RecallReason::NoSlot,
+                    });
+                }
+            }
+        }
+        recalls
+    }
+
+    /// An engine of the model's set, of about the pace, that could begin an item of the job at once;
+    /// `taken` counts the slots that are spoken for. The slots of other sets are left to their own
+    /// models, whose loads wait for the last run.
+    fn free_beside(
+        &self,
+        now: Millis,
+        agent: &AgentState,
+        job: &JobState,
+        taken: &IndexMap<&str, usize>,
+    ) -> Option<&str> {
+        let pace_max = agent.pace_us() * PACE_MAX_QUARTERS / 4;
+        let fits = |(name, other): &(&String, &AgentState)| {
+            let taken = taken.get(name.as_str()).copied().unwrap_or_default();
+            self.sets.model_of(name) == Some(&job.model)
+                && other.may_run(now, job)
+                && other.free_slots() > taken
+                && other.pace_us() <= pace_max
+        };
+        let free = self.agents.iter().find(fits)?;
+        Some(free.0.as_str())
+    }
+
     /// Free slots of engines that are much faster than `slow` and may run items of the model.
     fn faster_room(&self, slow: &AgentState, model: &str, oldest_version: u64) -> usize {
         let fits = |agent: &&AgentState| {
--- a/crates/oleanderlock/tests/batch_board.rs
+++ b/crates/oleanderlock/tests/batch_board.rs
@@ -372,6 +372,74 @@
     assert_eq!(assigned[0].progress, Some(made));
 }
 
+/// A board whose agent `full` has a slot and two items, one of which waits.
+fn board_with_waiting() -> Board {
+    let mut board = board();
+    board.hear(Millis(0), report("full", 1, 1));
+    board.accept(job("j", 1, group("g", 2)), TERMS, Millis(0));
+    assert_eq!(board.assign(Millis(0)).len(), 2);
+    board.hear(Millis(100), waiting_report());
+    board
+}
+
+fn waiting_report() -> AgentReport {
+    let mut report = with_items(&["j/g-0", "j/g-1"], report("full", 1, 1));
+    report.waiting = vec!["j/g-1".to_owned()];
+    with_pace(36_000, report)
+}
+
+#[test]
+fn an_item_that_waits_for_a_slot_moves_to_an_engine_that_has_one() {
+    let mut board = board_with_waiting();
+    board.hear(Millis(100), report("free", 1, 1));
+    board.plan_loads(Millis(100));
+    // Its engine may be about to begin it.
+    assert_eq!(board.recalls(Millis(100)), []);
+    let recalled = board.recalls(Millis(200));
+    let expected = Recall {
+        agent: "full".to_owned(),
+        key: key("j", "g-1"),
+        reason: RecallReason::NoSlot,
+    };
+    assert_eq!(recalled, [expected]);
+    board.give_back("full", &key("j", "g-1"), None);
+    assert_eq!(agents_of(&board.assign(Millis(200))), ["free"]);
+}
+
+#[test]
+fn a_free_slot_calls_back_one_item() {
+    let mut board = board_with_waiting();
+    let mut other = with_items(&["k/h-0", "k/h-1"], report("full-too", 1, 1));
+    other.waiting = vec!["k/h-1".to_owned()];
+    board.accept(job("k", 1, group("h", 2)), TERMS, Millis(0));
+    board.hear(Millis(0), with_pace(36_000, other));
+    board.hear(Millis(100), report("free", 1, 1));
+    board.plan_loads(Millis(100));
+    assert_eq!(board.recalls(Millis(300)).len(), 1);
+}
+
+#[test]
+fn an_item_waits_where_it_is_if_no_other_engine_can_begin_it() {
+    let with = |other: AgentReport| {
+        let mut board = board_with_waiting();
+        board.hear(Millis(100), other);
+        board.plan_loads(Millis(100));
+        board.recalls(Millis(300))
+    };
+    assert_eq!(with(report("too-old", 1, 0)), []);
+    assert_eq!(with(with_pace(100_000, report("slow", 1, 1))), []);
+    let loading = AgentReport {
+        loading: Some(MODEL.to_owned()),
+        ..report("loading", 1, 1)
+    };
+    assert_eq!(with(loading), []);
+    let leaving = AgentReport {
+        leaving: true,
+        ..report("leaving", 1, 1)
+    };
+    assert_eq!(with(leaving), []);
+}
+
 #[test]
 fn runs_that_need_one_version_stay_where_they_are() {
     let mut board = board();
