Keep checkpoints of long runs; a run goes on behind its checkpoint when its agent or all processes end

Ruled out: the time to lead (0.65 s), the restart of agents (1 s).

An agent that was restarted returns its items at once, not after 0.8 s.

--- a/crates/oleander-rollout/src/agent/agent_process.rs
+++ b/crates/oleander-rollout/src/agent/agent_process.rs
@@ -29,6 +29,8 @@
 pub struct Agent {
     /// Settings.
     pub cfg: Config,
+    /// Number of this start.
+    pub process: u64,
     /// What the store told.
     pub view: SharedView,
     /// Calls to the leading dispatcher.
@@ -76,6 +78,7 @@
             state: RefCell::default(),
             changed: Event::new(),
             stopping: Cell::new(false),
+            process: rand::random(),
             cfg,
         });
         spawn(engine_watch::run(Rc::clone(&agent)));
--- a/crates/oleander-rollout/src/agent/pull.rs
+++ b/crates/oleander-rollout/src/agent/pull.rs
@@ -4,7 +4,7 @@
 use super::state::HeldItem;
 use super::{load, runner};
 use crate::peer::leader_link::LeaderFault;
-use crate::peer::messages::{PULL, PullAnswer, REPORT};
+use crate::peer::messages::{PULL, PullAnswer, PullRequest, REPORT};
 use crate::prelude::*;
 use crate::store::news_intake::take_news;
 use http::{Method, StatusCode};
@@ -68,13 +68,22 @@
 
 async fn pull(agent: &Agent, path: &str) -> Result<PullAnswer, LeaderFault> {
     let fault = |reason: String| LeaderFault::NoAnswer { reason };
-    let report = report(agent);
-    let body = serde_json::to_vec(&report).map_err(|bad| fault(bad.to_string()))?;
+    let parts = if path == PULL {
+        agent.state.borrow().parts()
+    } else {
+        Vec::new()
+    };
+    let req = PullRequest {
+        report: report(agent),
+        parts,
+    };
+    let body = serde_json::to_vec(&req).map_err(|bad| fault(bad.to_string()))?;
     let called = agent.link.call(Method::POST, path, body, PULL_LIMIT).await;
     let (status, body) = called?;
     if status != StatusCode::OK {
         return Err(fault(status.to_string()));
     }
+    agent.state.borrow_mut().told(&req.parts);
     serde_json::from_slice(&body).map_err(|bad| fault(bad.to_string()))
 }
 
@@ -90,6 +99,7 @@
     };
     AgentReport {
         agent: agent.cfg.node.clone(),
+        process: agent.process,
         instance: endpoint
             .as_ref()
             .map(|entry| entry.instance.clone())
@@ -127,10 +137,13 @@
                 event(log::Level::Info, "item-dropped", || format!("item={name}"));
             }
         }
+        for name in &answer.tell_whole {
+            state.tell_whole(name);
+        }
         for work in answer.work {
             let name = work.key.to_string();
             if !state.names().contains(&name) {
-                state.items.insert(name, HeldItem { work, run: None });
+                state.items.insert(name, HeldItem::waiting(work));
             }
         }
     }
--- a/crates/oleander-rollout/src/agent/runner.rs
+++ b/crates/oleander-rollout/src/agent/runner.rs
@@ -2,6 +2,7 @@
 
 use super::agent_process::Agent;
 use super::run::run_item;
+use super::state::Told;
 use crate::peer::messages::ReturnReason;
 use crate::runtime::spawn_task;
 use std::rc::Rc;
@@ -36,7 +37,12 @@
                 Some(_) => {}
             }
             let run = spawn_task(run_item(Rc::clone(agent), work));
-            state.items[&name].run = Some(run);
+            let item = &mut state.items[&name];
+            item.run = Some(run);
+            item.told = Told {
+                run: rand::random(),
+                ..Told::default()
+            };
             free -= 1;
         }
     }
--- a/crates/oleander-rollout/src/agent/state.rs
+++ b/crates/oleander-rollout/src/agent/state.rs
@@ -5,6 +5,7 @@
 use indexmap::IndexMap;
 use oleander_platform::report::EngineReport;
 use oleanderlock::batch::item_key::ItemKey;
+use oleanderlock::batch::run_part::RunPart;
 use oleanderlock::batch::sample::Sample;
 use smol::Task;
 
@@ -15,6 +16,11 @@
 /// Age at which the engine's report no longer says that the engine is there.
 const REPORT_FRESH: Millis = Millis(1500);
 
+/// Events from which on the leader is told of a run; most runs end before.
+const LONG_EVENTS: u64 = 16;
+/// Fewest new events of which the leader is told.
+const TELL_EVENTS: u64 = 8;
+
 /// An item that the agent has.
 #[derive(Debug)]
 pub struct HeldItem {
@@ -22,6 +28,47 @@
     pub work: WorkItem,
     /// The run; dropping it closes its connection.
     pub run: Option<Task<()>>,
+    /// How much of it the leader was told.
+    pub told: Told,
+}
+
+/// How much of a run the leader was told.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Told {
+    /// Number of the run; 0 before it begins.
+    pub run: u64,
+    /// Id of the last event.
+    pub last_event: u64,
+    /// Bytes of the text.
+    pub bytes: usize,
+}
+
+impl HeldItem {
+    /// An item that waits for a slot.
+    pub fn waiting(work: WorkItem) -> Self {
+        Self {
+            work,
+            run: None,
+            told: Told::default(),
+        }
+    }
+
+    /// What the run has made that the leader was not told, if it is worth telling.
+    fn part(&self) -> Option<RunPart> {
+        let progress = self.work.progress.as_ref()?;
+        let new = progress.last_event - self.told.last_event;
+        if self.run.is_none() || progress.last_event < LONG_EVENTS || new < TELL_EVENTS {
+            return None;
+        }
+        Some(RunPart {
+            key: self.work.key.clone(),
+            run: self.told.run,
+            after_event: self.told.last_event,
+            last_event: progress.last_event,
+            text: progress.text[self.told.bytes..].to_owned(),
+            versions: progress.versions.clone(),
+        })
+    }
 }
 
 /// What an agent knows.
@@ -88,6 +135,33 @@
         self.event_us
     }
 
+    /// Returns what the long runs have made that the leader was not told.
+    pub fn parts(&self) -> Vec<RunPart> {
+        let held = self.items.values();
+        held.filter_map(HeldItem::part).collect()
+    }
+
+    /// Notes that the leader has taken parts of runs.
+    pub fn told(&mut self, parts: &[RunPart]) {
+        for part in parts {
+            let item = self.items.get_mut(&part.key.to_string());
+            if let Some(told) = item.map(|item| &mut item.told)
+                && told.run == part.run
+            {
+                told.last_event = part.last_event;
+                told.bytes += part.text.len();
+            }
+        }
+    }
+
+    /// Notes that the leader must be told of a run as a whole.
+    pub fn tell_whole(&mut self, name: &str) {
+        if let Some(item) = self.items.get_mut(name) {
+            item.told.last_event = 0;
+            item.told.bytes = 0;
+        }
+    }
+
     /// Takes an item out; its run is cancelled.
     pub fn drop_item(&mut self, name: &str) -> bool {
         let held = self.items.shift_remove(name).is_some();
--- a/crates/oleander-rollout/src/dispatch/agents_api.rs
+++ b/crates/oleander-rollout/src/dispatch/agents_api.rs
@@ -2,10 +2,12 @@
 
 use super::dispatcher::Dispatcher;
 use super::http_api::to_json;
-use super::news;
 use super::ticks::give_up;
+use super::{checkpoints, news};
 use crate::http::answer::{self, Answer};
-use crate::peer::messages::{HandIn, KnownNews, PullAnswer, ReturnReason, ReturnedItem};
+use crate::peer::messages::{
+    HandIn, KnownNews, PullAnswer, PullRequest, ReturnReason, ReturnedItem,
+};
 use crate::prelude::*;
 use http::StatusCode;
 use oleanderlock::batch::agent_state::AgentReport;
@@ -24,8 +26,8 @@
 /// Takes the report of an agent, and answers when there is something for it to do, or after
 /// `wait` with nothing.
 pub async fn pull(dispatcher: &Dispatcher, body: &[u8], wait: Millis) -> Answer {
-    let mut report: AgentReport = match serde_json::from_slice(body) {
-        Ok(report) => report,
+    let PullRequest { mut report, parts } = match serde_json::from_slice(body) {
+        Ok(req) => req,
         Err(fault) => return unreadable(&fault),
     };
     let agent = report.agent.clone();
@@ -53,6 +55,7 @@
             });
         }
         state.outbox(&agent).drop.extend(heard.drop);
+        checkpoints::hear(&mut state, &report, parts);
     }
     dispatcher.pump();
     let waited = within(wait, next_for(dispatcher, &report)).await;
@@ -128,7 +131,7 @@
                     key.item, key.job
                 )
             });
-            state.board.finish(&key);
+            state.finish(&key);
             keys.push(key);
         }
     }
@@ -187,6 +190,7 @@
         give_up(&mut state, key, "the engine failed too often");
         return;
     }
+    state.checkpoints.remove(&key);
     state.board.give_back(agent, &key, progress);
 }
 
--- /dev/null
+++ b/crates/oleander-rollout/src/dispatch/checkpoints.rs
@@ -0,0 +1,124 @@
+//! Checkpoints of runs: taken from the reports of agents, kept in the platform's store, and offered
+//! to the next run of an item.
+
+use super::dispatcher::Dispatcher;
+use super::state::State;
+use crate::prelude::*;
+use crate::store::fault::StoreFault;
+use crate::store::watch::list_pages;
+use oleanderlock::batch::agent_state::AgentReport;
+use oleanderlock::batch::checkpoint::Runner;
+use oleanderlock::batch::checkpoint_log::{CheckpointLog, CheckpointPage, PAGES};
+use oleanderlock::batch::progress::Progress;
+use oleanderlock::batch::run_part::RunPart;
+use serde_json::value::to_raw_value;
+use std::rc::Rc;
+
+/// Kind of the pages.
+const CHECKPOINT_KIND: &str = "run-checkpoints";
+/// Time between two pages: what a run loses at most when all processes end.
+const WRITE_EVERY: Millis = Millis(1000);
+/// Part of the greatest value that the texts of a page may take: one in this.
+const PAGE_PART: usize = 2;
+/// Time between two events of a run on a fast engine.
+const EVENT_TIME: Millis = Millis(30);
+/// Longest time for which an item with a checkpoint waits for its agent after a change of the
+/// leader; agents that were restarted with it report within about a second.
+const HOLD_MAX: Millis = Millis(2000);
+
+/// Takes the report of an agent: what its runs have made, and which of them are over.
+pub fn hear(state: &mut State, report: &AgentReport, parts: Vec<RunPart>) {
+    for key in state.checkpoints.over(report) {
+        if state.board.is_running(&key) {
+            continue;
+        }
+        if let Some(progress) = state.checkpoints.remove(&key) {
+            event(log::Level::Info, "checkpoint-used", || {
+                let (item, job, events) = (&key.item, &key.job, progress.last_event);
+                format!(
+                    "request={item} job={job} agent={} events={events}",
+                    report.agent
+                )
+            });
+            state.board.offer_progress(&key, progress);
+        }
+    }
+    for part in parts {
+        let runner = Runner {
+            agent: report.agent.clone(),
+            process: report.process,
+        };
+        let name = part.key.to_string();
+        if state.board.is_running(&part.key) && !state.checkpoints.take(runner, part) {
+            state.outbox(&report.agent).tell_whole.push(name);
+        }
+    }
+}
+
+/// Writes pages for as long as this dispatcher leads in `epoch`.
+pub async fn run(dispatcher: Rc<Dispatcher>, epoch: u64) {
+    while dispatcher.leads_in(epoch) {
+        sleep(WRITE_EVERY).await;
+        let max_bytes = dispatcher.cfg.value_bytes / PAGE_PART;
+        let page = dispatcher
+            .state
+            .borrow_mut()
+            .checkpoints
+            .page(epoch, max_bytes);
+        let Some(page) = page.filter(|_| dispatcher.leads_in(epoch)) else {
+            continue;
+        };
+        match write(&dispatcher, &page).await {
+            Ok(()) => dispatcher.state.borrow_mut().checkpoints.wrote_page(),
+            Err(fault) => event(log::Level::Info, "checkpoint-failed", || {
+                format!("page={} reason=\"{fault}\"", page.number)
+            }),
+        }
+    }
+}
+
+async fn write(dispatcher: &Dispatcher, page: &CheckpointPage) -> Result<(), StoreFault> {
+    let spec = to_raw_value(page).map_err(StoreFault::not_done)?;
+    let name = (page.number % PAGES).to_string();
+    dispatcher.store.put(CHECKPOINT_KIND, &name, &spec).await
+}
+
+/// Reads the pages that stand; runs begin anew where they can't be read.
+pub async fn read(dispatcher: &Dispatcher) -> Vec<CheckpointPage> {
+    let pages = match list_pages(&dispatcher.store, CHECKPOINT_KIND, None).await {
+        Ok(pages) => pages,
+        Err(fault) => {
+            unreadable(&fault);
+            return Vec::new();
+        }
+    };
+    let objects = pages.iter().flat_map(|page| &page.objects);
+    let decoded = objects.map(|object| serde_json::from_str(object.spec.get()));
+    let readable = decoded.filter_map(|page| page.inspect_err(unreadable).ok());
+    readable.collect()
+}
+
+fn unreadable(fault: &impl std::fmt::Display) {
+    event(log::Level::Warn, "checkpoints-unreadable", || {
+        format!("reason=\"{fault}\"")
+    });
+}
+
+/// Takes the pages that were read. The items wait for their agents, which may still run them.
+pub fn restore(state: &mut State, pages: Vec<CheckpointPage>) {
+    let board = &mut state.board;
+    state.checkpoints = CheckpointLog::restore(pages, |key| board.is_open(key));
+    let now = now();
+    for (key, progress) in state.checkpoints.all() {
+        board.hold(key, now.plus(worth_waiting(progress)));
+    }
+    event(log::Level::Info, "checkpoints-read", || {
+        format!("runs={}", state.checkpoints.all().count())
+    });
+}
+
+/// Returns how long an item waits for the agent that ran it: no longer than it takes to make the
+/// same events again.
+fn worth_waiting(progress: &Progress) -> Millis {
+    Millis(progress.last_event * EVENT_TIME.0).min(HOLD_MAX)
+}
--- a/crates/oleander-rollout/src/dispatch/commit.rs
+++ b/crates/oleander-rollout/src/dispatch/commit.rs
@@ -118,7 +118,7 @@
     }
     state.chunks.insert(chunk.index, chunk.written_unix_ms);
     for sample in &chunk.samples {
-        state.board.finish(&sample.key);
+        state.finish(&sample.key);
     }
 }
 
--- a/crates/oleander-rollout/src/dispatch/jobs.rs
+++ b/crates/oleander-rollout/src/dispatch/jobs.rs
@@ -191,6 +191,7 @@
         return;
     }
     let running = state.board.end(id);
+    state.checkpoints.remove_job(id);
     event(log::Level::Info, "job-ended", || {
         format!(
             "job={id} dropped={} listed={}",
--- a/crates/oleander-rollout/src/dispatch/leading.rs
+++ b/crates/oleander-rollout/src/dispatch/leading.rs
@@ -2,7 +2,7 @@
 
 use super::dispatcher::Dispatcher;
 use super::state::{Standing, State};
-use super::{commit, history, jobs};
+use super::{checkpoints, commit, history, jobs};
 use crate::peer::messages::{DispatcherHealth, HEALTH};
 use crate::prelude::*;
 use crate::store::fault::StoreFault;
@@ -11,7 +11,7 @@
     PULSE_NAME, Pulse,
 };
 use crate::store::view::View;
-use futures_util::future::join;
+use futures_util::future::join3;
 use http::Method;
 use oleander_platform::object::StoredObject;
 use oleanderlock::batch::board::Board;
@@ -337,7 +337,8 @@
     let began = now();
     let read_from = dispatcher.state.borrow().read_from;
     let results = history::read_newest(dispatcher, epoch, read_from);
-    let (newest, ()) = join(results, jobs::follow_until_known(dispatcher, epoch)).await;
+    let known = jobs::follow_until_known(dispatcher, epoch);
+    let (newest, (), checkpoints) = join3(results, known, checkpoints::read(dispatcher)).await;
     let mut state = dispatcher.state.borrow_mut();
     let Some(newest) = newest.filter(|_| state.standing == (Standing::Recovering { epoch })) else {
         return;
@@ -348,6 +349,7 @@
     if newest.has_older {
         state.unread = state.ended.clone();
     }
+    checkpoints::restore(&mut state, checkpoints);
     drop(state);
     event(log::Level::Info, "leading", || {
         let took = now().since(began);
@@ -357,6 +359,7 @@
         )
     });
     spawn(commit::run(Rc::clone(dispatcher), epoch));
+    spawn(checkpoints::run(Rc::clone(dispatcher), epoch));
     if newest.has_older {
         spawn(history::read_older(
             Rc::clone(dispatcher),
--- a/crates/oleander-rollout/src/dispatch/mod.rs
+++ b/crates/oleander-rollout/src/dispatch/mod.rs
@@ -4,6 +4,7 @@
 //! reads it there, learns from the agents what runs, and goes on.
 
 mod agents_api;
+mod checkpoints;
 mod commit;
 pub mod dispatcher;
 mod history;
--- a/crates/oleander-rollout/src/dispatch/outbox.rs
+++ b/crates/oleander-rollout/src/dispatch/outbox.rs
@@ -13,6 +13,8 @@
     pub recall: Vec<String>,
     /// Items to give back if they still wait for a slot, as `JOB/ITEM`.
     pub recall_waiting: Vec<String>,
+    /// Runs to tell of as a whole, as `JOB/ITEM`; this alone calls for no answer.
+    pub tell_whole: Vec<String>,
     /// Weights to load.
     pub load: Option<LoadWork>,
 }
@@ -31,6 +33,7 @@
             drop: std::mem::take(&mut self.drop),
             recall: std::mem::take(&mut self.recall),
             recall_waiting: std::mem::take(&mut self.recall_waiting),
+            tell_whole: std::mem::take(&mut self.tell_whole),
             load: self.load.take(),
             news: PlatformNews::default(),
         }
--- a/crates/oleander-rollout/src/dispatch/state.rs
+++ b/crates/oleander-rollout/src/dispatch/state.rs
@@ -6,6 +6,8 @@
 use crate::store::job_objects::JobRecord;
 use indexmap::{IndexMap, IndexSet};
 use oleanderlock::batch::board::Board;
+use oleanderlock::batch::checkpoint_log::CheckpointLog;
+use oleanderlock::batch::item_key::ItemKey;
 use oleanderlock::batch::result_log::ResultLog;
 
 /// How the dispatcher stands.
@@ -45,6 +47,8 @@
     pub board: Board,
     /// Results.
     pub log: ResultLog,
+    /// What the runs had made when their agents last told.
+    pub checkpoints: CheckpointLog,
     /// Unix time at which each chunk of the log was written, by number.
     pub chunks: IndexMap<u64, u64>,
     /// All jobs that are kept.
@@ -84,6 +88,12 @@
         }
     }
 
+    /// Notes that an item has a result.
+    pub fn finish(&mut self, key: &ItemKey) {
+        self.board.finish(key);
+        self.checkpoints.remove(key);
+    }
+
     /// Returns what waits for an agent.
     pub fn outbox(&mut self, agent: &str) -> &mut Outbox {
         self.outboxes.entry(agent.to_owned()).or_default()
--- a/crates/oleander-rollout/src/dispatch/ticks.rs
+++ b/crates/oleander-rollout/src/dispatch/ticks.rs
@@ -144,6 +144,7 @@
     let mut state = dispatcher.state.borrow_mut();
     for agent in state.board.drop_silent(now()) {
         state.outboxes.swap_remove(&agent);
+        state.checkpoints.remove_agent(&agent);
         event(log::Level::Warn, "agent-lost", || format!("agent={agent}"));
         dispatcher.metrics.count("agent_lost");
     }
@@ -169,7 +170,7 @@
     event(log::Level::Warn, "item-given-up", || {
         format!("request={} job={} reason=\"{reason}\"", key.item, key.job)
     });
-    state.board.finish(&key);
+    state.finish(&key);
     state.log.stage(Sample {
         key,
         end: SampleEnd::GivenUp,
--- a/crates/oleander-rollout/src/peer/messages.rs
+++ b/crates/oleander-rollout/src/peer/messages.rs
@@ -1,8 +1,10 @@
 //! Messages between agents, entries and dispatchers.
 
+use oleanderlock::batch::agent_state::AgentReport;
 use oleanderlock::batch::item_key::ItemKey;
 use oleanderlock::batch::job::JobItem;
 use oleanderlock::batch::progress::Progress;
+use oleanderlock::batch::run_part::RunPart;
 use oleanderlock::batch::sample::Sample;
 use oleanderlock::routing::deployment_config::DeploymentConfig;
 use oleanderlock::routing::endpoint_entry::EndpointEntry;
@@ -52,6 +54,15 @@
     pub version: u64,
 }
 
+/// A report of an agent.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct PullRequest {
+    /// What it says of itself and its engine.
+    pub report: AgentReport,
+    /// What its long runs have made since the last report.
+    pub parts: Vec<RunPart>,
+}
+
 /// The answer to a report of an agent.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct PullAnswer {
@@ -63,6 +74,8 @@
     pub recall: Vec<String>,
     /// Items to give back if they still wait for a slot, as `JOB/ITEM`.
     pub recall_waiting: Vec<String>,
+    /// Runs to tell of as a whole, as `JOB/ITEM`: the leader lacks their first events.
+    pub tell_whole: Vec<String>,
     /// Weights to load now.
     pub load: Option<LoadWork>,
     /// What the platform's store told the leader, where the agent does not know it.
--- a/crates/oleander-rollout/tests/batch_jobs.rs
+++ b/crates/oleander-rollout/tests/batch_jobs.rs
@@ -218,6 +218,61 @@
     check_results(&deployment.read_all(0, "job-i", 6), &job(2, 1, 3, 4));
 }
 
+/// Waits until the store holds checkpoints of runs that are beyond event `events`.
+fn wait_for_checkpoints(deployment: &Deployment, events: u64) {
+    wait_for("the runs have checkpoints", || {
+        let pages = deployment.store.specs("run-checkpoints");
+        let parts = pages.iter().filter_map(|page| page["parts"].as_array());
+        let mut parts = parts.flatten();
+        parts.any(|part| part[1]["last_event"].as_u64() >= Some(events))
+    });
+}
+
+/// Returns the events behind which runs of an item went on.
+fn went_on_behind(deployment: &Deployment) -> Vec<u64> {
+    let runs = deployment.engines.iter().flat_map(|engine| engine.runs());
+    let behind = runs.map(|run| run.after_event);
+    behind.filter(|after_event| *after_event > 0).collect()
+}
+
+#[test]
+fn long_runs_go_on_from_their_checkpoints_after_the_end_of_all_processes() {
+    let mut deployment = Deployment::start(SMALL);
+    let body = job(1, 1, 1, 200);
+    deployment.submit(0, "job-long", &body);
+    wait_for_checkpoints(&deployment, 40);
+    deployment.nodes_mut().for_each(support::Node::kill);
+    deployment.nodes_mut().for_each(support::Node::start);
+    check_results(&deployment.read_all(0, "job-long", 2), &body);
+    let behind = went_on_behind(&deployment);
+    assert_eq!(behind.len(), 2, "{behind:?}");
+}
+
+#[test]
+fn long_runs_of_a_killed_agent_go_on_from_their_checkpoints() {
+    let mut deployment = Deployment::start(SMALL);
+    let body = job(1, 1, 2, 200);
+    deployment.submit(0, "job-killed", &body);
+    wait_for_checkpoints(&deployment, 40);
+    deployment.agents[0].kill();
+    deployment.agents[0].start();
+    check_results(&deployment.read_all(0, "job-killed", 4), &body);
+    assert!(!went_on_behind(&deployment).is_empty());
+}
+
+#[test]
+fn a_new_leader_leaves_long_runs_where_they_are() {
+    let mut deployment = Deployment::start(SMALL);
+    let body = job(1, 1, 2, 200);
+    deployment.submit(0, "job-stays", &body);
+    wait_for_checkpoints(&deployment, 40);
+    let leader = deployment.leader().expect("a leader");
+    deployment.dispatchers[leader].kill();
+    check_results(&deployment.read_all(0, "job-stays", 4), &body);
+    let runs = deployment.engines.iter().flat_map(|engine| engine.runs());
+    assert_eq!(runs.count(), 4);
+}
+
 #[test]
 fn a_new_leader_reads_old_results_only_after_it_leads() {
     let mut deployment = Deployment::start(SMALL);
--- a/crates/oleanderlock/src/batch/agent_state.rs
+++ b/crates/oleanderlock/src/batch/agent_state.rs
@@ -19,6 +19,8 @@
 pub struct AgentReport {
     /// Name of the agent.
     pub agent: String,
+    /// Start of the agent's process: a number that no other start has.
+    pub process: u64,
     /// Incarnation of the engine; empty while none is there.
     pub instance: String,
     /// Service that the engine belongs to, once known.
--- a/crates/oleanderlock/src/batch/board.rs
+++ b/crates/oleanderlock/src/batch/board.rs
@@ -145,10 +145,40 @@
         }
     }
 
+    /// Lets an item that waits go on from what a run that is over has made.
+    pub fn offer_progress(&mut self, key: &ItemKey, progress: Progress) {
+        let item = self.item_mut(key);
+        if let Some(item) = item.filter(|item| item.phase == ItemPhase::Waiting) {
+            item.hold_until = Millis::ZERO;
+            item.progress.get_or_insert(progress);
+        }
+    }
+
+    /// Whether an agent has an item.
+    pub fn is_running(&self, key: &ItemKey) -> bool {
+        let item = self.item(key);
+        item.is_some_and(|item| matches!(item.phase, ItemPhase::Running { .. }))
+    }
+
+    /// Keeps a waiting item back until its agent has been heard, or until `until`.
+    pub fn hold(&mut self, key: &ItemKey, until: Millis) {
+        if let Some(item) = self.item_mut(key) {
+            item.hold_until = until;
+        }
+    }
+
+    /// Whether an item needs a result.
+    pub fn is_open(&self, key: &ItemKey) -> bool {
+        let item = self.item(key);
+        item.is_some_and(|item| item.phase != ItemPhase::Finished)
+    }
+
     /// Takes what an agent says of itself.
     pub fn hear(&mut self, now: Millis, report: AgentReport) -> Heard {
         let mut heard = Heard::default();
         let known = self.agents.shift_remove(&report.agent);
+        let before = known.as_ref().map(|known| known.report.process);
+        let restarted = before.is_some_and(|process| process != report.process);
         let (mut assigned, mut granted, clearing) = match known {
             Some(known) => (
                 known.assigned,
@@ -164,7 +194,8 @@
         let held: HashSet<&str> = report.items.iter().map(String::as_str).collect();
         let grace = self.cfg.assignment_grace;
         assigned.retain(|key, since| {
-            let lost = now.since(*since) > grace && !held.contains(key.to_string().as_str());
+            let expected = !restarted && now.since(*since) <= grace;
+            let lost = !expected && !held.contains(key.to_string().as_str());
             if lost {
                 heard.returned.push(key.clone());
             }
@@ -240,6 +271,10 @@
         self.agents.get(agent).map(|agent| agent.report.slots)
     }
 
+    fn item(&self, key: &ItemKey) -> Option<&ItemState> {
+        self.jobs.get(&key.job)?.items.get(&key.item)
+    }
+
     fn item_mut(&mut self, key: &ItemKey) -> Option<&mut ItemState> {
         self.jobs.get_mut(&key.job)?.items.get_mut(&key.item)
     }
--- a/crates/oleanderlock/src/batch/board_assign.rs
+++ b/crates/oleanderlock/src/batch/board_assign.rs
@@ -40,7 +40,7 @@
         order.sort_by_key(|index| self.jobs[*index].due());
         let mut assigned = Vec::new();
         for index in order {
-            for place in self.jobs[index].waiting_longest_first() {
+            for place in self.jobs[index].waiting_longest_first(now) {
                 let Some(name) = self.choose_agent(now, &self.jobs[index]) else {
                     break;
                 };
--- /dev/null
+++ b/crates/oleanderlock/src/batch/checkpoint_log.rs
@@ -0,0 +1,209 @@
+//! Checkpoints of runs, and the pages in which they last.
+//!
+//! Load pattern: all processes end at once, or one agent does, while the longest runs of each step
+//! are seconds from their end. Begun anew they would make the step miss its deadline; from a
+//! checkpoint they lose about a second.
+//!
+//! A checkpoint is used only when the run that it is of is over for sure: its agent has reported
+//! from another process, or without the run. Pages overwrite each other in a ring, so a run is
+//! written whole again before the page with its first events is. A page that is lost or comes late
+//! leaves a checkpoint shorter, never wrong: parts are joined only if they follow in the same run.
+//!
+//! Bounded by the runs that agents tell of.
+
+use super::agent_state::AgentReport;
+use super::checkpoint::{Checkpoint, Runner};
+use super::item_key::ItemKey;
+use super::progress::Progress;
+use super::run_part::RunPart;
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+/// Pages of the ring. At one page a second the longest run of a step fits.
+pub const PAGES: u64 = 8;
+
+/// Parts of runs that are written together.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CheckpointPage {
+    /// Epoch of the leader that wrote it.
+    pub epoch: u64,
+    /// Number of the page in that epoch.
+    pub number: u64,
+    /// The parts, with who told them.
+    pub parts: Vec<(Runner, RunPart)>,
+}
+
+/// A checkpoint and how much of it is in the pages.
+#[derive(Clone, Debug)]
+struct Kept {
+    checkpoint: Checkpoint,
+    written: Option<Written>,
+}
+
+/// How much of a checkpoint is in the pages.
+#[derive(Clone, Copy, Debug)]
+struct Written {
+    last_event: u64,
+    bytes: usize,
+    // Page that holds its first events.
+    whole_in: u64,
+}
+
+/// What becomes of the log when a page has been written.
+#[derive(Clone, Debug)]
+struct Mark {
+    key: ItemKey,
+    run: u64,
+    written: Written,
+}
+
+/// Checkpoints of runs, and the pages in which they last.
+#[derive(Clone, Debug, Default)]
+pub struct CheckpointLog {
+    kept: IndexMap<ItemKey, Kept>,
+    next_page: u64,
+    marks: Vec<Mark>,
+}
+
+impl CheckpointLog {
+    /// Takes a part that an agent told; returns false when the agent must tell the whole run.
+    pub fn take(&mut self, runner: Runner, part: RunPart) -> bool {
+        if let Some(kept) = self.kept.get_mut(&part.key)
+            && kept.checkpoint.runner == runner
+            && kept.checkpoint.append(&part)
+        {
+            return true;
+        }
+        let key = part.key.clone();
+        let Some(checkpoint) = Checkpoint::begin(runner, part) else {
+            return false;
+        };
+        let kept = Kept {
+            checkpoint,
+            written: None,
+        };
+        self.kept.insert(key, kept);
+        true
+    }
+
+    /// Returns the items with a checkpoint of an agent's run that is over, as its report shows.
+    pub fn over(&self, report: &AgentReport) -> Vec<ItemKey> {
+        let goes_on = |key: &ItemKey, runner: &Runner| {
+            runner.process == report.process && report.items.contains(&key.to_string())
+        };
+        let of_agent = self
+            .kept
+            .iter()
+            .filter(|(_, kept)| kept.checkpoint.runner.agent == report.agent);
+        let over = of_agent.filter(|(key, kept)| !goes_on(key, &kept.checkpoint.runner));
+        over.map(|(key, _)| key.clone()).collect()
+    }
+
+    /// Takes the checkpoint of an item out.
+    pub fn remove(&mut self, key: &ItemKey) -> Option<Progress> {
+        let kept = self.kept.swap_remove(key)?;
+        Some(kept.checkpoint.progress)
+    }
+
+    /// Drops the checkpoints of an agent whose runs may go on unseen.
+    pub fn remove_agent(&mut self, agent: &str) {
+        self.kept
+            .retain(|_, kept| kept.checkpoint.runner.agent != agent);
+    }
+
+    /// Drops the checkpoints of a job.
+    pub fn remove_job(&mut self, job: &str) {
+        self.kept.retain(|key, _| key.job != job);
+    }
+
+    /// Returns the items that have a checkpoint, with what was made of them.
+    pub fn all(&self) -> impl Iterator<Item = (&ItemKey, &Progress)> {
+        let all = self.kept.iter();
+        all.map(|(key, kept)| (key, &kept.checkpoint.progress))
+    }
+
+    /// Returns the page to write next, of at most about `max_bytes`, unless all is written.
+    pub fn page(&mut self, epoch: u64, max_bytes: usize) -> Option<CheckpointPage> {
+        let number = self.next_page;
+        let mut parts = Vec::new();
+        let mut bytes = 0;
+        self.marks.clear();
+        for (key, kept) in &self.kept {
+            let Some((part, written)) = kept.next_part(key, number) else {
+                continue;
+            };
+            bytes += part.text.len() + PART_OVERHEAD_BYTES;
+            if bytes > max_bytes && !parts.is_empty() {
+                break;
+            }
+            self.marks.push(Mark {
+                key: key.clone(),
+                run: part.run,
+                written,
+            });
+            parts.push((kept.checkpoint.runner.clone(), part));
+        }
+        (!parts.is_empty()).then_some(CheckpointPage {
+            epoch,
+            number,
+            parts,
+        })
+    }
+
+    /// Notes that the page which was asked for last has been written.
+    pub fn wrote_page(&mut self) {
+        self.next_page += 1;
+        for mark in std::mem::take(&mut self.marks) {
+            if let Some(kept) = self.kept.get_mut(&mark.key)
+                && kept.checkpoint.run == mark.run
+            {
+                kept.written = Some(mark.written);
+            }
+        }
+    }
+
+    /// Rebuilds the checkpoints of the items that `is_wanted` names from pages, in any order.
+    pub fn restore(mut pages: Vec<CheckpointPage>, is_wanted: impl Fn(&ItemKey) -> bool) -> Self {
+        pages.sort_by_key(|page| (page.epoch, page.number));
+        let mut log = Self::default();
+        let parts = pages.into_iter().flat_map(|page| page.parts);
+        for (runner, part) in parts.filter(|(_, part)| is_wanted(&part.key)) {
+            log.take(runner, part);
+        }
+        log
+    }
+}
+
+/// Bytes of names and versions around the text of a written part.
+const PART_OVERHEAD_BYTES: usize = 200;
+
+impl Kept {
+    /// What is to be written of it in a page, and how much is then.
+    fn next_part(&self, key: &ItemKey, page: u64) -> Option<(RunPart, Written)> {
+        let Checkpoint { run, progress, .. } = &self.checkpoint;
+        let begun = self
+            .written
+            .filter(|written| page < written.whole_in + PAGES - 1);
+        let (after_event, from, whole_in) = match begun {
+            Some(written) => (written.last_event, written.bytes, written.whole_in),
+            None => (0, 0, page),
+        };
+        if after_event == progress.last_event {
+            return None;
+        }
+        let part = RunPart {
+            key: key.clone(),
+            run: *run,
+            after_event,
+            last_event: progress.last_event,
+            text: progress.text[from..].to_owned(),
+            versions: progress.versions.clone(),
+        };
+        let written = Written {
+            last_event: progress.last_event,
+            bytes: progress.text.len(),
+            whole_in,
+        };
+        Some((part, written))
+    }
+}
--- a/crates/oleanderlock/src/batch/item_state.rs
+++ b/crates/oleanderlock/src/batch/item_state.rs
@@ -2,6 +2,7 @@
 
 use super::job::JobItem;
 use super::progress::Progress;
+use crate::prelude::*;
 
 /// Where an item stands.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -28,6 +29,8 @@
     pub failures: u32,
     /// What an interrupted run has made.
     pub progress: Option<Progress>,
+    /// Until when it waits for the agent that may still run it.
+    pub hold_until: Millis,
 }
 
 impl ItemState {
@@ -38,6 +41,7 @@
             phase: ItemPhase::Waiting,
             failures: 0,
             progress: None,
+            hold_until: Millis::ZERO,
         }
     }
 
--- a/crates/oleanderlock/src/batch/job_state.rs
+++ b/crates/oleanderlock/src/batch/job_state.rs
@@ -56,8 +56,11 @@
 
     /// Returns the places of the items that wait for an engine, those that are expected to take
     /// longest first: a step is whole sooner when its long runs begin first.
-    pub fn waiting_longest_first(&self) -> Vec<usize> {
-        let waits = |place: &usize| self.items[*place].phase == ItemPhase::Waiting;
+    pub fn waiting_longest_first(&self, now: Millis) -> Vec<usize> {
+        let waits = |place: &usize| {
+            let item = &self.items[*place];
+            item.phase == ItemPhase::Waiting && item.hold_until <= now
+        };
         let mut waiting: Vec<usize> = (0..self.items.len()).filter(waits).collect();
         waiting.sort_by_key(|place| std::cmp::Reverse(self.items[*place].item.expected_tokens));
         waiting
--- /dev/null
+++ b/crates/oleanderlock/tests/batch_checkpoints.rs
@@ -0,0 +1,309 @@
+//! Checkpoints of runs: when they are used, and that they hold what one run made, whatever pages
+//! are lost or come late.
+
+use arbtest::arbitrary::{Result, Unstructured};
+use arbtest::arbtest;
+use indexmap::IndexMap;
+use oleanderlock::batch::agent_state::AgentReport;
+use oleanderlock::batch::board::Board;
+use oleanderlock::batch::board_config::BoardConfig;
+use oleanderlock::batch::checkpoint::Runner;
+use oleanderlock::batch::checkpoint_log::{CheckpointLog, CheckpointPage, PAGES};
+use oleanderlock::batch::item_key::ItemKey;
+use oleanderlock::batch::job::{Job, JobItem};
+use oleanderlock::batch::job_terms::JobTerms;
+use oleanderlock::batch::progress::Progress;
+use oleanderlock::batch::run_part::RunPart;
+use oleanderlock::prelude::*;
+
+const MODEL: &str = "advisor";
+/// More than any page of the tests takes.
+const PAGE_BYTES: usize = 1 << 20;
+const RUNS: u64 = 400;
+const ENTROPY_BYTES: u64 = 2048;
+
+fn key(item: &str) -> ItemKey {
+    ItemKey {
+        job: "j".to_owned(),
+        item: item.to_owned(),
+    }
+}
+
+fn runner(process: u64) -> Runner {
+    Runner {
+        agent: "a".to_owned(),
+        process,
+    }
+}
+
+/// The text of the first events of a run.
+fn text(run: u64, events: u64) -> String {
+    let events: Vec<String> = (1..=events).map(|event| format!("{run}:{event}")).collect();
+    events.join("\n")
+}
+
+fn part(item: &str, run: u64, after_event: u64, last_event: u64) -> RunPart {
+    let whole = text(run, last_event);
+    RunPart {
+        key: key(item),
+        run,
+        after_event,
+        last_event,
+        text: whole[text(run, after_event).len()..].to_owned(),
+        versions: vec![1],
+    }
+}
+
+fn report(process: u64, items: &[&str]) -> AgentReport {
+    AgentReport {
+        agent: "a".to_owned(),
+        process,
+        slots: 8,
+        weights: IndexMap::from([(MODEL.to_owned(), 1)]),
+        items: items.iter().map(|item| key(item).to_string()).collect(),
+        ..AgentReport::default()
+    }
+}
+
+fn progress(run: u64, events: u64) -> Progress {
+    Progress {
+        last_event: events,
+        text: text(run, events),
+        versions: vec![1],
+    }
+}
+
+#[test]
+fn parts_are_joined_only_if_they_follow_in_the_same_run() {
+    let mut log = CheckpointLog::default();
+    assert!(!log.take(runner(1), part("x", 7, 5, 9)));
+    assert!(log.take(runner(1), part("x", 7, 0, 9)));
+    assert!(log.take(runner(1), part("x", 7, 9, 20)));
+    // A gap, another run, another process.
+    assert!(!log.take(runner(1), part("x", 7, 22, 30)));
+    assert!(!log.take(runner(1), part("x", 8, 20, 30)));
+    assert!(!log.take(runner(2), part("x", 7, 20, 30)));
+    assert_eq!(log.remove(&key("x")), Some(progress(7, 20)));
+}
+
+#[test]
+fn a_run_is_over_when_its_agent_reports_without_it_or_from_another_process() {
+    let mut log = CheckpointLog::default();
+    log.take(runner(1), part("x", 7, 0, 20));
+    log.take(runner(1), part("y", 8, 0, 20));
+    assert_eq!(log.over(&report(1, &["x", "y"])), []);
+    assert_eq!(log.over(&report(1, &["x"])), [key("y")]);
+    assert_eq!(log.over(&report(2, &["x", "y"])), [key("x"), key("y")]);
+    let other = AgentReport {
+        agent: "b".to_owned(),
+        ..report(2, &[])
+    };
+    assert_eq!(log.over(&other), []);
+    // The agent is silent: its runs may go on unseen.
+    log.remove_agent("a");
+    assert_eq!(log.over(&report(2, &[])), []);
+}
+
+#[test]
+fn pages_hold_what_is_new_and_whole_runs_before_the_ring_is_round() {
+    let mut log = CheckpointLog::default();
+    log.take(runner(1), part("x", 7, 0, 20));
+    let mut last = 20;
+    for number in 0..2 * PAGES {
+        let page = log.page(3, PAGE_BYTES).expect("a page");
+        log.wrote_page();
+        assert_eq!((page.epoch, page.number), (3, number));
+        let is_whole = |number: u64| number.is_multiple_of(PAGES - 1);
+        assert_eq!(page.parts[0].1.after_event == 0, is_whole(number));
+        // Nothing new to write, unless the first events are about to be overwritten.
+        assert_eq!(log.page(3, PAGE_BYTES).is_some(), is_whole(number + 1));
+        log.take(runner(1), part("x", 7, last, last + 10));
+        last += 10;
+    }
+}
+
+#[test]
+fn a_page_that_was_not_written_is_written_again() {
+    let mut log = CheckpointLog::default();
+    log.take(runner(1), part("x", 7, 0, 20));
+    let lost = log.page(1, PAGE_BYTES);
+    log.take(runner(1), part("x", 7, 20, 30));
+    let again = log.page(1, PAGE_BYTES).expect("a page");
+    assert_eq!(lost.map(|page| page.number), Some(again.number));
+    assert_eq!(again.parts[0].1, part("x", 7, 0, 30));
+}
+
+#[test]
+fn runs_that_do_not_fit_into_a_page_come_with_the_next() {
+    let mut log = CheckpointLog::default();
+    for item in ["x", "y", "z"] {
+        log.take(runner(1), part(item, 7, 0, 200));
+    }
+    let bytes = text(7, 200).len() * 3 / 2;
+    let mut seen = Vec::new();
+    while let Some(page) = log.page(1, bytes) {
+        assert_eq!(page.parts.len(), 1);
+        seen.extend(page.parts.into_iter().map(|(_, part)| part.key));
+        log.wrote_page();
+    }
+    assert_eq!(seen, [key("x"), key("y"), key("z")]);
+}
+
+fn board_with(items: &[&str]) -> Board {
+    let item = |id: &&str| JobItem {
+        id: (*id).to_owned(),
+        path: "/rollout/x".to_owned(),
+        headers: Vec::new(),
+        body_base64: String::new(),
+        tokens: 1000,
+        expected_tokens: None,
+        group: "g".to_owned(),
+        score_call: None,
+    };
+    let terms = JobTerms {
+        attempts: 3,
+        due_after: Millis(7500),
+        keep: Millis(40_000),
+        single_version: false,
+    };
+    let job = Job {
+        id: "j".to_owned(),
+        host: "host".to_owned(),
+        path: "/rollout/".to_owned(),
+        submitted_unix_ms: 0,
+        step: Some(1),
+        model: MODEL.to_owned(),
+        oldest_version: 1,
+        groups_wanted: 1,
+        items: items.iter().map(item).collect(),
+    };
+    let mut board = Board::new(BoardConfig::default());
+    board.accept(job, terms, Millis(0));
+    board
+}
+
+#[test]
+fn items_of_a_restarted_agent_return_at_once_and_go_on() {
+    let mut board = board_with(&["x"]);
+    board.hear(Millis(0), report(1, &[]));
+    assert_eq!(board.assign(Millis(0)).len(), 1);
+    assert_eq!(board.hear(Millis(100), report(1, &[])).returned, []);
+    assert_eq!(board.hear(Millis(200), report(2, &[])).returned, [key("x")]);
+    board.offer_progress(&key("x"), progress(7, 20));
+    let assigned = board.assign(Millis(200));
+    assert_eq!(assigned[0].progress, Some(progress(7, 20)));
+}
+
+#[test]
+fn a_running_item_takes_no_progress_of_an_earlier_run() {
+    let mut board = board_with(&["x"]);
+    board.hear(Millis(0), report(1, &[]));
+    board.assign(Millis(0));
+    assert!(board.is_running(&key("x")));
+    board.offer_progress(&key("x"), progress(7, 20));
+    board.give_back("a", &key("x"), None);
+    assert_eq!(board.assign(Millis(0))[0].progress, None);
+}
+
+#[test]
+fn items_that_may_still_run_wait_for_their_agent() {
+    let mut board = board_with(&["x", "y", "z"]);
+    for item in ["x", "y", "z"] {
+        board.hold(&key(item), Millis(800));
+    }
+    let other = AgentReport {
+        agent: "b".to_owned(),
+        ..report(5, &[])
+    };
+    board.hear(Millis(0), other);
+    assert_eq!(board.assign(Millis(0)), []);
+    // The agent still runs one of them, and another is over.
+    board.hear(Millis(100), report(1, &["x"]));
+    board.offer_progress(&key("y"), progress(7, 20));
+    let assigned = board.assign(Millis(100));
+    let keys: Vec<&ItemKey> = assigned.iter().map(|one| &one.key).collect();
+    assert_eq!(keys, [&key("y")]);
+    // Nobody reports the third one.
+    assert_eq!(board.assign(Millis(799)), []);
+    assert_eq!(board.assign(Millis(800))[0].key, key("z"));
+}
+
+/// A run as its agent knows it.
+struct Run {
+    item: &'static str,
+    number: u64,
+    made: u64,
+    told: u64,
+}
+
+/// Lets runs grow, tells parts, writes pages, loses some, restarts the leader and runs; then checks
+/// that what is restored is the beginning of the text of one run.
+fn check_random(u: &mut Unstructured<'_>) -> Result<()> {
+    let mut log = CheckpointLog::default();
+    let mut ring: IndexMap<u64, CheckpointPage> = IndexMap::new();
+    let mut late: Option<CheckpointPage> = None;
+    let mut epoch = 1;
+    let mut next_run = 3;
+    let mut runs: Vec<Run> = [("x", 1), ("y", 2)]
+        .map(|(item, number)| Run {
+            item,
+            number,
+            made: 0,
+            told: 0,
+        })
+        .into();
+    for _ in 0..u.int_in_range(10..=60)? {
+        match u.int_in_range(0..=9)? {
+            0..=3 => {
+                let run = &mut runs[u.int_in_range(0..=1)?];
+                run.made += u.int_in_range(1..=9)?;
+                let told = part(run.item, run.number, run.told, run.made);
+                let taken = log.take(runner(1), told);
+                run.told = if taken { run.made } else { 0 };
+            }
+            4..=6 => {
+                let Some(page) = log.page(epoch, PAGE_BYTES) else {
+                    continue;
+                };
+                match u.int_in_range(0..=3)? {
+                    // The answer is lost, with or without the write, or the write comes late.
+                    0 => {}
+                    1 => drop(ring.insert(page.number % PAGES, page)),
+                    2 => late = Some(page),
+                    _ => {
+                        ring.insert(page.number % PAGES, page);
+                        log.wrote_page();
+                    }
+                }
+            }
+            7 => {
+                if let Some(page) = late.take() {
+                    ring.insert(page.number % PAGES, page);
+                }
+            }
+            8 => {
+                let run = &mut runs[u.int_in_range(0..=1)?];
+                (run.number, run.made, run.told) = (next_run, 0, 0);
+                next_run += 1;
+            }
+            _ => {
+                epoch += 1;
+                log = CheckpointLog::restore(ring.values().cloned().collect(), |_| true);
+            }
+        }
+    }
+    let restored = CheckpointLog::restore(ring.into_values().collect(), |_| true);
+    for (_, made) in restored.all() {
+        let run = made.text.split(':').next().and_then(|run| run.parse().ok());
+        assert_eq!(made.text, text(run.expect("a run"), made.last_event));
+    }
+    Ok(())
+}
+
+#[test]
+fn whatever_pages_are_lost_a_checkpoint_is_the_beginning_of_one_run() {
+    for run in 0..RUNS {
+        let seed = run.wrapping_mul(0x9e37_79b9) << 32 | ENTROPY_BYTES;
+        arbtest(check_random).seed(seed).run();
+    }
+}
