Avoid endpoints that say in a response that they are leaving

Cause: a worker that leaves now says so in each of its responses, and nothing read that. A process that has lost touch with the store, or whose store is down, went on sending to it.

The library keeps the leaving incarnations by instance and start (routing::leaving_endpoints); platform/ decodes the header; calls, streams, scoring, items and orders for loads check it before they choose an endpoint and again when the connection is open. Items that wait at a leaving engine go to others, runs and streams go on. A later start brings an endpoint back. Other values or a repeated header: one log line for each instance, ignored.

Ruled out: going by the id alone, since a worker may restart under its id; marking by the time of the response, since clocks may step.

--- a/crates/oleander-rollout/src/agent/agent_process.rs
+++ b/crates/oleander-rollout/src/agent/agent_process.rs
@@ -72,10 +72,11 @@
             health,
             view.clone(),
         )?;
+        let caller = Caller::new(view.clone(), cfg.domain.clone(), metrics.clone());
         let agent = Rc::new(Self {
             leader_client: LeaderClient::new(view.clone()),
-            caller: Caller::new(view.clone(), cfg.domain.clone(), metrics.clone()),
-            engine: EngineClient::new(engine),
+            engine: EngineClient::new(engine, Rc::clone(caller.leaving())),
+            caller,
             view,
             metrics,
             state: RefCell::default(),
@@ -100,13 +101,14 @@
             .cloned()
     }
 
-    /// Returns the engine's endpoint if it accepts new work: `None` while it is draining or
+    /// Returns the engine's endpoint if it accepts new work: `None` while it is draining, leaving or
     /// replaced by another instance.
     pub fn ready_endpoint(&self) -> Option<EndpointEntry> {
         let entry = self.endpoint()?;
         let state = self.state.borrow();
         let replaced = state.replaced_instance.as_ref() == Some(&entry.instance);
-        (entry.state == EndpointState::Ready && !replaced).then_some(entry)
+        let leaving = self.caller.leaving().contains(&entry);
+        (entry.state == EndpointState::Ready && !replaced && !leaving).then_some(entry)
     }
 
     /// Wakes the tasks that wait for a change.
--- a/crates/oleander-rollout/src/agent/engine_client.rs
+++ b/crates/oleander-rollout/src/agent/engine_client.rs
@@ -1,5 +1,6 @@
 //! Calls to the agent's engine.
 
+use crate::call::leaving_registry::LeavingRegistry;
 use crate::http::destination::Destination;
 use crate::http::exchange::Exchange;
 use crate::http::pool::Pool;
@@ -7,12 +8,14 @@
 use crate::peer::messages::WorkItem;
 use crate::prelude::*;
 use http::header::{CONTENT_TYPE, HOST, HeaderValue};
+use http::response::Parts;
 use http::{HeaderName, Method, Request, StatusCode};
 use http_body_util::Full;
 use oleander_platform::engine_report::{EngineReport, decode_report};
 use oleander_platform::job::body_bytes;
 use oleander_platform::load_order::{LoadOrder, encode_load_order};
 use oleander_platform::{headers, paths};
+use oleanderlock::routing::endpoint_entry::EndpointEntry;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -28,14 +31,17 @@
 pub struct EngineClient {
     addr: SocketAddr,
     pool: Rc<Pool>,
+    leaving: Rc<LeavingRegistry>,
 }
 
 impl EngineClient {
-    /// Returns a client of the engine at `addr`.
-    pub fn new(addr: SocketAddr) -> Self {
+    /// Returns a client of the engine at `addr` that records in `leaving` when the engine says that
+    /// it is leaving.
+    pub fn new(addr: SocketAddr, leaving: Rc<LeavingRegistry>) -> Self {
         Self {
             addr,
             pool: Pool::new(CONNECT_TIMEOUT),
+            leaving,
         }
     }
 
@@ -44,24 +50,29 @@
         self.addr
     }
 
-    /// Reads the report of the engine.
+    /// Reads the report of the engine, which is listed as `listed`.
     ///
     /// # Errors
     ///
     /// Why there is no report; [`SendError::NoAnswer`] also when it can't be decoded.
-    pub async fn report(&self) -> Result<EngineReport, SendError> {
+    pub async fn report(&self, listed: Option<&EndpointEntry>) -> Result<EngineReport, SendError> {
         let req = Request::builder()
             .method(Method::GET)
             .uri(paths::REPORT)
             .header(HOST, self.addr.to_string())
             .body(Full::default())
             .map_err(SendError::not_sent)?;
-        let (_, body) = self.exchange("", req).await?;
-        decode_report(&body).map_err(SendError::no_answer)
+        let (head, body) = self.exchange("", req).await?;
+        let report = decode_report(&body).map_err(SendError::no_answer)?;
+        if let Some(listed) = listed {
+            let started = report.started_unix_ms.or(listed.started_unix_ms);
+            self.leaving.read(&head.headers, &listed.instance, started);
+        }
+        Ok(report)
     }
 
-    /// Orders a load of weights, if the engine is still `instance`; returns the status of the
-    /// response.
+    /// Orders a load of weights, if the engine is still the listed `endpoint`; returns the status
+    /// of the response.
     ///
     /// # Errors
     ///
@@ -69,7 +80,7 @@
     /// also some time later.
     pub async fn order_load(
         &self,
-        instance: &str,
+        endpoint: &EndpointEntry,
         order: &LoadOrder<'_>,
     ) -> Result<StatusCode, SendError> {
         let req = Request::builder()
@@ -77,71 +88,63 @@
             .uri(paths::ORDER)
             .header(HOST, self.addr.to_string())
             .header(CONTENT_TYPE, "application/json")
-            .header(headers::EXPECT_INSTANCE, instance)
+            .header(headers::EXPECT_INSTANCE, &endpoint.instance)
             .body(Full::new(Bytes::from(encode_load_order(order))))
             .map_err(SendError::not_sent)?;
-        let (status, _) = self.exchange(instance, req).await?;
-        Ok(status)
+        let (head, _) = self.exchange(&endpoint.instance, req).await?;
+        self.read_leaving(&head, endpoint);
+        Ok(head.status)
     }
 
     async fn exchange(
         &self,
         instance: &str,
         req: Request<Full<Bytes>>,
-    ) -> Result<(StatusCode, Bytes), SendError> {
+    ) -> Result<(Parts, Bytes), SendError> {
         let to = self.destination(instance);
         let exchange = async {
             let exchange = self.pool.send(&to, req).await?;
             exchange.collect(RESPONSE_MAX_BYTES).await
         };
         let result = within(CALL_TIMEOUT, exchange).await;
-        let (head, body) = result.unwrap_or_else(|| Err(SendError::no_answer("timeout")))?;
-        Ok((head.status, body))
+        result.unwrap_or_else(|| Err(SendError::no_answer("timeout")))
     }
 
-    /// Starts a run of an item that resumes after event `last_event`, if the engine is still
-    /// `instance`.
+    /// Starts a run of an item that resumes after event `last_event`, if the engine is still the
+    /// listed `endpoint`.
     ///
     /// # Errors
     ///
-    /// Why there is no response.
+    /// Why there is no response; [`SendError::NotSent`] also when the engine has said that it is
+    /// leaving.
     pub async fn run(
         &self,
         work: &WorkItem,
-        instance: &str,
+        endpoint: &EndpointEntry,
         last_event: u64,
     ) -> Result<Exchange, SendError> {
-        let mut req = Request::builder()
-            .method(Method::POST)
-            .uri(work.item.path.as_str())
-            .body(Full::new(Bytes::from(body_bytes(&work.item.body_base64))))
-            .map_err(SendError::not_sent)?;
-        let header_map = req.headers_mut();
-        for (name, value) in &work.item.headers {
-            let name = name.parse::<HeaderName>().map_err(SendError::not_sent)?;
-            let value = HeaderValue::from_str(value).map_err(SendError::not_sent)?;
-            header_map.insert(name, value);
-        }
-        let mut added = vec![
-            (HOST, work.host.clone()),
-            (
-                HeaderName::from_static(headers::REQUEST_ID),
-                work.key.item.clone(),
-            ),
-            (
-                HeaderName::from_static(headers::EXPECT_INSTANCE),
-                instance.to_owned(),
-            ),
-        ];
-        if last_event > 0 {
-            let name = HeaderName::from_static(headers::LAST_EVENT_ID);
-            added.push((name, last_event.to_string()));
+        let build = || {
+            if self.leaving.contains(endpoint) {
+                return Err(SendError::not_sent("the engine is leaving"));
+            }
+            run_message(work, &endpoint.instance, last_event)
+        };
+        let to = self.destination(&endpoint.instance);
+        let mut exchange = self.pool.send_built(&to, build).await?;
+        if self.read_leaving(&exchange.head, endpoint) {
+            exchange.close_after_body();
         }
-        for (name, value) in added {
-            let value = HeaderValue::from_str(&value).map_err(SendError::not_sent)?;
-            header_map.insert(name, value);
+        Ok(exchange)
+    }
+
+    /// Reads from a response whether the engine is leaving; if so, closes idle connections to it.
+    fn read_leaving(&self, head: &Parts, endpoint: &EndpointEntry) -> bool {
+        let (instance, started) = (&endpoint.instance, endpoint.started_unix_ms);
+        let is_leaving = self.leaving.read(&head.headers, instance, started);
+        if is_leaving {
+            self.pool.close_idle(&self.destination(instance));
         }
-        self.pool.send(&self.destination(instance), req).await
+        is_leaving
     }
 
     fn destination(&self, instance: &str) -> Destination {
@@ -151,3 +154,42 @@
         }
     }
 }
+
+/// Builds the request of a run.
+fn run_message(
+    work: &WorkItem,
+    instance: &str,
+    last_event: u64,
+) -> Result<Request<Full<Bytes>>, SendError> {
+    let mut req = Request::builder()
+        .method(Method::POST)
+        .uri(work.item.path.as_str())
+        .body(Full::new(Bytes::from(body_bytes(&work.item.body_base64))))
+        .map_err(SendError::not_sent)?;
+    let header_map = req.headers_mut();
+    for (name, value) in &work.item.headers {
+        let name = name.parse::<HeaderName>().map_err(SendError::not_sent)?;
+        let value = HeaderValue::from_str(value).map_err(SendError::not_sent)?;
+        header_map.insert(name, value);
+    }
+    let mut added = vec![
+        (HOST, work.host.clone()),
+        (
+            HeaderName::from_static(headers::REQUEST_ID),
+            work.key.item.clone(),
+        ),
+        (
+            HeaderName::from_static(headers::EXPECT_INSTANCE),
+            instance.to_owned(),
+        ),
+    ];
+    if last_event > 0 {
+        let name = HeaderName::from_static(headers::LAST_EVENT_ID);
+        added.push((name, last_event.to_string()));
+    }
+    for (name, value) in added {
+        let value = HeaderValue::from_str(&value).map_err(SendError::not_sent)?;
+        header_map.insert(name, value);
+    }
+    Ok(req)
+}
--- a/crates/oleander-rollout/src/agent/engine_poll.rs
+++ b/crates/oleander-rollout/src/agent/engine_poll.rs
@@ -31,7 +31,8 @@
 
 /// Reads a report; returns whether the engine is running.
 pub async fn poll_report(agent: &Agent) -> bool {
-    let report = agent.engine.report().await;
+    let listed = agent.endpoint();
+    let report = agent.engine.report(listed.as_ref()).await;
     let mut state = agent.state.borrow_mut();
     match report {
         Ok(report) => {
--- a/crates/oleander-rollout/src/agent/load.rs
+++ b/crates/oleander-rollout/src/agent/load.rs
@@ -102,7 +102,7 @@
         fence: agent.view.get().first_revision,
         orders_accepted,
     };
-    let result = agent.engine.order_load(&endpoint.instance, &order).await;
+    let result = agent.engine.order_load(&endpoint, &order).await;
     if matches!(result, Ok(StatusCode::MISDIRECTED_REQUEST)) {
         agent.state.borrow_mut().replaced_instance = Some(endpoint.instance.clone());
     }
--- a/crates/oleander-rollout/src/agent/run.rs
+++ b/crates/oleander-rollout/src/agent/run.rs
@@ -123,10 +123,13 @@
     let Some(endpoint) = agent.ready_endpoint() else {
         return RunEnd::OtherInstance;
     };
-    let opening = agent
-        .engine
-        .run(work, &endpoint.instance, progress.last_event);
-    let exchange = match within(EVENT_TIMEOUT, opening).await {
+    let opening = agent.engine.run(work, &endpoint, progress.last_event);
+    let opened = within(EVENT_TIMEOUT, opening).await;
+    if agent.caller.leaving().contains(&endpoint) {
+        // Other engines run the items that have not started here.
+        agent.return_matching(ReturnReason::EngineLost, |running| !running);
+    }
+    let exchange = match opened {
         None => return RunEnd::Broken,
         Some(Err(SendError::NotSent { .. })) => return RunEnd::Refused,
         Some(Err(SendError::NoAnswer { .. })) => return RunEnd::Broken,
--- a/crates/oleander-rollout/src/call/caller.rs
+++ b/crates/oleander-rollout/src/call/caller.rs
@@ -11,6 +11,7 @@
 use super::candidate_set::CandidateSet;
 use super::endpoint_loads::EndpointLoads;
 use super::endpoint_response::EndpointResponse;
+use super::leaving_registry::LeavingRegistry;
 use super::response_class::{ResponseClass, classify};
 use super::stream_outcome::StreamOutcome;
 use crate::http::destination::Destination;
@@ -50,6 +51,7 @@
     view: SharedView,
     pool: Rc<Pool>,
     loads: Rc<EndpointLoads>,
+    leaving: Rc<LeavingRegistry>,
     domain: String,
     metrics: Metrics,
 }
@@ -62,11 +64,17 @@
             view,
             pool: Pool::new(CONNECT_TIMEOUT),
             loads: Rc::default(),
+            leaving: Rc::default(),
             domain,
             metrics,
         })
     }
 
+    /// Returns the endpoints that have said that they are leaving.
+    pub fn leaving(&self) -> &Rc<LeavingRegistry> {
+        &self.leaving
+    }
+
     /// Sends a call to one endpoint after the other until one responds, no attempt is allowed any
     /// more or the deadline passes.
     pub async fn call(&self, req: &CallRequest) -> CallOutcome {
@@ -229,8 +237,9 @@
     ) -> Option<EndpointEntry> {
         let view = self.view.get();
         let choose = |tried: &[String]| {
-            let (endpoints, service) = (&view.endpoints, &req.service);
-            self.loads.choose(endpoints, service, &self.domain, tried)
+            let ready = view.endpoints.ready(&req.service);
+            let staying = ready.filter(|entry| !self.leaving.contains(entry));
+            self.loads.choose(staying, &self.domain, tried)
         };
         let mut chosen = choose(&progress.tried);
         if chosen.is_none() && candidates == CandidateSet::All && req.kind.is_idempotent() {
@@ -267,6 +276,7 @@
             .update(&endpoint.instance, |load| match &outcome {
                 AttemptOutcome::Answer(_) => load.record_answer(now.since(started_at)),
                 AttemptOutcome::NotRun("full") => load.record_full(now),
+                AttemptOutcome::NotRun("leaving" | "deadline") => {}
                 AttemptOutcome::NotRun(_) | AttemptOutcome::Lost(_) => load.record_failure(now),
                 AttemptOutcome::Failure(_) => {}
             });
@@ -290,16 +300,45 @@
             addr: endpoint.addr,
             instance: endpoint.instance.clone(),
         };
-        let Some(message) = attempt_message(req, &endpoint.instance) else {
-            return Err(AttemptOutcome::NotRun("unsendable"));
-        };
-        self.pool
-            .send(&to, message)
-            .await
-            .map_err(|error| match error {
-                SendError::NotSent { .. } => AttemptOutcome::NotRun("unreachable"),
-                SendError::NoAnswer { reason } => AttemptOutcome::Lost(reason),
-            })
+        let build = || self.attempt_message(req, endpoint);
+        let sent = self.pool.send_built(&to, build).await;
+        let mut exchange = sent.map_err(|error| match error {
+            SendError::NotSent { .. } if self.leaving.contains(endpoint) => {
+                AttemptOutcome::NotRun("leaving")
+            }
+            SendError::NotSent { .. } if req.deadline <= now() => {
+                AttemptOutcome::NotRun("deadline")
+            }
+            SendError::NotSent { .. } => AttemptOutcome::NotRun("unreachable"),
+            SendError::NoAnswer { reason } => AttemptOutcome::Lost(reason),
+        })?;
+        let (instance, started) = (&endpoint.instance, endpoint.started_unix_ms);
+        if self.leaving.read(&exchange.head.headers, instance, started) {
+            exchange.close_after_body();
+            self.pool.close_idle(&to);
+        }
+        Ok(exchange)
+    }
+
+    /// Builds the request of one attempt, as it is about to be sent.
+    ///
+    /// # Errors
+    ///
+    /// [`SendError::NotSent`] when the endpoint has said that it is leaving, the deadline has
+    /// passed since the attempt was decided, as in a process that was paused, or a header value is
+    /// invalid.
+    fn attempt_message(
+        &self,
+        req: &CallRequest,
+        endpoint: &EndpointEntry,
+    ) -> Result<Request<Full<Bytes>>, SendError> {
+        if self.leaving.contains(endpoint) {
+            return Err(SendError::not_sent("the endpoint is leaving"));
+        }
+        if req.deadline <= now() {
+            return Err(SendError::not_sent("the deadline has passed"));
+        }
+        attempt_message(req, &endpoint.instance)
     }
 }
 
@@ -346,8 +385,8 @@
     }
 }
 
-/// Builds the request of one attempt; `None` if a header value is invalid.
-fn attempt_message(req: &CallRequest, instance: &str) -> Option<Request<Full<Bytes>>> {
+/// Builds the request of one attempt.
+fn attempt_message(req: &CallRequest, instance: &str) -> Result<Request<Full<Bytes>>, SendError> {
     let left = req.deadline.since(now());
     let mut message = Request::new(Full::new(req.body.clone()));
     *message.method_mut() = req.method.clone();
@@ -360,8 +399,8 @@
         (headers::EXPECT_INSTANCE, instance.to_owned()),
     ];
     for (name, value) in added {
-        let value = HeaderValue::from_str(&value).ok()?;
+        let value = HeaderValue::from_str(&value).map_err(SendError::not_sent)?;
         header_map.insert(HeaderName::from_static(name), value);
     }
-    Some(message)
+    Ok(message)
 }
--- a/crates/oleander-rollout/src/call/endpoint_loads.rs
+++ b/crates/oleander-rollout/src/call/endpoint_loads.rs
@@ -7,7 +7,6 @@
 use oleanderlock::routing::endpoint_entry::EndpointEntry;
 use oleanderlock::routing::endpoint_load::EndpointLoad;
 use oleanderlock::routing::endpoint_pick::pick;
-use oleanderlock::routing::endpoint_table::EndpointTable;
 use std::cell::RefCell;
 use std::rc::Rc;
 
@@ -21,17 +20,15 @@
 }
 
 impl EndpointLoads {
-    /// Chooses an endpoint of a service whose instance is not in `tried`; `None` if there is none.
-    pub fn choose(
+    /// Chooses one of `endpoints` whose instance is not in `tried`; `None` if there is none.
+    pub fn choose<'a>(
         &self,
-        endpoints: &EndpointTable,
-        service: &str,
+        endpoints: impl Iterator<Item = &'a EndpointEntry>,
         domain: &str,
         tried: &[String],
     ) -> Option<EndpointEntry> {
         let loads = self.by_instance.borrow();
         let candidates: Vec<Candidate<'_>> = endpoints
-            .ready(service)
             .map(|entry| Candidate {
                 entry,
                 load: loads.get(&entry.instance).copied().unwrap_or_default(),
--- /dev/null
+++ b/crates/oleander-rollout/src/call/leaving_registry.rs
@@ -0,0 +1,71 @@
+//! The endpoints of which a response to this process said that they are leaving.
+
+use crate::prelude::*;
+use http::HeaderMap;
+use indexmap::IndexSet;
+use oleander_platform::headers;
+use oleander_platform::leaving::decode_leaving;
+use oleanderlock::routing::endpoint_entry::EndpointEntry;
+use oleanderlock::routing::leaving_endpoints::LeavingEndpoints;
+use std::cell::RefCell;
+
+/// Most instances whose malformed announcements are logged.
+const MALFORMED_MAX: usize = 256;
+
+/// The endpoints of which a response to this process said that they are leaving, whatever the
+/// platform's list says.
+#[derive(Debug, Default)]
+pub struct LeavingRegistry {
+    endpoints: RefCell<LeavingEndpoints>,
+    // Instances whose malformed announcement has been logged.
+    malformed: RefCell<IndexSet<String>>,
+}
+
+impl LeavingRegistry {
+    /// Reads the announcement in a response of `instance`, which started at `started_unix_ms` if
+    /// that is known; returns whether the endpoint is leaving.
+    pub fn read(
+        &self,
+        header_map: &HeaderMap,
+        instance: &str,
+        started_unix_ms: Option<u64>,
+    ) -> bool {
+        let values = header_map.get_all(headers::LEAVING);
+        match decode_leaving(values.iter().map(|value| value.as_bytes())) {
+            Ok(true) => {
+                self.record(instance, started_unix_ms);
+                true
+            }
+            Ok(false) => false,
+            Err(error) => {
+                self.log_malformed(instance, &error.to_string());
+                false
+            }
+        }
+    }
+
+    fn record(&self, instance: &str, started_unix_ms: Option<u64>) {
+        let now = u64::try_from(unix_ms()).unwrap_or(u64::MAX);
+        let mut endpoints = self.endpoints.borrow_mut();
+        if endpoints.record(instance, started_unix_ms, now) {
+            event(log::Level::Info, "endpoint-leaving", || {
+                format!("instance={instance} started={started_unix_ms:?}")
+            });
+        }
+    }
+
+    /// Logs a malformed announcement, once for each instance.
+    fn log_malformed(&self, instance: &str, reason: &str) {
+        let mut logged = self.malformed.borrow_mut();
+        if logged.len() < MALFORMED_MAX && logged.insert(instance.to_owned()) {
+            event(log::Level::Warn, "leaving-unreadable", || {
+                format!("instance={instance} reason=\"{reason}\"")
+            });
+        }
+    }
+
+    /// Whether a listed endpoint has said that it is leaving.
+    pub fn contains(&self, entry: &EndpointEntry) -> bool {
+        self.endpoints.borrow().contains(entry)
+    }
+}
--- a/crates/oleander-rollout/src/call/mod.rs
+++ b/crates/oleander-rollout/src/call/mod.rs
@@ -9,5 +9,6 @@
 pub mod endpoint_loads;
 pub mod endpoint_response;
 pub mod in_flight_guard;
+pub mod leaving_registry;
 pub mod response_class;
 pub mod stream_outcome;
--- a/crates/oleander-rollout/src/http/exchange.rs
+++ b/crates/oleander-rollout/src/http/exchange.rs
@@ -16,6 +16,7 @@
     pub head: Parts,
     body: Incoming,
     connection: Option<PooledConnection>,
+    reusable: bool,
 }
 
 impl Exchange {
@@ -24,9 +25,15 @@
             head,
             body,
             connection: Some(connection),
+            reusable: true,
         }
     }
 
+    /// Closes the connection at the end of the body instead of keeping it for later requests.
+    pub fn close_after_body(&mut self) {
+        self.reusable = false;
+    }
+
     /// Returns the next chunk of the body, or `None` at its end.
     ///
     /// # Errors
@@ -66,7 +73,7 @@
     }
 
     fn release(&mut self) {
-        if let Some(connection) = self.connection.take() {
+        if let Some(connection) = self.connection.take().filter(|_| self.reusable) {
             connection.release(&self.head.headers);
         }
     }
--- a/crates/oleander-rollout/src/http/pool.rs
+++ b/crates/oleander-rollout/src/http/pool.rs
@@ -56,14 +56,28 @@
     pub async fn send(
         self: &Rc<Self>,
         to: &Destination,
-        mut req: Request<Full<Bytes>>,
+        req: Request<Full<Bytes>>,
+    ) -> Result<Exchange, SendError> {
+        self.send_built(to, || Ok(req.clone())).await
+    }
+
+    /// Does the same as [`Self::send`] with a request that `build` returns once a connection is
+    /// open, since the time until then may have changed what may be sent.
+    ///
+    /// # Errors
+    ///
+    /// The same, and the error of `build`; nothing is sent then, and the connection is closed.
+    pub async fn send_built(
+        self: &Rc<Self>,
+        to: &Destination,
+        build: impl Fn() -> Result<Request<Full<Bytes>>, SendError>,
     ) -> Result<Exchange, SendError> {
         loop {
             let (mut connection, reused) = match self.take_idle(to) {
                 Some(connection) => (connection, true),
                 None => (self.open(to).await?, false),
             };
-            match connection.sender.try_send_request(req).await {
+            match connection.sender.try_send_request(build()?).await {
                 Ok(response) => {
                     let (head, body) = response.into_parts();
                     let pool = Rc::clone(self);
@@ -75,7 +89,7 @@
                 }
                 Err(mut error) => match error.take_message() {
                     // The remote side closed the idle connection; nothing was sent on it.
-                    Some(unsent) if reused => req = unsent,
+                    Some(_) if reused => {}
                     Some(_) => return Err(SendError::not_sent(error.into_error())),
                     None => return Err(SendError::no_answer(error.into_error())),
                 },
@@ -115,6 +129,11 @@
         })
     }
 
+    /// Closes the idle connections to a destination.
+    pub fn close_idle(&self, to: &Destination) {
+        self.idle.borrow_mut().remove(to);
+    }
+
     /// Keeps a connection for later requests, unless the remote side has closed it.
     pub(super) fn put_back(&self, mut connection: IdleConnection, headers: &HeaderMap) {
         if connection.sender.is_closed() {
--- a/crates/oleanderlock/src/routing/mod.rs
+++ b/crates/oleanderlock/src/routing/mod.rs
@@ -12,6 +12,7 @@
 pub mod endpoint_pick;
 pub mod endpoint_state;
 pub mod endpoint_table;
+pub mod leaving_endpoints;
 pub mod retry_rule;
 pub mod route;
 pub mod route_kind;
