Late answers, stalled streams, planned stops: close what similar systems fell over

Causes, each shown by a test that failed first (tests/failures.rs, tests/http_server.rs): - The late copy of a refusal on a reused connection was taken for the refusal of the next call, before its id was compared: a call that had run was answered with 503 (not run), or sent again. Ids come first now, and a connection with a foreign response is closed, so that the call after it gets its own answer (before: 502). - The late copy of an answer to an order, which has no id, was taken for a run with no events: items were listed as done with an empty text. A run's success needs the id and the signature; so does that of a call. - A stream with bytes but no events was never broken off, at entries and at agents, whose timeout was one of bytes. Only complete events count now (routing::stall_clock). Agents double the timeout for the next run, so that an engine with an event each 4.5 s still finishes its items (before: each run was cut before its event). An item that was returned prefers another agent. - A connection that was open but had sent no request yet when an entry shut down was closed at once. Already sound: malformed messages to each port; slow streams at entries; requests that the kernel had accepted at a stop.

--- a/crates/oleander-rollout/src/agent/engine_client.rs
+++ b/crates/oleander-rollout/src/agent/engine_client.rs
@@ -115,8 +115,7 @@
     ///
     /// # Errors
     ///
-    /// Why there is no response; [`SendError::NotSent`] also when the engine has said that it is
-    /// leaving.
+    /// Why there is no response; [`SendError::Withheld`] when the engine has said that it is leaving.
     pub async fn run(
         &self,
         work: &WorkItem,
@@ -125,7 +124,7 @@
     ) -> Result<Exchange, SendError> {
         let build = || {
             if self.leaving.contains(endpoint) {
-                return Err(SendError::not_sent("the engine is leaving"));
+                return Err(SendError::Withheld { reason: "leaving" });
             }
             run_message(work, &endpoint.instance, last_event)
         };
--- a/crates/oleander-rollout/src/agent/run.rs
+++ b/crates/oleander-rollout/src/agent/run.rs
@@ -16,11 +16,14 @@
 use oleanderlock::batch::progress::Progress;
 use oleanderlock::batch::sample::Sample;
 use oleanderlock::batch::sample_end::SampleEnd;
+use oleanderlock::routing::stall_clock::StallClock;
 use std::rc::Rc;
 
 /// Timeout of the response to a run and of each of its events; a weight load pauses runs for about
-/// a second.
+/// a second. Doubled for the run after one that stalled.
 const EVENT_TIMEOUT: Millis = Millis(4000);
+/// Stalled runs in a row without an event after which an item is returned for another engine.
+const STALLS_MAX: u32 = 1;
 /// Pause after the engine refused a run or a run broke off.
 const RETRY_PAUSE: Millis = Millis(60);
 /// Refusals after which an item is returned for another engine.
@@ -51,7 +54,7 @@
         RunEnd::WrongWeights => {
             return_item(&agent, &work, ReturnReason::TooOld, Progress::default());
         }
-        RunEnd::Refused | RunEnd::Broken | RunEnd::OtherInstance => {
+        RunEnd::Refused | RunEnd::Broken | RunEnd::Stalled | RunEnd::OtherInstance => {
             return_item(&agent, &work, ReturnReason::EngineLost, progress);
         }
     }
@@ -93,13 +96,19 @@
 /// Starts runs, each after the last event of the one before, until the text is complete or the item
 /// can't go on at this engine.
 async fn generate_text(agent: &Agent, work: &WorkItem, progress: &mut Progress) -> RunEnd {
-    let (mut refusals, mut breaks) = (0, 0);
+    let (mut refusals, mut breaks, mut stalls) = (0, 0, 0);
     loop {
-        let end = run_once(agent, work, progress).await;
+        let last_event = progress.last_event;
+        let timeout = Millis(EVENT_TIMEOUT.0 << stalls);
+        let end = run_once(agent, work, timeout, progress).await;
         save_progress(agent, work, progress);
+        if progress.last_event > last_event {
+            stalls = 0;
+        }
         match end {
             RunEnd::Refused if refusals < REFUSALS_MAX => refusals += 1,
             RunEnd::Broken if breaks < BREAKS_MAX => breaks += 1,
+            RunEnd::Stalled if stalls < STALLS_MAX => stalls += 1,
             end => return end,
         }
         sleep(RETRY_PAUSE).await;
@@ -119,24 +128,36 @@
     }
 }
 
-async fn run_once(agent: &Agent, work: &WorkItem, progress: &mut Progress) -> RunEnd {
+/// Runs an item once; `timeout` is that of the response and of each event.
+async fn run_once(
+    agent: &Agent,
+    work: &WorkItem,
+    timeout: Millis,
+    progress: &mut Progress,
+) -> RunEnd {
     let Some(endpoint) = agent.ready_endpoint() else {
         return RunEnd::OtherInstance;
     };
     let opening = agent.engine.run(work, &endpoint, progress.last_event);
-    let opened = within(EVENT_TIMEOUT, opening).await;
+    let opened = within(timeout, opening).await;
     if agent.caller.leaving().contains(&endpoint) {
         // Other engines run the items that have not started here.
         agent.return_matching(ReturnReason::EngineLost, |running| !running);
     }
     let exchange = match opened {
-        None => return RunEnd::Broken,
-        Some(Err(SendError::NotSent { .. })) => return RunEnd::Refused,
+        None => return RunEnd::Stalled,
+        Some(Err(SendError::NotSent { .. } | SendError::Withheld { .. })) => {
+            return RunEnd::Refused;
+        }
         Some(Err(SendError::NoAnswer { .. })) => return RunEnd::Broken,
         Some(Ok(exchange)) => exchange,
     };
     let header = |name: &str| exchange.head.headers.get(name)?.to_str().ok();
-    if header(headers::REQUEST_ID).is_some_and(|id| id != work.key.item) {
+    let echoed = header(headers::REQUEST_ID);
+    let is_signed = header(headers::SIGNATURE).is_some();
+    // The late copy of another response, such as that to an order, which has neither header.
+    let is_foreign = echoed.map_or(exchange.head.status.is_success(), |id| id != work.key.item);
+    if is_foreign || (exchange.head.status.is_success() && !is_signed) {
         return RunEnd::Broken;
     }
     let not_run = header(headers::NOT_RUN).is_some();
@@ -156,14 +177,15 @@
         StatusCode::INTERNAL_SERVER_ERROR => return RunEnd::Failed,
         _ => return RunEnd::Broken,
     }
-    read_events(agent, work, exchange, version, progress).await
+    let clock = StallClock::new(now(), timeout);
+    read_events(agent, work, exchange, (clock, version), progress).await
 }
 
 async fn read_events(
     agent: &Agent,
     work: &WorkItem,
     mut exchange: Exchange,
-    mut version: Option<u64>,
+    (mut clock, mut version): (StallClock, Option<u64>),
     progress: &mut Progress,
 ) -> RunEnd {
     let mut buf = EventBuffer::default();
@@ -183,11 +205,15 @@
             }
             save_progress(agent, work, progress);
         }
-        match within(EVENT_TIMEOUT, exchange.next_chunk()).await {
-            Some(Ok(Some(chunk))) => buf.push(&chunk),
+        match within(clock.left(now()), exchange.next_chunk()).await {
+            Some(Ok(Some(chunk))) => {
+                clock.push(now(), &chunk);
+                buf.push(&chunk);
+            }
             Some(Ok(None)) if buf.has_remaining() => return RunEnd::Broken,
             Some(Ok(None)) => return RunEnd::Whole,
-            Some(Err(_)) | None => return RunEnd::Broken,
+            Some(Err(_)) => return RunEnd::Broken,
+            None => return RunEnd::Stalled,
         }
     }
 }
--- a/crates/oleander-rollout/src/agent/run_end.rs
+++ b/crates/oleander-rollout/src/agent/run_end.rs
@@ -9,6 +9,8 @@
     Refused,
     /// The stream broke off or was not valid.
     Broken,
+    /// The engine did not respond, or sent no event, for too long.
+    Stalled,
     /// The engine responded with an error.
     Failed,
     /// The engine states that the item can never be run.
--- a/crates/oleander-rollout/src/call/caller.rs
+++ b/crates/oleander-rollout/src/call/caller.rs
@@ -303,12 +303,7 @@
         let build = || self.attempt_message(req, endpoint);
         let sent = self.pool.send_built(&to, build).await;
         let mut exchange = sent.map_err(|error| match error {
-            SendError::NotSent { .. } if self.leaving.contains(endpoint) => {
-                AttemptOutcome::NotRun("leaving")
-            }
-            SendError::NotSent { .. } if req.deadline <= now() => {
-                AttemptOutcome::NotRun("deadline")
-            }
+            SendError::Withheld { reason } => AttemptOutcome::NotRun(reason),
             SendError::NotSent { .. } => AttemptOutcome::NotRun("unreachable"),
             SendError::NoAnswer { reason } => AttemptOutcome::Lost(reason),
         })?;
@@ -324,7 +319,7 @@
     ///
     /// # Errors
     ///
-    /// [`SendError::NotSent`] when the endpoint has said that it is leaving, the deadline has
+    /// [`SendError::Withheld`] when the endpoint has said that it is leaving, the deadline has
     /// passed since the attempt was decided, as in a process that was paused, or a header value is
     /// invalid.
     fn attempt_message(
@@ -333,12 +328,15 @@
         endpoint: &EndpointEntry,
     ) -> Result<Request<Full<Bytes>>, SendError> {
         if self.leaving.contains(endpoint) {
-            return Err(SendError::not_sent("the endpoint is leaving"));
+            return Err(SendError::Withheld { reason: "leaving" });
         }
         if req.deadline <= now() {
-            return Err(SendError::not_sent("the deadline has passed"));
+            return Err(SendError::Withheld { reason: "deadline" });
         }
-        attempt_message(req, &endpoint.instance)
+        let message = attempt_message(req, &endpoint.instance);
+        message.ok_or(SendError::Withheld {
+            reason: "unsendable",
+        })
     }
 }
 
@@ -364,6 +362,10 @@
 /// Reads the body of a response and classifies it.
 async fn read_response(req: &CallRequest, exchange: Exchange) -> AttemptOutcome {
     let class = classify(&exchange.head, &req.id);
+    if class == ResponseClass::Foreign {
+        // The connection is closed: the response to this call may still follow on it.
+        return AttemptOutcome::Lost("a response to another request".to_owned());
+    }
     let response = exchange.collect(RESPONSE_MAX_BYTES).await;
     let response = response.map(|(head, body)| EndpointResponse {
         head,
@@ -373,10 +375,7 @@
     match (class, response) {
         (ResponseClass::NotRun, _) => AttemptOutcome::NotRun("full"),
         (ResponseClass::OtherInstance, _) => AttemptOutcome::NotRun("other-instance"),
-        (ResponseClass::Foreign, _) => {
-            AttemptOutcome::Lost("a response to another request".to_owned())
-        }
-        (ResponseClass::Unclear, _) => {
+        (ResponseClass::Foreign | ResponseClass::Unclear, _) => {
             AttemptOutcome::Lost("a refusal without the header that states not run".to_owned())
         }
         (_, Err(error)) => AttemptOutcome::Lost(error.to_string()),
@@ -385,8 +384,8 @@
     }
 }
 
-/// Builds the request of one attempt.
-fn attempt_message(req: &CallRequest, instance: &str) -> Result<Request<Full<Bytes>>, SendError> {
+/// Builds the request of one attempt; `None` if a header value is invalid.
+fn attempt_message(req: &CallRequest, instance: &str) -> Option<Request<Full<Bytes>>> {
     let left = req.deadline.since(now());
     let mut message = Request::new(Full::new(req.body.clone()));
     *message.method_mut() = req.method.clone();
@@ -399,8 +398,8 @@
         (headers::EXPECT_INSTANCE, instance.to_owned()),
     ];
     for (name, value) in added {
-        let value = HeaderValue::from_str(&value).map_err(SendError::not_sent)?;
+        let value = HeaderValue::from_str(&value).ok()?;
         header_map.insert(HeaderName::from_static(name), value);
     }
-    Ok(message)
+    Some(message)
 }
--- a/crates/oleander-rollout/src/call/response_class.rs
+++ b/crates/oleander-rollout/src/call/response_class.rs
@@ -15,7 +15,7 @@
     NotRun,
     /// Another instance uses the address now, and has not run the call.
     OtherInstance,
-    /// The response belongs to another call, or is successful without the header that every
+    /// The response belongs to another call, or is successful without the headers that every
     /// successful response of an endpoint has.
     Foreign,
     /// The status promises that the call has not run, but the header that states it is missing.
@@ -32,22 +32,24 @@
 /// Classifies the head of a response to the call `id`.
 pub fn classify(head: &Parts, id: &str) -> ResponseClass {
     let header = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
+    let echoed = header(headers::REQUEST_ID);
+    // First, because the late copy of a refusal says nothing about this call.
+    if echoed.is_some_and(|echoed| echoed != id) {
+        return ResponseClass::Foreign;
+    }
     if head.status == StatusCode::MISDIRECTED_REQUEST {
         return ResponseClass::OtherInstance;
     }
     if header(headers::NOT_RUN).is_some() {
         return ResponseClass::NotRun;
     }
-    if header(headers::REQUEST_ID).is_some_and(|echoed| echoed != id) {
-        return ResponseClass::Foreign;
-    }
     if NOT_RUN_STATUSES.contains(&head.status) {
         return ResponseClass::Unclear;
     }
     if head.status.is_server_error() {
         return ResponseClass::Failure;
     }
-    if head.status.is_success() && header(headers::SIGNATURE).is_none() {
+    if head.status.is_success() && (echoed.is_none() || header(headers::SIGNATURE).is_none()) {
         return ResponseClass::Foreign;
     }
     ResponseClass::Answer
--- a/crates/oleander-rollout/src/entry/streams.rs
+++ b/crates/oleander-rollout/src/entry/streams.rs
@@ -8,6 +8,7 @@
 use crate::http::exchange::Exchange;
 use crate::http::hop_headers;
 use crate::http::response;
+use crate::http::send_error::SendError;
 use crate::prelude::*;
 use futures_util::StreamExt as _;
 use futures_util::stream::unfold;
@@ -16,6 +17,12 @@
 use hyper::body::Frame;
 use oleanderlock::routing::retry_rule::retry_after;
 use oleanderlock::routing::route::Route;
+use oleanderlock::routing::stall_clock::StallClock;
+
+/// A stream without an event for this many latency objectives is stalled; clients leave after four.
+const STALL_OBJECTIVES: u64 = 5;
+/// Shortest time without an event after which a stream is stalled.
+const STALL_MIN: Millis = Millis(10_000);
 
 /// Opens a stream at the service of a route and relays it.
 pub async fn handle(
@@ -33,7 +40,10 @@
     entry.metrics.record_latency("first-event", took);
     let left = req.deadline.since(now());
     let (result, response) = match outcome {
-        StreamOutcome::Opened(exchange) => ("opened", relay(*exchange)),
+        StreamOutcome::Opened(exchange) => {
+            let limit = Millis(route.objective.0.saturating_mul(STALL_OBJECTIVES)).max(STALL_MIN);
+            ("opened", relay(*exchange, &req.id, limit))
+        }
         StreamOutcome::NotRun(after) => {
             let refusal = response::refusal(after.max(retry_after(left)));
             ("not-run", full(refusal))
@@ -52,20 +62,41 @@
     response
 }
 
-/// Relays the chunks of a response as they arrive; if the endpoint breaks off, so does the response
-/// to the client.
-fn relay(exchange: Exchange) -> EntryResponse {
+/// Relays the chunks of a response as they arrive; if the endpoint breaks off or sends no event for
+/// `stall_limit`, the response to the client breaks off.
+fn relay(exchange: Exchange, id: &str, stall_limit: Millis) -> EntryResponse {
     let mut head = Response::new(());
     *head.status_mut() = exchange.head.status;
     *head.headers_mut() = exchange.head.headers.clone();
     hop_headers::remove(head.headers_mut());
-    let chunks = unfold(Some(exchange), |exchange| async move {
-        let mut exchange = exchange?;
-        match exchange.next_chunk().await {
-            Ok(Some(chunk)) => Some((Ok(Frame::data(chunk)), Some(exchange))),
+    let clock = StallClock::new(now(), stall_limit);
+    let id = id.to_owned();
+    let chunks = unfold(Some((exchange, clock, id)), |state| async move {
+        let (mut exchange, mut clock, id) = state?;
+        match next_chunk(&mut exchange, &mut clock, &id).await {
+            Ok(Some(chunk)) => Some((Ok(Frame::data(chunk)), Some((exchange, clock, id)))),
             Ok(None) => None,
             Err(error) => Some((Err(BodyError::from(error)), None)),
         }
     });
     streamed(head, chunks.boxed_local())
 }
+
+/// Returns the next chunk of a stream, or an error when the stream has broken off or is stalled.
+async fn next_chunk(
+    exchange: &mut Exchange,
+    clock: &mut StallClock,
+    id: &str,
+) -> Result<Option<Bytes>, SendError> {
+    let Some(chunk) = within(clock.left(now()), exchange.next_chunk()).await else {
+        event(log::Level::Warn, "stream-stalled", || {
+            format!("request={id}")
+        });
+        return Err(SendError::no_answer("stalled"));
+    };
+    let chunk = chunk?;
+    if let Some(chunk) = &chunk {
+        clock.push(now(), chunk);
+    }
+    Ok(chunk)
+}
--- a/crates/oleander-rollout/src/http/pool.rs
+++ b/crates/oleander-rollout/src/http/pool.rs
@@ -129,6 +129,11 @@
         })
     }
 
+    /// Returns the number of idle connections to a destination.
+    pub fn idle_connections(&self, to: &Destination) -> usize {
+        self.idle.borrow().get(to).map_or(0, Vec::len)
+    }
+
     /// Closes the idle connections to a destination.
     pub fn close_idle(&self, to: &Destination) {
         self.idle.borrow_mut().remove(to);
--- a/crates/oleander-rollout/src/http/send_error.rs
+++ b/crates/oleander-rollout/src/http/send_error.rs
@@ -11,6 +11,12 @@
         /// Cause, as text for logs.
         reason: String,
     },
+    /// The request was not sent, because it may not be sent any more.
+    #[display("withheld: {reason}")]
+    Withheld {
+        /// Label of the cause in logs and metrics.
+        reason: &'static str,
+    },
     /// The request may have arrived, but no complete response was read: none arrived, or its body
     /// broke off, was too long or could not be read.
     #[display("no whole answer: {reason}")]
@@ -28,6 +34,14 @@
         }
     }
 
+    /// Returns the cause.
+    pub fn reason(&self) -> &str {
+        match self {
+            Self::NotSent { reason } | Self::NoAnswer { reason } => reason,
+            Self::Withheld { reason } => reason,
+        }
+    }
+
     /// Returns the error of a request that may have been sent and has no complete response.
     pub fn no_answer(reason: impl ToString) -> Self {
         Self::NoAnswer {
--- a/crates/oleander-rollout/src/http/server.rs
+++ b/crates/oleander-rollout/src/http/server.rs
@@ -12,9 +12,11 @@
 use hyper::service::service_fn;
 use smol::net::{TcpListener, TcpStream};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
+use std::cell::Cell;
 use std::error::Error;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
 use std::pin::pin;
 use std::rc::Rc;
 
@@ -23,6 +25,9 @@
 /// Pause after accepting a connection failed, for example because file descriptors ran out.
 const ACCEPT_PAUSE: Millis = Millis(50);
 
+/// Time that a new connection has for its first request when the server shuts down.
+const FIRST_REQUEST_WAIT: Millis = Millis(1000);
+
 /// Listens on an address.
 ///
 /// # Errors
@@ -89,25 +94,44 @@
     E: Into<Box<dyn Error + Send + Sync>> + 'static,
 {
     shutdown.open.set(shutdown.open.get() + 1);
-    let service = service_fn(move |req| handler(req));
+    let opened_at = now();
+    let has_request = Rc::new(Cell::new(false));
+    let received = Rc::clone(&has_request);
+    let service = service_fn(move |req| {
+        received.set(true);
+        handler(req)
+    });
     let connection = Builder::new()
         .timer(SmolTimer::new())
         .max_buf_size(limits.head_bytes.max(HEAD_BUFFER_MIN_BYTES))
         .header_read_timeout(std::time::Duration::from(limits.idle))
         .serve_connection(FuturesIo::new(stream), service);
-    let mut connection = pin!(connection);
-    let requested = shutdown.requested().fuse();
-    let ended = match select(connection.as_mut(), pin!(requested)).await {
-        Either::Left((ended, _)) => ended,
-        Either::Right(_) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+    let stop = async {
+        shutdown.requested().await;
+        // The client may have connected just now and be about to send its request.
+        let wait = FIRST_REQUEST_WAIT.since(now().since(opened_at));
+        if !has_request.get() {
+            sleep(wait).await;
+        }
+    };
+    let served = async {
+        let mut connection = pin!(connection);
+        match select(connection.as_mut(), pin!(stop.fuse())).await {
+            Either::Left((ended, _)) => ended,
+            Either::Right(_) => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
         }
     };
+    let ended = AssertUnwindSafe(served).catch_unwind().await;
     shutdown.open.set(shutdown.open.get() - 1);
-    if let Err(error) = ended {
-        event(log::Level::Debug, "connection-ended", || {
+    match ended {
+        Ok(Ok(())) => {}
+        Ok(Err(error)) => event(log::Level::Debug, "connection-ended", || {
             format!("reason=\"{error}\"")
-        });
+        }),
+        // The message and place of the panic are on standard error.
+        Err(_) => event(log::Level::Error, "handler-panicked", String::new),
     }
 }
--- a/crates/oleander-rollout/src/peer/leader_client.rs
+++ b/crates/oleander-rollout/src/peer/leader_client.rs
@@ -4,7 +4,6 @@
 use super::messages::DispatcherHealth;
 use crate::http::destination::Destination;
 use crate::http::pool::Pool;
-use crate::http::send_error::SendError;
 use crate::prelude::*;
 use crate::store::shared_view::SharedView;
 use http::header::{CONTENT_TYPE, HOST};
@@ -98,9 +97,7 @@
         };
         match within(limit, exchange).await {
             None => Err(no_answer("timeout".to_owned())),
-            Some(Err(SendError::NotSent { reason } | SendError::NoAnswer { reason })) => {
-                Err(no_answer(reason))
-            }
+            Some(Err(error)) => Err(no_answer(error.reason().to_owned())),
             Some(Ok((head, body))) => Ok((head.status, body)),
         }
     }
--- a/crates/oleander-rollout/src/store/store_client.rs
+++ b/crates/oleander-rollout/src/store/store_client.rs
@@ -233,8 +233,8 @@
         };
         let response = match within(limit, exchange).await {
             None => return Err(StoreError::no_answer("timeout")),
-            Some(Err(SendError::NotSent { reason })) => return Err(StoreError::not_done(reason)),
             Some(Err(SendError::NoAnswer { reason })) => return Err(StoreError::no_answer(reason)),
+            Some(Err(error)) => return Err(StoreError::not_done(error.reason())),
             Some(Ok((head, body))) => (head.status, body),
         };
         match response.0 {
--- a/crates/oleander-rollout/tests/formats.rs
+++ b/crates/oleander-rollout/tests/formats.rs
@@ -85,6 +85,7 @@
 use serde_json::json as value;
 use serde_json::value::{RawValue, to_raw_value};
 use std::path::Path;
+use std::rc::Rc;
 use std::sync::Arc;
 
 /// Crates whose texts are held.
@@ -547,14 +548,21 @@
     runtime::run(async {
         let mut lines = Vec::new();
         let mut sent = |name: &str| lines.push(text(name, log.take()));
-        let engine = EngineClient::new(log.addr);
-        engine.report().await.expect("a report");
+        let engine = EngineClient::new(log.addr, Rc::default());
+        engine.report(None).await.expect("a report");
         sent("report of an engine");
-        engine.order_load("e-1", &order).await.expect("an answer");
+        let listed = EndpointEntry {
+            instance: "e-1".to_owned(),
+            ..endpoint(EndpointState::Ready)
+        };
+        let answer = engine.order_load(&listed, &order).await;
+        answer.expect("an answer");
         sent("order to an engine");
-        engine.run(&work_item(), "e-1", 0).await.expect("an answer");
+        let answer = engine.run(&work_item(), &listed, 0).await;
+        answer.expect("an answer");
         sent("run");
-        engine.run(&work_item(), "e-1", 3).await.expect("an answer");
+        let answer = engine.run(&work_item(), &listed, 3).await;
+        answer.expect("an answer");
         sent("run that goes on");
         let view = SharedView::default();
         let entry = EndpointEntry {
@@ -602,6 +610,7 @@
     let send_faults = [
         SendError::NotSent { reason: reason() },
         SendError::NoAnswer { reason: reason() },
+        SendError::Withheld { reason: "why" },
     ];
     let answers: [Result<StatusCode, SendError>; 2] = [
         Ok(StatusCode::ACCEPTED),
--- /dev/null
+++ b/crates/oleander-rollout/tests/http_server.rs
@@ -0,0 +1,98 @@
+//! The HTTP server and the connection pool by themselves.
+
+use http::{Request, Response};
+use http_body_util::Full;
+use oleander_rollout::http::destination::Destination;
+use oleander_rollout::http::pool::Pool;
+use oleander_rollout::http::send_error::SendError;
+use oleander_rollout::http::server::{bind, serve};
+use oleander_rollout::http::server_limits::ServerLimits;
+use oleander_rollout::prelude::*;
+use oleander_rollout::runtime;
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+const LIMITS: ServerLimits = ServerLimits {
+    head_bytes: 16 << 10,
+    idle: Millis(5000),
+};
+const CONNECT_TIMEOUT: Millis = Millis(1000);
+
+/// Starts a server that panics at the path `/panic`; returns its address and a count of requests.
+fn start() -> (SocketAddr, Rc<Cell<usize>>) {
+    let listener = bind("127.0.0.1:0".parse().expect("an address")).expect("a free port");
+    let addr = listener.local_addr().expect("a bound address");
+    let requests = Rc::new(Cell::new(0));
+    let counted = Rc::clone(&requests);
+    let handler = Rc::new(move |req: Request<hyper::body::Incoming>| {
+        counted.set(counted.get() + 1);
+        let panics = req.uri().path() == "/panic";
+        async move {
+            assert!(!panics, "a handler that panics");
+            Ok::<_, Infallible>(Response::new(Full::new(Bytes::from_static(b"sound"))))
+        }
+    });
+    spawn(serve(listener, || LIMITS, Rc::default(), handler));
+    (addr, requests)
+}
+
+fn request(path: &str) -> Request<Full<Bytes>> {
+    let req = Request::builder().uri(path).header("host", "x");
+    req.body(Full::default()).expect("a request")
+}
+
+#[test]
+fn a_handler_that_panics_ends_only_its_own_connection() {
+    runtime::run(async {
+        let (addr, _) = start();
+        let pool = Pool::new(CONNECT_TIMEOUT);
+        let to = Destination::any(addr);
+        for _ in 0..3 {
+            let broken = pool.send(&to, request("/panic")).await;
+            assert!(
+                matches!(broken, Err(SendError::NoAnswer { .. })),
+                "{broken:?}"
+            );
+            let exchange = pool.send(&to, request("/")).await.expect("an answer");
+            let (_, body) = exchange.collect(100).await.expect("a body");
+            assert_eq!(body.as_ref(), b"sound");
+        }
+    });
+}
+
+#[test]
+fn what_may_be_sent_is_decided_when_the_connection_is_open() {
+    runtime::run(async {
+        let (addr, requests) = start();
+        let pool = Pool::new(CONNECT_TIMEOUT);
+        let to = Destination::any(addr);
+        let withheld = || Err(SendError::Withheld { reason: "leaving" });
+        for _ in 0..2 {
+            let sent = pool.send_built(&to, withheld).await;
+            assert!(matches!(sent, Err(SendError::Withheld { .. })), "{sent:?}");
+            let exchange = pool.send(&to, request("/")).await.expect("an answer");
+            exchange.collect(100).await.expect("a body");
+        }
+        assert_eq!(requests.get(), 2);
+    });
+}
+
+#[test]
+fn a_connection_that_is_to_be_closed_is_not_used_again() {
+    runtime::run(async {
+        let (addr, _) = start();
+        let pool = Pool::new(CONNECT_TIMEOUT);
+        let to = Destination::any(addr);
+        let exchange = pool.send(&to, request("/")).await.expect("an answer");
+        exchange.collect(100).await.expect("a body");
+        assert_eq!(pool.idle_connections(&to), 1);
+        pool.close_idle(&to);
+        assert_eq!(pool.idle_connections(&to), 0);
+        let mut exchange = pool.send(&to, request("/")).await.expect("an answer");
+        exchange.close_after_body();
+        exchange.collect(100).await.expect("a body");
+        assert_eq!(pool.idle_connections(&to), 0);
+    });
+}
--- a/crates/oleanderlock/src/batch/item_state.rs
+++ b/crates/oleanderlock/src/batch/item_state.rs
@@ -16,6 +16,8 @@
     pub failures: u32,
     /// Progress of an interrupted run, from which the next one resumes.
     pub progress: Option<Progress>,
+    /// Agent that returned it last without a result; others are preferred.
+    pub returned_by: Option<String>,
     /// Time until which it is not assigned, because an agent that has not reported yet may still
     /// run it.
     pub hold_until: Millis,
@@ -29,6 +31,7 @@
             phase: ItemPhase::Waiting,
             failures: 0,
             progress: None,
+            returned_by: None,
             hold_until: Millis::ZERO,
         }
     }
--- a/crates/oleanderlock/src/batch/scheduler.rs
+++ b/crates/oleanderlock/src/batch/scheduler.rs
@@ -149,6 +149,7 @@
         };
         if item.is_running_on(agent) {
             item.phase = ItemPhase::Waiting;
+            item.returned_by = Some(agent.to_owned());
             if progress.is_some() {
                 item.progress = progress;
             }
--- a/crates/oleanderlock/src/batch/scheduler_assign.rs
+++ b/crates/oleanderlock/src/batch/scheduler_assign.rs
@@ -30,7 +30,7 @@
         let mut assigned = Vec::new();
         for index in order {
             for item_index in self.jobs[index].waiting_longest_first(now) {
-                let Some(name) = self.choose_agent(now, &self.jobs[index]) else {
+                let Some(name) = self.choose_agent(now, &self.jobs[index], item_index) else {
                     break;
                 };
                 assigned.push(self.assign_item(now, index, item_index, name));
@@ -68,8 +68,11 @@
         }
     }
 
-    /// Returns the agent that is expected to finish one more item of a job first.
-    fn choose_agent(&self, now: Millis, job: &JobState) -> Option<String> {
+    /// Returns the agent that is expected to finish an item of a job first. The agent that has
+    /// returned the item is only chosen if no other one has capacity: its engine may hang on the
+    /// item again.
+    fn choose_agent(&self, now: Millis, job: &JobState, item_index: usize) -> Option<String> {
+        let returned_by = job.items[item_index].returned_by.as_ref();
         let fits = |agent: &AgentState| agent.has_capacity() && agent.may_run(now, job);
         let cost = |agent: &AgentState| {
             let own_set = self.engine_sets.model_of(&agent.report.agent) == Some(&job.model);
@@ -78,7 +81,12 @@
             } else {
                 OTHER_SET_PENALTY_CLASSES
             };
-            (agent.latency_class(1) + penalty, agent.outstanding())
+            let has_returned = returned_by == Some(&agent.report.agent);
+            (
+                has_returned,
+                agent.latency_class(1) + penalty,
+                agent.outstanding(),
+            )
         };
         let fitting = self.agents.values().filter(|agent| fits(agent));
         let best = fitting.min_by_key(|agent| cost(agent))?;
--- a/crates/oleanderlock/src/routing/mod.rs
+++ b/crates/oleanderlock/src/routing/mod.rs
@@ -19,3 +19,4 @@
 pub mod route_table;
 pub mod route_target;
 pub mod service_config;
+pub mod stall_clock;
--- a/crates/oleanderlock/tests/batch_scheduler.rs
+++ b/crates/oleanderlock/tests/batch_scheduler.rs
@@ -557,3 +557,24 @@
     }
     assert_eq!(loads.values().copied().collect::<Vec<_>>(), [3, 3, 3]);
 }
+
+#[test]
+fn an_item_that_an_engine_could_not_finish_goes_to_another_one_even_if_that_is_busier() {
+    let mut scheduler = scheduler();
+    scheduler.apply_report(Millis(0), report("hangs", 8, 1));
+    scheduler.apply_report(Millis(0), report("busy", 8, 1));
+    scheduler.accept(job("j", 1, group("g", 12)), POLICY, Millis(0));
+    let assigned = scheduler.assign(Millis(0));
+    let at = |agent: &str| -> Vec<ItemKey> {
+        let of_agent = assigned.iter().filter(|one| one.agent == agent);
+        of_agent.map(|one| one.key.clone()).collect()
+    };
+    assert_eq!((at("hangs").len(), at("busy").len()), (6, 6));
+    for key in at("hangs") {
+        scheduler.return_item("hangs", &key, None);
+    }
+    let again = scheduler.assign(Millis(10));
+    // The other engine takes as many as it has room for, the prefetched ones included.
+    let elsewhere = again.iter().filter(|one| one.agent == "busy").count();
+    assert_eq!((again.len(), elsewhere), (6, 4));
+}
