--- a/crates/oleander-rollout/tests/failures.rs
+++ b/crates/oleander-rollout/tests/failures.rs
@@ -5,6 +5,7 @@
 
 use oleander_platform_standins::call_behavior::CallBehavior;
 use oleander_platform_standins::engine_faults::EngineFaults;
+use oleander_platform_standins::store_faults::StoreFaults;
 use serde_json::json;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -27,6 +28,13 @@
 /// Time after which the client of a stream leaves.
 const CLIENT_PATIENCE: Duration = Duration::from_secs(40);
 
+/// The store refuses all calls.
+const STORE_DOWN: StoreFaults = StoreFaults {
+    down: true,
+    keep_watches: false,
+    lose_response_every: 0,
+};
+
 /// Starts a deployment of one service and waits until a call reaches it.
 fn one_service() -> Deployment {
     let deployment = Deployment::start(ONE_SERVICE);
@@ -396,3 +404,105 @@
         .nodes_mut()
         .for_each(support::node::Node::expect_running);
 }
+
+/// Waits until the entry has removed service 0 from its endpoints.
+fn wait_until_service_0_is_gone(deployment: &Deployment) {
+    wait_for("the endpoint is removed", || {
+        let log = deployment.entries[0].process().log();
+        log.contains("event=endpoints-told endpoints=1 ")
+    });
+}
+
+#[test]
+fn a_left_endpoint_is_not_used_again_after_restarts_while_the_store_is_down() {
+    let mut deployment = Deployment::start(DeploymentSize {
+        services: 2,
+        ..ONE_SERVICE
+    });
+    wait_for("the entry gets updates from the leader", || {
+        let log = deployment.entries[0].process().log();
+        log.contains("event=leader-regained")
+    });
+    deployment.store.remove("servers", "desk-0");
+    wait_until_service_0_is_gone(&deployment);
+    let before = deployment.services[0].calls_run().len();
+    deployment.store.set_faults(STORE_DOWN);
+    deployment.entries[0].kill();
+    deployment.entries[0].start();
+    for n in 0..10 {
+        // Refused until the entry has a configuration.
+        let _ = get(&deployment, "/calls/x", &format!("down-{n}"));
+        thread::sleep(Duration::from_millis(100));
+    }
+    deployment.dispatchers[0].kill();
+    deployment.dispatchers[0].start();
+    deployment.store.set_faults(StoreFaults::default());
+    wait_for("calls are served again", || {
+        get(&deployment, "/calls/x", "up").is_some_and(|reply| reply.status == 200)
+    });
+    for n in 0..10 {
+        let reply = get(&deployment, "/calls/x", &format!("up-{n}")).expect("an answer");
+        assert_eq!(reply.status, 200);
+    }
+    assert_eq!(deployment.services[0].calls_run().len(), before);
+}
+
+#[test]
+fn a_withdrawn_route_is_not_served_again_after_restarts_while_the_store_is_down() {
+    let mut deployment = one_service();
+    let mut config = support::config(5);
+    config["routes"][0]["path_prefix"] = json!("/moved/");
+    deployment.store.put("config", "main", &config);
+    wait_for("the route is withdrawn", || {
+        get(&deployment, "/calls/x", "gone").is_some_and(|reply| reply.status == 404)
+    });
+    let before = deployment.services[0].calls_run().len();
+    deployment.store.set_faults(STORE_DOWN);
+    deployment.entries[0].kill();
+    deployment.entries[0].start();
+    deployment.dispatchers[0].kill();
+    deployment.dispatchers[0].start();
+    let withdrawn = |n| {
+        let reply = get(&deployment, "/calls/x", &format!("withdrawn-{n}"));
+        assert!(reply.is_none_or(|reply| reply.status != 200));
+    };
+    for n in 0..10 {
+        withdrawn(n);
+        thread::sleep(Duration::from_millis(100));
+    }
+    deployment.store.set_faults(StoreFaults::default());
+    wait_for("the new route is served", || {
+        get(&deployment, "/moved/x", "moved").is_some_and(|reply| reply.status == 200)
+    });
+    (10..20).for_each(withdrawn);
+    let calls = deployment.services[0].calls_run();
+    let withdrawn = calls[before..]
+        .iter()
+        .filter(|req| req.path() == "/calls/x");
+    assert_eq!(withdrawn.count(), 0);
+}
+
+#[test]
+fn an_entry_that_was_paused_sends_no_call_whose_deadline_has_passed() {
+    let deployment = one_service();
+    for path in ["/calls/x", "/once/x"] {
+        let addr = deployment.entries[0].calls;
+        let mut stream = TcpStream::connect(addr).expect("a connection");
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nhost: {HOST}\r\nrequest-id: paused\r\ndeadline-ms: 800\r\n\
+             content-length: 4\r\nconnection: close\r\n\r\nbo"
+        );
+        stream.write_all(head.as_bytes()).expect("a head is sent");
+        // The entry reads the head, from which on the deadline counts.
+        thread::sleep(Duration::from_millis(200));
+        deployment.entries[0].process().signal("STOP");
+        stream.write_all(b"dy").expect("the body is sent");
+        thread::sleep(Duration::from_millis(1200));
+        deployment.entries[0].process().signal("CONT");
+        let mut text = String::new();
+        let read = stream.read_to_string(&mut text);
+        read.expect("a whole answer");
+        assert!(text.starts_with("HTTP/1.1 503 "), "{text}");
+        assert_eq!(runs(&deployment, "paused"), 0);
+    }
+}
