Move the longest runs of a step to faster engines; remember the pace of idle engines

A step ends with its longest runs, 158 events: 6.2 s on the fast engines and 8.2 s on the slow ones. An engine that had been idle for four seconds reported no pace and was taken for the fastest (30 ms), so the runs with the longest estimates began on slow engines; and estimates are often wrong.

Runs that have lasted 1.5 s move to an engine of their model that is at least a sixth faster and has a free slot (reason=straggler); an idle engine reports its usual pace, which a slow phase hardly changes.

Ruled out: loads (0.92 s, at most nine at once) and late starts (p90 0.8 s) in the late steps; the number of runs on an engine.

--- a/crates/oleander-rollout/src/agent/pull.rs
+++ b/crates/oleander-rollout/src/agent/pull.rs
@@ -116,7 +116,7 @@
             .map(|report| report.weights.clone())
             .unwrap_or_default(),
         loading: state.loading.clone(),
-        event_us: state.recent_event_interval_us(),
+        event_us: state.pace.interval_us(now()),
         items: state.item_names(),
         waiting: state.waiting().iter().map(ToString::to_string).collect(),
         config_version: view
--- a/crates/oleander-rollout/src/agent/run.rs
+++ b/crates/oleander-rollout/src/agent/run.rs
@@ -194,10 +194,8 @@
         while let Some(run_event) = buf.next_event() {
             let now = now();
             if let Some(last) = last.replace(now) {
-                agent
-                    .state
-                    .borrow_mut()
-                    .record_event_interval(now.since(last));
+                let mut state = agent.state.borrow_mut();
+                state.pace.record(now, now.since(last));
             }
             version = run_event.version.or(version);
             if let Some(end) = append_event(work, run_event, version, progress) {
--- a/crates/oleander-rollout/src/agent/state.rs
+++ b/crates/oleander-rollout/src/agent/state.rs
@@ -5,14 +5,11 @@
 use crate::prelude::*;
 use indexmap::IndexMap;
 use oleander_platform::engine_report::EngineReport;
+use oleanderlock::batch::event_pace::EventPace;
 use oleanderlock::batch::item_key::ItemKey;
 use oleanderlock::batch::run_part::RunPart;
 use oleanderlock::batch::sample::Sample;
 
-/// Weight of the newest event interval in the moving average, in sixteenths.
-const NEWEST_WEIGHT_SIXTEENTHS: u64 = 1;
-/// Age of the last event after which the average event interval is out of date.
-const EVENT_INTERVAL_MAX_AGE: Millis = Millis(4000);
 /// Age after which a report no longer shows that the engine is running.
 const REPORT_MAX_AGE: Millis = Millis(1500);
 
@@ -32,10 +29,8 @@
     pub replaced_instance: Option<String>,
     /// Model whose weights are being loaded.
     pub loading: Option<String>,
-    /// Moving average of the time between two events of a run, in microseconds; 0 when not known.
-    pub event_interval_us: u64,
-    /// When the last event of any run was received.
-    pub event_at: Millis,
+    /// Pace of the engine.
+    pub pace: EventPace,
     /// Digest of the endpoints that the leader sent; 0 for none.
     pub endpoints_digest: u64,
 }
@@ -60,28 +55,6 @@
             .count()
     }
 
-    /// Records the time between two events of a run.
-    pub fn record_event_interval(&mut self, interval: Millis) {
-        let us = interval.0.saturating_mul(1000);
-        let old = self.event_interval_us;
-        let stale =
-            now().since(std::mem::replace(&mut self.event_at, now())) > EVENT_INTERVAL_MAX_AGE;
-        self.event_interval_us = if old == 0 || stale {
-            us
-        } else {
-            (old * (16 - NEWEST_WEIGHT_SIXTEENTHS) + us * NEWEST_WEIGHT_SIXTEENTHS) / 16
-        };
-    }
-
-    /// Returns the average time between two events in microseconds, or 0 when no run had an event
-    /// lately.
-    pub fn recent_event_interval_us(&self) -> u64 {
-        if now().since(self.event_at) > EVENT_INTERVAL_MAX_AGE {
-            return 0;
-        }
-        self.event_interval_us
-    }
-
     /// Returns the progress of long runs that the leader does not know yet.
     pub fn unreported_parts(&self) -> Vec<RunPart> {
         let held = self.items.values();
--- a/crates/oleanderlock/src/batch/recall_reason.rs
+++ b/crates/oleanderlock/src/batch/recall_reason.rs
@@ -8,6 +8,8 @@
 pub enum RecallReason {
     /// Its engine is much slower than one with free slots.
     SlowEngine,
+    /// It runs long, and a faster engine has a free slot.
+    Straggler,
     /// Its engine is evacuated for a weight load.
     Load,
     /// It waits for a slot while another engine has a free one.
--- a/crates/oleanderlock/src/batch/scheduler_recall.rs
+++ b/crates/oleanderlock/src/batch/scheduler_recall.rs
@@ -3,6 +3,9 @@
 //!
 //! Load pattern: some engines run several times slower for seconds. A run there would end after its
 //! step is due; on another engine it resumes after its last event at the cost of one more prefill.
+//! Engines of a service also differ by a third for good, and the trainer's estimates of lengths are
+//! often far off, so that some of the longest runs, which the step waits for, start on the slower
+//! ones; these move too once faster engines have free slots.
 //! At the start of a step all engines are full; an engine with only long runs would start its
 //! waiting items seconds after other engines have free slots.
 
@@ -20,6 +23,12 @@
 const SLOW_ENGINE_RATIO: u64 = 2;
 /// Shortest time between the assignment of a run and its recall from a slow engine.
 const RUN_BEFORE_RECALL_MIN: Millis = Millis(600);
+/// Shortest time between the assignment of a run and its recall as a straggler: most runs have ended
+/// by then.
+const STRAGGLER_AGE_MIN: Millis = Millis(1500);
+/// A straggler moves to an engine whose event interval is at most this many sixths of that of its
+/// own engine: the move costs a few events.
+const STRAGGLER_INTERVAL_MAX_SIXTHS: u64 = 5;
 /// Shortest time between the assignment of a waiting item and its recall: its engine may be about
 /// to start it.
 const WAIT_BEFORE_RECALL_MIN: Millis = Millis(150);
@@ -32,6 +41,7 @@
     /// same item may be in several results.
     pub fn recalls(&self, now: Millis) -> Vec<Recall> {
         let mut recalls = self.recalls_of_waiting(now);
+        recalls.extend(self.recalls_of_stragglers(now));
         for (name, agent) in &self.agents {
             let recall = |key: &ItemKey, reason| Recall {
                 agent: name.clone(),
@@ -89,6 +99,61 @@
         recalls
     }
 
+    /// Returns the runs that have lasted long on an engine that is slower than others with free slots:
+    /// one for each such slot, those of the slowest engines first.
+    fn recalls_of_stragglers(&self, now: Millis) -> Vec<Recall> {
+        let mut slowest_first: Vec<(&String, &AgentState)> = self.agents.iter().collect();
+        slowest_first.sort_by_key(|(_, agent)| std::cmp::Reverse(agent.event_interval_us()));
+        let mut taken: IndexMap<&str, usize> = IndexMap::new();
+        let mut recalls = Vec::new();
+        for (name, agent) in slowest_first {
+            if agent.report.event_us == 0 || agent.is_evacuating(now) {
+                continue;
+            }
+            for (key, since) in &agent.assigned {
+                let job = self.jobs.get(&key.job);
+                let Some(job) = job.filter(|job| may_move_straggler(now, job, *since)) else {
+                    continue;
+                };
+                let Some(other) = self.faster_peer_with_free_slot(now, agent, job, &taken) else {
+                    continue;
+                };
+                *taken.entry(other).or_default() += 1;
+                recalls.push(Recall {
+                    agent: name.clone(),
+                    key: key.clone(),
+                    reason: RecallReason::Straggler,
+                });
+            }
+        }
+        recalls
+    }
+
+    /// Returns the fastest engine of the model's set that is faster than the one of `agent` and
+    /// could start an item of the job at once. `taken` counts the slots that other recalled items
+    /// will use, by engine.
+    fn faster_peer_with_free_slot(
+        &self,
+        now: Millis,
+        agent: &AgentState,
+        job: &JobState,
+        taken: &IndexMap<&str, usize>,
+    ) -> Option<&str> {
+        let interval_max_us = agent.event_interval_us() * STRAGGLER_INTERVAL_MAX_SIXTHS / 6;
+        let fits = |(name, other): &(&String, &AgentState)| {
+            let taken = taken.get(name.as_str()).copied().unwrap_or_default();
+            self.engine_sets.model_of(name) == Some(&job.model)
+                && other.report.event_us > 0
+                && other.event_interval_us() <= interval_max_us
+                && other.may_run(now, job)
+                && !other.is_loading(now)
+                && other.free_slots() > taken
+        };
+        let faster = self.agents.iter().filter(fits);
+        let fastest = faster.min_by_key(|(_, other)| other.event_interval_us())?;
+        Some(fastest.0.as_str())
+    }
+
     /// Returns an engine of the model's set, about as fast as the one of `agent`, that could start an
     /// item of the job at once.
     ///
@@ -133,3 +198,8 @@
         faster.map(AgentState::free_slots).sum()
     }
 }
+
+/// Whether a run of a job that was assigned at `since` may move as a straggler.
+fn may_move_straggler(now: Millis, job: &JobState, since: Millis) -> bool {
+    !job.ended && !job.policy.single_version && now.since(since) >= STRAGGLER_AGE_MIN
+}
