--- a/crates/oleander-rollout/src/dispatch/ticks.rs
+++ b/crates/oleander-rollout/src/dispatch/ticks.rs
@@ -130,9 +130,7 @@
         let name = key.to_string();
         let outbox = state.outbox(&agent);
         let list = match reason {
-            RecallReason::SlowEngine | RecallReason::Straggler | RecallReason::Load => {
-                &mut outbox.recall
-            }
+            RecallReason::SlowEngine | RecallReason::Straggler => &mut outbox.recall,
             RecallReason::NoSlot => &mut outbox.recall_waiting,
         };
         if list.contains(&name) {
--- a/crates/oleanderlock/src/batch/agent_state.rs
+++ b/crates/oleanderlock/src/batch/agent_state.rs
@@ -27,8 +27,6 @@
     pub assigned: IndexMap<ItemKey, Millis>,
     /// Time until which a granted weight load counts as running without a report of it.
     pub load_granted_until: Millis,
-    /// Time until which it gets no work, because its engine is evacuated for a weight load.
-    pub evacuating_until: Millis,
 }
 
 impl AgentState {
@@ -46,16 +44,9 @@
     /// Whether its engine may run items of a job now, regardless of free slots.
     pub fn may_run(&self, now: Millis, job: &JobState) -> bool {
         let version = self.report.weights.get(&job.model);
-        let loading = self.report.loading.as_ref() == Some(&job.model);
-        !self.report.leaving
-            && !self.is_evacuating(now)
-            && !loading
-            && version.is_some_and(|has| *has >= job.oldest_version)
-    }
-
-    /// Whether its engine is being evacuated for a weight load.
-    pub fn is_evacuating(&self, now: Millis) -> bool {
-        self.evacuating_until > now
+        let loading =
+            self.report.loading.as_ref() == Some(&job.model) || self.load_granted_until > now;
+        !self.report.leaving && !loading && version.is_some_and(|has| *has >= job.oldest_version)
     }
 
     /// Whether its engine loads weights or has been granted a load.
--- a/crates/oleanderlock/src/batch/recall_reason.rs
+++ b/crates/oleanderlock/src/batch/recall_reason.rs
@@ -10,8 +10,6 @@
     SlowEngine,
     /// It runs long, and a faster engine has a free slot.
     Straggler,
-    /// Its engine is evacuated for a weight load.
-    Load,
     /// It waits for a slot while another engine has a free one.
     NoSlot,
 }
--- a/crates/oleanderlock/src/batch/scheduler.rs
+++ b/crates/oleanderlock/src/batch/scheduler.rs
@@ -197,13 +197,9 @@
         let known = self.agents.shift_remove(&report.agent);
         let before = known.as_ref().map(|known| known.report.process);
         let restarted = before.is_some_and(|process| process != report.process);
-        let (mut assigned, mut granted, evacuating) = match known {
-            Some(known) => (
-                known.assigned,
-                known.load_granted_until,
-                known.evacuating_until,
-            ),
-            None => (IndexMap::new(), Millis::ZERO, Millis::ZERO),
+        let (mut assigned, mut granted) = match known {
+            Some(known) => (known.assigned, known.load_granted_until),
+            None => (IndexMap::new(), Millis::ZERO),
         };
         if report.loading.is_some() {
             // From now on the reports show when the load ends.
@@ -236,7 +232,6 @@
             last_report_at: now,
             assigned,
             load_granted_until: granted,
-            evacuating_until: evacuating,
             report,
         };
         self.agents.insert(state.report.agent.clone(), state);
--- a/crates/oleanderlock/src/batch/scheduler_recall.rs
+++ b/crates/oleanderlock/src/batch/scheduler_recall.rs
@@ -1,5 +1,5 @@
-//! Recall of items so that they move to another engine: runs of a slow engine, runs of an engine
-//! that is evacuated for a weight load, and items that wait while another engine has a free slot.
+//! Recall of items so that they move to another engine: runs of a slow engine, long runs while a
+//! faster engine has a free slot, and items that wait while another engine has one.
 //!
 //! Load pattern: some engines run several times slower for seconds. A run there would end after its
 //! step is due; on another engine it resumes after its last event at the cost of one more prefill.
@@ -48,11 +48,6 @@
                 key: key.clone(),
                 reason,
             };
-            if agent.is_evacuating(now) {
-                let runs = agent.assigned.keys();
-                recalls.extend(runs.map(|key| recall(key, RecallReason::Load)));
-                continue;
-            }
             if agent.report.event_us == 0 {
                 continue;
             }
@@ -107,7 +102,7 @@
         let mut taken: IndexMap<&str, usize> = IndexMap::new();
         let mut recalls = Vec::new();
         for (name, agent) in slowest_first {
-            if agent.report.event_us == 0 || agent.is_evacuating(now) {
+            if agent.report.event_us == 0 {
                 continue;
             }
             for (key, since) in &agent.assigned {
