--- a/crates/oleander-load/src/process.rs
+++ b/crates/oleander-load/src/process.rs
@@ -2,7 +2,7 @@
 
 use oleander_standins::free_address::spawn_child;
 use parking_lot::Mutex;
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::{Pid, Signal, WaitId, WaitIdOptions, kill_process, waitid};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use std::fs::File;
@@ -76,9 +76,21 @@
         self.signal(Signal::TERM)
     }
 
-    /// Pauses the process.
+    /// Pauses the process; returns when all of its threads stand still.
+    ///
+    /// # Errors
+    ///
+    /// The error of the operating system, or `NotFound` when the process has ended.
     pub fn pause(&self) -> io::Result<()> {
-        self.signal(Signal::STOP)
+        self.signal(Signal::STOP)?;
+        let id = WaitId::Pid(Pid::from_child(&self.child));
+        // `NOWAIT` leaves a child that has ended to be reaped by this handle.
+        let options = WaitIdOptions::STOPPED | WaitIdOptions::EXITED | WaitIdOptions::NOWAIT;
+        let status = waitid(id, options)?;
+        if status.is_some_and(|status| status.stopped()) {
+            return Ok(());
+        }
+        Err(io::ErrorKind::NotFound.into())
     }
 
     /// Lets a paused process go on.
--- a/crates/oleander-rollout/tests/support/process.rs
+++ b/crates/oleander-rollout/tests/support/process.rs
@@ -1,6 +1,7 @@
 //! A process of the system that a test starts and kills.
 
 use oleander_standins::free_address::spawn_child;
+use rustix::process::{Pid, WaitId, WaitIdOptions, waitid};
 use std::fs;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -47,13 +48,24 @@
         }
     }
 
-    /// Sends a signal, named without `SIG`.
+    /// Sends a signal, named without `SIG`; after `STOP`, waits until all threads stand still.
     pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
         let mut command = Command::new("kill");
         let sent = spawn_child(command.args([&format!("-{name}"), &id]));
         let sent = sent.and_then(|mut kill| kill.wait());
         assert!(sent.expect("kill runs").success());
+        if name == "STOP" {
+            self.wait_until_stopped();
+        }
+    }
+
+    fn wait_until_stopped(&self) {
+        let id = WaitId::Pid(Pid::from_child(&self.child));
+        // `NOWAIT` leaves a child that has ended to be reaped by this handle.
+        let options = WaitIdOptions::STOPPED | WaitIdOptions::EXITED | WaitIdOptions::NOWAIT;
+        let status = waitid(id, options).expect("a child to wait for");
+        assert!(status.is_some_and(|status| status.stopped()));
     }
 
     /// Waits until the process exits; returns its exit code, `None` if a signal ended it.
