Read the rest of a request's body before an entry or agent of the daemon responds

Cause: a handler that refuses before it has read the body leaves bytes in the socket; closing the connection then resets it, and the reset overtakes the answer.

--- a/crates/oleander-daemon/src/process/http_server.rs
+++ b/crates/oleander-daemon/src/process/http_server.rs
@@ -1,5 +1,6 @@
 //! The HTTP server of a process.
 
+use crate::process::drain_body::DrainBody;
 use crate::process::runtime::within;
 use std::net::SocketAddr;
 use trillium::Handler;
@@ -37,7 +38,7 @@
         .with_http_config(limits)
         .with_max_connections(Some(CONNECTIONS_MAX))
         .with_prebound_server(listener)
-        .spawn(handler);
+        .spawn((DrainBody, handler));
     Ok(HttpServer { handle })
 }
 
--- a/crates/oleander-daemon/src/process/mod.rs
+++ b/crates/oleander-daemon/src/process/mod.rs
@@ -1,6 +1,7 @@
 //! What all daemons share: arguments, settings, metrics, threads, start and end.
 
 pub mod agent_args;
+pub mod drain_body;
 pub mod entry_args;
 pub(crate) mod hash64;
 pub mod http_server;
