--- a/Makefile
+++ b/Makefile
@@ -36,6 +36,6 @@
 model-check: setup
 	cargo test --release --locked -p oleanderlock --test 'model_*' -- --ignored --nocapture --test-threads=1
 
-# Measures the slopes of docs/CAPACITY.md; takes about eight minutes.
+# Measures the slopes of docs/CAPACITY-links.md; takes about eight minutes.
 capacity: setup
 	cargo run --release --locked -p oleander-load --bin oleander-capacity -- all
