--- a/crates/oleander-rollout/src/call/caller.rs
+++ b/crates/oleander-rollout/src/call/caller.rs
@@ -4,6 +4,7 @@
 //! idempotent call has no response after a part of its latency objective, a hedge attempt is sent
 //! to a second endpoint.
 
+use super::attempt_message::attempt_message;
 use super::attempt_outcome::AttemptOutcome;
 use super::call_outcome::CallOutcome;
 use super::call_progress::CallProgress;
@@ -24,10 +25,8 @@
 use futures_util::StreamExt as _;
 use futures_util::future::{Either, LocalBoxFuture, select};
 use futures_util::stream::FuturesUnordered;
-use http::header::HeaderValue;
-use http::{HeaderName, Request, StatusCode};
+use http::{Request, StatusCode};
 use http_body_util::Full;
-use oleander_platform::headers;
 use oleanderlock::routing::after_failure::AfterFailure;
 use oleanderlock::routing::attempt_failure::AttemptFailure;
 use oleanderlock::routing::call_state::CallState;
@@ -45,6 +44,10 @@
 /// Shortest hedge delay.
 const HEDGE_DELAY_MIN: Millis = Millis(60);
 
+/// Why the response to an attempt counts as lost, in logs.
+const FOREIGN: &str = "a response to another request";
+const UNCLEAR: &str = "a refusal without the header that states not run";
+
 /// Sends calls to services and keeps connections to their endpoints open.
 #[derive(Debug)]
 pub struct Caller {
@@ -112,12 +115,8 @@
                 Ok(exchange) => match classify(&exchange.head, &req.id) {
                     ResponseClass::NotRun => AttemptOutcome::NotRun("full"),
                     ResponseClass::OtherInstance => AttemptOutcome::NotRun("other-instance"),
-                    ResponseClass::Foreign => {
-                        AttemptOutcome::Lost("a response to another request".to_owned())
-                    }
-                    ResponseClass::Unclear => AttemptOutcome::Lost(
-                        "a refusal without the header that states not run".to_owned(),
-                    ),
+                    ResponseClass::Foreign => AttemptOutcome::Lost(FOREIGN.to_owned()),
+                    ResponseClass::Unclear => AttemptOutcome::Lost(UNCLEAR.to_owned()),
                     ResponseClass::Answer | ResponseClass::Failure => {
                         return StreamOutcome::Opened(Box::new(exchange));
                     }
@@ -364,7 +363,7 @@
     let class = classify(&exchange.head, &req.id);
     if class == ResponseClass::Foreign {
         // The connection is closed: the response to this call may still follow on it.
-        return AttemptOutcome::Lost("a response to another request".to_owned());
+        return AttemptOutcome::Lost(FOREIGN.to_owned());
     }
     let response = exchange.collect(RESPONSE_MAX_BYTES).await;
     let response = response.map(|(head, body)| EndpointResponse {
@@ -375,31 +374,10 @@
     match (class, response) {
         (ResponseClass::NotRun, _) => AttemptOutcome::NotRun("full"),
         (ResponseClass::OtherInstance, _) => AttemptOutcome::NotRun("other-instance"),
-        (ResponseClass::Foreign | ResponseClass::Unclear, _) => {
-            AttemptOutcome::Lost("a refusal without the header that states not run".to_owned())
-        }
+        (ResponseClass::Foreign, _) => AttemptOutcome::Lost(FOREIGN.to_owned()),
+        (ResponseClass::Unclear, _) => AttemptOutcome::Lost(UNCLEAR.to_owned()),
         (_, Err(error)) => AttemptOutcome::Lost(error.to_string()),
         (ResponseClass::Failure, Ok(response)) => AttemptOutcome::Failure(response),
         (ResponseClass::Answer, Ok(response)) => AttemptOutcome::Answer(response),
     }
 }
-
-/// Builds the request of one attempt; `None` if a header value is invalid.
-fn attempt_message(req: &CallRequest, instance: &str) -> Option<Request<Full<Bytes>>> {
-    let left = req.deadline.since(now());
-    let mut message = Request::new(Full::new(req.body.clone()));
-    *message.method_mut() = req.method.clone();
-    *message.uri_mut() = req.target.clone();
-    let header_map = message.headers_mut();
-    *header_map = req.headers.clone();
-    let added = [
-        (headers::REQUEST_ID, req.id.clone()),
-        (headers::DEADLINE_MS, left.0.to_string()),
-        (headers::EXPECT_INSTANCE, instance.to_owned()),
-    ];
-    for (name, value) in added {
-        let value = HeaderValue::from_str(&value).ok()?;
-        header_map.insert(HeaderName::from_static(name), value);
-    }
-    Some(message)
-}
--- a/crates/oleander-rollout/src/call/mod.rs
+++ b/crates/oleander-rollout/src/call/mod.rs
@@ -1,5 +1,6 @@
 //! Calls to services: choice of the endpoint, retries and hedging.
 
+mod attempt_message;
 mod attempt_outcome;
 pub mod call_outcome;
 mod call_progress;
--- a/crates/oleander-rollout/tests/leaving.rs
+++ b/crates/oleander-rollout/tests/leaving.rs
@@ -149,12 +149,7 @@
         dispatchers: 1,
         services: 0,
     });
-    let mut config = support::config(2);
-    let routes = config["routes"].as_array_mut().expect("routes");
-    routes.push(
-        json!({"name": "talk", "host": HOST, "path_prefix": "/talk/", "kind": "stream",
-        "timeout_ms": 60_000, "goal_ms": 400, "prio": 1, "service": "llm", "attempts": 3}),
-    );
+    let config = support::config_with_streams(2);
     deployment.store.put("config", "main", &config);
     wait_for("the route is in force at both engines", || {
         stream(&deployment, "warm", 1);
--- a/crates/oleander-rollout/tests/streams.rs
+++ b/crates/oleander-rollout/tests/streams.rs
@@ -2,7 +2,6 @@
 
 mod support;
 
-use serde_json::json;
 use std::io::{BufRead, BufReader, Read};
 use std::net::TcpStream;
 use support::deployment::Deployment;
@@ -22,12 +21,7 @@
 /// Starts a deployment with a route for streams to the engines.
 fn deployment() -> Deployment {
     let deployment = Deployment::start(ENGINES);
-    let mut config = support::config(2);
-    let routes = config["routes"].as_array_mut().expect("routes");
-    routes.push(
-        json!({"name": "talk", "host": HOST, "path_prefix": "/talk/", "kind": "stream",
-        "timeout_ms": 60_000, "goal_ms": 400, "prio": 1, "service": "llm", "attempts": 3}),
-    );
+    let config = support::config_with_streams(2);
     deployment.store.put("config", "main", &config);
     wait_for("the route is in force", || {
         read(open(&deployment, "warm", 1)).contains("data: warm:1\n")
--- a/crates/oleander-rollout/tests/support/mod.rs
+++ b/crates/oleander-rollout/tests/support/mod.rs
@@ -42,6 +42,17 @@
     })
 }
 
+/// Returns the configuration of [`config`] with a route below `/talk/` for streams of the engines.
+pub fn config_with_streams(version: u64) -> Value {
+    let mut config = config(version);
+    let routes = config["routes"].as_array_mut().expect("routes");
+    routes.push(
+        json!({"name": "talk", "host": HOST, "path_prefix": "/talk/", "kind": "stream",
+        "timeout_ms": 60_000, "goal_ms": 400, "prio": 1, "service": "llm", "attempts": 3}),
+    );
+    config
+}
+
 /// Returns a job of `groups` groups of two items; item `n` generates `events + n % 3` events.
 pub fn job(step: u64, oldest_version: u64, groups: usize, events: usize) -> Value {
     let items: Vec<Value> = (0..groups * 2)
