Log the rate limits that endpoints name, and what is sent to them

Observability for LIMIT, no change of what is sent: Server-Limit is decoded in platform/rate_limit.rs, and endpoint-limit, endpoint-limit-lifted and limited-request (with its kind) are logged and counted.

--- a/crates/oleander-rollout/src/agent/agent_process.rs
+++ b/crates/oleander-rollout/src/agent/agent_process.rs
@@ -75,7 +75,11 @@
         let caller = Caller::new(view.clone(), cfg.domain.clone(), metrics.clone());
         let agent = Rc::new(Self {
             leader_client: LeaderClient::new(view.clone()),
-            engine: EngineClient::new(engine, Rc::clone(caller.leaving())),
+            engine: EngineClient::new(
+                engine,
+                Rc::clone(caller.leaving()),
+                Rc::clone(caller.limits()),
+            ),
             caller,
             view,
             metrics,
--- a/crates/oleander-rollout/src/agent/engine_client.rs
+++ b/crates/oleander-rollout/src/agent/engine_client.rs
@@ -1,6 +1,8 @@
 //! Calls to the agent's engine.
 
 use crate::call::leaving_registry::LeavingRegistry;
+use crate::call::limit_registry::LimitRegistry;
+use crate::call::request_kind::RequestKind;
 use crate::http::destination::Destination;
 use crate::http::exchange::Exchange;
 use crate::http::pool::Pool;
@@ -32,16 +34,18 @@
     addr: SocketAddr,
     pool: Rc<Pool>,
     leaving: Rc<LeavingRegistry>,
+    limits: Rc<LimitRegistry>,
 }
 
 impl EngineClient {
     /// Returns a client of the engine at `addr` that records in `leaving` when the engine says that
-    /// it is leaving.
-    pub fn new(addr: SocketAddr, leaving: Rc<LeavingRegistry>) -> Self {
+    /// it is leaving, and in `limits` the rate limit that it names.
+    pub fn new(addr: SocketAddr, leaving: Rc<LeavingRegistry>, limits: Rc<LimitRegistry>) -> Self {
         Self {
             addr,
             pool: Pool::new(CONNECT_TIMEOUT),
             leaving,
+            limits,
         }
     }
 
@@ -62,11 +66,14 @@
             .header(HOST, self.addr.to_string())
             .body(Full::default())
             .map_err(SendError::not_sent)?;
+        let sent_at = now();
         let (head, body) = self.exchange("", req).await?;
         let report = decode_report(&body).map_err(SendError::no_answer)?;
         if let Some(listed) = listed {
             let started = report.started_unix_ms.or(listed.started_unix_ms);
             self.leaving.read(&head.headers, &listed.instance, started);
+            let request = (RequestKind::Report, sent_at);
+            self.limits.read(&head.headers, &listed.instance, request);
         }
         Ok(report)
     }
@@ -91,8 +98,12 @@
             .header(headers::EXPECT_INSTANCE, &endpoint.instance)
             .body(Full::new(Bytes::from(encode_load_order(order))))
             .map_err(SendError::not_sent)?;
+        let sent_at = now();
+        self.limits
+            .record_sent(&endpoint.instance, RequestKind::Order, "");
         let (head, _) = self.exchange(&endpoint.instance, req).await?;
         self.read_leaving(&head, endpoint);
+        self.read_limit(&head, endpoint, (RequestKind::Order, sent_at));
         Ok(head.status)
     }
 
@@ -126,13 +137,19 @@
             if self.leaving.contains(endpoint) {
                 return Err(SendError::Withheld { reason: "leaving" });
             }
-            run_message(work, &endpoint.instance, last_event)
+            let message = run_message(work, &endpoint.instance, last_event)?;
+            let id = &work.key.item;
+            self.limits
+                .record_sent(&endpoint.instance, RequestKind::Run, id);
+            Ok(message)
         };
+        let sent_at = now();
         let to = self.destination(&endpoint.instance);
         let mut exchange = self.pool.send_built(&to, build).await?;
         if self.read_leaving(&exchange.head, endpoint) {
             exchange.close_after_body();
         }
+        self.read_limit(&exchange.head, endpoint, (RequestKind::Run, sent_at));
         Ok(exchange)
     }
 
@@ -146,6 +163,13 @@
         is_leaving
     }
 
+    /// Reads from a response the rate limit that the engine names.
+    fn read_limit(&self, head: &Parts, endpoint: &EndpointEntry, request: (RequestKind, Millis)) {
+        if head.status != StatusCode::MISDIRECTED_REQUEST {
+            self.limits.read(&head.headers, &endpoint.instance, request);
+        }
+    }
+
     fn destination(&self, instance: &str) -> Destination {
         Destination {
             addr: self.addr,
--- a/crates/oleander-rollout/src/call/caller.rs
+++ b/crates/oleander-rollout/src/call/caller.rs
@@ -13,6 +13,8 @@
 use super::endpoint_loads::EndpointLoads;
 use super::endpoint_response::EndpointResponse;
 use super::leaving_registry::LeavingRegistry;
+use super::limit_registry::LimitRegistry;
+use super::request_kind::RequestKind;
 use super::response_class::{ResponseClass, classify};
 use super::stream_outcome::StreamOutcome;
 use crate::http::destination::Destination;
@@ -55,6 +57,7 @@
     pool: Rc<Pool>,
     loads: Rc<EndpointLoads>,
     leaving: Rc<LeavingRegistry>,
+    limits: Rc<LimitRegistry>,
     domain: String,
     metrics: Metrics,
 }
@@ -68,6 +71,7 @@
             pool: Pool::new(CONNECT_TIMEOUT),
             loads: Rc::default(),
             leaving: Rc::default(),
+            limits: Rc::new(LimitRegistry::new(metrics.clone())),
             domain,
             metrics,
         })
@@ -78,6 +82,11 @@
         &self.leaving
     }
 
+    /// Returns the rate limits that endpoints have named.
+    pub fn limits(&self) -> &Rc<LimitRegistry> {
+        &self.limits
+    }
+
     /// Sends a call to one endpoint after the other until one responds, no attempt is allowed any
     /// more or the deadline passes.
     pub async fn call(&self, req: &CallRequest) -> CallOutcome {
@@ -108,7 +117,8 @@
         let mut progress = CallProgress::default();
         while let Some(endpoint) = self.next_endpoint(req, &mut progress) {
             let left = req.deadline.since(now());
-            let Some(opened) = within(left, self.open_at(req, &endpoint)).await else {
+            let opening = self.open_at(req, RequestKind::Stream, &endpoint);
+            let Some(opened) = within(left, opening).await else {
                 return StreamOutcome::Unknown;
             };
             let outcome = match opened {
@@ -140,7 +150,7 @@
                 let Some(endpoint) = self.next_endpoint(req, progress) else {
                     return give_up(req, progress);
                 };
-                running.push(Box::pin(self.attempt(req, endpoint)));
+                running.push(Box::pin(self.attempt(req, RequestKind::Call, endpoint)));
             }
             let first = match select(running.next(), pin!(sleep(hedge_delay))).await {
                 Either::Left((ended, _)) => ended,
@@ -175,7 +185,7 @@
         // A second request to the endpoint that has not responded to the first would not help.
         if let Some(endpoint) = self.choose_endpoint(req, progress, CandidateSet::Untried) {
             self.metrics.record_retry("no-answer-yet");
-            running.push(Box::pin(self.attempt(req, endpoint)));
+            running.push(Box::pin(self.attempt(req, RequestKind::Hedge, endpoint)));
         }
     }
 
@@ -264,11 +274,12 @@
     async fn attempt(
         &self,
         req: &CallRequest,
+        kind: RequestKind,
         endpoint: EndpointEntry,
     ) -> (String, AttemptOutcome) {
         let started_at = now();
         let in_flight = self.loads.start_call(&endpoint.instance);
-        let outcome = self.exchange(req, &endpoint).await;
+        let outcome = self.exchange(req, kind, &endpoint).await;
         drop(in_flight);
         let now = now();
         self.loads
@@ -282,8 +293,13 @@
         (endpoint.instance, outcome)
     }
 
-    async fn exchange(&self, req: &CallRequest, endpoint: &EndpointEntry) -> AttemptOutcome {
-        match self.open_at(req, endpoint).await {
+    async fn exchange(
+        &self,
+        req: &CallRequest,
+        kind: RequestKind,
+        endpoint: &EndpointEntry,
+    ) -> AttemptOutcome {
+        match self.open_at(req, kind, endpoint).await {
             Ok(exchange) => read_response(req, exchange).await,
             Err(outcome) => outcome,
         }
@@ -293,13 +309,15 @@
     async fn open_at(
         &self,
         req: &CallRequest,
+        kind: RequestKind,
         endpoint: &EndpointEntry,
     ) -> Result<Exchange, AttemptOutcome> {
         let to = Destination {
             addr: endpoint.addr,
             instance: endpoint.instance.clone(),
         };
-        let build = || self.attempt_message(req, endpoint);
+        let build = || self.attempt_message(req, kind, endpoint);
+        let sent_at = now();
         let sent = self.pool.send_built(&to, build).await;
         let mut exchange = sent.map_err(|error| match error {
             SendError::Withheld { reason } => AttemptOutcome::NotRun(reason),
@@ -311,6 +329,11 @@
             exchange.close_after_body();
             self.pool.close_idle(&to);
         }
+        let class = classify(&exchange.head, &req.id);
+        if !matches!(class, ResponseClass::OtherInstance | ResponseClass::Foreign) {
+            let headers = &exchange.head.headers;
+            self.limits.read(headers, instance, (kind, sent_at));
+        }
         Ok(exchange)
     }
 
@@ -324,6 +347,7 @@
     fn attempt_message(
         &self,
         req: &CallRequest,
+        kind: RequestKind,
         endpoint: &EndpointEntry,
     ) -> Result<Request<Full<Bytes>>, SendError> {
         if self.leaving.contains(endpoint) {
@@ -333,9 +357,11 @@
             return Err(SendError::Withheld { reason: "deadline" });
         }
         let message = attempt_message(req, &endpoint.instance);
-        message.ok_or(SendError::Withheld {
+        let message = message.ok_or(SendError::Withheld {
             reason: "unsendable",
-        })
+        })?;
+        self.limits.record_sent(&endpoint.instance, kind, &req.id);
+        Ok(message)
     }
 }
 
--- /dev/null
+++ b/crates/oleander-rollout/src/call/limit_registry.rs
@@ -0,0 +1,83 @@
+//! Rate limits that endpoints have named in responses to this process.
+
+use super::request_kind::RequestKind;
+use crate::observe::metrics::Metrics;
+use crate::prelude::*;
+use http::HeaderMap;
+use indexmap::IndexSet;
+use oleander_platform::headers;
+use oleander_platform::rate_limit::decode_rate_limit;
+use oleanderlock::routing::rate_limits::RateLimits;
+use std::cell::RefCell;
+
+/// Most instances whose malformed limits are logged.
+const MALFORMED_MAX: usize = 256;
+
+/// Rate limits that endpoints have named in responses to this process.
+#[derive(Debug)]
+pub struct LimitRegistry {
+    limits: RefCell<RateLimits>,
+    // Instances whose malformed limit has been logged.
+    malformed: RefCell<IndexSet<String>>,
+    metrics: Metrics,
+}
+
+impl LimitRegistry {
+    /// Returns a registry without limits.
+    pub fn new(metrics: Metrics) -> Self {
+        Self {
+            limits: RefCell::default(),
+            malformed: RefCell::default(),
+            metrics,
+        }
+    }
+
+    /// Reads the limit from a response of `instance` to a request of `kind` that was sent at
+    /// `sent_at`.
+    pub fn read(
+        &self,
+        header_map: &HeaderMap,
+        instance: &str,
+        (kind, sent_at): (RequestKind, Millis),
+    ) {
+        let values = header_map.get_all(headers::RATE_LIMIT);
+        match decode_rate_limit(values.iter().map(|value| value.as_bytes())) {
+            Ok(Some(rate)) => {
+                if self.limits.borrow_mut().record(instance, rate, now()) {
+                    event(log::Level::Info, "endpoint-limit", || {
+                        format!("instance={instance} limit={rate} response_to={kind}")
+                    });
+                }
+            }
+            Ok(None) => {
+                if self.limits.borrow_mut().record_none(instance, sent_at) {
+                    event(log::Level::Info, "endpoint-limit-lifted", || {
+                        format!("instance={instance} response_to={kind}")
+                    });
+                }
+            }
+            Err(error) => self.log_malformed(instance, &error.to_string()),
+        }
+    }
+
+    /// Logs and counts a request that is about to be sent to an endpoint that has named a limit.
+    pub fn record_sent(&self, instance: &str, kind: RequestKind, id: &str) {
+        let Some(rate) = self.limits.borrow().rate(instance) else {
+            return;
+        };
+        self.metrics.count_event(&format!("limited-{kind}"));
+        event(log::Level::Info, "limited-request", || {
+            format!("request={id} kind={kind} instance={instance} limit={rate}")
+        });
+    }
+
+    /// Logs a malformed limit, once for each instance.
+    fn log_malformed(&self, instance: &str, reason: &str) {
+        let mut logged = self.malformed.borrow_mut();
+        if logged.len() < MALFORMED_MAX && logged.insert(instance.to_owned()) {
+            event(log::Level::Warn, "limit-unreadable", || {
+                format!("instance={instance} reason=\"{reason}\"")
+            });
+        }
+    }
+}
--- a/crates/oleander-rollout/src/call/mod.rs
+++ b/crates/oleander-rollout/src/call/mod.rs
@@ -11,5 +11,7 @@
 pub mod endpoint_response;
 pub mod in_flight_guard;
 pub mod leaving_registry;
-pub mod response_class;
+pub mod limit_registry;
+pub mod request_kind;
+mod response_class;
 pub mod stream_outcome;
--- a/crates/oleanderlock/src/routing/mod.rs
+++ b/crates/oleanderlock/src/routing/mod.rs
@@ -13,6 +13,8 @@
 pub mod endpoint_state;
 pub mod endpoint_table;
 pub mod leaving_endpoints;
+pub mod rate_limits;
+pub mod request_rate;
 pub mod retry_rule;
 pub mod route;
 pub mod route_kind;
