--- a/crates/oleander-rollout/src/call/attempt_outcome.rs
+++ b/crates/oleander-rollout/src/call/attempt_outcome.rs
@@ -9,6 +9,8 @@
     Failure(EndpointResponse),
     /// The endpoint has not run the call, for this reason.
     NotRun(&'static str),
+    /// The connection broke before the response, and the endpoint no longer accepts connections.
+    Crashed,
     /// The endpoint may have run the call, but its response is lost for this reason.
     Lost(String),
 }
--- a/crates/oleander-rollout/src/call/call_request.rs
+++ b/crates/oleander-rollout/src/call/call_request.rs
@@ -1,7 +1,9 @@
 //! A call to a service.
 
 use crate::prelude::*;
+use http::header::HOST;
 use http::{HeaderMap, Method, Uri};
+use oleanderlock::routing::request_content::RequestContent;
 use oleanderlock::routing::route_kind::RouteKind;
 
 /// A call to a service.
@@ -29,3 +31,15 @@
     /// Point in time after which the caller no longer waits for the response.
     pub deadline: Millis,
 }
+
+impl CallRequest {
+    /// Returns the content of the call, which is the same when a client repeats it.
+    pub fn content(&self) -> RequestContent {
+        let host = self.headers.get(HOST).map_or("", |value| {
+            // A host that is no text is hashed as if it were missing.
+            value.to_str().unwrap_or_default()
+        });
+        let target = self.target.to_string();
+        RequestContent::new(self.method.as_str(), host, &target, &self.body)
+    }
+}
--- a/crates/oleander-rollout/src/call/caller.rs
+++ b/crates/oleander-rollout/src/call/caller.rs
@@ -25,6 +25,7 @@
 use crate::http::exchange::Exchange;
 use crate::http::pool::Pool;
 use crate::http::send_error::SendError;
+use crate::http::socket::refuses_connections;
 use crate::observe::metrics::Metrics;
 use crate::prelude::*;
 use crate::store::shared_view::SharedView;
@@ -46,6 +47,8 @@
 
 /// Timeout of opening a connection to an endpoint.
 const CONNECT_TIMEOUT: Millis = Millis(300);
+/// Timeout of checking whether an endpoint that broke a connection still accepts others.
+const CRASH_CHECK_TIMEOUT: Millis = Millis(100);
 /// Longest body of a response that is not a stream, in bytes.
 const RESPONSE_MAX_BYTES: usize = 32 << 20;
 /// The hedge delay is the latency objective divided by this.
@@ -149,7 +152,7 @@
                         return StreamOutcome::Opened(Box::new(exchange));
                     }
                 },
-                Err(outcome) => outcome,
+                Err(outcome) => self.check_for_crash(req, &endpoint, outcome).await,
             };
             self.record_outcome(req, &mut progress, &endpoint.instance, outcome);
         }
@@ -221,7 +224,8 @@
         instance: &str,
         outcome: AttemptOutcome,
     ) -> Option<EndpointResponse> {
-        progress.response_lost = matches!(outcome, AttemptOutcome::Lost(_));
+        progress.response_lost =
+            matches!(outcome, AttemptOutcome::Lost(_) | AttemptOutcome::Crashed);
         let reason = match outcome {
             AttemptOutcome::Answer(response) => return Some(response),
             AttemptOutcome::Failure(mut response) => {
@@ -240,6 +244,11 @@
                 self.metrics.record_retry(reason);
                 reason.to_owned()
             }
+            AttemptOutcome::Crashed => {
+                progress.may_have_run = true;
+                self.metrics.record_retry("endpoint-crashed");
+                "endpoint-crashed".to_owned()
+            }
             AttemptOutcome::Lost(reason) => {
                 progress.may_have_run = true;
                 self.metrics.record_retry("answer-lost");
@@ -345,6 +354,7 @@
         let started_at = now();
         let in_flight = self.loads.start_call(&endpoint.instance);
         let outcome = self.exchange(req, kind, &endpoint).await;
+        let outcome = self.check_for_crash(req, &endpoint, outcome).await;
         drop(in_flight);
         let now = now();
         self.loads
@@ -352,7 +362,9 @@
                 AttemptOutcome::Answer(_) => load.record_answer(now.since(started_at)),
                 AttemptOutcome::NotRun("full") => load.record_full(now),
                 AttemptOutcome::NotRun("leaving" | "gone" | "deadline") => {}
-                AttemptOutcome::NotRun(_) | AttemptOutcome::Lost(_) => load.record_failure(now),
+                AttemptOutcome::NotRun(_) | AttemptOutcome::Lost(_) | AttemptOutcome::Crashed => {
+                    load.record_failure(now);
+                }
                 AttemptOutcome::Failure(_) => {}
             });
         (endpoint.instance, outcome)
@@ -370,6 +382,28 @@
         }
     }
 
+    /// Tells a lost response from a crash of the endpoint, which accepts no connections after it.
+    async fn check_for_crash(
+        &self,
+        req: &CallRequest,
+        endpoint: &EndpointEntry,
+        outcome: AttemptOutcome,
+    ) -> AttemptOutcome {
+        let is_broken = matches!(&outcome, AttemptOutcome::Lost(reason) if reason != FOREIGN && reason != UNCLEAR);
+        if !is_broken || !refuses_connections(endpoint.addr, CRASH_CHECK_TIMEOUT).await {
+            return outcome;
+        }
+        event(log::Level::Warn, "endpoint-crashed", || {
+            format!(
+                "request={} content={} instance={}",
+                req.id,
+                req.content(),
+                endpoint.instance
+            )
+        });
+        AttemptOutcome::Crashed
+    }
+
     /// Sends a call to an endpoint and waits for the head of its response.
     async fn open_at(
         &self,
--- a/crates/oleander-rollout/src/http/socket.rs
+++ b/crates/oleander-rollout/src/http/socket.rs
@@ -27,6 +27,18 @@
     Ok(stream)
 }
 
+/// Whether nothing listens at `addr`, as after a crash; false if that is not known within `limit`.
+pub async fn refuses_connections(addr: SocketAddr, limit: Millis) -> bool {
+    let refused = |error: &std::io::Error| {
+        matches!(
+            error.kind(),
+            std::io::ErrorKind::ConnectionRefused | std::io::ErrorKind::ConnectionReset
+        )
+    };
+    let connected = within(limit, TcpStream::connect(addr)).await;
+    connected.is_some_and(|connected| connected.as_ref().is_err_and(refused))
+}
+
 /// Sets the options that detect a dead peer, and turns off Nagle's algorithm. The first
 /// option that can't be set is logged.
 pub fn set_options(stream: &TcpStream) {
--- a/crates/oleanderlock/src/routing/mod.rs
+++ b/crates/oleanderlock/src/routing/mod.rs
@@ -18,6 +18,7 @@
 pub mod endpoint_table;
 pub mod leaving_endpoints;
 pub mod rate_limits;
+pub mod request_content;
 pub mod request_rate;
 pub mod retry_rule;
 pub mod route;
