Remember requests that crash endpoints, in all processes

Cause: the content of a request was forgotten with each attempt of its client, and no process knew what another had seen; the hedge and the route's attempts doubled the crashes of each attempt.

A broken connection whose endpoint refuses new ones is a crash. Each process remembers under which content (hash of method, host, path and body) which instances have crashed, and writes it to the platform's store, which entries and agents watch: it outlasts restarts and needs no leader. After three different instances the request is refused at once, with when to return. One call causes two crashes at most, is not hedged after the first, and pauses up to 200 ms before its retry, so that requests that were in flight at the same endpoint don't follow it to the next one. A success clears a request, and a crash is written only if the request has not succeeded within half a second. A scoring call that is blocked is tried three times more, 10 s apart, since its item is owed; items themselves are never blocked. Crashes count for ten minutes; the leader removes older ones.

Ruled out: blocking after two crashes.

--- a/crates/oleander-rollout/src/agent/agent_process.rs
+++ b/crates/oleander-rollout/src/agent/agent_process.rs
@@ -14,6 +14,7 @@
 use crate::store::gate::Gate;
 use crate::store::interests::Interests;
 use crate::store::shared_view::SharedView;
+use crate::store::store_client::StoreClient;
 use crate::store::store_health::StoreHealth;
 use event_listener::Event;
 use oleanderlock::routing::caller_share::CallerShare;
@@ -74,12 +75,20 @@
         let health = StoreHealth::default();
         spawn_follower(
             cfg.store,
-            Interests::default(),
+            Interests {
+                crash_suspects: true,
+                ..Interests::default()
+            },
             Gate::open(),
-            health,
+            health.clone(),
             view.clone(),
         )?;
-        let caller = Caller::new(view.clone(), cfg.caller(CallerRole::Agent), metrics.clone());
+        let caller = Caller::new(
+            view.clone(),
+            cfg.caller(CallerRole::Agent),
+            StoreClient::new(cfg.store, health),
+            metrics.clone(),
+        );
         let agent = Rc::new(Self {
             leader_client: LeaderClient::new(view.clone()),
             engine: EngineClient::new(
--- a/crates/oleander-rollout/src/agent/score.rs
+++ b/crates/oleander-rollout/src/agent/score.rs
@@ -16,6 +16,10 @@
 
 /// Pause after a scoring call without a score.
 const RETRY_PAUSE: Millis = Millis(100);
+/// Pause before a scoring call under which endpoints have crashed is tried once more.
+const TRIAL_PAUSE: Millis = Millis::from_secs(10);
+/// Such attempts for each text.
+const TRIALS_MAX: u32 = 3;
 /// Pause while there is no route to the scoring service.
 const NO_ROUTE_PAUSE: Millis = Millis(500);
 
@@ -27,14 +31,16 @@
     };
     let started_at = now();
     let mut failures = 0;
+    let (mut trial, mut trials) = (false, 0);
     loop {
-        let Some((req, attempts)) = request(agent, call) else {
+        let Some((mut req, attempts)) = request(agent, call) else {
             event(log::Level::Warn, "score-no-route", || {
                 format!("request={} host={} path={}", call.id, call.host, call.path)
             });
             sleep(NO_ROUTE_PAUSE).await;
             continue;
         };
+        req.trial = std::mem::take(&mut trial);
         let outcome = agent.caller.call(&req).await;
         let mut pause = RETRY_PAUSE;
         let reason = match outcome {
@@ -51,8 +57,15 @@
                 "failure"
             }
             CallOutcome::NotRun(not_run) => {
-                if not_run.reason == NotRunReason::RateLimit {
-                    pause = not_run.retry_after;
+                match not_run.reason {
+                    NotRunReason::NotRun => {}
+                    NotRunReason::RateLimit => pause = not_run.retry_after,
+                    // The item is owed even if its score call crashes endpoints.
+                    NotRunReason::CrashesEndpoints => {
+                        pause = TRIAL_PAUSE;
+                        trial = trials < TRIALS_MAX;
+                        trials += 1;
+                    }
                 }
                 "not-run"
             }
@@ -95,6 +108,7 @@
         attempts: route.attempts,
         objective: route.objective,
         deadline: now().plus(route.timeout),
+        trial: false,
     };
     Some((req, route.attempts))
 }
--- a/crates/oleander-rollout/src/call/call_request.rs
+++ b/crates/oleander-rollout/src/call/call_request.rs
@@ -30,6 +30,8 @@
     pub objective: Millis,
     /// Point in time after which the caller no longer waits for the response.
     pub deadline: Millis,
+    /// Whether one attempt is made even if endpoints have crashed under the same request before.
+    pub trial: bool,
 }
 
 impl CallRequest {
--- a/crates/oleander-rollout/src/call/caller.rs
+++ b/crates/oleander-rollout/src/call/caller.rs
@@ -12,12 +12,14 @@
 use super::caller_identity::CallerIdentity;
 use super::caller_role::CallerRole;
 use super::candidate_set::CandidateSet;
+use super::crash_registry::CrashRegistry;
 use super::endpoint_loads::EndpointLoads;
 use super::endpoint_response::EndpointResponse;
 use super::leaving_registry::LeavingRegistry;
 use super::limit_registry::LimitRegistry;
 use super::not_run::NotRun;
 use super::not_run_reason::NotRunReason;
+use super::opened_stream::OpenedStream;
 use super::request_kind::RequestKind;
 use super::response_class::{ResponseClass, classify};
 use super::stream_outcome::StreamOutcome;
@@ -29,6 +31,7 @@
 use crate::observe::metrics::Metrics;
 use crate::prelude::*;
 use crate::store::shared_view::SharedView;
+use crate::store::store_client::StoreClient;
 use futures_util::StreamExt as _;
 use futures_util::future::{Either, LocalBoxFuture, select};
 use futures_util::stream::FuturesUnordered;
@@ -38,6 +41,7 @@
 use oleanderlock::routing::attempt_failure::AttemptFailure;
 use oleanderlock::routing::call_state::CallState;
 use oleanderlock::routing::caller_share::CallerShare;
+use oleanderlock::routing::crash_suspects::{CRASHES_MAX, CRASHES_PER_CALL_MAX};
 use oleanderlock::routing::endpoint_entry::EndpointEntry;
 use oleanderlock::routing::retry_rule::after_failure;
 use oleanderlock::routing::route_kind::RouteKind;
@@ -49,6 +53,10 @@
 const CONNECT_TIMEOUT: Millis = Millis(300);
 /// Timeout of checking whether an endpoint that broke a connection still accepts others.
 const CRASH_CHECK_TIMEOUT: Millis = Millis(100);
+/// Longest pause before a call is attempted again after an endpoint has crashed under it.
+const CRASH_BACKOFF_MAX: Millis = Millis(200);
+/// Time after which a caller may repeat a request under which endpoints crash.
+const CRASHING_RETRY_AFTER: Millis = Millis::from_secs(60);
 /// Longest body of a response that is not a stream, in bytes.
 const RESPONSE_MAX_BYTES: usize = 32 << 20;
 /// The hedge delay is the latency objective divided by this.
@@ -76,15 +84,22 @@
     loads: Rc<EndpointLoads>,
     leaving: Rc<LeavingRegistry>,
     limits: Rc<LimitRegistry>,
+    crashes: Rc<CrashRegistry>,
     identity: CallerIdentity,
     metrics: Metrics,
 }
 
 impl Caller {
     /// Returns a caller that uses the endpoints in `view` and prefers those in the failure domain of
-    /// `identity`.
-    pub fn new(view: SharedView, identity: CallerIdentity, metrics: Metrics) -> Rc<Self> {
+    /// `identity`; what it learns of crashes goes to `store`.
+    pub fn new(
+        view: SharedView,
+        identity: CallerIdentity,
+        store: Rc<StoreClient>,
+        metrics: Metrics,
+    ) -> Rc<Self> {
         Rc::new(Self {
+            crashes: CrashRegistry::new(view.clone(), store, metrics.clone()),
             view,
             pool: Pool::new(CONNECT_TIMEOUT),
             loads: Rc::default(),
@@ -108,6 +123,9 @@
     /// Sends a call to one endpoint after the other until one responds, no attempt is allowed any
     /// more or the deadline passes.
     pub async fn call(&self, req: &CallRequest) -> CallOutcome {
+        if let Some(not_run) = self.refuse_crashing(req) {
+            return CallOutcome::NotRun(not_run);
+        }
         let mut progress = CallProgress::default();
         let left = req.deadline.since(now());
         let outcome = within(left, self.run(req, &mut progress)).await;
@@ -135,6 +153,9 @@
     /// Sends a request for a stream to one endpoint after the other until one responds. A stream is
     /// not hedged.
     pub async fn open_stream(&self, req: &CallRequest) -> StreamOutcome {
+        if let Some(not_run) = self.refuse_crashing(req) {
+            return StreamOutcome::NotRun(not_run);
+        }
         let mut progress = CallProgress::default();
         while let Some(endpoint) = self.next_endpoint(req, &mut progress).await {
             let left = req.deadline.since(now());
@@ -149,7 +170,10 @@
                     ResponseClass::Foreign => AttemptOutcome::Lost(FOREIGN.to_owned()),
                     ResponseClass::Unclear => AttemptOutcome::Lost(UNCLEAR.to_owned()),
                     ResponseClass::Answer | ResponseClass::Failure => {
-                        return StreamOutcome::Opened(Box::new(exchange));
+                        return StreamOutcome::Opened(Box::new(OpenedStream {
+                            exchange,
+                            endpoint,
+                        }));
                     }
                 },
                 Err(outcome) => self.check_for_crash(req, &endpoint, outcome).await,
@@ -162,6 +186,33 @@
         }
     }
 
+    /// Returns the refusal of a request under which too many endpoints have crashed.
+    fn refuse_crashing(&self, req: &CallRequest) -> Option<NotRun> {
+        if req.trial || !self.crashes.is_blocked(|| req.content()) {
+            return None;
+        }
+        event(log::Level::Info, "crashing-request-refused", || {
+            format!("request={} content={}", req.id, req.content())
+        });
+        Some(NotRun {
+            retry_after: CRASHING_RETRY_AFTER,
+            reason: NotRunReason::CrashesEndpoints,
+        })
+    }
+
+    /// Checks whether the endpoint of a stream that has broken off has crashed.
+    pub async fn check_broken_stream(&self, req: &CallRequest, endpoint: &EndpointEntry) {
+        if refuses_connections(endpoint.addr, CRASH_CHECK_TIMEOUT).await {
+            self.crashes
+                .record(&req.id, req.content(), &endpoint.instance);
+        }
+    }
+
+    /// Records that an endpoint has run a request to its end.
+    pub fn record_success(&self, req: &CallRequest) {
+        self.crashes.clear(|| req.content());
+    }
+
     async fn run(&self, req: &CallRequest, progress: &mut CallProgress) -> CallOutcome {
         let mut running: FuturesUnordered<LocalBoxFuture<'_, (String, AttemptOutcome)>> =
             FuturesUnordered::new();
@@ -203,6 +254,10 @@
         if !req.kind.is_idempotent() || running.len() > 1 {
             return;
         }
+        // Two endpoints could crash at once.
+        if self.crashes.count(|| req.content()) > 0 {
+            return;
+        }
         // A second request to the endpoint that has not responded to the first would not help.
         // Nor would more load on an endpoint that has named a limit.
         let unlimited = |entry: &EndpointEntry| {
@@ -227,8 +282,12 @@
         progress.response_lost =
             matches!(outcome, AttemptOutcome::Lost(_) | AttemptOutcome::Crashed);
         let reason = match outcome {
-            AttemptOutcome::Answer(response) => return Some(response),
+            AttemptOutcome::Answer(response) => {
+                self.record_success(req);
+                return Some(response);
+            }
             AttemptOutcome::Failure(mut response) => {
+                self.record_success(req);
                 let reason = format!("status {}", response.head.status.as_u16());
                 progress.may_have_run = true;
                 if response.head.status == StatusCode::INTERNAL_SERVER_ERROR {
@@ -246,6 +305,7 @@
             }
             AttemptOutcome::Crashed => {
                 progress.may_have_run = true;
+                progress.crashes += 1;
                 self.metrics.record_retry("endpoint-crashed");
                 "endpoint-crashed".to_owned()
             }
@@ -268,6 +328,9 @@
         req: &CallRequest,
         progress: &mut CallProgress,
     ) -> Option<EndpointEntry> {
+        if progress.crashes > 0 && !self.may_retry_after_crash(req, progress).await {
+            return None;
+        }
         let share = self.share(&req.service);
         let longest = Millis(req.deadline.since(now()).0 / 2).min(LIMIT_DELAY_MAX);
         let earliest = Cell::new(None::<Millis>);
@@ -290,6 +353,21 @@
         Some(endpoint)
     }
 
+    /// Whether a call may be attempted again although an endpoint has crashed under it; waits so that
+    /// calls that were in flight at the same endpoint don't all go on to the same one.
+    async fn may_retry_after_crash(&self, req: &CallRequest, progress: &CallProgress) -> bool {
+        let exhausted = || {
+            let crashes = self.crashes.count(|| req.content());
+            progress.crashes >= CRASHES_PER_CALL_MAX || crashes >= CRASHES_MAX
+        };
+        if exhausted() {
+            return false;
+        }
+        let longest = Millis(req.deadline.since(now()).0 / 4).min(CRASH_BACKOFF_MAX);
+        sleep(Millis(rand::random_range(0..=longest.0))).await;
+        !exhausted()
+    }
+
     /// Returns the share of this process in the rate limits of a service's endpoints.
     fn share(&self, service: &str) -> CallerShare {
         let view = self.view.get();
@@ -393,14 +471,8 @@
         if !is_broken || !refuses_connections(endpoint.addr, CRASH_CHECK_TIMEOUT).await {
             return outcome;
         }
-        event(log::Level::Warn, "endpoint-crashed", || {
-            format!(
-                "request={} content={} instance={}",
-                req.id,
-                req.content(),
-                endpoint.instance
-            )
-        });
+        self.crashes
+            .record(&req.id, req.content(), &endpoint.instance);
         AttemptOutcome::Crashed
     }
 
--- a/crates/oleander-rollout/src/call/not_run_reason.rs
+++ b/crates/oleander-rollout/src/call/not_run_reason.rs
@@ -6,6 +6,8 @@
 pub enum NotRunReason {
     /// No endpoint took the call.
     NotRun,
+    /// Endpoints have crashed under the same request before.
+    CrashesEndpoints,
     /// All endpoints that could take the call are at the rate limit that they have named.
     RateLimit,
 }
--- /dev/null
+++ b/crates/oleander-rollout/src/call/opened_stream.rs
@@ -0,0 +1,13 @@
+//! A stream whose response has begun.
+
+use crate::http::exchange::Exchange;
+use oleanderlock::routing::endpoint_entry::EndpointEntry;
+
+/// A stream whose response has begun; its body has not been read yet.
+#[derive(Debug)]
+pub struct OpenedStream {
+    /// The response.
+    pub exchange: Exchange,
+    /// The endpoint that sends it.
+    pub endpoint: EndpointEntry,
+}
--- a/crates/oleander-rollout/src/dispatch/dispatcher.rs
+++ b/crates/oleander-rollout/src/dispatch/dispatcher.rs
@@ -1,7 +1,7 @@
 //! The dispatcher process and the state that its tasks share.
 
 use super::state::State;
-use super::{election, http_api, ticks};
+use super::{crash_sweep, election, http_api, ticks};
 use crate::http::shutdown::Shutdown;
 use crate::observe::metrics::Metrics;
 use crate::peer::leader_client::LeaderClient;
@@ -64,6 +64,7 @@
             endpoints: true,
             versions: true,
             retirements: true,
+            crash_suspects: false,
         };
         let full_view_gate = Gate::default();
         let health = StoreHealth::default();
@@ -90,6 +91,7 @@
         http_api::open(&dispatcher)?;
         spawn(election::run(Rc::clone(&dispatcher)));
         spawn(ticks::run(Rc::clone(&dispatcher)));
+        spawn(crash_sweep::run(Rc::clone(&dispatcher)));
         Ok(dispatcher)
     }
 
--- a/crates/oleander-rollout/src/dispatch/mod.rs
+++ b/crates/oleander-rollout/src/dispatch/mod.rs
@@ -9,6 +9,7 @@
 mod agents_api;
 mod checkpoints;
 mod commit;
+mod crash_sweep;
 pub mod dispatcher;
 mod election;
 mod endpoint_summary;
--- a/crates/oleander-rollout/src/entry/calls.rs
+++ b/crates/oleander-rollout/src/entry/calls.rs
@@ -48,6 +48,7 @@
         attempts: route.attempts,
         objective: route.objective,
         deadline: deadline(head, route),
+        trial: false,
     })
 }
 
--- a/crates/oleander-rollout/src/entry/entry_process.rs
+++ b/crates/oleander-rollout/src/entry/entry_process.rs
@@ -83,6 +83,7 @@
         let interests = Interests {
             config: Some(ConfigInterest::Always),
             endpoints: true,
+            crash_suspects: true,
             ..Interests::default()
         };
         let own_watch = Gate::open();
@@ -94,10 +95,16 @@
             health.clone(),
             view.clone(),
         )?;
+        let store = StoreClient::new(cfg.store, health.clone());
         let entry = Rc::new(Self {
-            store: StoreClient::new(cfg.store, health.clone()),
             leader_client: LeaderClient::new(view.clone()),
-            caller: Caller::new(view.clone(), cfg.caller(CallerRole::Entry), metrics.clone()),
+            caller: Caller::new(
+                view.clone(),
+                cfg.caller(CallerRole::Entry),
+                Rc::clone(&store),
+                metrics.clone(),
+            ),
+            store,
             view,
             health,
             own_watch,
--- a/crates/oleander-rollout/src/entry/streams.rs
+++ b/crates/oleander-rollout/src/entry/streams.rs
@@ -4,6 +4,8 @@
 use super::calls::call_request;
 use super::entry_process::Entry;
 use super::request_head::RequestHead;
+use crate::call::call_request::CallRequest;
+use crate::call::opened_stream::OpenedStream;
 use crate::call::stream_outcome::StreamOutcome;
 use crate::http::exchange::Exchange;
 use crate::http::hop_headers;
@@ -18,6 +20,7 @@
 use oleanderlock::routing::retry_rule::retry_after;
 use oleanderlock::routing::route::Route;
 use oleanderlock::routing::stall_clock::StallClock;
+use std::rc::Rc;
 
 /// A stream without an event for this many latency objectives is stalled; clients leave after four.
 const STALL_OBJECTIVES: u64 = 5;
@@ -40,9 +43,10 @@
     entry.metrics.record_latency("first-event", took);
     let left = req.deadline.since(now());
     let (result, response) = match outcome {
-        StreamOutcome::Opened(exchange) => {
+        StreamOutcome::Opened(opened) => {
             let limit = Millis(route.objective.0.saturating_mul(STALL_OBJECTIVES)).max(STALL_MIN);
-            ("opened".to_owned(), relay(*exchange, &req.id, limit))
+            let response = relay(*opened, entry, &req, limit);
+            ("opened".to_owned(), response)
         }
         StreamOutcome::NotRun(not_run) => {
             let after = not_run.retry_after.max(retry_after(left));
@@ -67,19 +71,35 @@
 
 /// Relays the chunks of a response as they arrive; if the endpoint breaks off or sends no event for
 /// `stall_limit`, the response to the client breaks off.
-fn relay(exchange: Exchange, id: &str, stall_limit: Millis) -> EntryResponse {
+fn relay(
+    opened: OpenedStream,
+    entry: &Entry,
+    req: &CallRequest,
+    stall_limit: Millis,
+) -> EntryResponse {
+    let OpenedStream { exchange, endpoint } = opened;
     let mut head = Response::new(());
     *head.status_mut() = exchange.head.status;
     *head.headers_mut() = exchange.head.headers.clone();
     hop_headers::remove(head.headers_mut());
     let clock = StallClock::new(now(), stall_limit);
-    let id = id.to_owned();
-    let chunks = unfold(Some((exchange, clock, id)), |state| async move {
-        let (mut exchange, mut clock, id) = state?;
-        match next_chunk(&mut exchange, &mut clock, &id).await {
-            Ok(Some(chunk)) => Some((Ok(Frame::data(chunk)), Some((exchange, clock, id)))),
-            Ok(None) => None,
-            Err(error) => Some((Err(BodyError::from(error)), None)),
+    let caller = Rc::clone(&entry.caller);
+    let req = Rc::new(req.clone());
+    let chunks = unfold(Some((exchange, clock)), move |state| {
+        let (caller, req, endpoint) = (Rc::clone(&caller), Rc::clone(&req), endpoint.clone());
+        async move {
+            let (mut exchange, mut clock) = state?;
+            match next_chunk(&mut exchange, &mut clock, &req.id).await {
+                Ok(Some(chunk)) => Some((Ok(Frame::data(chunk)), Some((exchange, clock)))),
+                Ok(None) => {
+                    caller.record_success(&req);
+                    None
+                }
+                Err(error) => {
+                    spawn(async move { caller.check_broken_stream(&req, &endpoint).await });
+                    Some((Err(BodyError::from(error)), None))
+                }
+            }
         }
     });
     streamed(head, chunks.boxed_local())
--- a/crates/oleander-rollout/src/store/follow.rs
+++ b/crates/oleander-rollout/src/store/follow.rs
@@ -1,6 +1,7 @@
 //! The control thread, which watches the store and updates the view.
 
 use super::config_interest::ConfigInterest;
+use super::crash_objects::{CRASH_KIND, decode_crashes};
 use super::dispatcher_object::{DISPATCHER_KIND, DispatcherObject, NODE_PREFIX};
 use super::endpoint_watcher::EndpointWatcher;
 use super::gate::Gate;
@@ -21,6 +22,7 @@
 use oleander_platform::retirement;
 use oleander_platform::stored_object::StoredObject;
 use oleander_platform::target_version::decode_version;
+use oleanderlock::routing::crash_suspects::CrashSuspects;
 use oleanderlock::routing::route_table::RouteTable;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -115,6 +117,19 @@
             },
         ));
     }
+    if interests.crash_suspects {
+        let view = view.clone();
+        spawn(follow(
+            Rc::clone(&store),
+            CRASH_KIND,
+            OnDisconnect::List,
+            Gate::open(),
+            move |watch_event| {
+                apply_crashes(&view, watch_event);
+                true
+            },
+        ));
+    }
     follow(
         store,
         DISPATCHER_KIND,
@@ -210,6 +225,25 @@
     }
 }
 
+fn apply_crashes(view: &SharedView, watch_event: WatchEvent) {
+    let mut suspects = match &watch_event {
+        WatchEvent::All(..) => CrashSuspects::default(),
+        _ => CrashSuspects::clone(&view.get().crash_suspects),
+    };
+    if let WatchEvent::Gone(name) = &watch_event {
+        suspects.clear(name);
+    }
+    for object in objects_of(watch_event) {
+        match decode_crashes(object.spec.get()) {
+            Ok(crashes) => suspects.record(&object.name, &crashes),
+            Err(err) => event(log::Level::Warn, "crashes-unreadable", || {
+                format!("name={} reason=\"{err}\"", object.name)
+            }),
+        }
+    }
+    view.update(|view| view.crash_suspects = Arc::new(suspects));
+}
+
 fn apply_dispatcher(view: &SharedView, watch_event: WatchEvent) {
     if matches!(watch_event, WatchEvent::Lost | WatchEvent::Regained) {
         return;
--- a/crates/oleander-rollout/src/store/interests.rs
+++ b/crates/oleander-rollout/src/store/interests.rs
@@ -13,4 +13,6 @@
     pub versions: bool,
     /// Machines that are to be retired, while the gate is open.
     pub retirements: bool,
+    /// Requests under which endpoints have crashed, always.
+    pub crash_suspects: bool,
 }
--- a/crates/oleander-rollout/src/store/mod.rs
+++ b/crates/oleander-rollout/src/store/mod.rs
@@ -1,6 +1,7 @@
 //! The platform's store: a client, watches of whole kinds, and a local copy of what they report.
 
 pub mod config_interest;
+pub mod crash_objects;
 pub mod dispatcher_object;
 pub mod endpoint_watcher;
 pub mod follow;
--- a/crates/oleander-rollout/src/store/view.rs
+++ b/crates/oleander-rollout/src/store/view.rs
@@ -3,6 +3,7 @@
 use super::leader_object::LeaderObject;
 use indexmap::{IndexMap, IndexSet};
 use oleanderlock::routing::caller_rank::CallerRank;
+use oleanderlock::routing::crash_suspects::CrashSuspects;
 use oleanderlock::routing::endpoint_table::EndpointTable;
 use oleanderlock::routing::route_table::RouteTable;
 use std::net::SocketAddr;
@@ -30,6 +31,8 @@
     pub endpoints_known: bool,
     /// Place of this process among those that call endpoints; `None` until the leader has sent it.
     pub caller_rank: Option<CallerRank>,
+    /// Requests under which endpoints have crashed, as all processes have seen it.
+    pub crash_suspects: Arc<CrashSuspects>,
     /// Revision of the store when this process first read it; 0 before.
     pub first_revision: u64,
 }
--- a/crates/oleander-rollout/tests/formats.rs
+++ b/crates/oleander-rollout/tests/formats.rs
@@ -64,6 +64,7 @@
 use oleander_rollout::role::Role;
 use oleander_rollout::runtime;
 use oleander_rollout::settings::Config;
+use oleander_rollout::store::crash_objects::{CRASH_KIND, encode_crashes};
 use oleander_rollout::store::dispatcher_object::{DISPATCHER_KIND, DispatcherObject, NODE_PREFIX};
 use oleander_rollout::store::job_objects::{
     JOB_END_KIND, JOB_KIND, JOB_PART_KIND, RESULT_KIND, chunk_name, create_chunk, create_job,
@@ -81,6 +82,7 @@
 use oleanderlock::batch::pulse_verdict::PulseVerdict;
 use oleanderlock::batch::recall_reason::RecallReason;
 use oleanderlock::prelude::*;
+use oleanderlock::routing::crash_suspects::Crashes;
 use oleanderlock::routing::endpoint_entry::EndpointEntry;
 use oleanderlock::routing::endpoint_state::EndpointState;
 use oleanderlock::routing::endpoint_table::EndpointTable;
@@ -220,6 +222,11 @@
             "kind and name of a chunk",
             format!("{RESULT_KIND}/{}", chunk_name(12)),
         ),
+        text("kind of crashes", CRASH_KIND),
+        text(
+            "crashes",
+            encode_crashes(&Crashes::of("e-1", 1_790_000_000_001)).expect("JSON"),
+        ),
         text(
             "kinds of jobs",
             [JOB_KIND, JOB_PART_KIND, JOB_END_KIND].join(" "),
@@ -607,7 +614,8 @@
             node: "f-1".to_owned(),
             domain: "z".to_owned(),
         };
-        let caller = Caller::new(view, identity, Metrics::default());
+        let store = StoreClient::new(log.addr, StoreHealth::default());
+        let caller = Caller::new(view, identity, store, Metrics::default());
         caller.call(&call_request()).await;
         sent("call to a service");
         caller.open_stream(&call_request()).await;
@@ -630,6 +638,7 @@
         attempts: 1,
         objective: Millis(60_000),
         deadline: oleander_base::boot_clock::now().plus(Millis(60_000)),
+        trial: false,
     }
 }
 
--- a/crates/oleanderlock/src/routing/mod.rs
+++ b/crates/oleanderlock/src/routing/mod.rs
@@ -10,6 +10,7 @@
 pub mod caller_share;
 pub mod candidate;
 pub mod client_limits;
+pub mod crash_suspects;
 pub mod deployment_config;
 pub mod endpoint_entry;
 pub mod endpoint_load;
