Keep both of two concurrent updates of the view

What callers saw: nothing traced to it. Now that the control thread adds crashes to the view while the traffic thread adds endpoints and ranks, a lost update would let a blocked request through.

Cause: update copied the view, changed the copy and stored it without holding anything between; the later of two updates undid the earlier one. Updates now wait for each other; readers don't.

--- a/crates/oleander-rollout/src/store/shared_view.rs
+++ b/crates/oleander-rollout/src/store/shared_view.rs
@@ -3,7 +3,7 @@
 use super::view::View;
 use crate::prelude::*;
 use event_listener::{Event, EventListener};
-use parking_lot::RwLock;
+use parking_lot::{Mutex, RwLock};
 use std::sync::Arc;
 
 /// A view that is shared between threads; cheap to clone.
@@ -11,6 +11,8 @@
 pub struct SharedView {
     view: Arc<RwLock<Arc<View>>>,
     changed: Arc<Event>,
+    // Held during an update; readers don't wait for it.
+    updating: Arc<Mutex<()>>,
 }
 
 impl SharedView {
@@ -20,13 +22,13 @@
     }
 
     /// Applies `change` to a copy of the view, replaces the view by it and wakes those that wait
-    /// for a change.
-    ///
-    /// Only one thread may update the view at a time: one of two concurrent updates may be lost.
+    /// for a change. `change` must not update the view itself.
     pub fn update(&self, change: impl FnOnce(&mut View)) {
+        let updating = self.updating.lock();
         let mut view = View::clone(&self.get());
         change(&mut view);
         *self.view.write() = Arc::new(view);
+        drop(updating);
         self.changed.notify(usize::MAX);
     }
 
