Bound what is read of a response that does not end

What callers saw: an endpoint that sends interim responses without end kept the entry's only traffic thread: no call was answered within 10 s. Eight calls to an endpoint with an endless body took 263 MB (entries have 110 to 260), an event without end 196 MB of an agent's 192.

Cause: the HTTP parser reads on until a read would block, and nothing bounded the head; each body might grow to 32 MB, whatever the others use; an agent kept an event until it was complete, and searched all of it for its end again with each chunk.

An event of a run is at most 1 MB, as is its text, which must fit into a value of the store. The connection is closed, and the response counts as lost.

tests/endless_responses.rs: heads, interim responses, bodies, chunks, trailers, events and comments without end, for calls, streams and items.

--- a/crates/oleander-rollout/src/agent/run.rs
+++ b/crates/oleander-rollout/src/agent/run.rs
@@ -22,6 +22,10 @@
 /// Timeout of the response to a run and of each of its events; a weight load pauses runs for about
 /// a second. Doubled for the run after one that stalled.
 const EVENT_TIMEOUT: Millis = Millis(4000);
+/// Longest event of a run, in bytes.
+const EVENT_MAX_BYTES: usize = 1 << 20;
+/// Longest text of a run, in bytes; a longer one would not fit into a value of the store.
+const TEXT_MAX_BYTES: usize = 1 << 20;
 /// Stalled runs in a row without an event after which an item is returned for another engine.
 const STALLS_MAX: u32 = 1;
 /// Pause after the engine refused a run or a run broke off.
@@ -218,6 +222,9 @@
             }
             save_progress(agent, work, progress);
         }
+        if buf.remaining() > EVENT_MAX_BYTES {
+            return RunEnd::Broken;
+        }
         match within(clock.left(now()), exchange.next_chunk()).await {
             Some(Ok(Some(chunk))) => {
                 clock.push(now(), &chunk);
@@ -251,6 +258,9 @@
             return Some(RunEnd::WrongWeights);
         }
     }
+    if progress.text.len() + run_event.data.len() > TEXT_MAX_BYTES {
+        return Some(RunEnd::Broken);
+    }
     if progress.last_event > 0 {
         progress.text.push('\n');
     }
--- a/crates/oleander-rollout/src/http/exchange.rs
+++ b/crates/oleander-rollout/src/http/exchange.rs
@@ -1,10 +1,11 @@
 //! A response whose body is read from its connection.
 
+use super::body_budget::BodyBudget;
 use super::pooled_connection::PooledConnection;
 use super::send_error::SendError;
 use crate::prelude::*;
+use bytes::BytesMut;
 use http::response::Parts;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Frame, Incoming};
 use std::pin::Pin;
 
@@ -61,15 +62,22 @@
     /// # Errors
     ///
     /// [`SendError::NoAnswer`] when the connection broke before the end of the body, or the body is
-    /// longer than `max_bytes`.
+    /// longer than `max_bytes` or than the memory for bodies allows.
     pub async fn collect(mut self, max_bytes: usize) -> Result<(Parts, Bytes), SendError> {
-        let limited = Limited::new(&mut self.body, max_bytes);
-        let body = limited.collect().await.map_err(|error| {
-            SendError::no_answer(format!("body of at most {max_bytes} bytes: {error}"))
-        })?;
-        let body = body.to_bytes();
-        self.release();
-        Ok((self.head, body))
+        let budget = self.connection.as_ref().map(|used| &used.pool.bodies);
+        let mut memory = budget.map(BodyBudget::body);
+        let mut body = BytesMut::new();
+        while let Some(chunk) = self.next_chunk().await? {
+            let fits = memory
+                .as_mut()
+                .is_none_or(|memory| memory.take(chunk.len()));
+            if !fits || body.len() + chunk.len() > max_bytes {
+                let bytes = body.len() + chunk.len();
+                return Err(SendError::no_answer(format!("a body of {bytes} bytes")));
+            }
+            body.extend_from_slice(&chunk);
+        }
+        Ok((self.head, body.freeze()))
     }
 
     fn release(&mut self) {
--- a/crates/oleander-rollout/src/http/mod.rs
+++ b/crates/oleander-rollout/src/http/mod.rs
@@ -1,8 +1,10 @@
 //! HTTP/1.1: a server for callers and peers, and a connection pool for requests to endpoints, the
 //! store and peers.
 
+mod body_budget;
 pub mod destination;
 pub mod exchange;
+mod fair_stream;
 pub mod hop_headers;
 pub mod pool;
 mod pooled_connection;
--- a/crates/oleander-rollout/src/http/pool.rs
+++ b/crates/oleander-rollout/src/http/pool.rs
@@ -3,8 +3,10 @@
 //! A pool never holds more connections than requests were in flight at the same time. An idle
 //! connection expires by the timeout in the `Keep-Alive` header of the last response.
 
+use super::body_budget::BodyBudget;
 use super::destination::Destination;
 use super::exchange::Exchange;
+use super::fair_stream::{FairStream, HeadLimit};
 use super::pooled_connection::PooledConnection;
 use super::send_error::SendError;
 use super::socket::connect;
@@ -27,6 +29,7 @@
 pub(super) struct IdleConnection {
     destination: Destination,
     sender: SendRequest<Full<Bytes>>,
+    head_limit: HeadLimit,
     expires_at: Millis,
 }
 
@@ -35,6 +38,7 @@
 pub struct Pool {
     idle: RefCell<HashMap<Destination, Vec<IdleConnection>>>,
     connect_timeout: Millis,
+    pub(super) bodies: BodyBudget,
 }
 
 impl Pool {
@@ -43,6 +47,7 @@
         Rc::new(Self {
             idle: RefCell::default(),
             connect_timeout,
+            bodies: BodyBudget::default(),
         })
     }
 
@@ -77,8 +82,11 @@
                 Some(connection) => (connection, true),
                 None => (self.open(to).await?, false),
             };
-            match connection.sender.try_send_request(build()?).await {
+            let req = build()?;
+            connection.head_limit.start();
+            match connection.sender.try_send_request(req).await {
                 Ok(response) => {
+                    connection.head_limit.stop();
                     let (head, body) = response.into_parts();
                     let pool = Rc::clone(self);
                     return Ok(Exchange::new(
@@ -111,8 +119,9 @@
     async fn open(&self, to: &Destination) -> Result<IdleConnection, SendError> {
         let stream = connect(to.addr, self.connect_timeout).await;
         let stream = stream.map_err(SendError::not_sent)?;
+        let head_limit = HeadLimit::default();
         let (sender, connection) = Builder::new()
-            .handshake(FuturesIo::new(stream))
+            .handshake(FuturesIo::new(FairStream::new(stream, head_limit.clone())))
             .await
             .map_err(SendError::not_sent)?;
         spawn(async move {
@@ -125,6 +134,7 @@
         Ok(IdleConnection {
             destination: to.clone(),
             sender,
+            head_limit,
             expires_at: Millis::MAX,
         })
     }
--- /dev/null
+++ b/crates/oleander-rollout/tests/endless_responses.rs
@@ -0,0 +1,212 @@
+//! Endpoints that respond with bytes that are no answer, without end, until the caller closes.
+
+mod support;
+
+use oleander_platform_standins::call_behavior::CallBehavior;
+use oleander_platform_standins::endless_bytes::EndlessBytes;
+use oleander_platform_standins::stand_in_endless::StandInEndless;
+use serde_json::json;
+use std::io::Read;
+use std::thread;
+use std::time::{Duration, Instant};
+use support::deployment::Deployment;
+use support::deployment_size::{DeploymentSize, SMALL};
+use support::http::send;
+use support::{HOST, MODEL, check_results, config_with_streams, job, wait_for};
+
+/// Memory of an entry or agent of the smallest machines of the users.
+const MEMORY_MAX: u64 = 110 << 20;
+/// Time that a client waits for its response, as the request says.
+const DEADLINE: Duration = Duration::from_millis(1400);
+/// Time beyond the deadline after which nothing more may be read of a response.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Concurrent calls.
+const CALLS: usize = 8;
+
+const ALL: [EndlessBytes; 8] = [
+    EndlessBytes::Noise,
+    EndlessBytes::HeaderField,
+    EndlessBytes::HeaderFields,
+    EndlessBytes::InterimResponses,
+    EndlessBytes::Body,
+    EndlessBytes::Chunks,
+    EndlessBytes::Chunk,
+    EndlessBytes::Trailers,
+];
+
+fn list(deployment: &Deployment, endpoint: &StandInEndless, service: &str, instance: &str) {
+    let entry = json!({"service": service, "addr": endpoint.addr().to_string(), "zone": "z",
+        "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0, "seq": 1, "born": 1,
+        "models": [{"name": MODEL, "version": 1, "adapters": []}]});
+    deployment.store.put("servers", instance, &entry);
+}
+
+/// Fails if the caller still reads responses after [`CLOSE_TIMEOUT`].
+fn assert_closed(endpoint: &StandInEndless, bytes: EndlessBytes) {
+    let started_at = Instant::now();
+    while endpoint.open_responses() > 0 {
+        assert!(
+            started_at.elapsed() < CLOSE_TIMEOUT,
+            "{bytes:?}: {} responses are still read, {} bytes in all",
+            endpoint.open_responses(),
+            endpoint.bytes()
+        );
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+#[test]
+fn calls_end_within_their_time_and_memory_whatever_an_endpoint_sends() {
+    for bytes in ALL {
+        let deployment = Deployment::start(DeploymentSize {
+            entries: 1,
+            engines: 0,
+            dispatchers: 1,
+            services: 0,
+        });
+        let endless = StandInEndless::spawn(bytes, MODEL);
+        list(&deployment, &endless, "desk", "endless");
+        let headers = [("request-id", "call"), ("deadline-ms", "1400")];
+        wait_for("the entry uses the endpoint", || {
+            deployment.call(0, "POST", "/once/x", &headers, b"body");
+            endless.requests() > 0
+        });
+        thread::scope(|scope| {
+            for n in 0..CALLS {
+                let (deployment, id) = (&deployment, format!("call-{n}"));
+                scope.spawn(move || {
+                    let path = ["/calls/x", "/once/x"][n % 2];
+                    let headers = [("request-id", id.as_str()), ("deadline-ms", "1400")];
+                    let started_at = Instant::now();
+                    let reply = deployment.call(0, "POST", path, &headers, b"body");
+                    let took = started_at.elapsed();
+                    let status = reply.map(|reply| reply.status);
+                    assert!(
+                        matches!(status, Some(502..=504)),
+                        "{bytes:?}: status {status:?}"
+                    );
+                    assert!(took < DEADLINE + CLOSE_TIMEOUT, "{bytes:?}: {took:?}");
+                });
+            }
+        });
+        assert_closed(&endless, bytes);
+        let peak = deployment.entries[0].process().peak_memory();
+        assert!(peak < MEMORY_MAX, "{bytes:?}: {} MB", peak >> 20);
+    }
+}
+
+#[test]
+fn other_calls_are_served_beside_endless_responses() {
+    for bytes in ALL {
+        let deployment = Deployment::start(DeploymentSize {
+            entries: 1,
+            engines: 0,
+            dispatchers: 1,
+            services: 2,
+        });
+        let endless = StandInEndless::spawn(bytes, MODEL);
+        list(&deployment, &endless, "desk", "endless");
+        let headers = [("request-id", "call"), ("deadline-ms", "1400")];
+        for service in &deployment.services {
+            service.set_default_behavior(CallBehavior::Refuse);
+        }
+        wait_for("the entry uses the endpoint", || {
+            deployment.call(0, "POST", "/calls/x", &headers, b"body");
+            endless.requests() > 0
+        });
+        for service in &deployment.services {
+            service.set_default_behavior(CallBehavior::Answer);
+        }
+        for n in 0..CALLS {
+            let id = format!("call-{n}");
+            let headers = [("request-id", id.as_str()), ("deadline-ms", "1400")];
+            let reply = deployment.call(0, "POST", "/calls/x", &headers, b"body");
+            let reply = reply.expect("an answer");
+            assert_eq!(reply.status, 200, "{bytes:?}");
+            assert_eq!(reply.body, format!("for {id}").as_bytes());
+        }
+        assert_closed(&endless, bytes);
+    }
+}
+
+#[test]
+fn streams_break_off_and_stay_within_their_memory() {
+    for bytes in [
+        EndlessBytes::HeaderField,
+        EndlessBytes::InterimResponses,
+        EndlessBytes::EventLine,
+        EndlessBytes::Comments,
+        EndlessBytes::Trailers,
+    ] {
+        let deployment = Deployment::start(DeploymentSize {
+            entries: 1,
+            engines: 0,
+            dispatchers: 1,
+            services: 0,
+        });
+        let config = config_with_streams(2);
+        deployment.store.put("config", "main", &config);
+        let endless = StandInEndless::spawn(bytes, MODEL);
+        list(&deployment, &endless, "llm", "endless");
+        let addr = deployment.entries[0].calls;
+        let headers = [("host", HOST), ("request-id", "s"), ("deadline-ms", "4000")];
+        let read = || {
+            let stream = send(addr, "POST", "/talk/x", &headers, b"1");
+            let mut stream = stream.expect("a connection");
+            // The client leaves after a while, as it would without an event.
+            let started_at = Instant::now();
+            let mut buf = vec![0; 64 << 10];
+            while started_at.elapsed() < DEADLINE && stream.read(&mut buf).is_ok_and(|n| n > 0) {}
+        };
+        wait_for("the entry uses the endpoint", || {
+            read();
+            endless.requests() > 0
+        });
+        thread::scope(|scope| {
+            for _ in 0..CALLS {
+                scope.spawn(read);
+            }
+        });
+        assert_closed(&endless, bytes);
+        let peak = deployment.entries[0].process().peak_memory();
+        assert!(peak < MEMORY_MAX, "{bytes:?}: {} MB", peak >> 20);
+    }
+}
+
+#[test]
+fn items_are_run_elsewhere_and_agents_stay_within_their_memory() {
+    for bytes in [
+        EndlessBytes::HeaderField,
+        EndlessBytes::InterimResponses,
+        EndlessBytes::EventLine,
+        EndlessBytes::Comments,
+        EndlessBytes::Trailers,
+    ] {
+        let endless = StandInEndless::spawn(bytes, MODEL);
+        let mut deployment = Deployment::start(SMALL);
+        // The agent of engine 0 starts again beside the endless one.
+        deployment.agents[0].kill();
+        deployment.store.remove("servers", "engine-0");
+        list(&deployment, &endless, "llm", "endless");
+        let dispatcher = deployment.store.addr();
+        let mut agent =
+            support::node::Node::new("agent-9", "agent", dispatcher, Some(endless.addr()));
+        agent.start();
+        wait_for("the leader knows the agent", || {
+            let mut dispatchers = deployment.dispatchers.iter();
+            dispatchers.any(|node| {
+                let log = node.process().log();
+                let mut lines = log
+                    .lines()
+                    .filter(|line| line.contains("event=agent-known"));
+                lines.any(|line| line.contains("agent=agent-9 ") && line.contains("slots=8"))
+            })
+        });
+        let body = job(1, 1, 10, 3);
+        deployment.submit(0, "job-a", &body);
+        check_results(&deployment.read_all(0, "job-a", 20), &body);
+        assert!(endless.requests() > 0, "{bytes:?}: no item ran there");
+        let peak = agent.process().peak_memory();
+        assert!(peak < MEMORY_MAX, "{bytes:?}: {} MB", peak >> 20);
+    }
+}
--- a/crates/oleander-rollout/tests/support/process.rs
+++ b/crates/oleander-rollout/tests/support/process.rs
@@ -30,6 +30,16 @@
         Self::start_on_file(program, name, role, path)
     }
 
+    /// Returns the most memory that the process has used so far, in bytes.
+    pub fn peak_memory(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.expect("the status of a running process");
+        let line = status.lines().find(|line| line.starts_with("VmHWM:"));
+        let line = line.expect("the peak of the resident memory");
+        let kilobytes = line.split_whitespace().nth(1).map(str::parse::<u64>);
+        kilobytes.expect("a number").expect("a number") << 10
+    }
+
     /// Starts a program in a role with a settings file that is there.
     pub fn start_on_file(program: &Path, name: &str, role: &str, path: PathBuf) -> Self {
         let log = new_file(name, "log");
