Handle signals before the settings are read

Cause: the handlers were installed after the settings had been read and the log opened. They are now the first thing that a process does. Only the time in which the system loads the program is left.

--- a/crates/oleander-rollout/src/process.rs
+++ b/crates/oleander-rollout/src/process.rs
@@ -32,6 +32,15 @@
 
 /// Runs the process until a signal stops it, or only checks the settings if `args` ask for it.
 pub fn run(args: &Args) -> ExitCode {
+    // Before anything that takes time: a process that is told to stop while it starts must not be
+    // ended by the signal itself.
+    let signals = match spawn_signals() {
+        Ok(signals) => signals,
+        Err(error) => {
+            eprintln!("can't handle signals: {error}");
+            return ExitCode::Failure;
+        }
+    };
     let file = args.settings.display();
     let cfg = match Config::open(&args.settings) {
         Ok(_) if args.check => {
@@ -44,7 +53,7 @@
             return ExitCode::Usage;
         }
     };
-    match run_until_stopped(args, cfg) {
+    match run_until_stopped(args, cfg, &signals) {
         Ok(()) => ExitCode::Success,
         Err(error) => {
             eprintln!("can't start: {error}");
@@ -53,9 +62,8 @@
     }
 }
 
-fn run_until_stopped(args: &Args, cfg: Config) -> std::io::Result<()> {
+fn run_until_stopped(args: &Args, cfg: Config, signals: &Receiver<i32>) -> std::io::Result<()> {
     log_sink::start(&cfg.node, &args.role.to_string(), LevelFilter::Info)?;
-    let signals = spawn_signals()?;
     crate::runtime::run(async {
         let metrics = Metrics::default();
         metrics_server::open(cfg.metrics, metrics.clone())?;
--- a/crates/oleander-rollout/tests/support/node.rs
+++ b/crates/oleander-rollout/tests/support/node.rs
@@ -48,7 +48,7 @@
         }
     }
 
-    fn settings(&self) -> String {
+    pub fn settings(&self) -> String {
         let engine = self.engine.map(|addr| addr.to_string()).unwrap_or_default();
         format!(
             "[node]\nname = {}\ndomain = z\n[listen]\ncalls = {}\nready = {}\npeers = {}\n\
