Bound the concurrent scoring calls of an agent by the refusals of the service

What callers saw: when the endpoints of a service name a limit, or all but one are gone, agents sent the texts of a whole step to the last one at once, and each refused one again after 100 ms; calls of clients to the same service were refused.

Cause: each item scored by itself, with a fixed pause.

An agent now has a window of concurrent scoring calls (raised by one for each round of responses, halved by a refusal), and the pause doubles up to 0.8 s, with jitter.

--- a/crates/oleander-rollout/src/agent/agent_process.rs
+++ b/crates/oleander-rollout/src/agent/agent_process.rs
@@ -1,6 +1,7 @@
 //! The agent process.
 
 use super::engine_client::EngineClient;
+use super::score_window::ScoreWindow;
 use super::state::State;
 use super::{engine_poll, outcomes, pull};
 use crate::call::caller::{CALLERS_PERCENT, Caller};
@@ -45,6 +46,8 @@
     pub leader_client: Rc<LeaderClient>,
     /// Calls to the scoring services.
     pub caller: Rc<Caller>,
+    /// Bound on concurrent calls to the scoring services.
+    pub score_window: ScoreWindow,
     /// Calls to the engine.
     pub engine: EngineClient,
     /// Metrics.
@@ -103,6 +106,7 @@
             changed: Event::new(),
             stopping: Cell::new(false),
             waits_for_limit: Cell::new(false),
+            score_window: ScoreWindow::default(),
             process: rand::random(),
             cfg,
         });
--- a/crates/oleander-rollout/src/agent/mod.rs
+++ b/crates/oleander-rollout/src/agent/mod.rs
@@ -13,4 +13,5 @@
 mod runner;
 mod score;
 mod score_outcome;
+pub mod score_window;
 mod state;
--- a/crates/oleander-rollout/src/agent/score.rs
+++ b/crates/oleander-rollout/src/agent/score.rs
@@ -14,8 +14,12 @@
 use oleanderlock::batch::score_call::ScoreCall;
 use oleanderlock::routing::route_kind::RouteKind;
 
-/// Pause after a scoring call without a score.
+/// Longest pause after the first scoring call without a score; doubles with each further one.
 const RETRY_PAUSE: Millis = Millis(100);
+/// Longest pause after a scoring call without a score.
+const RETRY_PAUSE_MAX: Millis = Millis(800);
+/// Calls after which the pause no longer doubles.
+const RETRY_DOUBLINGS: u32 = 3;
 /// Pause before a scoring call under which endpoints have crashed is tried once more.
 const TRIAL_PAUSE: Millis = Millis::from_secs(10);
 /// Such attempts for each text.
@@ -31,7 +35,7 @@
     };
     let started_at = now();
     let mut failures = 0;
-    let (mut trial, mut trials) = (false, 0);
+    let (mut trial, mut trials, mut retries) = (false, 0, 0);
     loop {
         let Some((mut req, attempts)) = request(agent, call) else {
             event(log::Level::Warn, "score-no-route", || {
@@ -41,8 +45,14 @@
             continue;
         };
         req.trial = std::mem::take(&mut trial);
+        let timeout = req.deadline.since(now());
+        let running = agent.score_window.start().await;
+        req.deadline = now().plus(timeout);
         let outcome = agent.caller.call(&req).await;
-        let mut pause = RETRY_PAUSE;
+        drop(running);
+        record_load(agent, &outcome);
+        let mut pause = Millis(RETRY_PAUSE.0 << retries).min(RETRY_PAUSE_MAX);
+        retries = (retries + 1).min(RETRY_DOUBLINGS);
         let reason = match outcome {
             CallOutcome::Answered(response) => {
                 let signature = response.head.headers.get(headers::SIGNATURE);
@@ -82,7 +92,19 @@
         if failures >= attempts {
             return ScoreOutcome::NeverScored;
         }
-        sleep(pause).await;
+        sleep(Millis(rand::random_range(pause.0 / 2..=pause.0))).await;
+    }
+}
+
+/// Records what the outcome of a call says about the load of the service; nothing if the call was
+/// not sent.
+fn record_load(agent: &Agent, outcome: &CallOutcome) {
+    match outcome {
+        CallOutcome::Answered(_) => agent.score_window.record(true),
+        CallOutcome::NotRun(not_run) if not_run.reason != NotRunReason::NotRun => {}
+        CallOutcome::NotRun(_) | CallOutcome::Unknown | CallOutcome::TimedOut => {
+            agent.score_window.record(false);
+        }
     }
 }
 
--- a/crates/oleander-rollout/tests/batch_jobs.rs
+++ b/crates/oleander-rollout/tests/batch_jobs.rs
@@ -13,6 +13,27 @@
 use support::deployment_size::SMALL;
 use support::{MODEL, check_results, job, wait_for};
 
+#[test]
+fn scoring_calls_that_a_full_service_refuses_do_not_flood_it() {
+    /// Attempts for each item in 4 s, if one at each of two endpoints is made every 0.8 s.
+    const CALLS_PER_ITEM: usize = 10;
+    let deployment = Deployment::start(SMALL);
+    for service in &deployment.services {
+        service.set_default_behavior(CallBehavior::Refuse);
+    }
+    let body = job(1, 1, 20, 2);
+    deployment.submit(0, "job-a", &body);
+    thread::sleep(Duration::from_secs(4));
+    let refused = deployment.services.iter();
+    let refused: usize = refused.map(|service| service.calls_refused().len()).sum();
+    assert!(refused > 0);
+    assert!(refused <= 40 * CALLS_PER_ITEM, "{refused} calls");
+    for service in &deployment.services {
+        service.set_default_behavior(CallBehavior::Answer);
+    }
+    check_results(&deployment.read_all(0, "job-a", 40), &body);
+}
+
 #[test]
 fn every_item_of_a_job_is_listed_exactly_once() {
     let deployment = Deployment::start(SMALL);
--- a/crates/oleanderlock/src/routing/mod.rs
+++ b/crates/oleanderlock/src/routing/mod.rs
@@ -4,6 +4,7 @@
 pub mod after_failure;
 pub mod attempt_failure;
 pub mod call_state;
+pub mod call_window;
 pub mod caller_grant;
 pub mod caller_list;
 pub mod caller_rank;
