Soak: rate limits, leaving engines, crashes, calls under which services crash, signals in series

New actions: endpoints and engines name a rate limit (checked against all arrivals, excusing what processes send before they can know), an engine says that it is leaving, a service crashes and comes back as another instance, and a process gets SIGHUP and SIGTERM in a row. For odd seeds a client repeats a call under which each service crashes; after all faults each entry must refuse it, and none may crash any more. Seeds play other plans than before.

--- a/crates/oleander-rollout/tests/soak.rs
+++ b/crates/oleander-rollout/tests/soak.rs
@@ -22,7 +22,7 @@
 #[test]
 fn promises_hold_under_random_faults() {
     for seed in SHORT_SEEDS {
-        soak(seed, Scale::SHORT);
+        soak(seed, Scale::SHORT.for_seed(seed));
     }
 }
 
@@ -49,7 +49,7 @@
                     } else {
                         Scale::USUAL
                     };
-                    soak(seed, scale);
+                    soak(seed, scale.for_seed(seed));
                 }
             });
         }
--- a/crates/oleander-rollout/tests/soak_support/action.rs
+++ b/crates/oleander-rollout/tests/soak_support/action.rs
@@ -47,6 +47,16 @@
     RestartEngine { engine: usize },
     /// An endpoint of the plain service handles its calls in a faulty way.
     FaultyService { service: usize, treatment: usize },
+    /// An endpoint of the plain service names a rate limit, in tenths of a request a second.
+    LimitService { service: usize, tenths: u64 },
+    /// An engine names a rate limit, in tenths of a request a second.
+    LimitEngine { engine: usize, tenths: u64 },
+    /// An engine says in its responses that it is leaving, and restarts at the end.
+    LeavingEngine { engine: usize },
+    /// An endpoint of the plain service crashes and comes back with a new instance id.
+    CrashService { service: usize },
+    /// A process gets several signals in a row, SIGTERM among them.
+    Signals { node: usize },
     /// A newer configuration is published.
     NewConfig,
 }
--- a/crates/oleander-rollout/tests/soak_support/callers.rs
+++ b/crates/oleander-rollout/tests/soak_support/callers.rs
@@ -3,12 +3,22 @@
 use super::keep_alive_client::KeepAliveClient;
 use super::known_call::KnownCall;
 use super::observations::Observations;
+use super::soak_deployment::DEADLY;
 use crate::support::HOST;
+use crate::support::http::call;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
+/// Path of the calls under which each service crashes.
+pub const DEADLY_TARGET: &str = "/calls/deadly";
+/// Shortest time after which a refused deadly call may return, in seconds.
+const DEADLY_RETRY_AFTER_MIN: f64 = 10.0;
+/// Pause between two deadly calls.
+const DEADLY_PAUSE: Duration = Duration::from_millis(700);
 /// Pause between two calls.
 const PAUSE: Duration = Duration::from_millis(25);
 /// Body of every call.
@@ -65,3 +75,28 @@
         thread::sleep(PAUSE);
     }
 }
+
+/// Repeats the call under which services crash, at random entries, until the soak is over.
+pub fn repeat_deadly(seed: u64, entries: &[SocketAddr], observed: &Observations) {
+    let mut rng = StdRng::seed_from_u64(seed ^ 0x6465_6164);
+    while !observed.is_done() {
+        call_deadly(entries[rng.random_range(0..entries.len())]);
+        thread::sleep(DEADLY_PAUSE);
+    }
+}
+
+/// Sends the call under which services crash; returns whether it was refused for that reason.
+pub fn call_deadly(entry: SocketAddr) -> bool {
+    let id = format!("deadly-{:016x}", rand::random::<u64>());
+    let headers = [
+        ("host", HOST),
+        ("request-id", id.as_str()),
+        ("deadline-ms", "1400"),
+    ];
+    let reply = call(entry, "POST", DEADLY_TARGET, &headers, DEADLY);
+    let retry_after = reply.filter(|reply| reply.status == 503).and_then(|reply| {
+        let seconds = reply.headers.get("retry-after")?;
+        seconds.parse::<f64>().ok()
+    });
+    retry_after.is_some_and(|seconds| seconds >= DEADLY_RETRY_AFTER_MIN)
+}
--- a/crates/oleander-rollout/tests/soak_support/mod.rs
+++ b/crates/oleander-rollout/tests/soak_support/mod.rs
@@ -6,6 +6,8 @@
 pub mod keep_alive_client;
 pub mod known_call;
 pub mod known_job;
+pub mod limit_period;
+pub mod named_limits;
 pub mod observations;
 pub mod plan;
 pub mod run;
--- a/crates/oleander-rollout/tests/soak_support/plan.rs
+++ b/crates/oleander-rollout/tests/soak_support/plan.rs
@@ -29,7 +29,7 @@
 }
 
 fn action(rng: &mut StdRng) -> Action {
-    let kind = rng.random_range(0..27);
+    let kind = rng.random_range(0..33);
     let target = rng.random_range(0..1000);
     match kind {
         0 | 1 => Action::StoreDown {
@@ -70,6 +70,17 @@
         23 => Action::PauseLeader,
         24 => Action::KillLeader,
         25 => Action::CutLeader,
+        26 | 27 => Action::LimitService {
+            service: target,
+            tenths: rng.random_range(5..80),
+        },
+        28 => Action::LimitEngine {
+            engine: target,
+            tenths: rng.random_range(5..80),
+        },
+        29 => Action::LeavingEngine { engine: target },
+        30 => Action::CrashService { service: target },
+        31 => Action::Signals { node: target },
         _ => Action::NewConfig,
     }
 }
--- a/crates/oleander-rollout/tests/soak_support/run.rs
+++ b/crates/oleander-rollout/tests/soak_support/run.rs
@@ -1,11 +1,11 @@
 //! One soak: runs a plan against a deployment under load, then checks every promise against what
 //! clients observed and what the stand-ins recorded.
 
-use super::callers::{BODY, call_until_done};
+use super::callers::{BODY, DEADLY_TARGET, call_deadly, call_until_done, repeat_deadly};
 use super::observations::Observations;
 use super::plan::{PlannedAction, plan};
 use super::scale::Scale;
-use super::soak_deployment::SoakDeployment;
+use super::soak_deployment::{DEADLY, SoakDeployment};
 use super::trainer::{read, read_at_random, submit, submit_more, train};
 use crate::support::{HOST, job, wait_for};
 use base64::Engine as _;
@@ -21,6 +21,11 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+/// Pause between two repetitions of the deadly call, in which services restart.
+const DEADLY_PAUSE: Duration = Duration::from_millis(300);
+/// Times that the deadly call is repeated once all entries refuse it.
+const DEADLY_REPETITIONS: usize = 5;
+
 /// Runs the soak of one seed; fails the test if a promise was broken.
 pub fn soak(seed: u64, scale: Scale) {
     let plan = plan(seed, scale.actions, scale.time);
@@ -55,6 +60,12 @@
     clients.push(thread::spawn(move || {
         submit_more(seed, &entries, &of_submitter)
     }));
+    let (entries, of_repeater) = (deployment.entries.clone(), Arc::clone(&observed));
+    if deployment.deadly_call {
+        clients.push(thread::spawn(move || {
+            repeat_deadly(seed, &entries, &of_repeater)
+        }));
+    }
     let (entries, of_reader) = (deployment.entries.clone(), Arc::clone(&observed));
     clients.push(thread::spawn(move || {
         read_at_random(seed, &entries, &of_reader)
@@ -63,6 +74,10 @@
     act(deployment, &observed);
     deployment.end_all_faults(&observed);
     wait_for_recovery(seed, deployment, &observed);
+    if deployment.deadly_call {
+        check_deadly_call(deployment, &observed);
+    }
+    deployment.check_limits(&observed);
     observed.done.store(true, Ordering::Relaxed);
     for client in clients {
         client.join().expect("a client that does not panic");
@@ -86,6 +101,28 @@
     );
 }
 
+/// Repeats the deadly call at all entries until all refuse it, and checks that no endpoint crashes
+/// under it any more.
+fn check_deadly_call(deployment: &mut SoakDeployment, observed: &Observations) {
+    let entries = deployment.entries.clone();
+    wait_for("all entries refuse the deadly call", || {
+        deployment.restart_crashed_services();
+        thread::sleep(DEADLY_PAUSE);
+        entries.iter().all(|entry| call_deadly(*entry))
+    });
+    let before = deployment.crashes();
+    for _ in 0..DEADLY_REPETITIONS {
+        for entry in &entries {
+            if !call_deadly(*entry) {
+                observed.add_violation("the deadly call is not refused any more".to_owned());
+            }
+        }
+    }
+    if deployment.crashes() > before {
+        observed.add_violation("a service crashed under a refused call".to_owned());
+    }
+}
+
 /// Starts and ends the actions of a plan at their times.
 fn run_plan(deployment: &mut SoakDeployment, plan: &[PlannedAction], observed: &Observations) {
     let mut times: Vec<(Duration, &PlannedAction, bool)> = Vec::new();
@@ -98,6 +135,7 @@
     for (at, planned, begins) in times {
         thread::sleep(at.saturating_sub(began.elapsed()));
         deployment.check_for_crashes(observed);
+        deployment.restart_crashed_services();
         if begins {
             deployment.begin(planned.action);
         } else {
@@ -158,6 +196,12 @@
         .flat_map(|service| service.calls_run())
     {
         let id = req.header("request-id").unwrap_or_default().to_owned();
+        if id.starts_with("deadly-") {
+            if req.body != DEADLY || req.target != DEADLY_TARGET {
+                observed.add_violation(format!("{id} was changed: {req:?}"));
+            }
+            continue;
+        }
         if id.starts_with("score-") {
             if req.body != b"score me" || req.target != "/calls/score" {
                 observed.add_violation(format!("{id} was changed: {req:?}"));
--- a/crates/oleander-rollout/tests/soak_support/scale.rs
+++ b/crates/oleander-rollout/tests/soak_support/scale.rs
@@ -7,6 +7,9 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Scale {
     pub size: DeploymentSize,
+    /// Whether a client repeats a call under which services crash. Services are reached without
+    /// relays then, which would go on listening after a crash.
+    pub deadly_call: bool,
     /// Number of actions.
     pub actions: usize,
     /// Time within which the actions start.
@@ -22,6 +25,7 @@
             dispatchers: 2,
             services: 2,
         },
+        deadly_call: false,
         actions: 8,
         time: Duration::from_secs(5),
     };
@@ -33,6 +37,7 @@
             dispatchers: 3,
             services: 2,
         },
+        deadly_call: false,
         actions: 20,
         time: Duration::from_secs(9),
     };
@@ -44,7 +49,16 @@
             dispatchers: 4,
             services: 4,
         },
+        deadly_call: false,
         actions: 40,
         time: Duration::from_secs(12),
     };
+
+    /// Returns the same scale with a deadly call for odd seeds, without for even ones.
+    pub fn for_seed(self, seed: u64) -> Self {
+        Self {
+            deadly_call: !seed.is_multiple_of(2),
+            ..self
+        }
+    }
 }
--- a/crates/oleander-rollout/tests/soak_support/soak_deployment.rs
+++ b/crates/oleander-rollout/tests/soak_support/soak_deployment.rs
@@ -10,15 +10,21 @@
 use oleander_platform_standins::call_behavior::CallBehavior;
 use oleander_platform_standins::engine_faults::EngineFaults;
 use oleander_platform_standins::stand_in_engine::StandInEngine;
+use oleander_platform_standins::stand_in_service::StandInService;
 use oleander_platform_standins::store_faults::StoreFaults;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
 use super::action::Action;
+use super::named_limits::NamedLimits;
 use super::observations::Observations;
 use super::scale::Scale;
 
+/// Header by which an endpoint names its rate limit.
+const LIMIT: &str = "server-limit";
+/// Body of the calls under which each service crashes.
+pub const DEADLY: &[u8] = b"deadly";
 const EVENT_TIME: Duration = Duration::from_millis(15);
 const SLOW_EVENT_TIME: Duration = Duration::from_millis(150);
 /// Longest time that a process may take to end after SIGTERM: its grace period and a margin.
@@ -56,15 +62,31 @@
     hit_leaders: Vec<usize>,
     config_version: u64,
     engine_restarts: usize,
+    service_addrs: Vec<SocketAddr>,
+    /// Whether a client repeats a call under which services crash.
+    pub deadly_call: bool,
+    service_restarts: usize,
+    service_limits: Vec<NamedLimits>,
+    engine_limits: Vec<NamedLimits>,
+    /// When processes were started.
+    starts: Vec<Instant>,
 }
 
 impl SoakDeployment {
     pub fn start(scale: Scale) -> Self {
-        Self::start_as(scale.size, &|_| PROGRAM.into())
+        Self::start_with(scale.size, scale.deadly_call, &|_| PROGRAM.into())
     }
 
     /// Starts the program that is named for each role.
     pub fn start_as(size: DeploymentSize, program: &dyn Fn(&str) -> PathBuf) -> Self {
+        Self::start_with(size, false, program)
+    }
+
+    fn start_with(
+        size: DeploymentSize,
+        deadly_call: bool,
+        program: &dyn Fn(&str) -> PathBuf,
+    ) -> Self {
         let around = StandIns::spawn(size);
         let mut links = Vec::new();
         let mut link = |target: SocketAddr| {
@@ -79,8 +101,17 @@
         for (n, relay) in engine_links.iter().enumerate() {
             around.list_engine(n, relay.addr());
         }
-        for (n, service) in around.services.iter().enumerate() {
-            around.list_service(n, link(service.addr()).addr());
+        let service_addrs: Vec<SocketAddr> = {
+            let services = around.services.iter();
+            let addr = |service: &StandInService| match deadly_call {
+                true => service.addr(),
+                false => link(service.addr()).addr(),
+            };
+            services.map(addr).collect()
+        };
+        for (n, addr) in service_addrs.iter().enumerate() {
+            around.list_service(n, *addr);
+            around.services[n].set_crashing_body(DEADLY);
         }
         let store = around.store.addr();
         let mut nodes = Vec::new();
@@ -121,6 +152,12 @@
             hit_leaders: Vec::new(),
             config_version: 1,
             engine_restarts: 0,
+            service_addrs,
+            deadly_call,
+            service_restarts: 0,
+            service_limits: (0..size.services).map(|_| NamedLimits::default()).collect(),
+            engine_limits: (0..size.engines).map(|_| NamedLimits::default()).collect(),
+            starts: Vec::new(),
         };
         deployment.start_all_down();
         deployment
@@ -145,6 +182,7 @@
         for (node, state) in &mut self.nodes {
             if *state == NodeState::Down {
                 node.start();
+                self.starts.push(Instant::now());
                 *state = NodeState::Up;
             }
         }
@@ -220,6 +258,37 @@
                 let service = &self.around.services[service % self.around.services.len()];
                 service.set_default_behavior(BEHAVIORS[treatment % BEHAVIORS.len()]);
             }
+            Action::LimitService { service, tenths } => {
+                let n = service % self.around.services.len();
+                let rate = self.service_limits[n]
+                    .begin(tenths as f64 / 10.0)
+                    .to_string();
+                self.around.services[n].set_added_headers(&[(LIMIT, &rate)]);
+            }
+            Action::LimitEngine { engine, tenths } => {
+                let n = engine % self.around.engines.len();
+                let rate = self.engine_limits[n]
+                    .begin(tenths as f64 / 10.0)
+                    .to_string();
+                self.around.engines[n].set_added_headers(&[(LIMIT, &rate)]);
+            }
+            Action::LeavingEngine { engine } => {
+                self.engine(engine)
+                    .set_added_headers(&[("server-leaving", "1")]);
+            }
+            Action::CrashService { service } => {
+                self.around.services[service % self.around.services.len()].crash();
+            }
+            Action::Signals { node } => {
+                let n = node % self.nodes.len();
+                let (node, state) = &mut self.nodes[n];
+                if *state == NodeState::Up {
+                    for signal in ["HUP", "HUP", "TERM", "HUP", "TERM"] {
+                        node.process().signal(signal);
+                    }
+                    *state = NodeState::Stopping;
+                }
+            }
             Action::NewConfig => {
                 self.config_version += 1;
                 self.around
@@ -259,6 +328,25 @@
                 self.around.services[service % self.around.services.len()]
                     .set_default_behavior(CallBehavior::Answer);
             }
+            Action::LimitService { service, .. } => {
+                let n = service % self.around.services.len();
+                if self.service_limits[n].end() {
+                    self.around.services[n].set_added_headers(&[]);
+                }
+            }
+            Action::LimitEngine { engine, .. } => {
+                let n = engine % self.around.engines.len();
+                if self.engine_limits[n].end() {
+                    self.around.engines[n].set_added_headers(&[]);
+                }
+            }
+            Action::LeavingEngine { engine } => {
+                let n = engine % self.around.engines.len();
+                self.around.engines[n].set_added_headers(&[]);
+                self.restart_engine(n);
+            }
+            Action::CrashService { .. } => self.restart_crashed_services(),
+            Action::Signals { node } => self.await_stop(node % self.nodes.len(), observed),
             Action::StoreCompacts
             | Action::Silence { .. }
             | Action::Reset { .. }
@@ -280,6 +368,7 @@
         for service in &self.around.services {
             service.set_default_behavior(CallBehavior::Answer);
         }
+        self.restart_crashed_services();
         for node in 0..self.nodes.len() {
             self.resume(node);
             self.await_stop(node, observed);
@@ -295,10 +384,45 @@
             {
                 observed.add_violation(format!("{} ended by itself with code {code}", node.name));
                 node.start();
+                self.starts.push(Instant::now());
+            }
+        }
+    }
+
+    /// Records as violations the endpoints that got more requests than they had named as limits.
+    pub fn check_limits(&self, observed: &Observations) {
+        let services = self.service_limits.iter().zip(&self.around.services);
+        let services = services.map(|(limits, service)| (limits, service.arrivals()));
+        let engines = self.engine_limits.iter().zip(&self.around.engines);
+        let engines = engines.map(|(limits, engine)| (limits, engine.arrivals()));
+        for (limits, arrivals) in services.chain(engines) {
+            if let Some(violation) = limits.violation(&arrivals, &self.starts) {
+                observed.add_violation(violation);
             }
         }
     }
 
+    /// Starts the services again that have crashed, with new instance ids.
+    pub fn restart_crashed_services(&mut self) {
+        for n in 0..self.around.services.len() {
+            let service = &self.around.services[n];
+            if !service.is_down() {
+                continue;
+            }
+            self.service_restarts += 1;
+            let before = service.instance();
+            service.restart(&format!("desk-{n}-{}", self.service_restarts));
+            self.around.store.remove("servers", &before);
+            self.around.list_service(n, self.service_addrs[n]);
+        }
+    }
+
+    /// Returns the number of crashes of services under the deadly call.
+    pub fn crashes(&self) -> usize {
+        let services = self.around.services.iter();
+        services.map(StandInService::crashes).sum()
+    }
+
     /// Returns the number of the dispatcher that leads according to the store, and records it as
     /// hit.
     fn pick_leader(&mut self) -> usize {
@@ -364,6 +488,7 @@
             observed.add_violation(format!("{} stopped with {code:?}", node.name));
         }
         node.start();
+        self.starts.push(Instant::now());
         *state = NodeState::Up;
     }
 
--- a/crates/oleander-rollout/tests/support/stand_ins.rs
+++ b/crates/oleander-rollout/tests/support/stand_ins.rs
@@ -44,8 +44,9 @@
 
     /// Lists a service in the store as an endpoint at `addr`, which may be a relay.
     pub fn list_service(&self, n: usize, addr: SocketAddr) {
-        let mut entry = self.services[n].entry("desk");
+        let service = &self.services[n];
+        let mut entry = service.entry("desk");
         entry["addr"] = json!(addr.to_string());
-        self.store.put("servers", &format!("desk-{n}"), &entry);
+        self.store.put("servers", &service.instance(), &entry);
     }
 }
