Shorten the wait for a limited endpoint when its limit rises; give up orders before they take a place

What callers saw: nothing traced to it; found by reading the diff. An order that could not be sent within its 6 s had taken the place of later requests, and an endpoint that raised its limit from 0 to 2 a second got nothing for an hour.

Cause: the time of the next request was kept when the limit changed, and orders took a place however late.

a_higher_limit_shortens_the_wait_for_the_next_request failed before.

--- a/crates/oleander-rollout/src/agent/load.rs
+++ b/crates/oleander-rollout/src/agent/load.rs
@@ -15,6 +15,8 @@
 
 /// Time after which the agent gives up on a load, and the dispatcher decides again.
 const LOAD_TIMEOUT: Millis = Millis(6000);
+/// Longest time that an order waits for the engine's rate limit.
+const LIMIT_DELAY_MAX: Millis = Millis(5000);
 /// Interval at which the engine is polled during a load.
 const POLL_INTERVAL: Millis = Millis(100);
 /// Pause after an order without a response.
@@ -95,9 +97,13 @@
     let Some(endpoint) = agent.ready_endpoint() else {
         return false;
     };
-    match agent.reserve_request(&endpoint) {
-        Some(delay) => sleep(delay).await,
-        None => return false,
+    // An order that is given up must not have taken the place of later requests.
+    let delay = agent.engine_delay(&endpoint);
+    if delay.is_none_or(|delay| delay > LIMIT_DELAY_MAX) {
+        return false;
+    }
+    if let Some(delay) = agent.reserve_request(&endpoint) {
+        sleep(delay).await;
     }
     let order = LoadOrder {
         model: &work.model,
--- a/crates/oleander-rollout/src/agent/runner.rs
+++ b/crates/oleander-rollout/src/agent/runner.rs
@@ -11,8 +11,8 @@
 /// Longest pause after which the engine's rate limit is checked again.
 const LIMIT_RETRY_PAUSE: Millis = Millis(1000);
 
-/// Starts waiting items while the engine has free slots and its rate limit allows. Items of a model whose weights are being
-/// loaded wait; those that need newer weights than the engine has are returned.
+/// Starts waiting items while the engine has free slots and its rate limit allows. Items of a model
+/// whose weights are being loaded wait; those that need newer weights than the engine has are returned.
 pub fn start_waiting(agent: &Rc<Agent>) {
     let Some(endpoint) = agent.ready_endpoint() else {
         return;
--- a/crates/oleanderlock/src/routing/rate_limits.rs
+++ b/crates/oleanderlock/src/routing/rate_limits.rs
@@ -18,6 +18,19 @@
     due_us: u64,
 }
 
+impl NamedLimit {
+    /// Changes the limit; a higher one shortens the wait for the next request in proportion.
+    fn set_rate(&mut self, rate: RequestRate, now: Millis) {
+        let before = std::mem::replace(&mut self.rate, rate);
+        if rate > before {
+            let now_us = now.0.saturating_mul(1000);
+            let wait_us = self.due_us.saturating_sub(now_us) as f64;
+            let shortened_us = wait_us * before.per_second() / rate.per_second();
+            self.due_us = now_us + shortened_us as u64;
+        }
+    }
+}
+
 /// Rate limits that endpoints have named in their responses, by instance id.
 ///
 /// Memory is bounded by [`ENDPOINTS_MAX`] instance ids.
@@ -32,7 +45,7 @@
     pub fn record(&mut self, instance: &str, rate: RequestRate, now: Millis) -> bool {
         if let Some(known) = self.by_instance.get_mut(instance) {
             let differs = known.rate != rate;
-            known.rate = rate;
+            known.set_rate(rate, now);
             known.last_named_at = now;
             return differs;
         }
--- a/crates/oleanderlock/tests/rate_limits.rs
+++ b/crates/oleanderlock/tests/rate_limits.rs
@@ -182,6 +182,22 @@
     assert_eq!(delay, Some(Millis::ZERO));
 }
 
+#[test]
+fn a_higher_limit_shortens_the_wait_for_the_next_request() {
+    let mut limits = RateLimits::default();
+    let sole = CallerShare::sole();
+    limits.record("a", rate(0.0), Millis(100));
+    limits.reserve("a", sole, Millis(100), START_UNIX_MS);
+    let delay = limits.delay("a", sole, Millis(200), START_UNIX_MS);
+    assert!(delay > Some(Millis::from_secs(60)), "{delay:?}");
+    limits.record("a", rate(0.05), Millis(200));
+    let delay = limits.delay("a", sole, Millis(200), START_UNIX_MS);
+    assert!(delay <= Some(Millis::from_secs(20)), "{delay:?}");
+    limits.record("a", rate(2.0), Millis(200));
+    let delay = limits.delay("a", sole, Millis(200), START_UNIX_MS);
+    assert!(delay <= Some(Millis(500)), "{delay:?}");
+}
+
 #[test]
 fn a_limit_that_is_named_again_does_not_forget_what_was_sent() {
     let mut limits = RateLimits::default();
