Lower the window of scoring calls on slow responses too

Cause: the window learned from refusals only, so it kept the queue full. A response that takes more than half of the route's objective now counts as a refusal.

--- a/crates/oleander-rollout/src/agent/score.rs
+++ b/crates/oleander-rollout/src/agent/score.rs
@@ -48,9 +48,10 @@
         let timeout = req.deadline.since(now());
         let running = agent.score_window.start().await;
         req.deadline = now().plus(timeout);
+        let sent_at = now();
         let outcome = agent.caller.call(&req).await;
         drop(running);
-        record_load(agent, &outcome);
+        record_load(agent, &outcome, now().since(sent_at), req.objective);
         let mut pause = Millis(RETRY_PAUSE.0 << retries).min(RETRY_PAUSE_MAX);
         retries = (retries + 1).min(RETRY_DOUBLINGS);
         let reason = match outcome {
@@ -98,12 +99,12 @@
 
 /// Records what the outcome of a call says about the load of the service; nothing if the call was
 /// not sent.
-fn record_load(agent: &Agent, outcome: &CallOutcome) {
+fn record_load(agent: &Agent, outcome: &CallOutcome, took: Millis, objective: Millis) {
     match outcome {
-        CallOutcome::Answered(_) => agent.score_window.record(true),
+        CallOutcome::Answered(_) => agent.score_window.record_response(took, objective),
         CallOutcome::NotRun(not_run) if not_run.reason != NotRunReason::NotRun => {}
         CallOutcome::NotRun(_) | CallOutcome::Unknown | CallOutcome::TimedOut => {
-            agent.score_window.record(false);
+            agent.score_window.record_refusal();
         }
     }
 }
--- a/crates/oleander-rollout/src/agent/score_window.rs
+++ b/crates/oleander-rollout/src/agent/score_window.rs
@@ -30,14 +30,15 @@
         }
     }
 
-    /// Records whether a call had a response.
-    pub fn record(&self, had_response: bool) {
+    /// Records a response that took `took`, to a call with this latency objective.
+    pub fn record_response(&self, took: Millis, objective: Millis) {
         let mut window = self.window.borrow_mut();
-        if had_response {
-            window.record_response();
-        } else {
-            window.record_refusal(now());
-        }
+        window.record_response(now(), took, objective);
+    }
+
+    /// Records that a call was refused or not answered.
+    pub fn record_refusal(&self) {
+        self.window.borrow_mut().record_refusal(now());
     }
 }
 
--- a/crates/oleanderlock/src/routing/call_window.rs
+++ b/crates/oleanderlock/src/routing/call_window.rs
@@ -1,8 +1,8 @@
-//! Bound on concurrent calls, learned from refusals.
+//! Bound on concurrent calls, learned from refusals and slow responses.
 //!
 //! Load pattern: the runs of a step end at about the same time, so many texts are to be scored at
-//! once, by a service that also serves clients. Calls that it refuses as full are sent again and
-//! again, and keep those of clients out.
+//! once, by a service that also serves clients. Calls that fill its queue, or that it refuses as full
+//! and that are sent again and again, keep those of clients out.
 
 use crate::prelude::*;
 
@@ -15,7 +15,8 @@
 /// Time within which refusals lower the bound only once, as they have one cause.
 const LOWER_INTERVAL: Millis = Millis(100);
 
-/// Bound on concurrent calls: raised by one for each round of responses, halved by a refusal.
+/// Bound on concurrent calls: raised by one for each round of responses, halved by a refusal or
+/// a slow response.
 #[derive(Clone, Debug)]
 pub struct CallWindow {
     bound: f64,
@@ -46,8 +47,13 @@
         self.running = self.running.saturating_sub(1);
     }
 
-    /// Records a response.
-    pub fn record_response(&mut self) {
+    /// Records a response that took `took`; one that took more than half of the latency objective
+    /// shows a queue and counts as a refusal.
+    pub fn record_response(&mut self, now: Millis, took: Millis, objective: Millis) {
+        if took.0 > objective.0 / 2 {
+            self.record_refusal(now);
+            return;
+        }
         self.bound = (self.bound + 1.0 / self.bound).min(MAX);
     }
 
