--- a/crates/oleander-rollout/tests/crashing_requests.rs
+++ b/crates/oleander-rollout/tests/crashing_requests.rs
@@ -2,12 +2,16 @@
 
 mod support;
 
+use oleander_platform_standins::engine_faults::EngineFaults;
+use oleander_platform_standins::stand_in_engine::StandInEngine;
 use oleander_platform_standins::stand_in_service::StandInService;
+use std::io::Read;
 use std::thread;
 use std::time::{Duration, Instant};
 use support::deployment::Deployment;
 use support::deployment_size::DeploymentSize;
-use support::{check_results, job, wait_for};
+use support::http::send;
+use support::{HOST, check_results, config_with_streams, job, wait_for};
 
 /// Body of the request under which endpoints crash.
 const DEADLY: &[u8] = b"deadly";
@@ -216,3 +220,67 @@
     deployment.submit(0, "job-b", &next);
     check_results(&deployment.read_all(0, "job-b", 4), &next);
 }
+
+/// Requests a stream of three events; returns the text of the response.
+fn stream(deployment: &Deployment, entry: usize, id: &str) -> String {
+    let headers = [("host", HOST), ("request-id", id), ("deadline-ms", "4000")];
+    let addr = deployment.entries[entry].calls;
+    let stream = send(addr, "POST", "/talk/x", &headers, b"3");
+    let mut bytes = Vec::new();
+    // Fails when the stream breaks off.
+    let _ = stream.expect("a connection").read_to_end(&mut bytes);
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+/// Restarts all engines that are down, each as another instance.
+fn restart_crashed_engines(deployment: &Deployment, round: usize) {
+    for (n, engine) in deployment.engines.iter().enumerate() {
+        if engine.is_down() {
+            let old = engine.instance();
+            engine.restart_as(&format!("engine-{n}-{round}"));
+            engine.listen_again();
+            deployment.store.remove("servers", &old);
+            let entry = engine.entry("llm");
+            deployment.store.put("servers", &engine.instance(), &entry);
+        }
+    }
+}
+
+#[test]
+fn a_stream_that_crashes_engines_midway_is_refused_after_a_few() {
+    let deployment = Deployment::start(DeploymentSize {
+        entries: 2,
+        engines: 3,
+        dispatchers: 1,
+        services: 0,
+    });
+    deployment
+        .store
+        .put("config", "main", &config_with_streams(2));
+    wait_for("the route is in force", || {
+        (0..2).all(|entry| stream(&deployment, entry, "warm").contains("data: warm:3\n"))
+    });
+    for engine in &deployment.engines {
+        engine.set_faults(EngineFaults {
+            crash_after_event: 1,
+            ..EngineFaults::default()
+        });
+    }
+    let crashes = || -> usize { deployment.engines.iter().map(StandInEngine::crashes).sum() };
+    for round in 0..REPETITIONS {
+        stream(&deployment, round % 2, &format!("deadly-{round}"));
+        thread::sleep(PAUSE);
+        restart_crashed_engines(&deployment, round);
+    }
+    let before = crashes();
+    assert!(before >= CRASHES_MAX, "{before} crashes");
+    assert!(
+        before <= CRASHES_MAX + CRASHES_IN_FLIGHT,
+        "{before} crashes"
+    );
+    for entry in 0..2 {
+        let text = stream(&deployment, entry, "again");
+        assert!(text.starts_with("HTTP/1.1 503 "), "{text}");
+    }
+    assert_eq!(crashes(), before);
+}
