--- a/crates/oleander-rollout/src/call/caller.rs
+++ b/crates/oleander-rollout/src/call/caller.rs
@@ -58,7 +58,7 @@
 /// Time after which a caller may repeat a request under which endpoints crash.
 const CRASHING_RETRY_AFTER: Millis = Millis::from_secs(60);
 /// Longest body of a response that is not a stream, in bytes.
-const RESPONSE_MAX_BYTES: usize = 32 << 20;
+const RESPONSE_MAX_BYTES: usize = 16 << 20;
 /// The hedge delay is the latency objective divided by this.
 const HEDGE_DELAY_DIVISOR: u64 = 2;
 /// Shortest hedge delay.
--- a/crates/oleander-rollout/src/http/body_budget.rs
+++ b/crates/oleander-rollout/src/http/body_budget.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 /// Bytes that all bodies in progress may use together.
-const BUDGET_BYTES: usize = 32 << 20;
+const BUDGET_BYTES: usize = 16 << 20;
 /// A body of up to this size is read even if the others have used the budget up.
 const SMALL_BYTES: usize = 256 << 10;
 
