--- a/crates/oleander-base/src/logging.rs
+++ b/crates/oleander-base/src/logging.rs
@@ -25,9 +25,11 @@
     let _ = dispatch.apply();
 }
 
-/// Returns the wall time in milliseconds since the Unix epoch.
-pub fn unix_ms() -> u128 {
+/// Returns the wall time in milliseconds since the Unix epoch; 0 before it.
+pub fn unix_ms() -> u64 {
     SystemTime::now()
         .duration_since(SystemTime::UNIX_EPOCH)
-        .map_or(0, |passed| passed.as_millis())
+        .map_or(0, |passed| {
+            u64::try_from(passed.as_millis()).unwrap_or(u64::MAX)
+        })
 }
--- a/crates/oleander-daemon/src/entry/key_binder_handle.rs
+++ b/crates/oleander-daemon/src/entry/key_binder_handle.rs
@@ -196,5 +196,5 @@
 
 /// Returns the wall-clock time, counted from the Unix epoch; it may jump, unlike `now`.
 pub fn unix_time() -> Millis {
-    Millis(u64::try_from(unix_ms()).unwrap_or_default())
+    Millis(unix_ms())
 }
--- a/crates/oleander-rollout/src/call/crash_registry.rs
+++ b/crates/oleander-rollout/src/call/crash_registry.rs
@@ -55,7 +55,7 @@
     }
 
     fn crashes(&self, content: &RequestContent) -> Crashes {
-        let now = unix_now();
+        let now = unix_ms();
         let view = self.view.get();
         let mut all = Crashes::default();
         if let Some(seen) = self.own.borrow().crashes(content, now) {
@@ -70,7 +70,7 @@
     /// Records that an endpoint has crashed under a request. Others learn of it unless the request
     /// succeeds soon.
     pub fn record(self: &Rc<Self>, id: &str, content: RequestContent, instance: &str) {
-        let crash = Crashes::of(instance, unix_now());
+        let crash = Crashes::of(instance, unix_ms());
         self.own.borrow_mut().record(content.as_str(), &crash);
         let count = self.crashes(&content).instances.len();
         event(log::Level::Warn, "endpoint-crashed", || {
@@ -88,7 +88,7 @@
     /// Writes the crashes under a request to the store, until it is done or the request is cleared.
     async fn report(&self, content: &RequestContent) {
         for _ in 0..WRITES_MAX {
-            let seen = self.own.borrow().crashes(content, unix_now()).cloned();
+            let seen = self.own.borrow().crashes(content, unix_ms()).cloned();
             let Some(seen) = seen else {
                 return;
             };
@@ -118,7 +118,7 @@
         }
         let content = content();
         let was_seen = self.own.borrow_mut().clear(content.as_str());
-        let was_told = told.crash_suspects.crashes(&content, unix_now()).is_some();
+        let was_told = told.crash_suspects.crashes(&content, unix_ms()).is_some();
         if was_seen || was_told {
             self.metrics.count_event("crash-cleared");
             event(log::Level::Info, "crash-cleared", || {
@@ -140,8 +140,3 @@
         }
     }
 }
-
-/// Returns the Unix time in milliseconds.
-fn unix_now() -> u64 {
-    u64::try_from(unix_ms()).unwrap_or_default()
-}
--- a/crates/oleander-rollout/src/call/leaving_registry.rs
+++ b/crates/oleander-rollout/src/call/leaving_registry.rs
@@ -45,9 +45,8 @@
     }
 
     fn record(&self, instance: &str, started_unix_ms: Option<u64>) {
-        let now = u64::try_from(unix_ms()).unwrap_or(u64::MAX);
         let mut endpoints = self.endpoints.borrow_mut();
-        if endpoints.record(instance, started_unix_ms, now) {
+        if endpoints.record(instance, started_unix_ms, unix_ms()) {
             event(log::Level::Info, "endpoint-leaving", || {
                 format!("instance={instance} started={started_unix_ms:?}")
             });
--- a/crates/oleander-rollout/src/call/limit_registry.rs
+++ b/crates/oleander-rollout/src/call/limit_registry.rs
@@ -71,21 +71,21 @@
     /// without a limit, `None` while it may not send any.
     pub fn delay(&self, instance: &str, share: CallerShare) -> Option<Millis> {
         let limits = self.limits.borrow();
-        limits.delay(instance, share, now(), unix_now())
+        limits.delay(instance, share, now(), unix_ms())
     }
 
     /// Takes the next request that this process may send to an endpoint; returns the same as
     /// [`Self::delay`] before.
     pub fn reserve(&self, instance: &str, share: CallerShare) -> Option<Millis> {
         let mut limits = self.limits.borrow_mut();
-        limits.reserve(instance, share, now(), unix_now())
+        limits.reserve(instance, share, now(), unix_ms())
     }
 
     /// Returns what this process may send to an endpoint that has named a limit; `None` if it has
     /// named none.
     pub fn grant(&self, instance: &str, share: CallerShare) -> Option<CallerGrant> {
         let rate = self.limits.borrow().rate(instance)?;
-        share.grant(instance, rate, unix_now())
+        share.grant(instance, rate, unix_ms())
     }
 
     /// Logs and counts a request that is about to be sent to an endpoint that has named a limit.
@@ -109,8 +109,3 @@
         }
     }
 }
-
-/// Returns the Unix time in milliseconds.
-fn unix_now() -> u64 {
-    u64::try_from(unix_ms()).unwrap_or_default()
-}
--- a/crates/oleander-rollout/src/dispatch/commit.rs
+++ b/crates/oleander-rollout/src/dispatch/commit.rs
@@ -44,7 +44,7 @@
 async fn append(dispatcher: &Dispatcher, epoch: u64) -> bool {
     let writer = format!("{}-{epoch}", dispatcher.cfg.node);
     let max_bytes = dispatcher.cfg.value_bytes / CHUNK_DIVISOR;
-    let unix_ms = u64::try_from(unix_ms()).unwrap_or_default();
+    let unix_ms = unix_ms();
     let chunk = dispatcher
         .state
         .borrow_mut()
--- a/crates/oleander-rollout/src/dispatch/crash_sweep.rs
+++ b/crates/oleander-rollout/src/dispatch/crash_sweep.rs
@@ -42,7 +42,6 @@
 
 /// Whether the crashes no longer count; also if they can't be decoded.
 fn is_old(object: &StoredObject) -> bool {
-    let now = u64::try_from(unix_ms()).unwrap_or_default();
     let crashes = decode_crashes(object.spec.get());
-    crashes.map_or(true, |crashes| crashes.last_unix_ms + KEEP_MS <= now)
+    crashes.map_or(true, |crashes| crashes.last_unix_ms + KEEP_MS <= unix_ms())
 }
--- a/crates/oleander-rollout/src/dispatch/jobs.rs
+++ b/crates/oleander-rollout/src/dispatch/jobs.rs
@@ -139,7 +139,7 @@
 
 /// Schedules the items of a job that was accepted, except those that have a result.
 pub fn accept(dispatcher: &Dispatcher, job: Job) {
-    let unix_ms = u64::try_from(unix_ms()).unwrap_or_default();
+    let unix_ms = unix_ms();
     let age = Millis(unix_ms.saturating_sub(job.submitted_unix_ms));
     let policy = policy_of(dispatcher, &job);
     let record = JobRecord {
--- a/crates/oleander-rollout/src/dispatch/ticks.rs
+++ b/crates/oleander-rollout/src/dispatch/ticks.rs
@@ -185,7 +185,7 @@
 
 /// Deletes ended jobs and chunks of results that need no longer be readable.
 async fn delete_expired(dispatcher: &Dispatcher) {
-    let unix_ms = u64::try_from(unix_ms()).unwrap_or_default();
+    let unix_ms = unix_ms();
     let keep = dispatcher.cfg.keep_results.plus(CLEAN_MARGIN).0;
     let is_old = |at: u64| at.saturating_add(keep) < unix_ms;
     let (jobs, chunks) = {
--- a/crates/oleander-rollout/src/entry/submit.rs
+++ b/crates/oleander-rollout/src/entry/submit.rs
@@ -37,7 +37,7 @@
         id: &head.id,
         host: &head.host,
         path: parts.uri.path(),
-        unix_ms: u64::try_from(unix_ms()).unwrap_or_default(),
+        unix_ms: unix_ms(),
     };
     let job = match decode_job(call, body) {
         Ok(job) => job,
