Put what limits are kept by in one place each; ask for a share only where there is a limit

The wait of a run and that of an order for the engine's limit were written out twice, one with the check that the other had lacked at first: wait_for_limit serves both. Each registry remembered by itself about which instances it had logged something: LoggedOnce. RateLimits::reserve evaluated the share twice.

Each call scanned all routes twice for its share, although hardly any endpoint names a limit: the share is now evaluated only for an endpoint that does. The check before a send that the endpoint is still ready looks it up by its id instead of going through all endpoints. No change of behavior.

--- a/crates/oleander-rollout/src/agent/agent_process.rs
+++ b/crates/oleander-rollout/src/agent/agent_process.rs
@@ -137,7 +137,7 @@
     }
 
     /// Returns the share of the agent in the rate limit of its engine, which clients may call too.
-    pub fn engine_share(&self, endpoint: &EndpointEntry) -> CallerShare {
+    fn engine_share(&self, endpoint: &EndpointEntry) -> CallerShare {
         let view = self.view.get();
         let for_clients = |routes: &Arc<RouteTable>| {
             routes.leads_to(&endpoint.service, |kind| kind != RouteKind::Rollout)
@@ -152,21 +152,35 @@
     /// Returns how long the agent has to wait before it may send a request to its engine; `None`
     /// while it may not send any.
     pub fn engine_delay(&self, endpoint: &EndpointEntry) -> Option<Millis> {
-        let share = self.engine_share(endpoint);
+        let share = || self.engine_share(endpoint);
         self.caller.limits().delay(&endpoint.instance, share)
     }
 
     /// Takes the next request that the agent may send to its engine; returns the same as
     /// [`Self::engine_delay`] before.
     pub fn reserve_request(&self, endpoint: &EndpointEntry) -> Option<Millis> {
-        let share = self.engine_share(endpoint);
+        let share = || self.engine_share(endpoint);
         self.caller.limits().reserve(&endpoint.instance, share)
     }
 
+    /// Waits until the engine's rate limit allows a request and takes it; returns false at once if
+    /// that takes longer than `longest`, so that a request that is given up takes no place of later
+    /// ones.
+    pub async fn wait_for_limit(&self, endpoint: &EndpointEntry, longest: Millis) -> bool {
+        let delay = self.engine_delay(endpoint);
+        if delay.is_none_or(|delay| delay > longest) {
+            return false;
+        }
+        if let Some(delay) = self.reserve_request(endpoint) {
+            sleep(delay).await;
+        }
+        true
+    }
+
     /// Returns how many runs of the usual length the engine's rate limit allows at the same time;
     /// `None` without a limit.
     pub fn limited_slots(&self, endpoint: &EndpointEntry) -> Option<usize> {
-        let share = self.engine_share(endpoint);
+        let share = || self.engine_share(endpoint);
         let grant = self.caller.limits().grant(&endpoint.instance, share)?;
         Some(grant.concurrency(self.state.borrow().mean_run))
     }
--- a/crates/oleander-rollout/src/agent/load.rs
+++ b/crates/oleander-rollout/src/agent/load.rs
@@ -97,14 +97,9 @@
     let Some(endpoint) = agent.ready_endpoint() else {
         return false;
     };
-    // An order that is given up must not have taken the place of later requests.
-    let delay = agent.engine_delay(&endpoint);
-    if delay.is_none_or(|delay| delay > LIMIT_DELAY_MAX) {
+    if !agent.wait_for_limit(&endpoint, LIMIT_DELAY_MAX).await {
         return false;
     }
-    if let Some(delay) = agent.reserve_request(&endpoint) {
-        sleep(delay).await;
-    }
     let order = LoadOrder {
         model: &work.model,
         version: work.version,
--- a/crates/oleander-rollout/src/agent/run.rs
+++ b/crates/oleander-rollout/src/agent/run.rs
@@ -127,13 +127,9 @@
         if agent.state.borrow().fresh_report().is_none() {
             return end;
         }
-        let delay = agent.engine_delay(&endpoint);
-        if delay.is_none_or(|delay| delay > LIMIT_DELAY_MAX) {
+        if !agent.wait_for_limit(&endpoint, LIMIT_DELAY_MAX).await {
             return end;
         }
-        if let Some(delay) = agent.reserve_request(&endpoint) {
-            sleep(delay).await;
-        }
     }
 }
 
--- a/crates/oleander-rollout/src/call/caller.rs
+++ b/crates/oleander-rollout/src/call/caller.rs
@@ -45,7 +45,7 @@
 use oleanderlock::routing::endpoint_entry::EndpointEntry;
 use oleanderlock::routing::retry_rule::after_failure;
 use oleanderlock::routing::route_kind::RouteKind;
-use std::cell::Cell;
+use std::cell::{Cell, LazyCell};
 use std::pin::pin;
 use std::rc::Rc;
 
@@ -331,11 +331,11 @@
         if progress.crashes > 0 && !self.may_retry_after_crash(req, progress).await {
             return None;
         }
-        let share = self.share(&req.service);
+        let share = LazyCell::new(|| self.share(&req.service));
         let longest = Millis(req.deadline.since(now()).0 / 2).min(LIMIT_DELAY_MAX);
         let earliest = Cell::new(None::<Millis>);
         let delay = |entry: &EndpointEntry| {
-            let delay = self.limits.delay(&entry.instance, share);
+            let delay = self.limits.delay(&entry.instance, || *share);
             let known = earliest.get().unwrap_or(Millis::MAX);
             earliest.set(Some(known.min(delay.unwrap_or(LIMIT_TURN_RETRY_AFTER))));
             delay.filter(|delay| *delay <= longest)
@@ -345,7 +345,7 @@
             progress.limit_delay = earliest.get().filter(|delay| *delay > Millis::ZERO);
             return None;
         };
-        let delay = self.limits.reserve(&endpoint.instance, share);
+        let delay = self.limits.reserve(&endpoint.instance, || *share);
         if let Some(delay) = delay.filter(|delay| *delay > Millis::ZERO) {
             self.metrics.record_latency("limit-delay", delay);
             sleep(delay).await;
@@ -525,8 +525,7 @@
             return Err(SendError::Withheld { reason: "leaving" });
         }
         let view = self.view.get();
-        let mut ready = view.endpoints.ready(&req.service);
-        if !ready.any(|entry| entry.instance == endpoint.instance) {
+        if !view.endpoints.is_ready(&endpoint.instance, &req.service) {
             return Err(SendError::Withheld { reason: "gone" });
         }
         if req.deadline <= now() {
--- a/crates/oleander-rollout/src/call/leaving_registry.rs
+++ b/crates/oleander-rollout/src/call/leaving_registry.rs
@@ -1,24 +1,21 @@
 //! The endpoints of which a response to this process said that they are leaving.
 
+use super::logged_once::LoggedOnce;
 use crate::prelude::*;
 use http::HeaderMap;
-use indexmap::IndexSet;
 use oleander_platform::headers;
 use oleander_platform::leaving::decode_leaving;
 use oleanderlock::routing::endpoint_entry::EndpointEntry;
 use oleanderlock::routing::leaving_endpoints::LeavingEndpoints;
 use std::cell::RefCell;
 
-/// Most instances whose malformed announcements are logged.
-const MALFORMED_MAX: usize = 256;
-
 /// The endpoints of which a response to this process said that they are leaving, whatever the
 /// platform's list says.
 #[derive(Debug, Default)]
 pub struct LeavingRegistry {
     endpoints: RefCell<LeavingEndpoints>,
     // Instances whose malformed announcement has been logged.
-    malformed: RefCell<IndexSet<String>>,
+    malformed: LoggedOnce,
 }
 
 impl LeavingRegistry {
@@ -55,8 +52,7 @@
 
     /// Logs a malformed announcement, once for each instance.
     fn log_malformed(&self, instance: &str, reason: &str) {
-        let mut logged = self.malformed.borrow_mut();
-        if logged.len() < MALFORMED_MAX && logged.insert(instance.to_owned()) {
+        if self.malformed.record(instance) {
             event(log::Level::Warn, "leaving-unreadable", || {
                 format!("instance={instance} reason=\"{reason}\"")
             });
--- a/crates/oleander-rollout/src/call/limit_registry.rs
+++ b/crates/oleander-rollout/src/call/limit_registry.rs
@@ -1,10 +1,10 @@
 //! Rate limits that endpoints have named in responses to this process.
 
+use super::logged_once::LoggedOnce;
 use super::request_kind::RequestKind;
 use crate::observe::metrics::Metrics;
 use crate::prelude::*;
 use http::HeaderMap;
-use indexmap::IndexSet;
 use oleander_platform::headers;
 use oleander_platform::rate_limit::decode_rate_limit;
 use oleanderlock::routing::caller_grant::CallerGrant;
@@ -12,15 +12,12 @@
 use oleanderlock::routing::rate_limits::RateLimits;
 use std::cell::RefCell;
 
-/// Most instances whose malformed limits are logged.
-const MALFORMED_MAX: usize = 256;
-
 /// Rate limits that endpoints have named in responses to this process.
 #[derive(Debug)]
 pub struct LimitRegistry {
     limits: RefCell<RateLimits>,
     // Instances whose malformed limit has been logged.
-    malformed: RefCell<IndexSet<String>>,
+    malformed: LoggedOnce,
     metrics: Metrics,
 }
 
@@ -29,7 +26,7 @@
     pub fn new(metrics: Metrics) -> Self {
         Self {
             limits: RefCell::default(),
-            malformed: RefCell::default(),
+            malformed: LoggedOnce::default(),
             metrics,
         }
     }
@@ -68,24 +65,34 @@
     }
 
     /// Returns how long this process has to wait before it may send a request to an endpoint: zero
-    /// without a limit, `None` while it may not send any.
-    pub fn delay(&self, instance: &str, share: CallerShare) -> Option<Millis> {
+    /// without a limit, `None` while it may not send any. `share` is called only if there is a limit.
+    pub fn delay(&self, instance: &str, share: impl FnOnce() -> CallerShare) -> Option<Millis> {
         let limits = self.limits.borrow();
-        limits.delay(instance, share, now(), unix_ms())
+        if limits.rate(instance).is_none() {
+            return Some(Millis::ZERO);
+        }
+        limits.delay(instance, share(), now(), unix_ms())
     }
 
     /// Takes the next request that this process may send to an endpoint; returns the same as
     /// [`Self::delay`] before.
-    pub fn reserve(&self, instance: &str, share: CallerShare) -> Option<Millis> {
+    pub fn reserve(&self, instance: &str, share: impl FnOnce() -> CallerShare) -> Option<Millis> {
         let mut limits = self.limits.borrow_mut();
-        limits.reserve(instance, share, now(), unix_ms())
+        if limits.rate(instance).is_none() {
+            return Some(Millis::ZERO);
+        }
+        limits.reserve(instance, share(), now(), unix_ms())
     }
 
     /// Returns what this process may send to an endpoint that has named a limit; `None` if it has
     /// named none.
-    pub fn grant(&self, instance: &str, share: CallerShare) -> Option<CallerGrant> {
+    pub fn grant(
+        &self,
+        instance: &str,
+        share: impl FnOnce() -> CallerShare,
+    ) -> Option<CallerGrant> {
         let rate = self.limits.borrow().rate(instance)?;
-        share.grant(instance, rate, unix_ms())
+        share().grant(instance, rate, unix_ms())
     }
 
     /// Logs and counts a request that is about to be sent to an endpoint that has named a limit.
@@ -101,8 +108,7 @@
 
     /// Logs a malformed limit, once for each instance.
     fn log_malformed(&self, instance: &str, reason: &str) {
-        let mut logged = self.malformed.borrow_mut();
-        if logged.len() < MALFORMED_MAX && logged.insert(instance.to_owned()) {
+        if self.malformed.record(instance) {
             event(log::Level::Warn, "limit-unreadable", || {
                 format!("instance={instance} reason=\"{reason}\"")
             });
--- a/crates/oleander-rollout/src/call/mod.rs
+++ b/crates/oleander-rollout/src/call/mod.rs
@@ -15,6 +15,7 @@
 pub mod in_flight_guard;
 pub mod leaving_registry;
 pub mod limit_registry;
+mod logged_once;
 pub mod not_run;
 pub mod not_run_reason;
 pub mod opened_stream;
--- a/crates/oleanderlock/src/routing/endpoint_table.rs
+++ b/crates/oleanderlock/src/routing/endpoint_table.rs
@@ -27,9 +27,14 @@
 
     /// Returns the endpoints of a service that take new calls.
     pub fn ready<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a EndpointEntry> {
-        let of_service = self.entries.values();
-        of_service
-            .filter(move |entry| entry.service == service && entry.state == EndpointState::Ready)
+        let entries = self.entries.values();
+        entries.filter(move |entry| takes_calls(entry, service))
+    }
+
+    /// Whether an instance is an endpoint of a service and takes new calls.
+    pub fn is_ready(&self, instance: &str, service: &str) -> bool {
+        let entry = self.entries.get(instance);
+        entry.is_some_and(|entry| takes_calls(entry, service))
     }
 
     /// Returns the newest incarnation at an address, draining or not.
@@ -61,3 +66,7 @@
         self.entries.keys().map(String::as_str)
     }
 }
+
+fn takes_calls(entry: &EndpointEntry, service: &str) -> bool {
+    entry.service == service && entry.state == EndpointState::Ready
+}
--- a/crates/oleanderlock/src/routing/rate_limits.rs
+++ b/crates/oleanderlock/src/routing/rate_limits.rs
@@ -1,5 +1,6 @@
 //! Rate limits that endpoints have named in their responses, and the requests that they allow.
 
+use super::caller_grant::CallerGrant;
 use super::caller_share::CallerShare;
 use super::request_rate::RequestRate;
 use crate::prelude::*;
@@ -19,6 +20,13 @@
 }
 
 impl NamedLimit {
+    /// Returns how long the next request has to wait.
+    fn delay(&self, grant: &CallerGrant, now: Millis) -> Millis {
+        let tolerance_us = grant.interval_us().saturating_mul(grant.burst - 1);
+        let earliest_us = self.due_us.saturating_sub(tolerance_us);
+        Millis(earliest_us.div_ceil(1000)).since(now)
+    }
+
     /// Changes the limit; a higher one shortens the wait for the next request in proportion.
     fn set_rate(&mut self, rate: RequestRate, now: Millis) {
         let before = std::mem::replace(&mut self.rate, rate);
@@ -93,9 +101,7 @@
             return Some(Millis::ZERO);
         };
         let grant = share.grant(instance, known.rate, unix_ms)?;
-        let tolerance_us = grant.interval_us().saturating_mul(grant.burst - 1);
-        let earliest_us = known.due_us.saturating_sub(tolerance_us);
-        Some(Millis(earliest_us.div_ceil(1000)).since(now))
+        Some(known.delay(&grant, now))
     }
 
     /// Takes the next request that a process with this share may send to an endpoint; returns the
@@ -107,13 +113,13 @@
         now: Millis,
         unix_ms: u64,
     ) -> Option<Millis> {
-        let delay = self.delay(instance, share, now, unix_ms)?;
-        if let Some(known) = self.by_instance.get_mut(instance)
-            && let Some(grant) = share.grant(instance, known.rate, unix_ms)
-        {
-            let now_us = now.0.saturating_mul(1000);
-            known.due_us = known.due_us.max(now_us) + grant.interval_us();
-        }
+        let Some(known) = self.by_instance.get_mut(instance) else {
+            return Some(Millis::ZERO);
+        };
+        let grant = share.grant(instance, known.rate, unix_ms)?;
+        let delay = known.delay(&grant, now);
+        let now_us = now.0.saturating_mul(1000);
+        known.due_us = known.due_us.max(now_us) + grant.interval_us();
         Some(delay)
     }
 }
