--- a/crates/oleander-rollout/src/dispatch/crash_sweep.rs
+++ b/crates/oleander-rollout/src/dispatch/crash_sweep.rs
@@ -2,10 +2,10 @@
 
 use super::dispatcher::Dispatcher;
 use crate::prelude::*;
-use crate::store::crash_objects::{CRASH_KIND, decode_crashes};
+use crate::store::crash_objects::CRASH_KIND;
 use crate::store::store_error::StoreError;
 use oleander_platform::stored_object::StoredObject;
-use oleanderlock::routing::crash_suspects::KEEP_MS;
+use oleanderlock::routing::crash_suspects::{Crashes, KEEP_MS};
 use std::rc::Rc;
 
 /// Interval of the sweeps of a leader.
@@ -42,6 +42,6 @@
 
 /// Whether the crashes no longer count; also if they can't be decoded.
 fn is_old(object: &StoredObject) -> bool {
-    let crashes = decode_crashes(object.spec.get());
+    let crashes = serde_json::from_str::<Crashes>(object.spec.get());
     crashes.map_or(true, |crashes| crashes.last_unix_ms + KEEP_MS <= unix_ms())
 }
--- a/crates/oleander-rollout/src/store/follow.rs
+++ b/crates/oleander-rollout/src/store/follow.rs
@@ -1,7 +1,7 @@
 //! The control thread, which watches the store and updates the view.
 
 use super::config_interest::ConfigInterest;
-use super::crash_objects::{CRASH_KIND, decode_crashes};
+use super::crash_objects::CRASH_KIND;
 use super::dispatcher_object::{DISPATCHER_KIND, DispatcherObject, NODE_PREFIX};
 use super::endpoint_watcher::EndpointWatcher;
 use super::gate::Gate;
@@ -234,7 +234,7 @@
         suspects.clear(name);
     }
     for object in objects_of(watch_event) {
-        match decode_crashes(object.spec.get()) {
+        match serde_json::from_str(object.spec.get()) {
             Ok(crashes) => suspects.record(&object.name, &crashes),
             Err(err) => event(log::Level::Warn, "crashes-unreadable", || {
                 format!("name={} reason=\"{err}\"", object.name)
--- a/crates/oleander-rollout/src/store/job_objects.rs
+++ b/crates/oleander-rollout/src/store/job_objects.rs
@@ -162,7 +162,8 @@
     format!("{job}.{number}")
 }
 
-fn to_spec(value: &impl Serialize) -> Result<Box<RawValue>, StoreError> {
+/// Returns a value as the spec of an object.
+pub(super) fn to_spec(value: &impl Serialize) -> Result<Box<RawValue>, StoreError> {
     to_raw_value(value).map_err(StoreError::not_done)
 }
 
--- a/crates/oleander-rollout/tests/formats.rs
+++ b/crates/oleander-rollout/tests/formats.rs
@@ -64,7 +64,7 @@
 use oleander_rollout::role::Role;
 use oleander_rollout::runtime;
 use oleander_rollout::settings::Config;
-use oleander_rollout::store::crash_objects::{CRASH_KIND, encode_crashes};
+use oleander_rollout::store::crash_objects::CRASH_KIND;
 use oleander_rollout::store::dispatcher_object::{DISPATCHER_KIND, DispatcherObject, NODE_PREFIX};
 use oleander_rollout::store::job_objects::{
     JOB_END_KIND, JOB_KIND, JOB_PART_KIND, RESULT_KIND, chunk_name, create_chunk, create_job,
@@ -223,10 +223,7 @@
             format!("{RESULT_KIND}/{}", chunk_name(12)),
         ),
         text("kind of crashes", CRASH_KIND),
-        text(
-            "crashes",
-            encode_crashes(&Crashes::of("e-1", 1_790_000_000_001)).expect("JSON"),
-        ),
+        json("crashes", &Crashes::of("e-1", 1_790_000_000_001)),
         text(
             "kinds of jobs",
             [JOB_KIND, JOB_PART_KIND, JOB_END_KIND].join(" "),
--- a/crates/oleanderlock/src/routing/crash_suspects.rs
+++ b/crates/oleanderlock/src/routing/crash_suspects.rs
@@ -6,6 +6,7 @@
 
 use super::request_content::RequestContent;
 use indexmap::{IndexMap, IndexSet};
+use serde::{Deserialize, Serialize};
 
 /// Crashes of different instances after which a request is not sent any more.
 pub const CRASHES_MAX: usize = 3;
@@ -19,7 +20,7 @@
 const INSTANCES_MAX: usize = 16;
 
 /// Crashes under one request.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Crashes {
     /// Instances that have crashed.
     pub instances: IndexSet<String>,
