Classify the response to an attempt once; give crashes, shares and relays their own files

Calls and streams each turned classes of responses into outcomes, and the head of a call's response was classified twice. The check for a crash told foreign responses from broken connections by comparing the text of the log line; they are outcomes of their own now. The check after a broken stream was the one after a lost response written again.

A relayed stream cloned its endpoint, with all weight versions, for each chunk; the relay now owns what it needs. The two sides of how a limit is divided between an agent and the callers of its engine stood in two crates' worth of files; limit_share holds both.

--- a/crates/oleander-rollout/src/agent/agent_process.rs
+++ b/crates/oleander-rollout/src/agent/agent_process.rs
@@ -4,8 +4,9 @@
 use super::score_window::ScoreWindow;
 use super::state::State;
 use super::{engine_poll, outcomes, pull};
-use crate::call::caller::{CALLERS_PERCENT, Caller};
+use crate::call::caller::Caller;
 use crate::call::caller_role::CallerRole;
+use crate::call::limit_share::share_of_agent;
 use crate::observe::metrics::Metrics;
 use crate::peer::leader_client::LeaderClient;
 use crate::peer::messages::{ReturnReason, ReturnedItem};
@@ -18,15 +19,11 @@
 use crate::store::store_client::StoreClient;
 use crate::store::store_health::StoreHealth;
 use event_listener::Event;
-use oleanderlock::routing::caller_share::CallerShare;
 use oleanderlock::routing::endpoint_entry::EndpointEntry;
 use oleanderlock::routing::endpoint_state::EndpointState;
-use oleanderlock::routing::route_kind::RouteKind;
-use oleanderlock::routing::route_table::RouteTable;
 use std::cell::{Cell, RefCell};
 use std::io::ErrorKind as IoErrorKind;
 use std::rc::Rc;
-use std::sync::Arc;
 
 /// Part of the grace period that is reserved for returning the items that are still running.
 const RETURN_TIME: Millis = Millis(2500);
@@ -136,30 +133,17 @@
         (entry.state == EndpointState::Ready && !replaced && !leaving).then_some(entry)
     }
 
-    /// Returns the share of the agent in the rate limit of its engine, which clients may call too.
-    fn engine_share(&self, endpoint: &EndpointEntry) -> CallerShare {
-        let view = self.view.get();
-        let for_clients = |routes: &Arc<RouteTable>| {
-            routes.leads_to(&endpoint.service, |kind| kind != RouteKind::Rollout)
-        };
-        if view.routes.as_ref().is_some_and(for_clients) {
-            CallerShare::sole().of_percent(100 - CALLERS_PERCENT)
-        } else {
-            CallerShare::sole()
-        }
-    }
-
     /// Returns how long the agent has to wait before it may send a request to its engine; `None`
     /// while it may not send any.
     pub fn engine_delay(&self, endpoint: &EndpointEntry) -> Option<Millis> {
-        let share = || self.engine_share(endpoint);
+        let share = || share_of_agent(&self.view.get(), &endpoint.service);
         self.caller.limits().delay(&endpoint.instance, share)
     }
 
     /// Takes the next request that the agent may send to its engine; returns the same as
     /// [`Self::engine_delay`] before.
     pub fn reserve_request(&self, endpoint: &EndpointEntry) -> Option<Millis> {
-        let share = || self.engine_share(endpoint);
+        let share = || share_of_agent(&self.view.get(), &endpoint.service);
         self.caller.limits().reserve(&endpoint.instance, share)
     }
 
@@ -180,7 +164,7 @@
     /// Returns how many runs of the usual length the engine's rate limit allows at the same time;
     /// `None` without a limit.
     pub fn limited_slots(&self, endpoint: &EndpointEntry) -> Option<usize> {
-        let share = || self.engine_share(endpoint);
+        let share = || share_of_agent(&self.view.get(), &endpoint.service);
         let grant = self.caller.limits().grant(&endpoint.instance, share)?;
         Some(grant.concurrency(self.state.borrow().mean_run))
     }
--- a/crates/oleander-rollout/src/call/attempt_outcome.rs
+++ b/crates/oleander-rollout/src/call/attempt_outcome.rs
@@ -13,4 +13,6 @@
     Crashed,
     /// The endpoint may have run the call, but its response is lost for this reason.
     Lost(String),
+    /// The endpoint may have run the call, but its response can't be used for this reason.
+    Unusable(String),
 }
--- a/crates/oleander-rollout/src/call/caller.rs
+++ b/crates/oleander-rollout/src/call/caller.rs
@@ -10,16 +10,17 @@
 use super::call_progress::CallProgress;
 use super::call_request::CallRequest;
 use super::caller_identity::CallerIdentity;
-use super::caller_role::CallerRole;
 use super::candidate_set::CandidateSet;
 use super::crash_registry::CrashRegistry;
 use super::endpoint_loads::EndpointLoads;
 use super::endpoint_response::EndpointResponse;
 use super::leaving_registry::LeavingRegistry;
 use super::limit_registry::LimitRegistry;
+use super::limit_share::share_of_calls;
 use super::not_run::NotRun;
 use super::not_run_reason::NotRunReason;
 use super::opened_stream::OpenedStream;
+use super::read_response::{read_response, unusable};
 use super::request_kind::RequestKind;
 use super::response_class::{ResponseClass, classify};
 use super::stream_outcome::StreamOutcome;
@@ -27,7 +28,6 @@
 use crate::http::exchange::Exchange;
 use crate::http::pool::Pool;
 use crate::http::send_error::SendError;
-use crate::http::socket::refuses_connections;
 use crate::observe::metrics::Metrics;
 use crate::prelude::*;
 use crate::store::shared_view::SharedView;
@@ -40,25 +40,14 @@
 use oleanderlock::routing::after_failure::AfterFailure;
 use oleanderlock::routing::attempt_failure::AttemptFailure;
 use oleanderlock::routing::call_state::CallState;
-use oleanderlock::routing::caller_share::CallerShare;
-use oleanderlock::routing::crash_suspects::{CRASHES_MAX, CRASHES_PER_CALL_MAX};
 use oleanderlock::routing::endpoint_entry::EndpointEntry;
 use oleanderlock::routing::retry_rule::after_failure;
-use oleanderlock::routing::route_kind::RouteKind;
 use std::cell::{Cell, LazyCell};
 use std::pin::pin;
 use std::rc::Rc;
 
 /// Timeout of opening a connection to an endpoint.
 const CONNECT_TIMEOUT: Millis = Millis(300);
-/// Timeout of checking whether an endpoint that broke a connection still accepts others.
-const CRASH_CHECK_TIMEOUT: Millis = Millis(100);
-/// Longest pause before a call is attempted again after an endpoint has crashed under it.
-const CRASH_BACKOFF_MAX: Millis = Millis(200);
-/// Time after which a caller may repeat a request under which endpoints crash.
-const CRASHING_RETRY_AFTER: Millis = Millis::from_secs(60);
-/// Longest body of a response that is not a stream, in bytes.
-const RESPONSE_MAX_BYTES: usize = 16 << 20;
 /// The hedge delay is the latency objective divided by this.
 const HEDGE_DELAY_DIVISOR: u64 = 2;
 /// Shortest hedge delay.
@@ -69,13 +58,6 @@
 const LIMIT_DELAY_MAX: Millis = Millis(1000);
 /// Time after which a caller may retry when this process has no share in any rate limit for now.
 const LIMIT_TURN_RETRY_AFTER: Millis = Millis(3000);
-/// Percentage of an engine's rate limit for the calls and streams of clients, if it runs items too.
-pub const CALLERS_PERCENT: u32 = 50;
-
-/// Why the response to an attempt counts as lost, in logs.
-const FOREIGN: &str = "a response to another request";
-const UNCLEAR: &str = "a refusal without the header that states not run";
-
 /// Sends calls to services and keeps connections to their endpoints open.
 #[derive(Debug)]
 pub struct Caller {
@@ -115,6 +97,11 @@
         &self.leaving
     }
 
+    /// Returns the requests under which endpoints have crashed.
+    pub fn crashes(&self) -> &Rc<CrashRegistry> {
+        &self.crashes
+    }
+
     /// Returns the rate limits that endpoints have named.
     pub fn limits(&self) -> &Rc<LimitRegistry> {
         &self.limits
@@ -123,7 +110,7 @@
     /// Sends a call to one endpoint after the other until one responds, no attempt is allowed any
     /// more or the deadline passes.
     pub async fn call(&self, req: &CallRequest) -> CallOutcome {
-        if let Some(not_run) = self.refuse_crashing(req) {
+        if let Some(not_run) = self.crashes.refusal(req) {
             return CallOutcome::NotRun(not_run);
         }
         let mut progress = CallProgress::default();
@@ -153,7 +140,7 @@
     /// Sends a request for a stream to one endpoint after the other until one responds. A stream is
     /// not hedged.
     pub async fn open_stream(&self, req: &CallRequest) -> StreamOutcome {
-        if let Some(not_run) = self.refuse_crashing(req) {
+        if let Some(not_run) = self.crashes.refusal(req) {
             return StreamOutcome::NotRun(not_run);
         }
         let mut progress = CallProgress::default();
@@ -164,12 +151,9 @@
                 return StreamOutcome::Unknown;
             };
             let outcome = match opened {
-                Ok(exchange) => match classify(&exchange.head, &req.id) {
-                    ResponseClass::NotRun => AttemptOutcome::NotRun("full"),
-                    ResponseClass::OtherInstance => AttemptOutcome::NotRun("other-instance"),
-                    ResponseClass::Foreign => AttemptOutcome::Lost(FOREIGN.to_owned()),
-                    ResponseClass::Unclear => AttemptOutcome::Lost(UNCLEAR.to_owned()),
-                    ResponseClass::Answer | ResponseClass::Failure => {
+                Ok((class, exchange)) => match unusable(class) {
+                    Some(outcome) => outcome,
+                    None => {
                         return StreamOutcome::Opened(Box::new(OpenedStream {
                             exchange,
                             endpoint,
@@ -186,33 +170,6 @@
         }
     }
 
-    /// Returns the refusal of a request under which too many endpoints have crashed.
-    fn refuse_crashing(&self, req: &CallRequest) -> Option<NotRun> {
-        if req.trial || !self.crashes.is_blocked(|| req.content()) {
-            return None;
-        }
-        event(log::Level::Info, "crashing-request-refused", || {
-            format!("request={} content={}", req.id, req.content())
-        });
-        Some(NotRun {
-            retry_after: CRASHING_RETRY_AFTER,
-            reason: NotRunReason::CrashesEndpoints,
-        })
-    }
-
-    /// Checks whether the endpoint of a stream that has broken off has crashed.
-    pub async fn check_broken_stream(&self, req: &CallRequest, endpoint: &EndpointEntry) {
-        if refuses_connections(endpoint.addr, CRASH_CHECK_TIMEOUT).await {
-            self.crashes
-                .record(&req.id, req.content(), &endpoint.instance);
-        }
-    }
-
-    /// Records that an endpoint has run a request to its end.
-    pub fn record_success(&self, req: &CallRequest) {
-        self.crashes.clear(|| req.content());
-    }
-
     async fn run(&self, req: &CallRequest, progress: &mut CallProgress) -> CallOutcome {
         let mut running: FuturesUnordered<LocalBoxFuture<'_, (String, AttemptOutcome)>> =
             FuturesUnordered::new();
@@ -255,7 +212,7 @@
             return;
         }
         // Two endpoints could crash at once.
-        if self.crashes.count(|| req.content()) > 0 {
+        if self.crashes.is_suspect(req) {
             return;
         }
         // A second request to the endpoint that has not responded to the first would not help.
@@ -279,15 +236,17 @@
         instance: &str,
         outcome: AttemptOutcome,
     ) -> Option<EndpointResponse> {
-        progress.response_lost =
-            matches!(outcome, AttemptOutcome::Lost(_) | AttemptOutcome::Crashed);
+        progress.response_lost = matches!(
+            outcome,
+            AttemptOutcome::Lost(_) | AttemptOutcome::Unusable(_) | AttemptOutcome::Crashed
+        );
         let reason = match outcome {
             AttemptOutcome::Answer(response) => {
-                self.record_success(req);
+                self.crashes.clear(req);
                 return Some(response);
             }
             AttemptOutcome::Failure(mut response) => {
-                self.record_success(req);
+                self.crashes.clear(req);
                 let reason = format!("status {}", response.head.status.as_u16());
                 progress.may_have_run = true;
                 if response.head.status == StatusCode::INTERNAL_SERVER_ERROR {
@@ -309,7 +268,7 @@
                 self.metrics.record_retry("endpoint-crashed");
                 "endpoint-crashed".to_owned()
             }
-            AttemptOutcome::Lost(reason) => {
+            AttemptOutcome::Lost(reason) | AttemptOutcome::Unusable(reason) => {
                 progress.may_have_run = true;
                 self.metrics.record_retry("answer-lost");
                 reason
@@ -328,10 +287,11 @@
         req: &CallRequest,
         progress: &mut CallProgress,
     ) -> Option<EndpointEntry> {
-        if progress.crashes > 0 && !self.may_retry_after_crash(req, progress).await {
+        if progress.crashes > 0 && !self.crashes.may_retry(req, progress.crashes).await {
             return None;
         }
-        let share = LazyCell::new(|| self.share(&req.service));
+        let share =
+            LazyCell::new(|| share_of_calls(&self.view.get(), &self.identity, &req.service));
         let longest = Millis(req.deadline.since(now()).0 / 2).min(LIMIT_DELAY_MAX);
         let earliest = Cell::new(None::<Millis>);
         let delay = |entry: &EndpointEntry| {
@@ -353,41 +313,6 @@
         Some(endpoint)
     }
 
-    /// Whether a call may be attempted again although an endpoint has crashed under it; waits so that
-    /// calls that were in flight at the same endpoint don't all go on to the same one.
-    async fn may_retry_after_crash(&self, req: &CallRequest, progress: &CallProgress) -> bool {
-        let exhausted = || {
-            let crashes = self.crashes.count(|| req.content());
-            progress.crashes >= CRASHES_PER_CALL_MAX || crashes >= CRASHES_MAX
-        };
-        if exhausted() {
-            return false;
-        }
-        let longest = Millis(req.deadline.since(now()).0 / 4).min(CRASH_BACKOFF_MAX);
-        sleep(Millis(rand::random_range(0..=longest.0))).await;
-        !exhausted()
-    }
-
-    /// Returns the share of this process in the rate limits of a service's endpoints.
-    fn share(&self, service: &str) -> CallerShare {
-        let view = self.view.get();
-        let leads_to = |of_kind: &dyn Fn(RouteKind) -> bool| {
-            let routes = view.routes.as_ref();
-            routes.is_some_and(|routes| routes.leads_to(service, of_kind))
-        };
-        let scores = leads_to(&|kind| matches!(kind, RouteKind::Safe | RouteKind::Unsafe));
-        let share = match (view.caller_rank, self.identity.role) {
-            (None, _) => CallerShare::unknown(&self.identity.node),
-            (Some(rank), CallerRole::Entry) => rank.share_of_entry(scores),
-            (Some(rank), CallerRole::Agent) => rank.share_of_agent(),
-        };
-        if leads_to(&|kind| kind == RouteKind::Rollout) {
-            share.of_percent(CALLERS_PERCENT)
-        } else {
-            share
-        }
-    }
-
     fn choose_endpoint(
         &self,
         req: &CallRequest,
@@ -440,10 +365,11 @@
                 AttemptOutcome::Answer(_) => load.record_answer(now.since(started_at)),
                 AttemptOutcome::NotRun("full") => load.record_full(now),
                 AttemptOutcome::NotRun("leaving" | "gone" | "deadline") => {}
-                AttemptOutcome::NotRun(_) | AttemptOutcome::Lost(_) | AttemptOutcome::Crashed => {
-                    load.record_failure(now);
-                }
                 AttemptOutcome::Failure(_) => {}
+                AttemptOutcome::NotRun(_)
+                | AttemptOutcome::Lost(_)
+                | AttemptOutcome::Unusable(_)
+                | AttemptOutcome::Crashed => load.record_failure(now),
             });
         (endpoint.instance, outcome)
     }
@@ -455,34 +381,33 @@
         endpoint: &EndpointEntry,
     ) -> AttemptOutcome {
         match self.open_at(req, kind, endpoint).await {
-            Ok(exchange) => read_response(req, exchange).await,
+            Ok((class, exchange)) => read_response(class, exchange).await,
             Err(outcome) => outcome,
         }
     }
 
-    /// Tells a lost response from a crash of the endpoint, which accepts no connections after it.
+    /// Tells a lost response from a crash of the endpoint.
     async fn check_for_crash(
         &self,
         req: &CallRequest,
         endpoint: &EndpointEntry,
         outcome: AttemptOutcome,
     ) -> AttemptOutcome {
-        let is_broken = matches!(&outcome, AttemptOutcome::Lost(reason) if reason != FOREIGN && reason != UNCLEAR);
-        if !is_broken || !refuses_connections(endpoint.addr, CRASH_CHECK_TIMEOUT).await {
-            return outcome;
+        match outcome {
+            AttemptOutcome::Lost(_) if self.crashes.record_if_down(req, endpoint).await => {
+                AttemptOutcome::Crashed
+            }
+            outcome => outcome,
         }
-        self.crashes
-            .record(&req.id, req.content(), &endpoint.instance);
-        AttemptOutcome::Crashed
     }
 
-    /// Sends a call to an endpoint and waits for the head of its response.
+    /// Sends a call to an endpoint and waits for the head of its response, which it classifies.
     async fn open_at(
         &self,
         req: &CallRequest,
         kind: RequestKind,
         endpoint: &EndpointEntry,
-    ) -> Result<Exchange, AttemptOutcome> {
+    ) -> Result<(ResponseClass, Exchange), AttemptOutcome> {
         let to = Destination {
             addr: endpoint.addr,
             instance: endpoint.instance.clone(),
@@ -505,7 +430,7 @@
             let headers = &exchange.head.headers;
             self.limits.read(headers, instance, (kind, sent_at));
         }
-        Ok(exchange)
+        Ok((class, exchange))
     }
 
     /// Builds the request of one attempt, as it is about to be sent.
@@ -569,27 +494,3 @@
         AfterFailure::Again | AfterFailure::FailUnknown => CallOutcome::Unknown,
     }
 }
-
-/// Reads the body of a response and classifies it.
-async fn read_response(req: &CallRequest, exchange: Exchange) -> AttemptOutcome {
-    let class = classify(&exchange.head, &req.id);
-    if class == ResponseClass::Foreign {
-        // The connection is closed: the response to this call may still follow on it.
-        return AttemptOutcome::Lost(FOREIGN.to_owned());
-    }
-    let response = exchange.collect(RESPONSE_MAX_BYTES).await;
-    let response = response.map(|(head, body)| EndpointResponse {
-        head,
-        body,
-        failures: 0,
-    });
-    match (class, response) {
-        (ResponseClass::NotRun, _) => AttemptOutcome::NotRun("full"),
-        (ResponseClass::OtherInstance, _) => AttemptOutcome::NotRun("other-instance"),
-        (ResponseClass::Foreign, _) => AttemptOutcome::Lost(FOREIGN.to_owned()),
-        (ResponseClass::Unclear, _) => AttemptOutcome::Lost(UNCLEAR.to_owned()),
-        (_, Err(error)) => AttemptOutcome::Lost(error.to_string()),
-        (ResponseClass::Failure, Ok(response)) => AttemptOutcome::Failure(response),
-        (ResponseClass::Answer, Ok(response)) => AttemptOutcome::Answer(response),
-    }
-}
--- a/crates/oleander-rollout/src/call/crash_registry.rs
+++ b/crates/oleander-rollout/src/call/crash_registry.rs
@@ -1,15 +1,28 @@
 //! Requests under which endpoints have crashed, as this process and others have seen it.
 
+use super::call_request::CallRequest;
+use super::not_run::NotRun;
+use super::not_run_reason::NotRunReason;
+use crate::http::socket::refuses_connections;
 use crate::observe::metrics::Metrics;
 use crate::prelude::*;
 use crate::store::crash_objects::{CRASH_KIND, add_crashes};
 use crate::store::shared_view::SharedView;
 use crate::store::store_client::StoreClient;
-use oleanderlock::routing::crash_suspects::{CRASHES_MAX, CrashSuspects, Crashes};
+use oleanderlock::routing::crash_suspects::{
+    CRASHES_MAX, CRASHES_PER_CALL_MAX, CrashSuspects, Crashes,
+};
+use oleanderlock::routing::endpoint_entry::EndpointEntry;
 use oleanderlock::routing::request_content::RequestContent;
 use std::cell::RefCell;
 use std::rc::Rc;
 
+/// Timeout of checking whether an endpoint that broke a connection still accepts others.
+const CHECK_TIMEOUT: Millis = Millis(100);
+/// Longest pause before a call is attempted again after an endpoint has crashed under it.
+const BACKOFF_MAX: Millis = Millis(200);
+/// Time after which a caller may repeat a request under which endpoints crash.
+const REFUSAL_RETRY_AFTER: Millis = Millis::from_secs(60);
 /// Time after a crash within which a retry of the request may still show that the request is not
 /// the cause, so that others need not know of it.
 const REPORT_DELAY: Millis = Millis(500);
@@ -39,19 +52,58 @@
         })
     }
 
-    /// Returns the number of endpoints that have crashed under a request; `content` is called only
-    /// if some have crashed under any.
-    pub fn count(&self, content: impl FnOnce() -> RequestContent) -> usize {
-        let others = self.view.get();
-        if self.own.borrow().is_empty() && others.crash_suspects.is_empty() {
+    /// Returns the number of endpoints that have crashed under a request.
+    fn count(&self, req: &CallRequest) -> usize {
+        let told = self.view.get();
+        if self.own.borrow().is_empty() && told.crash_suspects.is_empty() {
             return 0;
         }
-        self.crashes(&content()).instances.len()
+        self.crashes(&req.content()).instances.len()
+    }
+
+    /// Whether an endpoint has crashed under a request.
+    pub fn is_suspect(&self, req: &CallRequest) -> bool {
+        self.count(req) > 0
     }
 
-    /// Whether a request has crashed so many endpoints that it is not sent any more.
-    pub fn is_blocked(&self, content: impl FnOnce() -> RequestContent) -> bool {
-        self.count(content) >= CRASHES_MAX
+    /// Returns the refusal of a request under which too many endpoints have crashed.
+    pub fn refusal(&self, req: &CallRequest) -> Option<NotRun> {
+        if req.trial || self.count(req) < CRASHES_MAX {
+            return None;
+        }
+        event(log::Level::Info, "crashing-request-refused", || {
+            format!("request={} content={}", req.id, req.content())
+        });
+        Some(NotRun {
+            retry_after: REFUSAL_RETRY_AFTER,
+            reason: NotRunReason::CrashesEndpoints,
+        })
+    }
+
+    /// Whether a call may be attempted again under which `crashes` endpoints have crashed; waits so
+    /// that calls that were in flight at the same endpoint don't all go on to the same one.
+    pub async fn may_retry(&self, req: &CallRequest, crashes: usize) -> bool {
+        let exhausted = || crashes >= CRASHES_PER_CALL_MAX || self.count(req) >= CRASHES_MAX;
+        if exhausted() {
+            return false;
+        }
+        let longest = Millis(req.deadline.since(now()).0 / 4).min(BACKOFF_MAX);
+        sleep(Millis(rand::random_range(0..=longest.0))).await;
+        !exhausted()
+    }
+
+    /// Records a crash if the endpoint that broke the connection of a request accepts no others;
+    /// returns whether it does not.
+    pub async fn record_if_down(
+        self: &Rc<Self>,
+        req: &CallRequest,
+        endpoint: &EndpointEntry,
+    ) -> bool {
+        let is_down = refuses_connections(endpoint.addr, CHECK_TIMEOUT).await;
+        if is_down {
+            self.record(&req.id, req.content(), &endpoint.instance);
+        }
+        is_down
     }
 
     fn crashes(&self, content: &RequestContent) -> Crashes {
@@ -69,7 +121,7 @@
 
     /// Records that an endpoint has crashed under a request. Others learn of it unless the request
     /// succeeds soon.
-    pub fn record(self: &Rc<Self>, id: &str, content: RequestContent, instance: &str) {
+    fn record(self: &Rc<Self>, id: &str, content: RequestContent, instance: &str) {
         let crash = Crashes::of(instance, unix_ms());
         self.own.borrow_mut().record(content.as_str(), &crash);
         let count = self.crashes(&content).instances.len();
@@ -111,12 +163,12 @@
 
     /// Records that an endpoint has run a request and is still there: earlier crashes under the
     /// request have another cause.
-    pub fn clear(self: &Rc<Self>, content: impl FnOnce() -> RequestContent) {
+    pub fn clear(self: &Rc<Self>, req: &CallRequest) {
         let told = self.view.get();
         if self.own.borrow().is_empty() && told.crash_suspects.is_empty() {
             return;
         }
-        let content = content();
+        let content = req.content();
         let was_seen = self.own.borrow_mut().clear(content.as_str());
         let was_told = told.crash_suspects.crashes(&content, unix_ms()).is_some();
         if was_seen || was_told {
--- a/crates/oleander-rollout/src/entry/mod.rs
+++ b/crates/oleander-rollout/src/entry/mod.rs
@@ -5,6 +5,7 @@
 pub mod entry_process;
 mod job_calls;
 mod platform_updates;
+mod relay;
 mod request_head;
 mod router;
 mod streams;
