--- a/crates/oleanderlock/src/batch/scheduler_recall.rs
+++ b/crates/oleanderlock/src/batch/scheduler_recall.rs
@@ -135,14 +135,11 @@
         taken: &IndexMap<&str, usize>,
     ) -> Option<&str> {
         let interval_max_us = agent.event_interval_us() * STRAGGLER_INTERVAL_MAX_SIXTHS / 6;
-        let fits = |(name, other): &(&String, &AgentState)| {
-            let taken = taken.get(name.as_str()).copied().unwrap_or_default();
-            self.engine_sets.model_of(name) == Some(&job.model)
-                && other.report.event_us > 0
-                && other.event_interval_us() <= interval_max_us
-                && other.may_run(now, job)
-                && !other.is_loading(now)
-                && other.free_slots() > taken
+        let fits = |peer: &(&String, &AgentState)| {
+            self.could_start(now, *peer, job, taken)
+                && peer.1.report.event_us > 0
+                && peer.1.event_interval_us() <= interval_max_us
+                && !peer.1.is_loading(now)
         };
         let faster = self.agents.iter().filter(fits);
         let fastest = faster.min_by_key(|(_, other)| other.event_interval_us())?;
@@ -150,10 +147,8 @@
     }
 
     /// Returns an engine of the model's set, about as fast as the one of `agent`, that could start an
-    /// item of the job at once.
-    ///
-    /// `taken` counts the slots that other recalled items will use, by engine. Engines of other sets
-    /// are left to their own models: one more run there would delay their weight loads.
+    /// item of the job at once. `taken` counts the slots that other recalled items will use, by
+    /// engine.
     fn peer_with_free_slot(
         &self,
         now: Millis,
@@ -162,17 +157,31 @@
         taken: &IndexMap<&str, usize>,
     ) -> Option<&str> {
         let interval_max_us = agent.event_interval_us() * RECALL_INTERVAL_MAX_QUARTERS / 4;
-        let fits = |(name, other): &(&String, &AgentState)| {
-            let taken = taken.get(name.as_str()).copied().unwrap_or_default();
-            self.engine_sets.model_of(name) == Some(&job.model)
-                && other.may_run(now, job)
-                && other.free_slots() > taken
-                && other.event_interval_us() <= interval_max_us
+        let fits = |peer: &(&String, &AgentState)| {
+            self.could_start(now, *peer, job, taken)
+                && peer.1.event_interval_us() <= interval_max_us
         };
         let free = self.agents.iter().find(fits)?;
         Some(free.0.as_str())
     }
 
+    /// Whether an engine of the model's set could start an item of the job at once.
+    ///
+    /// Engines of other sets are left to their own models: one more run there would delay their
+    /// weight loads.
+    fn could_start(
+        &self,
+        now: Millis,
+        (name, agent): (&String, &AgentState),
+        job: &JobState,
+        taken: &IndexMap<&str, usize>,
+    ) -> bool {
+        let taken = taken.get(name.as_str()).copied().unwrap_or_default();
+        self.engine_sets.model_of(name) == Some(&job.model)
+            && agent.may_run(now, job)
+            && agent.free_slots() > taken
+    }
+
     /// Returns the free slots of engines that are much faster than `slow` and have the model in
     /// `oldest_version` or newer.
     fn free_slots_of_faster_engines(
