Share the set-ups of tests that were written again

Five test files each requested a stream in their own words, and five started the same deployment for it; endless_responses.rs wrote its own set-up, call and check of memory several times, and two simulations of the scheduler built the same step. Assertions, bounds and literals are unchanged; the check of memory stood three times and is now called three times.

--- a/crates/oleander-rollout/tests/crashing_requests.rs
+++ b/crates/oleander-rollout/tests/crashing_requests.rs
@@ -5,13 +5,11 @@
 use oleander_platform_standins::engine_faults::EngineFaults;
 use oleander_platform_standins::stand_in_engine::StandInEngine;
 use oleander_platform_standins::stand_in_service::StandInService;
-use std::io::Read;
 use std::thread;
 use std::time::{Duration, Instant};
 use support::deployment::Deployment;
 use support::deployment_size::DeploymentSize;
-use support::http::send;
-use support::{HOST, check_results, config_with_streams, job, wait_for};
+use support::{check_results, job, read_text, wait_for};
 
 /// Body of the request under which endpoints crash.
 const DEADLY: &[u8] = b"deadly";
@@ -223,13 +221,7 @@
 
 /// Requests a stream of three events; returns the text of the response.
 fn stream(deployment: &Deployment, entry: usize, id: &str) -> String {
-    let headers = [("host", HOST), ("request-id", id), ("deadline-ms", "4000")];
-    let addr = deployment.entries[entry].calls;
-    let stream = send(addr, "POST", "/talk/x", &headers, b"3");
-    let mut bytes = Vec::new();
-    // Fails when the stream breaks off.
-    let _ = stream.expect("a connection").read_to_end(&mut bytes);
-    String::from_utf8_lossy(&bytes).into_owned()
+    read_text(deployment.open_stream(entry, id, 3, 4000))
 }
 
 /// Restarts all engines that are down, each as another instance.
@@ -248,15 +240,7 @@
 
 #[test]
 fn a_stream_that_crashes_engines_midway_is_refused_after_a_few() {
-    let deployment = Deployment::start(DeploymentSize {
-        entries: 2,
-        engines: 3,
-        dispatchers: 1,
-        services: 0,
-    });
-    deployment
-        .store
-        .put("config", "main", &config_with_streams(2));
+    let deployment = Deployment::start_with_streams(2, 3);
     wait_for("the route is in force", || {
         (0..2).all(|entry| stream(&deployment, entry, "warm").contains("data: warm:3\n"))
     });
--- a/crates/oleander-rollout/tests/endless_responses.rs
+++ b/crates/oleander-rollout/tests/endless_responses.rs
@@ -11,8 +11,9 @@
 use std::time::{Duration, Instant};
 use support::deployment::Deployment;
 use support::deployment_size::{DeploymentSize, SMALL};
-use support::http::send;
-use support::{HOST, MODEL, check_results, config_with_streams, job, wait_for};
+use support::http::Reply;
+use support::node::Node;
+use support::{MODEL, check_results, job, wait_for};
 
 /// Memory of an entry or agent of the smallest machines of the users.
 const MEMORY_MAX: u64 = 110 << 20;
@@ -23,6 +24,15 @@
 /// Concurrent calls.
 const CALLS: usize = 8;
 
+/// What a stream or a run may get.
+const STREAMED: [EndlessBytes; 5] = [
+    EndlessBytes::HeaderField,
+    EndlessBytes::InterimResponses,
+    EndlessBytes::EventLine,
+    EndlessBytes::Comments,
+    EndlessBytes::Trailers,
+];
+
 const ALL: [EndlessBytes; 8] = [
     EndlessBytes::Noise,
     EndlessBytes::HeaderField,
@@ -41,6 +51,38 @@
     deployment.store.put("servers", instance, &entry);
 }
 
+/// Starts a deployment with one entry and `services` services, all of which refuse calls, and an
+/// endpoint of the same service that the entry uses.
+fn endless_service(bytes: EndlessBytes, services: usize) -> (Deployment, StandInEndless) {
+    let deployment = Deployment::start(DeploymentSize {
+        entries: 1,
+        engines: 0,
+        dispatchers: 1,
+        services,
+    });
+    for service in &deployment.services {
+        service.set_default_behavior(CallBehavior::Refuse);
+    }
+    let endless = StandInEndless::spawn(bytes, MODEL);
+    list(&deployment, &endless, "desk", "endless");
+    wait_for("the entry uses the endpoint", || {
+        call(&deployment, "/once/x", "first");
+        endless.requests() > 0
+    });
+    (deployment, endless)
+}
+
+fn call(deployment: &Deployment, path: &str, id: &str) -> Option<Reply> {
+    let headers = [("request-id", id), ("deadline-ms", "1400")];
+    deployment.call(0, "POST", path, &headers, b"body")
+}
+
+/// Fails if a process has used more memory than its machine has.
+fn assert_memory(node: &Node, bytes: EndlessBytes) {
+    let peak = node.process().peak_memory();
+    assert!(peak < MEMORY_MAX, "{bytes:?}: {} MB", peak >> 20);
+}
+
 /// Fails if the caller still reads responses after [`CLOSE_TIMEOUT`].
 fn assert_closed(endpoint: &StandInEndless, bytes: EndlessBytes) {
     let started_at = Instant::now();
@@ -58,27 +100,14 @@
 #[test]
 fn calls_end_within_their_time_and_memory_whatever_an_endpoint_sends() {
     for bytes in ALL {
-        let deployment = Deployment::start(DeploymentSize {
-            entries: 1,
-            engines: 0,
-            dispatchers: 1,
-            services: 0,
-        });
-        let endless = StandInEndless::spawn(bytes, MODEL);
-        list(&deployment, &endless, "desk", "endless");
-        let headers = [("request-id", "call"), ("deadline-ms", "1400")];
-        wait_for("the entry uses the endpoint", || {
-            deployment.call(0, "POST", "/once/x", &headers, b"body");
-            endless.requests() > 0
-        });
+        let (deployment, endless) = endless_service(bytes, 0);
         thread::scope(|scope| {
             for n in 0..CALLS {
                 let (deployment, id) = (&deployment, format!("call-{n}"));
                 scope.spawn(move || {
                     let path = ["/calls/x", "/once/x"][n % 2];
-                    let headers = [("request-id", id.as_str()), ("deadline-ms", "1400")];
                     let started_at = Instant::now();
-                    let reply = deployment.call(0, "POST", path, &headers, b"body");
+                    let reply = call(deployment, path, &id);
                     let took = started_at.elapsed();
                     let status = reply.map(|reply| reply.status);
                     assert!(
@@ -90,37 +119,20 @@
             }
         });
         assert_closed(&endless, bytes);
-        let peak = deployment.entries[0].process().peak_memory();
-        assert!(peak < MEMORY_MAX, "{bytes:?}: {} MB", peak >> 20);
+        assert_memory(&deployment.entries[0], bytes);
     }
 }
 
 #[test]
 fn other_calls_are_served_beside_endless_responses() {
     for bytes in ALL {
-        let deployment = Deployment::start(DeploymentSize {
-            entries: 1,
-            engines: 0,
-            dispatchers: 1,
-            services: 2,
-        });
-        let endless = StandInEndless::spawn(bytes, MODEL);
-        list(&deployment, &endless, "desk", "endless");
-        let headers = [("request-id", "call"), ("deadline-ms", "1400")];
-        for service in &deployment.services {
-            service.set_default_behavior(CallBehavior::Refuse);
-        }
-        wait_for("the entry uses the endpoint", || {
-            deployment.call(0, "POST", "/calls/x", &headers, b"body");
-            endless.requests() > 0
-        });
+        let (deployment, endless) = endless_service(bytes, 2);
         for service in &deployment.services {
             service.set_default_behavior(CallBehavior::Answer);
         }
         for n in 0..CALLS {
             let id = format!("call-{n}");
-            let headers = [("request-id", id.as_str()), ("deadline-ms", "1400")];
-            let reply = deployment.call(0, "POST", "/calls/x", &headers, b"body");
+            let reply = call(&deployment, "/calls/x", &id);
             let reply = reply.expect("an answer");
             assert_eq!(reply.status, 200, "{bytes:?}");
             assert_eq!(reply.body, format!("for {id}").as_bytes());
@@ -131,28 +143,12 @@
 
 #[test]
 fn streams_break_off_and_stay_within_their_memory() {
-    for bytes in [
-        EndlessBytes::HeaderField,
-        EndlessBytes::InterimResponses,
-        EndlessBytes::EventLine,
-        EndlessBytes::Comments,
-        EndlessBytes::Trailers,
-    ] {
-        let deployment = Deployment::start(DeploymentSize {
-            entries: 1,
-            engines: 0,
-            dispatchers: 1,
-            services: 0,
-        });
-        let config = config_with_streams(2);
-        deployment.store.put("config", "main", &config);
+    for bytes in STREAMED {
+        let deployment = Deployment::start_with_streams(1, 0);
         let endless = StandInEndless::spawn(bytes, MODEL);
         list(&deployment, &endless, "llm", "endless");
-        let addr = deployment.entries[0].calls;
-        let headers = [("host", HOST), ("request-id", "s"), ("deadline-ms", "4000")];
         let read = || {
-            let stream = send(addr, "POST", "/talk/x", &headers, b"1");
-            let mut stream = stream.expect("a connection");
+            let mut stream = deployment.open_stream(0, "s", 1, 4000);
             // The client leaves after a while, as it would without an event.
             let started_at = Instant::now();
             let mut buf = vec![0; 64 << 10];
@@ -168,20 +164,13 @@
             }
         });
         assert_closed(&endless, bytes);
-        let peak = deployment.entries[0].process().peak_memory();
-        assert!(peak < MEMORY_MAX, "{bytes:?}: {} MB", peak >> 20);
+        assert_memory(&deployment.entries[0], bytes);
     }
 }
 
 #[test]
 fn items_are_run_elsewhere_and_agents_stay_within_their_memory() {
-    for bytes in [
-        EndlessBytes::HeaderField,
-        EndlessBytes::InterimResponses,
-        EndlessBytes::EventLine,
-        EndlessBytes::Comments,
-        EndlessBytes::Trailers,
-    ] {
+    for bytes in STREAMED {
         let endless = StandInEndless::spawn(bytes, MODEL);
         let mut deployment = Deployment::start(SMALL);
         // The agent of engine 0 starts again beside the endless one.
@@ -189,8 +178,7 @@
         deployment.store.remove("servers", "engine-0");
         list(&deployment, &endless, "llm", "endless");
         let dispatcher = deployment.store.addr();
-        let mut agent =
-            support::node::Node::new("agent-9", "agent", dispatcher, Some(endless.addr()));
+        let mut agent = Node::new("agent-9", "agent", dispatcher, Some(endless.addr()));
         agent.start();
         wait_for("the leader knows the agent", || {
             let mut dispatchers = deployment.dispatchers.iter();
@@ -206,7 +194,6 @@
         deployment.submit(0, "job-a", &body);
         check_results(&deployment.read_all(0, "job-a", 20), &body);
         assert!(endless.requests() > 0, "{bytes:?}: no item ran there");
-        let peak = agent.process().peak_memory();
-        assert!(peak < MEMORY_MAX, "{bytes:?}: {} MB", peak >> 20);
+        assert_memory(&agent, bytes);
     }
 }
--- a/crates/oleander-rollout/tests/failures.rs
+++ b/crates/oleander-rollout/tests/failures.rs
@@ -13,7 +13,7 @@
 use std::time::{Duration, Instant};
 use support::deployment::Deployment;
 use support::deployment_size::{DeploymentSize, SMALL};
-use support::http::{Reply, call, send};
+use support::http::{Reply, call};
 use support::{HOST, check_results, job, wait_for};
 
 const ONE_SERVICE: DeploymentSize = DeploymentSize {
@@ -166,14 +166,7 @@
 
 /// Starts a deployment with a route for streams to one engine.
 fn streams() -> Deployment {
-    let deployment = Deployment::start(DeploymentSize {
-        entries: 1,
-        engines: 1,
-        dispatchers: 1,
-        services: 0,
-    });
-    let config = support::config_with_streams(2);
-    deployment.store.put("config", "main", &config);
+    let deployment = Deployment::start_with_streams(1, 1);
     wait_for("the route is in force", || {
         stream(&deployment, "warm", 1).contains("data: warm:1\n")
     });
@@ -182,11 +175,7 @@
 
 /// Requests a stream of `events` events and returns its text.
 fn stream(deployment: &Deployment, id: &str, events: usize) -> String {
-    let headers = [("host", HOST), ("request-id", id), ("deadline-ms", "60000")];
-    let addr = deployment.entries[0].calls;
-    let body = events.to_string();
-    let stream = send(addr, "POST", "/talk/x", &headers, body.as_bytes());
-    let mut stream = stream.expect("a connection");
+    let mut stream = deployment.open_stream(0, id, events, 60_000);
     let until = Instant::now() + CLIENT_PATIENCE;
     let (mut bytes, mut part) = (Vec::new(), [0; 4096]);
     while Instant::now() < until {
--- a/crates/oleander-rollout/tests/leaving.rs
+++ b/crates/oleander-rollout/tests/leaving.rs
@@ -7,13 +7,12 @@
 use oleander_platform_standins::engine_faults::EngineFaults;
 use oleander_platform_standins::store_faults::StoreFaults;
 use serde_json::json;
-use std::io::Read;
 use std::thread;
 use std::time::Duration;
 use support::deployment::Deployment;
 use support::deployment_size::{DeploymentSize, SMALL};
-use support::http::{Reply, send};
-use support::{HOST, MODEL, check_results, job, wait_for};
+use support::http::Reply;
+use support::{MODEL, check_results, job, read_text, wait_for};
 
 const LEAVING: (&str, &str) = ("server-leaving", "1");
 /// Calls after an announcement; the other endpoint refuses each second one.
@@ -143,14 +142,7 @@
 
 /// Starts a deployment with a route for streams to two engines.
 fn streams() -> Deployment {
-    let deployment = Deployment::start(DeploymentSize {
-        entries: 1,
-        engines: 2,
-        dispatchers: 1,
-        services: 0,
-    });
-    let config = support::config_with_streams(2);
-    deployment.store.put("config", "main", &config);
+    let deployment = Deployment::start_with_streams(1, 2);
     wait_for("the route is in force at both engines", || {
         stream(&deployment, "warm", 1);
         let mut engines = deployment.engines.iter();
@@ -161,13 +153,7 @@
 
 /// Requests a stream of `events` events and returns its text.
 fn stream(deployment: &Deployment, id: &str, events: usize) -> String {
-    let headers = [("host", HOST), ("request-id", id), ("deadline-ms", "60000")];
-    let addr = deployment.entries[0].calls;
-    let body = events.to_string();
-    let stream = send(addr, "POST", "/talk/x", &headers, body.as_bytes());
-    let mut bytes = Vec::new();
-    let _ = stream.expect("a connection").read_to_end(&mut bytes);
-    String::from_utf8_lossy(&bytes).into_owned()
+    read_text(deployment.open_stream(0, id, events, 60_000))
 }
 
 #[test]
--- a/crates/oleander-rollout/tests/rate_limits.rs
+++ b/crates/oleander-rollout/tests/rate_limits.rs
@@ -3,18 +3,17 @@
 mod support;
 
 use oleander_platform_standins::call_behavior::CallBehavior;
+use oleander_platform_standins::engine_faults::EngineFaults;
 use oleander_platform_standins::stand_in_engine::StandInEngine;
 use oleander_platform_standins::stand_in_service::StandInService;
 use serde_json::json;
-use std::io::Read;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 use support::deployment::Deployment;
 use support::deployment_size::{DeploymentSize, SMALL};
-use support::http::send;
 use support::node::Node;
-use support::{HOST, MODEL, check_results, job, wait_for};
+use support::{MODEL, check_results, job, read_text, wait_for};
 
 /// Header by which an endpoint names its limit.
 const LIMIT: &str = "server-limit";
@@ -215,14 +214,7 @@
 /// Starts a deployment with a route for streams to two engines, one of them limited to one request a
 /// second; returns from when on its requests count.
 fn streams_to_a_limited_engine() -> (Deployment, Instant) {
-    let deployment = Deployment::start(DeploymentSize {
-        entries: 2,
-        engines: 2,
-        dispatchers: 1,
-        services: 0,
-    });
-    let config = support::config_with_streams(2);
-    deployment.store.put("config", "main", &config);
+    let deployment = Deployment::start_with_streams(2, 2);
     wait_for("the route is in force at both entries", || {
         (0..2).all(|entry| stream(&deployment, entry, "warm").starts_with("HTTP/1.1 200 "))
     });
@@ -234,12 +226,7 @@
 
 /// Requests a stream of one event and returns its text.
 fn stream(deployment: &Deployment, entry: usize, id: &str) -> String {
-    let headers = [("host", HOST), ("request-id", id), ("deadline-ms", "5000")];
-    let addr = deployment.entries[entry].calls;
-    let stream = send(addr, "POST", "/talk/x", &headers, b"1");
-    let mut bytes = Vec::new();
-    let _ = stream.expect("a connection").read_to_end(&mut bytes);
-    String::from_utf8_lossy(&bytes).into_owned()
+    read_text(deployment.open_stream(entry, id, 1, 5000))
 }
 
 #[test]
@@ -274,7 +261,7 @@
     name_limit_at_engines(&deployment.engines, 2.0);
     wait_until_read(&deployment.agents[0], "engine-0");
     let from = Instant::now();
-    deployment.engines[0].set_faults(oleander_platform_standins::engine_faults::EngineFaults {
+    deployment.engines[0].set_faults(EngineFaults {
         break_at_event: 2,
         ..Default::default()
     });
@@ -307,7 +294,7 @@
     name_limit_at_engines(&deployment.engines, 1.0);
     wait_until_read(&deployment.agents[0], "engine-0");
     let from = Instant::now();
-    deployment.engines[0].set_faults(oleander_platform_standins::engine_faults::EngineFaults {
+    deployment.engines[0].set_faults(EngineFaults {
         lose_order_responses: true,
         ..Default::default()
     });
--- a/crates/oleander-rollout/tests/streams.rs
+++ b/crates/oleander-rollout/tests/streams.rs
@@ -5,45 +5,23 @@
 use std::io::{BufRead, BufReader, Read};
 use std::net::TcpStream;
 use support::deployment::Deployment;
-use support::deployment_size::DeploymentSize;
-use support::http::send;
-use support::{HOST, wait_for};
+use support::{read_text, wait_for};
 
-const ENGINES: DeploymentSize = DeploymentSize {
-    entries: 1,
-    engines: 2,
-    dispatchers: 1,
-    services: 0,
-};
 /// Events of a run that lasts longer than each test.
 const ENDLESS: usize = 100_000;
 
 /// Starts a deployment with a route for streams to the engines.
 fn deployment() -> Deployment {
-    let deployment = Deployment::start(ENGINES);
-    let config = support::config_with_streams(2);
-    deployment.store.put("config", "main", &config);
+    let deployment = Deployment::start_with_streams(1, 2);
     wait_for("the route is in force", || {
-        read(open(&deployment, "warm", 1)).contains("data: warm:1\n")
+        read_text(open(&deployment, "warm", 1)).contains("data: warm:1\n")
     });
     deployment
 }
 
 /// Requests a stream of `events` events and returns the connection.
 fn open(deployment: &Deployment, id: &str, events: usize) -> TcpStream {
-    let headers = [("host", HOST), ("request-id", id), ("deadline-ms", "60000")];
-    let body = events.to_string();
-    let addr = deployment.entries[0].calls;
-    let stream = send(addr, "POST", "/talk/x", &headers, body.as_bytes());
-    stream.expect("a connection")
-}
-
-/// Reads until the connection is closed or reset.
-fn read(mut stream: TcpStream) -> String {
-    let mut bytes = Vec::new();
-    // Fails when the connection is reset.
-    let _ = stream.read_to_end(&mut bytes);
-    String::from_utf8_lossy(&bytes).into_owned()
+    deployment.open_stream(0, id, events, 60_000)
 }
 
 /// Whether the response ends with the last chunk of its transfer encoding.
@@ -69,7 +47,7 @@
 #[test]
 fn stream_is_relayed_complete_and_in_order() {
     let deployment = deployment();
-    let text = read(open(&deployment, "whole", 20));
+    let text = read_text(open(&deployment, "whole", 20));
     assert!(text.starts_with("HTTP/1.1 200 OK\r\n"), "{text}");
     assert!(text.contains("server-stamp: run-whole\r\n"), "{text}");
     assert!(text.contains("request-id: whole\r\n"), "{text}");
@@ -97,7 +75,7 @@
             ..Default::default()
         });
     }
-    let text = read(open(&deployment, "broken", 20));
+    let text = read_text(open(&deployment, "broken", 20));
     assert_eq!(events_of(&text).len(), 4, "{text}");
     assert!(!is_complete(&text), "{text}");
     assert_eq!(runs(&deployment, "broken"), 1);
@@ -119,7 +97,7 @@
     let deployment = deployment();
     deployment.engines[0].restart_as("another");
     deployment.engines[1].restart_as("yet-another");
-    let text = read(open(&deployment, "meant", 3));
+    let text = read_text(open(&deployment, "meant", 3));
     assert!(text.starts_with("HTTP/1.1 503 "), "{text}");
     assert_eq!(runs(&deployment, "meant"), 0);
 }
--- a/crates/oleander-rollout/tests/support/deployment.rs
+++ b/crates/oleander-rollout/tests/support/deployment.rs
@@ -1,15 +1,16 @@
 //! A deployment of real processes and stand-ins.
 
 use super::deployment_size::DeploymentSize;
-use super::http::{Reply, call};
+use super::http::{Reply, call, send};
 use super::node::Node;
 use super::process::PROGRAM;
 use super::stand_ins::StandIns;
-use super::{HOST, wait_for};
+use super::{HOST, config_with_streams, wait_for};
 use oleander_platform_standins::stand_in_engine::StandInEngine;
 use oleander_platform_standins::stand_in_service::StandInService;
 use oleander_platform_standins::stand_in_store::StandInStore;
 use serde_json::Value;
+use std::net::TcpStream;
 use std::path::PathBuf;
 
 /// Running processes of the system and their stand-ins.
@@ -27,6 +28,39 @@
         Self::start_as(size, &|_| PROGRAM.into())
     }
 
+    /// Starts a deployment without services, with a route for streams to its engines.
+    pub fn start_with_streams(entries: usize, engines: usize) -> Self {
+        let deployment = Self::start(DeploymentSize {
+            entries,
+            engines,
+            dispatchers: 1,
+            services: 0,
+        });
+        let config = config_with_streams(2);
+        deployment.store.put("config", "main", &config);
+        deployment
+    }
+
+    /// Requests a stream of `events` events from an entry and returns the connection.
+    pub fn open_stream(
+        &self,
+        entry: usize,
+        id: &str,
+        events: usize,
+        deadline_ms: u64,
+    ) -> TcpStream {
+        let deadline = deadline_ms.to_string();
+        let headers = [
+            ("host", HOST),
+            ("request-id", id),
+            ("deadline-ms", deadline.as_str()),
+        ];
+        let addr = self.entries[entry].calls;
+        let body = events.to_string();
+        let stream = send(addr, "POST", "/talk/x", &headers, body.as_bytes());
+        stream.expect("a connection")
+    }
+
     /// Starts the program that is named for each role.
     pub fn start_as(size: DeploymentSize, program: &dyn Fn(&str) -> PathBuf) -> Self {
         let stand_ins = StandIns::spawn(size);
--- a/crates/oleander-rollout/tests/support/mod.rs
+++ b/crates/oleander-rollout/tests/support/mod.rs
@@ -13,6 +13,8 @@
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use serde_json::{Value, json};
+use std::io::Read;
+use std::net::TcpStream;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -90,6 +92,14 @@
     }
 }
 
+/// Reads until the connection is closed or reset.
+pub fn read_text(mut stream: TcpStream) -> String {
+    let mut bytes = Vec::new();
+    // Fails when the connection is reset.
+    let _ = stream.read_to_end(&mut bytes);
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
 /// Polls `condition` until it holds; fails the test with `what` after [`WAIT_TIMEOUT`].
 pub fn wait_for(what: &str, mut condition: impl FnMut() -> bool) {
     let started_at = Instant::now();
--- a/crates/oleanderlock/tests/batch_recall.rs
+++ b/crates/oleanderlock/tests/batch_recall.rs
@@ -2,18 +2,17 @@
 //! items. The items that are beyond the slots wait at all engines; the first engine has only long
 //! runs, so without a recall its waiting items start seconds after other engines have free slots.
 
+mod batch_support;
+
+use batch_support::{MODEL, POLICY, step};
 use indexmap::IndexMap;
 use oleanderlock::batch::agent_report::AgentReport;
 use oleanderlock::batch::item_key::ItemKey;
-use oleanderlock::batch::job::Job;
-use oleanderlock::batch::job_item::JobItem;
-use oleanderlock::batch::job_policy::JobPolicy;
 use oleanderlock::batch::recall_reason::RecallReason;
 use oleanderlock::batch::scheduler::Scheduler;
 use oleanderlock::batch::scheduler_config::SchedulerConfig;
 use oleanderlock::prelude::*;
 
-const MODEL: &str = "advisor";
 const ENGINES: usize = 8;
 const SLOTS: usize = 8;
 /// Items of a step, slightly more than all slots.
@@ -23,13 +22,6 @@
 /// Duration of the runs that fill the first engine.
 const LONG_RUN_MS: u64 = 6000;
 const TICK_MS: u64 = 20;
-const POLICY: JobPolicy = JobPolicy {
-    attempts: 3,
-    due_after: Millis(7500),
-    keep: Millis(40_000),
-    single_version: false,
-};
-
 /// Duration of the run of an item. Items are assigned round robin, so all long runs are on the first
 /// engine.
 fn run_ms(index: usize) -> u64 {
@@ -40,31 +32,6 @@
     }
 }
 
-fn step() -> Job {
-    let items = (0..ITEMS).map(|index| JobItem {
-        id: index.to_string(),
-        path: "/rollout/x".to_owned(),
-        headers: Vec::new(),
-        body_base64: String::new(),
-        tokens: 9000,
-        // The trainer does not know which runs will be long.
-        expected_tokens: None,
-        group: format!("g{}", index / 4),
-        score_call: None,
-    });
-    Job {
-        id: "step".to_owned(),
-        host: "host".to_owned(),
-        path: "/rollout/".to_owned(),
-        submitted_unix_ms: 0,
-        step: Some(1),
-        model: MODEL.to_owned(),
-        oldest_version: 1,
-        groups_wanted: ITEMS / 4,
-        items: items.collect(),
-    }
-}
-
 /// The runs of an engine with their remaining time in milliseconds, and its waiting items.
 #[derive(Default)]
 struct Engine {
@@ -128,7 +95,9 @@
     for (name, engine) in &engines {
         scheduler.apply_report(Millis(0), engine.report(name));
     }
-    scheduler.accept(step(), POLICY, Millis(0));
+    // The trainer does not know which runs will be long.
+    let step = step(ITEMS, 4, |_| None);
+    scheduler.accept(step, POLICY, Millis(0));
     // Waiting items are recalled only for engines in the set of their model, and this call also
     // assigns the engines to the sets.
     scheduler.plan_loads(Millis(0));
--- a/crates/oleanderlock/tests/batch_stragglers.rs
+++ b/crates/oleanderlock/tests/batch_stragglers.rs
@@ -2,20 +2,19 @@
 //! take five times as long as the others and estimates of lengths that are often wrong. The step
 //! ends with its longest run, so it must not stay on a slow engine while a fast one is free.
 
+mod batch_support;
+
 use arbtest::arbtest;
+use batch_support::{MODEL, POLICY, step};
 use indexmap::IndexMap;
 use oleanderlock::batch::agent_report::AgentReport;
 use oleanderlock::batch::event_pace::EventPace;
 use oleanderlock::batch::item_key::ItemKey;
-use oleanderlock::batch::job::Job;
-use oleanderlock::batch::job_item::JobItem;
-use oleanderlock::batch::job_policy::JobPolicy;
 use oleanderlock::batch::recall_reason::RecallReason;
 use oleanderlock::batch::scheduler::Scheduler;
 use oleanderlock::batch::scheduler_config::SchedulerConfig;
 use oleanderlock::prelude::*;
 
-const MODEL: &str = "advisor";
 const ENGINES: usize = 24;
 const SLOTS: usize = 6;
 const ITEMS: usize = 144;
@@ -28,13 +27,6 @@
 const TICK_MS: u64 = 20;
 /// Time in which an item moves from one engine to another.
 const MOVE_MS: u64 = 100;
-const POLICY: JobPolicy = JobPolicy {
-    attempts: 3,
-    due_after: Millis(7500),
-    keep: Millis(40_000),
-    single_version: false,
-};
-
 fn interval_us(engine: usize) -> u64 {
     if engine.is_multiple_of(3) {
         SLOW_US
@@ -52,30 +44,6 @@
     }
 }
 
-fn step() -> Job {
-    let items = (0..ITEMS).map(|index| JobItem {
-        id: index.to_string(),
-        path: "/rollout/x".to_owned(),
-        headers: Vec::new(),
-        body_base64: String::new(),
-        tokens: 9000,
-        expected_tokens: Some(1000 + (index as u64 * 37) % 100),
-        group: format!("g{}", index / 8),
-        score_call: None,
-    });
-    Job {
-        id: "step".to_owned(),
-        host: "host".to_owned(),
-        path: "/rollout/".to_owned(),
-        submitted_unix_ms: 0,
-        step: Some(1),
-        model: MODEL.to_owned(),
-        oldest_version: 1,
-        groups_wanted: ITEMS / 8,
-        items: items.collect(),
-    }
-}
-
 /// An engine: for each run, the time in microseconds that it has left here.
 struct Engine {
     interval_us: u64,
@@ -111,7 +79,8 @@
     for (name, engine) in &engines {
         scheduler.apply_report(Millis(0), engine.report(name));
     }
-    scheduler.accept(step(), POLICY, Millis(0));
+    let step = step(ITEMS, 8, |index| Some(1000 + (index as u64 * 37) % 100));
+    scheduler.accept(step, POLICY, Millis(0));
     scheduler.plan_loads(Millis(0));
     // Events that are left of items that have moved.
     let mut left: IndexMap<ItemKey, u64> = IndexMap::new();
