--- a/crates/oleander-rollout/src/store/follow.rs
+++ b/crates/oleander-rollout/src/store/follow.rs
@@ -56,22 +56,26 @@
     view: SharedView,
 ) {
     let store = StoreClient::new(store, health.clone());
-    if let Some(interest) = interests.config {
+    let follow_kind = |kind, gate: &Gate, apply: fn(&SharedView, WatchEvent)| {
         let view = view.clone();
-        let gate = match interest {
-            ConfigInterest::Always => Gate::open(),
-            ConfigInterest::WhileOpen => gate.clone(),
+        let apply = move |watch_event| {
+            apply(&view, watch_event);
+            true
         };
-        spawn(follow(
+        follow(
             Rc::clone(&store),
-            CONFIG_KIND,
+            kind,
             OnDisconnect::List,
-            gate,
-            move |watch_event| {
-                apply_config(&view, watch_event);
-                true
-            },
-        ));
+            gate.clone(),
+            apply,
+        )
+    };
+    if let Some(interest) = interests.config {
+        let gate = match interest {
+            ConfigInterest::Always => &Gate::open(),
+            ConfigInterest::WhileOpen => &gate,
+        };
+        spawn(follow_kind(CONFIG_KIND, gate, apply_config));
     }
     if interests.endpoints {
         let endpoints = EndpointWatcher::new(
@@ -92,55 +96,15 @@
         ));
     }
     if interests.versions {
-        let view = view.clone();
-        spawn(follow(
-            Rc::clone(&store),
-            VERSION_KIND,
-            OnDisconnect::List,
-            gate.clone(),
-            move |watch_event| {
-                apply_version(&view, watch_event);
-                true
-            },
-        ));
+        spawn(follow_kind(VERSION_KIND, &gate, apply_version));
     }
     if interests.retirements {
-        let view = view.clone();
-        spawn(follow(
-            Rc::clone(&store),
-            RETIREMENT_KIND,
-            OnDisconnect::List,
-            gate.clone(),
-            move |watch_event| {
-                apply_retirement(&view, watch_event);
-                true
-            },
-        ));
+        spawn(follow_kind(RETIREMENT_KIND, &gate, apply_retirement));
     }
     if interests.crash_suspects {
-        let view = view.clone();
-        spawn(follow(
-            Rc::clone(&store),
-            CRASH_KIND,
-            OnDisconnect::List,
-            Gate::open(),
-            move |watch_event| {
-                apply_crashes(&view, watch_event);
-                true
-            },
-        ));
+        spawn(follow_kind(CRASH_KIND, &Gate::open(), apply_crashes));
     }
-    follow(
-        store,
-        DISPATCHER_KIND,
-        OnDisconnect::List,
-        Gate::open(),
-        move |watch_event| {
-            apply_dispatcher(&view, watch_event);
-            true
-        },
-    )
-    .await;
+    follow_kind(DISPATCHER_KIND, &Gate::open(), apply_dispatcher).await;
 }
 
 /// Returns the objects that an event brings.
@@ -226,6 +190,9 @@
 }
 
 fn apply_crashes(view: &SharedView, watch_event: WatchEvent) {
+    if matches!(watch_event, WatchEvent::Lost | WatchEvent::Regained) {
+        return;
+    }
     let mut suspects = match &watch_event {
         WatchEvent::All(..) => CrashSuspects::default(),
         _ => CrashSuspects::clone(&view.get().crash_suspects),
