Decode workspaces, scale limits and settings of duties

The configuration of deployments with tenants is decoded into workspaces, whose keys become digests at once, and settings for the platform's API, the check of keys and optional features are read. Nothing uses them yet; deployments without them are served as before.

--- a/crates/oleander-rollout/src/agent/score.rs
+++ b/crates/oleander-rollout/src/agent/score.rs
@@ -131,6 +131,7 @@
         objective: route.objective,
         deadline: now().plus(route.timeout),
         resumes: None,
+        workspace: None,
         trial: false,
     };
     Some((req, route.attempts))
--- a/crates/oleander-rollout/src/call/call_request.rs
+++ b/crates/oleander-rollout/src/call/call_request.rs
@@ -6,6 +6,7 @@
 use oleanderlock::routing::endpoint_entry::EndpointEntry;
 use oleanderlock::routing::request_content::RequestContent;
 use oleanderlock::routing::stream_origin::StreamOrigin;
+use std::sync::Arc;
 
 /// A call to a service.
 #[derive(Clone, Debug)]
@@ -33,6 +34,8 @@
     pub deadline: Millis,
     /// What began the stream that the request resumes; no other endpoint may run it.
     pub resumes: Option<StreamOrigin>,
+    /// Workspace of the client; `None` without workspaces, on public routes and for scoring calls.
+    pub workspace: Option<Arc<str>>,
     /// Whether one attempt is made even if endpoints have crashed under the same request before.
     pub trial: bool,
 }
--- a/crates/oleander-rollout/src/entry/calls.rs
+++ b/crates/oleander-rollout/src/entry/calls.rs
@@ -54,6 +54,7 @@
         objective: route.objective,
         deadline: deadline(head, route),
         resumes: None,
+        workspace: None,
         trial: false,
     }
 }
--- a/crates/oleander-rollout/src/settings.rs
+++ b/crates/oleander-rollout/src/settings.rs
@@ -2,6 +2,9 @@
 
 use crate::call::caller_identity::CallerIdentity;
 use crate::call::caller_role::CallerRole;
+use crate::duty_settings::DutySettings;
+use crate::feature_settings::FeatureSettings;
+use crate::key_settings::KeySettings;
 use oleander_base::settings::Settings;
 use oleander_base::settings_errors::SettingsErrors;
 use oleanderlock::prelude::*;
@@ -9,7 +12,7 @@
 use std::path::Path;
 
 /// Settings of a process. Its debug format is logged when the settings change.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Config {
     /// Name of the node; names the process in log lines and messages.
     pub node: String,
@@ -38,6 +41,12 @@
     pub settle: Millis,
     /// Time for which results stay readable after the submission of their job.
     pub keep_results: Millis,
+    /// Calls to the platform that one process at a time may make; `None` if there are none.
+    pub duties: Option<DutySettings>,
+    /// Check of API keys.
+    pub keys: KeySettings,
+    /// Features that the deployment asks for.
+    pub features: FeatureSettings,
 }
 
 /// Default of [`Config::value_bytes`].
@@ -66,6 +75,7 @@
     /// All errors that were found, not only the first.
     pub fn read(mut settings: Settings) -> Result<Self, SettingsErrors> {
         let peers = addr(&mut settings, "listen", "peers");
+        let platform_api = optional_addr(&mut settings, "platform_api", "addr");
         let cfg = Self {
             node: settings.required("node", "name"),
             domain: settings.required("node", "domain"),
@@ -85,6 +95,9 @@
             grace: settings.duration("bounds", "grace", GRACE_DEFAULT),
             settle: settings.duration("bounds", "settle", SETTLE_DEFAULT),
             keep_results: settings.duration("bounds", "keep_results", KEEP_RESULTS_DEFAULT),
+            duties: DutySettings::read(&mut settings, platform_api),
+            keys: KeySettings::read(&mut settings),
+            features: FeatureSettings::read(&mut settings),
         };
         settings.finish()?;
         Ok(cfg)
@@ -101,7 +114,7 @@
 }
 
 /// Placeholder for an address that can't be parsed; [`Settings::finish`] returns the error.
-const PLACEHOLDER_ADDR: SocketAddr =
+pub(crate) const PLACEHOLDER_ADDR: SocketAddr =
     SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::UNSPECIFIED), 0);
 
 fn addr(settings: &mut Settings, section: &str, key: &str) -> SocketAddr {
--- a/crates/oleander-rollout/tests/formats.rs
+++ b/crates/oleander-rollout/tests/formats.rs
@@ -688,6 +688,7 @@
         objective: Millis(60_000),
         deadline: oleander_base::boot_clock::now().plus(Millis(60_000)),
         resumes: None,
+        workspace: None,
         trial: false,
     }
 }
--- a/crates/oleander-rollout/tests/formats_support/examples.rs
+++ b/crates/oleander-rollout/tests/formats_support/examples.rs
@@ -90,6 +90,7 @@
         oldest_version: 4,
         groups_wanted: 2,
         items: vec![job_item(), bare_item()],
+        workspace: None,
     }
 }
 
@@ -272,6 +273,7 @@
         run_objective: Millis(7500),
         keep: Millis(40_000),
         single_version: true,
+        public: false,
     }
 }
 
@@ -285,6 +287,7 @@
     let service = ServiceConfig {
         health_path: "/health".to_owned(),
         connections_max: 100,
+        scale: None,
     };
     DeploymentConfig {
         version: 2,
@@ -296,6 +299,7 @@
             header_time: Millis(3000),
             idle_time: Millis(15_000),
         },
+        workspaces: None,
     }
 }
 
--- a/crates/oleanderlock/src/batch/job.rs
+++ b/crates/oleanderlock/src/batch/job.rs
@@ -24,4 +24,7 @@
     pub groups_wanted: usize,
     /// The items, in the order of the submission.
     pub items: Vec<JobItem>,
+    /// Workspace that submitted it; `None` without workspaces, and in jobs of builds that knew none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub workspace: Option<String>,
 }
--- a/crates/oleanderlock/src/lib.rs
+++ b/crates/oleanderlock/src/lib.rs
@@ -148,6 +148,7 @@
 pub mod whole_answer;
 pub mod work;
 pub mod work_kind;
+pub mod workspaces;
 pub mod write_id;
 pub mod write_log;
 pub mod write_outcome;
--- a/crates/oleanderlock/src/routing/deployment_config.rs
+++ b/crates/oleanderlock/src/routing/deployment_config.rs
@@ -3,6 +3,7 @@
 use super::client_limits::ClientLimits;
 use super::route::Route;
 use super::service_config::ServiceConfig;
+use crate::workspaces::workspace::Workspace;
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
@@ -17,4 +18,7 @@
     pub services: IndexMap<String, ServiceConfig>,
     /// Limits on client requests.
     pub limits: ClientLimits,
+    /// Workspaces; `None` if the deployment has none, so that requests need no key.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub workspaces: Option<Vec<Workspace>>,
 }
--- a/crates/oleanderlock/src/routing/mod.rs
+++ b/crates/oleanderlock/src/routing/mod.rs
@@ -27,6 +27,7 @@
 pub mod route_kind;
 pub mod route_table;
 pub mod route_target;
+pub mod scale_limits;
 pub mod service_config;
 pub mod stall_clock;
 pub mod stream_origin;
--- a/crates/oleanderlock/src/routing/route.rs
+++ b/crates/oleanderlock/src/routing/route.rs
@@ -35,6 +35,9 @@
     pub keep: Millis,
     /// Whether all tokens of a sample must come from a single weight version.
     pub single_version: bool,
+    /// Whether requests need no key in a deployment with workspaces.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub public: bool,
 }
 
 impl Route {
--- a/crates/oleanderlock/src/routing/service_config.rs
+++ b/crates/oleanderlock/src/routing/service_config.rs
@@ -1,5 +1,6 @@
 //! Configuration of a service.
 
+use super::scale_limits::ScaleLimits;
 use serde::{Deserialize, Serialize};
 
 /// Configuration of a service.
@@ -9,4 +10,7 @@
     pub health_path: String,
     /// Maximum number of connections to one endpoint from all callers together.
     pub connections_max: usize,
+    /// Limits of the number of its endpoints, if this program orders them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub scale: Option<ScaleLimits>,
 }
--- a/crates/oleanderlock/tests/batch_checkpoints.rs
+++ b/crates/oleanderlock/tests/batch_checkpoints.rs
@@ -187,6 +187,7 @@
         oldest_version: 1,
         groups_wanted: 1,
         items: items.iter().map(item).collect(),
+        workspace: None,
     };
     let mut scheduler = Scheduler::new(SchedulerConfig::default());
     scheduler.accept(job, policy, Millis(0));
--- a/crates/oleanderlock/tests/batch_loads.rs
+++ b/crates/oleanderlock/tests/batch_loads.rs
@@ -77,6 +77,7 @@
         oldest_version: number.saturating_sub(1).max(1),
         groups_wanted: 9,
         items: items.collect(),
+        workspace: None,
     }
 }
 
--- a/crates/oleanderlock/tests/batch_scheduler.rs
+++ b/crates/oleanderlock/tests/batch_scheduler.rs
@@ -47,6 +47,7 @@
         oldest_version,
         groups_wanted: 1,
         items,
+        workspace: None,
     }
 }
 
--- a/crates/oleanderlock/tests/batch_support/mod.rs
+++ b/crates/oleanderlock/tests/batch_support/mod.rs
@@ -40,5 +40,6 @@
         oldest_version: 1,
         groups_wanted,
         items: items.collect(),
+        workspace: None,
     }
 }
--- a/crates/oleanderlock/tests/routing_rules.rs
+++ b/crates/oleanderlock/tests/routing_rules.rs
@@ -43,6 +43,7 @@
         run_objective: Millis(1500),
         keep: Millis(40_000),
         single_version: false,
+        public: false,
     }
 }
 
@@ -57,6 +58,7 @@
             header_time: Millis(3000),
             idle_time: Millis(15_000),
         },
+        workspaces: None,
     })
 }
 
