Report usage of workspaces to the platform's API

Entries count each request of a workspace once an endpoint has begun to run it, and send the counts to the leading dispatcher once a second while some are not written. The leader holds the duty of reporting: it writes the counts of closed windows into the record `duties/usage` and sends them to the platform's API until it has taken them. Requests are counted only where their workspace is known.

Only deployments whose settings name the API and the duty `usage` do this.

--- a/crates/oleander-rollout/src/agent/score.rs
+++ b/crates/oleander-rollout/src/agent/score.rs
@@ -132,6 +132,7 @@
         deadline: now().plus(route.timeout),
         resumes: None,
         workspace: None,
+        usage: None,
         trial: false,
     };
     Some((req, route.attempts))
--- a/crates/oleander-rollout/src/call/call_request.rs
+++ b/crates/oleander-rollout/src/call/call_request.rs
@@ -1,11 +1,13 @@
 //! A call to a service.
 
+use super::usage_mark::UsageMark;
 use crate::prelude::*;
 use http::header::HOST;
 use http::{HeaderMap, Method, Uri};
 use oleanderlock::routing::endpoint_entry::EndpointEntry;
 use oleanderlock::routing::request_content::RequestContent;
 use oleanderlock::routing::stream_origin::StreamOrigin;
+use std::rc::Rc;
 use std::sync::Arc;
 
 /// A call to a service.
@@ -36,6 +38,8 @@
     pub resumes: Option<StreamOrigin>,
     /// Workspace of the client; `None` without workspaces, on public routes and for scoring calls.
     pub workspace: Option<Arc<str>>,
+    /// Counts the request once an endpoint has begun to run it; `None` if it is not counted.
+    pub usage: Option<Rc<UsageMark>>,
     /// Whether one attempt is made even if endpoints have crashed under the same request before.
     pub trial: bool,
 }
--- a/crates/oleander-rollout/src/call/caller.rs
+++ b/crates/oleander-rollout/src/call/caller.rs
@@ -205,6 +205,16 @@
             outcome,
             AttemptOutcome::Lost(_) | AttemptOutcome::Unusable(_) | AttemptOutcome::Crashed
         );
+        if let Some(usage) = &req.usage {
+            match &outcome {
+                AttemptOutcome::Answer(_) => usage.record_answer(instance),
+                AttemptOutcome::Failure(_) => usage.record_failed(instance),
+                AttemptOutcome::NotRun(_) => usage.record_not_run(instance),
+                AttemptOutcome::Crashed | AttemptOutcome::Lost(_) | AttemptOutcome::Unusable(_) => {
+                    usage.record_lost(instance)
+                }
+            }
+        }
         let reason = match outcome {
             AttemptOutcome::Answer(response) => {
                 self.crashes.clear(req);
@@ -433,6 +443,9 @@
         let message = message.ok_or(SendError::Withheld {
             reason: "unsendable",
         })?;
+        if let Some(usage) = &req.usage {
+            usage.record_sent(&endpoint.instance);
+        }
         self.limits.record_sent(&endpoint.instance, kind, &req.id);
         Ok(message)
     }
--- a/crates/oleander-rollout/src/call/mod.rs
+++ b/crates/oleander-rollout/src/call/mod.rs
@@ -27,3 +27,4 @@
 mod response_class;
 pub mod stream_failure;
 pub mod stream_limits;
+pub mod usage_mark;
--- a/crates/oleander-rollout/src/call/open_stream.rs
+++ b/crates/oleander-rollout/src/call/open_stream.rs
@@ -34,6 +34,9 @@
                 Ok((class, exchange)) => match unusable(class) {
                     Some(outcome) => outcome,
                     None => {
+                        if let Some(usage) = &req.usage {
+                            usage.record_first_event();
+                        }
                         return Ok(OpenedStream {
                             exchange,
                             endpoint,
--- a/crates/oleander-rollout/src/dispatch/dispatcher.rs
+++ b/crates/oleander-rollout/src/dispatch/dispatcher.rs
@@ -2,6 +2,7 @@
 
 use super::state::State;
 use super::{crash_sweep, election, http_api, ticks};
+use crate::duty::duties::Duties;
 use crate::http::shutdown::Shutdown;
 use crate::observe::metrics::Metrics;
 use crate::peer::leader_client::LeaderClient;
@@ -44,6 +45,8 @@
     pub state: RefCell<State>,
     /// What began the streams that entries have recorded here.
     pub origins: RefCell<StreamOrigins>,
+    /// Duties of the leader; `None` if there are none.
+    pub duties: Option<Rc<Duties>>,
     /// Notified when results, outboxes or the leadership change.
     pub changed: Event,
     /// Gate of the watches on the store that only a leader needs: open while this dispatcher leads
@@ -81,8 +84,15 @@
             health.clone(),
             view.clone(),
         )?;
+        let store = StoreClient::new(cfg.store, health);
+        let duties = cfg.duties.clone();
+        let duties = duties.map(|duties| {
+            let store = Rc::clone(&store);
+            Duties::new(duties, &cfg.node, store, metrics.clone())
+        });
         let dispatcher = Rc::new(Self {
-            store: StoreClient::new(cfg.store, health),
+            store,
+            duties,
             leader_client: LeaderClient::new(view.clone()),
             view,
             metrics,
--- a/crates/oleander-rollout/src/dispatch/election.rs
+++ b/crates/oleander-rollout/src/dispatch/election.rs
@@ -374,6 +374,10 @@
             "epoch={epoch} jobs={jobs} ended={ended} results={results} from={read_from} took={took}"
         )
     });
+    if let Some(duties) = &dispatcher.duties {
+        let leader = Rc::clone(dispatcher);
+        duties.start(move || leader.leads_in(epoch));
+    }
     spawn(commit::run(Rc::clone(dispatcher), epoch));
     spawn(checkpoints::run(Rc::clone(dispatcher), epoch));
     if newest_chunks.has_older {
--- a/crates/oleander-rollout/src/dispatch/http_api.rs
+++ b/crates/oleander-rollout/src/dispatch/http_api.rs
@@ -7,7 +7,7 @@
 use crate::http::server_limits::ServerLimits;
 use crate::peer::messages::{
     DispatcherHealth, HEALTH, JOBS, OUTCOMES, PLATFORM_UPDATES, PULL, REPORT, STREAM_BEGUN,
-    STREAM_ORIGIN,
+    STREAM_ORIGIN, USAGE_COUNTS,
 };
 use crate::prelude::*;
 use http::{Method, Request, StatusCode};
@@ -66,6 +66,7 @@
         (&Method::POST, PULL) => agents_api::pull(dispatcher, &body, agents_api::PULL_WAIT).await,
         (&Method::POST, REPORT) => agents_api::pull(dispatcher, &body, Millis::ZERO).await,
         (&Method::POST, PLATFORM_UPDATES) => agents_api::platform_updates(dispatcher, &body).await,
+        (&Method::POST, USAGE_COUNTS) => take_usage_counts(dispatcher, &body),
         (&Method::POST, OUTCOMES) => agents_api::take_outcomes(dispatcher, &body).await,
         (_, path) if path.starts_with(JOBS) => {
             let rest = path.strip_prefix(JOBS).unwrap_or_default();
@@ -90,6 +91,16 @@
     to_json(&health)
 }
 
+fn take_usage_counts(dispatcher: &Dispatcher, body: &[u8]) -> FullResponse {
+    let Some(duties) = &dispatcher.duties else {
+        return response::status(StatusCode::NOT_FOUND);
+    };
+    match serde_json::from_slice(body) {
+        Ok(report) => to_json(&duties.take_counts(report)),
+        Err(err) => unreadable(&err),
+    }
+}
+
 /// Returns a response with a message as JSON; status 500 if it can't be encoded.
 pub fn to_json(message: &impl serde::Serialize) -> FullResponse {
     match serde_json::to_vec(message) {
--- a/crates/oleander-rollout/src/entry/calls.rs
+++ b/crates/oleander-rollout/src/entry/calls.rs
@@ -55,6 +55,7 @@
         deadline: deadline(head, route),
         resumes: None,
         workspace: None,
+        usage: None,
         trial: false,
     }
 }
@@ -70,7 +71,8 @@
     let Some(service) = pick_service(entry, route) else {
         return response::refusal(retry_after(route.timeout));
     };
-    let req = call_request(head, route, parts, body, service);
+    let mut req = call_request(head, route, parts, body, service);
+    req.usage = entry.usage_mark(&req);
     let outcome = entry.caller.call(&req).await;
     let took = now().since(head.arrived);
     entry.metrics.record_latency("call", took);
--- a/crates/oleander-rollout/src/entry/entry_process.rs
+++ b/crates/oleander-rollout/src/entry/entry_process.rs
@@ -1,9 +1,12 @@
 //! The entry process.
 
 use super::origin_registry::OriginRegistry;
+use super::usage_reporter::UsageReporter;
 use super::{platform_updates, router};
+use crate::call::call_request::CallRequest;
 use crate::call::caller::Caller;
 use crate::call::caller_role::CallerRole;
+use crate::call::usage_mark::UsageMark;
 use crate::http::response;
 use crate::http::server::{bind, serve};
 use crate::http::server_limits::ServerLimits;
@@ -56,6 +59,8 @@
     pub caller: Rc<Caller>,
     /// What began streams.
     pub origins: Rc<OriginRegistry>,
+    /// Counts of the requests of workspaces; `None` if they are not reported.
+    pub usage: Option<Rc<UsageReporter>>,
     /// Time of the last failed call to the store.
     pub health: StoreHealth,
     /// Open while the entry watches the list of endpoints itself, because no leader responds.
@@ -100,7 +105,13 @@
         )?;
         let store = StoreClient::new(cfg.store, health.clone());
         let leader_client = LeaderClient::new(view.clone());
+        let duties = cfg.duties.as_ref().filter(|duties| duties.usage);
+        let usage = duties.map(|duties| {
+            let client = Rc::clone(&leader_client);
+            UsageReporter::start(&cfg.node, duties, client, metrics.clone())
+        });
         let entry = Rc::new(Self {
+            usage,
             origins: OriginRegistry::new(view.clone(), Rc::clone(&leader_client)),
             leader_client,
             caller: Caller::new(
@@ -124,6 +135,12 @@
         Ok(entry)
     }
 
+    /// Returns what counts a request that is about to be sent; `None` if it is not counted.
+    pub fn usage_mark(&self, req: &CallRequest) -> Option<Rc<UsageMark>> {
+        let usage = self.usage.as_ref()?;
+        Some(usage.mark(req.workspace.as_ref()?))
+    }
+
     fn serve_ready(self: &Rc<Self>, listener: smol::net::TcpListener) {
         let this = Rc::clone(self);
         let handler = Rc::new(move |_| {
@@ -167,5 +184,8 @@
         while self.shutdown.open_connections() > 0 && now() < end {
             sleep(STOP_POLL_INTERVAL).await;
         }
+        if let Some(usage) = &self.usage {
+            usage.stop().await;
+        }
     }
 }
--- a/crates/oleander-rollout/src/entry/mod.rs
+++ b/crates/oleander-rollout/src/entry/mod.rs
@@ -13,3 +13,4 @@
 mod streams;
 mod submit;
 pub mod submit_outcome;
+mod usage_reporter;
--- a/crates/oleander-rollout/src/entry/streams.rs
+++ b/crates/oleander-rollout/src/entry/streams.rs
@@ -52,10 +52,11 @@
     let Some(service) = service.or_else(|| pick_service(entry, route)) else {
         return full(response::refusal(retry_after(route.timeout)));
     };
-    let req = CallRequest {
+    let mut req = CallRequest {
         resumes: origin,
         ..call_request(head, route, parts, body, service)
     };
+    req.usage = entry.usage_mark(&req);
     let after_event = resumption.as_ref().map_or(0, |from| from.after_event);
     let limits = StreamLimits::of(route.objective);
     let opened = EventStream::open(&entry.caller, req.clone(), after_event, limits).await;
--- a/crates/oleander-rollout/src/lib.rs
+++ b/crates/oleander-rollout/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod call;
 pub mod cli;
 pub mod dispatch;
+pub mod duty;
 pub mod duty_settings;
 pub mod entry;
 pub mod feature_settings;
--- a/crates/oleander-rollout/src/peer/messages/mod.rs
+++ b/crates/oleander-rollout/src/peer/messages/mod.rs
@@ -11,6 +11,7 @@
 mod returned_item;
 mod stream_query;
 mod stream_record;
+mod usage_receipt;
 mod work_item;
 
 pub use dispatcher_health::DispatcherHealth;
@@ -24,6 +25,7 @@
 pub use returned_item::ReturnedItem;
 pub use stream_query::StreamQuery;
 pub use stream_record::StreamRecord;
+pub use usage_receipt::UsageReceipt;
 pub use work_item::WorkItem;
 
 /// Path to which an agent sends a [`PullRequest`], to report its state and wait for work.
@@ -42,3 +44,5 @@
 pub const STREAM_BEGUN: &str = "/stream-begun";
 /// Path to which an entry sends a [`StreamQuery`].
 pub const STREAM_ORIGIN: &str = "/stream-origin";
+/// Path to which an entry sends a [`UsageReport`](oleanderlock::duties::usage_report::UsageReport).
+pub const USAGE_COUNTS: &str = "/usage-counts";
--- a/crates/oleander-rollout/src/store/store_client.rs
+++ b/crates/oleander-rollout/src/store/store_client.rs
@@ -150,6 +150,41 @@
         write_result(status)
     }
 
+    /// Creates an object; returns its revision.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError`]; [`StoreError::Conflict`] if it exists.
+    pub async fn create_at(
+        &self,
+        kind: &str,
+        name: &str,
+        spec: &RawValue,
+    ) -> Result<u64, StoreError> {
+        let path = paths::object_list(kind, None);
+        let body = object::encode_create(name, spec);
+        let (status, body) = self.call(Method::POST, &path, body, CALL_TIMEOUT).await?;
+        written_revision(status, &body)
+    }
+
+    /// Replaces an object if its revision is still `revision`; returns its new revision.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError`]; [`StoreError::Conflict`] if it has changed since.
+    pub async fn replace_at(
+        &self,
+        kind: &str,
+        name: &str,
+        revision: u64,
+        spec: &RawValue,
+    ) -> Result<u64, StoreError> {
+        let path = paths::object(kind, name);
+        let body = object::encode_replace(name, revision, spec);
+        let (status, body) = self.call(Method::PUT, &path, body, CALL_TIMEOUT).await?;
+        written_revision(status, &body)
+    }
+
     /// Creates or replaces an object, whatever its revision.
     ///
     /// # Errors
@@ -250,6 +285,17 @@
     }
 }
 
+/// Returns the revision of an object by the response to its write. Without one, the effect of the write
+/// counts as unknown, so that the object is read.
+fn written_revision(status: StatusCode, body: &[u8]) -> Result<u64, StoreError> {
+    write_result(status)?;
+    let object = object::decode_object(body).map_err(StoreError::no_answer)?;
+    if object.revision == 0 {
+        return Err(StoreError::no_answer("a response without a revision"));
+    }
+    Ok(object.revision)
+}
+
 /// Returns the result of a write by the status of its response.
 fn write_result(status: StatusCode) -> Result<(), StoreError> {
     match status {
--- a/crates/oleander-rollout/tests/formats.rs
+++ b/crates/oleander-rollout/tests/formats.rs
@@ -689,6 +689,7 @@
         deadline: oleander_base::boot_clock::now().plus(Millis(60_000)),
         resumes: None,
         workspace: None,
+        usage: None,
         trial: false,
     }
 }
--- a/crates/oleander-rollout/tests/support/deployment.rs
+++ b/crates/oleander-rollout/tests/support/deployment.rs
@@ -28,6 +28,11 @@
         Self::start_as(size, &|_| PROGRAM.into())
     }
 
+    /// Starts a deployment whose processes have settings in addition to those of [`Self::start`].
+    pub fn start_with_settings(size: DeploymentSize, more_settings: &str) -> Self {
+        Self::start_nodes(size, |node| node.more_settings = more_settings.to_owned())
+    }
+
     /// Starts a deployment without services, with a route for streams to its engines.
     pub fn start_with_streams(entries: usize, engines: usize) -> Self {
         let deployment = Self::start(DeploymentSize {
@@ -84,6 +89,11 @@
 
     /// Starts the program that is named for each role.
     pub fn start_as(size: DeploymentSize, program: &dyn Fn(&str) -> PathBuf) -> Self {
+        Self::start_nodes(size, |node| node.program = program(node.role))
+    }
+
+    /// Starts a deployment whose nodes `set_up` has changed.
+    fn start_nodes(size: DeploymentSize, set_up: impl Fn(&mut Node)) -> Self {
         let stand_ins = StandIns::spawn(size);
         for n in 0..size.engines {
             stand_ins.list_engine(n, stand_ins.engines[n].addr());
@@ -119,7 +129,7 @@
             services,
         };
         for node in deployment.nodes_mut() {
-            node.program = program(node.role);
+            set_up(node);
             node.start();
         }
         for n in 0..size.entries {
--- a/crates/oleander-rollout/tests/support/node.rs
+++ b/crates/oleander-rollout/tests/support/node.rs
@@ -18,6 +18,8 @@
     pub engine: Option<SocketAddr>,
     pub store: SocketAddr,
     pub program: PathBuf,
+    /// Settings in addition to those that each process has.
+    pub more_settings: String,
     pub process: Option<Process>,
     /// Logs of all its processes, in order.
     pub logs: Vec<PathBuf>,
@@ -43,6 +45,7 @@
             engine,
             store,
             program: PROGRAM.into(),
+            more_settings: String::new(),
             process: None,
             logs: Vec::new(),
         }
@@ -53,14 +56,15 @@
         format!(
             "[node]\nname = {}\ndomain = z\n[listen]\ncalls = {}\nready = {}\npeers = {}\n\
              told = {}\nmetrics = {}\n[store]\naddr = {}\n[engine]\naddr = {engine}\n\
-             [bounds]\ngrace = 6s\n",
+             [bounds]\ngrace = 6s\n{}",
             self.name,
             self.calls,
             self.ready,
             self.peers,
             self.advertised,
             self.metrics,
-            self.store
+            self.store,
+            self.more_settings
         )
     }
 
