Check API keys at entries, and give batch jobs to workspaces

In a deployment whose configuration has workspaces, an entry checks the key of a request before it reads the body, and answers 401 to one without a valid key. The body of such a request is read and dropped, so that the connection stays usable. Endpoints get the name of the workspace and not the key; on public routes they get neither. Without workspaces nothing is checked or changed.

A batch job belongs to the workspace that submitted it: it can be read, ended and resubmitted with any key of that workspace, and other workspaces get 404. The stored job names the workspace, so that the next leader knows it too. Parts of a job that were left by a submission of another job with the same id are no longer taken for its own if jobs have owners. The leader sends digests of keys to entries and none to agents.

--- a/crates/oleander-rollout/src/agent/engine_client.rs
+++ b/crates/oleander-rollout/src/agent/engine_client.rs
@@ -9,7 +9,7 @@
 use crate::http::send_error::SendError;
 use crate::peer::messages::WorkItem;
 use crate::prelude::*;
-use http::header::{CONTENT_TYPE, HOST, HeaderValue};
+use http::header::{AUTHORIZATION, CONTENT_TYPE, HOST, HeaderValue};
 use http::response::Parts;
 use http::{HeaderName, Method, Request, StatusCode};
 use http_body_util::Full;
@@ -216,12 +216,20 @@
             instance.to_owned(),
         ),
     ];
+    if let Some(workspace) = &work.workspace {
+        // The trainer may have put a key into the headers of the item.
+        header_map.remove(AUTHORIZATION);
+        added.push((
+            HeaderName::from_static(headers::WORKSPACE),
+            workspace.clone(),
+        ));
+    }
     if last_event > 0 {
         let name = HeaderName::from_static(headers::LAST_EVENT_ID);
         added.push((name, last_event.to_string()));
     }
     for (name, value) in added {
-        let value = HeaderValue::from_str(&value).map_err(SendError::not_sent)?;
+        let value = HeaderValue::from_bytes(value.as_bytes()).map_err(SendError::not_sent)?;
         header_map.insert(name, value);
     }
     Ok(req)
--- a/crates/oleander-rollout/src/dispatch/jobs.rs
+++ b/crates/oleander-rollout/src/dispatch/jobs.rs
@@ -145,7 +145,9 @@
     let record = JobRecord {
         total: job.items.len(),
         submitted_unix_ms: job.submitted_unix_ms,
+        workspace: job.workspace.clone(),
     };
+    let total = record.total;
     let mut state = dispatcher.state.borrow_mut();
     let id = job.id.clone();
     if state.jobs.insert(id.clone(), record).is_some() {
@@ -154,7 +156,7 @@
     event(log::Level::Info, "job-known", || {
         format!(
             "job={id} model={} step={:?} items={} oldest_version={} age={age}",
-            job.model, job.step, record.total, job.oldest_version
+            job.model, job.step, total, job.oldest_version
         )
     });
     let keys: Vec<String> = job.items.iter().map(|item| item.id.clone()).collect();
--- a/crates/oleander-rollout/src/dispatch/jobs_api.rs
+++ b/crates/oleander-rollout/src/dispatch/jobs_api.rs
@@ -1,16 +1,20 @@
 //! Calls of entries about jobs: results, item bodies, ends, and jobs to be stored.
 
 use super::dispatcher::Dispatcher;
+use super::http_api::unreadable;
 use super::{commit, jobs};
 use crate::http::response::{self, FullResponse};
+use crate::peer::messages::JobCaller;
 use crate::prelude::*;
-use crate::store::job_objects::{JOB_END_KIND, create_job};
+use crate::store::job_creation::JobCreation;
+use crate::store::job_objects::{JOB_END_KIND, JOB_KIND, create_job};
 use crate::store::store_error::StoreError;
 use http::StatusCode;
 use oleander_platform::job::body_bytes;
 use oleander_platform::query::query_parameter;
 use oleander_platform::results::encode_results;
 use oleanderlock::batch::job::Job;
+use oleanderlock::workspaces::job_access::may_use_job;
 use serde_json::value::RawValue;
 use std::fmt::Display;
 
@@ -34,31 +38,70 @@
 ) -> FullResponse {
     let mut parts = rest.splitn(3, '/');
     let job = parts.next().unwrap_or_default();
-    match (parts.next(), parts.next()) {
-        (Some("results"), None) => results(dispatcher, job, query).await,
-        (Some("items"), Some(item)) => item_body(dispatcher, job, item).await,
-        (Some("end"), None) => end(dispatcher, job).await,
-        (Some("accept"), None) => accept(dispatcher, body).await,
+    let call = (parts.next(), parts.next());
+    if call == (Some("accept"), None) {
+        return accept(dispatcher, body).await;
+    }
+    let caller = match read_caller(body) {
+        Ok(caller) => caller,
+        Err(err) => return unreadable(&err),
+    };
+    let caller = caller.as_ref();
+    match call {
+        (Some("results"), None) => results(dispatcher, job, caller, query).await,
+        (Some("items"), Some(item)) => item_body(dispatcher, job, caller, item).await,
+        (Some("end"), None) => end(dispatcher, job, caller).await,
         _ => response::status(StatusCode::NOT_FOUND),
     }
 }
 
+/// Reads on whose behalf an entry calls; `None` in a deployment without workspaces.
+fn read_caller(body: &[u8]) -> serde_json::Result<Option<JobCaller>> {
+    if body.is_empty() {
+        return Ok(None);
+    }
+    serde_json::from_slice(body).map(Some)
+}
+
 /// Returns a number from a query; 0 if it is missing or malformed.
 fn number(query: Option<&str>, name: &str) -> u64 {
     let text = query_parameter(query, name);
     text.and_then(|text| text.parse().ok()).unwrap_or_default()
 }
 
-/// Returns the response for a job that does not exist, or of which this is uncertain; `None` if it
-/// exists.
-async fn require_job(dispatcher: &Dispatcher, job: &str) -> Option<FullResponse> {
+/// Returns the response for a job that does not exist for the caller, or of which this is
+/// uncertain; `None` if the caller may use it.
+async fn require_job(
+    dispatcher: &Dispatcher,
+    job: &str,
+    caller: Option<&JobCaller>,
+) -> Option<FullResponse> {
     match jobs::exists(dispatcher, job).await {
-        Ok(true) => None,
+        Ok(true) if may_use(dispatcher, job, caller) => None,
+        // The store is asked as for a job that does not exist, so that an outage of the store
+        // doesn't tell the caller that the job exists.
+        Ok(true) => match dispatcher.store.get(JOB_KIND, job).await {
+            Ok(_) => Some(response::status(StatusCode::NOT_FOUND)),
+            Err(err) => Some(uncertain(job, &err)),
+        },
         Ok(false) => Some(response::status(StatusCode::NOT_FOUND)),
         Err(err) => Some(uncertain(job, &err)),
     }
 }
 
+/// Whether the caller may use a known job.
+fn may_use(dispatcher: &Dispatcher, job: &str, caller: Option<&JobCaller>) -> bool {
+    let Some(caller) = caller else {
+        return true;
+    };
+    let state = dispatcher.state.borrow();
+    let owner = state
+        .jobs
+        .get(job)
+        .map(|record| record.workspace.as_deref());
+    owner.is_some_and(|owner| may_use_job(owner, Some(&caller.workspace)))
+}
+
 /// Returns the response for a job about which nothing certain is known, and logs the reason.
 fn uncertain(job: &str, reason: &impl Display) -> FullResponse {
     event(log::Level::Info, "job-unsure", || {
@@ -67,8 +110,13 @@
     response::refusal(RETRY_AFTER)
 }
 
-async fn results(dispatcher: &Dispatcher, job: &str, query: Option<&str>) -> FullResponse {
-    if let Some(answer) = require_job(dispatcher, job).await {
+async fn results(
+    dispatcher: &Dispatcher,
+    job: &str,
+    caller: Option<&JobCaller>,
+    query: Option<&str>,
+) -> FullResponse {
+    if let Some(answer) = require_job(dispatcher, job, caller).await {
         return answer;
     }
     let after = usize::try_from(number(query, "after")).unwrap_or(usize::MAX);
@@ -106,8 +154,13 @@
     }
 }
 
-async fn item_body(dispatcher: &Dispatcher, job: &str, item: &str) -> FullResponse {
-    if let Some(answer) = require_job(dispatcher, job).await {
+async fn item_body(
+    dispatcher: &Dispatcher,
+    job: &str,
+    caller: Option<&JobCaller>,
+    item: &str,
+) -> FullResponse {
+    if let Some(answer) = require_job(dispatcher, job, caller).await {
         return answer;
     }
     let state = dispatcher.state.borrow();
@@ -118,13 +171,17 @@
     }
 }
 
-async fn end(dispatcher: &Dispatcher, job: &str) -> FullResponse {
-    if dispatcher.state.borrow().ended.contains(job) {
+async fn end(dispatcher: &Dispatcher, job: &str, caller: Option<&JobCaller>) -> FullResponse {
+    let has_ended = || dispatcher.state.borrow().ended.contains(job);
+    if caller.is_none() && has_ended() {
         return response::status(StatusCode::OK);
     }
-    if let Some(answer) = require_job(dispatcher, job).await {
+    if let Some(answer) = require_job(dispatcher, job, caller).await {
         return answer;
     }
+    if has_ended() {
+        return response::status(StatusCode::OK);
+    }
     match dispatcher
         .store
         .create(JOB_END_KIND, job, RawValue::TRUE)
@@ -148,26 +205,32 @@
     let job: Job = match serde_json::from_slice(body) {
         Ok(job) => job,
         Err(err) => {
-            event(log::Level::Error, "message-unreadable", || {
-                format!("reason=\"{err}\"")
-            });
-            return response::status(StatusCode::BAD_REQUEST);
+            return unreadable(&err);
         }
     };
     let id = job.id.clone();
-    let written = create_job(&dispatcher.store, job.clone(), dispatcher.cfg.value_bytes).await;
+    let owned = job.workspace.is_some() || has_workspaces(dispatcher);
+    let value_bytes = dispatcher.cfg.value_bytes;
+    let written = create_job(&dispatcher.store, job.clone(), value_bytes, owned).await;
     event(log::Level::Info, "job-relayed", || {
         format!("request={id} result={written:?}")
     });
     match written {
-        Ok(()) => {
+        Ok(JobCreation::Created) => {
             jobs::accept(dispatcher, job);
             response::status(StatusCode::OK)
         }
-        Err(StoreError::Conflict) => response::status(StatusCode::CONFLICT),
+        Ok(JobCreation::Existing) => response::status(StatusCode::CONFLICT),
+        Ok(JobCreation::Foreign) => response::status(StatusCode::FORBIDDEN),
         Err(StoreError::NotDone { .. }) => response::refusal(RETRY_AFTER),
-        Err(StoreError::NoAnswer { .. } | StoreError::HistoryGone) => {
+        Err(StoreError::NoAnswer { .. } | StoreError::Conflict | StoreError::HistoryGone) => {
             response::status(StatusCode::BAD_GATEWAY)
         }
     }
 }
+
+fn has_workspaces(dispatcher: &Dispatcher) -> bool {
+    let view = dispatcher.view.get();
+    let routes = view.routes.as_ref();
+    routes.is_some_and(|routes| routes.keys.is_some())
+}
--- a/crates/oleander-rollout/src/dispatch/platform_updates.rs
+++ b/crates/oleander-rollout/src/dispatch/platform_updates.rs
@@ -43,7 +43,11 @@
     let needed = |entry: &EndpointEntry| {
         Some(entry.addr) == report.engine || Some(&entry.service) != report.service.as_ref()
     };
-    newer_than(dispatcher, state, &known, rank, needed)
+    let mut update = newer_than(dispatcher, state, &known, rank, needed);
+    if let Some(config) = &mut update.config {
+        config.remove_keys();
+    }
+    update
 }
 
 /// Returns the configuration and endpoints that have changed since the versions that an entry has.
--- a/crates/oleander-rollout/src/dispatch/ticks.rs
+++ b/crates/oleander-rollout/src/dispatch/ticks.rs
@@ -108,6 +108,7 @@
         single_version: job.policy.single_version,
         score_attempts: job.policy.attempts.max(SCORE_ATTEMPTS_MIN),
         key,
+        workspace: job.workspace.clone(),
         item,
         progress,
     };
--- a/crates/oleander-rollout/src/entry/calls.rs
+++ b/crates/oleander-rollout/src/entry/calls.rs
@@ -8,11 +8,12 @@
 use crate::http::response::{self, FullResponse};
 use crate::prelude::*;
 use http::request::Parts;
-use http::{Response, StatusCode};
+use http::{HeaderMap, HeaderValue, Response, StatusCode};
 use http_body_util::Full;
 use oleander_platform::headers;
 use oleanderlock::routing::retry_rule::retry_after;
 use oleanderlock::routing::route::Route;
+use std::sync::Arc;
 
 /// Returns the point in time after which the client or the route no longer waits for the response.
 fn deadline(head: &RequestHead, route: &Route) -> Millis {
@@ -42,6 +43,9 @@
     for name in [headers::DEADLINE_MS, headers::EXPECT_INSTANCE] {
         header_map.remove(name);
     }
+    if let Some(client) = &head.client {
+        set_workspace(&mut header_map, &client.workspace);
+    }
     CallRequest {
         id: head.id.clone(),
         method: parts.method.clone(),
@@ -54,11 +58,22 @@
         objective: route.objective,
         deadline: deadline(head, route),
         resumes: None,
-        workspace: None,
+        workspace: head
+            .client
+            .as_ref()
+            .map(|client| Arc::clone(&client.workspace)),
         trial: false,
     }
 }
 
+/// Tells the endpoint the workspace of the client.
+fn set_workspace(header_map: &mut HeaderMap, workspace: &str) {
+    // The configuration has no name that is no valid header value.
+    if let Ok(value) = HeaderValue::from_bytes(workspace.as_bytes()) {
+        header_map.insert(headers::WORKSPACE, value);
+    }
+}
+
 /// Calls the service of a route and returns its response.
 pub async fn handle(
     entry: &Entry,
--- a/crates/oleander-rollout/src/entry/job_calls.rs
+++ b/crates/oleander-rollout/src/entry/job_calls.rs
@@ -5,7 +5,7 @@
 use super::request_head::{RequestHead, number};
 use crate::http::response::{self, FullResponse};
 use crate::peer::leader_error::LeaderError;
-use crate::peer::messages::JOBS;
+use crate::peer::messages::{JOBS, JobCaller};
 use crate::prelude::*;
 use http::{HeaderMap, Method, StatusCode};
 use oleander_platform::headers;
@@ -40,13 +40,22 @@
         JobCall::Body { job, item } => (Method::GET, format!("{JOBS}{job}/items/{item}")),
         JobCall::End { job } => (Method::POST, format!("{JOBS}{job}/end")),
     };
+    let body = match caller_message(head) {
+        Ok(body) => body,
+        Err(error) => {
+            event(log::Level::Error, "message-unwritable", || {
+                format!("request={} reason=\"{error}\"", head.id)
+            });
+            return response::status(StatusCode::INTERNAL_SERVER_ERROR);
+        }
+    };
     let until = head.arrived.plus(wait).plus(LEADER_TIMEOUT);
     let mut last_error = LeaderError::Unknown;
     while now() < until {
         let limit = until.since(now());
         let called = entry
             .leader_client
-            .call(method.clone(), &path, Vec::new(), limit)
+            .call(method.clone(), &path, body.clone(), limit)
             .await;
         match called {
             Ok((status, body)) => return client_response(head, &call, status, body),
@@ -66,6 +75,16 @@
     response::refusal(NO_LEADER_RETRY_AFTER)
 }
 
+/// Returns the message that tells the leader the workspace of the client; empty without one.
+fn caller_message(head: &RequestHead) -> serde_json::Result<Vec<u8>> {
+    let Some(client) = &head.client else {
+        return Ok(Vec::new());
+    };
+    serde_json::to_vec(&JobCaller {
+        workspace: client.workspace.to_string(),
+    })
+}
+
 /// Returns the response to the client for the response of the leader.
 fn client_response(
     head: &RequestHead,
--- a/crates/oleander-rollout/src/entry/mod.rs
+++ b/crates/oleander-rollout/src/entry/mod.rs
@@ -1,5 +1,6 @@
 //! The entry: accepts the requests of callers and trainers.
 
+mod access;
 pub mod body;
 mod calls;
 pub mod entry_process;
@@ -13,3 +14,4 @@
 mod streams;
 mod submit;
 pub mod submit_outcome;
+mod unread_body;
--- a/crates/oleander-rollout/src/entry/request_head.rs
+++ b/crates/oleander-rollout/src/entry/request_head.rs
@@ -5,6 +5,7 @@
 use http::header::HOST;
 use http::request::Parts;
 use oleander_platform::headers;
+use oleanderlock::workspaces::key_holder::KeyHolder;
 
 /// Fields of the head of a request that an entry uses.
 #[derive(Clone, Debug)]
@@ -17,6 +18,9 @@
     pub arrived: Millis,
     /// Time for which the client waits for the response, if the request states it.
     pub client_timeout: Option<Millis>,
+    /// Workspace whose key the request has, once it has been checked; `None` without workspaces and
+    /// on public routes.
+    pub client: Option<KeyHolder>,
 }
 
 impl RequestHead {
@@ -30,6 +34,7 @@
             host: host.to_owned(),
             arrived: now(),
             client_timeout: number(&parts.headers, headers::DEADLINE_MS).map(Millis),
+            client: None,
         }
     }
 }
--- a/crates/oleander-rollout/src/entry/router.rs
+++ b/crates/oleander-rollout/src/entry/router.rs
@@ -3,7 +3,7 @@
 use super::body::{EntryResponse, full};
 use super::entry_process::Entry;
 use super::request_head::RequestHead;
-use super::{calls, job_calls, streams, submit};
+use super::{access, calls, job_calls, streams, submit};
 use crate::http::response;
 use crate::prelude::*;
 use http::header::{CONNECTION, HeaderValue};
@@ -28,8 +28,8 @@
 /// Never, but a relayed body may break off.
 pub async fn handle(entry: Rc<Entry>, req: Request<Incoming>) -> Result<EntryResponse, Infallible> {
     let (parts, body) = req.into_parts();
-    let head = RequestHead::read(&parts);
-    let mut response = route(&entry, &head, parts, body).await;
+    let mut head = RequestHead::read(&parts);
+    let mut response = route(&entry, &mut head, parts, body).await;
     let status = response.status();
     if entry.stopping.get() {
         let close = HeaderValue::from_static("close");
@@ -51,8 +51,8 @@
 
 async fn route(
     entry: &Rc<Entry>,
-    head: &RequestHead,
-    parts: Parts,
+    head: &mut RequestHead,
+    mut parts: Parts,
     body: Incoming,
 ) -> EntryResponse {
     let view = entry.view.get();
@@ -61,10 +61,20 @@
         return full(response::refusal(NO_CONFIG_RETRY_AFTER));
     };
     let (path, query) = (parts.uri.path(), parts.uri.query());
-    if let Some(call) = JobCall::parse(parts.method.as_str(), path, query) {
+    let max_bytes = routes.config.limits.body_bytes;
+    let job_call = JobCall::parse(parts.method.as_str(), path, query);
+    let found = routes.find(&head.host, path);
+    // Calls about jobs belong to no route, also if one has their path.
+    let checked_route = found.filter(|_| job_call.is_none());
+    let refusal = access::check(entry, head, &mut parts.headers, routes, checked_route);
+    if let Some(mut refusal) = refusal {
+        access::leave_body(&parts, body, max_bytes, &mut refusal);
+        return full(refusal);
+    }
+    if let Some(call) = job_call {
         return full(job_calls::handle(entry, head, &parts.headers, call).await);
     }
-    let Some(route) = routes.find(&head.host, path) else {
+    let Some(route) = found else {
         event(log::Level::Info, "no-route", || {
             let version = routes.config.version;
             format!(
@@ -76,7 +86,7 @@
         return full(response::status(StatusCode::NOT_FOUND));
     };
     let route = route.clone();
-    let body = match read_body(body, routes.config.limits.body_bytes).await {
+    let body = match read_body(body, max_bytes).await {
         Ok(body) => body,
         Err(status) => {
             entry.metrics.record_refusal("body");
--- a/crates/oleander-rollout/src/entry/submit.rs
+++ b/crates/oleander-rollout/src/entry/submit.rs
@@ -7,6 +7,7 @@
 use crate::peer::leader_error::LeaderError;
 use crate::peer::messages::JOBS;
 use crate::prelude::*;
+use crate::store::job_creation::JobCreation;
 use crate::store::job_objects::create_job;
 use crate::store::store_error::StoreError;
 use http::request::Parts;
@@ -38,6 +39,8 @@
         host: &head.host,
         path: parts.uri.path(),
         unix_ms: unix_ms(),
+        has_workspaces: has_workspaces(entry),
+        workspace: head.client.as_ref().map(|client| &*client.workspace),
     };
     let job = match decode_job(call, body) {
         Ok(job) => job,
@@ -66,6 +69,10 @@
         SubmitOutcome::Accepted | SubmitOutcome::AcceptedBefore => {
             response::status(StatusCode::ACCEPTED)
         }
+        SubmitOutcome::ForeignId => {
+            entry.metrics.record_refusal("foreign-job-id");
+            response::status(StatusCode::NOT_FOUND)
+        }
         SubmitOutcome::Refused => {
             entry.metrics.record_refusal("store-away");
             response::refusal(retry_after(timeout.since(took)))
@@ -82,7 +89,8 @@
 async fn store(entry: &Entry, job: &Job, until: Millis) -> SubmitOutcome {
     let mut may_be_stored = false;
     loop {
-        let direct = create_job(&entry.store, job.clone(), entry.cfg.value_bytes).await;
+        let owned = has_workspaces(entry);
+        let direct = create_job(&entry.store, job.clone(), entry.cfg.value_bytes, owned).await;
         let result = match direct {
             Err(StoreError::NotDone { reason }) => {
                 event(log::Level::Warn, "job-not-stored", || {
@@ -93,8 +101,9 @@
             other => other,
         };
         match result {
-            Ok(()) => return SubmitOutcome::Accepted,
-            Err(StoreError::Conflict) => return SubmitOutcome::AcceptedBefore,
+            Ok(JobCreation::Created) => return SubmitOutcome::Accepted,
+            Ok(JobCreation::Existing) => return SubmitOutcome::AcceptedBefore,
+            Ok(JobCreation::Foreign) => return SubmitOutcome::ForeignId,
             Err(error) => {
                 may_be_stored |= !matches!(error, StoreError::NotDone { .. });
                 event(log::Level::Warn, "job-not-stored", || {
@@ -113,8 +122,15 @@
     }
 }
 
+/// Whether the deployment has workspaces, as far as this entry knows.
+fn has_workspaces(entry: &Entry) -> bool {
+    let view = entry.view.get();
+    let routes = view.routes.as_ref();
+    routes.is_some_and(|routes| routes.keys.is_some())
+}
+
 /// Has the leading dispatcher write a job to the store.
-async fn through_leader(entry: &Entry, job: &Job) -> Result<(), StoreError> {
+async fn through_leader(entry: &Entry, job: &Job) -> Result<JobCreation, StoreError> {
     let body = serde_json::to_vec(job).map_err(StoreError::not_done)?;
     let path = format!("{JOBS}{}/accept", job.id);
     let called = entry
@@ -122,8 +138,9 @@
         .call(Method::POST, &path, body, LEADER_TIMEOUT)
         .await;
     match called {
-        Ok((StatusCode::OK, _)) => Ok(()),
-        Ok((StatusCode::CONFLICT, _)) => Err(StoreError::Conflict),
+        Ok((StatusCode::OK, _)) => Ok(JobCreation::Created),
+        Ok((StatusCode::CONFLICT, _)) => Ok(JobCreation::Existing),
+        Ok((StatusCode::FORBIDDEN, _)) => Ok(JobCreation::Foreign),
         Err(LeaderError::Unknown | LeaderError::NotLeading | LeaderError::Unsure) => {
             Err(StoreError::not_done("no leader with a store"))
         }
--- a/crates/oleander-rollout/src/entry/submit_outcome.rs
+++ b/crates/oleander-rollout/src/entry/submit_outcome.rs
@@ -8,6 +8,8 @@
     Accepted,
     /// The job was already in the store.
     AcceptedBefore,
+    /// A job of another workspace has its id.
+    ForeignId,
     /// The job was not written, and will not be.
     Refused,
     /// The job may have been written, or may still be.
--- a/crates/oleander-rollout/src/peer/messages/mod.rs
+++ b/crates/oleander-rollout/src/peer/messages/mod.rs
@@ -2,6 +2,7 @@
 
 mod dispatcher_health;
 mod item_outcomes;
+mod job_caller;
 mod known_versions;
 mod load_work;
 mod platform_update;
@@ -15,6 +16,7 @@
 
 pub use dispatcher_health::DispatcherHealth;
 pub use item_outcomes::ItemOutcomes;
+pub use job_caller::JobCaller;
 pub use known_versions::KnownVersions;
 pub use load_work::LoadWork;
 pub use platform_update::PlatformUpdate;
--- a/crates/oleander-rollout/src/peer/messages/work_item.rs
+++ b/crates/oleander-rollout/src/peer/messages/work_item.rs
@@ -24,4 +24,7 @@
     pub score_attempts: u32,
     /// Progress of an earlier run that was interrupted; the run resumes after its last event.
     pub progress: Option<Progress>,
+    /// Workspace that submitted the job, which the engine is told; `None` if it has none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub workspace: Option<String>,
 }
--- a/crates/oleander-rollout/src/store/follow.rs
+++ b/crates/oleander-rollout/src/store/follow.rs
@@ -144,6 +144,11 @@
         return;
     }
     let routes = table.config.routes.len();
+    for conflict in table.keys.iter().flat_map(|keys| &keys.conflicts) {
+        event(log::Level::Warn, "key-held-twice", || {
+            format!("version={version} reason=\"{conflict}\"")
+        });
+    }
     view.update(|view| view.routes = Some(Arc::new(table)));
     event(log::Level::Info, "config-in-force", || {
         let before = known.map_or("none".to_owned(), |known| known.to_string());
--- a/crates/oleander-rollout/src/store/job_objects.rs
+++ b/crates/oleander-rollout/src/store/job_objects.rs
@@ -4,6 +4,7 @@
 //! itself. The end mark of a job is an object with the value `true`, which is written when the trainer
 //! ends the job, so that the next leader knows of the end too.
 
+use super::job_creation::JobCreation;
 use super::job_record::JobRecord;
 use super::store_client::StoreClient;
 use super::store_error::StoreError;
@@ -11,6 +12,7 @@
 use oleanderlock::batch::job::Job;
 use oleanderlock::batch::job_item::JobItem;
 use oleanderlock::batch::result_chunk::ResultChunk;
+use oleanderlock::workspaces::job_access::may_use_job;
 use serde::{Deserialize, Serialize};
 use serde_json::value::{RawValue, to_raw_value};
 
@@ -47,17 +49,57 @@
 #[derive(Deserialize)]
 struct JobHead {
     submitted_unix_ms: u64,
+    #[serde(default)]
+    workspace: Option<String>,
 }
 
-/// Writes a submitted job, split so that no value is larger than `value_bytes`.
+/// Writes a submitted job, split so that no value is larger than `value_bytes`. With `owned`, jobs
+/// belong to workspaces, and a stored job with the same id may belong to another one.
 ///
 /// # Errors
 ///
-/// [`StoreError`]; [`StoreError::Conflict`] if a job with its id was accepted before.
+/// [`StoreError`], but not [`StoreError::Conflict`].
 pub async fn create_job(
+    store: &StoreClient,
+    job: Job,
+    value_bytes: usize,
+    owned: bool,
+) -> Result<JobCreation, StoreError> {
+    let (id, workspace) = (job.id.clone(), job.workspace.clone());
+    match write_job(store, job, value_bytes, owned).await {
+        Ok(()) => Ok(JobCreation::Created),
+        Err(StoreError::Conflict) if owned => existing_job(store, &id, workspace.as_deref()).await,
+        Err(StoreError::Conflict) => Ok(JobCreation::Existing),
+        Err(err) => Err(err),
+    }
+}
+
+/// Returns whether the stored job with an id is open to a workspace.
+async fn existing_job(
+    store: &StoreClient,
+    id: &str,
+    workspace: Option<&str>,
+) -> Result<JobCreation, StoreError> {
+    // The job is in the store, so a failed read doesn't mean that it is not.
+    let object = store.get(JOB_KIND, id).await;
+    let object = object.map_err(StoreError::no_answer)?;
+    let Some(object) = object else {
+        // Only parts of another job with this id are there.
+        return Ok(JobCreation::Foreign);
+    };
+    let owner = decode_record(&object)?.workspace;
+    if may_use_job(owner.as_deref(), workspace) {
+        Ok(JobCreation::Existing)
+    } else {
+        Ok(JobCreation::Foreign)
+    }
+}
+
+async fn write_job(
     store: &StoreClient,
     mut job: Job,
     value_bytes: usize,
+    owned: bool,
 ) -> Result<(), StoreError> {
     let total = job.items.len();
     let mut parts = split_items(std::mem::take(&mut job.items), value_bytes);
@@ -70,6 +112,7 @@
         let name = part_name(&job.id, number);
         match store.create(JOB_PART_KIND, &name, &to_spec(part)?).await {
             // The part exists already if the same job was submitted before.
+            Err(StoreError::Conflict) if owned => require_part(store, &name, part).await?,
             Ok(()) | Err(StoreError::Conflict) => {}
             Err(err) => return Err(err),
         }
@@ -84,6 +127,30 @@
     store.create(JOB_KIND, &id, &to_spec(&stored)?).await
 }
 
+/// Checks that a stored part holds these items, and not those of a job of another workspace that
+/// has the same id.
+///
+/// # Errors
+///
+/// [`StoreError`]; [`StoreError::Conflict`] if it holds others.
+async fn require_part(
+    store: &StoreClient,
+    name: &str,
+    items: &[JobItem],
+) -> Result<(), StoreError> {
+    match read_part(store, name).await? {
+        stored if stored == items => Ok(()),
+        _ => Err(StoreError::Conflict),
+    }
+}
+
+async fn read_part(store: &StoreClient, name: &str) -> Result<Vec<JobItem>, StoreError> {
+    let part = store.get(JOB_PART_KIND, name).await?;
+    let part =
+        part.ok_or_else(|| StoreError::no_answer(format!("part {name} of the job is missing")))?;
+    serde_json::from_str(part.spec.get()).map_err(StoreError::no_answer)
+}
+
 /// Decodes the record of a job from its object, without its items.
 ///
 /// # Errors
@@ -96,6 +163,7 @@
     Ok(JobRecord {
         total: head.total,
         submitted_unix_ms: head.job.submitted_unix_ms,
+        workspace: head.job.workspace,
     })
 }
 
@@ -110,12 +178,7 @@
     let mut job = stored.job;
     for number in 0..stored.more_parts {
         let name = part_name(&job.id, number);
-        let part = store.get(JOB_PART_KIND, &name).await?;
-        let part = part
-            .ok_or_else(|| StoreError::no_answer(format!("part {name} of the job is missing")))?;
-        let items: Vec<JobItem> =
-            serde_json::from_str(part.spec.get()).map_err(StoreError::no_answer)?;
-        job.items.extend(items);
+        job.items.extend(read_part(store, &name).await?);
     }
     Ok(job)
 }
--- a/crates/oleander-rollout/src/store/mod.rs
+++ b/crates/oleander-rollout/src/store/mod.rs
@@ -7,6 +7,7 @@
 pub mod follow;
 pub mod gate;
 pub mod interests;
+pub mod job_creation;
 pub mod job_objects;
 pub mod job_record;
 pub mod leader_object;
--- a/crates/oleander-rollout/tests/formats.rs
+++ b/crates/oleander-rollout/tests/formats.rs
@@ -295,10 +295,20 @@
         sent("put status");
         store.delete("k", "n").await.expect("deleted");
         sent("delete");
-        create_job(&store, job(), 1 << 20).await.expect("created");
+        create_job(&store, job(), 1 << 20, false)
+            .await
+            .expect("created");
         sent("job");
-        create_job(&store, job(), 1).await.expect("created");
+        create_job(&store, job(), 1, false).await.expect("created");
         sent("job in parts");
+        let owned = Job {
+            workspace: Some("acme".to_owned()),
+            ..job()
+        };
+        create_job(&store, owned, 1 << 20, true)
+            .await
+            .expect("created");
+        sent("job of a workspace");
         create_chunk(&store, &chunk()).await.expect("created");
         sent("chunk of results");
         lines
@@ -376,6 +386,14 @@
         ),
         json("empty report", &PullRequest::default()),
         json("answer to a report", &pull_answer()),
+        json("work of a workspace", &owned_work_item()),
+        json("workspace", &workspace()),
+        json(
+            "caller about a job",
+            &messages::JobCaller {
+                workspace: "acme".to_owned(),
+            },
+        ),
         json("empty answer to a report", &PullResponse::default()),
         json(
             "known news",
@@ -454,6 +472,8 @@
         host: "desk.example",
         path: "/rollout/j-1",
         unix_ms: 5,
+        has_workspaces: false,
+        workspace: None,
     };
     let read = |body: &str| decode_job(call, body.as_bytes());
     let fault = |body: &str| read(body).expect_err("it can't be used");
@@ -649,6 +669,9 @@
         let answer = engine.run(&work_item(), &listed, 3).await;
         answer.expect("an answer");
         sent("run that goes on");
+        let answer = engine.run(&owned_work_item(), &listed, 0).await;
+        answer.expect("an answer");
+        sent("run for a workspace");
         let view = SharedView::default();
         let entry = EndpointEntry {
             addr: log.addr,
--- a/crates/oleander-rollout/tests/formats_support/examples.rs
+++ b/crates/oleander-rollout/tests/formats_support/examples.rs
@@ -30,6 +30,8 @@
 use oleanderlock::routing::route_target::RouteTarget;
 use oleanderlock::routing::service_config::ServiceConfig;
 use oleanderlock::routing::stream_origin::StreamOrigin;
+use oleanderlock::workspaces::key_digest::KeyDigest;
+use oleanderlock::workspaces::workspace::Workspace;
 use std::net::SocketAddr;
 
 pub fn key(item: &str) -> ItemKey {
@@ -215,6 +217,22 @@
         single_version: true,
         score_attempts: 3,
         progress: Some(progress()),
+        workspace: None,
+    }
+}
+
+pub fn owned_work_item() -> WorkItem {
+    WorkItem {
+        workspace: Some("acme".to_owned()),
+        ..work_item()
+    }
+}
+
+pub fn workspace() -> Workspace {
+    Workspace {
+        name: "acme".to_owned(),
+        keys: vec![KeyDigest::of(b"key")],
+        rank: Some(1),
     }
 }
 
--- a/crates/oleanderlock/src/batch/job_state.rs
+++ b/crates/oleanderlock/src/batch/job_state.rs
@@ -21,6 +21,8 @@
     pub model: String,
     /// Oldest weight version that may generate its tokens.
     pub oldest_version: u64,
+    /// Workspace that submitted it; `None` if it was submitted without a key.
+    pub workspace: Option<String>,
     /// Time of the submission on the clock of this process.
     pub submitted: Millis,
     /// Limits and rules of its route.
@@ -43,6 +45,7 @@
             path: job.path,
             model: job.model,
             oldest_version: job.oldest_version,
+            workspace: job.workspace,
             submitted,
             policy,
             items,
--- a/crates/oleanderlock/src/routing/deployment_config.rs
+++ b/crates/oleanderlock/src/routing/deployment_config.rs
@@ -22,3 +22,11 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub workspaces: Option<Vec<Workspace>>,
 }
+
+impl DeploymentConfig {
+    /// Removes the keys of all workspaces, for processes that check none.
+    pub fn remove_keys(&mut self) {
+        let workspaces = self.workspaces.iter_mut().flatten();
+        workspaces.for_each(|workspace| workspace.keys.clear());
+    }
+}
--- a/crates/oleanderlock/src/routing/route_table.rs
+++ b/crates/oleanderlock/src/routing/route_table.rs
@@ -3,6 +3,7 @@
 use super::deployment_config::DeploymentConfig;
 use super::route::Route;
 use super::route_kind::RouteKind;
+use crate::workspaces::key_table::KeyTable;
 use std::collections::HashMap;
 
 /// The routes of one configuration, indexed for lookup.
@@ -10,6 +11,8 @@
 pub struct RouteTable {
     /// The configuration from which the table was built.
     pub config: DeploymentConfig,
+    /// Keys of the workspaces; `None` if the deployment has none, so that requests need no key.
+    pub keys: Option<KeyTable>,
     /// Indices into `config.routes` by host, longest path prefix first.
     by_host: HashMap<String, Vec<usize>>,
 }
@@ -25,7 +28,12 @@
             let length = |index: &usize| config.routes[*index].path_prefix.len();
             indexes.sort_by_key(|index| std::cmp::Reverse(length(index)));
         }
-        Self { config, by_host }
+        let keys = config.workspaces.as_deref().map(KeyTable::new);
+        Self {
+            config,
+            keys,
+            by_host,
+        }
     }
 
     /// Whether a route of a kind for which `of_kind` holds leads to a service.
--- a/crates/oleanderlock/src/workspaces/key_digest.rs
+++ b/crates/oleanderlock/src/workspaces/key_digest.rs
@@ -3,6 +3,7 @@
 use serde::de::Error as _;
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use std::fmt;
+use std::hash::{Hash, Hasher};
 
 /// Domain of the digest, so that it is of no use to another program that hashes the same keys.
 const CONTEXT: &str = "oleanderlock 2026-12-04 digest of an API key";
@@ -10,7 +11,7 @@
 /// Digest of an API key; the key itself is held nowhere.
 ///
 /// Its debug format doesn't show it, so that log lines can't contain it.
-#[derive(Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy)]
 pub struct KeyDigest([u8; 32]);
 
 impl KeyDigest {
@@ -25,6 +26,21 @@
     }
 }
 
+impl PartialEq for KeyDigest {
+    /// Compares in constant time.
+    fn eq(&self, other: &Self) -> bool {
+        blake3::Hash::from_bytes(self.0) == blake3::Hash::from_bytes(other.0)
+    }
+}
+
+impl Eq for KeyDigest {}
+
+impl Hash for KeyDigest {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.0.hash(state);
+    }
+}
+
 impl fmt::Debug for KeyDigest {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str("KeyDigest(..)")
--- a/crates/oleanderlock/src/workspaces/mod.rs
+++ b/crates/oleanderlock/src/workspaces/mod.rs
@@ -1,4 +1,8 @@
 //! Workspaces of the deployment's configuration and the keys by which their clients are known.
 
+pub mod job_access;
+pub mod key_conflict;
 pub mod key_digest;
+pub mod key_holder;
+pub mod key_table;
 pub mod workspace;
