--- a/crates/oleander-rollout/src/entry/mod.rs
+++ b/crates/oleander-rollout/src/entry/mod.rs
@@ -1,5 +1,6 @@
 //! The entry: accepts the requests of callers and trainers.
 
+mod access;
 pub mod body;
 mod calls;
 pub mod entry_process;
@@ -13,4 +14,5 @@
 mod streams;
 mod submit;
 pub mod submit_outcome;
+mod unread_body;
 mod usage_reporter;
