Confirm the configuration while keys depend on it

Keys are added and removed with the configuration, and a watch does not show that it still works: its connection may have gone silent, or the store may refuse the instance. The leader now reads the configuration once a second while the deployment has workspaces, and its answers to entries say when it was last known to be the newest. An entry whose configuration has not been confirmed for 1.8 s reads the store itself and asks all dispatchers, which read it at most once a second. Whether a key is accepted while the configuration is not confirmed is decided by KeyPolicy. Two threads of a process that put a configuration into force at the same time no longer undo the newer one.

--- a/crates/oleander-rollout/src/dispatch/agents_api.rs
+++ b/crates/oleander-rollout/src/dispatch/agents_api.rs
@@ -95,16 +95,19 @@
     }
 }
 
-/// Answers an entry as soon as there is an update for it, or with an empty one after
-/// [`UPDATE_WAIT`].
+/// Answers an entry as soon as there is an update for it or the configuration has been confirmed
+/// again, or with an empty update after [`UPDATE_WAIT`].
 ///
 /// A leader that has had no recent answer from the store refuses the call, and the entry follows
 /// the store itself.
 pub async fn platform_updates(dispatcher: &Dispatcher, body: &[u8]) -> FullResponse {
+    let arrived = now();
     let known: KnownVersions = match serde_json::from_slice(body) {
         Ok(known) => known,
         Err(err) => return unreadable(&err),
     };
+    let confirmation = dispatcher.config_reader.confirmation();
+    let confirmed_at = confirmation.at();
     if !known.node.is_empty() {
         let mut state = dispatcher.state.borrow_mut();
         state.callers.record_entry(&known.node, now());
@@ -114,15 +117,20 @@
             let listener = dispatcher.changed.listen();
             {
                 let state = dispatcher.state.borrow();
-                let update = platform_updates::for_entry(dispatcher, &state, &known);
-                if !update.is_empty() || state.leading_epoch().is_none() {
+                let update = platform_updates::for_entry(dispatcher, &state, &known, arrived);
+                let has_news = !update.is_empty() || confirmation.at() > confirmed_at;
+                if has_news || state.leading_epoch().is_none() {
                     return update;
                 }
             }
             listener.await;
         }
     };
-    let update = within(UPDATE_WAIT, wait).await.unwrap_or_default();
+    let update = within(UPDATE_WAIT, wait).await;
+    let update = update.unwrap_or_else(|| {
+        let state = dispatcher.state.borrow();
+        platform_updates::for_entry(dispatcher, &state, &known, arrived)
+    });
     let stale = dispatcher.store.last_success_age() > STORE_AGE_MAX;
     if stale || dispatcher.state.borrow().leading_epoch().is_none() {
         return response::refusal(RETRY_AFTER);
--- a/crates/oleander-rollout/src/dispatch/dispatcher.rs
+++ b/crates/oleander-rollout/src/dispatch/dispatcher.rs
@@ -7,7 +7,9 @@
 use crate::peer::leader_client::LeaderClient;
 use crate::prelude::*;
 use crate::settings::Config;
+use crate::store::config_confirmation::ConfigConfirmation;
 use crate::store::config_interest::ConfigInterest;
+use crate::store::config_reader::ConfigReader;
 use crate::store::follow::spawn_follower;
 use crate::store::gate::Gate;
 use crate::store::interests::Interests;
@@ -24,6 +26,9 @@
 /// Longest time for handing over before the process ends.
 const HAND_OVER_TIMEOUT: Millis = Millis(1500);
 
+/// Time between two readings of the configuration by a leader.
+const CONFIRM_INTERVAL: Millis = Millis::from_secs(1);
+
 /// Streams of entries whose origins are remembered.
 const STREAMS_MAX: usize = 32_768;
 
@@ -36,6 +41,8 @@
     pub view: SharedView,
     /// Client of the store.
     pub store: Rc<StoreClient>,
+    /// Reads the configuration while the deployment has workspaces.
+    pub config_reader: Rc<ConfigReader>,
     /// Client of the other dispatchers.
     pub leader_client: Rc<LeaderClient>,
     /// Metrics.
@@ -83,6 +90,11 @@
         )?;
         let dispatcher = Rc::new(Self {
             store: StoreClient::new(cfg.store, health),
+            config_reader: ConfigReader::new(
+                cfg.store,
+                view.clone(),
+                ConfigConfirmation::default(),
+            ),
             leader_client: LeaderClient::new(view.clone()),
             view,
             metrics,
@@ -99,6 +111,7 @@
         spawn(election::run(Rc::clone(&dispatcher)));
         spawn(ticks::run(Rc::clone(&dispatcher)));
         spawn(crash_sweep::run(Rc::clone(&dispatcher)));
+        spawn(confirm_config(Rc::clone(&dispatcher)));
         Ok(dispatcher)
     }
 
@@ -134,3 +147,16 @@
         self.shutdown.request();
     }
 }
+
+/// Confirms the configuration once a second while this dispatcher leads a deployment with
+/// workspaces, and wakes the calls of entries that wait for it.
+async fn confirm_config(dispatcher: Rc<Dispatcher>) {
+    while !dispatcher.stopping.get() {
+        let leads = dispatcher.state.borrow().leading_epoch().is_some();
+        if leads && dispatcher.view.get().has_workspaces() {
+            dispatcher.config_reader.refresh().await;
+            dispatcher.notify();
+        }
+        sleep(CONFIRM_INTERVAL).await;
+    }
+}
--- a/crates/oleander-rollout/src/dispatch/http_api.rs
+++ b/crates/oleander-rollout/src/dispatch/http_api.rs
@@ -1,13 +1,13 @@
 //! The HTTP API of a dispatcher for entries, agents and other dispatchers.
 
 use super::dispatcher::Dispatcher;
-use super::{agents_api, jobs_api, streams_api};
+use super::{agents_api, config_api, jobs_api, streams_api};
 use crate::http::response::{self, FullResponse};
 use crate::http::server::{bind, serve};
 use crate::http::server_limits::ServerLimits;
 use crate::peer::messages::{
-    DispatcherHealth, HEALTH, JOBS, OUTCOMES, PLATFORM_UPDATES, PULL, REPORT, STREAM_BEGUN,
-    STREAM_ORIGIN,
+    CONFIG_CHECK, DispatcherHealth, HEALTH, JOBS, OUTCOMES, PLATFORM_UPDATES, PULL, REPORT,
+    STREAM_BEGUN, STREAM_ORIGIN,
 };
 use crate::prelude::*;
 use http::{Method, Request, StatusCode};
@@ -57,6 +57,7 @@
         (_, HEALTH) => return health(dispatcher),
         (&Method::POST, STREAM_BEGUN) => return streams_api::record(dispatcher, &body),
         (&Method::POST, STREAM_ORIGIN) => return streams_api::find(dispatcher, &body),
+        (&Method::POST, CONFIG_CHECK) => return check_config(dispatcher, &body).await,
         _ => {}
     }
     if dispatcher.state.borrow().leading_epoch().is_none() {
@@ -75,6 +76,13 @@
     }
 }
 
+async fn check_config(dispatcher: &Dispatcher, body: &[u8]) -> FullResponse {
+    match config_api::check(&dispatcher.config_reader, &dispatcher.view, body).await {
+        Ok(update) => to_json(&update),
+        Err(err) => unreadable(&err),
+    }
+}
+
 fn health(dispatcher: &Dispatcher) -> FullResponse {
     // A recovering dispatcher counts as leading too: taking over from it would restart the
     // recovery.
--- a/crates/oleander-rollout/src/dispatch/jobs_api.rs
+++ b/crates/oleander-rollout/src/dispatch/jobs_api.rs
@@ -209,7 +209,7 @@
         }
     };
     let id = job.id.clone();
-    let owned = job.workspace.is_some() || has_workspaces(dispatcher);
+    let owned = job.workspace.is_some() || dispatcher.view.get().has_workspaces();
     let value_bytes = dispatcher.cfg.value_bytes;
     let written = create_job(&dispatcher.store, job.clone(), value_bytes, owned).await;
     event(log::Level::Info, "job-relayed", || {
@@ -228,9 +228,3 @@
         }
     }
 }
-
-fn has_workspaces(dispatcher: &Dispatcher) -> bool {
-    let view = dispatcher.view.get();
-    let routes = view.routes.as_ref();
-    routes.is_some_and(|routes| routes.keys.is_some())
-}
--- a/crates/oleander-rollout/src/dispatch/mod.rs
+++ b/crates/oleander-rollout/src/dispatch/mod.rs
@@ -9,6 +9,7 @@
 mod agents_api;
 mod checkpoints;
 mod commit;
+mod config_api;
 mod crash_sweep;
 pub mod dispatcher;
 mod election;
--- a/crates/oleander-rollout/src/dispatch/platform_updates.rs
+++ b/crates/oleander-rollout/src/dispatch/platform_updates.rs
@@ -50,10 +50,21 @@
     update
 }
 
-/// Returns the configuration and endpoints that have changed since the versions that an entry has.
-pub fn for_entry(dispatcher: &Dispatcher, state: &State, known: &KnownVersions) -> PlatformUpdate {
+/// Returns the configuration and endpoints that have changed since the versions that an entry has,
+/// for a call that arrived at `arrived`.
+pub fn for_entry(
+    dispatcher: &Dispatcher,
+    state: &State,
+    known: &KnownVersions,
+    arrived: Millis,
+) -> PlatformUpdate {
     let rank = state.callers.rank_of_entry(&known.node, now());
-    newer_than(dispatcher, state, known, rank, |_| true)
+    // Taken before the configuration, so that it is not about a newer one.
+    let confirmed = dispatcher.config_reader.confirmation().relative_to(arrived);
+    PlatformUpdate {
+        config_confirmed_ms: confirmed,
+        ..newer_than(dispatcher, state, known, rank, |_| true)
+    }
 }
 
 fn newer_than(
@@ -76,5 +87,6 @@
         config: config.map(|routes| routes.config.clone()),
         endpoints,
         caller_rank: rank.filter(|rank| Some(*rank) != known.caller_rank),
+        config_confirmed_ms: None,
     }
 }
--- a/crates/oleander-rollout/src/entry/access.rs
+++ b/crates/oleander-rollout/src/entry/access.rs
@@ -1,6 +1,7 @@
 //! Checks the key of a request before any byte of its body is read.
 
 use super::entry_process::Entry;
+use super::key_refusal::KeyRefusal;
 use super::request_head::RequestHead;
 use super::unread_body;
 use crate::http::response::{self, FullResponse};
@@ -12,9 +13,14 @@
 use oleander_platform::{credentials, headers};
 use oleanderlock::routing::route::Route;
 use oleanderlock::routing::route_table::RouteTable;
+use oleanderlock::workspaces::key_decision::KeyDecision;
 use oleanderlock::workspaces::key_holder::KeyHolder;
 use oleanderlock::workspaces::key_table::KeyTable;
 
+/// Time after which a client may retry while the configuration can't be confirmed: another entry may
+/// be able to.
+const UNCONFIRMED_RETRY_AFTER: Millis = Millis(500);
+
 /// Checks the key of a request and records its workspace in `head`; returns the response if the
 /// request is refused.
 ///
@@ -32,39 +38,47 @@
     let found = if is_public {
         Ok(None)
     } else {
-        find(keys, headers).map(Some)
+        find(entry, keys, headers).map(Some)
     };
     headers.remove(AUTHORIZATION);
     headers.remove(headers::WORKSPACE);
-    match found {
+    let refusal = match found {
         Ok(client) => {
             head.client = client;
-            None
-        }
-        Err(reason) => {
-            event(log::Level::Info, "key-refused", || {
-                let version = routes.config.version;
-                format!(
-                    "request={} route={} reason={reason} config={version}",
-                    head.id,
-                    route.map_or("none", |route| &route.name)
-                )
-            });
-            entry.metrics.record_refusal("key");
-            Some(unauthorized())
+            return None;
         }
-    }
+        Err(refusal) => refusal,
+    };
+    event(log::Level::Info, "key-refused", || {
+        let version = routes.config.version;
+        format!(
+            "request={} route={} reason={refusal} config={version}",
+            head.id,
+            route.map_or("none", |route| &route.name)
+        )
+    });
+    entry.metrics.record_refusal(refusal.metric());
+    Some(response_to(refusal))
 }
 
-/// Returns the workspace whose key a request has, or why it has none.
-fn find(keys: &KeyTable, headers: &HeaderMap) -> Result<KeyHolder, String> {
+/// Returns the workspace whose key a request has, or why it is refused.
+fn find(entry: &Entry, keys: &KeyTable, headers: &HeaderMap) -> Result<KeyHolder, KeyRefusal> {
     let values = headers.get_all(AUTHORIZATION).into_iter();
     let digest = credentials::key_digest(values.map(HeaderValue::as_bytes));
-    let digest = digest.map_err(|error| error.to_string())?;
-    keys.find(&digest).ok_or_else(|| "unknown".to_owned())
+    let digest = digest.map_err(KeyRefusal::Malformed)?;
+    let holder = keys.find(&digest);
+    let age = entry.confirmation.age();
+    match (entry.key_policy.decide(holder.is_some(), age), holder) {
+        (KeyDecision::Serve, Some(holder)) => Ok(holder),
+        (KeyDecision::Unconfirmed, _) => Err(KeyRefusal::Unconfirmed),
+        _ => Err(KeyRefusal::Unknown),
+    }
 }
 
-fn unauthorized() -> FullResponse {
+fn response_to(refusal: KeyRefusal) -> FullResponse {
+    if refusal == KeyRefusal::Unconfirmed {
+        return response::refusal(UNCONFIRMED_RETRY_AFTER);
+    }
     let mut response = response::status(StatusCode::UNAUTHORIZED);
     let challenge = HeaderValue::from_static(credentials::SCHEME);
     response.headers_mut().insert(WWW_AUTHENTICATE, challenge);
--- a/crates/oleander-rollout/src/entry/entry_process.rs
+++ b/crates/oleander-rollout/src/entry/entry_process.rs
@@ -1,5 +1,6 @@
 //! The entry process.
 
+use super::config_guard::ConfigGuard;
 use super::origin_registry::OriginRegistry;
 use super::{platform_updates, router};
 use crate::call::caller::Caller;
@@ -12,7 +13,9 @@
 use crate::peer::leader_client::LeaderClient;
 use crate::prelude::*;
 use crate::settings::Config;
+use crate::store::config_confirmation::ConfigConfirmation;
 use crate::store::config_interest::ConfigInterest;
+use crate::store::config_reader::ConfigReader;
 use crate::store::follow::spawn_follower;
 use crate::store::gate::Gate;
 use crate::store::interests::Interests;
@@ -20,6 +23,7 @@
 use crate::store::store_client::StoreClient;
 use crate::store::store_health::StoreHealth;
 use http::StatusCode;
+use oleanderlock::workspaces::key_policy::KeyPolicy;
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::io::ErrorKind as IoErrorKind;
@@ -62,6 +66,10 @@
     pub own_watch: Gate,
     /// Metrics.
     pub metrics: Metrics,
+    /// When the configuration in force was last known to be the newest.
+    pub confirmation: ConfigConfirmation,
+    /// Whether keys are accepted while that is not certain.
+    pub key_policy: KeyPolicy,
     /// Whether the process is stopping.
     pub stopping: Cell<bool>,
     shutdown: Rc<Shutdown>,
@@ -100,6 +108,13 @@
         )?;
         let store = StoreClient::new(cfg.store, health.clone());
         let leader_client = LeaderClient::new(view.clone());
+        let confirmation = ConfigConfirmation::default();
+        let guard = ConfigGuard::new(
+            view.clone(),
+            Rc::clone(&leader_client),
+            ConfigReader::new(cfg.store, view.clone(), confirmation.clone()),
+            cfg.keys.config_within,
+        );
         let entry = Rc::new(Self {
             origins: OriginRegistry::new(view.clone(), Rc::clone(&leader_client)),
             leader_client,
@@ -114,6 +129,8 @@
             health,
             own_watch,
             metrics,
+            confirmation,
+            key_policy: cfg.keys.policy(),
             stopping: Cell::new(false),
             shutdown: Rc::default(),
             cfg,
@@ -121,6 +138,7 @@
         entry.serve_ready(bind(ready)?);
         entry.serve_calls(bind(calls)?);
         spawn(platform_updates::run(Rc::clone(&entry)));
+        spawn(guard.run());
         Ok(entry)
     }
 
--- a/crates/oleander-rollout/src/entry/mod.rs
+++ b/crates/oleander-rollout/src/entry/mod.rs
@@ -3,8 +3,10 @@
 mod access;
 pub mod body;
 mod calls;
+mod config_guard;
 pub mod entry_process;
 mod job_calls;
+mod key_refusal;
 mod origin_registry;
 mod platform_updates;
 mod relay;
--- a/crates/oleander-rollout/src/entry/platform_updates.rs
+++ b/crates/oleander-rollout/src/entry/platform_updates.rs
@@ -23,14 +23,19 @@
 pub async fn run(entry: Rc<Entry>) {
     let mut endpoints_digest = 0;
     loop {
+        let sent_at = now();
         match next_update(&entry, endpoints_digest).await {
             Ok(update) => {
+                let confirmed = update.config_confirmed_ms;
                 if entry.own_watch.is_open() {
                     event(log::Level::Info, "leader-regained", String::new);
                     entry.own_watch.set(false);
                 }
                 endpoints_digest =
                     apply_platform_update(&entry.view, update).unwrap_or(endpoints_digest);
+                if let Some(offset) = confirmed {
+                    entry.confirmation.record_relative(sent_at, offset);
+                }
             }
             Err(error) => {
                 if !entry.own_watch.is_open() {
--- a/crates/oleander-rollout/src/entry/submit.rs
+++ b/crates/oleander-rollout/src/entry/submit.rs
@@ -39,7 +39,7 @@
         host: &head.host,
         path: parts.uri.path(),
         unix_ms: unix_ms(),
-        has_workspaces: has_workspaces(entry),
+        has_workspaces: entry.view.get().has_workspaces(),
         workspace: head.client.as_ref().map(|client| &*client.workspace),
     };
     let job = match decode_job(call, body) {
@@ -89,7 +89,7 @@
 async fn store(entry: &Entry, job: &Job, until: Millis) -> SubmitOutcome {
     let mut may_be_stored = false;
     loop {
-        let owned = has_workspaces(entry);
+        let owned = entry.view.get().has_workspaces();
         let direct = create_job(&entry.store, job.clone(), entry.cfg.value_bytes, owned).await;
         let result = match direct {
             Err(StoreError::NotDone { reason }) => {
@@ -122,13 +122,6 @@
     }
 }
 
-/// Whether the deployment has workspaces, as far as this entry knows.
-fn has_workspaces(entry: &Entry) -> bool {
-    let view = entry.view.get();
-    let routes = view.routes.as_ref();
-    routes.is_some_and(|routes| routes.keys.is_some())
-}
-
 /// Has the leading dispatcher write a job to the store.
 async fn through_leader(entry: &Entry, job: &Job) -> Result<JobCreation, StoreError> {
     let body = serde_json::to_vec(job).map_err(StoreError::not_done)?;
--- a/crates/oleander-rollout/src/key_settings.rs
+++ b/crates/oleander-rollout/src/key_settings.rs
@@ -2,6 +2,7 @@
 
 use oleander_base::settings::Settings;
 use oleanderlock::prelude::*;
+use oleanderlock::workspaces::key_policy::KeyPolicy;
 
 /// Default of [`KeySettings::confirm_within`].
 const CONFIRM_WITHIN_DEFAULT: Millis = Millis::from_secs(5);
@@ -28,4 +29,13 @@
             config_within: settings.duration("keys", "config_within", CONFIG_WITHIN_DEFAULT),
         }
     }
+
+    /// Returns the rules that follow from the settings.
+    pub fn policy(&self) -> KeyPolicy {
+        KeyPolicy {
+            strict: self.strict,
+            confirm_within: self.confirm_within,
+            config_within: self.config_within,
+        }
+    }
 }
--- a/crates/oleander-rollout/src/peer/messages/mod.rs
+++ b/crates/oleander-rollout/src/peer/messages/mod.rs
@@ -34,6 +34,9 @@
 pub const REPORT: &str = "/report";
 /// Path at which an entry waits for a [`PlatformUpdate`].
 pub const PLATFORM_UPDATES: &str = "/news";
+/// Path at which an entry asks any dispatcher for a newer configuration; the request is
+/// [`KnownVersions`], the response a [`PlatformUpdate`].
+pub const CONFIG_CHECK: &str = "/config-check";
 /// Path to which an agent sends [`ItemOutcomes`].
 pub const OUTCOMES: &str = "/hand-in";
 /// Path of the [`DispatcherHealth`].
--- a/crates/oleander-rollout/src/peer/messages/platform_update.rs
+++ b/crates/oleander-rollout/src/peer/messages/platform_update.rs
@@ -17,6 +17,10 @@
     /// it or the leader does not.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub caller_rank: Option<CallerRank>,
+    /// When the sender last knew that its configuration is the newest of the store, in milliseconds
+    /// after the arrival of the call; `None` if it doesn't know.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub config_confirmed_ms: Option<i64>,
 }
 
 impl PlatformUpdate {
--- /dev/null
+++ b/crates/oleander-rollout/src/store/config_reader.rs
@@ -0,0 +1,131 @@
+//! Reads the configuration from the store, to confirm that the one in force is the newest.
+//!
+//! A watch does not show that it works: its connection may have gone silent, or the store may refuse
+//! new calls of this process while a watch waits.
+
+use super::config_confirmation::ConfigConfirmation;
+use super::follow::apply_config_objects;
+use super::shared_view::SharedView;
+use super::store_client::StoreClient;
+use super::store_error::StoreError;
+use super::store_health::StoreHealth;
+use super::watch::list_pages;
+use crate::prelude::*;
+use oleander_platform::object::CONFIG_KIND;
+use oleander_platform::object_change::ObjectChange;
+use oleander_platform::stored_object::StoredObject;
+use smol::lock::Mutex;
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// Shortest time from the start of one reading to the start of the next.
+const READ_INTERVAL: Millis = Millis::from_secs(1);
+/// Timeout of one attempt. A slow store takes 0.3 s; a silent connection must leave time for another
+/// attempt within the time in which a change must be in force.
+const READ_TIMEOUT: Millis = Millis(600);
+/// Attempts of one reading: the kept connection may have gone silent.
+const ATTEMPTS: usize = 2;
+
+/// Reads the configuration from the store, at most once a second.
+#[derive(Debug)]
+pub struct ConfigReader {
+    store: Rc<StoreClient>,
+    view: SharedView,
+    confirmation: ConfigConfirmation,
+    /// Revision of the store up to which changes were read; `None` before the first reading.
+    revision: Cell<Option<u64>>,
+    tried_at: Cell<Option<Millis>>,
+    failing: Cell<bool>,
+    /// Held during a reading; others wait for its result.
+    reading: Mutex<()>,
+}
+
+impl ConfigReader {
+    /// Returns a reader that puts configurations into force in `view` and records in `confirmation`
+    /// when they were the newest. It has a connection of its own.
+    pub fn new(store: SocketAddr, view: SharedView, confirmation: ConfigConfirmation) -> Rc<Self> {
+        Rc::new(Self {
+            store: StoreClient::new(store, StoreHealth::default()),
+            view,
+            confirmation,
+            revision: Cell::default(),
+            tried_at: Cell::default(),
+            failing: Cell::default(),
+            reading: Mutex::default(),
+        })
+    }
+
+    /// Returns when the configuration in force was last known to be the newest.
+    pub fn confirmation(&self) -> &ConfigConfirmation {
+        &self.confirmation
+    }
+
+    /// Reads the configuration, unless a reading began less than a second ago.
+    pub async fn refresh(&self) {
+        let reading = self.reading.lock().await;
+        let tried_at = self.tried_at.get();
+        if tried_at.is_some_and(|at| now().since(at) < READ_INTERVAL) {
+            return;
+        }
+        self.tried_at.set(Some(now()));
+        let mut result = Ok(());
+        for _ in 0..ATTEMPTS {
+            let started_at = now();
+            let read = within(READ_TIMEOUT, self.read()).await;
+            result = read.unwrap_or_else(|| Err(StoreError::no_answer("timeout")));
+            match &result {
+                Ok(()) => {
+                    self.confirmation.record(started_at);
+                    break;
+                }
+                Err(StoreError::HistoryGone) => self.revision.set(None),
+                Err(_) => {}
+            }
+        }
+        drop(reading);
+        self.log(result.err());
+    }
+
+    /// Reads what has changed since the last reading, or the whole configuration.
+    async fn read(&self) -> Result<(), StoreError> {
+        let (objects, revision) = match self.revision.get() {
+            None => self.list().await?,
+            Some(from) => self.changes(from).await?,
+        };
+        apply_config_objects(&self.view, objects);
+        self.revision.set(Some(revision));
+        Ok(())
+    }
+
+    async fn list(&self) -> Result<(Vec<StoredObject>, u64), StoreError> {
+        let pages = list_pages(&self.store, CONFIG_KIND, None).await?;
+        let revision = pages.first().map_or(0, |page| page.revision);
+        let objects = pages.into_iter().flat_map(|page| page.objects);
+        Ok((objects.collect(), revision))
+    }
+
+    async fn changes(&self, from: u64) -> Result<(Vec<StoredObject>, u64), StoreError> {
+        let page = self.store.watch(CONFIG_KIND, from, Millis::ZERO).await?;
+        let objects = page.changes.into_iter().filter_map(|change| match change {
+            ObjectChange::Put(object) => Some(object),
+            // A configuration stays in force until there is a newer one.
+            ObjectChange::Gone(_) => None,
+        });
+        Ok((objects.collect(), page.revision))
+    }
+
+    /// Logs the first of several failures, and their end.
+    fn log(&self, error: Option<StoreError>) {
+        let failed = error.is_some();
+        if self.failing.replace(failed) == failed {
+            return;
+        }
+        match error {
+            Some(error) => event(log::Level::Warn, "config-not-read", || {
+                format!("reason=\"{error}\"")
+            }),
+            None => event(log::Level::Info, "config-read-again", String::new),
+        }
+    }
+}
--- a/crates/oleander-rollout/src/store/follow.rs
+++ b/crates/oleander-rollout/src/store/follow.rs
@@ -117,7 +117,12 @@
 }
 
 fn apply_config(view: &SharedView, watch_event: WatchEvent) {
-    let objects = objects_of(watch_event).into_iter();
+    apply_config_objects(view, objects_of(watch_event));
+}
+
+/// Puts the configuration among `objects` into force if it is newer than the one in force.
+pub fn apply_config_objects(view: &SharedView, objects: Vec<StoredObject>) {
+    let objects = objects.into_iter();
     for object in objects.filter(|object| object.name == CONFIG_NAME) {
         match decode_config(object.spec.get()) {
             Ok((config, faults)) => {
@@ -138,9 +143,10 @@
 /// Puts a configuration into force unless its version, or a newer one, already is.
 pub fn adopt_config(view: &SharedView, table: RouteTable) {
     let version = table.config.version;
-    let known = view.get();
-    let known = known.routes.as_ref().map(|routes| routes.config.version);
-    if known.is_some_and(|known| known >= version) {
+    let version_of = |view: &View| view.routes.as_ref().map(|routes| routes.config.version);
+    let is_newer = |known: Option<u64>| known.is_none_or(|known| known < version);
+    let known = version_of(&view.get());
+    if !is_newer(known) {
         return;
     }
     let routes = table.config.routes.len();
@@ -149,7 +155,12 @@
             format!("version={version} reason=\"{conflict}\"")
         });
     }
-    view.update(|view| view.routes = Some(Arc::new(table)));
+    view.update(|view| {
+        // Another thread may have put a newer one into force meanwhile.
+        if is_newer(version_of(view)) {
+            view.routes = Some(Arc::new(table));
+        }
+    });
     event(log::Level::Info, "config-in-force", || {
         let before = known.map_or("none".to_owned(), |known| known.to_string());
         format!("version={version} before={before} routes={routes}")
--- a/crates/oleander-rollout/src/store/mod.rs
+++ b/crates/oleander-rollout/src/store/mod.rs
@@ -1,6 +1,8 @@
 //! The platform's store: a client, watches of whole kinds, and a local copy of what they report.
 
+pub mod config_confirmation;
 pub mod config_interest;
+pub mod config_reader;
 pub mod crash_objects;
 pub mod dispatcher_object;
 pub mod endpoint_watcher;
--- a/crates/oleander-rollout/src/store/view.rs
+++ b/crates/oleander-rollout/src/store/view.rs
@@ -37,6 +37,14 @@
     pub first_revision: u64,
 }
 
+impl View {
+    /// Whether the deployment has workspaces, as far as is known.
+    pub fn has_workspaces(&self) -> bool {
+        let routes = self.routes.as_ref();
+        routes.is_some_and(|routes| routes.keys.is_some())
+    }
+}
+
 impl View {
     /// Returns the leader if its epoch is later than `epoch`.
     pub fn newer_leader(&self, epoch: u64) -> Option<&LeaderObject> {
--- a/crates/oleander-rollout/tests/formats.rs
+++ b/crates/oleander-rollout/tests/formats.rs
@@ -418,6 +418,17 @@
                 ..PlatformUpdate::default()
             },
         ),
+        text(
+            "path of the check of a configuration",
+            messages::CONFIG_CHECK,
+        ),
+        json(
+            "confirmation",
+            &PlatformUpdate {
+                config_confirmed_ms: Some(-7),
+                ..PlatformUpdate::default()
+            },
+        ),
         json("no known news", &none),
         json("news", &platform_news()),
         json("no news", &PlatformUpdate::default()),
--- a/crates/oleander-rollout/tests/formats_support/examples.rs
+++ b/crates/oleander-rollout/tests/formats_support/examples.rs
@@ -330,6 +330,7 @@
         config: Some(deployment_config()),
         endpoints: Some((entries, 99)),
         caller_rank: None,
+        config_confirmed_ms: None,
     }
 }
 
--- a/crates/oleanderlock/src/workspaces/mod.rs
+++ b/crates/oleanderlock/src/workspaces/mod.rs
@@ -2,7 +2,9 @@
 
 pub mod job_access;
 pub mod key_conflict;
+pub mod key_decision;
 pub mod key_digest;
 pub mod key_holder;
+pub mod key_policy;
 pub mod key_table;
 pub mod workspace;
