Let the priority of a workspace go before that of the route

In a deployment with workspaces, jobs that are due at the same time are assigned by the priority of their workspace, or that of their route if the workspace has none. Engines get the priority of a workspace that has one in Req-Priority, for interactive streams and items.

--- a/crates/oleander-rollout/src/agent/engine_client.rs
+++ b/crates/oleander-rollout/src/agent/engine_client.rs
@@ -16,6 +16,7 @@
 use oleander_platform::engine_report::{EngineReport, decode_report};
 use oleander_platform::job::body_bytes;
 use oleander_platform::load_order::{LoadOrder, encode_load_order};
+use oleander_platform::priority::engine_priority;
 use oleander_platform::{headers, paths};
 use oleanderlock::routing::endpoint_entry::EndpointEntry;
 use std::net::SocketAddr;
@@ -224,6 +225,10 @@
             workspace.clone(),
         ));
     }
+    if let Some(rank) = work.rank {
+        let name = HeaderName::from_static(headers::PRIORITY);
+        added.push((name, engine_priority(rank).to_string()));
+    }
     if last_event > 0 {
         let name = HeaderName::from_static(headers::LAST_EVENT_ID);
         added.push((name, last_event.to_string()));
--- a/crates/oleander-rollout/src/dispatch/jobs.rs
+++ b/crates/oleander-rollout/src/dispatch/jobs.rs
@@ -13,6 +13,7 @@
 use oleanderlock::batch::item_key::ItemKey;
 use oleanderlock::batch::job::Job;
 use oleanderlock::batch::job_policy::JobPolicy;
+use oleanderlock::workspaces::workspace::rank_of;
 use std::cell::Cell;
 use std::rc::Rc;
 
@@ -177,23 +178,34 @@
     dispatcher.schedule();
 }
 
-/// Returns the terms of a job by its route, or the defaults if there is no configuration or route.
+/// Returns the terms of a job by its route and workspace, or the defaults if there is no
+/// configuration or route.
 fn policy_of(dispatcher: &Dispatcher, job: &Job) -> JobPolicy {
     let view = dispatcher.view.get();
-    let route = view.routes.as_ref();
-    let route = route.and_then(|routes| routes.find(&job.host, &job.path));
+    let routes = view.routes.as_ref();
+    let route = routes.and_then(|routes| routes.find(&job.host, &job.path));
+    // Without workspaces, priorities have no effect on jobs.
+    let workspaces = routes.and_then(|routes| routes.config.workspaces.as_deref());
+    let workspace = job.workspace.as_deref();
+    let workspace_rank = workspace.and_then(|name| rank_of(workspaces?, name));
+    let route_rank = workspaces.and(route).map(|route| route.rank);
+    let rank = workspace_rank.or(route_rank).unwrap_or_default();
     route.map_or(
         JobPolicy {
             attempts: ATTEMPTS_DEFAULT,
             due_after: DUE_DEFAULT,
             keep: KEEP_DEFAULT,
             single_version: false,
+            rank,
+            workspace_rank,
         },
         |route| JobPolicy {
             attempts: route.attempts,
             due_after: route.run_objective,
             keep: route.keep,
             single_version: route.single_version,
+            rank,
+            workspace_rank,
         },
     )
 }
--- a/crates/oleander-rollout/src/dispatch/ticks.rs
+++ b/crates/oleander-rollout/src/dispatch/ticks.rs
@@ -109,6 +109,7 @@
         score_attempts: job.policy.attempts.max(SCORE_ATTEMPTS_MIN),
         key,
         workspace: job.workspace.clone(),
+        rank: job.policy.workspace_rank,
         item,
         progress,
     };
--- a/crates/oleander-rollout/src/entry/streams.rs
+++ b/crates/oleander-rollout/src/entry/streams.rs
@@ -12,8 +12,10 @@
 use crate::call::stream_limits::StreamLimits;
 use crate::http::response;
 use crate::prelude::*;
-use http::StatusCode;
 use http::request::Parts;
+use http::{HeaderValue, StatusCode};
+use oleander_platform::headers;
+use oleander_platform::priority::engine_priority;
 use oleanderlock::routing::endpoint_entry::EndpointEntry;
 use oleanderlock::routing::retry_rule::retry_after;
 use oleanderlock::routing::route::Route;
@@ -52,10 +54,14 @@
     let Some(service) = service.or_else(|| pick_service(entry, route)) else {
         return full(response::refusal(retry_after(route.timeout)));
     };
-    let req = CallRequest {
+    let mut req = CallRequest {
         resumes: origin,
         ..call_request(head, route, parts, body, service)
     };
+    if let Some(rank) = head.client.as_ref().and_then(|client| client.rank) {
+        let priority = HeaderValue::from(engine_priority(rank));
+        req.headers.insert(headers::PRIORITY, priority);
+    }
     let after_event = resumption.as_ref().map_or(0, |from| from.after_event);
     let limits = StreamLimits::of(route.objective);
     let opened = EventStream::open(&entry.caller, req.clone(), after_event, limits).await;
--- a/crates/oleander-rollout/src/peer/messages/work_item.rs
+++ b/crates/oleander-rollout/src/peer/messages/work_item.rs
@@ -27,4 +27,7 @@
     /// Workspace that submitted the job, which the engine is told; `None` if it has none.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub workspace: Option<String>,
+    /// Priority of the workspace, which the engine is told; `None` if it has none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rank: Option<u32>,
 }
--- a/crates/oleander-rollout/tests/formats_support/examples.rs
+++ b/crates/oleander-rollout/tests/formats_support/examples.rs
@@ -218,12 +218,14 @@
         score_attempts: 3,
         progress: Some(progress()),
         workspace: None,
+        rank: None,
     }
 }
 
 pub fn owned_work_item() -> WorkItem {
     WorkItem {
         workspace: Some("acme".to_owned()),
+        rank: Some(1),
         ..work_item()
     }
 }
--- a/crates/oleander-rollout/tests/workspaces.rs
+++ b/crates/oleander-rollout/tests/workspaces.rs
@@ -30,6 +30,7 @@
 const KEY_A: &str = "acme-key-7d1f";
 const KEY_A_2: &str = "acme-key-90c2";
 const KEY_B: &str = "bolt-key-55e8";
+const KEY_C: &str = "crab-key-1c3a";
 /// Size of the bodies of refused requests, in bytes: more than fits into the buffers of a socket
 /// that nobody reads.
 const LARGE_BODY_BYTES: usize = 900_000;
@@ -545,3 +546,59 @@
         assert_eq!(taken, Ok(JobCreation::Foreign));
     });
 }
+
+/// Guards against engines that are not told the priority of a workspace, are told it for workspaces
+/// that have none or for calls that don't run at engines, or are told one that they don't know.
+#[test]
+fn engines_are_told_the_priority_of_a_workspace_that_has_one() {
+    let deployment = Deployment::start(SMALL);
+    let mut config = config_with_streams(2);
+    config["tenants"] = json!([{"name": "acme", "api_keys": [KEY_A], "prio": 1},
+        {"name": "bolt", "api_keys": [KEY_B]}, {"name": "crab", "api_keys": [KEY_C], "prio": 12}]);
+    deployment.store.put("config", "main", &config);
+    wait_for("keys are known", || {
+        let entry = |entry| call_with(&deployment, entry, KEY_C, ("GET", "/calls/poll"));
+        let served = |reply: Reply| reply.status == 200;
+        let knows =
+            |one| entry(one).is_some_and(served) && is_refused_without_key(&deployment, one);
+        (0..2).all(knows)
+    });
+    for (n, (key, told)) in [(KEY_A, Some("1")), (KEY_B, None), (KEY_C, Some("9"))]
+        .into_iter()
+        .enumerate()
+    {
+        let step = 1 + n as u64;
+        let body = job(step, 1, 1, 2);
+        let id = format!("job-{n}");
+        wait_for("a job is accepted", || {
+            submit_with(&deployment, 0, key, (&id, &body)) == Some(202)
+        });
+        check_results(&read_all_with(&deployment, key, &id, 2), &body);
+        let token = token(key);
+        let stream = format!("stream-{n}");
+        let headers = [
+            ("host", HOST),
+            ("request-id", stream.as_str()),
+            ("authorization", token.as_str()),
+        ];
+        let text = read_text(deployment.open_stream_at("/talk/x", 0, 2, &headers));
+        assert!(text.contains(&format!("{stream}:2")), "{text}");
+        let runs = deployment.engines.iter().flat_map(|engine| engine.runs());
+        let item = format!("{step:04x}");
+        let runs = runs.filter(|run| run.id == stream || run.id.starts_with(&item));
+        let runs: Vec<_> = runs.collect();
+        assert_eq!(runs.len(), 3);
+        for run in runs {
+            let priority = run.headers.get("req-priority").map(String::as_str);
+            assert_eq!(priority, told, "{run:?}");
+        }
+    }
+    for req in calls_run(&deployment) {
+        assert_eq!(req.header("req-priority"), None, "{req:?}");
+    }
+}
+
+fn is_refused_without_key(deployment: &Deployment, entry: usize) -> bool {
+    let reply = deployment.call(entry, "GET", "/calls/poll", &[], b"");
+    reply.is_some_and(|reply| reply.status == 401)
+}
--- a/crates/oleanderlock/src/batch/job_policy.rs
+++ b/crates/oleanderlock/src/batch/job_policy.rs
@@ -1,8 +1,8 @@
-//! Limits of a batch job.
+//! Limits and priorities of a batch job.
 
 use crate::prelude::*;
 
-/// Limits and rules for a batch job, taken from the configuration of its route.
+/// Limits and rules for a batch job, taken from the configuration of its route and workspace.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct JobPolicy {
     /// Number of failed runs after which an item is given up.
@@ -13,4 +13,8 @@
     pub keep: Millis,
     /// Whether all tokens of a sample must come from a single weight version.
     pub single_version: bool,
+    /// Priority among jobs that are due at the same time; 0 is the most urgent.
+    pub rank: u32,
+    /// Priority that engines are told; `None` if the job's workspace has none.
+    pub workspace_rank: Option<u32>,
 }
--- a/crates/oleanderlock/src/batch/scheduler_assign.rs
+++ b/crates/oleanderlock/src/batch/scheduler_assign.rs
@@ -34,7 +34,10 @@
         let mut order: Vec<usize> = (0..self.jobs.len())
             .filter(|index| !self.jobs[*index].ended)
             .collect();
-        order.sort_by_key(|index| self.jobs[*index].due());
+        order.sort_by_key(|index| {
+            let job = &self.jobs[*index];
+            (job.due(), job.policy.rank)
+        });
         let mut assigned = Vec::new();
         for index in order {
             for item_index in self.jobs[index].waiting_longest_first(now) {
--- a/crates/oleanderlock/src/workspaces/workspace.rs
+++ b/crates/oleanderlock/src/workspaces/workspace.rs
@@ -15,3 +15,9 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub rank: Option<u32>,
 }
+
+/// Returns the priority of the workspace with this name; `None` if it has none of its own.
+pub fn rank_of(workspaces: &[Workspace], name: &str) -> Option<u32> {
+    let found = workspaces.iter().find(|workspace| workspace.name == name);
+    found.and_then(|workspace| workspace.rank)
+}
--- a/crates/oleanderlock/tests/batch_checkpoints.rs
+++ b/crates/oleanderlock/tests/batch_checkpoints.rs
@@ -176,6 +176,8 @@
         due_after: Millis(7500),
         keep: Millis(40_000),
         single_version: false,
+        rank: 0,
+        workspace_rank: None,
     };
     let job = Job {
         id: "j".to_owned(),
--- a/crates/oleanderlock/tests/batch_loads.rs
+++ b/crates/oleanderlock/tests/batch_loads.rs
@@ -30,6 +30,8 @@
     due_after: Millis(7500),
     keep: Millis(40_000),
     single_version: false,
+    rank: 0,
+    workspace_rank: None,
 };
 
 /// Simulated engine with its agent.
--- a/crates/oleanderlock/tests/batch_scheduler.rs
+++ b/crates/oleanderlock/tests/batch_scheduler.rs
@@ -21,6 +21,8 @@
     due_after: Millis(7500),
     keep: Millis(40_000),
     single_version: false,
+    rank: 0,
+    workspace_rank: None,
 };
 
 fn item(id: &str, group: &str, expected_tokens: Option<u64>) -> JobItem {
@@ -121,6 +123,30 @@
     assert_eq!(scheduler.assign(Millis(0)).len(), 1);
 }
 
+/// Guards against an urgent job that waits behind others which are due at the same time, and
+/// against a priority that goes before the due time.
+#[test]
+fn among_jobs_that_are_due_together_the_most_urgent_is_served_first() {
+    let ranked = |rank| JobPolicy { rank, ..POLICY };
+    let mut scheduler = scheduler();
+    scheduler.apply_report(Millis(0), report("a", 8, 1));
+    let jobs = [
+        ("late", 0, 501),
+        ("mild", 5, 500),
+        ("urgent", 1, 500),
+        ("calm", 9, 499),
+    ];
+    for (id, rank, submitted) in jobs {
+        scheduler.accept(job(id, 1, group(id, 1)), ranked(rank), Millis(submitted));
+    }
+    let assigned = scheduler.assign(Millis(600));
+    let order = assigned
+        .iter()
+        .map(|assignment| assignment.key.job.as_str());
+    let order: Vec<_> = order.collect();
+    assert_eq!(order, ["calm", "urgent", "mild", "late"]);
+}
+
 #[test]
 fn the_job_that_is_due_first_is_served_first() {
     let mut scheduler = scheduler();
--- a/crates/oleanderlock/tests/batch_support/mod.rs
+++ b/crates/oleanderlock/tests/batch_support/mod.rs
@@ -11,6 +11,8 @@
     due_after: Millis(7500),
     keep: Millis(40_000),
     single_version: false,
+    rank: 0,
+    workspace_rank: None,
 };
 
 /// Returns a step of `items` items in groups of `group_size`; the id of an item is its index.
