Count and log the use of keys, and measure what they cost

Requests are counted by workspace, for the 16 with most use and in sum for the others, and the most used keys are logged once a minute by workspace and number. A new set of keys is decoded on another thread: 10,000 keys take some milliseconds, for which an entry would serve nobody.

Checked: clippy; tests workspace_keys (6), workspaces (13), key_changes (9) and calls (19) pass.

--- a/crates/oleander-rollout/src/dispatch/agents_api.rs
+++ b/crates/oleander-rollout/src/dispatch/agents_api.rs
@@ -135,7 +135,11 @@
     if stale || dispatcher.state.borrow().leading_epoch().is_none() {
         return response::refusal(RETRY_AFTER);
     }
-    to_json(&update)
+    if update.config.is_none() {
+        return to_json(&update);
+    }
+    // Encoding 10,000 keys for each entry would keep this thread from all other work.
+    smol::unblock(move || to_json(&update)).await
 }
 
 /// Takes results and returned items; responds with 200 once the results are listed in the store.
--- a/crates/oleander-rollout/src/dispatch/http_api.rs
+++ b/crates/oleander-rollout/src/dispatch/http_api.rs
@@ -78,7 +78,8 @@
 
 async fn check_config(dispatcher: &Dispatcher, body: &[u8]) -> FullResponse {
     match config_api::check(&dispatcher.config_reader, &dispatcher.view, body).await {
-        Ok(update) => to_json(&update),
+        Ok(update) if update.config.is_none() => to_json(&update),
+        Ok(update) => smol::unblock(move || to_json(&update)).await,
         Err(err) => unreadable(&err),
     }
 }
--- a/crates/oleander-rollout/src/entry/access.rs
+++ b/crates/oleander-rollout/src/entry/access.rs
@@ -44,6 +44,9 @@
     headers.remove(headers::WORKSPACE);
     let refusal = match found {
         Ok(client) => {
+            client
+                .iter()
+                .for_each(|client| entry.key_log.record(client));
             head.client = client;
             return None;
         }
@@ -52,13 +55,14 @@
     event(log::Level::Info, "key-refused", || {
         let version = routes.config.version;
         format!(
-            "request={} route={} reason={refusal} config={version}",
+            "request={} route={} reason={refusal} config={version}{}",
             head.id,
-            route.map_or("none", |route| &route.name)
+            route.map_or("none", |route| &route.name),
+            refusal.holder().map(holder_pairs).unwrap_or_default()
         )
     });
     entry.metrics.record_refusal(refusal.metric());
-    Some(response_to(refusal))
+    Some(response_to(&refusal))
 }
 
 /// Returns the workspace whose key a request has, or why it is refused.
@@ -70,13 +74,18 @@
     let age = entry.confirmation.age();
     match (entry.key_policy.decide(holder.is_some(), age), holder) {
         (KeyDecision::Serve, Some(holder)) => Ok(holder),
-        (KeyDecision::Unconfirmed, _) => Err(KeyRefusal::Unconfirmed),
+        (KeyDecision::Unconfirmed, holder) => Err(KeyRefusal::Unconfirmed { holder }),
         _ => Err(KeyRefusal::Unknown),
     }
 }
 
-fn response_to(refusal: KeyRefusal) -> FullResponse {
-    if refusal == KeyRefusal::Unconfirmed {
+/// Returns the pairs of a log line that name a key.
+fn holder_pairs(holder: &KeyHolder) -> String {
+    format!(" workspace={:?} key={}", holder.workspace, holder.number)
+}
+
+fn response_to(refusal: &KeyRefusal) -> FullResponse {
+    if matches!(refusal, KeyRefusal::Unconfirmed { .. }) {
         return response::refusal(UNCONFIRMED_RETRY_AFTER);
     }
     let mut response = response::status(StatusCode::UNAUTHORIZED);
--- a/crates/oleander-rollout/src/entry/config_guard.rs
+++ b/crates/oleander-rollout/src/entry/config_guard.rs
@@ -5,10 +5,10 @@
 //! the leader may be among them.
 
 use crate::peer::leader_client::LeaderClient;
-use crate::peer::messages::{CONFIG_CHECK, KnownVersions, PlatformUpdate};
+use crate::peer::messages::{CONFIG_CHECK, KnownVersions};
 use crate::prelude::*;
 use crate::store::config_reader::ConfigReader;
-use crate::store::platform_update::apply_platform_update;
+use crate::store::platform_update::apply_message;
 use crate::store::shared_view::SharedView;
 use futures_util::StreamExt as _;
 use futures_util::future::LocalBoxFuture;
@@ -112,11 +112,9 @@
         let Ok((StatusCode::OK, body)) = call.await else {
             return;
         };
-        match serde_json::from_slice::<PlatformUpdate>(&body) {
+        match apply_message(&self.view, body).await {
             Ok(update) => {
-                let confirmed = update.config_confirmed_ms;
-                apply_platform_update(&self.view, update);
-                if let Some(offset) = confirmed {
+                if let Some(offset) = update.config_confirmed_ms {
                     let confirmation = self.reader.confirmation();
                     confirmation.record_relative(sent_at, offset);
                 }
--- a/crates/oleander-rollout/src/entry/entry_process.rs
+++ b/crates/oleander-rollout/src/entry/entry_process.rs
@@ -1,6 +1,7 @@
 //! The entry process.
 
 use super::config_guard::ConfigGuard;
+use super::key_log::KeyLog;
 use super::origin_registry::OriginRegistry;
 use super::{platform_updates, router};
 use crate::call::caller::Caller;
@@ -68,6 +69,8 @@
     pub metrics: Metrics,
     /// When the configuration in force was last known to be the newest.
     pub confirmation: ConfigConfirmation,
+    /// How often keys are used.
+    pub key_log: Rc<KeyLog>,
     /// Whether keys are accepted while that is not certain.
     pub key_policy: KeyPolicy,
     /// Whether the process is stopping.
@@ -109,6 +112,7 @@
         let store = StoreClient::new(cfg.store, health.clone());
         let leader_client = LeaderClient::new(view.clone());
         let confirmation = ConfigConfirmation::default();
+        let key_log = KeyLog::new(metrics.clone());
         let guard = ConfigGuard::new(
             view.clone(),
             Rc::clone(&leader_client),
@@ -130,6 +134,7 @@
             own_watch,
             metrics,
             confirmation,
+            key_log: Rc::clone(&key_log),
             key_policy: cfg.keys.policy(),
             stopping: Cell::new(false),
             shutdown: Rc::default(),
@@ -139,6 +144,7 @@
         entry.serve_calls(bind(calls)?);
         spawn(platform_updates::run(Rc::clone(&entry)));
         spawn(guard.run());
+        spawn(key_log.run());
         Ok(entry)
     }
 
--- a/crates/oleander-rollout/src/entry/key_refusal.rs
+++ b/crates/oleander-rollout/src/entry/key_refusal.rs
@@ -2,9 +2,10 @@
 
 use derive_more::Display;
 use oleander_platform::credentials::CredentialsError;
+use oleanderlock::workspaces::key_holder::KeyHolder;
 
 /// Why a request is refused for its key.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
 pub enum KeyRefusal {
     /// The request has no readable key.
     #[display("{_0}")]
@@ -14,16 +15,28 @@
     Unknown,
     /// Whether the key is valid is not certain now.
     #[display("unconfirmed")]
-    Unconfirmed,
+    Unconfirmed {
+        /// The workspace and number of the key in the configuration in force; `None` if it is in
+        /// none.
+        holder: Option<KeyHolder>,
+    },
 }
 
 impl KeyRefusal {
     /// Returns the reason by which such refusals are counted.
-    pub fn metric(self) -> &'static str {
+    pub fn metric(&self) -> &'static str {
         match self {
             Self::Malformed(_) => "no-key",
             Self::Unknown => "unknown-key",
-            Self::Unconfirmed => "unconfirmed-key",
+            Self::Unconfirmed { .. } => "unconfirmed-key",
+        }
+    }
+
+    /// Returns the workspace and number of the refused key, if they are known.
+    pub fn holder(&self) -> Option<&KeyHolder> {
+        match self {
+            Self::Unconfirmed { holder } => holder.as_ref(),
+            Self::Malformed(_) | Self::Unknown => None,
         }
     }
 }
--- a/crates/oleander-rollout/src/entry/mod.rs
+++ b/crates/oleander-rollout/src/entry/mod.rs
@@ -6,6 +6,7 @@
 mod config_guard;
 pub mod entry_process;
 mod job_calls;
+mod key_log;
 mod key_refusal;
 mod origin_registry;
 mod platform_updates;
--- a/crates/oleander-rollout/src/entry/platform_updates.rs
+++ b/crates/oleander-rollout/src/entry/platform_updates.rs
@@ -6,9 +6,10 @@
 
 use super::entry_process::Entry;
 use crate::peer::leader_error::LeaderError;
-use crate::peer::messages::{KnownVersions, PLATFORM_UPDATES, PlatformUpdate};
+use crate::peer::messages::{KnownVersions, PLATFORM_UPDATES};
 use crate::prelude::*;
-use crate::store::platform_update::apply_platform_update;
+use crate::store::applied_update::AppliedUpdate;
+use crate::store::platform_update::apply_message;
 use http::{Method, StatusCode};
 use std::rc::Rc;
 
@@ -26,14 +27,12 @@
         let sent_at = now();
         match next_update(&entry, endpoints_digest).await {
             Ok(update) => {
-                let confirmed = update.config_confirmed_ms;
                 if entry.own_watch.is_open() {
                     event(log::Level::Info, "leader-regained", String::new);
                     entry.own_watch.set(false);
                 }
-                endpoints_digest =
-                    apply_platform_update(&entry.view, update).unwrap_or(endpoints_digest);
-                if let Some(offset) = confirmed {
+                endpoints_digest = update.endpoints_digest.unwrap_or(endpoints_digest);
+                if let Some(offset) = update.config_confirmed_ms {
                     entry.confirmation.record_relative(sent_at, offset);
                 }
             }
@@ -55,8 +54,8 @@
     }
 }
 
-/// Waits for an update from the leader.
-async fn next_update(entry: &Entry, endpoints_digest: u64) -> Result<PlatformUpdate, LeaderError> {
+/// Waits for an update from the leader and applies it.
+async fn next_update(entry: &Entry, endpoints_digest: u64) -> Result<AppliedUpdate, LeaderError> {
     let no_answer = |reason: String| LeaderError::NoAnswer { reason };
     let view = entry.view.get();
     let known = KnownVersions {
@@ -76,5 +75,6 @@
     if status != StatusCode::OK {
         return Err(no_answer(status.to_string()));
     }
-    serde_json::from_slice(&body).map_err(|error| no_answer(error.to_string()))
+    let applied = apply_message(&entry.view, body).await;
+    applied.map_err(|error| no_answer(error.to_string()))
 }
--- a/crates/oleander-rollout/src/observe/metrics.rs
+++ b/crates/oleander-rollout/src/observe/metrics.rs
@@ -18,6 +18,7 @@
     refusals: IntCounterVec,
     retries: IntCounterVec,
     events: IntCounterVec,
+    workspaces: IntCounterVec,
     latency: HistogramVec,
 }
 
@@ -33,6 +34,11 @@
             refusals: counters("oleanderlock_refusals_total", "Refused work", "reason"),
             retries: counters("oleanderlock_retries_total", "Repeated attempts", "reason"),
             events: counters("oleanderlock_events_total", "Other events", "event"),
+            workspaces: counters(
+                "oleanderlock_workspace_requests_total",
+                "Requests with a key, by workspace",
+                "workspace",
+            ),
             latency: HistogramVec::new(latency, &["work"]).expect("a valid metric name"),
         };
         let registered = [
@@ -41,6 +47,9 @@
                 .register(Box::new(metrics.refusals.clone())),
             metrics.registry.register(Box::new(metrics.retries.clone())),
             metrics.registry.register(Box::new(metrics.events.clone())),
+            metrics
+                .registry
+                .register(Box::new(metrics.workspaces.clone())),
             metrics.registry.register(Box::new(metrics.latency.clone())),
         ];
         assert!(
@@ -67,6 +76,19 @@
         self.events.with_label_values(&[name]).inc();
     }
 
+    /// Counts requests with a key of a workspace.
+    pub fn count_workspace_requests(&self, workspace: &str, count: u64) {
+        self.workspaces
+            .with_label_values(&[workspace])
+            .inc_by(count);
+    }
+
+    /// Removes the metrics of a workspace.
+    pub fn remove_workspace(&self, workspace: &str) {
+        // Fails only if there are none.
+        let _ = self.workspaces.remove_label_values(&[workspace]);
+    }
+
     /// Records the latency of one piece of work, by the kind `work`.
     pub fn record_latency(&self, work: &str, length: Millis) {
         let seconds = length.0 as f64 / 1000.0;
--- a/crates/oleander-rollout/src/store/config_reader.rs
+++ b/crates/oleander-rollout/src/store/config_reader.rs
@@ -93,7 +93,11 @@
             None => self.list().await?,
             Some(from) => self.changes(from).await?,
         };
-        apply_config_objects(&self.view, objects);
+        if !objects.is_empty() {
+            // Decoding 10,000 keys takes some milliseconds, for which this thread would serve nobody.
+            let view = self.view.clone();
+            smol::unblock(move || apply_config_objects(&view, objects)).await;
+        }
         self.revision.set(Some(revision));
         Ok(())
     }
--- a/crates/oleander-rollout/src/store/mod.rs
+++ b/crates/oleander-rollout/src/store/mod.rs
@@ -1,5 +1,6 @@
 //! The platform's store: a client, watches of whole kinds, and a local copy of what they report.
 
+pub mod applied_update;
 pub mod config_confirmation;
 pub mod config_interest;
 pub mod config_reader;
--- a/crates/oleander-rollout/src/store/platform_update.rs
+++ b/crates/oleander-rollout/src/store/platform_update.rs
@@ -1,5 +1,6 @@
 //! Applies platform updates that the leader sends to entries and agents.
 
+use super::applied_update::AppliedUpdate;
 use super::follow::adopt_config;
 use super::shared_view::SharedView;
 use crate::peer::messages::PlatformUpdate;
@@ -9,6 +10,32 @@
 use oleanderlock::routing::route_table::RouteTable;
 use std::sync::Arc;
 
+/// Length of a message from which it is applied on another thread, in bytes. A message with 10,000
+/// keys is about 0.7 MB and takes some milliseconds, for which the thread would serve nobody.
+const LARGE_MESSAGE_BYTES: usize = 32 << 10;
+
+/// Decodes the message of a dispatcher and applies the update in it to the view.
+///
+/// # Errors
+///
+/// The error of decoding the message.
+pub async fn apply_message(view: &SharedView, body: Bytes) -> serde_json::Result<AppliedUpdate> {
+    let view = view.clone();
+    let body_is_large = body.len() > LARGE_MESSAGE_BYTES;
+    let apply = move || {
+        let update: PlatformUpdate = serde_json::from_slice(&body)?;
+        Ok(AppliedUpdate {
+            config_confirmed_ms: update.config_confirmed_ms,
+            endpoints_digest: apply_platform_update(&view, update),
+        })
+    };
+    if body_is_large {
+        smol::unblock(apply).await
+    } else {
+        apply()
+    }
+}
+
 /// Applies an update to the view; returns the digest of the endpoints if it contains them.
 pub fn apply_platform_update(view: &SharedView, update: PlatformUpdate) -> Option<u64> {
     if let Some(config) = update.config {
--- a/crates/oleander-rollout/tests/formats.rs
+++ b/crates/oleander-rollout/tests/formats.rs
@@ -942,6 +942,7 @@
     metrics.record_refusal("a");
     metrics.record_retry("b");
     metrics.count_event("c");
+    metrics.count_workspace_requests("acme", 3);
     metrics.record_latency("d", Millis(40));
     let page = metrics.encode();
     let lines = page.lines().enumerate();
--- a/crates/oleander-rollout/tests/support/process.rs
+++ b/crates/oleander-rollout/tests/support/process.rs
@@ -40,6 +40,17 @@
         kilobytes.expect("a number").expect("a number") << 10
     }
 
+    /// Returns the CPU time that the process has used so far, in clock ticks of 10 ms.
+    pub fn cpu_ticks(&self) -> u64 {
+        let stat = fs::read_to_string(format!("/proc/{}/stat", self.child.id()));
+        let stat = stat.expect("the state of a running process");
+        // The name of the program, in parentheses, may contain spaces.
+        let (_, fields) = stat.rsplit_once(')').expect("a name");
+        let mut times = fields.split_whitespace().skip(11).map(str::parse::<u64>);
+        let mut next = || times.next().expect("a field").expect("a number");
+        next() + next()
+    }
+
     /// Starts a program in a role with a settings file that is there.
     pub fn start_on_file(program: &Path, name: &str, role: &str, path: PathBuf) -> Self {
         let log = new_file(name, "log");
--- a/crates/oleander-rollout/tests/workspaces.rs
+++ b/crates/oleander-rollout/tests/workspaces.rs
@@ -455,6 +455,12 @@
     assert_holds_no_key(&stored);
     let log = logs(&mut deployment);
     assert_holds_no_key(&log);
+    let counted = deployment.entries[0].metrics;
+    wait_for("the requests of the workspace are counted", || {
+        let page = call(counted, "GET", "/metrics", &[], b"").expect("a page");
+        let page = String::from_utf8_lossy(&page.body).into_owned();
+        page.contains(r#"oleanderlock_workspace_requests_total{workspace="acme"}"#)
+    });
     let nodes = deployment.nodes_mut();
     let metrics = nodes.filter_map(|node| call(node.metrics, "GET", "/metrics", &[], b""));
     for reply in metrics {
--- a/crates/oleanderlock/src/workspaces/mod.rs
+++ b/crates/oleanderlock/src/workspaces/mod.rs
@@ -7,4 +7,6 @@
 pub mod key_holder;
 pub mod key_policy;
 pub mod key_table;
+pub mod key_usage;
+pub mod key_use;
 pub mod workspace;
--- a/crates/oleanderlock/tests/workspace_keys.rs
+++ b/crates/oleanderlock/tests/workspace_keys.rs
@@ -7,6 +7,7 @@
 use oleanderlock::workspaces::key_digest::KeyDigest;
 use oleanderlock::workspaces::key_policy::KeyPolicy;
 use oleanderlock::workspaces::key_table::KeyTable;
+use oleanderlock::workspaces::key_usage::{KeyUsage, most_used};
 use oleanderlock::workspaces::workspace::Workspace;
 
 fn workspace(name: &str, keys: &[&str]) -> Workspace {
@@ -108,3 +109,30 @@
     assert!(may_use_job(None, Some("a")));
     assert!(may_use_job(None, None));
 }
+
+/// Guards against a log without bound, against uses that are lost between two logs, and against an
+/// order that changes from log to log.
+#[test]
+fn the_most_used_keys_are_named_and_the_others_summed() {
+    let table = KeyTable::new(&[workspace("a", &["k1", "k2"]), workspace("b", &["k3"])]);
+    let mut usage = KeyUsage::default();
+    for (key, count) in [("k1", 2), ("k2", 5), ("k3", 2)] {
+        let holder = table
+            .find(&KeyDigest::of(key.as_bytes()))
+            .expect("a known key");
+        (0..count).for_each(|_| usage.record(&holder));
+    }
+    let (most, others) = usage.take_keys(2);
+    let most: Vec<_> = most
+        .iter()
+        .map(|used| (&*used.workspace, used.number, used.requests))
+        .collect();
+    assert_eq!(most, [("a", 1, 5), ("a", 0, 2)]);
+    assert_eq!(others, 2);
+    let (most, others) = most_used(usage.take_workspaces(), 16);
+    let most: Vec<_> = most.iter().map(|(name, count)| (&**name, *count)).collect();
+    assert_eq!(most, [("a", 7), ("b", 2)]);
+    assert_eq!(others, 0);
+    assert_eq!(usage.take_keys(2), (Vec::new(), 0));
+    assert!(usage.take_workspaces().is_empty());
+}
