--- a/crates/oleander-rollout/src/entry/entry_process.rs
+++ b/crates/oleander-rollout/src/entry/entry_process.rs
@@ -1,5 +1,7 @@
 //! The entry process.
 
+use super::config_guard::ConfigGuard;
+use super::key_log::KeyLog;
 use super::origin_registry::OriginRegistry;
 use super::usage_reporter::UsageReporter;
 use super::{platform_updates, router};
@@ -15,7 +17,9 @@
 use crate::peer::leader_client::LeaderClient;
 use crate::prelude::*;
 use crate::settings::Config;
+use crate::store::config_confirmation::ConfigConfirmation;
 use crate::store::config_interest::ConfigInterest;
+use crate::store::config_reader::ConfigReader;
 use crate::store::follow::spawn_follower;
 use crate::store::gate::Gate;
 use crate::store::interests::Interests;
@@ -23,6 +27,7 @@
 use crate::store::store_client::StoreClient;
 use crate::store::store_health::StoreHealth;
 use http::StatusCode;
+use oleanderlock::workspaces::key_policy::KeyPolicy;
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::io::ErrorKind as IoErrorKind;
@@ -67,6 +72,12 @@
     pub own_watch: Gate,
     /// Metrics.
     pub metrics: Metrics,
+    /// When the configuration in force was last known to be the newest.
+    pub confirmation: ConfigConfirmation,
+    /// How often keys are used.
+    pub key_log: Rc<KeyLog>,
+    /// Whether keys are accepted while that is not certain.
+    pub key_policy: KeyPolicy,
     /// Whether the process is stopping.
     pub stopping: Cell<bool>,
     shutdown: Rc<Shutdown>,
@@ -110,6 +121,14 @@
             let client = Rc::clone(&leader_client);
             UsageReporter::start(&cfg.node, duties, client, metrics.clone())
         });
+        let confirmation = ConfigConfirmation::default();
+        let key_log = KeyLog::new(metrics.clone());
+        let guard = ConfigGuard::new(
+            view.clone(),
+            Rc::clone(&leader_client),
+            ConfigReader::new(cfg.store, view.clone(), confirmation.clone()),
+            cfg.keys.config_within,
+        );
         let entry = Rc::new(Self {
             usage,
             origins: OriginRegistry::new(view.clone(), Rc::clone(&leader_client)),
@@ -125,6 +144,9 @@
             health,
             own_watch,
             metrics,
+            confirmation,
+            key_log: Rc::clone(&key_log),
+            key_policy: cfg.keys.policy(),
             stopping: Cell::new(false),
             shutdown: Rc::default(),
             cfg,
@@ -132,6 +154,8 @@
         entry.serve_ready(bind(ready)?);
         entry.serve_calls(bind(calls)?);
         spawn(platform_updates::run(Rc::clone(&entry)));
+        spawn(guard.run());
+        spawn(key_log.run());
         Ok(entry)
     }
 
--- a/crates/oleanderlock/src/workspaces/mod.rs
+++ b/crates/oleanderlock/src/workspaces/mod.rs
@@ -2,7 +2,11 @@
 
 pub mod job_access;
 pub mod key_conflict;
+pub mod key_decision;
 pub mod key_digest;
 pub mod key_holder;
+pub mod key_policy;
 pub mod key_table;
+pub mod key_usage;
+pub mod key_use;
 pub mod workspace;
