Choose endpoints evenly where the deployment asks for it

Each process took the endpoint with the least answer time that it saw, so dozens of processes met at the same one, and an endpoint that had not been called was not tried while another answered in under 30 ms. With the contract 'pool', calls of entries and scoring calls of agents now go to endpoints in turn, by their free capacity as far as the process knows it. Nothing changes without the contract.

--- a/crates/oleander-rollout/src/agent/agent_process.rs
+++ b/crates/oleander-rollout/src/agent/agent_process.rs
@@ -91,6 +91,7 @@
             cfg.caller(CallerRole::Agent),
             StoreClient::new(cfg.store, health),
             metrics.clone(),
+            cfg.features,
         );
         let agent = Rc::new(Self {
             leader_client: LeaderClient::new(view.clone()),
--- a/crates/oleander-rollout/src/call/caller.rs
+++ b/crates/oleander-rollout/src/call/caller.rs
@@ -14,6 +14,7 @@
 use super::crash_registry::CrashRegistry;
 use super::endpoint_loads::EndpointLoads;
 use super::endpoint_response::EndpointResponse;
+use super::even_loads::EvenLoads;
 use super::leaving_registry::LeavingRegistry;
 use super::limit_registry::LimitRegistry;
 use super::limit_share::share_of_calls;
@@ -22,6 +23,7 @@
 use super::read_response::read_response;
 use super::request_kind::RequestKind;
 use super::response_class::{ResponseClass, classify};
+use crate::feature_settings::FeatureSettings;
 use crate::http::destination::Destination;
 use crate::http::exchange::Exchange;
 use crate::http::pool::Pool;
@@ -77,12 +79,15 @@
         identity: CallerIdentity,
         store: Rc<StoreClient>,
         metrics: Metrics,
+        features: FeatureSettings,
     ) -> Rc<Self> {
+        let even = || EvenLoads::new(identity.clone(), metrics.clone());
+        let even = features.even_load.then(even);
         Rc::new(Self {
             crashes: CrashRegistry::new(view.clone(), store, metrics.clone()),
             view,
             pool: Pool::new(CONNECT_TIMEOUT),
-            loads: Rc::default(),
+            loads: Rc::new(EndpointLoads::new(even)),
             leaving: Rc::default(),
             limits: Rc::new(LimitRegistry::new(metrics.clone())),
             identity,
@@ -141,7 +146,8 @@
         let hedge_delay = Millis(req.objective.0 / HEDGE_DELAY_DIVISOR).max(HEDGE_DELAY_MIN);
         loop {
             if running.is_empty() {
-                let Some(endpoint) = self.next_endpoint(req, progress).await else {
+                let Some(endpoint) = self.next_endpoint(req, RequestKind::Call, progress).await
+                else {
                     return give_up(req, progress);
                 };
                 running.push(Box::pin(self.attempt(req, RequestKind::Call, endpoint)));
@@ -186,7 +192,8 @@
             let limited = self.limits.is_limited(&entry.instance);
             (!limited).then_some(Millis::ZERO)
         };
-        let chosen = self.choose_endpoint(req, progress, CandidateSet::Untried, unlimited);
+        let wanted = (RequestKind::Hedge, CandidateSet::Untried);
+        let chosen = self.choose_endpoint(req, progress, wanted, unlimited);
         if let Some(endpoint) = chosen {
             self.metrics.record_retry("no-answer-yet");
             running.push(Box::pin(self.attempt(req, RequestKind::Hedge, endpoint)));
@@ -250,6 +257,7 @@
     pub(super) async fn next_endpoint(
         &self,
         req: &CallRequest,
+        kind: RequestKind,
         progress: &mut CallProgress,
     ) -> Option<EndpointEntry> {
         if progress.crashes > 0 && !self.crashes.may_retry(req, progress.crashes).await {
@@ -265,7 +273,8 @@
             earliest.set(Some(known.min(delay.unwrap_or(LIMIT_TURN_RETRY_AFTER))));
             delay.filter(|delay| *delay <= longest)
         };
-        let chosen = self.choose_endpoint(req, progress, progress.candidates(), delay);
+        let wanted = (kind, progress.candidates());
+        let chosen = self.choose_endpoint(req, progress, wanted, delay);
         let Some(endpoint) = chosen else {
             progress.limit_delay = earliest.get().filter(|delay| *delay > Millis::ZERO);
             return None;
@@ -282,7 +291,7 @@
         &self,
         req: &CallRequest,
         progress: &mut CallProgress,
-        candidates: CandidateSet,
+        (kind, candidates): (RequestKind, CandidateSet),
         limit_delay: impl Fn(&EndpointEntry) -> Option<Millis>,
     ) -> Option<EndpointEntry> {
         let view = self.view.get();
@@ -291,7 +300,18 @@
             let staying =
                 ready.filter(|entry| !self.leaving.contains(entry) && req.may_run_at(entry));
             let allowed = staying.filter_map(|entry| Some((entry, limit_delay(entry)?)));
-            self.loads.choose(allowed, &self.identity.domain, tried)
+            match &self.loads.even {
+                // A stream runs for longer than a call; its choice follows other rules.
+                Some(even) if kind != RequestKind::Stream => {
+                    let all = self.loads.candidates(allowed);
+                    let connected =
+                        |entry: &EndpointEntry| self.pool.is_connected(&Destination::of(entry));
+                    let request = (kind, req.id.as_str());
+                    let chosen = even.choose(all, tried, view.caller_rank, connected, request);
+                    chosen.cloned()
+                }
+                _ => self.loads.choose(allowed, &self.identity.domain, tried),
+            }
         };
         let mut chosen = choose(&progress.tried);
         if chosen.is_none() && candidates == CandidateSet::All && req.repeatable {
@@ -321,10 +341,10 @@
         endpoint: EndpointEntry,
     ) -> (String, AttemptOutcome) {
         let started_at = now();
-        let in_flight = self.loads.start_call(&endpoint.instance);
+        let in_flight = self.loads.start_call(&endpoint);
         let outcome = self.exchange(req, kind, &endpoint).await;
         let outcome = self.check_for_crash(req, &endpoint, outcome).await;
-        drop(in_flight);
+        in_flight.end(&outcome);
         let now = now();
         self.loads
             .update(&endpoint.instance, |load| match &outcome {
@@ -380,10 +400,7 @@
         kind: RequestKind,
         endpoint: &EndpointEntry,
     ) -> Result<(ResponseClass, Exchange), AttemptOutcome> {
-        let to = Destination {
-            addr: endpoint.addr,
-            instance: endpoint.instance.clone(),
-        };
+        let to = Destination::of(endpoint);
         let build = || self.attempt_message(req, kind, endpoint);
         let sent = self.pool.send_built(&to, build).await;
         let mut exchange = sent.map_err(|error| match error {
--- a/crates/oleander-rollout/src/call/endpoint_loads.rs
+++ b/crates/oleander-rollout/src/call/endpoint_loads.rs
@@ -1,5 +1,6 @@
 //! Load and health of endpoints, as measured by the calls of this process.
 
+use super::even_loads::EvenLoads;
 use super::in_flight_guard::InFlightGuard;
 use crate::prelude::*;
 use indexmap::IndexMap;
@@ -17,9 +18,19 @@
 #[derive(Debug, Default)]
 pub struct EndpointLoads {
     by_instance: RefCell<IndexMap<String, EndpointLoad>>,
+    // `None` without even load.
+    pub(super) even: Option<EvenLoads>,
 }
 
 impl EndpointLoads {
+    /// Returns loads without any calls; `even` chooses endpoints for calls if it is given.
+    pub fn new(even: Option<EvenLoads>) -> Self {
+        Self {
+            by_instance: RefCell::default(),
+            even,
+        }
+    }
+
     /// Chooses one of `endpoints`, each with the time that a call has to wait for its rate limit,
     /// whose instance is not in `tried`; `None` if there is none.
     pub fn choose<'a>(
@@ -28,26 +39,45 @@
         domain: &str,
         tried: &[String],
     ) -> Option<EndpointEntry> {
+        let candidates = self.candidates(endpoints);
+        pick(now(), domain, &candidates, tried, rand::random()).cloned()
+    }
+
+    /// Returns the candidates for a choice with their loads.
+    pub(super) fn candidates<'a>(
+        &self,
+        endpoints: impl Iterator<Item = (&'a EndpointEntry, Millis)>,
+    ) -> Vec<Candidate<'a>> {
         let loads = self.by_instance.borrow();
-        let candidates: Vec<Candidate<'_>> = endpoints
+        endpoints
             .map(|(entry, limit_delay)| Candidate {
                 entry,
                 limit_delay,
                 load: loads.get(&entry.instance).copied().unwrap_or_default(),
             })
-            .collect();
-        pick(now(), domain, &candidates, tried, rand::random()).cloned()
+            .collect()
     }
 
-    /// Counts a call as in flight until the returned guard is dropped.
-    pub fn start_call(self: &Rc<Self>, instance: &str) -> InFlightGuard {
-        self.update(instance, |load| load.in_flight += 1);
+    /// Counts a call to an endpoint as in flight until the returned guard is dropped.
+    pub fn start_call(self: &Rc<Self>, endpoint: &EndpointEntry) -> InFlightGuard {
+        self.update(&endpoint.instance, |load| load.in_flight += 1);
+        if let Some(even) = &self.even {
+            even.record_start(endpoint);
+        }
         InFlightGuard {
             loads: Rc::clone(self),
-            instance: instance.to_owned(),
+            endpoint: endpoint.clone(),
+            started_at: now(),
+            ended: false,
         }
     }
 
+    /// Returns the number of calls in flight at an endpoint.
+    pub(super) fn in_flight(&self, instance: &str) -> usize {
+        let loads = self.by_instance.borrow();
+        loads.get(instance).map_or(0, |load| load.in_flight)
+    }
+
     /// Updates the load of an endpoint; one without calls so far has the default load.
     pub fn update(&self, instance: &str, update: impl FnOnce(&mut EndpointLoad)) {
         let mut all = self.by_instance.borrow_mut();
--- a/crates/oleander-rollout/src/call/mod.rs
+++ b/crates/oleander-rollout/src/call/mod.rs
@@ -12,6 +12,7 @@
 pub mod crash_registry;
 pub mod endpoint_loads;
 pub mod endpoint_response;
+pub mod even_loads;
 pub mod event_stream;
 pub mod in_flight_guard;
 pub mod leaving_registry;
--- a/crates/oleander-rollout/src/call/open_stream.rs
+++ b/crates/oleander-rollout/src/call/open_stream.rs
@@ -23,7 +23,7 @@
         if let Some(not_run) = self.crashes.refusal(req) {
             return Err(StreamFailure::NotRun(not_run));
         }
-        while let Some(endpoint) = self.next_endpoint(req, progress).await {
+        while let Some(endpoint) = self.next_endpoint(req, RequestKind::Stream, progress).await {
             let sent_at = now();
             let left = req.deadline.since(sent_at);
             let opening = self.open_at(req, RequestKind::Stream, &endpoint);
--- a/crates/oleander-rollout/src/entry/entry_process.rs
+++ b/crates/oleander-rollout/src/entry/entry_process.rs
@@ -108,6 +108,7 @@
                 cfg.caller(CallerRole::Entry),
                 Rc::clone(&store),
                 metrics.clone(),
+                cfg.features,
             ),
             store,
             view,
--- a/crates/oleander-rollout/src/http/destination.rs
+++ b/crates/oleander-rollout/src/http/destination.rs
@@ -1,5 +1,6 @@
 //! Where a request is sent.
 
+use oleanderlock::routing::endpoint_entry::EndpointEntry;
 use std::net::SocketAddr;
 
 /// Where a request is sent: only connections to the same address and instance are reused for it.
@@ -12,6 +13,14 @@
 }
 
 impl Destination {
+    /// Returns the destination of requests to an endpoint.
+    pub fn of(endpoint: &EndpointEntry) -> Self {
+        Self {
+            addr: endpoint.addr,
+            instance: endpoint.instance.clone(),
+        }
+    }
+
     /// Returns a destination for any instance at `addr`.
     pub fn any(addr: SocketAddr) -> Self {
         Self {
--- a/crates/oleander-rollout/src/http/pool.rs
+++ b/crates/oleander-rollout/src/http/pool.rs
@@ -144,6 +144,14 @@
         self.idle.borrow().get(to).map_or(0, Vec::len)
     }
 
+    /// Whether a request to a destination would be sent on a connection that is open already.
+    pub fn is_connected(&self, to: &Destination) -> bool {
+        let now = now();
+        let all = self.idle.borrow();
+        let mut connections = all.get(to).into_iter().flatten();
+        connections.any(|idle| idle.expires_at > now && idle.sender.is_ready())
+    }
+
     /// Closes the idle connections to a destination.
     pub fn close_idle(&self, to: &Destination) {
         self.idle.borrow_mut().remove(to);
--- a/crates/oleander-rollout/tests/formats.rs
+++ b/crates/oleander-rollout/tests/formats.rs
@@ -57,6 +57,7 @@
 use oleander_rollout::call::stream_limits::StreamLimits;
 use oleander_rollout::dispatch::leadership_state::LeadershipState;
 use oleander_rollout::entry::submit_outcome::SubmitOutcome;
+use oleander_rollout::feature_settings::FeatureSettings;
 use oleander_rollout::http::send_error::SendError;
 use oleander_rollout::observe::metrics::Metrics;
 use oleander_rollout::peer::leader_error::LeaderError;
@@ -662,7 +663,8 @@
             domain: "z".to_owned(),
         };
         let store = StoreClient::new(log.addr, StoreHealth::default());
-        let caller = Caller::new(view, identity, store, Metrics::default());
+        let features = FeatureSettings::default();
+        let caller = Caller::new(view, identity, store, Metrics::default(), features);
         caller.call(&call_request()).await;
         sent("call to a service");
         let limits = StreamLimits::of(Millis(400));
