--- a/crates/oleanderlock/src/routing/even_choice.rs
+++ b/crates/oleanderlock/src/routing/even_choice.rs
@@ -131,7 +131,7 @@
         it: *it,
         known,
         capacity: slots / usual_us,
-        free: idle_part * sound * sound / (slowness * slowness),
+        free: idle_part * sound * sound / slowness.powi(3),
         wait_us: usual_us * (slowness - 1.0 + fullness + over),
     }
 }
--- a/crates/oleanderlock/src/routing/even_endpoint.rs
+++ b/crates/oleanderlock/src/routing/even_endpoint.rs
@@ -11,6 +11,18 @@
 const OUTLIER_RATIO: f64 = 4.0;
 /// Weight of the newest answer in the recent mean.
 const RECENT_WEIGHT: f64 = 0.25;
+/// Weight of an answer that took longer than [`OUTLIER_RATIO`] times the mean: one is enough to leave
+/// an endpoint that is 8 times as slow.
+const RECENT_WEIGHT_OUTLIER: f64 = 0.5;
+/// Ratio of an answer time to the mean from which it confirms a slowdown. Each answer in a row that
+/// does doubles the time for which the slowdown is remembered, so that an endpoint that stays slow is
+/// tried less and less often.
+const CONFIRMING_RATIO: f64 = 2.5;
+/// Most doublings of that time.
+const CONFIRMATIONS_MAX: u32 = 3;
+/// Answers' worth of the mean of all endpoints that is mixed into that of one. Work times vary by
+/// about twice as much as speeds, so four answers tell as much as the others' mean.
+const PRIOR_ANSWERS: f64 = 4.0;
 /// Weight of the newest outcome in the share of failures.
 const FAILURE_WEIGHT: f64 = 0.125;
 /// Time constant with which knowledge of a slowdown loses its weight, in milliseconds. Slowdowns
@@ -18,9 +30,9 @@
 const SLOWNESS_DECAY_MS: f64 = 2_000.0;
 /// Ratio of the recent mean to the long one below which an endpoint does not count as slowed: random
 /// work times make up to this difference.
-const NOISE_RATIO: f64 = 1.6;
+const NOISE_RATIO: f64 = 1.3;
 /// Ratio of the time without any answer to the mean below which nothing is concluded from it.
-const SILENCE_RATIO: f64 = 3.0;
+const SILENCE_RATIO: f64 = 2.0;
 /// Shortest time for which a refusal because an endpoint is full has half of its weight left, in
 /// milliseconds.
 const FULL_DECAY_MIN_MS: f64 = 100.0;
@@ -40,6 +52,8 @@
     // Long and recent mean of the answer times, in microseconds.
     mean_us: f64,
     recent_us: f64,
+    // Answers in a row that confirm a slowdown.
+    confirmations: u32,
     failure_share: f64,
     // Time of the newest answer, refusal or abandoned call.
     known_at: Option<Millis>,
@@ -57,6 +71,7 @@
             credit,
             mean_us: 0.0,
             recent_us: 0.0,
+            confirmations: 0,
             failure_share: 0.0,
             known_at: None,
             refused_at: None,
@@ -83,11 +98,9 @@
             self.mean_us = us;
             self.recent_us = us;
         } else {
+            self.record_recent(us, now);
             let capped = us.min(self.mean_us * OUTLIER_RATIO);
             self.mean_us += (capped - self.mean_us) / f64::from(self.answers.min(SETTLED_ANSWERS));
-            // What is known of a slowdown has faded by now.
-            self.recent_us = self.mean_us * self.faded_ratio(now);
-            self.recent_us += (us - self.recent_us) * RECENT_WEIGHT;
         }
         self.failure_share *= 1.0 - FAILURE_WEIGHT;
         self.known_at = Some(now);
@@ -96,13 +109,25 @@
     /// Records that an answer was no longer waited for after `waited`.
     pub fn record_abandoned(&mut self, waited: Millis, now: Millis) {
         let us = (waited.0 * 1000) as f64;
-        let recent = self.mean_us * self.faded_ratio(now);
-        if self.answers > 0 && us > recent {
-            self.recent_us = recent + (us - recent) * RECENT_WEIGHT;
+        if self.answers > 0 && us > self.mean_us * self.faded_ratio(now) {
+            self.record_recent(us, now);
             self.known_at = Some(now);
         }
     }
 
+    fn record_recent(&mut self, us: f64, now: Millis) {
+        let weight = if us > self.mean_us * OUTLIER_RATIO {
+            RECENT_WEIGHT_OUTLIER
+        } else {
+            RECENT_WEIGHT
+        };
+        // What is known of a slowdown has faded by now.
+        let recent = self.mean_us * self.faded_ratio(now);
+        self.recent_us = recent + (us - recent) * weight;
+        let confirms = us > self.mean_us * CONFIRMING_RATIO;
+        self.confirmations = if confirms { self.confirmations + 1 } else { 0 };
+    }
+
     /// Records that the endpoint ran a call and failed, or lost its response.
     pub fn record_failure(&mut self) {
         self.failure_share += (1.0 - self.failure_share) * FAILURE_WEIGHT;
@@ -117,7 +142,6 @@
     /// Returns the mean answer time in microseconds, drawn towards that of all endpoints
     /// (`typical_us`) while few answers are known.
     pub fn usual_us(&self, typical_us: f64) -> f64 {
-        const PRIOR_ANSWERS: f64 = 8.0;
         let known = f64::from(self.answers.min(SETTLED_ANSWERS));
         (known * self.mean_us + PRIOR_ANSWERS * typical_us) / (known + PRIOR_ANSWERS)
     }
@@ -161,7 +185,9 @@
         let Some(age) = self.age(now).filter(|_| self.mean_us > 0.0) else {
             return 1.0;
         };
-        let weight = (-(age.0 as f64) / SLOWNESS_DECAY_MS).exp();
+        let doublings = self.confirmations.saturating_sub(1).min(CONFIRMATIONS_MAX);
+        let decay_ms = SLOWNESS_DECAY_MS * f64::from(1u32 << doublings);
+        let weight = (-(age.0 as f64) / decay_ms).exp();
         1.0 + (self.recent_us / self.mean_us - 1.0) * weight
     }
 }
