--- a/crates/oleanderlock/src/routing/even_choice.rs
+++ b/crates/oleanderlock/src/routing/even_choice.rs
@@ -13,6 +13,7 @@
 use super::even_service::{EvenService, unit};
 use crate::affinity_score::score;
 use crate::prelude::*;
+use indexmap::IndexMap;
 
 /// Answer time that is assumed before the first answer of any endpoint, in microseconds.
 const DEFAULT_ANSWER_US: f64 = 30_000.0;
@@ -169,10 +170,16 @@
         .iter()
         .copied()
         .partition(|one| one.it.candidate.entry.domain == domain);
+    let slower = slower_domain(usable, domain, draw);
     let others = subset(others, caller, &size);
     if own.is_empty() {
         return (others, EvenReason::OwnDomainOut);
     }
+    if let Some(other) = slower {
+        let there = |one: &&Weighted<'a>| one.it.candidate.entry.domain == other;
+        let there = others.iter().copied().filter(there).collect();
+        return (there, EvenReason::OtherDomain);
+    }
     let own = subset(own, caller, &size);
     if others.is_empty() {
         return (own, EvenReason::Turn);
@@ -193,6 +200,37 @@
     (own, EvenReason::Turn)
 }
 
+/// Returns the failure domain that takes this call because the endpoints of the own one are slower
+/// than all by more than the way to another, `None` if it stays.
+///
+/// The processes of each domain are taken to call equally often. A domain with less capacity than the
+/// mean gives the part that it lacks, and no more, to those with more: if calls moved to the fastest
+/// domain as a whole, all would meet there.
+fn slower_domain<'a>(usable: &[&Weighted<'a>], domain: &str, draw: u64) -> Option<&'a str> {
+    let mut domains: IndexMap<&'a str, (f64, f64)> = IndexMap::new();
+    for one in usable {
+        let entry = one.it.candidate.entry;
+        let (slots, capacity) = domains.entry(&entry.domain).or_default();
+        *slots += entry.slots.max(1) as f64;
+        *capacity += one.capacity;
+    }
+    let (own_slots, own) = *domains.get(domain)?;
+    let sum = |part: fn(&(f64, f64)) -> f64| domains.values().map(part).sum::<f64>();
+    let (slots, capacity) = (sum(|it| it.0), sum(|it| it.1));
+    let mean = capacity / domains.len() as f64;
+    let costs_more = own_slots / own > slots / capacity + OTHER_DOMAIN_US;
+    if !costs_more || unit(score(draw, 3)) >= 1.0 - own / mean {
+        return None;
+    }
+    let excess = |it: &(f64, f64)| (it.1 - mean).max(0.0);
+    let mut at = unit(score(draw, 4)) * domains.values().map(excess).sum::<f64>();
+    let taking = domains.iter().find(|(_, it)| {
+        at -= excess(it);
+        at < 0.0
+    });
+    taking.map(|(domain, _)| *domain)
+}
+
 /// Returns the mean time by which a call waits longer than usual, if it is sent to one of `pool` by
 /// their weights.
 fn mean_wait_us(pool: &[&Weighted<'_>]) -> f64 {
--- a/crates/oleanderlock/src/routing/even_endpoint.rs
+++ b/crates/oleanderlock/src/routing/even_endpoint.rs
@@ -5,7 +5,7 @@
 
 /// Answers after which the mean follows further ones slowly. A slowdown of a few seconds then moves
 /// it little.
-const SETTLED_ANSWERS: u32 = 64;
+const SETTLED_ANSWERS: u32 = 32;
 /// An answer counts in the mean as this many times the mean at most, so that one hung call does not
 /// make an endpoint slow for minutes.
 const OUTLIER_RATIO: f64 = 4.0;
@@ -22,7 +22,7 @@
 const CONFIRMATIONS_MAX: u32 = 3;
 /// Answers' worth of the mean of all endpoints that is mixed into that of one. Work times vary by
 /// about twice as much as speeds, so four answers tell as much as the others' mean.
-const PRIOR_ANSWERS: f64 = 4.0;
+const PRIOR_ANSWERS: f64 = 2.0;
 /// Weight of the newest outcome in the share of failures.
 const FAILURE_WEIGHT: f64 = 0.125;
 /// Time constant with which knowledge of a slowdown loses its weight, in milliseconds. Slowdowns
--- a/crates/oleanderlock/tests/even_support/case.rs
+++ b/crates/oleanderlock/tests/even_support/case.rs
@@ -15,6 +15,8 @@
     /// Choosers that call in bursts, and mean work of their calls.
     pub agents: usize,
     pub burst_call_us: u64,
+    /// How often the choosers of each failure domain call, over the mean.
+    pub domain_parts: [f64; 3],
     /// Part of all slots that the steady calls occupy on average.
     pub steady: f64,
     /// Part of all slots that the calls of a burst occupy on average over the time between bursts.
@@ -35,12 +37,13 @@
     pub fn choosers(choosers: usize, knowledge_us: u64, seed: u64) -> Self {
         Self {
             seed,
-            seconds: 60,
+            seconds: 120,
             endpoints: 34,
             entries: choosers,
             call_us: 25_000,
             agents: 0,
             burst_call_us: 25_000,
+            domain_parts: [1.0; 3],
             steady: 0.15,
             bursts: 0.05,
             burst_every_us: 4_000_000,
--- a/crates/oleanderlock/tests/even_support/fleet.rs
+++ b/crates/oleanderlock/tests/even_support/fleet.rs
@@ -6,8 +6,8 @@
 use oleanderlock::prelude::*;
 use oleanderlock::routing::endpoint_entry::EndpointEntry;
 use oleanderlock::routing::endpoint_state::EndpointState;
-use rand::Rng;
 use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use std::collections::VecDeque;
 
 /// Calls that wait at a full endpoint before it refuses more.
@@ -94,6 +94,14 @@
     }
 }
 
+/// Returns the speed of the first endpoint of a case over the mean of all.
+pub fn speed_of_first(case: &Case) -> f64 {
+    let mut rng = StdRng::seed_from_u64(case.seed);
+    let endpoints = (0..case.endpoints).map(|index| Endpoint::new(case, index, &mut rng));
+    let speeds: Vec<f64> = endpoints.map(|endpoint| endpoint.speed).collect();
+    speeds[0] * speeds.len() as f64 / speeds.iter().sum::<f64>()
+}
+
 /// Returns the failure domain of an endpoint or chooser.
 pub fn domain(index: usize) -> String {
     ["a", "b", "c"][index % 3].to_owned()
--- a/crates/oleanderlock/tests/even_support/replay.rs
+++ b/crates/oleanderlock/tests/even_support/replay.rs
@@ -95,9 +95,13 @@
             agents => case.entries..case.entries + agents,
         };
         let per_chooser = case.steady * slots / case.call_us as f64 / case.entries as f64;
+        // Choosers differ in load by three to one. Those of each failure domain call equally often
+        // together, unless the case says otherwise.
+        let part = |chooser: usize| 0.5 + (chooser / 3 % 7) as f64 / 6.0;
+        let of_domain = |domain: usize| (domain..case.entries).step_by(3).map(part).sum::<f64>();
         for chooser in 0..case.entries {
-            // Choosers differ in load by three to one.
-            let rate = per_chooser * (0.5 + (chooser % 7) as f64 / 6.0);
+            let even = case.entries as f64 / 3.0 / of_domain(chooser % 3);
+            let rate = per_chooser * part(chooser) * even * case.domain_parts[chooser % 3];
             let mut at = 0.0;
             loop {
                 at -= (1.0 - self.rng.random::<f64>()).ln() / rate;
