--- a/crates/oleanderlock/src/routing/even_choice.rs
+++ b/crates/oleanderlock/src/routing/even_choice.rs
@@ -75,7 +75,7 @@
     let left: Vec<&Weighted<'a>> = all.iter().filter(untried).collect();
     let usable: Vec<&Weighted<'a>> = usable(&left, now);
     let (pool, mut reason) = match usable.is_empty() {
-        true => (least_avoided(&left), EvenReason::AllAvoided),
+        true => (least_avoided(&left, now), EvenReason::AllAvoided),
         false => in_domains(&usable, domain, caller, size, draw),
     };
     let chosen = take_turn(service, &pool, draw)?;
@@ -146,11 +146,12 @@
     left.iter().filter(sound).copied().collect()
 }
 
-/// Returns the candidates that are avoided or limited for the shortest time.
-fn least_avoided<'w, 'a>(left: &[&'w Weighted<'a>]) -> Vec<&'w Weighted<'a>> {
+/// Returns the candidates that are limited for the shortest time, or else avoided for the shortest.
+fn least_avoided<'w, 'a>(left: &[&'w Weighted<'a>], now: Millis) -> Vec<&'w Weighted<'a>> {
     let key = |one: &&Weighted<'a>| {
         let candidate = &one.it.candidate;
-        (candidate.limit_delay, candidate.load.avoid_until)
+        let avoided_for = candidate.load.avoid_until.since(now);
+        (avoided_for, candidate.limit_delay)
     };
     let least = left.iter().map(key).min();
     let same = left.iter().filter(|one| Some(key(one)) == least);
--- a/crates/oleanderlock/src/routing/even_endpoint.rs
+++ b/crates/oleanderlock/src/routing/even_endpoint.rs
@@ -9,8 +9,10 @@
 /// An answer counts in the mean as this many times the mean at most, so that one hung call does not
 /// make an endpoint slow for minutes.
 const OUTLIER_RATIO: f64 = 4.0;
-/// Weight of the newest answer in the recent mean.
+/// Least weight of the newest answer in the recent mean.
 const RECENT_WEIGHT: f64 = 0.25;
+/// Time constant with which the recent mean loses its weight beside a new answer, in milliseconds.
+const RECENT_MEMORY_MS: f64 = 1_000.0;
 /// Weight of an answer that took longer than [`OUTLIER_RATIO`] times the mean: one is enough to leave
 /// an endpoint that is 8 times as slow.
 const RECENT_WEIGHT_OUTLIER: f64 = 0.5;
@@ -119,7 +121,9 @@
         let weight = if us > self.mean_us * OUTLIER_RATIO {
             RECENT_WEIGHT_OUTLIER
         } else {
-            RECENT_WEIGHT
+            // The older the recent mean, the less it tells beside a new answer.
+            let age_ms = self.age(now).map_or(0.0, |age| age.0 as f64);
+            (1.0 - (-age_ms / RECENT_MEMORY_MS).exp()).clamp(RECENT_WEIGHT, RECENT_WEIGHT_OUTLIER)
         };
         // What is known of a slowdown has faded by now.
         let recent = self.mean_us * self.faded_ratio(now);
--- a/crates/oleanderlock/src/routing/even_reason.rs
+++ b/crates/oleanderlock/src/routing/even_reason.rs
@@ -14,6 +14,6 @@
     OtherDomain,
     /// No endpoint of the own failure domain could be used.
     OwnDomainOut,
-    /// All endpoints were avoided after failures or refusals.
+    /// All endpoints were avoided after failures or refusals, or had to wait for their rate limit.
     AllAvoided,
 }
--- a/crates/oleanderlock/tests/even_support/figures.rs
+++ b/crates/oleanderlock/tests/even_support/figures.rs
@@ -21,8 +21,8 @@
     pub open_max: usize,
     /// Calls that gave up for each 1000.
     pub gave_up: f64,
-    /// Part of the calls in the second half of the time that went to the first endpoint, times the
-    /// number of endpoints.
+    /// Part of the calls that went to the first endpoint from 10 s after half of the time on, times
+    /// the number of endpoints.
     pub to_first: f64,
 }
 
