Order endpoints by the load of their services

Entries and agents tell the leader their calls to services by failure domain, with the messages that they send anyway. The holder of the duties decides once a second how many endpoints each service with `scale` has in each failure domain: ahead of a rising load, for the time at which they will serve, and down only after the load has been low for some time. Orders are written before they are sent, in the record of the usage reports, so that both duties have one holder and one fence.

Only deployments with the duty `scale` do this. The demand of calls is not counted otherwise.

--- a/crates/oleander-rollout/src/agent/agent_process.rs
+++ b/crates/oleander-rollout/src/agent/agent_process.rs
@@ -92,6 +92,9 @@
             StoreClient::new(cfg.store, health),
             metrics.clone(),
         );
+        if cfg.duties.as_ref().is_some_and(|duties| duties.scale) {
+            caller.demand().enable();
+        }
         let agent = Rc::new(Self {
             leader_client: LeaderClient::new(view.clone()),
             engine: EngineClient::new(
--- a/crates/oleander-rollout/src/agent/pull.rs
+++ b/crates/oleander-rollout/src/agent/pull.rs
@@ -78,6 +78,7 @@
         report: report(agent),
         parts,
         caller_rank: agent.view.get().caller_rank,
+        demand: agent.caller.demand().get(),
     };
     let body = serde_json::to_vec(&req).map_err(|error| no_answer(error.to_string()))?;
     let called = agent
--- a/crates/oleander-rollout/src/call/caller.rs
+++ b/crates/oleander-rollout/src/call/caller.rs
@@ -12,6 +12,8 @@
 use super::caller_identity::CallerIdentity;
 use super::candidate_set::CandidateSet;
 use super::crash_registry::CrashRegistry;
+use super::demand::Demand;
+use super::demand_guard::DemandGuard;
 use super::endpoint_loads::EndpointLoads;
 use super::endpoint_response::EndpointResponse;
 use super::leaving_registry::LeavingRegistry;
@@ -63,6 +65,7 @@
     pool: Rc<Pool>,
     loads: Rc<EndpointLoads>,
     leaving: Rc<LeavingRegistry>,
+    pub(super) demand: Rc<Demand>,
     pub(super) limits: Rc<LimitRegistry>,
     pub(super) crashes: Rc<CrashRegistry>,
     identity: CallerIdentity,
@@ -84,6 +87,7 @@
             pool: Pool::new(CONNECT_TIMEOUT),
             loads: Rc::default(),
             leaving: Rc::default(),
+            demand: Rc::default(),
             limits: Rc::new(LimitRegistry::new(metrics.clone())),
             identity,
             metrics,
@@ -95,6 +99,11 @@
         &self.leaving
     }
 
+    /// Returns the calls to services by failure domain.
+    pub fn demand(&self) -> &Rc<Demand> {
+        &self.demand
+    }
+
     /// Returns the requests under which endpoints have crashed.
     pub fn crashes(&self) -> &Rc<CrashRegistry> {
         &self.crashes
@@ -332,9 +341,14 @@
     ) -> (String, AttemptOutcome) {
         let started_at = now();
         let in_flight = self.loads.start_call(&endpoint.instance);
+        let demand = self.demand.start(&endpoint);
         let outcome = self.exchange(req, kind, &endpoint).await;
         let outcome = self.check_for_crash(req, &endpoint, outcome).await;
         drop(in_flight);
+        if matches!(outcome, AttemptOutcome::NotRun("full")) {
+            demand.iter().for_each(DemandGuard::refuse);
+        }
+        drop(demand);
         let now = now();
         self.loads
             .update(&endpoint.instance, |load| match &outcome {
--- a/crates/oleander-rollout/src/call/mod.rs
+++ b/crates/oleander-rollout/src/call/mod.rs
@@ -10,6 +10,8 @@
 pub mod caller_role;
 mod candidate_set;
 pub mod crash_registry;
+pub mod demand;
+pub mod demand_guard;
 pub mod endpoint_loads;
 pub mod endpoint_response;
 pub mod event_stream;
--- a/crates/oleander-rollout/src/call/open_stream.rs
+++ b/crates/oleander-rollout/src/call/open_stream.rs
@@ -1,9 +1,11 @@
 //! Opens streams at the endpoints of a service.
 
+use super::attempt_outcome::AttemptOutcome;
 use super::call_outcome::CallOutcome;
 use super::call_progress::CallProgress;
 use super::call_request::CallRequest;
 use super::caller::{Caller, give_up};
+use super::demand_guard::DemandGuard;
 use super::not_run::NotRun;
 use super::not_run_reason::NotRunReason;
 use super::opened_stream::OpenedStream;
@@ -26,6 +28,7 @@
         while let Some(endpoint) = self.next_endpoint(req, progress).await {
             let sent_at = now();
             let left = req.deadline.since(sent_at);
+            let demand = self.demand.start(&endpoint);
             let opening = self.open_at(req, RequestKind::Stream, &endpoint);
             let Some(opened) = within(left, opening).await else {
                 return Err(StreamFailure::Unknown);
@@ -41,11 +44,16 @@
                             exchange,
                             endpoint,
                             sent_at,
+                            demand,
                         });
                     }
                 },
                 Err(outcome) => self.check_for_crash(req, &endpoint, outcome).await,
             };
+            if matches!(outcome, AttemptOutcome::NotRun("full")) {
+                demand.iter().for_each(DemandGuard::refuse);
+            }
+            drop(demand);
             self.record_outcome(req, progress, &endpoint.instance, outcome);
         }
         match give_up(req, progress) {
--- a/crates/oleander-rollout/src/call/opened_stream.rs
+++ b/crates/oleander-rollout/src/call/opened_stream.rs
@@ -1,5 +1,6 @@
 //! A stream whose response has begun.
 
+use super::demand_guard::DemandGuard;
 use crate::http::exchange::Exchange;
 use crate::prelude::*;
 use oleanderlock::routing::endpoint_entry::EndpointEntry;
@@ -13,4 +14,6 @@
     pub endpoint: EndpointEntry,
     /// When the request was sent.
     pub sent_at: Millis,
+    /// Counts the stream as running at the endpoint.
+    pub demand: Option<DemandGuard>,
 }
--- a/crates/oleander-rollout/src/dispatch/agents_api.rs
+++ b/crates/oleander-rollout/src/dispatch/agents_api.rs
@@ -35,11 +35,15 @@
         mut report,
         parts,
         caller_rank,
+        demand,
     } = match serde_json::from_slice(body) {
         Ok(req) => req,
         Err(err) => return unreadable(&err),
     };
     let agent = report.agent.clone();
+    if let Some(duties) = &dispatcher.duties {
+        duties.take_demand(&agent, report.process, demand);
+    }
     {
         let mut state = dispatcher.state.borrow_mut();
         platform_updates::refresh(dispatcher, &mut state);
--- a/crates/oleander-rollout/src/dispatch/dispatcher.rs
+++ b/crates/oleander-rollout/src/dispatch/dispatcher.rs
@@ -88,7 +88,7 @@
         let duties = cfg.duties.clone();
         let duties = duties.map(|duties| {
             let store = Rc::clone(&store);
-            Duties::new(duties, &cfg.node, store, metrics.clone())
+            Duties::new(duties, &cfg.node, view.clone(), store, metrics.clone())
         });
         let dispatcher = Rc::new(Self {
             store,
--- a/crates/oleander-rollout/src/dispatch/election.rs
+++ b/crates/oleander-rollout/src/dispatch/election.rs
@@ -375,8 +375,9 @@
         )
     });
     if let Some(duties) = &dispatcher.duties {
-        let leader = Rc::clone(dispatcher);
-        duties.start(move || leader.leads_in(epoch));
+        let (leader, jobs) = (Rc::clone(dispatcher), Rc::clone(dispatcher));
+        let batch_items = move || jobs.state.borrow().scheduler.unfinished_items();
+        duties.start(move || leader.leads_in(epoch), batch_items);
     }
     spawn(commit::run(Rc::clone(dispatcher), epoch));
     spawn(checkpoints::run(Rc::clone(dispatcher), epoch));
--- a/crates/oleander-rollout/src/duty/mod.rs
+++ b/crates/oleander-rollout/src/duty/mod.rs
@@ -6,5 +6,6 @@
 pub mod duties;
 mod platform_api;
 mod platform_api_outcome;
-mod record_store;
+pub mod record_store;
+mod scale_planner;
 mod usage_task;
--- a/crates/oleander-rollout/src/duty/record_store.rs
+++ b/crates/oleander-rollout/src/duty/record_store.rs
@@ -1,4 +1,4 @@
-//! Records of duties as objects of the platform's store.
+//! The record of the duties as object of the platform's store.
 
 use crate::store::store_client::StoreClient;
 use crate::store::store_error::StoreError;
@@ -8,19 +8,21 @@
 use serde::de::DeserializeOwned;
 use serde_json::value::to_raw_value;
 
-/// Kind of the records; the name is the duty.
-pub(super) const DUTY_KIND: &str = "duties";
+/// Kind of the record.
+pub const DUTY_KIND: &str = "duties";
+/// Name of the record. Usage reports and scale orders share it, so that they have one holder and one
+/// fence.
+pub const DUTY_NAME: &str = "usage";
 
-/// Reads the record of a duty and its revision; `None` if there is none.
+/// Reads the record and its revision; `None` if there is none.
 ///
 /// # Errors
 ///
 /// [`StoreError`].
 pub(super) async fn read<S: DeserializeOwned>(
     store: &StoreClient,
-    duty: &str,
 ) -> Result<Option<(DutyRecord<S>, u64)>, StoreError> {
-    let Some(object) = store.get(DUTY_KIND, duty).await? else {
+    let Some(object) = store.get(DUTY_KIND, DUTY_NAME).await? else {
         return Ok(None);
     };
     let record = serde_json::from_str(object.spec.get()).map_err(StoreError::not_done)?;
@@ -34,12 +36,15 @@
 /// [`StoreError`]; [`StoreError::Conflict`] if the record has changed.
 pub(super) async fn write<S: Serialize>(
     store: &StoreClient,
-    duty: &str,
     write: &DutyWrite<S>,
 ) -> Result<u64, StoreError> {
     let spec = to_raw_value(&write.record).map_err(StoreError::not_done)?;
     match write.revision {
-        Some(revision) => store.replace_at(DUTY_KIND, duty, revision, &spec).await,
-        None => store.create_at(DUTY_KIND, duty, &spec).await,
+        Some(revision) => {
+            store
+                .replace_at(DUTY_KIND, DUTY_NAME, revision, &spec)
+                .await
+        }
+        None => store.create_at(DUTY_KIND, DUTY_NAME, &spec).await,
     }
 }
--- a/crates/oleander-rollout/src/duty/usage_task.rs
+++ b/crates/oleander-rollout/src/duty/usage_task.rs
@@ -1,38 +1,51 @@
-//! Usage reports of the leading dispatcher.
+//! Usage reports and scale orders of the leading dispatcher.
 
 use super::duties::Duties;
 use super::platform_api_outcome::PlatformApiOutcome;
 use super::record_store;
+use super::scale_planner::ScalePlanner;
 use crate::prelude::*;
 use crate::store::store_error::StoreError;
 use oleander_platform::duty_call;
 use oleanderlock::duties::WorkspaceCounts;
 use oleanderlock::duties::duty_write::DutyWrite;
 use oleanderlock::duties::pending_window::PendingWindow;
+use oleanderlock::duties::scale_order::ScaleOrder;
 use oleanderlock::duties::usage_duty::UsageDuty;
 use oleanderlock::duties::usage_state::UsageState;
 use oleanderlock::duties::usage_step::UsageStep;
 use std::rc::Rc;
 
-/// Name of the duty in the store.
-const DUTY: &str = "usage";
 /// Pause between two checks of what is to be done.
 const TICK: Millis = Millis(100);
 
-/// Holds the duty and reports usage for as long as `leads` returns true.
-pub(super) async fn run(duties: Rc<Duties>, leads: impl Fn() -> bool) {
+/// Holds the duties for as long as `leads` returns true.
+pub(super) async fn run(
+    duties: Rc<Duties>,
+    leads: impl Fn() -> bool,
+    batch_items: impl Fn() -> usize,
+) {
+    let mut planner = ScalePlanner::new();
     while leads() {
-        hold(&duties, &leads).await;
+        hold(&duties, &mut planner, &leads, &batch_items).await;
         // Another dispatcher believes that it leads; one of both will know better by then.
         sleep(duties.cfg.lease).await;
     }
 }
 
 /// Holds the duty once, until another dispatcher takes it or this one leads no longer.
-async fn hold(duties: &Duties, leads: &impl Fn() -> bool) {
+async fn hold(
+    duties: &Duties,
+    planner: &mut ScalePlanner,
+    leads: &impl Fn() -> bool,
+    batch_items: &impl Fn() -> usize,
+) {
     let call_gap = Millis((1000.0 / duties.cfg.calls_per_second).ceil() as u64);
     let mut duty = UsageDuty::new(&duties.node, duties.cfg.lease, call_gap);
     while leads() {
+        if duties.cfg.scale {
+            planner.run(duties, &mut duty, batch_items);
+        }
         let first_through = first_through(duties);
         let close = |through| close(duties, through);
         match duty.next(now(), first_through, close) {
@@ -41,6 +54,9 @@
             UsageStep::Report { fence, window } => {
                 report(duties, &mut duty, leads, fence, &window).await;
             }
+            UsageStep::Order { fence, order } => {
+                send_order(duties, &mut duty, leads, fence, &order).await;
+            }
             UsageStep::Wait => sleep(TICK).await,
             UsageStep::Over => {
                 duties.metrics.count_event("duty_lost");
@@ -48,7 +64,7 @@
                     let record = duty.holder().record();
                     let holder = record.map_or("", |record| record.holder.as_str());
                     let fence = record.map_or(0, |record| record.fence);
-                    format!("duty={DUTY} holder={holder} fence={fence}")
+                    format!("holder={holder} fence={fence}")
                 });
                 return;
             }
@@ -56,7 +72,7 @@
     }
     event(log::Level::Info, "duty-left", || {
         let fence = duty.holder().fence().unwrap_or(0);
-        format!("duty={DUTY} fence={fence}")
+        format!("fence={fence}")
     });
 }
 
@@ -69,6 +85,9 @@
 
 /// Returns the counts of the window after `through`, if it is closed.
 fn close(duties: &Duties, through: u64) -> Option<WorkspaceCounts> {
+    if !duties.cfg.usage {
+        return None;
+    }
     let mut ledger = duties.ledger.borrow_mut();
     let counts = ledger.close(now(), through)?;
     let window = through + 1;
@@ -83,7 +102,7 @@
 
 async fn read(duties: &Duties, duty: &mut UsageDuty) {
     let held = duty.holder().fence().is_some();
-    match record_store::read(&duties.store, DUTY).await {
+    match record_store::read(&duties.store).await {
         Ok(found) => {
             duty.record_read(now(), found);
             written(duties, duty, held);
@@ -95,7 +114,7 @@
 async fn write(duties: &Duties, duty: &mut UsageDuty, write: DutyWrite<UsageState>) {
     let began = now();
     let held = duty.holder().fence().is_some();
-    match record_store::write(&duties.store, DUTY, &write).await {
+    match record_store::write(&duties.store, &write).await {
         Ok(revision) => {
             duty.record_written(began, now(), write, revision);
             written(duties, duty, held);
@@ -121,7 +140,7 @@
     event(log::Level::Info, "duty-taken", || {
         let through = duty.written_through();
         let acts_in = duty.holder().acts_from().since(now());
-        format!("duty={DUTY} fence={fence} through={through} acts_in={acts_in}")
+        format!("fence={fence} through={through} acts_in={acts_in}")
     });
 }
 
@@ -129,7 +148,7 @@
     duty.record_store_failure(now(), rand::random());
     duties.metrics.count_event("duty_store_failed");
     event(log::Level::Warn, "duty-store-failed", || {
-        format!("duty={DUTY} reason=\"{error}\"")
+        format!("reason=\"{error}\"")
     });
 }
 
@@ -178,3 +197,44 @@
         }),
     }
 }
+
+/// Sends an order of endpoints.
+async fn send_order(
+    duties: &Duties,
+    duty: &mut UsageDuty,
+    leads: &impl Fn() -> bool,
+    fence: u64,
+    order: &ScaleOrder,
+) {
+    let body = duty_call::encode_scale(&order.service, &order.domain, order.count);
+    let may_send = || leads() && duty.may_report(now());
+    let called = duties.api.call(duty_call::SCALE, fence, body, may_send);
+    let outcome = called.await;
+    let subject = format!(
+        "service={} domain={} count={} fence={fence}",
+        order.service, order.domain, order.count
+    );
+    match outcome {
+        PlatformApiOutcome::Taken => {
+            duty.record_ordered(now(), order);
+            duties.metrics.count_event("scale_sent");
+            event(log::Level::Info, "scale-sent", || subject);
+        }
+        PlatformApiOutcome::Rejected(reason) => {
+            duty.record_ordered(now(), order);
+            duties.metrics.count_event("scale_rejected");
+            event(log::Level::Error, "scale-rejected", || {
+                format!("{subject} reason=\"{reason}\"")
+            });
+        }
+        PlatformApiOutcome::Again(reason) => {
+            let pause = duty.record_unreported(now(), rand::random());
+            duties.metrics.count_event("scale_unsent");
+            event(log::Level::Warn, "scale-unsent", || {
+                format!("{subject} pause={pause} reason=\"{reason}\"")
+            });
+        }
+        // The next step writes the record again first.
+        PlatformApiOutcome::Withheld => event(log::Level::Info, "scale-withheld", || subject),
+    }
+}
--- a/crates/oleander-rollout/src/entry/entry_process.rs
+++ b/crates/oleander-rollout/src/entry/entry_process.rs
@@ -105,21 +105,24 @@
         )?;
         let store = StoreClient::new(cfg.store, health.clone());
         let leader_client = LeaderClient::new(view.clone());
-        let duties = cfg.duties.as_ref().filter(|duties| duties.usage);
+        let caller = Caller::new(
+            view.clone(),
+            cfg.caller(CallerRole::Entry),
+            Rc::clone(&store),
+            metrics.clone(),
+        );
+        let duties = cfg.duties.as_ref();
+        let duties = duties.filter(|duties| duties.usage || duties.scale);
         let usage = duties.map(|duties| {
             let client = Rc::clone(&leader_client);
-            UsageReporter::start(&cfg.node, duties, client, metrics.clone())
+            let demand = Rc::clone(caller.demand());
+            UsageReporter::start(&cfg.node, duties, client, demand, metrics.clone())
         });
         let entry = Rc::new(Self {
             usage,
             origins: OriginRegistry::new(view.clone(), Rc::clone(&leader_client)),
             leader_client,
-            caller: Caller::new(
-                view.clone(),
-                cfg.caller(CallerRole::Entry),
-                Rc::clone(&store),
-                metrics.clone(),
-            ),
+            caller,
             store,
             view,
             health,
@@ -138,7 +141,7 @@
     /// Returns what counts a request that is about to be sent; `None` if it is not counted.
     pub fn usage_mark(&self, req: &CallRequest) -> Option<Rc<UsageMark>> {
         let usage = self.usage.as_ref()?;
-        Some(usage.mark(req.workspace.as_ref()?))
+        usage.mark(req.workspace.as_ref()?)
     }
 
     fn serve_ready(self: &Rc<Self>, listener: smol::net::TcpListener) {
--- a/crates/oleander-rollout/src/entry/usage_reporter.rs
+++ b/crates/oleander-rollout/src/entry/usage_reporter.rs
@@ -1,5 +1,6 @@
-//! Counts of the requests of workspaces, sent to the leading dispatcher.
+//! Counts of the requests of workspaces and of calls to services, sent to the leading dispatcher.
 
+use crate::call::demand::Demand;
 use crate::call::usage_mark::UsageMark;
 use crate::duty_settings::DutySettings;
 use crate::observe::metrics::Metrics;
@@ -8,6 +9,7 @@
 use crate::peer::messages::{USAGE_COUNTS, UsageReceipt};
 use crate::prelude::*;
 use http::{Method, StatusCode};
+use oleanderlock::duties::service_demand::ServiceDemand;
 use oleanderlock::duties::true_clock::TrueClock;
 use oleanderlock::duties::usage_counts::UsageCounts;
 use oleanderlock::duties::usage_report::UsageReport;
@@ -31,7 +33,10 @@
     process: u64,
     counts: Rc<RefCell<UsageCounts>>,
     leader_client: Rc<LeaderClient>,
+    demand: Rc<Demand>,
+    reported_demand: RefCell<Vec<ServiceDemand>>,
     metrics: Metrics,
+    counts_requests: bool,
     /// Whether the leader has told how far the clock of this process is behind.
     clock_known: Cell<bool>,
     stopped: Cell<bool>,
@@ -43,16 +48,23 @@
         node: &str,
         duties: &DutySettings,
         leader_client: Rc<LeaderClient>,
+        demand: Rc<Demand>,
         metrics: Metrics,
     ) -> Rc<Self> {
         let window = UsageWindow::new(duties.usage_window);
         let counts = UsageCounts::new(window, TrueClock::new(now(), unix_ms()));
+        if duties.scale {
+            demand.enable();
+        }
         let reporter = Rc::new(Self {
             node: node.to_owned(),
             process: u64::from(rand::random::<u32>()),
             counts: Rc::new(RefCell::new(counts)),
             leader_client,
+            demand,
+            reported_demand: RefCell::default(),
             metrics,
+            counts_requests: duties.usage,
             clock_known: Cell::new(false),
             stopped: Cell::new(false),
         });
@@ -60,9 +72,10 @@
         reporter
     }
 
-    /// Returns what counts a request of a workspace.
-    pub fn mark(&self, workspace: &Arc<str>) -> Rc<UsageMark> {
-        UsageMark::new(&self.counts, workspace)
+    /// Returns what counts a request of a workspace; `None` if usage is not reported.
+    pub fn mark(&self, workspace: &Arc<str>) -> Option<Rc<UsageMark>> {
+        let counted = self.counts_requests;
+        counted.then(|| UsageMark::new(&self.counts, workspace))
     }
 
     /// Sends the last counts of a process that stops.
@@ -79,16 +92,26 @@
     async fn run(self: Rc<Self>) {
         while !self.stopped.get() {
             sleep(REPORT_EVERY).await;
-            let needed = !self.clock_known.get() || self.counts.borrow().has_unwritten();
-            if needed && !self.stopped.get() {
+            if self.has_news() && !self.stopped.get() {
                 self.send(&self.report(), REPORT_TIMEOUT).await;
             }
         }
     }
 
+    /// Whether there is something to report.
+    fn has_news(&self) -> bool {
+        let in_flight = |one: &ServiceDemand| one.started > one.ended;
+        !self.clock_known.get()
+            || self.counts.borrow().has_unwritten()
+            || *self.reported_demand.borrow() != self.demand.get()
+            || self.reported_demand.borrow().iter().any(in_flight)
+    }
+
     fn report(&self) -> UsageReport {
         let counts = self.counts.borrow();
-        counts.report(now(), &self.node, self.process)
+        let mut report = counts.report(now(), &self.node, self.process);
+        report.demand = self.demand.get();
+        report
     }
 
     /// Sends a report and takes the leader's response.
@@ -96,6 +119,7 @@
         match self.exchange(report, limit).await {
             Ok(receipt) => {
                 self.clock_known.set(true);
+                self.reported_demand.replace(report.demand.clone());
                 let mut counts = self.counts.borrow_mut();
                 counts.confirm(receipt.written_through, receipt.offset_ms);
                 let losses = counts.take_losses();
--- a/crates/oleander-rollout/tests/duties.rs
+++ b/crates/oleander-rollout/tests/duties.rs
@@ -53,14 +53,18 @@
 impl World {
     /// Starts a deployment that reports usage, and waits until it serves and a holder may report.
     fn start() -> Self {
+        Self::start_with("usage", with_workspaces(config_with_streams(2)))
+    }
+
+    /// Starts a deployment with these duties and this configuration.
+    fn start_with(duties: &str, config: Value) -> Self {
         let api = StandInPlatformApi::spawn();
         let settings = format!(
-            "[platform_api]\naddr = {}\nduties = usage\ncalls_per_second = 20\n\
+            "[platform_api]\naddr = {}\nduties = {duties}\ncalls_per_second = 20\n\
              [duties]\nusage_window = {WINDOW_MS}ms\nlease = 3s\n",
             api.addr()
         );
         let deployment = Deployment::start_with_settings(SIZE, &settings);
-        let config = with_workspaces(config_with_streams(2));
         deployment.store.put("config", "main", &config);
         let mut world = Self {
             deployment,
@@ -427,3 +431,98 @@
     world.wait_for_reports();
     world.expect_exact();
 }
+
+/// Returns a configuration that lets the services have 2 to 4 endpoints.
+fn with_scale(mut config: Value) -> Value {
+    config["services"][0]["scale"] = json!({"min": 2, "max": 4, "boot_s": 1});
+    config
+}
+
+impl World {
+    /// Lets each slot of the services be taken.
+    fn fill_services(&self) {
+        for service in &self.deployment.services {
+            service.set_default_behavior(CallBehavior::RunOn);
+        }
+        let token = format!("Token {}", WORKSPACES[0].1);
+        let addr = self.deployment.entries[0].calls;
+        for round in 0..8 {
+            for n in 0..10 {
+                let id = format!("fill-{round}-{n}");
+                let headers = [
+                    ("host", support::HOST),
+                    ("request-id", id.as_str()),
+                    ("deadline-ms", "1400"),
+                    ("authorization", token.as_str()),
+                ];
+                let sent = support::http::send(addr, "POST", "/once/x", &headers, b"body");
+                // The response is not of interest.
+                thread::spawn(move || sent.map(support::read_text));
+            }
+            thread::sleep(Duration::from_millis(700));
+        }
+    }
+
+    fn orders(&self) -> Vec<DutyCallRecord> {
+        let calls = self.api.calls().into_iter();
+        calls.filter(|call| call.path == "/scale").collect()
+    }
+
+    fn taken_counts(&self) -> Vec<u64> {
+        let orders = self.orders().into_iter();
+        let taken = orders.filter(|order| order.status == 200);
+        taken
+            .map(|order| order.body["group_count"].as_u64().expect("a number"))
+            .collect()
+    }
+}
+
+/// Guards against a busy service that gets no endpoints, orders beyond its limits, orders of another
+/// holder or fence than the reports, and orders that are repeated.
+#[test]
+fn endpoints_of_a_busy_service_are_ordered_once_by_the_holder() {
+    let config = with_scale(with_workspaces(config_with_streams(2)));
+    let world = World::start_with("usage, scale", config);
+    assert_eq!(world.taken_counts(), [0; 0]);
+    world.fill_services();
+    wait_for("the most endpoints are ordered", || {
+        world.taken_counts().last() == Some(&4)
+    });
+    for order in world.orders() {
+        assert_eq!(order.body["service"], "desk");
+        assert_eq!(order.body["zone"], "z");
+    }
+    let counts = world.taken_counts();
+    assert!(counts.windows(2).all(|two| two[0] < two[1]), "{counts:?}");
+    world.check_invariants();
+    let record = world.deployment.store.get("duties", "usage");
+    assert_eq!(record.expect("a record")["spec"]["orders"][0]["count"], 4);
+}
+
+/// Guards against an order that is lost with the holder while the API is down.
+#[test]
+fn successor_sends_the_order_that_the_api_did_not_take() {
+    let config = with_scale(with_workspaces(config_with_streams(2)));
+    let mut world = World::start_with("usage, scale", config);
+    world.api.set_fault(PlatformApiFault::Refuse(503));
+    world.fill_services();
+    wait_for("an order is sent", || !world.orders().is_empty());
+    let leader = world.deployment.leader().expect("a leader");
+    world.deployment.dispatchers[leader].kill();
+    world.api.set_fault(PlatformApiFault::None);
+    wait_for("the order is taken", || !world.taken_counts().is_empty());
+    wait_for("another holder", || world.holders().len() == 2);
+    world.check_invariants();
+}
+
+/// Guards against reports and orders of a deployment that asks for none.
+#[test]
+fn duties_that_are_not_listed_are_not_done() {
+    let config = with_scale(with_workspaces(config_with_streams(2)));
+    let world = World::start_with("usage", config);
+    world.fill_services();
+    world.wait_for_reports();
+    assert!(world.orders().is_empty());
+    let record = world.deployment.store.get("duties", "usage");
+    assert!(record.expect("a record")["spec"].get("orders").is_none());
+}
--- a/crates/oleander-rollout/tests/formats.rs
+++ b/crates/oleander-rollout/tests/formats.rs
@@ -29,6 +29,7 @@
 use oleander_base::settings::Settings;
 use oleander_platform::config::decode_config;
 use oleander_platform::decode_error::DecodeError;
+use oleander_platform::duty_call;
 use oleander_platform::endpoint::decode_endpoint;
 use oleander_platform::engine_report::decode_report;
 use oleander_platform::event_buffer::EventBuffer;
@@ -56,12 +57,14 @@
 use oleander_rollout::call::limit_registry::LimitRegistry;
 use oleander_rollout::call::stream_limits::StreamLimits;
 use oleander_rollout::dispatch::leadership_state::LeadershipState;
+use oleander_rollout::duty::record_store::{DUTY_KIND, DUTY_NAME};
 use oleander_rollout::entry::submit_outcome::SubmitOutcome;
 use oleander_rollout::http::send_error::SendError;
 use oleander_rollout::observe::metrics::Metrics;
 use oleander_rollout::peer::leader_error::LeaderError;
 use oleander_rollout::peer::messages::{
     self, DispatcherHealth, ItemOutcomes, KnownVersions, PlatformUpdate, PullRequest, PullResponse,
+    UsageReceipt,
 };
 use oleander_rollout::role::Role;
 use oleander_rollout::runtime;
@@ -86,6 +89,7 @@
 use oleanderlock::batch::pulse_verdict::PulseVerdict;
 use oleanderlock::batch::recall_reason::RecallReason;
 use oleanderlock::batch::run_part::RunPart;
+use oleanderlock::duties::usage_report::UsageReport;
 use oleanderlock::prelude::*;
 use oleanderlock::routing::crash_suspects::Crashes;
 use oleanderlock::routing::endpoint_entry::EndpointEntry;
@@ -263,6 +267,12 @@
         json("items of a job", &job().items),
         json("chunk of results", &chunk()),
         json("page of checkpoints", &page()),
+        text(
+            "kind and name of the duties",
+            format!("{DUTY_KIND}/{DUTY_NAME}"),
+        ),
+        json("duties", &duty_record()),
+        json("duties with an order", &duty_record_with_order()),
         text("machine that is empty", retirement::done_status()),
     ]
 }
@@ -327,6 +337,7 @@
             [PULL, REPORT, PLATFORM_UPDATES, OUTCOMES, HEALTH, JOBS].join(" "),
         ),
         text("paths of streams", [STREAM_BEGUN, STREAM_ORIGIN].join(" ")),
+        text("path of counts", messages::USAGE_COUNTS),
         json(
             "record of a stream",
             &StreamRecord {
@@ -354,6 +365,7 @@
                 report: agent_report(),
                 parts: vec![run_part()],
                 caller_rank: None,
+                demand: vec![],
             },
         ),
         json(
@@ -368,6 +380,7 @@
                     ..run_part()
                 }],
                 caller_rank: None,
+                demand: vec![],
             },
         ),
         json(
@@ -385,6 +398,28 @@
             },
         ),
         json("empty report", &PullRequest::default()),
+        json(
+            "report of an agent with calls to services",
+            &PullRequest {
+                demand: vec![service_demand()],
+                ..PullRequest::default()
+            },
+        ),
+        json("counts of an entry", &usage_report()),
+        json(
+            "counts of an entry with calls to services",
+            &UsageReport {
+                demand: vec![service_demand()],
+                ..usage_report()
+            },
+        ),
+        json(
+            "answer to counts",
+            &UsageReceipt {
+                written_through: 358_000_000,
+                offset_ms: -12,
+            },
+        ),
         json("answer to a report", &pull_answer()),
         json("work of a workspace", &owned_work_item()),
         json("workspace", &workspace()),
@@ -543,6 +578,7 @@
         fence: 3,
         orders_accepted: 4,
     };
+    let counts = [("acme".to_owned(), 3), ("bolt".to_owned(), 1)].into();
     vec![
         json("configuration", &config),
         text("faults of the configuration", faults.join("; ")),
@@ -576,6 +612,24 @@
         text("watch", format!("{changes:?} {}", watch.revision)),
         text("retirement", retirement::is_done(r#"{"state":"done"}"#)),
         text("order", String::from_utf8_lossy(&encode_load_order(&load))),
+        text(
+            "calls of duties",
+            [
+                duty_call::USAGE,
+                duty_call::SCALE,
+                duty_call::DUTY_HOLDER,
+                duty_call::FENCE_TOKEN,
+            ]
+            .join(" "),
+        ),
+        text(
+            "usage report",
+            String::from_utf8_lossy(&duty_call::encode_usage(7, &counts)),
+        ),
+        text(
+            "scale order",
+            String::from_utf8_lossy(&duty_call::encode_scale("desk", "z", 5)),
+        ),
     ]
 }
 
--- a/crates/oleander-rollout/tests/formats_support/examples.rs
+++ b/crates/oleander-rollout/tests/formats_support/examples.rs
@@ -19,6 +19,12 @@
 use oleanderlock::batch::sample::Sample;
 use oleanderlock::batch::sample_end::SampleEnd;
 use oleanderlock::batch::score_call::ScoreCall;
+use oleanderlock::duties::duty_record::DutyRecord;
+use oleanderlock::duties::pending_window::PendingWindow;
+use oleanderlock::duties::scale_order::ScaleOrder;
+use oleanderlock::duties::service_demand::ServiceDemand;
+use oleanderlock::duties::usage_report::UsageReport;
+use oleanderlock::duties::usage_state::UsageState;
 use oleanderlock::prelude::*;
 use oleanderlock::routing::caller_rank::CallerRank;
 use oleanderlock::routing::client_limits::ClientLimits;
@@ -383,3 +389,53 @@
         leader: Some(addr()),
     }
 }
+
+pub fn service_demand() -> ServiceDemand {
+    ServiceDemand {
+        service: "desk".to_owned(),
+        domain: "z".to_owned(),
+        started: 9,
+        ended: 7,
+        busy_ms: 640,
+        refused: 1,
+    }
+}
+
+pub fn usage_report() -> UsageReport {
+    UsageReport {
+        node: "entry-0".to_owned(),
+        process: 77,
+        unix_ms: 1_790_000_000_001,
+        complete_through_ms: 1_789_999_999_900,
+        windows: [(358_000_000, [("acme".to_owned(), 3)].into())].into(),
+        demand: Vec::new(),
+    }
+}
+
+/// The record of the duties.
+pub fn duty_record() -> DutyRecord<UsageState> {
+    DutyRecord {
+        holder: "dispatcher-0".to_owned(),
+        fence: 4,
+        state: UsageState {
+            through: 358_000_000,
+            pending: vec![PendingWindow {
+                window: 358_000_000,
+                counts: [("acme".to_owned(), 3)].into(),
+            }],
+            orders: Vec::new(),
+        },
+    }
+}
+
+/// The record of the duties with an order of endpoints.
+pub fn duty_record_with_order() -> DutyRecord<UsageState> {
+    let mut record = duty_record();
+    record.state.orders.push(ScaleOrder {
+        service: "desk".to_owned(),
+        domain: "z".to_owned(),
+        count: 5,
+        taken: true,
+    });
+    record
+}
--- a/crates/oleander-rollout/tests/formats_support/processes.rs
+++ b/crates/oleander-rollout/tests/formats_support/processes.rs
@@ -179,6 +179,7 @@
         report: agent,
         parts: vec![],
         caller_rank: None,
+        demand: vec![],
     })
     .expect("JSON");
     let hand_in = serde_json::to_vec(&ItemOutcomes::default()).expect("JSON");
--- a/crates/oleanderlock/src/batch/scheduler.rs
+++ b/crates/oleanderlock/src/batch/scheduler.rs
@@ -93,6 +93,14 @@
         self.jobs.values()
     }
 
+    /// Returns the number of items without a result, of all jobs.
+    pub fn unfinished_items(&self) -> usize {
+        let items = self.jobs.values().flat_map(|job| job.items.values());
+        items
+            .filter(|item| item.phase != ItemPhase::Finished)
+            .count()
+    }
+
     /// Ends a job; returns its running items, each with the name of its agent.
     pub fn end(&mut self, id: &str) -> Vec<(String, ItemKey)> {
         let Some(job) = self.jobs.get_mut(id) else {
--- a/crates/oleanderlock/src/duties/usage_counts.rs
+++ b/crates/oleanderlock/src/duties/usage_counts.rs
@@ -127,6 +127,7 @@
             unix_ms: self.start_clock.unix_ms(now),
             complete_through_ms: self.clock.unix_ms(complete_through),
             windows,
+            demand: Vec::new(),
         }
     }
 
--- a/crates/oleanderlock/src/duties/usage_duty.rs
+++ b/crates/oleanderlock/src/duties/usage_duty.rs
@@ -1,9 +1,10 @@
-//! Usage reports of one holder.
+//! Usage reports and scale orders of one holder.
 
 use super::WorkspaceCounts;
 use super::duty_holder::DutyHolder;
 use super::duty_write::DutyWrite;
 use super::pending_window::PendingWindow;
+use super::scale_order::ScaleOrder;
 use super::usage_state::UsageState;
 use super::usage_step::UsageStep;
 use crate::backoff::{Backoff, BackoffConfig};
@@ -18,8 +19,10 @@
     max: Millis(2000),
 };
 
-/// Usage reports of one holder: writes the counts of closed windows into the record of the duty, then
-/// sends exactly what the record says.
+/// Usage reports and scale orders of one holder: writes the counts of closed windows and the orders into
+/// the record of the duties, then sends exactly what the record says.
+///
+/// Both duties have one record, so that they have one holder and one fence.
 #[derive(Clone, Debug)]
 pub struct UsageDuty {
     holder: DutyHolder<UsageState>,
@@ -27,6 +30,8 @@
     /// write failed: the write may take effect later.
     state: Option<UsageState>,
     reported: BTreeSet<u64>,
+    // Whether an order is sent before the reports that wait, so that neither waits for the other.
+    order_first: bool,
     call_gap: Millis,
     call_pauses: Backoff,
     next_call: Millis,
@@ -41,6 +46,7 @@
             holder: DutyHolder::new(node, lease),
             state: None,
             reported: BTreeSet::new(),
+            order_first: false,
             call_gap,
             call_pauses: Backoff::new(PAUSES),
             next_call: Millis::ZERO,
@@ -86,6 +92,7 @@
             let initial = UsageState {
                 through: first_through,
                 pending: Vec::new(),
+                orders: Vec::new(),
             };
             return UsageStep::Write(self.holder.take(initial));
         }
@@ -101,21 +108,71 @@
             let window = state.through;
             state.pending.push(PendingWindow { window, counts });
         }
-        if state.through > stored.through {
+        let is_new = |order: &ScaleOrder| {
+            let mut known = stored.orders.iter();
+            !known.any(|one| one.is_about(order) && one.count == order.count)
+        };
+        if state.through > stored.through || state.orders.iter().any(is_new) {
             return self.write();
         }
         let mut waiting = stored.pending.into_iter();
         let waiting = waiting.find(|pending| !self.reported.contains(&pending.window));
-        let Some(window) = waiting else {
+        let waiting_order = self.waiting_order();
+        if waiting.is_none() && waiting_order.is_none() {
             return UsageStep::Wait;
-        };
+        }
         if now < self.next_call || now < self.holder.acts_from() {
             return UsageStep::Wait;
         }
-        match self.holder.fence().filter(|_| self.may_report(now)) {
-            Some(fence) => UsageStep::Report { fence, window },
-            None => self.write(),
+        let Some(fence) = self.holder.fence().filter(|_| self.may_report(now)) else {
+            return self.write();
+        };
+        match (waiting, waiting_order) {
+            (Some(window), order) if order.is_none() || !self.order_first => {
+                UsageStep::Report { fence, window }
+            }
+            (_, Some(order)) => UsageStep::Order { fence, order },
+            (_, None) => UsageStep::Wait,
+        }
+    }
+
+    /// Returns the last orders, as the record has them or is to have them.
+    pub fn orders(&self) -> &[ScaleOrder] {
+        let state = self.state.as_ref().or(self.holder.state());
+        state.map_or(&[], |state| state.orders.as_slice())
+    }
+
+    /// Orders endpoints: the order is written, then sent. Does nothing before the duty is held.
+    pub fn order(&mut self, order: ScaleOrder) {
+        let Some(state) = &mut self.state else {
+            return;
+        };
+        state.orders.retain(|known| !known.is_about(&order));
+        state.orders.push(order);
+    }
+
+    /// Records that the platform has taken an order, or never will.
+    pub fn record_ordered(&mut self, now: Millis, order: &ScaleOrder) {
+        let orders = self.state.iter_mut().flat_map(|state| &mut state.orders);
+        for known in orders {
+            known.taken |= known.is_about(order) && known.count == order.count;
         }
+        self.call_pauses.succeed();
+        self.next_call = now.plus(self.call_gap);
+        self.order_first = false;
+    }
+
+    /// Returns an order that is written and was not taken; one that is replaced is left out.
+    fn waiting_order(&self) -> Option<ScaleOrder> {
+        let stored = self.holder.state()?;
+        let is_stored = |order: &&ScaleOrder| {
+            let mut stored = stored.orders.iter();
+            stored.any(|one| one.is_about(order) && one.count == order.count)
+        };
+        let mut orders = self.orders().iter();
+        orders
+            .find(|order| !order.taken && is_stored(order))
+            .cloned()
     }
 
     /// Takes the record and its revision, as read by a call that was answered at `now`.
@@ -160,13 +217,15 @@
     /// Records that the report of a window has arrived, or will never be taken.
     pub fn record_reported(&mut self, now: Millis, window: u64) {
         self.reported.insert(window);
+        self.order_first = true;
         self.call_pauses.succeed();
         self.next_call = now.plus(self.call_gap);
     }
 
-    /// Records that a report was refused for now or not answered; the next one follows after a
+    /// Records that a call was refused for now or not answered; the next one follows after a
     /// pause, of which `draw` is a random number. Returns the pause.
     pub fn record_unreported(&mut self, now: Millis, draw: u64) -> Millis {
+        self.order_first = !self.order_first;
         let pause = self.call_pauses.fail(draw).max(self.call_gap);
         self.next_call = now.plus(pause);
         pause
--- a/crates/oleanderlock/src/duties/usage_report.rs
+++ b/crates/oleanderlock/src/duties/usage_report.rs
@@ -1,6 +1,7 @@
 //! Counts of an entry for the leading dispatcher.
 
 use super::WorkspaceCounts;
+use super::service_demand::ServiceDemand;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -18,4 +19,7 @@
     pub complete_through_ms: u64,
     /// Requests that began to run, by window and workspace.
     pub windows: BTreeMap<u64, WorkspaceCounts>,
+    /// Calls to services whose number of endpoints is ordered.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub demand: Vec<ServiceDemand>,
 }
--- a/crates/oleanderlock/src/duties/usage_step.rs
+++ b/crates/oleanderlock/src/duties/usage_step.rs
@@ -1,10 +1,11 @@
-//! What the holder of the usage reports does next.
+//! What the holder of the duties does next.
 
 use super::duty_write::DutyWrite;
 use super::pending_window::PendingWindow;
+use super::scale_order::ScaleOrder;
 use super::usage_state::UsageState;
 
-/// What the holder of the usage reports does next.
+/// What the holder of the duties does next.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum UsageStep {
     /// Read the record of the duty.
@@ -18,6 +19,13 @@
         /// The window and its counts.
         window: PendingWindow,
     },
+    /// Send an order of endpoints.
+    Order {
+        /// Fence of the holder.
+        fence: u64,
+        /// The order.
+        order: ScaleOrder,
+    },
     /// Nothing for now.
     Wait,
     /// Nothing any more: another holder has taken the duty.
--- a/crates/oleanderlock/tests/model_duties.rs
+++ b/crates/oleanderlock/tests/model_duties.rs
@@ -207,7 +207,7 @@
         let step = self.without_guard(process, step, disabled)?;
         match step {
             UsageStep::Over => Ok(self.restart(process)),
-            UsageStep::Wait => Ok(false),
+            UsageStep::Wait | UsageStep::Order { .. } => Ok(false),
             UsageStep::Read => {
                 if !matches!(outcome, Outcome::Done) {
                     return Ok(false);
@@ -411,7 +411,7 @@
                 continue;
             }
             if seen.insert(next.digest()) {
-                if seen.len() % 64 == 0 || disabled == DisabledGuard::Succession {
+                if seen.len().is_multiple_of(64) || disabled == DisabledGuard::Succession {
                     next.settle()?;
                 }
                 assert!(seen.len() < STATES_MAX, "more than {STATES_MAX} states");
--- a/crates/oleanderlock/tests/usage_duty.rs
+++ b/crates/oleanderlock/tests/usage_duty.rs
@@ -2,6 +2,7 @@
 
 use oleanderlock::duties::WorkspaceCounts;
 use oleanderlock::duties::duty_record::DutyRecord;
+use oleanderlock::duties::scale_order::ScaleOrder;
 use oleanderlock::duties::usage_duty::UsageDuty;
 use oleanderlock::duties::usage_state::UsageState;
 use oleanderlock::duties::usage_step::UsageStep;
@@ -17,6 +18,7 @@
         state: UsageState {
             through,
             pending: Vec::new(),
+            orders: Vec::new(),
         },
     }
 }
@@ -141,3 +143,71 @@
     assert!(!calm.duty.may_report(Millis(4000)));
     assert_eq!(calm.duty.written_through(), 0);
 }
+
+fn order(count: u32) -> ScaleOrder {
+    ScaleOrder {
+        service: "desk".to_owned(),
+        domain: "z".to_owned(),
+        count,
+        taken: false,
+    }
+}
+
+/// Guards against an order that is sent before it is written, sent twice, or held up by reports that
+/// the platform refuses.
+#[test]
+fn order_is_written_then_sent_once_beside_reports_that_are_refused() {
+    let mut calm = Calm::new();
+    calm.closed_through = 11;
+    calm.run(0);
+    calm.duty.order(order(3));
+    calm.duty.order(order(4));
+    let mut steps = Vec::new();
+    for now in (3500..9000).map(Millis) {
+        match calm.duty.next(now, 0, |_| None) {
+            UsageStep::Write(write) => {
+                steps.push(format!("write {:?}", write.record.state.orders));
+                calm.duty.record_written(now, now, write, now.0);
+            }
+            UsageStep::Report { .. } => {
+                calm.duty.record_unreported(now, 0);
+            }
+            UsageStep::Order { fence, order } => {
+                steps.push(format!("send {} {fence}", order.count));
+                calm.duty.record_ordered(now, &order);
+            }
+            _ => {}
+        }
+    }
+    let written = format!("write {:?}", [order(4)]);
+    assert_eq!(steps[..2], [written, "send 4 8".to_owned()]);
+    let sent = steps.iter().filter(|step| step.starts_with("send"));
+    assert_eq!(sent.count(), 1, "{steps:?}");
+}
+
+/// Guards against a successor that forgets an order, or repeats one that was taken.
+#[test]
+fn successor_sends_the_orders_that_were_not_taken() {
+    let mut duty = UsageDuty::new("d", LEASE, CALL_GAP);
+    let mut found = record(7, 10);
+    let taken = ScaleOrder {
+        domain: "y".to_owned(),
+        taken: true,
+        ..order(5)
+    };
+    found.state.orders = vec![taken, order(4)];
+    duty.record_read(Millis::ZERO, Some((found, 1)));
+    let mut sent = Vec::new();
+    for now in (0..9000).map(Millis) {
+        match duty.next(now, 0, |_| None) {
+            UsageStep::Write(write) => duty.record_written(now, now, write, now.0 + 2),
+            UsageStep::Order { order, .. } => {
+                duty.record_ordered(now, &order);
+                sent.push(order);
+            }
+            _ => {}
+        }
+    }
+    assert_eq!(sent, [order(4)]);
+    assert_eq!(duty.orders().len(), 2);
+}
