Take a write that the record shows for a successful one

If the store's answer to a write was lost, or named no revision, the holder read the record, found its write there and went on, but did not count the write as a recent one. A store whose answers never have a revision would have kept it from calling at all.

Checked: clippy; test write_that_the_record_shows_counts_as_done failed with the new condition disabled (no report) and passes with it; tests usage_duty (8) and model_duties (2) pass.

--- a/crates/oleander-rollout/src/duty/usage_task.rs
+++ b/crates/oleander-rollout/src/duty/usage_task.rs
@@ -120,12 +120,14 @@
             written(duties, duty, held);
         }
         Err(error) => {
-            if !matches!(error, StoreError::NotDone { .. }) {
-                duty.record_doubt();
-            }
-            if error != StoreError::Conflict {
-                store_failed(duties, duty, &error);
+            match &error {
+                StoreError::NotDone { .. } => {}
+                StoreError::Conflict => return duty.record_conflict(),
+                StoreError::NoAnswer { .. } | StoreError::HistoryGone => {
+                    duty.record_unanswered(began, write);
+                }
             }
+            store_failed(duties, duty, &error);
         }
     }
 }
--- a/crates/oleanderlock/src/duties/duty_holder.rs
+++ b/crates/oleanderlock/src/duties/duty_holder.rs
@@ -23,6 +23,8 @@
     // The record and its revision, as last read or written; `None` if there is none.
     known: Option<(DutyRecord<S>, u64)>,
     needs_read: bool,
+    // Record of a write without an answer, and the start of the write.
+    unanswered: Option<(DutyRecord<S>, Millis)>,
     // Fence of the first write, which may have taken effect.
     tried: Option<u64>,
     held: Option<u64>,
@@ -31,7 +33,7 @@
     written_at: Option<Millis>,
 }
 
-impl<S: Clone> DutyHolder<S> {
+impl<S: Clone + PartialEq> DutyHolder<S> {
     /// Returns a holder named `node` that has not taken the duty yet.
     pub fn new(node: &str, lease: Millis) -> Self {
         Self {
@@ -39,6 +41,7 @@
             lease,
             known: None,
             needs_read: true,
+            unanswered: None,
             tried: None,
             held: None,
             over: false,
@@ -103,6 +106,13 @@
             // Another one was faster, unless the write took no effect and may be repeated.
             self.over |= found_fence.is_some_and(|fence| fence >= tried);
         }
+        let unanswered = self.unanswered.take();
+        if let (Some((record, _)), Some((written, began))) = (&found, unanswered)
+            && *record == written
+            && self.fence().is_some()
+        {
+            self.written_at = Some(began);
+        }
         self.known = found;
     }
 
@@ -138,10 +148,16 @@
         self.known = Some((write.record, revision));
     }
 
-    /// Records that a write conflicted or that its effect is not known: the record decides. It may be
-    /// an earlier write of this holder that took effect late.
-    pub fn record_doubt(&mut self) {
+    /// Records that a write conflicted: the record decides. It may be an earlier write of this holder
+    /// that took effect late.
+    pub fn record_conflict(&mut self) {
+        self.needs_read = true;
+    }
+
+    /// Records that the effect of a write that began at `began` is not known: the record decides.
+    pub fn record_unanswered(&mut self, began: Millis, write: DutyWrite<S>) {
         self.needs_read = true;
+        self.unanswered = Some((write.record, began));
     }
 
     fn hold(&mut self, now: Millis) {
--- a/crates/oleanderlock/src/duties/usage_duty.rs
+++ b/crates/oleanderlock/src/duties/usage_duty.rs
@@ -203,9 +203,14 @@
         self.reported.retain(|window| kept.contains(window));
     }
 
-    /// Records that a write conflicted or that its effect is not known.
-    pub fn record_doubt(&mut self) {
-        self.holder.record_doubt();
+    /// Records that a write conflicted.
+    pub fn record_conflict(&mut self) {
+        self.holder.record_conflict();
+    }
+
+    /// Records that the effect of a write that began at `began` is not known.
+    pub fn record_unanswered(&mut self, began: Millis, write: DutyWrite<UsageState>) {
+        self.holder.record_unanswered(began, write);
     }
 
     /// Records a failed call to the store; the next one follows after a pause, of which `draw` is a
--- a/crates/oleanderlock/tests/model_duties.rs
+++ b/crates/oleanderlock/tests/model_duties.rs
@@ -303,8 +303,10 @@
         let duty = &mut self.processes[process].duty;
         if done && (answered || disabled == DisabledGuard::ReadAfterDoubt) {
             duty.record_written(now, now, write, revision);
+        } else if answered {
+            duty.record_conflict();
         } else {
-            duty.record_doubt();
+            duty.record_unanswered(now, write);
         }
         true
     }
--- a/crates/oleanderlock/tests/usage_duty.rs
+++ b/crates/oleanderlock/tests/usage_duty.rs
@@ -136,7 +136,7 @@
 fn holder_ends_when_another_one_has_taken_the_duty() {
     let mut calm = Calm::new();
     calm.run(0);
-    calm.duty.record_doubt();
+    calm.duty.record_conflict();
     assert_eq!(calm.duty.next(Millis(1), 0, |_| None), UsageStep::Read);
     calm.duty.record_read(Millis(1), Some((record(9, 10), 5)));
     assert_eq!(calm.duty.next(Millis(1), 0, |_| None), UsageStep::Over);
@@ -211,3 +211,27 @@
     assert_eq!(sent, [order(4)]);
     assert_eq!(duty.orders().len(), 2);
 }
+
+/// Guards against a holder that never calls because a store answers writes without a revision, or
+/// loses each answer: the record shows that they took effect.
+#[test]
+fn write_that_the_record_shows_counts_as_done() {
+    let mut duty = UsageDuty::new("d", LEASE, CALL_GAP);
+    let mut stored = (record(7, 10), 1);
+    let mut reports = Vec::new();
+    for now in (0..4000).map(Millis) {
+        match duty.next(now, 0, |through| (through < 11).then(WorkspaceCounts::new)) {
+            UsageStep::Read => duty.record_read(now, Some(stored.clone())),
+            UsageStep::Write(write) => {
+                stored = (write.record.clone(), stored.1 + 1);
+                duty.record_unanswered(now, write);
+            }
+            UsageStep::Report { window, .. } => {
+                duty.record_reported(now, window.window);
+                reports.push(window.window);
+            }
+            _ => {}
+        }
+    }
+    assert_eq!(reports, [11]);
+}
