--- a/crates/oleander-rollout/tests/key_changes.rs
+++ b/crates/oleander-rollout/tests/key_changes.rs
@@ -37,6 +37,8 @@
     deployment: Deployment,
     entries: Vec<Relay>,
     dispatchers: Vec<Relay>,
+    /// Relays to the dispatchers, for all other processes.
+    peers: Vec<Relay>,
 }
 
 impl Relayed {
@@ -54,12 +56,19 @@
         };
         let entries = deployment.entries.iter_mut();
         let entries = entries.map(|node| relay(node, more)).collect();
+        let mut peers = Vec::new();
+        for node in &mut deployment.dispatchers {
+            let relay = Relay::spawn(node.peers);
+            node.advertised = relay.addr();
+            peers.push(relay);
+        }
         let dispatchers = deployment.dispatchers.iter_mut();
         let dispatchers = dispatchers.map(|node| relay(node, "")).collect();
         let relayed = Self {
             deployment,
             entries,
             dispatchers,
+            peers,
         };
         wait_for("a dispatcher leads", || {
             relayed.deployment.leader().is_some()
@@ -134,6 +143,20 @@
     relayed.change_keys(4, "k2", "k3");
 }
 
+/// Guards against an entry that only asks the leader: one that the store refuses may be cut off from
+/// the leader too, while the leader works and is not replaced.
+#[test]
+fn keys_are_changed_in_time_for_an_entry_without_the_store_and_the_leader() {
+    let relayed = Relayed::start(SIZE, &["k1"], "");
+    let leader = relayed.deployment.leader().expect("a leader");
+    for relay in [&relayed.entries[0], &relayed.peers[leader]] {
+        relay.set(RelayMode::Refuse);
+        relay.reset();
+    }
+    relayed.change_keys(3, "k1", "k2");
+    relayed.change_keys(4, "k2", "k3");
+}
+
 /// Guards against calls to the store that hang instead of failing: the timeouts of watches are
 /// longer than a change may take.
 #[test]
--- a/crates/oleander-rollout/tests/workspaces.rs
+++ b/crates/oleander-rollout/tests/workspaces.rs
@@ -210,6 +210,22 @@
     assert!(read_text(stream).starts_with("HTTP/1.1 401 "));
 }
 
+/// Guards against a request that is hidden in what the entry takes for a body: a client that waits
+/// for permission to send its body doesn't send it after a 401.
+#[test]
+fn the_connection_is_closed_after_a_refusal_while_the_client_waits_to_send_its_body() {
+    let deployment = start(SMALL, config(2));
+    let mut stream = TcpStream::connect(deployment.entries[0].calls).expect("a connection");
+    let head = format!(
+        "POST /calls/x HTTP/1.1\r\nhost: {HOST}\r\ncontent-length: 100000\r\n\
+         expect: 100-continue\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).expect("sent");
+    let text = read_text(stream);
+    assert!(text.starts_with("HTTP/1.1 401 "), "{text}");
+    assert!(text.contains("connection: close"), "{text}");
+}
+
 /// Guards against a check that waits for the body: a client that sends it slowly would hold memory
 /// of the entry without a key.
 #[test]
