--- a/crates/oleander-rollout/tests/formats.rs
+++ b/crates/oleander-rollout/tests/formats.rs
@@ -453,6 +453,17 @@
                 ..PlatformUpdate::default()
             },
         ),
+        text(
+            "path of the check of a configuration",
+            messages::CONFIG_CHECK,
+        ),
+        json(
+            "confirmation",
+            &PlatformUpdate {
+                config_confirmed_ms: Some(-7),
+                ..PlatformUpdate::default()
+            },
+        ),
         json("no known news", &none),
         json("news", &platform_news()),
         json("no news", &PlatformUpdate::default()),
@@ -986,6 +997,7 @@
     metrics.record_refusal("a");
     metrics.record_retry("b");
     metrics.count_event("c");
+    metrics.count_workspace_requests("acme", 3);
     metrics.record_latency("d", Millis(40));
     let page = metrics.encode();
     let lines = page.lines().enumerate();
