--- a/crates/oleander-rollout/src/agent/agent_process.rs
+++ b/crates/oleander-rollout/src/agent/agent_process.rs
@@ -93,6 +93,9 @@
             metrics.clone(),
             cfg.features,
         );
+        if cfg.duties.as_ref().is_some_and(|duties| duties.scale) {
+            caller.demand().enable();
+        }
         let agent = Rc::new(Self {
             leader_client: LeaderClient::new(view.clone()),
             engine: EngineClient::new(
--- a/crates/oleanderlock/tests/model_duties.rs
+++ b/crates/oleanderlock/tests/model_duties.rs
@@ -207,7 +207,7 @@
         let step = self.without_guard(process, step, disabled)?;
         match step {
             UsageStep::Over => Ok(self.restart(process)),
-            UsageStep::Wait => Ok(false),
+            UsageStep::Wait | UsageStep::Order { .. } => Ok(false),
             UsageStep::Read => {
                 if !matches!(outcome, Outcome::Done) {
                     return Ok(false);
@@ -303,8 +303,10 @@
         let duty = &mut self.processes[process].duty;
         if done && (answered || disabled == DisabledGuard::ReadAfterDoubt) {
             duty.record_written(now, now, write, revision);
+        } else if answered {
+            duty.record_conflict();
         } else {
-            duty.record_doubt();
+            duty.record_unanswered(now, write);
         }
         true
     }
@@ -411,7 +413,7 @@
                 continue;
             }
             if seen.insert(next.digest()) {
-                if seen.len() % 64 == 0 || disabled == DisabledGuard::Succession {
+                if seen.len().is_multiple_of(64) || disabled == DisabledGuard::Succession {
                     next.settle()?;
                 }
                 assert!(seen.len() < STATES_MAX, "more than {STATES_MAX} states");
