--- a/crates/oleander-rollout/tests/formats.rs
+++ b/crates/oleander-rollout/tests/formats.rs
@@ -92,6 +92,7 @@
 use oleanderlock::routing::endpoint_entry::EndpointEntry;
 use oleanderlock::routing::endpoint_state::EndpointState;
 use oleanderlock::routing::endpoint_table::EndpointTable;
+use oleanderlock::routing::even_reason::EvenReason;
 use serde_json::json as value;
 use serde_json::value::{RawValue, to_raw_value};
 use std::path::Path;
@@ -697,6 +698,14 @@
 
 /// What log lines print of types: `{:?}` and `{}`.
 fn printed_names() -> Vec<Line> {
+    let choices = [
+        EvenReason::Turn,
+        EvenReason::Connected,
+        EvenReason::Untried,
+        EvenReason::OtherDomain,
+        EvenReason::OwnDomainOut,
+        EvenReason::AllAvoided,
+    ];
     let reason = || "why".to_owned();
     let store_faults = [
         StoreError::NotDone { reason: reason() },
@@ -797,6 +806,10 @@
         text("kind of a route", route_kinds.collect::<Vec<_>>().join(" ")),
         text("role", roles.join(" ")),
         text("state of an endpoint", format!("{states:?}")),
+        text(
+            "reason of a choice",
+            choices.map(|one| one.to_string()).join(" "),
+        ),
         text(
             "read of results",
             job_call("GET", "/-/lots/j-1", Some("after=4")),
