Wait for the list of endpoints in a test of broken streams

Cause: the test removed two engines from the list and began its stream at once; where the entry still knew them, the stream began at one without a fault and was whole. Change: the test waits until the entry has been told of the shorter list. What it checks is unchanged.

--- a/crates/oleander-rollout/tests/stream_resumption.rs
+++ b/crates/oleander-rollout/tests/stream_resumption.rs
@@ -189,6 +189,15 @@
         let instance = deployment.engines[engine].instance();
         deployment.store.remove("servers", &instance);
     }
+    // Until then, the stream may begin at an engine without a fault.
+    wait_for("the entry knows the two engines that are left", || {
+        let log = deployment.entries[0].process().log();
+        let mut told = log
+            .lines()
+            .filter(|line| line.contains("event=endpoints-told"));
+        told.next_back()
+            .is_some_and(|line| line.contains("endpoints=2 "))
+    });
     let faults = EngineFaults {
         crash_after_event: FAULT_AT,
         ..EngineFaults::default()
