Resume streams at the incarnation of an engine that the list names

Cause: an engine may restart under its instance id with another software version before its new list entry is known. Its streams were recorded, and others resumed, under the version of the old entry. Resumptions themselves were not recorded, so that a client that named the attempt that it held last was refused. Engines without a version in the list counted as equal beside others that have one.

Change: before a resumption, the entry reads the report of the engine that began the stream and of the one that is to go on (one call if they are the same), and refuses as not run where the start differs from the recorded or listed one. Streams that are not resumed cost no call. A record names instance and start. A resumption is recorded under the origin of the first attempt.

--- a/crates/oleander-rollout/src/agent/score.rs
+++ b/crates/oleander-rollout/src/agent/score.rs
@@ -68,7 +68,9 @@
             }
             CallOutcome::NotRun(not_run) => {
                 match not_run.reason {
-                    NotRunReason::NotRun | NotRunReason::VersionGone => {}
+                    NotRunReason::NotRun
+                    | NotRunReason::VersionGone
+                    | NotRunReason::OriginDoubted => {}
                     NotRunReason::RateLimit => pause = not_run.retry_after,
                     // The item is owed even if its score call crashes endpoints.
                     NotRunReason::CrashesEndpoints => {
--- a/crates/oleander-rollout/src/call/caller.rs
+++ b/crates/oleander-rollout/src/call/caller.rs
@@ -60,9 +60,9 @@
 #[derive(Debug)]
 pub struct Caller {
     pub(super) view: SharedView,
-    pool: Rc<Pool>,
+    pub(super) pool: Rc<Pool>,
     loads: Rc<EndpointLoads>,
-    leaving: Rc<LeavingRegistry>,
+    pub(super) leaving: Rc<LeavingRegistry>,
     pub(super) limits: Rc<LimitRegistry>,
     pub(super) crashes: Rc<CrashRegistry>,
     identity: CallerIdentity,
--- a/crates/oleander-rollout/src/call/not_run_reason.rs
+++ b/crates/oleander-rollout/src/call/not_run_reason.rs
@@ -12,4 +12,6 @@
     RateLimit,
     /// No endpoint is listed of the software version that began the stream to resume.
     VersionGone,
+    /// The software version that began the stream to resume is not certain.
+    OriginDoubted,
 }
--- a/crates/oleander-rollout/src/call/open_stream.rs
+++ b/crates/oleander-rollout/src/call/open_stream.rs
@@ -1,5 +1,6 @@
 //! Opens streams at the endpoints of a service.
 
+use super::attempt_outcome::AttemptOutcome;
 use super::call_outcome::CallOutcome;
 use super::call_progress::CallProgress;
 use super::call_request::CallRequest;
@@ -7,14 +8,21 @@
 use super::not_run::NotRun;
 use super::not_run_reason::NotRunReason;
 use super::opened_stream::OpenedStream;
+use super::origin_check::OriginCheck;
 use super::read_response::unusable;
 use super::request_kind::RequestKind;
 use super::stream_failure::StreamFailure;
 use crate::prelude::*;
 
+/// Refusal of a resumption whose origin is doubted; that does not change with time.
+const ORIGIN_DOUBTED: NotRun = NotRun {
+    retry_after: Millis::ZERO,
+    reason: NotRunReason::OriginDoubted,
+};
+
 impl Caller {
     /// Sends a request for a stream to one endpoint after the other until one responds. A stream is
-    /// not hedged.
+    /// not hedged. It is resumed only at an endpoint whose start is the one that the list names.
     pub(super) async fn open_stream(
         &self,
         req: &CallRequest,
@@ -23,7 +31,23 @@
         if let Some(not_run) = self.crashes.refusal(req) {
             return Err(StreamFailure::NotRun(not_run));
         }
+        let confirmed = match &req.resumes {
+            None => None,
+            Some(origin) => match self.check_origin(req, origin).await {
+                OriginCheck::Confirmed => origin.instance.as_ref(),
+                OriginCheck::Uncontradicted => None,
+                OriginCheck::Doubted => return Err(StreamFailure::NotRun(ORIGIN_DOUBTED)),
+            },
+        };
         while let Some(endpoint) = self.next_endpoint(req, progress).await {
+            if req.resumes.is_some()
+                && confirmed != Some(&endpoint.instance)
+                && let Some(reason) = self.resumption_obstacle(&endpoint).await
+            {
+                let outcome = AttemptOutcome::NotRun(reason);
+                self.record_outcome(req, progress, &endpoint.instance, outcome);
+                continue;
+            }
             let sent_at = now();
             let left = req.deadline.since(sent_at);
             let opening = self.open_at(req, RequestKind::Stream, &endpoint);
--- a/crates/oleander-rollout/src/entry/streams.rs
+++ b/crates/oleander-rollout/src/entry/streams.rs
@@ -66,8 +66,8 @@
     let (result, response) = match opened {
         Ok(stream) => {
             endpoint = stream.endpoint().cloned();
-            if route.resumable && req.resumes.is_none() {
-                record_origin(entry, &stream, &req.id).await;
+            if route.resumable {
+                record_origin(entry, &stream, &req).await;
             }
             ("opened".to_owned(), relay::response(stream))
         }
@@ -124,15 +124,31 @@
     full(response::refusal(UNKNOWN_RETRY_AFTER))
 }
 
-/// Records what has begun a stream, before its first event is relayed.
-async fn record_origin(entry: &Entry, stream: &EventStream, id: &str) {
+/// Records what has begun a stream, before its first event is relayed. A resumption is recorded
+/// under what began the first attempt, since some clients name the attempt that they held last.
+async fn record_origin(entry: &Entry, stream: &EventStream, req: &CallRequest) {
     let is_stream = stream.head().is_some_and(|head| head.status.is_success());
     let Some(endpoint) = stream.endpoint().filter(|_| is_stream) else {
         return;
     };
+    let origin = match &req.resumes {
+        Some(origin) => origin.clone(),
+        None => StreamOrigin::of(endpoint),
+    };
+    let view = entry.view.get();
+    let listed = view.endpoints.get(&endpoint.instance);
+    if listed.is_some_and(|listed| origin.is_doubted_by(listed)) {
+        // Its list entry has changed since the endpoint was chosen.
+        event(log::Level::Info, "stream-origin-doubted", || {
+            format!(
+                "request={} instance={} reason=\"listed again\"",
+                req.id, endpoint.instance
+            )
+        });
+        return;
+    }
     let started_at = now();
-    let origin = StreamOrigin::of(endpoint);
-    entry.origins.record(id, origin).await;
+    entry.origins.record(&req.id, origin).await;
     let took = now().since(started_at);
     entry.metrics.record_latency("stream-record", took);
 }
--- a/crates/oleander-rollout/tests/formats_support/examples.rs
+++ b/crates/oleander-rollout/tests/formats_support/examples.rs
@@ -252,6 +252,8 @@
     StreamOrigin {
         service: "llm".to_owned(),
         software: Some("v1".to_owned()),
+        instance: Some("i-1".to_owned()),
+        started_unix_ms: Some(1_700_000_000_000),
     }
 }
 
--- a/crates/oleander-rollout/tests/support/mod.rs
+++ b/crates/oleander-rollout/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! Test deployments of real processes, with stand-ins for the platform, engines and services.
 #![allow(dead_code, reason = "each test file uses a part of the harness")]
 
+pub mod client_streams;
 pub mod deployment;
 pub mod deployment_size;
 pub mod http;
--- a/crates/oleanderlock/src/routing/endpoint_table.rs
+++ b/crates/oleanderlock/src/routing/endpoint_table.rs
@@ -37,6 +37,17 @@
         entry.filter(|entry| takes_calls(entry, service))
     }
 
+    /// Returns the entry of an instance, draining or not.
+    pub fn get(&self, instance: &str) -> Option<&EndpointEntry> {
+        self.entries.get(instance)
+    }
+
+    /// Whether the list names software versions for endpoints of a service.
+    pub fn names_software(&self, service: &str) -> bool {
+        let mut entries = self.entries.values();
+        entries.any(|entry| entry.service == service && entry.software.is_some())
+    }
+
     /// Returns the newest incarnation at an address, draining or not.
     pub fn newest_at(&self, addr: SocketAddr) -> Option<&EndpointEntry> {
         let there = self.entries.values().filter(|entry| entry.addr == addr);
--- a/crates/oleanderlock/tests/stream_origins.rs
+++ b/crates/oleanderlock/tests/stream_origins.rs
@@ -10,6 +10,8 @@
     StreamOrigin {
         service: service.to_owned(),
         software: software.map(str::to_owned),
+        instance: None,
+        started_unix_ms: None,
     }
 }
 
