Keep items from engines that restarted in place with another version

Cause: an agent takes the software version of its engine from the list. An engine that restarts under its instance id with another version is listed under the old one for a while, and items went on there from events and checkpoints of the old version, also after all processes were killed. Change: while the engine's report names another start than the list, the agent takes no work; it reads the report before it resumes an item and once a run has begun.

--- a/crates/oleander-rollout/src/agent/agent_process.rs
+++ b/crates/oleander-rollout/src/agent/agent_process.rs
@@ -22,6 +22,7 @@
 use event_listener::Event;
 use oleanderlock::routing::endpoint_entry::EndpointEntry;
 use oleanderlock::routing::endpoint_state::EndpointState;
+use oleanderlock::routing::stream_origin::differs;
 use std::cell::{Cell, RefCell};
 use std::io::ErrorKind as IoErrorKind;
 use std::rc::Rc;
@@ -141,14 +142,23 @@
         is_down
     }
 
-    /// Returns the engine's endpoint if it accepts new work: `None` while it is draining, leaving or
-    /// replaced by another instance.
+    /// Returns the engine's endpoint if it accepts new work: `None` while it is draining, leaving,
+    /// replaced by another instance, or restarted since the list was written, whose software version
+    /// may be another one.
     pub fn ready_endpoint(&self) -> Option<EndpointEntry> {
         let entry = self.endpoint()?;
         let state = self.state.borrow();
         let replaced = state.replaced_instance.as_ref() == Some(&entry.instance);
         let leaving = self.caller.leaving().contains(&entry);
-        (entry.state == EndpointState::Ready && !replaced && !leaving).then_some(entry)
+        let takes_work = !replaced && !leaving && !self.has_restarted(&entry);
+        (entry.state == EndpointState::Ready && takes_work).then_some(entry)
+    }
+
+    /// Whether the engine reports another start than `entry` in the list names.
+    pub fn has_restarted(&self, entry: &EndpointEntry) -> bool {
+        let state = self.state.borrow();
+        let report = state.fresh_report();
+        report.is_some_and(|report| differs(entry.started_unix_ms, report.started_unix_ms))
     }
 
     /// Returns how long the agent has to wait before it may send a request to its engine; `None`
--- a/crates/oleander-rollout/src/agent/run.rs
+++ b/crates/oleander-rollout/src/agent/run.rs
@@ -1,6 +1,7 @@
 //! The run of one item: reads its events with their weight versions, and has the text scored.
 
 use super::agent_process::Agent;
+use super::engine_poll::poll_report;
 use super::run_end::RunEnd;
 use super::runner;
 use super::score::score;
@@ -172,6 +173,10 @@
     timeout: Millis,
     progress: &mut Progress,
 ) -> RunEnd {
+    if progress.last_event > 0 {
+        // The engine may have restarted with another software version since the last poll.
+        poll_report(agent).await;
+    }
     let Some(endpoint) = agent.ready_endpoint() else {
         return RunEnd::OtherInstance;
     };
@@ -222,6 +227,11 @@
         _ => return RunEnd::Broken,
     }
     if progress.last_event == 0 {
+        poll_report(agent).await;
+        if agent.has_restarted(&endpoint) {
+            // Its events would be stored under the software version of the old list entry.
+            return RunEnd::OtherInstance;
+        }
         progress.software = endpoint.software;
     }
     let clock = StallClock::new(now(), timeout);
--- a/crates/oleander-rollout/tests/item_versions.rs
+++ b/crates/oleander-rollout/tests/item_versions.rs
@@ -106,3 +106,70 @@
     assert!(later >= 8, "each item runs once more");
     check_versions(&deployment);
 }
+
+/// Guards against events of an engine that restarted under its instance id with another version: they
+/// must neither be counted as those of the listed version nor go on from such events.
+#[test]
+fn items_do_not_go_on_at_an_engine_that_restarted_in_place_with_another_version() {
+    let deployment = start(1);
+    let body = job(1, 1, 2, 120);
+    deployment.submit(0, "job-in-place", &body);
+    let engine = &deployment.engines[0];
+    wait_for("the engine has made events", || {
+        let runs = engine.runs();
+        runs.len() == 4 && runs.iter().all(|run| run.last_event() > 10)
+    });
+    engine.restart_in_place("v2", 2);
+    wait_for("the agent knows of the restart", || {
+        engine.running() == 0 && deployment.agents[0].process().log().contains("run-ended")
+    });
+    list_again(&deployment, 0);
+    check_results(&deployment.read_all(0, "job-in-place", 4), &body);
+    check_versions(&deployment);
+}
+
+/// Guards against checkpoints that are resumed after all processes were killed, at engines that have
+/// restarted in place with another version while the list still names the old one.
+#[test]
+fn checkpoints_are_not_used_at_engines_that_restarted_in_place_while_all_processes_were_down() {
+    let mut deployment = start(2);
+    let body = job(1, 1, 4, 200);
+    deployment.submit(0, "job-power-cut", &body);
+    wait_for("checkpoints are stored", || {
+        let pages = deployment.store.specs("run-checkpoints");
+        let parts = pages.iter().filter_map(|page| page["parts"].as_array());
+        parts.map(Vec::len).sum::<usize>() >= 8
+    });
+    for node in deployment.nodes_mut() {
+        node.kill();
+    }
+    for engine in &deployment.engines {
+        engine.restart_in_place("v2", 2);
+    }
+    for node in deployment.nodes_mut() {
+        node.start();
+    }
+    wait_for("the leader knows the agents", || {
+        let logs = deployment.dispatchers.iter().map(|one| one.process().log());
+        let known: usize = logs
+            .map(|log| log.matches("event=agent-known").count())
+            .sum();
+        known >= 2
+    });
+    // Time in which items would be assigned and run, if the agents took any.
+    std::thread::sleep(std::time::Duration::from_secs(1));
+    check_versions(&deployment);
+    for engine in 0..2 {
+        list_again(&deployment, engine);
+    }
+    check_results(&deployment.read_all(0, "job-power-cut", 8), &body);
+    check_versions(&deployment);
+}
+
+/// Lists an engine as it is now.
+fn list_again(deployment: &Deployment, engine: usize) {
+    let engine = &deployment.engines[engine];
+    deployment
+        .store
+        .put("servers", &engine.instance(), &engine.entry("llm"));
+}
