--- a/crates/oleander-rollout/tests/soak_support/action.rs
+++ b/crates/oleander-rollout/tests/soak_support/action.rs
@@ -17,6 +17,9 @@
     Stop { node: usize },
     /// All processes are killed at once and started again.
     KillAll,
+    /// All entries are killed at once and started again, between two releases: an engine restarts with
+    /// another software version before, the next one meanwhile, in place.
+    PowerCut { engine: usize },
     /// The leading dispatcher is stopped with SIGSTOP and resumed.
     PauseLeader,
     /// The leading dispatcher is killed and started again.
--- a/crates/oleander-rollout/tests/soak_support/plan.rs
+++ b/crates/oleander-rollout/tests/soak_support/plan.rs
@@ -14,7 +14,11 @@
     pub action: Action,
 }
 
-/// Draws `count` actions that start within `time`, in the order of their start.
+/// Longest power cut of all entries, in milliseconds.
+const POWER_CUT_MAX_MS: u64 = 1500;
+
+/// Draws `count` actions and a power cut of all entries that start within `time`, in the order of
+/// their start.
 pub fn plan(seed: u64, count: usize, time: Duration) -> Vec<PlannedAction> {
     let mut rng = StdRng::seed_from_u64(seed);
     let mut plan: Vec<PlannedAction> = (0..count)
@@ -24,6 +28,14 @@
             action: action(&mut rng),
         })
         .collect();
+    // Drawn last, so that the other actions of a seed stay as they were before there were power cuts.
+    plan.push(PlannedAction {
+        start: time.mul_f64(rng.random::<f64>()),
+        duration: Duration::from_millis(rng.random_range(100..POWER_CUT_MAX_MS)),
+        action: Action::PowerCut {
+            engine: rng.random_range(0..1000),
+        },
+    });
     plan.sort_by_key(|planned| planned.start);
     plan
 }
--- a/crates/oleander-rollout/tests/soak_support/soak_deployment.rs
+++ b/crates/oleander-rollout/tests/soak_support/soak_deployment.rs
@@ -223,6 +223,10 @@
             Action::Pause { node } => self.signal(node, "STOP", NodeState::Paused),
             Action::Stop { node } => self.signal(node, "TERM", NodeState::Stopping),
             Action::KillAll => (0..self.nodes.len()).for_each(|node| self.kill(node)),
+            Action::PowerCut { engine } => {
+                self.restart_engine(engine % self.around.engines.len());
+                (0..self.entries.len()).for_each(|entry| self.kill(entry));
+            }
             Action::PauseLeader => {
                 let leader = self.pick_leader();
                 self.signal(self.first_dispatcher + leader, "STOP", NodeState::Paused);
@@ -322,6 +326,10 @@
                 self.around.store.set_faults(StoreFaults::default());
             }
             Action::Kill { .. } | Action::KillAll | Action::KillLeader => self.start_all_down(),
+            Action::PowerCut { engine } => {
+                self.restart_engine_in_place((engine + 1) % self.around.engines.len());
+                self.start_all_down();
+            }
             Action::PauseLeader => {
                 for leader in std::mem::take(&mut self.hit_leaders) {
                     self.resume(self.first_dispatcher + leader);
@@ -530,4 +538,15 @@
         let relay = &self.engine_links[n];
         self.around.list_engine(n, relay.addr());
     }
+
+    /// Restarts an engine under its instance id with another software version, and lists it then.
+    fn restart_engine_in_place(&mut self, n: usize) {
+        self.engine_restarts += 1;
+        let software = SOFTWARE[(n + self.engine_restarts) % SOFTWARE.len()];
+        // The start times of the stand-ins are numbers from 1 on.
+        let started = 1 + self.engine_restarts as u64;
+        self.around.engines[n].restart_in_place(software, started);
+        self.engine_links[n].reset();
+        self.around.list_engine(n, self.engine_links[n].addr());
+    }
 }
--- a/crates/oleander-rollout/tests/stream_power_cut.rs
+++ b/crates/oleander-rollout/tests/stream_power_cut.rs
@@ -289,6 +289,34 @@
     }
 }
 
+/// Guards against resumption at another engine than the one that began the stream, which has
+/// restarted in place with another version while the list still names the same one for both.
+#[test]
+fn stream_is_not_resumed_at_another_engine_that_restarted_in_place() {
+    let mut deployment = deployment_of(&["v1", "v1"]);
+    for n in 0..STREAMS {
+        begin(&deployment, n % 2, &first(n));
+    }
+    let began_at = |deployment: &Deployment, n: usize| {
+        let mut engines = deployment.engines.iter();
+        engines.position(|engine| engine.runs().iter().any(|run| run.id == first(n)))
+    };
+    cut_power(&mut deployment, |deployment| {
+        deployment.engines[1].restart_in_place("v2", LATER_START);
+    });
+    let mut resumed = 0;
+    for n in 0..STREAMS {
+        let text = resume(&deployment, n % 2, (&second(n), &first(n)), EVENTS_READ);
+        if began_at(&deployment, n) == Some(0) {
+            check_resumed(&deployment, (&second(n), &first(n)), EVENTS_READ, &text);
+            resumed += 1;
+        } else {
+            check_refused(&deployment, &second(n), &text);
+        }
+    }
+    assert!(resumed > 0, "no stream began at the engine that stayed");
+}
+
 /// Guards against a record under the version of the old list entry of an engine that has restarted
 /// in place: the stream would go on at another engine of that version.
 #[test]
