Check a configuration before it is published: oleanderlock config check

Decisions are in oleanderlock::config_check, without I/O. The command line that starts processes is unchanged.

--- a/crates/oleander-rollout/src/lib.rs
+++ b/crates/oleander-rollout/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod agent;
 pub mod call;
 pub mod cli;
+pub mod config_check;
 pub mod dispatch;
 pub mod duty_settings;
 pub mod entry;
--- a/crates/oleanderlock/src/lib.rs
+++ b/crates/oleanderlock/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod chunk_outcome;
 pub mod class_terms;
 pub mod clock;
+pub mod config_check;
 pub mod config_journal;
 pub mod contract;
 pub mod contract_change;
