Bound the bytes that wait in an entry

With the contract `pressure`, request bodies, whole responses and relayed streams have a room of bytes each (oleanderlock::pressure::byte_room). A workspace may hold twice what is free, so that some is left for the others; small responses have a reserve. A call whose response is expected not to fit is refused before it runs, with 503 and Retry-After; a response that arrives without room waits for it until its deadline. A client that reads too slowly is left (reader_pace), and what waits for it is freed.

Without the contract: bodies are handed to the connection in slices of 16 KB and freed in blocks, so that a connection no longer keeps a buffer of the size of its largest response, and reads from endpoints are 16 KB at most, so that the parser's buffer stays below 32 KB instead of 400 KB.

--- a/crates/oleander-rollout/src/agent/score.rs
+++ b/crates/oleander-rollout/src/agent/score.rs
@@ -2,6 +2,7 @@
 
 use super::agent_process::Agent;
 use super::score_outcome::ScoreOutcome;
+use crate::call::call_memory::CallMemory;
 use crate::call::call_outcome::CallOutcome;
 use crate::call::call_request::CallRequest;
 use crate::call::not_run_reason::NotRunReason;
@@ -133,6 +134,7 @@
         resumes: None,
         workspace: None,
         trial: false,
+        memory: CallMemory::default(),
     };
     Some((req, route.attempts))
 }
--- a/crates/oleander-rollout/src/call/call_request.rs
+++ b/crates/oleander-rollout/src/call/call_request.rs
@@ -1,5 +1,6 @@
 //! A call to a service.
 
+use super::call_memory::CallMemory;
 use crate::prelude::*;
 use http::header::HOST;
 use http::{HeaderMap, Method, Uri};
@@ -38,6 +39,8 @@
     pub workspace: Option<Arc<str>>,
     /// Whether one attempt is made even if endpoints have crashed under the same request before.
     pub trial: bool,
+    /// Memory that the call uses.
+    pub memory: CallMemory,
 }
 
 impl CallRequest {
--- a/crates/oleander-rollout/src/call/caller.rs
+++ b/crates/oleander-rollout/src/call/caller.rs
@@ -176,6 +176,10 @@
         if !req.repeatable || running.len() > 1 {
             return;
         }
+        // Its response has arrived and finds no room.
+        if req.memory.is_waiting() {
+            return;
+        }
         // Two endpoints could crash at once.
         if self.crashes.is_suspect(req) {
             return;
@@ -355,7 +359,7 @@
             let request = (kind, sent_at);
             self.limits.read_whole(headers, &endpoint.instance, request);
         };
-        read_response(class, exchange, on_whole).await
+        read_response(class, exchange, &req.memory, on_whole).await
     }
 
     /// Tells a lost response from a crash of the endpoint.
--- a/crates/oleander-rollout/src/call/endpoint_response.rs
+++ b/crates/oleander-rollout/src/call/endpoint_response.rs
@@ -1,6 +1,6 @@
 //! The response of one endpoint to a call.
 
-use crate::prelude::*;
+use crate::http::blocks::Blocks;
 use http::response::Parts;
 
 /// The complete response of one endpoint to a call.
@@ -9,7 +9,7 @@
     /// Status and headers.
     pub head: Parts,
     /// Whole body.
-    pub body: Bytes,
+    pub body: Blocks,
     /// Endpoints that responded to this call with status 500, this one included.
     pub failures: u32,
 }
--- a/crates/oleander-rollout/src/call/event_stream.rs
+++ b/crates/oleander-rollout/src/call/event_stream.rs
@@ -90,6 +90,16 @@
         self.opened.as_ref().map(|opened| &opened.endpoint)
     }
 
+    /// Returns the id of the request.
+    pub fn request(&self) -> &str {
+        &self.req.id
+    }
+
+    /// Returns the number of bytes that wait for the rest of their event.
+    pub fn buffered(&self) -> usize {
+        self.events.as_ref().map_or(0, EventBuffer::remaining)
+    }
+
     /// Returns the next bytes for the client, whole events of a stream that may be resumed; `None`
     /// at the end.
     ///
--- a/crates/oleander-rollout/src/call/mod.rs
+++ b/crates/oleander-rollout/src/call/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt_message;
 mod attempt_outcome;
+pub mod call_memory;
 pub mod call_outcome;
 mod call_progress;
 pub mod call_request;
--- a/crates/oleander-rollout/src/call/read_response.rs
+++ b/crates/oleander-rollout/src/call/read_response.rs
@@ -1,6 +1,7 @@
 //! Reads the response to an attempt.
 
 use super::attempt_outcome::AttemptOutcome;
+use super::call_memory::CallMemory;
 use super::endpoint_response::EndpointResponse;
 use super::response_class::ResponseClass;
 use crate::http::exchange::Exchange;
@@ -29,13 +30,22 @@
 pub(super) async fn read_response(
     class: ResponseClass,
     exchange: Exchange,
+    memory: &CallMemory,
     on_whole: impl FnOnce(&HeaderMap),
 ) -> AttemptOutcome {
     if class == ResponseClass::Foreign {
         // The connection is closed: the response to this call may still follow on it.
         return AttemptOutcome::Unusable(FOREIGN.to_owned());
     }
-    let response = exchange.collect(RESPONSE_MAX_BYTES).await;
+    let response = match memory.take_response() {
+        None => exchange.collect_blocks(RESPONSE_MAX_BYTES).await,
+        Some(held) => {
+            let waiting = || memory.wait();
+            exchange
+                .collect_bounded(RESPONSE_MAX_BYTES, held, waiting)
+                .await
+        }
+    };
     if let Ok((head, _)) = &response
         && class.is_of_endpoint()
     {
--- a/crates/oleander-rollout/src/dispatch/http_api.rs
+++ b/crates/oleander-rollout/src/dispatch/http_api.rs
@@ -20,6 +20,7 @@
 const LIMITS: ServerLimits = ServerLimits {
     head_bytes: 16 << 10,
     idle: Millis::from_secs(20),
+    bounded: false,
 };
 /// Largest request body, in bytes.
 const BODY_MAX_BYTES: usize = 32 << 20;
--- a/crates/oleander-rollout/src/entry/body.rs
+++ b/crates/oleander-rollout/src/entry/body.rs
@@ -1,5 +1,6 @@
 //! Bodies of responses to callers: complete ones, and streams relayed from an endpoint.
 
+use super::whole_body::WholeBody;
 use crate::http::response::FullResponse;
 use crate::prelude::*;
 use futures_util::stream::LocalBoxStream;
@@ -14,7 +15,7 @@
 pub type BodyStream = LocalBoxStream<'static, Result<Frame<Bytes>, BodyError>>;
 
 /// The body of a response to a caller.
-pub type EntryBody = Either<Full<Bytes>, StreamBody<BodyStream>>;
+pub type EntryBody = Either<Full<Bytes>, Either<WholeBody, StreamBody<BodyStream>>>;
 
 /// A response to a caller.
 pub type EntryResponse = Response<EntryBody>;
@@ -26,5 +27,10 @@
 
 /// Returns a response whose body is relayed chunk by chunk.
 pub fn streamed(head: Response<()>, chunks: BodyStream) -> EntryResponse {
-    head.map(|()| Either::Right(StreamBody::new(chunks)))
+    head.map(|()| Either::Right(Either::Right(StreamBody::new(chunks))))
+}
+
+/// Returns a response whose body waits for the client.
+pub fn whole(response: Response<WholeBody>) -> EntryResponse {
+    response.map(|body| Either::Right(Either::Left(body)))
 }
--- a/crates/oleander-rollout/src/entry/calls.rs
+++ b/crates/oleander-rollout/src/entry/calls.rs
@@ -1,7 +1,11 @@
 //! Calls whose response is relayed as a whole.
 
+use super::body::{EntryResponse, full, whole};
 use super::entry_process::Entry;
 use super::request_head::RequestHead;
+use super::rooms::{kind_of, spread};
+use super::whole_body::WholeBody;
+use crate::call::call_memory::CallMemory;
 use crate::call::call_outcome::CallOutcome;
 use crate::call::call_request::CallRequest;
 use crate::http::hop_headers;
@@ -9,14 +13,12 @@
 use crate::prelude::*;
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Response, StatusCode};
-use http_body_util::Full;
 use oleander_platform::headers;
 use oleanderlock::routing::retry_rule::retry_after;
 use oleanderlock::routing::route::Route;
-use std::sync::Arc;
 
 /// Returns the point in time after which the client or the route no longer waits for the response.
-fn deadline(head: &RequestHead, route: &Route) -> Millis {
+pub fn deadline(head: &RequestHead, route: &Route) -> Millis {
     let timeout = head.client_timeout.unwrap_or(route.timeout);
     head.arrived.plus(timeout.min(route.timeout))
 }
@@ -37,6 +39,7 @@
     parts: &Parts,
     body: Bytes,
     service: String,
+    memory: CallMemory,
 ) -> CallRequest {
     let mut header_map = parts.headers.clone();
     hop_headers::remove(&mut header_map);
@@ -58,11 +61,9 @@
         objective: route.objective,
         deadline: deadline(head, route),
         resumes: None,
-        workspace: head
-            .client
-            .as_ref()
-            .map(|client| Arc::clone(&client.workspace)),
+        workspace: head.workspace(),
         trial: false,
+        memory,
     }
 }
 
@@ -81,11 +82,16 @@
     route: &Route,
     parts: &Parts,
     body: Bytes,
-) -> FullResponse {
+    memory: CallMemory,
+) -> EntryResponse {
     let Some(service) = pick_service(entry, route) else {
-        return response::refusal(retry_after(route.timeout));
+        return full(response::refusal(retry_after(route.timeout)));
     };
-    let req = call_request(head, route, parts, body, service);
+    let kind = kind_of(head, &parts.uri);
+    let Some(memory) = with_response(entry, head, memory, kind) else {
+        return full(no_room(entry, head, route, "response-room"));
+    };
+    let req = call_request(head, route, parts, body, service, memory);
     let outcome = entry.caller.call(&req).await;
     let took = now().since(head.arrived);
     entry.metrics.record_latency("call", took);
@@ -94,19 +100,25 @@
         CallOutcome::Answered(endpoint_response) => {
             let mut head = endpoint_response.head;
             hop_headers::remove(&mut head.headers);
-            let response = Response::from_parts(head, Full::new(endpoint_response.body));
+            if let Some(rooms) = &entry.rooms {
+                rooms.record_response(kind, endpoint_response.body.len());
+            }
+            let (id, metrics) = (req.id.clone(), entry.metrics.clone());
+            let body = WholeBody::new(endpoint_response.body, id, metrics);
+            let response = whole(Response::from_parts(head, body));
             (response, "answered".to_owned())
         }
         CallOutcome::NotRun(not_run) => {
             let after = not_run.retry_after.max(retry_after(left));
-            (response::refusal(after), not_run.reason.to_string())
+            let response = full(response::refusal(after));
+            (response, not_run.reason.to_string())
         }
         CallOutcome::Unknown => {
-            let response = response::status(StatusCode::BAD_GATEWAY);
+            let response = full(response::status(StatusCode::BAD_GATEWAY));
             (response, "unknown".to_owned())
         }
         CallOutcome::TimedOut => {
-            let response = response::status(StatusCode::GATEWAY_TIMEOUT);
+            let response = full(response::status(StatusCode::GATEWAY_TIMEOUT));
             (response, "timeout".to_owned())
         }
     };
@@ -124,3 +136,34 @@
     });
     response
 }
+
+/// Returns the memory of a call with what is reserved for its response, if responses are bounded;
+/// `None` if there is no room.
+fn with_response(
+    entry: &Entry,
+    head: &RequestHead,
+    memory: CallMemory,
+    kind: u64,
+) -> Option<CallMemory> {
+    let Some(rooms) = &entry.rooms else {
+        return Some(memory);
+    };
+    let reserved = rooms.response(head.workspace(), entry.has_workspaces(), kind)?;
+    Some(memory.with_response(reserved))
+}
+
+/// Refuses a request for which there is no room in this process; it has not run.
+pub fn no_room(entry: &Entry, head: &RequestHead, route: &Route, place: &str) -> FullResponse {
+    entry.metrics.record_refusal(place);
+    let left = deadline(head, route).since(now());
+    let after = spread(retry_after(left));
+    event(log::Level::Info, "no-room", || {
+        let workspace = head.workspace();
+        let workspace = workspace.as_deref().unwrap_or("none");
+        format!(
+            "request={} route={} place={place} workspace={workspace} retry_after={after}",
+            head.id, route.name
+        )
+    });
+    response::refusal(after)
+}
--- a/crates/oleander-rollout/src/entry/entry_process.rs
+++ b/crates/oleander-rollout/src/entry/entry_process.rs
@@ -2,6 +2,7 @@
 
 use super::config_guard::ConfigGuard;
 use super::origin_registry::OriginRegistry;
+use super::rooms::Rooms;
 use super::{platform_updates, router};
 use crate::call::caller::Caller;
 use crate::call::caller_role::CallerRole;
@@ -43,6 +44,7 @@
 const READY_LIMITS: ServerLimits = ServerLimits {
     head_bytes: HEAD_BYTES_DEFAULT,
     idle: IDLE_TIMEOUT_DEFAULT,
+    bounded: false,
 };
 
 /// State that the tasks of an entry share.
@@ -64,6 +66,8 @@
     pub health: StoreHealth,
     /// Open while the entry watches the list of endpoints itself, because no leader responds.
     pub own_watch: Gate,
+    /// Room for bytes that wait; `None` if they are not bounded.
+    pub rooms: Option<Rooms>,
     /// Metrics.
     pub metrics: Metrics,
     /// When the configuration in force was last known to be the newest.
@@ -128,6 +132,7 @@
             view,
             health,
             own_watch,
+            rooms: cfg.features.bounded_bytes.then(Rooms::default),
             metrics,
             confirmation,
             key_policy: cfg.keys.policy(),
@@ -166,12 +171,20 @@
         spawn(serve(listener, limits, Rc::clone(&self.shutdown), handler));
     }
 
+    /// Whether the configuration has workspaces, which share what is short.
+    pub fn has_workspaces(&self) -> bool {
+        let view = self.view.get();
+        let routes = view.routes.as_ref();
+        routes.is_some_and(|routes| routes.config.workspaces.is_some())
+    }
+
     fn limits(&self) -> ServerLimits {
         let view = self.view.get();
         let limits = view.routes.as_ref().map(|routes| routes.config.limits);
         ServerLimits {
             head_bytes: limits.map_or(HEAD_BYTES_DEFAULT, |limits| limits.header_bytes),
             idle: limits.map_or(IDLE_TIMEOUT_DEFAULT, |limits| limits.idle_time),
+            bounded: self.rooms.is_some(),
         }
     }
 
--- a/crates/oleander-rollout/src/entry/request_head.rs
+++ b/crates/oleander-rollout/src/entry/request_head.rs
@@ -6,6 +6,7 @@
 use http::request::Parts;
 use oleander_platform::headers;
 use oleanderlock::workspaces::key_holder::KeyHolder;
+use std::sync::Arc;
 
 /// Fields of the head of a request that an entry uses.
 #[derive(Clone, Debug)]
@@ -39,6 +40,14 @@
     }
 }
 
+impl RequestHead {
+    /// Returns the workspace of the client, with which it shares room.
+    pub fn workspace(&self) -> Option<Arc<str>> {
+        let client = self.client.as_ref();
+        client.map(|client| Arc::clone(&client.workspace))
+    }
+}
+
 /// Returns the value of a header; `None` if it is missing or not valid text.
 pub fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
--- a/crates/oleander-rollout/src/entry/router.rs
+++ b/crates/oleander-rollout/src/entry/router.rs
@@ -2,14 +2,16 @@
 
 use super::body::{EntryResponse, full};
 use super::entry_process::Entry;
+use super::request_body::{BodyError, read_body, reserve};
 use super::request_head::RequestHead;
 use super::{access, calls, job_calls, streams, submit};
+use crate::call::call_memory::CallMemory;
 use crate::http::response;
+use crate::http::room::HeldBytes;
 use crate::prelude::*;
 use http::header::{CONNECTION, HeaderValue};
 use http::request::Parts;
 use http::{HeaderName, Method, Request, StatusCode};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use oleander_platform::headers;
 use oleander_platform::job_call::JobCall;
@@ -86,14 +88,34 @@
         return full(response::status(StatusCode::NOT_FOUND));
     };
     let route = route.clone();
-    let body = match read_body(body, max_bytes).await {
+    let piece = entry.rooms.as_ref().map(|rooms| {
+        let shared = routes.config.workspaces.is_some();
+        rooms.body(head.workspace(), shared)
+    });
+    let lacks_room = |piece: &HeldBytes| !reserve(&body, max_bytes, piece);
+    if piece.as_ref().is_some_and(lacks_room) {
+        let mut response = calls::no_room(entry, head, &route, "body-room");
+        access::leave_body(&parts, body, max_bytes, &mut response);
+        return full(response);
+    }
+    let read = match &piece {
+        None => read_body(body, max_bytes, None).await,
+        Some(piece) => {
+            let left = calls::deadline(head, &route).since(now());
+            let read = within(left, read_body(body, max_bytes, Some(piece))).await;
+            read.unwrap_or(Err(BodyError::Failed(StatusCode::REQUEST_TIMEOUT)))
+        }
+    };
+    let body = match read {
         Ok(body) => body,
-        Err(status) => {
+        Err(BodyError::NoRoom) => return full(calls::no_room(entry, head, &route, "body-room")),
+        Err(BodyError::Failed(status)) => {
             entry.metrics.record_refusal("body");
             return full(response::status(status));
         }
     };
-    dispatch(entry, head, &route, parts, body).await
+    let memory = CallMemory::of_body(piece);
+    dispatch(entry, head, &route, parts, body, memory).await
 }
 
 async fn dispatch(
@@ -102,29 +124,16 @@
     route: &Route,
     parts: Parts,
     body: Bytes,
+    memory: CallMemory,
 ) -> EntryResponse {
     match route.kind {
         RouteKind::Rollout if parts.method == Method::POST => {
             full(submit::handle(entry, head, route, &parts, &body).await)
         }
         RouteKind::Rollout => full(response::status(StatusCode::METHOD_NOT_ALLOWED)),
-        RouteKind::Stream => streams::handle(entry, head, route, &parts, body).await,
+        RouteKind::Stream => streams::handle(entry, head, route, &parts, body, memory).await,
         RouteKind::Safe | RouteKind::Unsafe => {
-            full(calls::handle(entry, head, route, &parts, body).await)
-        }
-    }
-}
-
-/// Reads a whole body, of at most `max_bytes`; returns the status of the response on failure.
-async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, StatusCode> {
-    match Limited::new(body, max_bytes).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(StatusCode::PAYLOAD_TOO_LARGE),
-        Err(error) => {
-            event(log::Level::Info, "body-broken", || {
-                format!("reason=\"{error}\"")
-            });
-            Err(StatusCode::BAD_REQUEST)
+            calls::handle(entry, head, route, &parts, body, memory).await
         }
     }
 }
--- a/crates/oleander-rollout/src/entry/streams.rs
+++ b/crates/oleander-rollout/src/entry/streams.rs
@@ -1,11 +1,12 @@
 //! Streams of events, relayed as they arrive.
 
 use super::body::{EntryResponse, full};
-use super::calls::{call_request, pick_service};
+use super::calls::{call_request, no_room, pick_service};
 use super::entry_process::Entry;
 use super::relay;
 use super::request_head::RequestHead;
 use super::resumption::Resumption;
+use crate::call::call_memory::CallMemory;
 use crate::call::call_request::CallRequest;
 use crate::call::event_stream::EventStream;
 use crate::call::stream_failure::StreamFailure;
@@ -30,6 +31,7 @@
     route: &Route,
     parts: &Parts,
     body: Bytes,
+    memory: CallMemory,
 ) -> EntryResponse {
     let resumption = match Resumption::read(&parts.headers) {
         Ok(resumption) => resumption,
@@ -54,7 +56,14 @@
     };
     let req = CallRequest {
         resumes: origin,
-        ..call_request(head, route, parts, body, service)
+        ..call_request(head, route, parts, body, service, memory)
+    };
+    let piece = match &entry.rooms {
+        None => None,
+        Some(rooms) => match rooms.stream(head.workspace(), entry.has_workspaces()) {
+            Some(piece) => Some(piece),
+            None => return full(no_room(entry, head, route, "stream-room")),
+        },
     };
     let after_event = resumption.as_ref().map_or(0, |from| from.after_event);
     let limits = StreamLimits::of(route.objective);
@@ -69,7 +78,7 @@
             if route.resumable && req.resumes.is_none() {
                 record_origin(entry, &stream, &req.id).await;
             }
-            ("opened".to_owned(), relay::response(stream))
+            ("opened".to_owned(), relay::response(stream, piece))
         }
         Err(StreamFailure::NotRun(not_run)) => {
             let after = not_run.retry_after.max(retry_after(left));
--- a/crates/oleander-rollout/src/http/exchange.rs
+++ b/crates/oleander-rollout/src/http/exchange.rs
@@ -1,10 +1,11 @@
 //! A response whose body is read from its connection.
 
+use super::blocks::Blocks;
 use super::body_budget::BodyBudget;
 use super::pooled_connection::PooledConnection;
+use super::room::HeldBytes;
 use super::send_error::SendError;
 use crate::prelude::*;
-use bytes::BytesMut;
 use http::response::Parts;
 use hyper::body::{Body, Frame, Incoming};
 use std::pin::Pin;
@@ -63,21 +64,80 @@
     ///
     /// [`SendError::NoAnswer`] when the connection broke before the end of the body, or the body is
     /// longer than `max_bytes` or than the memory for bodies allows.
-    pub async fn collect(mut self, max_bytes: usize) -> Result<(Parts, Bytes), SendError> {
+    pub async fn collect(self, max_bytes: usize) -> Result<(Parts, Bytes), SendError> {
+        let (head, body) = self.collect_blocks(max_bytes).await?;
+        Ok((head, body.into_bytes()))
+    }
+
+    /// Does the same as [`Self::collect`] and returns the body in blocks.
+    ///
+    /// # Errors
+    ///
+    /// The same.
+    pub async fn collect_blocks(mut self, max_bytes: usize) -> Result<(Parts, Blocks), SendError> {
         let budget = self.connection.as_ref().map(|used| &used.pool.bodies);
         let mut memory = budget.map(BodyBudget::body);
-        let mut body = BytesMut::new();
+        let mut body = Blocks::default();
         while let Some(chunk) = self.next_chunk().await? {
             let fits = memory
                 .as_mut()
                 .is_none_or(|memory| memory.take(chunk.len()));
             if !fits || body.len() + chunk.len() > max_bytes {
-                let bytes = body.len() + chunk.len();
-                return Err(SendError::no_answer(format!("a body of {bytes} bytes")));
+                return Err(too_long(body.len() + chunk.len()));
             }
-            body.extend_from_slice(&chunk);
+            body.push(&chunk, self.bytes_left());
         }
-        Ok((self.head, body.freeze()))
+        body.finish();
+        Ok((self.head, body))
+    }
+
+    /// Does the same as [`Self::collect_blocks`] with a body that `held` accounts for, and waits until
+    /// there is room for it: for all of it before it is read, if its length is known. `waiting` is
+    /// called when it has to wait, and what it returns is dropped at the end of the wait.
+    ///
+    /// # Errors
+    ///
+    /// [`SendError::NoAnswer`] when the connection broke before the end of the body, or the body is
+    /// longer than `max_bytes`.
+    pub async fn collect_bounded<W>(
+        mut self,
+        max_bytes: usize,
+        held: HeldBytes,
+        waiting: impl Fn() -> W,
+    ) -> Result<(Parts, Blocks), SendError> {
+        let wait = async |held: &HeldBytes, bytes: usize| {
+            if !held.try_resize(bytes) {
+                let waits = waiting();
+                held.resize(bytes).await;
+                drop(waits);
+            }
+        };
+        let expected = self.bytes_left();
+        if expected > max_bytes {
+            return Err(too_long(expected));
+        }
+        wait(&held, expected.max(held.bytes())).await;
+        let mut body = Blocks::new(Some(held));
+        while let Some(chunk) = self.next_chunk().await? {
+            let bytes = body.len() + chunk.len();
+            if bytes > max_bytes {
+                return Err(too_long(bytes));
+            }
+            if let Some(held) = body.held()
+                && held.bytes() < bytes
+            {
+                wait(held, bytes).await;
+            }
+            body.push(&chunk, self.bytes_left());
+        }
+        body.finish();
+        Ok((self.head, body))
+    }
+
+    /// Returns the number of bytes that the rest of the body has; 0 if it is not known.
+    fn bytes_left(&self) -> usize {
+        let bytes = self.body.size_hint().exact().unwrap_or_default();
+        usize::try_from(bytes).unwrap_or(usize::MAX)
     }
 
     fn release(&mut self) {
@@ -86,3 +146,8 @@
         }
     }
 }
+
+/// Returns the error of a body that is too long.
+fn too_long(bytes: usize) -> SendError {
+    SendError::no_answer(format!("a body of {bytes} bytes"))
+}
--- a/crates/oleander-rollout/src/http/fair_stream.rs
+++ b/crates/oleander-rollout/src/http/fair_stream.rs
@@ -16,6 +16,9 @@
 const TURN_BYTES: usize = 256 << 10;
 /// Reads before other tasks run.
 const TURN_READS: usize = 32;
+/// Bytes of one read at most. The HTTP parser doubles its buffer, up to 400 KB for each connection,
+/// as long as reads fill it.
+const READ_BYTES: usize = 16 << 10;
 /// Longest head of a response, with all interim responses before it, in bytes.
 const HEAD_MAX_BYTES: usize = 256 << 10;
 
@@ -82,7 +85,8 @@
             cx.waker().wake_by_ref();
             return Poll::Pending;
         }
-        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let length = buf.len().min(READ_BYTES);
+        let read = Pin::new(&mut self.stream).poll_read(cx, &mut buf[..length]);
         match &read {
             Poll::Pending => self.end_turn(),
             Poll::Ready(Ok(bytes)) if self.head_limit.exceeds(*bytes) => {
--- a/crates/oleander-rollout/src/http/server.rs
+++ b/crates/oleander-rollout/src/http/server.rs
@@ -1,8 +1,9 @@
 //! An HTTP/1.1 server.
 
+use super::paced_stream::PacedStream;
 use super::server_limits::ServerLimits;
 use super::shutdown::Shutdown;
-use super::socket::set_options;
+use super::socket::{bound_send_buffer, set_options};
 use crate::prelude::*;
 use futures_util::FutureExt as _;
 use futures_util::future::{Either, select};
@@ -10,6 +11,7 @@
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
+use oleanderlock::pressure::reader_pace::ReaderPace;
 use smol::net::{TcpListener, TcpStream};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 use std::cell::Cell;
@@ -66,9 +68,13 @@
         match accepted {
             Ok((stream, _)) => {
                 set_options(&stream);
+                let limits = limits();
+                if limits.bounded {
+                    bound_send_buffer(&stream);
+                }
                 let shutdown = Rc::clone(&shutdown);
                 let handler = Rc::clone(&handler);
-                spawn(connection(stream, limits(), shutdown, handler));
+                spawn(connection(stream, limits, shutdown, handler));
             }
             Err(error) => {
                 event(log::Level::Warn, "accept-failed", || {
@@ -101,6 +107,8 @@
         received.set(true);
         handler(req)
     });
+    let pace = limits.bounded.then(ReaderPace::default);
+    let stream = PacedStream::new(stream, pace);
     let connection = Builder::new()
         .timer(SmolTimer::new())
         .max_buf_size(limits.head_bytes.max(HEAD_BUFFER_MIN_BYTES))
--- a/crates/oleander-rollout/src/http/server_limits.rs
+++ b/crates/oleander-rollout/src/http/server_limits.rs
@@ -10,4 +10,6 @@
     /// Time within which the head of the next request must be complete, else the connection is
     /// closed.
     pub idle: Millis,
+    /// Whether the bytes that wait for a client are bounded: one that reads too slowly is left.
+    pub bounded: bool,
 }
--- a/crates/oleander-rollout/src/http/socket.rs
+++ b/crates/oleander-rollout/src/http/socket.rs
@@ -15,6 +15,10 @@
 /// Time after which a connection with unacknowledged data is closed.
 const UNACKNOWLEDGED_MAX: Duration = Duration::from_millis(2500);
 
+/// Send buffer of a connection whose waiting bytes are bounded; the kernel would let it grow to
+/// megabytes, which the machine's memory has to hold as well.
+const SEND_BUFFER_BYTES: usize = 32 << 10;
+
 /// Opens a connection with the options of [`set_options`].
 ///
 /// # Errors
@@ -67,3 +71,13 @@
         });
     }
 }
+
+/// Keeps the kernel from buffering much of what waits for the remote side.
+pub fn bound_send_buffer(stream: &TcpStream) {
+    let result = SockRef::from(stream).set_send_buffer_size(SEND_BUFFER_BYTES);
+    if let Err(error) = result {
+        event(log::Level::Warn, "socket-option", || {
+            format!("reason=\"can't set SO_SNDBUF: {error}\"")
+        });
+    }
+}
--- a/crates/oleander-rollout/src/observe/metrics_server.rs
+++ b/crates/oleander-rollout/src/observe/metrics_server.rs
@@ -14,6 +14,7 @@
 const LIMITS: ServerLimits = ServerLimits {
     head_bytes: 8192,
     idle: Millis::from_secs(15),
+    bounded: false,
 };
 
 /// Starts to serve metrics at `addr`, at any path.
--- a/crates/oleander-rollout/tests/formats.rs
+++ b/crates/oleander-rollout/tests/formats.rs
@@ -724,6 +724,7 @@
         resumes: None,
         workspace: None,
         trial: false,
+        memory: Default::default(),
     }
 }
 
--- a/crates/oleander-rollout/tests/http_server.rs
+++ b/crates/oleander-rollout/tests/http_server.rs
@@ -17,6 +17,7 @@
 const LIMITS: ServerLimits = ServerLimits {
     head_bytes: 16 << 10,
     idle: Millis(5000),
+    bounded: false,
 };
 const CONNECT_TIMEOUT: Millis = Millis(1000);
 
--- a/crates/oleander-rollout/tests/support/node.rs
+++ b/crates/oleander-rollout/tests/support/node.rs
@@ -17,6 +17,8 @@
     pub metrics: SocketAddr,
     pub engine: Option<SocketAddr>,
     pub store: SocketAddr,
+    /// Contracts that the deployment is under, by name.
+    pub contracts: &'static str,
     pub program: PathBuf,
     pub process: Option<Process>,
     /// Logs of all its processes, in order.
@@ -42,6 +44,7 @@
             metrics: free(),
             engine,
             store,
+            contracts: "",
             program: PROGRAM.into(),
             process: None,
             logs: Vec::new(),
@@ -53,14 +56,15 @@
         format!(
             "[node]\nname = {}\ndomain = z\n[listen]\ncalls = {}\nready = {}\npeers = {}\n\
              told = {}\nmetrics = {}\n[store]\naddr = {}\n[engine]\naddr = {engine}\n\
-             [bounds]\ngrace = 6s\n",
+             [bounds]\ngrace = 6s\n[deployment]\ncontracts = {}\n",
             self.name,
             self.calls,
             self.ready,
             self.peers,
             self.advertised,
             self.metrics,
-            self.store
+            self.store,
+            self.contracts
         )
     }
 
--- a/crates/oleander-rollout/tests/support/process.rs
+++ b/crates/oleander-rollout/tests/support/process.rs
@@ -32,10 +32,19 @@
 
     /// Returns the most memory that the process has used so far, in bytes.
     pub fn peak_memory(&self) -> u64 {
+        self.status_bytes("VmHWM:")
+    }
+
+    /// Returns the memory that the process uses, in bytes.
+    pub fn memory(&self) -> u64 {
+        self.status_bytes("VmRSS:")
+    }
+
+    fn status_bytes(&self, field: &str) -> u64 {
         let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
         let status = status.expect("the status of a running process");
-        let line = status.lines().find(|line| line.starts_with("VmHWM:"));
-        let line = line.expect("the peak of the resident memory");
+        let line = status.lines().find(|line| line.starts_with(field));
+        let line = line.expect("a field of the status");
         let kilobytes = line.split_whitespace().nth(1).map(str::parse::<u64>);
         kilobytes.expect("a number").expect("a number") << 10
     }
--- a/crates/oleanderlock/src/lib.rs
+++ b/crates/oleanderlock/src/lib.rs
@@ -85,6 +85,7 @@
 pub mod policy;
 pub mod preferred_writer;
 pub mod prelude;
+pub mod pressure;
 mod product_choice;
 pub mod pull;
 pub mod quantiles;
