Start items only beside token memory of the engine; queue of shares

Cause: an engine that runs out of token memory crashes with all of its runs, and an agent filled all of its slots whatever the items need.

With the contract `pressure`, an agent starts an item only if its prompt and expected output fit beside what the engine reports and what its own runs will still use (oleanderlock::pressure::token_room). Shorter items may start before one that waits for room for two seconds; an item that fits no engine holds up no other one. The size is the smaller one of `engine.kv_tokens` of the service's configuration and the report's `kv_total`.

oleanderlock::workspaces::fair_queue and service_gate decide which requests of workspaces are sent to a full service. Nothing uses them yet.

--- a/crates/oleander-rollout/src/agent/held_item.rs
+++ b/crates/oleander-rollout/src/agent/held_item.rs
@@ -2,6 +2,7 @@
 
 use super::reported_progress::ReportedProgress;
 use crate::peer::messages::WorkItem;
+use crate::prelude::*;
 use oleanderlock::batch::run_part::RunPart;
 use smol::Task;
 
@@ -19,6 +20,10 @@
     pub run: Option<Task<()>>,
     /// Progress that the leader knows.
     pub reported: ReportedProgress,
+    /// When the run started, if it has.
+    pub started_at: Millis,
+    /// When the item first found no room in the engine's token memory, while it waits for some.
+    pub passed_since: Option<Millis>,
 }
 
 impl HeldItem {
@@ -28,6 +33,8 @@
             work,
             run: None,
             reported: ReportedProgress::default(),
+            started_at: Millis::ZERO,
+            passed_since: None,
         }
     }
 
--- a/crates/oleander-rollout/src/agent/mod.rs
+++ b/crates/oleander-rollout/src/agent/mod.rs
@@ -15,3 +15,4 @@
 mod score_outcome;
 pub mod score_window;
 mod state;
+mod token_memory;
--- a/crates/oleander-rollout/src/agent/runner.rs
+++ b/crates/oleander-rollout/src/agent/runner.rs
@@ -3,6 +3,7 @@
 use super::agent_process::Agent;
 use super::reported_progress::ReportedProgress;
 use super::run::run_item;
+use super::token_memory;
 use crate::peer::messages::{ReturnReason, ReturnedItem};
 use crate::prelude::*;
 use crate::runtime::spawn_task;
@@ -20,6 +21,7 @@
     let mut has_too_old = false;
     {
         let mut state = agent.state.borrow_mut();
+        let mut room = token_memory::room(agent, &endpoint.service, &state);
         let mut free = endpoint.slots.saturating_sub(state.running());
         for key in state.waiting() {
             if free == 0 {
@@ -46,10 +48,18 @@
                 }
                 Some(_) => {}
             }
+            if let Some(room) = &mut room {
+                let need = token_memory::needed(&work.item);
+                let passed_since = &mut state.items[&name].passed_since;
+                if !room.start(now(), need, passed_since) {
+                    continue;
+                }
+            }
             agent.reserve_request(&endpoint);
             let run = spawn_task(run_item(Rc::clone(agent), work));
             let item = &mut state.items[&name];
             item.run = Some(run);
+            item.started_at = now();
             item.reported = ReportedProgress {
                 run: rand::random(),
                 ..ReportedProgress::default()
--- a/crates/oleander-rollout/tests/formats_support/examples.rs
+++ b/crates/oleander-rollout/tests/formats_support/examples.rs
@@ -306,6 +306,7 @@
         health_path: "/health".to_owned(),
         connections_max: 100,
         scale: None,
+        kv_tokens: None,
     };
     DeploymentConfig {
         version: 2,
--- a/crates/oleander-rollout/tests/slow_readers.rs
+++ b/crates/oleander-rollout/tests/slow_readers.rs
@@ -154,7 +154,7 @@
         readers.push(request_large(addr, "one-more"));
         status(&deployment, "/calls/large", "probe") == Some(503)
     });
-    assert!(log().contains("event=no-room"));
+    wait_for("the refusal is logged", || log().contains("event=no-room"));
     wait_for("responses are abandoned", || {
         log().contains("event=response-unread")
     });
--- a/crates/oleanderlock/src/pressure/mod.rs
+++ b/crates/oleanderlock/src/pressure/mod.rs
@@ -4,3 +4,4 @@
 pub mod reader_pace;
 pub mod response_sizes;
 pub mod room_limits;
+pub mod token_room;
--- a/crates/oleanderlock/src/routing/service_config.rs
+++ b/crates/oleanderlock/src/routing/service_config.rs
@@ -13,4 +13,8 @@
     /// Limits of the number of its endpoints, if this program orders them.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub scale: Option<ScaleLimits>,
+    /// Tokens that the memory of each of its engines has room for, if it is a service of engines and
+    /// the configuration says so.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub kv_tokens: Option<u64>,
 }
--- a/crates/oleanderlock/src/workspaces/mod.rs
+++ b/crates/oleanderlock/src/workspaces/mod.rs
@@ -1,5 +1,6 @@
 //! Workspaces of the deployment's configuration and the keys by which their clients are known.
 
+pub mod fair_queue;
 pub mod job_access;
 pub mod key_conflict;
 pub mod key_decision;
@@ -7,4 +8,5 @@
 pub mod key_holder;
 pub mod key_policy;
 pub mod key_table;
+pub mod service_gate;
 pub mod workspace;
