Let calls of workspaces wait for their turn at a full service

In deployments with workspaces, an entry bounds its calls under way to a service by the refusals that it sees, and calls above the bound wait in the fair queue until their deadline. One that would not have its turn by then gets 503 with Retry-After at once. Without workspaces, nothing waits. Streams and items of batch jobs don't pass the gate yet.

--- a/crates/oleander-rollout/src/call/call_progress.rs
+++ b/crates/oleander-rollout/src/call/call_progress.rs
@@ -19,6 +19,8 @@
     pub(super) failure: Option<EndpointResponse>,
     /// Whether the response to the last attempt was lost, broken or belonged to another call.
     pub(super) response_lost: bool,
+    /// Whether an endpoint has refused the call as full.
+    pub(super) full: bool,
     /// Endpoints that have crashed under the call.
     pub(super) crashes: usize,
     /// How long until an endpoint may take the call, if rate limits alone keep all from it.
--- a/crates/oleander-rollout/src/call/caller.rs
+++ b/crates/oleander-rollout/src/call/caller.rs
@@ -120,6 +120,7 @@
             None => CallOutcome::NotRun(NotRun {
                 retry_after: Millis::ZERO,
                 reason: NotRunReason::NotRun,
+                full: progress.full,
             }),
         });
         if !matches!(outcome, CallOutcome::Answered(_)) {
@@ -228,6 +229,7 @@
             }
             AttemptOutcome::NotRun(reason) => {
                 progress.attempts_made = progress.attempts_made.saturating_sub(1);
+                progress.full |= reason == "full";
                 self.metrics.record_retry(reason);
                 reason.to_owned()
             }
@@ -461,10 +463,12 @@
                 Some(delay) => NotRun {
                     retry_after: delay,
                     reason: NotRunReason::RateLimit,
+                    full: false,
                 },
                 None => NotRun {
                     retry_after,
                     reason: NotRunReason::NotRun,
+                    full: progress.full,
                 },
             })
         }
--- a/crates/oleander-rollout/src/call/crash_registry.rs
+++ b/crates/oleander-rollout/src/call/crash_registry.rs
@@ -77,6 +77,7 @@
         Some(NotRun {
             retry_after: REFUSAL_RETRY_AFTER,
             reason: NotRunReason::CrashesEndpoints,
+            full: false,
         })
     }
 
--- a/crates/oleander-rollout/src/call/not_run.rs
+++ b/crates/oleander-rollout/src/call/not_run.rs
@@ -10,4 +10,6 @@
     pub retry_after: Millis,
     /// Why the call has not run.
     pub reason: NotRunReason,
+    /// Whether an endpoint has refused the call as full.
+    pub full: bool,
 }
--- a/crates/oleander-rollout/src/entry/calls.rs
+++ b/crates/oleander-rollout/src/entry/calls.rs
@@ -92,7 +92,9 @@
         return full(no_room(entry, head, route, "response-room"));
     };
     let req = call_request(head, route, parts, body, service, memory);
-    let outcome = entry.caller.call(&req).await;
+    let Some(outcome) = call_in_turn(entry, head, &req).await else {
+        return full(no_room(entry, head, route, "share"));
+    };
     let took = now().since(head.arrived);
     entry.metrics.record_latency("call", took);
     let left = req.deadline.since(now());
@@ -167,3 +169,30 @@
     });
     response::refusal(after)
 }
+
+/// Calls a service when it is the turn of the client's workspace; `None` if that is too late. Without
+/// workspaces, nothing waits.
+async fn call_in_turn(entry: &Entry, head: &RequestHead, req: &CallRequest) -> Option<CallOutcome> {
+    if !entry.has_workspaces() {
+        return Some(entry.caller.call(req).await);
+    }
+    let rank = head.client.as_ref().and_then(|client| client.rank);
+    let workspace = head.workspace();
+    let passed = entry
+        .gates
+        .pass(&req.service, workspace, rank, req.deadline)
+        .await;
+    let pass = passed.ok()?;
+    loop {
+        let sent_at = now();
+        match entry.caller.call(req).await {
+            CallOutcome::NotRun(not_run) if not_run.full => pass.wait_again().await.ok()?,
+            outcome => {
+                if matches!(outcome, CallOutcome::Answered(_)) {
+                    pass.served(now().since(sent_at));
+                }
+                return Some(outcome);
+            }
+        }
+    }
+}
--- a/crates/oleander-rollout/src/entry/entry_process.rs
+++ b/crates/oleander-rollout/src/entry/entry_process.rs
@@ -1,6 +1,7 @@
 //! The entry process.
 
 use super::config_guard::ConfigGuard;
+use super::gates::Gates;
 use super::origin_registry::OriginRegistry;
 use super::rooms::Rooms;
 use super::{platform_updates, router};
@@ -68,6 +69,8 @@
     pub own_watch: Gate,
     /// Room for bytes that wait; `None` if they are not bounded.
     pub rooms: Option<Rooms>,
+    /// Gates in front of services, for requests of workspaces.
+    pub gates: Gates,
     /// Metrics.
     pub metrics: Metrics,
     /// When the configuration in force was last known to be the newest.
@@ -132,6 +135,7 @@
             view,
             health,
             own_watch,
+            gates: Gates::default(),
             rooms: cfg.features.bounded_bytes.then(Rooms::default),
             metrics,
             confirmation,
--- a/crates/oleander-rollout/src/entry/mod.rs
+++ b/crates/oleander-rollout/src/entry/mod.rs
@@ -5,6 +5,7 @@
 mod calls;
 mod config_guard;
 pub mod entry_process;
+pub mod gates;
 mod job_calls;
 mod key_refusal;
 mod origin_registry;
--- a/crates/oleander-rollout/tests/slow_readers.rs
+++ b/crates/oleander-rollout/tests/slow_readers.rs
@@ -141,6 +141,45 @@
     }
 }
 
+/// Measures the memory of an entry: idle, after calls, for each connection, and for each response that
+/// it holds.
+#[test]
+#[ignore = "a benchmark; prints figures and checks nothing"]
+fn memory_of_an_entry() {
+    let deployment = start();
+    let addr = deployment.entries[0].calls;
+    let process = deployment.entries[0].process();
+    let print = |what: &str| {
+        let (now, peak) = (process.memory() >> 10, process.peak_memory() >> 10);
+        println!("{what}: {now} KB, peak {peak} KB");
+        process.memory()
+    };
+    print("idle");
+    for n in 0..200 {
+        status(&deployment, "/calls/x", &format!("call-{n}"));
+    }
+    let before = print("after 200 calls");
+    let idle: Vec<TcpStream> = (0..200)
+        .map(|_| TcpStream::connect(addr).expect("a connection"))
+        .collect();
+    thread::sleep(Duration::from_millis(300));
+    let after = print("with 200 idle connections");
+    println!("each: {} bytes", after.saturating_sub(before) / 200);
+    drop(idle);
+    thread::sleep(Duration::from_millis(300));
+    let before = print("without them");
+    let mut readers: Vec<TcpStream> = (0..12)
+        .map(|n| request_large(addr, &format!("held-{n}")))
+        .collect();
+    let mut heads = vec![Vec::new(); readers.len()];
+    thread::sleep(Duration::from_millis(800));
+    read_some(&mut readers, &mut heads, 256);
+    let held = heads.iter().filter(|head| !head.is_empty()).count();
+    let after = print("with responses held");
+    let each = after.saturating_sub(before) / held.max(1) as u64;
+    println!("{held} responses of {LARGE_BYTES} bytes held, each: {each} bytes");
+}
+
 /// Guards against responses that are held for clients that never read them.
 #[test]
 fn a_response_that_nobody_reads_is_abandoned_and_its_memory_is_free_again() {
