Don't keep the state of a request for connections without one

Cause: the future that handles a request is part of the connection's task, so each idle connection of an entry kept room for all of it.

It is boxed while a request is handled.

--- a/crates/oleander-rollout/src/entry/entry_process.rs
+++ b/crates/oleander-rollout/src/entry/entry_process.rs
@@ -169,7 +169,9 @@
 
     fn serve_calls(self: &Rc<Self>, listener: smol::net::TcpListener) {
         let this = Rc::clone(self);
-        let handler = Rc::new(move |req| router::handle(Rc::clone(&this), req));
+        // Boxed while a request is handled: a connection without one would keep room for all of its
+        // state.
+        let handler = Rc::new(move |req| Box::pin(router::handle(Rc::clone(&this), req)));
         let this = Rc::clone(self);
         let limits = move || this.limits();
         spawn(serve(listener, limits, Rc::clone(&self.shutdown), handler));
--- a/crates/oleander-rollout/tests/slow_readers.rs
+++ b/crates/oleander-rollout/tests/slow_readers.rs
@@ -167,7 +167,12 @@
     println!("each: {} bytes", after.saturating_sub(before) / 200);
     drop(idle);
     thread::sleep(Duration::from_millis(300));
-    let before = print("without them");
+    print("without them");
+    // Another process: this one has memory left over.
+    let deployment = start();
+    let addr = deployment.entries[0].calls;
+    let process = deployment.entries[0].process();
+    let before = process.memory();
     let mut readers: Vec<TcpStream> = (0..12)
         .map(|n| request_large(addr, &format!("held-{n}")))
         .collect();
@@ -175,7 +180,7 @@
     thread::sleep(Duration::from_millis(800));
     read_some(&mut readers, &mut heads, 256);
     let held = heads.iter().filter(|head| !head.is_empty()).count();
-    let after = print("with responses held");
+    let after = process.memory();
     let each = after.saturating_sub(before) / held.max(1) as u64;
     println!("{held} responses of {LARGE_BYTES} bytes held, each: {each} bytes");
 }
