Let streams of workspaces wait for their turn at a full service

A stream that endpoints refuse as full waits at the gate like a call, and counts as under way until it has ended.

No test fills an engine with streams yet.

--- a/crates/oleander-rollout/src/entry/relay.rs
+++ b/crates/oleander-rollout/src/entry/relay.rs
@@ -1,6 +1,7 @@
 //! The response to a client that relays a stream.
 
 use super::body::{BodyError, EntryResponse, streamed};
+use super::gates::GatePass;
 use super::rooms::Rooms;
 use crate::call::event_stream::EventStream;
 use crate::http::hop_headers;
@@ -15,17 +16,29 @@
 struct Relayed {
     stream: EventStream,
     piece: Option<HeldBytes>,
+    // Counts the stream as under way at its service, if it is that of a workspace.
+    pass: Option<GatePass>,
+    opened_at: Millis,
 }
 
 /// Returns the response to a client, whose bytes follow as they arrive.
-pub(super) fn response(stream: EventStream, piece: Option<HeldBytes>) -> EntryResponse {
+pub(super) fn response(
+    stream: EventStream,
+    piece: Option<HeldBytes>,
+    pass: Option<GatePass>,
+) -> EntryResponse {
     let mut response = Response::new(());
     if let Some(head) = stream.head() {
         *response.status_mut() = head.status;
         *response.headers_mut() = head.headers.clone();
         hop_headers::remove(response.headers_mut());
     }
-    let relayed = Relayed { stream, piece };
+    let relayed = Relayed {
+        stream,
+        piece,
+        pass,
+        opened_at: now(),
+    };
     let chunks = unfold(Some(relayed), |relayed| async {
         next_frame(relayed?).await
     });
@@ -49,7 +62,12 @@
             }
             Some((Ok(Frame::data(bytes)), Some(relayed)))
         }
-        Ok(None) => None,
+        Ok(None) => {
+            if let Some(pass) = &relayed.pass {
+                pass.served(now().since(relayed.opened_at));
+            }
+            None
+        }
         Err(error) => Some((Err(BodyError::from(error)), None)),
     }
 }
--- a/crates/oleander-rollout/src/entry/streams.rs
+++ b/crates/oleander-rollout/src/entry/streams.rs
@@ -3,6 +3,7 @@
 use super::body::{EntryResponse, full};
 use super::calls::{call_request, no_room, pick_service};
 use super::entry_process::Entry;
+use super::gates::{GatePass, GateRefusal};
 use super::relay;
 use super::request_head::RequestHead;
 use super::resumption::Resumption;
@@ -67,7 +68,10 @@
     };
     let after_event = resumption.as_ref().map_or(0, |from| from.after_event);
     let limits = StreamLimits::of(route.objective);
-    let opened = EventStream::open(&entry.caller, req.clone(), after_event, limits).await;
+    let (opened, pass) = match open_in_turn(entry, head, &req, (after_event, limits)).await {
+        Ok(opened) => opened,
+        Err(_) => return full(no_room(entry, head, route, "share")),
+    };
     let took = now().since(head.arrived);
     entry.metrics.record_latency("first-event", took);
     let left = req.deadline.since(now());
@@ -78,7 +82,7 @@
             if route.resumable && req.resumes.is_none() {
                 record_origin(entry, &stream, &req.id).await;
             }
-            ("opened".to_owned(), relay::response(stream, piece))
+            ("opened".to_owned(), relay::response(stream, piece, pass))
         }
         Err(StreamFailure::NotRun(not_run)) => {
             let after = not_run.retry_after.max(retry_after(left));
@@ -103,6 +107,36 @@
     response
 }
 
+/// Opens a stream when it is the turn of the client's workspace, and returns it with the pass that
+/// counts it as under way. Without workspaces, nothing waits.
+///
+/// # Errors
+///
+/// Its turn would come too late.
+async fn open_in_turn(
+    entry: &Entry,
+    head: &RequestHead,
+    req: &CallRequest,
+    (after_event, limits): (u64, StreamLimits),
+) -> Result<(Result<EventStream, StreamFailure>, Option<GatePass>), GateRefusal> {
+    let open = || EventStream::open(&entry.caller, req.clone(), after_event, limits);
+    if !entry.has_workspaces() {
+        return Ok((open().await, None));
+    }
+    let rank = head.client.as_ref().and_then(|client| client.rank);
+    let workspace = head.workspace();
+    let pass = entry
+        .gates
+        .pass(&req.service, workspace, rank, req.deadline)
+        .await?;
+    loop {
+        match open().await {
+            Err(StreamFailure::NotRun(not_run)) if not_run.full => pass.wait_again().await?,
+            opened => return Ok((opened, Some(pass))),
+        }
+    }
+}
+
 /// Returns what began the stream that a request resumes, if the route still leads to its service.
 async fn find_origin(
     entry: &Entry,
--- a/crates/oleander-rollout/tests/workspace_gates.rs
+++ b/crates/oleander-rollout/tests/workspace_gates.rs
@@ -7,7 +7,7 @@
 use support::deployment::Deployment;
 use support::deployment_size::DeploymentSize;
 use support::http::Reply;
-use support::{config, wait_for};
+use support::{HOST, config, config_with_streams, read_text, wait_for};
 
 const KEY: &str = "acme-key-7d1f";
 
@@ -69,6 +69,32 @@
     assert!((2..=75).contains(&refused), "sent {refused} times");
 }
 
+/// Guards against streams of a workspace that the gate holds back or cuts although nothing is full.
+#[test]
+fn streams_of_a_workspace_pass_while_nothing_is_full() {
+    let deployment = Deployment::start_with_streams(1, 1);
+    let mut config = config_with_streams(3);
+    config["tenants"] = json!([{"name": "acme", "api_keys": [KEY]}]);
+    deployment.store.put("config", "main", &config);
+    wait_for("the entry has the configuration", || {
+        let reply = deployment.call(0, "GET", "/calls/poll", &[], b"");
+        reply.is_some_and(|reply| reply.status == 401)
+    });
+    let token = format!("Token {KEY}");
+    for n in 0..20 {
+        let id = format!("stream-{n}");
+        let headers = [
+            ("host", HOST),
+            ("request-id", id.as_str()),
+            ("deadline-ms", "4000"),
+            ("authorization", token.as_str()),
+        ];
+        let text = read_text(deployment.open_stream_at("/talk/x", 0, 2, &headers));
+        assert!(text.starts_with("HTTP/1.1 200"), "{text}");
+        assert!(text.contains(&format!("{id}:2")), "{text}");
+    }
+}
+
 /// Guards against calls that wait in a deployment without workspaces.
 #[test]
 fn a_call_is_refused_at_once_without_workspaces() {
