Refuse out of turn with a Retry-After from the queue's pace

The refusal ignored the time in which the queue empties, so that clients returned by the time that they had left. They now return at a random time until the queue is empty.

--- a/crates/oleander-rollout/src/entry/calls.rs
+++ b/crates/oleander-rollout/src/entry/calls.rs
@@ -2,6 +2,7 @@
 
 use super::body::{EntryResponse, full, whole};
 use super::entry_process::Entry;
+use super::gates::GateRefusal;
 use super::request_head::RequestHead;
 use super::rooms::{kind_of, spread};
 use super::whole_body::WholeBody;
@@ -17,6 +18,9 @@
 use oleanderlock::routing::retry_rule::retry_after;
 use oleanderlock::routing::route::Route;
 
+/// Shortest time after which a client may retry that was refused because its turn would be too late.
+const OUT_OF_TURN_MIN: Millis = Millis(50);
+
 /// Returns the point in time after which the client or the route no longer waits for the response.
 pub fn deadline(head: &RequestHead, route: &Route) -> Millis {
     let timeout = head.client_timeout.unwrap_or(route.timeout);
@@ -92,8 +96,9 @@
         return full(no_room(entry, head, route, "response-room"));
     };
     let req = call_request(head, route, parts, body, service, memory);
-    let Some(outcome) = call_in_turn(entry, head, &req).await else {
-        return full(no_room(entry, head, route, "share"));
+    let outcome = match call_in_turn(entry, head, &req).await {
+        Ok(outcome) => outcome,
+        Err(refusal) => return full(out_of_turn(entry, head, route, refusal)),
     };
     let took = now().since(head.arrived);
     entry.metrics.record_latency("call", took);
@@ -156,9 +161,30 @@
 
 /// Refuses a request for which there is no room in this process; it has not run.
 pub fn no_room(entry: &Entry, head: &RequestHead, route: &Route, place: &str) -> FullResponse {
-    entry.metrics.record_refusal(place);
     let left = deadline(head, route).since(now());
-    let after = spread(retry_after(left));
+    refuse(entry, head, route, (place, spread(retry_after(left))))
+}
+
+/// Refuses a request whose turn at a full service would come too late; it has not run. Clients return
+/// at any time until what waits is served, so that they don't all return at once.
+pub fn out_of_turn(
+    entry: &Entry,
+    head: &RequestHead,
+    route: &Route,
+    refusal: GateRefusal,
+) -> FullResponse {
+    let longest = refusal.empty_after.max(OUT_OF_TURN_MIN);
+    let after = Millis(rand::random_range(OUT_OF_TURN_MIN.0..=longest.0));
+    refuse(entry, head, route, ("share", after))
+}
+
+fn refuse(
+    entry: &Entry,
+    head: &RequestHead,
+    route: &Route,
+    (place, after): (&str, Millis),
+) -> FullResponse {
+    entry.metrics.record_refusal(place);
     event(log::Level::Info, "no-room", || {
         let workspace = head.workspace();
         let workspace = workspace.as_deref().unwrap_or("none");
@@ -170,28 +196,34 @@
     response::refusal(after)
 }
 
-/// Calls a service when it is the turn of the client's workspace; `None` if that is too late. Without
-/// workspaces, nothing waits.
-async fn call_in_turn(entry: &Entry, head: &RequestHead, req: &CallRequest) -> Option<CallOutcome> {
+/// Calls a service when it is the turn of the client's workspace. Without workspaces, nothing waits.
+///
+/// # Errors
+///
+/// Its turn would come too late.
+async fn call_in_turn(
+    entry: &Entry,
+    head: &RequestHead,
+    req: &CallRequest,
+) -> Result<CallOutcome, GateRefusal> {
     if !entry.has_workspaces() {
-        return Some(entry.caller.call(req).await);
+        return Ok(entry.caller.call(req).await);
     }
     let rank = head.client.as_ref().and_then(|client| client.rank);
     let workspace = head.workspace();
-    let passed = entry
+    let pass = entry
         .gates
         .pass(&req.service, workspace, rank, req.deadline)
-        .await;
-    let pass = passed.ok()?;
+        .await?;
     loop {
         let sent_at = now();
         match entry.caller.call(req).await {
-            CallOutcome::NotRun(not_run) if not_run.full => pass.wait_again().await.ok()?,
+            CallOutcome::NotRun(not_run) if not_run.full => pass.wait_again().await?,
             outcome => {
                 if matches!(outcome, CallOutcome::Answered(_)) {
                     pass.served(now().since(sent_at));
                 }
-                return Some(outcome);
+                return Ok(outcome);
             }
         }
     }
--- a/crates/oleander-rollout/src/entry/streams.rs
+++ b/crates/oleander-rollout/src/entry/streams.rs
@@ -1,7 +1,7 @@
 //! Streams of events, relayed as they arrive.
 
 use super::body::{EntryResponse, full};
-use super::calls::{call_request, no_room, pick_service};
+use super::calls::{call_request, no_room, out_of_turn, pick_service};
 use super::entry_process::Entry;
 use super::gates::{GatePass, GateRefusal};
 use super::relay;
@@ -70,7 +70,7 @@
     let limits = StreamLimits::of(route.objective);
     let (opened, pass) = match open_in_turn(entry, head, &req, (after_event, limits)).await {
         Ok(opened) => opened,
-        Err(_) => return full(no_room(entry, head, route, "share")),
+        Err(refusal) => return full(out_of_turn(entry, head, route, refusal)),
     };
     let took = now().since(head.arrived);
     entry.metrics.record_latency("first-event", took);
