--- a/crates/oleander-rollout/src/agent/runner.rs
+++ b/crates/oleander-rollout/src/agent/runner.rs
@@ -52,6 +52,13 @@
                 let need = token_memory::needed(&work.item);
                 let passed_since = &mut state.items[&name].passed_since;
                 if !room.start(now(), need, passed_since) {
+                    if room.never_fits(need) && passed_since.is_none() {
+                        // Once for each item.
+                        *passed_since = Some(now());
+                        event(log::Level::Warn, "item-too-large", || {
+                            format!("item={name} tokens={need}")
+                        });
+                    }
                     continue;
                 }
             }
--- a/crates/oleanderlock/src/pressure/token_room.rs
+++ b/crates/oleanderlock/src/pressure/token_room.rs
@@ -32,13 +32,18 @@
         }
     }
 
+    /// Whether an item that needs `need` tokens would not even fit into the empty engine.
+    pub fn never_fits(&self, need: u64) -> bool {
+        need > self.total
+    }
+
     /// Returns whether an item that needs `need` tokens may start now, and counts it as running if
     /// so. Items are asked for in the order in which they should start.
     ///
     /// `passed_since` is kept with the item: the time at which it first found no room. An item that
     /// needs more than the engine has never starts and holds up no other one.
     pub fn start(&mut self, now: Millis, need: u64, passed_since: &mut Option<Millis>) -> bool {
-        if need > self.total || self.reserved {
+        if self.never_fits(need) || self.reserved {
             return false;
         }
         if self.used.saturating_add(need) > self.total {
