Keep the heavier load of the replay of shares as a known red test

The first run of the replay had large workspaces that ask for four to ten times their share. The replay's load was then lowered to two to four times. The heavier one is a test of its own now, with the stated bound, in KNOWN-RED.txt.

--- a/crates/oleanderlock/tests/workspace_shares.rs
+++ b/crates/oleanderlock/tests/workspace_shares.rs
@@ -58,8 +58,12 @@
 
 /// Calls of a workspace in a thousand seconds. The large ones ask for two to four times their share,
 /// all together for half more than there is.
-fn demand(workspace: usize) -> u64 {
-    if workspace < LARGE { 200_000 } else { 10_000 }
+const LARGE_DEMAND: u64 = 200_000;
+/// The same for a load in which the large ones ask for four to ten times their share.
+const HEAVY_DEMAND: u64 = 500_000;
+
+fn demand(workspace: usize, large: u64) -> u64 {
+    if workspace < LARGE { large } else { 10_000 }
 }
 
 fn service_ms(workspace: usize) -> u64 {
@@ -76,7 +80,7 @@
 }
 
 /// Replays a load and returns the counts by workspace.
-fn replay(case: Case, with_gates: bool) -> Vec<Count> {
+fn replay(case: Case, with_gates: bool, large: u64) -> Vec<Count> {
     let mut draw = Draw(7);
     let names: Vec<LaneName> = (0..WORKSPACES).map(name).collect();
     let mut gates = vec![ServiceGate::default(); ENTRIES];
@@ -110,7 +114,7 @@
         // Those that arrive, and then those that waited.
         let mut to_send = Vec::new();
         for workspace in 0..WORKSPACES {
-            if draw.below(1_000_000) >= demand(workspace) {
+            if draw.below(1_000_000) >= demand(workspace, large) {
                 continue;
             }
             let domain = case == Case::OneDomain && workspace < LARGE && draw.below(20) > 0;
@@ -189,7 +193,10 @@
 
 /// Checks the shares of one case against those without gates.
 fn check(case: Case) {
-    let (counts, naive) = (replay(case, true), replay(case, false));
+    let (counts, naive) = (
+        replay(case, true, LARGE_DEMAND),
+        replay(case, false, LARGE_DEMAND),
+    );
     let all = part(&sum(&counts));
     let (small, small_naive) = (sum(&counts[LARGE..]), sum(&naive[LARGE..]));
     let (small, small_naive) = (part(&small), part(&small_naive));
@@ -221,6 +228,16 @@
     check(Case::Even);
 }
 
+/// Guards against a workspace that gets next to nothing of a great deal that it asks for. Equal shares
+/// by time don't give it that: see KNOWN-RED.txt.
+#[test]
+fn a_workspace_far_above_its_share_is_served_a_quarter_as_often_as_all() {
+    let counts = replay(Case::Even, true, HEAVY_DEMAND);
+    let all = part(&sum(&counts));
+    let least = counts.iter().map(part).fold(f64::MAX, f64::min);
+    assert!(least >= all / 4.0, "one workspace gets {least} of {all}");
+}
+
 /// Guards against shares that hold only if all entries see the same load.
 #[test]
 fn shares_hold_while_one_domain_takes_nearly_all_calls_of_the_large_workspaces() {
