--- a/crates/oleander-rollout/src/call/call_request.rs
+++ b/crates/oleander-rollout/src/call/call_request.rs
@@ -1,5 +1,6 @@
 //! A call to a service.
 
+use super::call_memory::CallMemory;
 use super::usage_mark::UsageMark;
 use crate::prelude::*;
 use http::header::HOST;
@@ -42,6 +43,8 @@
     pub usage: Option<Rc<UsageMark>>,
     /// Whether one attempt is made even if endpoints have crashed under the same request before.
     pub trial: bool,
+    /// Memory that the call uses.
+    pub memory: CallMemory,
 }
 
 impl CallRequest {
--- a/crates/oleander-rollout/src/call/caller.rs
+++ b/crates/oleander-rollout/src/call/caller.rs
@@ -134,6 +134,7 @@
             None => CallOutcome::NotRun(NotRun {
                 retry_after: Millis::ZERO,
                 reason: NotRunReason::NotRun,
+                full: progress.full,
             }),
         });
         if !matches!(outcome, CallOutcome::Answered(_)) {
@@ -191,6 +192,10 @@
         if !req.repeatable || running.len() > 1 {
             return;
         }
+        // Its response has arrived and finds no room.
+        if req.memory.is_waiting() {
+            return;
+        }
         // Two endpoints could crash at once.
         if self.crashes.is_suspect(req) {
             return;
@@ -250,6 +255,7 @@
             }
             AttemptOutcome::NotRun(reason) => {
                 progress.attempts_made = progress.attempts_made.saturating_sub(1);
+                progress.full |= reason == "full";
                 self.metrics.record_retry(reason);
                 reason.to_owned()
             }
@@ -399,7 +405,7 @@
             let request = (kind, sent_at);
             self.limits.read_whole(headers, &endpoint.instance, request);
         };
-        read_response(class, exchange, on_whole).await
+        read_response(class, exchange, &req.memory, on_whole).await
     }
 
     /// Tells a lost response from a crash of the endpoint.
@@ -501,10 +507,12 @@
                 Some(delay) => NotRun {
                     retry_after: delay,
                     reason: NotRunReason::RateLimit,
+                    full: false,
                 },
                 None => NotRun {
                     retry_after,
                     reason: NotRunReason::NotRun,
+                    full: progress.full,
                 },
             })
         }
--- a/crates/oleander-rollout/src/call/open_stream.rs
+++ b/crates/oleander-rollout/src/call/open_stream.rs
@@ -19,6 +19,7 @@
 const ORIGIN_DOUBTED: NotRun = NotRun {
     retry_after: Millis::ZERO,
     reason: NotRunReason::OriginDoubted,
+    full: false,
 };
 
 impl Caller {
--- a/crates/oleander-rollout/src/entry/entry_process.rs
+++ b/crates/oleander-rollout/src/entry/entry_process.rs
@@ -1,8 +1,10 @@
 //! The entry process.
 
 use super::config_guard::ConfigGuard;
+use super::gates::Gates;
 use super::key_log::KeyLog;
 use super::origin_registry::OriginRegistry;
+use super::rooms::Rooms;
 use super::usage_reporter::UsageReporter;
 use super::{platform_updates, router};
 use crate::call::call_request::CallRequest;
@@ -47,6 +49,7 @@
 const READY_LIMITS: ServerLimits = ServerLimits {
     head_bytes: HEAD_BYTES_DEFAULT,
     idle: IDLE_TIMEOUT_DEFAULT,
+    bounded: false,
 };
 
 /// State that the tasks of an entry share.
@@ -70,6 +73,10 @@
     pub health: StoreHealth,
     /// Open while the entry watches the list of endpoints itself, because no leader responds.
     pub own_watch: Gate,
+    /// Room for bytes that wait; `None` if they are not bounded.
+    pub rooms: Option<Rooms>,
+    /// Gates in front of services, for requests of workspaces.
+    pub gates: Gates,
     /// Metrics.
     pub metrics: Metrics,
     /// When the configuration in force was last known to be the newest.
@@ -147,6 +154,8 @@
             view,
             health,
             own_watch,
+            gates: Gates::default(),
+            rooms: cfg.features.bounded_bytes.then(Rooms::default),
             metrics,
             confirmation,
             key_log: Rc::clone(&key_log),
@@ -187,18 +196,28 @@
 
     fn serve_calls(self: &Rc<Self>, listener: smol::net::TcpListener) {
         let this = Rc::clone(self);
-        let handler = Rc::new(move |req| router::handle(Rc::clone(&this), req));
+        // Boxed while a request is handled: a connection without one would keep room for all of its
+        // state.
+        let handler = Rc::new(move |req| Box::pin(router::handle(Rc::clone(&this), req)));
         let this = Rc::clone(self);
         let limits = move || this.limits();
         spawn(serve(listener, limits, Rc::clone(&self.shutdown), handler));
     }
 
+    /// Whether the configuration has workspaces, which share what is short.
+    pub fn has_workspaces(&self) -> bool {
+        let view = self.view.get();
+        let routes = view.routes.as_ref();
+        routes.is_some_and(|routes| routes.config.workspaces.is_some())
+    }
+
     fn limits(&self) -> ServerLimits {
         let view = self.view.get();
         let limits = view.routes.as_ref().map(|routes| routes.config.limits);
         ServerLimits {
             head_bytes: limits.map_or(HEAD_BYTES_DEFAULT, |limits| limits.header_bytes),
             idle: limits.map_or(IDLE_TIMEOUT_DEFAULT, |limits| limits.idle_time),
+            bounded: self.rooms.is_some(),
         }
     }
 
--- a/crates/oleander-rollout/src/entry/streams.rs
+++ b/crates/oleander-rollout/src/entry/streams.rs
@@ -1,11 +1,13 @@
 //! Streams of events, relayed as they arrive.
 
 use super::body::{EntryResponse, full};
-use super::calls::{call_request, pick_service};
+use super::calls::{call_request, no_room, out_of_turn, pick_service};
 use super::entry_process::Entry;
+use super::gates::{GatePass, GateRefusal};
 use super::relay;
 use super::request_head::RequestHead;
 use super::resumption::Resumption;
+use crate::call::call_memory::CallMemory;
 use crate::call::call_request::CallRequest;
 use crate::call::event_stream::EventStream;
 use crate::call::stream_failure::StreamFailure;
@@ -32,6 +34,7 @@
     route: &Route,
     parts: &Parts,
     body: Bytes,
+    memory: CallMemory,
 ) -> EntryResponse {
     let resumption = match Resumption::read(&parts.headers) {
         Ok(resumption) => resumption,
@@ -56,7 +59,14 @@
     };
     let mut req = CallRequest {
         resumes: origin,
-        ..call_request(head, route, parts, body, service)
+        ..call_request(head, route, parts, body, service, memory)
+    };
+    let piece = match &entry.rooms {
+        None => None,
+        Some(rooms) => match rooms.stream(head.workspace(), entry.has_workspaces()) {
+            Some(piece) => Some(piece),
+            None => return full(no_room(entry, head, route, "stream-room")),
+        },
     };
     req.usage = entry.usage_mark(&req);
     if let Some(rank) = head.client.as_ref().and_then(|client| client.rank) {
@@ -65,7 +75,10 @@
     }
     let after_event = resumption.as_ref().map_or(0, |from| from.after_event);
     let limits = StreamLimits::of(route.objective);
-    let opened = EventStream::open(&entry.caller, req.clone(), after_event, limits).await;
+    let (opened, pass) = match open_in_turn(entry, head, &req, (after_event, limits)).await {
+        Ok(opened) => opened,
+        Err(refusal) => return full(out_of_turn(entry, head, route, refusal)),
+    };
     let took = now().since(head.arrived);
     entry.metrics.record_latency("first-event", took);
     let left = req.deadline.since(now());
@@ -76,7 +89,7 @@
             if route.resumable {
                 record_origin(entry, &stream, &req).await;
             }
-            ("opened".to_owned(), relay::response(stream))
+            ("opened".to_owned(), relay::response(stream, piece, pass))
         }
         Err(StreamFailure::NotRun(not_run)) => {
             let after = not_run.retry_after.max(retry_after(left));
@@ -101,6 +114,36 @@
     response
 }
 
+/// Opens a stream when it is the turn of the client's workspace, and returns it with the pass that
+/// counts it as under way. Without workspaces, nothing waits.
+///
+/// # Errors
+///
+/// Its turn would come too late.
+async fn open_in_turn(
+    entry: &Entry,
+    head: &RequestHead,
+    req: &CallRequest,
+    (after_event, limits): (u64, StreamLimits),
+) -> Result<(Result<EventStream, StreamFailure>, Option<GatePass>), GateRefusal> {
+    let open = || EventStream::open(&entry.caller, req.clone(), after_event, limits);
+    if !entry.has_workspaces() {
+        return Ok((open().await, None));
+    }
+    let rank = head.client.as_ref().and_then(|client| client.rank);
+    let workspace = head.workspace();
+    let pass = entry
+        .gates
+        .pass(&req.service, workspace, rank, req.deadline)
+        .await?;
+    loop {
+        match open().await {
+            Err(StreamFailure::NotRun(not_run)) if not_run.full => pass.wait_again().await?,
+            opened => return Ok((opened, Some(pass))),
+        }
+    }
+}
+
 /// Returns what began the stream that a request resumes, if the route still leads to its service.
 async fn find_origin(
     entry: &Entry,
--- a/crates/oleander-rollout/tests/formats.rs
+++ b/crates/oleander-rollout/tests/formats.rs
@@ -782,6 +782,7 @@
         workspace: None,
         usage: None,
         trial: false,
+        memory: Default::default(),
     }
 }
 
