Wait for what the tests of a power cut presuppose

Two tests failed beside load: an entry still listed the instances from before the versions were set, so that both engines answered 421 and a stream was refused; and four streams in a row reached v2 by chance while the entry still listed v1. The checks are unchanged; a refusal that fails names the version that ran.

--- a/crates/oleander-rollout/tests/stream_power_cut.rs
+++ b/crates/oleander-rollout/tests/stream_power_cut.rs
@@ -71,7 +71,8 @@
     let is_of_v2 = |id: &str| version_of(&deployment, id).as_deref() == Some(VERSIONS[1]);
     for entry in 0..2 {
         wait_for("only v2 is left", || {
-            let ids: Vec<String> = (0..4).map(|_| new_id("left")).collect();
+            // So many that an entry which still lists v1 sends one of them there.
+            let ids: Vec<String> = (0..STREAMS).map(|_| new_id("left")).collect();
             for id in &ids {
                 read_text(open(&deployment, entry, id, 1, &[]));
             }
@@ -268,10 +269,25 @@
     }
     for entry in 0..2 {
         wait_for_versions(&deployment, entry, versions);
+        wait_for_engines(&deployment, entry);
     }
     deployment
 }
 
+/// Waits until an entry has sent a stream to each engine, which refuses those for the instance that
+/// it was before its version was set.
+fn wait_for_engines(deployment: &Deployment, entry: usize) {
+    let mut sent = Vec::new();
+    wait_for("the entry routes to all engines", || {
+        let id = new_id("warm-engine");
+        read_text(open(deployment, entry, &id, 1, &[]));
+        sent.push(id);
+        let served =
+            |engine: &StandInEngine| engine.runs().iter().any(|run| sent.contains(&run.id));
+        deployment.engines.iter().all(served)
+    });
+}
+
 /// Guards against resumption at an engine that has restarted with another version under the id that
 /// it had, before its new list entry is known.
 #[test]
--- a/crates/oleander-rollout/tests/support/client_streams.rs
+++ b/crates/oleander-rollout/tests/support/client_streams.rs
@@ -127,7 +127,8 @@
 
 /// Checks that a request was refused as not run, and that no engine has run it.
 pub fn check_refused(deployment: &Deployment, id: &str, text: &str) {
-    assert!(text.starts_with("HTTP/1.1 503 "), "{text}");
+    let ran_at = version_of(deployment, id);
+    assert!(text.starts_with("HTTP/1.1 503 "), "at {ran_at:?}: {text}");
     assert!(text.contains("retry-after: "), "{text}");
     assert_eq!(version_of(deployment, id), None, "{id}");
 }
