Enter the gate of a service by one function for calls and streams

Calls and streams each looked up workspace and rank and checked for workspaces before they entered the gate, and the entry asked for workspaces in its own way beside View::has_workspaces. One function enters the gate now, and View tells whether there are workspaces. Behaviour is unchanged.

Checked: formatter, clippy of the workspace; calls 19, streams 5, workspaces 14, workspace_gates 4, formats 11.

--- a/crates/oleander-rollout/src/entry/calls.rs
+++ b/crates/oleander-rollout/src/entry/calls.rs
@@ -208,15 +208,9 @@
     head: &RequestHead,
     req: &CallRequest,
 ) -> Result<CallOutcome, GateRefusal> {
-    if !entry.has_workspaces() {
+    let Some(pass) = entry.pass_gate(head, req).await? else {
         return Ok(entry.caller.call(req).await);
-    }
-    let rank = head.client.as_ref().and_then(|client| client.rank);
-    let workspace = head.workspace();
-    let pass = entry
-        .gates
-        .pass(&req.service, workspace, rank, req.deadline)
-        .await?;
+    };
     loop {
         let sent_at = now();
         match entry.caller.call(req).await {
--- a/crates/oleander-rollout/src/entry/entry_process.rs
+++ b/crates/oleander-rollout/src/entry/entry_process.rs
@@ -1,9 +1,10 @@
 //! The entry process.
 
 use super::config_guard::ConfigGuard;
-use super::gates::Gates;
+use super::gates::{GatePass, GateRefusal, Gates};
 use super::key_log::KeyLog;
 use super::origin_registry::OriginRegistry;
+use super::request_head::RequestHead;
 use super::rooms::Rooms;
 use super::usage_reporter::UsageReporter;
 use super::{platform_updates, router};
@@ -206,9 +207,28 @@
 
     /// Whether the configuration has workspaces, which share what is short.
     pub fn has_workspaces(&self) -> bool {
-        let view = self.view.get();
-        let routes = view.routes.as_ref();
-        routes.is_some_and(|routes| routes.config.workspaces.is_some())
+        self.view.get().has_workspaces()
+    }
+
+    /// Waits until it is the turn of the client's workspace at the service of a request; `None`
+    /// without workspaces, where nothing waits.
+    ///
+    /// # Errors
+    ///
+    /// Its turn would come too late.
+    pub(super) async fn pass_gate(
+        &self,
+        head: &RequestHead,
+        req: &CallRequest,
+    ) -> Result<Option<GatePass>, GateRefusal> {
+        if !self.has_workspaces() {
+            return Ok(None);
+        }
+        let rank = head.client.as_ref().and_then(|client| client.rank);
+        let pass = self
+            .gates
+            .pass(&req.service, head.workspace(), rank, req.deadline);
+        pass.await.map(Some)
     }
 
     fn limits(&self) -> ServerLimits {
--- a/crates/oleander-rollout/src/entry/streams.rs
+++ b/crates/oleander-rollout/src/entry/streams.rs
@@ -127,15 +127,9 @@
     (after_event, limits): (u64, StreamLimits),
 ) -> Result<(Result<EventStream, StreamFailure>, Option<GatePass>), GateRefusal> {
     let open = || EventStream::open(&entry.caller, req.clone(), after_event, limits);
-    if !entry.has_workspaces() {
+    let Some(pass) = entry.pass_gate(head, req).await? else {
         return Ok((open().await, None));
-    }
-    let rank = head.client.as_ref().and_then(|client| client.rank);
-    let workspace = head.workspace();
-    let pass = entry
-        .gates
-        .pass(&req.service, workspace, rank, req.deadline)
-        .await?;
+    };
     loop {
         match open().await {
             Err(StreamFailure::NotRun(not_run)) if not_run.full => pass.wait_again().await?,
--- a/crates/oleander-rollout/src/store/view.rs
+++ b/crates/oleander-rollout/src/store/view.rs
@@ -43,9 +43,7 @@
         let routes = self.routes.as_ref();
         routes.is_some_and(|routes| routes.keys.is_some())
     }
-}
 
-impl View {
     /// Returns the leader if its epoch is later than `epoch`.
     pub fn newer_leader(&self, epoch: u64) -> Option<&LeaderObject> {
         let leader = self.leader.as_ref().map(|(leader, _)| leader);
