Don't count requests that were only reported as running

An entry reports a request that is in progress as running. If its endpoint then refused it, or another one answered it in the next window, the next report lacked it, but the leader kept the count of the earlier one: the window was reported with a request too many. The leader now takes the newest report of a process as a whole, as docs/spec/duties.md says.

--- a/crates/oleanderlock/src/duties/usage_ledger.rs
+++ b/crates/oleanderlock/src/duties/usage_ledger.rs
@@ -31,8 +31,8 @@
 
 /// Counts of all entries, as the leading dispatcher collects them.
 ///
-/// Of each process, the newest report of each window counts, so that a repeat changes nothing. The
-/// counts of a process that has ended stay.
+/// Of each process, the newest report counts, so that a repeat changes nothing. The counts of a
+/// process that has ended stay.
 #[derive(Clone, Debug)]
 pub struct UsageLedger {
     window: UsageWindow,
@@ -63,6 +63,11 @@
         let offset_ms = known.map_or(shown, |known| known.offset_ms.max(shown));
         // A report that timed out may arrive after the next one.
         if known.is_none_or(|known| known.unix_ms <= report.unix_ms) {
+            // A report has all windows that are not written; one that it lacks, though an earlier report
+            // had it, held only requests that have not run there.
+            for of_window in self.counts.values_mut() {
+                of_window.remove(&key);
+            }
             for (window, counts) in report.windows {
                 let of_window = self.counts.entry(window).or_default();
                 of_window.insert(key.clone(), counts);
--- a/crates/oleanderlock/tests/usage_counts.rs
+++ b/crates/oleanderlock/tests/usage_counts.rs
@@ -200,6 +200,29 @@
     assert_eq!(ledger.close(Millis(6000), 999), Some(of("w", 2)));
 }
 
+/// Guards against counting a request for good that was only reported as running: an endpoint refused
+/// it, or another one answered it in the next window.
+#[test]
+fn request_that_was_reported_while_it_ran_counts_as_its_outcome_says() {
+    let mut ledger = ledger(0);
+    let mut counts = counts();
+    let refused = counts.begin("refused".into());
+    counts.record_sent(refused, "a", Millis(4000));
+    let moved = counts.begin("moved".into());
+    counts.record_sent(moved, "a", Millis(4900));
+    counts.record_sent(moved, "b", Millis(5100));
+    ledger.record(Millis(5200), report(&counts, 5200));
+    counts.record_not_run(refused, "a");
+    counts.finish(refused);
+    counts.record_answer(moved, "b");
+    ledger.record(Millis(10_200), report(&counts, 10_200));
+    assert_eq!(
+        ledger.close(Millis(10_200), 999),
+        Some(WorkspaceCounts::new())
+    );
+    assert_eq!(ledger.close(Millis(10_200), 1000), Some(of("moved", 1)));
+}
+
 /// Guards against losing the counts of an entry that was replaced.
 #[test]
 fn processes_of_one_node_add_up() {
