Tell entries and agents when the endpoints they get were current

The leader watches the endpoint list with calls that wait for a fifth of the time within which a leaving endpoint must be left (new setting bounds.leave_within), and passes on when its copy was last known to be the list. Entries and agents log endpoints-unconfirmed with the age when that is too old. A report of an agent that finds a change of the endpoints wakes those that wait for it; the change was left to the next tick, which no longer saw it.

--- a/crates/oleander-rollout/src/agent/agent_process.rs
+++ b/crates/oleander-rollout/src/agent/agent_process.rs
@@ -13,6 +13,8 @@
 use crate::peer::messages::{ReturnReason, ReturnedItem};
 use crate::prelude::*;
 use crate::settings::Config;
+use crate::store::endpoint_freshness::EndpointFreshness;
+use crate::store::endpoint_source::EndpointSource;
 use crate::store::follow::spawn_follower;
 use crate::store::gate::Gate;
 use crate::store::interests::Interests;
@@ -43,6 +45,8 @@
     pub process: u64,
     /// Local copy of the platform's state.
     pub view: SharedView,
+    /// Where the endpoints come from.
+    pub endpoint_source: Rc<EndpointSource>,
     /// Calls to the leading dispatcher.
     pub leader_client: Rc<LeaderClient>,
     /// Calls to the scoring services.
@@ -77,6 +81,7 @@
         let view = SharedView::default();
         // Configuration and endpoints come from the leader.
         let health = StoreHealth::default();
+        let freshness = EndpointFreshness::new(cfg.leave_within);
         spawn_follower(
             cfg.store,
             Interests {
@@ -85,6 +90,7 @@
             },
             Gate::open(),
             health.clone(),
+            freshness.clone(),
             view.clone(),
         )?;
         let caller = Caller::new(
@@ -105,6 +111,7 @@
                 Rc::clone(caller.limits()),
             ),
             caller,
+            endpoint_source: EndpointSource::open(freshness),
             view,
             metrics,
             state: RefCell::default(),
--- a/crates/oleander-rollout/src/agent/pull.rs
+++ b/crates/oleander-rollout/src/agent/pull.rs
@@ -22,13 +22,14 @@
 pub async fn run(agent: Rc<Agent>) {
     let mut failing = false;
     loop {
+        let sent_at = now();
         match pull(&agent, PULL).await {
             Ok(response) => {
                 if failing {
                     event(log::Level::Info, "leader-regained", String::new);
                     failing = false;
                 }
-                apply(&agent, response);
+                apply(&agent, sent_at, response);
             }
             Err(error) => {
                 if !failing {
@@ -56,10 +57,11 @@
             listener.await;
             continue;
         }
+        let sent_at = now();
         match pull(&agent, REPORT).await {
             Ok(response) => {
                 reported = current;
-                apply(&agent, response);
+                apply(&agent, sent_at, response);
             }
             // A later report of `run` contains the change as well.
             Err(_) => sleep(RETRY_PAUSE).await,
@@ -133,9 +135,11 @@
     }
 }
 
-/// Applies the response to a report.
-fn apply(agent: &Rc<Agent>, response: PullResponse) {
-    if let Some(digest) = apply_platform_update(&agent.view, response.platform_update) {
+/// Applies the response to a report that was sent at `sent_at`.
+fn apply(agent: &Rc<Agent>, sent_at: Millis, response: PullResponse) {
+    let update = apply_platform_update(&agent.view, response.platform_update);
+    agent.endpoint_source.update(sent_at, &update);
+    if let Some(digest) = update.endpoints_digest {
         agent.state.borrow_mut().endpoints_digest = digest;
         agent.notify();
     }
--- a/crates/oleander-rollout/src/dispatch/agents_api.rs
+++ b/crates/oleander-rollout/src/dispatch/agents_api.rs
@@ -15,11 +15,6 @@
 use oleanderlock::batch::sample_end::SampleEnd;
 use oleanderlock::routing::caller_rank::CallerRank;
 
-/// Longest time that a report waits for work.
-pub const PULL_WAIT: Millis = Millis(1000);
-/// Longest time that an entry waits for an update, so that it soon notices a leader that has lost
-/// the store.
-const UPDATE_WAIT: Millis = Millis(2000);
 /// Time since the last successful call to the store after which a leader sends no platform updates
 /// to entries.
 const STORE_AGE_MAX: Millis = Millis(2500);
@@ -31,6 +26,7 @@
 /// Takes the report of an agent; responds as soon as there is something for it, or with an empty
 /// response after `wait`.
 pub async fn pull(dispatcher: &Dispatcher, body: &[u8], wait: Millis) -> FullResponse {
+    let arrived = now();
     let PullRequest {
         mut report,
         parts,
@@ -46,7 +42,6 @@
     }
     {
         let mut state = dispatcher.state.borrow_mut();
-        platform_updates::refresh(dispatcher, &mut state);
         state.last_report = Some(now());
         state.callers.record_agent(&agent, now());
         let undelivered = state.outbox(&agent).work.iter();
@@ -72,21 +67,29 @@
         checkpoints::apply_report(&mut state, &report, parts);
     }
     dispatcher.schedule();
-    let waited = within(wait, next_response(dispatcher, &report, caller_rank)).await;
-    to_json(&waited.unwrap_or_default())
+    let known = (caller_rank, arrived);
+    let waited = within(wait, next_response(dispatcher, &report, known)).await;
+    let response = waited.unwrap_or_else(|| {
+        let mut state = dispatcher.state.borrow_mut();
+        PullResponse {
+            platform_update: platform_updates::for_agent(dispatcher, &mut state, &report, known),
+            ..PullResponse::default()
+        }
+    });
+    to_json(&response)
 }
 
 /// Waits until there is something for an agent, and takes it from the outbox.
 async fn next_response(
     dispatcher: &Dispatcher,
     report: &AgentReport,
-    known_rank: Option<CallerRank>,
+    known: (Option<CallerRank>, Millis),
 ) -> PullResponse {
     loop {
         let listener = dispatcher.changed.listen();
         {
             let mut state = dispatcher.state.borrow_mut();
-            let update = platform_updates::for_agent(dispatcher, &state, report, known_rank);
+            let update = platform_updates::for_agent(dispatcher, &mut state, report, known);
             let outbox = state.outbox(&report.agent);
             if !outbox.is_empty() || !update.is_empty() {
                 return PullResponse {
@@ -100,7 +103,7 @@
 }
 
 /// Answers an entry as soon as there is an update for it or the configuration has been confirmed
-/// again, or with an empty update after [`UPDATE_WAIT`].
+/// again, or with an empty update when the age of its endpoints makes it necessary.
 ///
 /// A leader that has had no recent answer from the store refuses the call, and the entry follows
 /// the store itself.
@@ -120,8 +123,8 @@
         loop {
             let listener = dispatcher.changed.listen();
             {
-                let state = dispatcher.state.borrow();
-                let update = platform_updates::for_entry(dispatcher, &state, &known, arrived);
+                let mut state = dispatcher.state.borrow_mut();
+                let update = platform_updates::for_entry(dispatcher, &mut state, &known, arrived);
                 let has_news = !update.is_empty() || confirmation.at() > confirmed_at;
                 if has_news || state.leading_epoch().is_none() {
                     return update;
@@ -130,10 +133,10 @@
             listener.await;
         }
     };
-    let update = within(UPDATE_WAIT, wait).await;
+    let update = within(dispatcher.freshness.limits.update_wait(), wait).await;
     let update = update.unwrap_or_else(|| {
-        let state = dispatcher.state.borrow();
-        platform_updates::for_entry(dispatcher, &state, &known, arrived)
+        let mut state = dispatcher.state.borrow_mut();
+        platform_updates::for_entry(dispatcher, &mut state, &known, arrived)
     });
     let stale = dispatcher.store.last_success_age() > STORE_AGE_MAX;
     if stale || dispatcher.state.borrow().leading_epoch().is_none() {
--- a/crates/oleander-rollout/src/dispatch/dispatcher.rs
+++ b/crates/oleander-rollout/src/dispatch/dispatcher.rs
@@ -8,9 +8,10 @@
 use crate::peer::leader_client::LeaderClient;
 use crate::prelude::*;
 use crate::settings::Config;
-use crate::store::config_confirmation::ConfigConfirmation;
 use crate::store::config_interest::ConfigInterest;
 use crate::store::config_reader::ConfigReader;
+use crate::store::confirmation::Confirmation;
+use crate::store::endpoint_freshness::EndpointFreshness;
 use crate::store::follow::spawn_follower;
 use crate::store::gate::Gate;
 use crate::store::interests::Interests;
@@ -59,6 +60,8 @@
     /// Gate of the watches on the store that only a leader needs: open while this dispatcher leads
     /// or recovers. A standby watches only the objects about dispatchers.
     pub full_view_gate: Gate,
+    /// How recent the endpoints of the view are.
+    pub freshness: EndpointFreshness,
     /// Time until which this dispatcher does not try to lead.
     pub paused_until: Cell<Millis>,
     /// Whether the process is stopping.
@@ -75,9 +78,10 @@
     /// The error of the operating system if an address can't be bound or a thread can't be started.
     pub fn open(cfg: Config, metrics: Metrics) -> std::io::Result<Rc<Self>> {
         let view = SharedView::default();
+        let freshness = EndpointFreshness::new(cfg.leave_within);
         let interests = Interests {
             config: Some(ConfigInterest::WhileOpen),
-            endpoints: true,
+            endpoints: Some(freshness.limits.watch_wait()),
             versions: true,
             retirements: true,
             crash_suspects: false,
@@ -89,6 +93,7 @@
             interests,
             full_view_gate.clone(),
             health.clone(),
+            freshness.clone(),
             view.clone(),
         )?;
         let store = StoreClient::new(cfg.store, health);
@@ -100,12 +105,9 @@
         let dispatcher = Rc::new(Self {
             store,
             duties,
-            config_reader: ConfigReader::new(
-                cfg.store,
-                view.clone(),
-                ConfigConfirmation::default(),
-            ),
+            config_reader: ConfigReader::new(cfg.store, view.clone(), Confirmation::default()),
             leader_client: LeaderClient::new(view.clone()),
+            freshness,
             view,
             metrics,
             state: RefCell::default(),
--- a/crates/oleander-rollout/src/dispatch/http_api.rs
+++ b/crates/oleander-rollout/src/dispatch/http_api.rs
@@ -65,7 +65,10 @@
         return response::status(StatusCode::MISDIRECTED_REQUEST);
     }
     match (&head.method, path) {
-        (&Method::POST, PULL) => agents_api::pull(dispatcher, &body, agents_api::PULL_WAIT).await,
+        (&Method::POST, PULL) => {
+            let wait = dispatcher.freshness.limits.update_wait();
+            agents_api::pull(dispatcher, &body, wait).await
+        }
         (&Method::POST, REPORT) => agents_api::pull(dispatcher, &body, Millis::ZERO).await,
         (&Method::POST, PLATFORM_UPDATES) => agents_api::platform_updates(dispatcher, &body).await,
         (&Method::POST, USAGE_COUNTS) => take_usage_counts(dispatcher, &body),
--- a/crates/oleander-rollout/src/dispatch/jobs.rs
+++ b/crates/oleander-rollout/src/dispatch/jobs.rs
@@ -7,7 +7,7 @@
 use crate::store::job_record::JobRecord;
 use crate::store::on_disconnect::OnDisconnect;
 use crate::store::store_error::StoreError;
-use crate::store::watch::follow;
+use crate::store::watch::{WATCH_WAIT, follow};
 use crate::store::watch_event::WatchEvent;
 use oleander_platform::stored_object::StoredObject;
 use oleanderlock::batch::item_key::ItemKey;
@@ -73,11 +73,15 @@
                 dispatcher.notify();
             }
             WatchEvent::Put(object) => end(&dispatcher, &object.name),
-            WatchEvent::Gone(_) | WatchEvent::Regained | WatchEvent::Lost => {}
+            WatchEvent::Gone(_)
+            | WatchEvent::Current(_)
+            | WatchEvent::Regained
+            | WatchEvent::Lost => {}
         }
         true
     };
-    follow(store, JOB_END_KIND, OnDisconnect::List, Gate::open(), apply).await;
+    let mode = (OnDisconnect::List, WATCH_WAIT);
+    follow(store, JOB_END_KIND, mode, Gate::open(), apply).await;
 }
 
 /// Watches jobs; sets `read` when all stored ones were read with all their parts.
@@ -90,7 +94,10 @@
         let (objects, is_all) = match change {
             WatchEvent::All(objects, _) => (objects, true),
             WatchEvent::Put(object) => (vec![object], false),
-            WatchEvent::Gone(_) | WatchEvent::Regained | WatchEvent::Lost => return true,
+            WatchEvent::Gone(_)
+            | WatchEvent::Current(_)
+            | WatchEvent::Regained
+            | WatchEvent::Lost => return true,
         };
         let (dispatcher, read) = (Rc::clone(&dispatcher), Rc::clone(&read));
         spawn(async move {
@@ -104,7 +111,8 @@
         });
         true
     };
-    follow(store, JOB_KIND, OnDisconnect::Resume, Gate::open(), apply).await;
+    let mode = (OnDisconnect::Resume, WATCH_WAIT);
+    follow(store, JOB_KIND, mode, Gate::open(), apply).await;
 }
 
 /// Accepts a job from its object, unless it is known already.
--- a/crates/oleander-rollout/src/dispatch/platform_updates.rs
+++ b/crates/oleander-rollout/src/dispatch/platform_updates.rs
@@ -22,17 +22,30 @@
     config_changed || endpoints_changed
 }
 
-/// Returns the configuration and endpoints that have changed since an agent's last report.
+/// Brings the endpoints that are sent up to date; returns when they were current, in milliseconds after
+/// the arrival of a call at `arrived`, or `None` if that is not known.
+fn confirm_endpoints(dispatcher: &Dispatcher, state: &mut State, arrived: Millis) -> Option<i64> {
+    // Taken before the endpoints, so that it is not about newer ones.
+    let confirmed = dispatcher.freshness.confirmation.relative_to(arrived);
+    if refresh(dispatcher, state) {
+        dispatcher.notify();
+    }
+    confirmed.filter(|_| dispatcher.view.get().endpoints_known)
+}
+
+/// Returns the configuration and endpoints that have changed since an agent's last report, which
+/// arrived at `arrived`.
 ///
 /// The endpoints are the agent's own engine and all endpoints of other services, which its items
 /// may call. The other engines of its own service are left out: an agent runs items on its own
 /// engine only.
 pub fn for_agent(
     dispatcher: &Dispatcher,
-    state: &State,
+    state: &mut State,
     report: &AgentReport,
-    known_rank: Option<CallerRank>,
+    (known_rank, arrived): (Option<CallerRank>, Millis),
 ) -> PlatformUpdate {
+    let confirmed = confirm_endpoints(dispatcher, state, arrived);
     let rank = state.callers.rank_of_agent(&report.agent, now());
     let known = KnownVersions {
         config_version: report.config_version,
@@ -47,6 +60,7 @@
     if let Some(config) = &mut update.config {
         config.remove_keys();
     }
+    update.endpoints_confirmed_ms = confirmed;
     update
 }
 
@@ -54,15 +68,17 @@
 /// for a call that arrived at `arrived`.
 pub fn for_entry(
     dispatcher: &Dispatcher,
-    state: &State,
+    state: &mut State,
     known: &KnownVersions,
     arrived: Millis,
 ) -> PlatformUpdate {
+    let endpoints_confirmed = confirm_endpoints(dispatcher, state, arrived);
     let rank = state.callers.rank_of_entry(&known.node, now());
     // Taken before the configuration, so that it is not about a newer one.
     let confirmed = dispatcher.config_reader.confirmation().relative_to(arrived);
     PlatformUpdate {
         config_confirmed_ms: confirmed,
+        endpoints_confirmed_ms: endpoints_confirmed,
         ..newer_than(dispatcher, state, known, rank, |_| true)
     }
 }
@@ -88,5 +104,6 @@
         endpoints,
         caller_rank: rank.filter(|rank| Some(*rank) != known.caller_rank),
         config_confirmed_ms: None,
+        endpoints_confirmed_ms: None,
     }
 }
--- a/crates/oleander-rollout/src/entry/entry_process.rs
+++ b/crates/oleander-rollout/src/entry/entry_process.rs
@@ -20,15 +20,18 @@
 use crate::peer::leader_client::LeaderClient;
 use crate::prelude::*;
 use crate::settings::Config;
-use crate::store::config_confirmation::ConfigConfirmation;
 use crate::store::config_interest::ConfigInterest;
 use crate::store::config_reader::ConfigReader;
+use crate::store::confirmation::Confirmation;
+use crate::store::endpoint_freshness::EndpointFreshness;
+use crate::store::endpoint_source::EndpointSource;
 use crate::store::follow::spawn_follower;
 use crate::store::gate::Gate;
 use crate::store::interests::Interests;
 use crate::store::shared_view::SharedView;
 use crate::store::store_client::StoreClient;
 use crate::store::store_health::StoreHealth;
+use crate::store::watch::WATCH_WAIT;
 use http::StatusCode;
 use oleanderlock::workspaces::key_policy::KeyPolicy;
 use std::cell::Cell;
@@ -74,6 +77,8 @@
     pub health: StoreHealth,
     /// Open while the entry watches the list of endpoints itself, because no leader responds.
     pub own_watch: Gate,
+    /// Where the endpoints come from.
+    pub endpoint_source: Rc<EndpointSource>,
     /// Room for bytes that wait; `None` if they are not bounded.
     pub rooms: Option<Rooms>,
     /// Gates in front of services, for requests of workspaces.
@@ -81,7 +86,7 @@
     /// Metrics.
     pub metrics: Metrics,
     /// When the configuration in force was last known to be the newest.
-    pub confirmation: ConfigConfirmation,
+    pub confirmation: Confirmation,
     /// How often keys are used.
     pub key_log: Rc<KeyLog>,
     /// Whether keys are accepted while that is not certain.
@@ -109,17 +114,19 @@
         let view = SharedView::default();
         let interests = Interests {
             config: Some(ConfigInterest::Always),
-            endpoints: true,
+            endpoints: Some(WATCH_WAIT),
             crash_suspects: true,
             ..Interests::default()
         };
         let own_watch = Gate::open();
         let health = StoreHealth::default();
+        let freshness = EndpointFreshness::new(cfg.leave_within);
         spawn_follower(
             cfg.store,
             interests,
             own_watch.clone(),
             health.clone(),
+            freshness.clone(),
             view.clone(),
         )?;
         let store = StoreClient::new(cfg.store, health.clone());
@@ -138,7 +145,7 @@
             let demand = Rc::clone(caller.demand());
             UsageReporter::start(&cfg.node, duties, client, demand, metrics.clone())
         });
-        let confirmation = ConfigConfirmation::default();
+        let confirmation = Confirmation::default();
         let key_log = KeyLog::new(metrics.clone());
         let guard = ConfigGuard::new(
             view.clone(),
@@ -155,6 +162,7 @@
             view,
             health,
             own_watch,
+            endpoint_source: EndpointSource::open(freshness),
             gates: Gates::default(),
             rooms: cfg.features.bounded_bytes.then(Rooms::default),
             metrics,
--- a/crates/oleander-rollout/src/entry/platform_updates.rs
+++ b/crates/oleander-rollout/src/entry/platform_updates.rs
@@ -32,6 +32,7 @@
                     entry.own_watch.set(false);
                 }
                 endpoints_digest = update.endpoints_digest.unwrap_or(endpoints_digest);
+                entry.endpoint_source.update(sent_at, &update);
                 if let Some(offset) = update.config_confirmed_ms {
                     entry.confirmation.record_relative(sent_at, offset);
                 }
--- a/crates/oleander-rollout/src/peer/messages/platform_update.rs
+++ b/crates/oleander-rollout/src/peer/messages/platform_update.rs
@@ -21,6 +21,10 @@
     /// after the arrival of the call; `None` if it doesn't know.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub config_confirmed_ms: Option<i64>,
+    /// When the sender last knew that its endpoints are those of the store, in milliseconds after the
+    /// arrival of the call; `None` if it doesn't know.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub endpoints_confirmed_ms: Option<i64>,
 }
 
 impl PlatformUpdate {
--- a/crates/oleander-rollout/src/settings.rs
+++ b/crates/oleander-rollout/src/settings.rs
@@ -37,6 +37,8 @@
     pub engine: Option<SocketAddr>,
     /// Time between SIGTERM and SIGKILL, within which the process stops.
     pub grace: Millis,
+    /// Time within which an endpoint that is leaving must get no more requests.
+    pub leave_within: Millis,
     /// Time within which an acknowledged change is visible to other processes.
     pub settle: Millis,
     /// Time for which results stay readable after the submission of their job.
@@ -53,6 +55,8 @@
 const VALUE_BYTES_DEFAULT: usize = 1 << 20;
 /// Default of [`Config::grace`].
 const GRACE_DEFAULT: Millis = Millis::from_secs(8);
+/// Default of [`Config::leave_within`].
+const LEAVE_WITHIN_DEFAULT: Millis = Millis::from_secs(2);
 /// Default of [`Config::settle`].
 const SETTLE_DEFAULT: Millis = Millis::from_secs(1);
 /// Default of [`Config::keep_results`].
@@ -93,6 +97,7 @@
             ),
             engine: optional_addr(&mut settings, "engine", "addr"),
             grace: settings.duration("bounds", "grace", GRACE_DEFAULT),
+            leave_within: settings.duration("bounds", "leave_within", LEAVE_WITHIN_DEFAULT),
             settle: settings.duration("bounds", "settle", SETTLE_DEFAULT),
             keep_results: settings.duration("bounds", "keep_results", KEEP_RESULTS_DEFAULT),
             duties: DutySettings::read(&mut settings, platform_api),
--- a/crates/oleander-rollout/src/store/applied_update.rs
+++ b/crates/oleander-rollout/src/store/applied_update.rs
@@ -8,4 +8,6 @@
     /// When the sender last knew its configuration to be the newest, in milliseconds after the
     /// arrival of the call; `None` if it didn't.
     pub config_confirmed_ms: Option<i64>,
+    /// The same for its endpoints.
+    pub endpoints_confirmed_ms: Option<i64>,
 }
--- a/crates/oleander-rollout/src/store/config_reader.rs
+++ b/crates/oleander-rollout/src/store/config_reader.rs
@@ -3,7 +3,7 @@
 //! A watch does not show that it works: its connection may have gone silent, or the store may refuse
 //! new calls of this process while a watch waits.
 
-use super::config_confirmation::ConfigConfirmation;
+use super::confirmation::Confirmation;
 use super::follow::apply_config_objects;
 use super::shared_view::SharedView;
 use super::store_client::StoreClient;
@@ -32,7 +32,7 @@
 pub struct ConfigReader {
     store: Rc<StoreClient>,
     view: SharedView,
-    confirmation: ConfigConfirmation,
+    confirmation: Confirmation,
     /// Revision of the store up to which changes were read; `None` before the first reading.
     revision: Cell<Option<u64>>,
     tried_at: Cell<Option<Millis>>,
@@ -44,7 +44,7 @@
 impl ConfigReader {
     /// Returns a reader that puts configurations into force in `view` and records in `confirmation`
     /// when they were the newest. It has a connection of its own.
-    pub fn new(store: SocketAddr, view: SharedView, confirmation: ConfigConfirmation) -> Rc<Self> {
+    pub fn new(store: SocketAddr, view: SharedView, confirmation: Confirmation) -> Rc<Self> {
         Rc::new(Self {
             store: StoreClient::new(store, StoreHealth::default()),
             view,
@@ -57,7 +57,7 @@
     }
 
     /// Returns when the configuration in force was last known to be the newest.
-    pub fn confirmation(&self) -> &ConfigConfirmation {
+    pub fn confirmation(&self) -> &Confirmation {
         &self.confirmation
     }
 
--- a/crates/oleander-rollout/src/store/config_confirmation.rs
+++ b/crates/oleander-rollout/src/store/confirmation.rs
@@ -1,39 +1,41 @@
-//! When the configuration in force was last known to be the newest.
+//! When a copy of a part of the store was last known to be current.
 
 use crate::prelude::*;
-use std::cell::Cell;
-use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
-/// When the configuration in force was last known to be the newest of the store, for the tasks of
-/// one thread; cheap to clone.
+/// When a copy of a part of the store was last known to be current, shared between threads; cheap to
+/// clone.
 ///
-/// A confirmation is recorded only after the configuration that it is about has been put into force.
+/// A confirmation is recorded only after the copy contains what it is about.
 #[derive(Clone, Debug, Default)]
-pub struct ConfigConfirmation {
-    at: Rc<Cell<Option<Millis>>>,
+pub struct Confirmation {
+    // Milliseconds of the boot clock; 0 for never.
+    at: Arc<AtomicU64>,
 }
 
-impl ConfigConfirmation {
-    /// Records that the configuration in force was the newest at the time `at`.
+impl Confirmation {
+    /// Records that the copy was current at the time `at`.
     pub fn record(&self, at: Millis) {
-        self.at.set(self.at.get().max(Some(at)));
+        self.at.fetch_max(at.0, Ordering::SeqCst);
     }
 
-    /// Returns when the configuration was last confirmed; `None` if it never was.
+    /// Returns when the copy was last confirmed; `None` if it never was.
     pub fn at(&self) -> Option<Millis> {
-        self.at.get()
+        let at = self.at.load(Ordering::SeqCst);
+        (at > 0).then_some(Millis(at))
     }
 
     /// Returns the time since the last confirmation; [`Millis::MAX`] without one.
     pub fn age(&self) -> Millis {
-        self.at.get().map_or(Millis::MAX, |at| now().since(at))
+        self.at().map_or(Millis::MAX, |at| now().since(at))
     }
 
     /// Returns the last confirmation in milliseconds after `start`; negative if it was earlier.
     ///
     /// Another process gets it as an answer to a call that arrived at `start`.
     pub fn relative_to(&self, start: Millis) -> Option<i64> {
-        let at = self.at.get()?;
+        let at = self.at()?;
         let distance = |later: Millis, earlier| i64::try_from(later.since(earlier).0).ok();
         if at >= start {
             distance(at, start)
--- a/crates/oleander-rollout/src/store/endpoint_watcher.rs
+++ b/crates/oleander-rollout/src/store/endpoint_watcher.rs
@@ -1,5 +1,6 @@
 //! Updates the endpoints of the view from a watch of the store.
 
+use super::endpoint_freshness::EndpointFreshness;
 use super::gate::Gate;
 use super::shared_view::SharedView;
 use super::store_client::StoreClient;
@@ -30,18 +31,27 @@
     view: SharedView,
     gate: Gate,
     health: StoreHealth,
+    freshness: EndpointFreshness,
     // Instances whose entries have disappeared from the store and are kept for now.
     missing: Rc<RefCell<Vec<String>>>,
 }
 
 impl EndpointWatcher {
-    /// Creates a watcher that updates `view` while `gate` is open.
-    pub fn new(store: Rc<StoreClient>, view: SharedView, gate: Gate, health: StoreHealth) -> Self {
+    /// Creates a watcher that updates `view` while `gate` is open and records in `freshness` when
+    /// the endpoints were current.
+    pub fn new(
+        store: Rc<StoreClient>,
+        view: SharedView,
+        gate: Gate,
+        health: StoreHealth,
+        freshness: EndpointFreshness,
+    ) -> Self {
         Self {
             store,
             view,
             gate,
             health,
+            freshness,
             missing: Rc::default(),
         }
     }
@@ -56,6 +66,7 @@
             WatchEvent::All(objects, _) => self.put_all(&objects),
             WatchEvent::Put(object) => self.put(&object),
             WatchEvent::Gone(instance) => self.deleted(instance),
+            WatchEvent::Current(at) => self.freshness.confirmation.record(at),
             WatchEvent::Lost | WatchEvent::Regained => {}
         }
     }
--- a/crates/oleander-rollout/src/store/follow.rs
+++ b/crates/oleander-rollout/src/store/follow.rs
@@ -3,6 +3,7 @@
 use super::config_interest::ConfigInterest;
 use super::crash_objects::CRASH_KIND;
 use super::dispatcher_object::{DISPATCHER_KIND, DispatcherObject, NODE_PREFIX};
+use super::endpoint_freshness::EndpointFreshness;
 use super::endpoint_watcher::EndpointWatcher;
 use super::gate::Gate;
 use super::interests::Interests;
@@ -12,7 +13,7 @@
 use super::store_client::StoreClient;
 use super::store_health::StoreHealth;
 use super::view::View;
-use super::watch::follow;
+use super::watch::{WATCH_WAIT, follow};
 use super::watch_event::WatchEvent;
 use crate::prelude::*;
 use oleander_platform::config::decode_config;
@@ -30,7 +31,8 @@
 use std::thread::JoinHandle;
 
 /// Starts the thread that updates `view` from the store: the objects about dispatchers all the
-/// time, other kinds according to `interests` and `gate`.
+/// time, other kinds according to `interests` and `gate`. Records in `freshness` when the endpoints were
+/// current.
 ///
 /// # Errors
 ///
@@ -40,11 +42,14 @@
     interests: Interests,
     gate: Gate,
     health: StoreHealth,
+    freshness: EndpointFreshness,
     view: SharedView,
 ) -> std::io::Result<JoinHandle<()>> {
     std::thread::Builder::new()
         .name("control".to_owned())
-        .spawn(move || crate::runtime::run(follow_all(store, interests, gate, health, view)))
+        .spawn(move || {
+            crate::runtime::run(follow_all(store, interests, gate, health, freshness, view))
+        })
 }
 
 /// Watches all kinds of interest; never returns.
@@ -53,6 +58,7 @@
     interests: Interests,
     gate: Gate,
     health: StoreHealth,
+    freshness: EndpointFreshness,
     view: SharedView,
 ) {
     let store = StoreClient::new(store, health.clone());
@@ -65,7 +71,7 @@
         follow(
             Rc::clone(&store),
             kind,
-            OnDisconnect::List,
+            (OnDisconnect::List, WATCH_WAIT),
             gate.clone(),
             apply,
         )
@@ -77,17 +83,18 @@
         };
         spawn(follow_kind(CONFIG_KIND, gate, apply_config));
     }
-    if interests.endpoints {
+    if let Some(wait) = interests.endpoints {
         let endpoints = EndpointWatcher::new(
             Rc::clone(&store),
             view.clone(),
             gate.clone(),
             health.clone(),
+            freshness,
         );
         spawn(follow(
             Rc::clone(&store),
             ENDPOINT_KIND,
-            OnDisconnect::List,
+            (OnDisconnect::List, wait),
             gate.clone(),
             move |watch_event| {
                 endpoints.apply(watch_event);
@@ -112,7 +119,9 @@
     match watch_event {
         WatchEvent::All(objects, _) => objects,
         WatchEvent::Put(object) => vec![object],
-        WatchEvent::Gone(_) | WatchEvent::Regained | WatchEvent::Lost => Vec::new(),
+        WatchEvent::Gone(_) | WatchEvent::Current(_) | WatchEvent::Regained | WatchEvent::Lost => {
+            Vec::new()
+        }
     }
 }
 
@@ -206,7 +215,7 @@
 }
 
 fn apply_crashes(view: &SharedView, watch_event: WatchEvent) {
-    if matches!(watch_event, WatchEvent::Lost | WatchEvent::Regained) {
+    if !watch_event.is_change() {
         return;
     }
     let mut suspects = match &watch_event {
@@ -228,7 +237,7 @@
 }
 
 fn apply_dispatcher(view: &SharedView, watch_event: WatchEvent) {
-    if matches!(watch_event, WatchEvent::Lost | WatchEvent::Regained) {
+    if !watch_event.is_change() {
         return;
     }
     if let WatchEvent::All(_, revision) = &watch_event
--- a/crates/oleander-rollout/src/store/mod.rs
+++ b/crates/oleander-rollout/src/store/mod.rs
@@ -1,11 +1,13 @@
 //! The platform's store: a client, watches of whole kinds, and a local copy of what they report.
 
 pub mod applied_update;
-pub mod config_confirmation;
 pub mod config_interest;
 pub mod config_reader;
+pub mod confirmation;
 pub mod crash_objects;
 pub mod dispatcher_object;
+pub mod endpoint_freshness;
+pub mod endpoint_source;
 pub mod endpoint_watcher;
 pub mod follow;
 pub mod gate;
--- a/crates/oleander-rollout/src/store/platform_update.rs
+++ b/crates/oleander-rollout/src/store/platform_update.rs
@@ -24,10 +24,7 @@
     let body_is_large = body.len() > LARGE_MESSAGE_BYTES;
     let apply = move || {
         let update: PlatformUpdate = serde_json::from_slice(&body)?;
-        Ok(AppliedUpdate {
-            config_confirmed_ms: update.config_confirmed_ms,
-            endpoints_digest: apply_platform_update(&view, update),
-        })
+        Ok(apply_platform_update(&view, update))
     };
     if body_is_large {
         smol::unblock(apply).await
@@ -36,8 +33,13 @@
     }
 }
 
-/// Applies an update to the view; returns the digest of the endpoints if it contains them.
-pub fn apply_platform_update(view: &SharedView, update: PlatformUpdate) -> Option<u64> {
+/// Applies an update to the view.
+pub fn apply_platform_update(view: &SharedView, update: PlatformUpdate) -> AppliedUpdate {
+    let mut applied = AppliedUpdate {
+        endpoints_digest: None,
+        config_confirmed_ms: update.config_confirmed_ms,
+        endpoints_confirmed_ms: update.endpoints_confirmed_ms,
+    };
     if let Some(config) = update.config {
         adopt_config(view, RouteTable::new(config));
     }
@@ -52,7 +54,9 @@
         });
         view.update(|view| view.caller_rank = Some(rank));
     }
-    let (entries, digest) = update.endpoints?;
+    let Some((entries, digest)) = update.endpoints else {
+        return applied;
+    };
     event(log::Level::Info, "endpoints-told", || {
         format!("endpoints={} digest={digest:016x}", entries.len())
     });
@@ -60,5 +64,6 @@
         view.endpoints = Arc::new(EndpointTable::from_entries(entries));
         view.endpoints_known = true;
     });
-    Some(digest)
+    applied.endpoints_digest = Some(digest);
+    applied
 }
--- a/crates/oleander-rollout/src/store/watch.rs
+++ b/crates/oleander-rollout/src/store/watch.rs
@@ -12,21 +12,21 @@
 use oleander_platform::stored_object::StoredObject;
 use std::rc::Rc;
 
-/// Longest wait of one watch call.
-const WATCH_WAIT: Millis = Millis::from_secs(25);
+/// Longest wait of one watch call where it need not show that the copy is current.
+pub const WATCH_WAIT: Millis = Millis::from_secs(25);
 /// Pause after the first failure; it doubles with each further one in a row.
 const RETRY_PAUSE_MIN: Millis = Millis(50);
 /// Longest pause between two attempts.
 const RETRY_PAUSE_MAX: Millis = Millis(400);
 
 /// Lists the objects of a kind and watches them while `gate` is open; passes every event to `apply`
-/// until it returns false.
+/// until it returns false. A call that watches waits for at most `wait`.
 ///
 /// After `gate` was closed the kind is listed again.
 pub async fn follow(
     store: Rc<StoreClient>,
     kind: &'static str,
-    on_disconnect: OnDisconnect,
+    (on_disconnect, wait): (OnDisconnect, Millis),
     gate: Gate,
     mut apply: impl FnMut(WatchEvent) -> bool,
 ) {
@@ -39,7 +39,7 @@
         }
         let step = match revision {
             None => list(&store, kind, &mut apply).await,
-            Some(from) => watch(&store, kind, from, &mut apply).await,
+            Some(from) => watch(&store, kind, (from, wait), &mut apply).await,
         };
         match step {
             Ok(None) => return,
@@ -123,18 +123,21 @@
     kind: &str,
     apply: &mut impl FnMut(WatchEvent) -> bool,
 ) -> Result<Option<u64>, StoreError> {
+    let started_at = now();
     let (all, revision) = list_all(store, kind).await?;
-    Ok(apply(WatchEvent::All(all, revision)).then_some(revision))
+    let continues = apply(WatchEvent::All(all, revision)) && apply(WatchEvent::Current(started_at));
+    Ok(continues.then_some(revision))
 }
 
 /// Watches a kind once; returns the revision to go on from, or `None` if `apply` returned false.
 async fn watch(
     store: &StoreClient,
     kind: &str,
-    from: u64,
+    (from, wait): (u64, Millis),
     apply: &mut impl FnMut(WatchEvent) -> bool,
 ) -> Result<Option<u64>, StoreError> {
-    let page = store.watch(kind, from, WATCH_WAIT).await?;
+    let started_at = now();
+    let page = store.watch(kind, from, wait).await?;
     log_unreadable(kind, &page.errors);
     for change in page.changes {
         let continues = match change {
@@ -145,7 +148,7 @@
             return Ok(None);
         }
     }
-    Ok(Some(page.revision))
+    Ok(apply(WatchEvent::Current(started_at)).then_some(page.revision))
 }
 
 fn log_unreadable(kind: &str, faults: &[DecodeError]) {
--- a/crates/oleander-rollout/src/store/watch_event.rs
+++ b/crates/oleander-rollout/src/store/watch_event.rs
@@ -1,5 +1,6 @@
 //! What a watch of one kind reports.
 
+use crate::prelude::*;
 use oleander_platform::stored_object::StoredObject;
 
 /// A change of the objects of a watched kind, or of the connection to the store.
@@ -11,8 +12,17 @@
     Put(StoredObject),
     /// The object with this name was deleted.
     Gone(String),
+    /// All changes up to this time of the boot clock have been reported.
+    Current(Millis),
     /// The store answers again after a [`WatchEvent::Lost`].
     Regained,
     /// The store can't be reached; sent once until it answers again.
     Lost,
 }
+
+impl WatchEvent {
+    /// Whether the event brings objects or a deletion.
+    pub fn is_change(&self) -> bool {
+        matches!(self, Self::All(..) | Self::Put(_) | Self::Gone(_))
+    }
+}
--- a/crates/oleander-rollout/tests/formats.rs
+++ b/crates/oleander-rollout/tests/formats.rs
@@ -466,6 +466,13 @@
                 ..PlatformUpdate::default()
             },
         ),
+        json(
+            "confirmation of endpoints",
+            &PlatformUpdate {
+                endpoints_confirmed_ms: Some(250),
+                ..PlatformUpdate::default()
+            },
+        ),
         json("no known news", &none),
         json("news", &platform_news()),
         json("no news", &PlatformUpdate::default()),
--- a/crates/oleander-rollout/tests/formats_support/examples.rs
+++ b/crates/oleander-rollout/tests/formats_support/examples.rs
@@ -342,6 +342,7 @@
         endpoints: Some((entries, 99)),
         caller_rank: None,
         config_confirmed_ms: None,
+        endpoints_confirmed_ms: None,
     }
 }
 
--- a/crates/oleanderlock/src/routing/mod.rs
+++ b/crates/oleanderlock/src/routing/mod.rs
@@ -26,6 +26,7 @@
 pub mod even_reason;
 pub mod even_service;
 pub mod leaving_endpoints;
+pub mod list_age;
 pub mod rate_limits;
 pub mod request_content;
 pub mod request_rate;
