--- a/crates/oleander-rollout/tests/support/deployment.rs
+++ b/crates/oleander-rollout/tests/support/deployment.rs
@@ -93,7 +93,7 @@
     }
 
     /// Starts a deployment whose nodes `set_up` has changed.
-    fn start_nodes(size: DeploymentSize, set_up: impl Fn(&mut Node)) -> Self {
+    pub fn start_nodes(size: DeploymentSize, set_up: impl Fn(&mut Node)) -> Self {
         let stand_ins = StandIns::spawn(size);
         for n in 0..size.engines {
             stand_ins.list_engine(n, stand_ins.engines[n].addr());
