Bound the age of the endpoints that the leader passes on

Cause: entries and agents used the leader's list whatever its age. A leader that had lost the store answered until its last successful call was 2.5 s old, and looked at that only after a call had waited for 2 s; a leader that was silent was given up after 3 s by entries and never by agents, which had no other source. An entry that had disappeared was kept for 2.2 s more, because a lost leader was taken for a lost store. Class: knowledge that is passed on without its age.

An entry stops waiting for a leader that has been replaced. The first list is put in one update.

--- a/crates/oleander-rollout/src/agent/agent_process.rs
+++ b/crates/oleander-rollout/src/agent/agent_process.rs
@@ -21,6 +21,7 @@
 use crate::store::shared_view::SharedView;
 use crate::store::store_client::StoreClient;
 use crate::store::store_health::StoreHealth;
+use crate::store::watch::WATCH_WAIT;
 use event_listener::Event;
 use oleanderlock::routing::endpoint_entry::EndpointEntry;
 use oleanderlock::routing::endpoint_state::EndpointState;
@@ -80,15 +81,17 @@
         let engine = cfg.engine.ok_or_else(missing)?;
         let view = SharedView::default();
         // Configuration and endpoints come from the leader.
+        let own_watch = Gate::default();
         let health = StoreHealth::default();
         let freshness = EndpointFreshness::new(cfg.leave_within);
         spawn_follower(
             cfg.store,
             Interests {
                 crash_suspects: true,
+                endpoints: Some(WATCH_WAIT),
                 ..Interests::default()
             },
-            Gate::open(),
+            own_watch.clone(),
             health.clone(),
             freshness.clone(),
             view.clone(),
@@ -111,7 +114,7 @@
                 Rc::clone(caller.limits()),
             ),
             caller,
-            endpoint_source: EndpointSource::open(freshness),
+            endpoint_source: EndpointSource::open(freshness, own_watch),
             view,
             metrics,
             state: RefCell::default(),
--- a/crates/oleander-rollout/src/agent/pull.rs
+++ b/crates/oleander-rollout/src/agent/pull.rs
@@ -29,7 +29,10 @@
                     event(log::Level::Info, "leader-regained", String::new);
                     failing = false;
                 }
-                apply(&agent, sent_at, response);
+                if !apply(&agent, sent_at, response) {
+                    // The leader would answer the next report at once, with the same endpoints.
+                    sleep(RETRY_PAUSE).await;
+                }
             }
             Err(error) => {
                 if !failing {
@@ -131,16 +134,17 @@
             .routes
             .as_ref()
             .map_or(0, |routes| routes.config.version),
-        endpoints_digest: state.endpoints_digest,
+        endpoints_digest: agent.endpoint_source.digest(),
     }
 }
 
-/// Applies the response to a report that was sent at `sent_at`.
-fn apply(agent: &Rc<Agent>, sent_at: Millis, response: PullResponse) {
-    let update = apply_platform_update(&agent.view, response.platform_update);
-    agent.endpoint_source.update(sent_at, &update);
-    if let Some(digest) = update.endpoints_digest {
-        agent.state.borrow_mut().endpoints_digest = digest;
+/// Applies the response to a report that was sent at `sent_at`; returns whether the endpoints are those
+/// of the leader.
+fn apply(agent: &Rc<Agent>, sent_at: Millis, response: PullResponse) -> bool {
+    let update = (sent_at, response.platform_update);
+    let update = apply_platform_update(&agent.view, agent.endpoint_source.freshness(), update);
+    let from_leader = agent.endpoint_source.update(sent_at, &update);
+    if update.endpoints_digest.is_some() {
         agent.notify();
     }
     agent.return_named(&response.recall);
@@ -166,4 +170,5 @@
         load::start(agent, work);
     }
     runner::start_waiting(agent);
+    from_leader
 }
--- a/crates/oleander-rollout/src/agent/state.rs
+++ b/crates/oleander-rollout/src/agent/state.rs
@@ -38,8 +38,6 @@
     pub pace: EventPace,
     /// Moving average of the length of runs.
     pub mean_run: Millis,
-    /// Digest of the endpoints that the leader sent; 0 for none.
-    pub endpoints_digest: u64,
 }
 
 impl Default for State {
@@ -53,7 +51,6 @@
             loading: None,
             pace: EventPace::default(),
             mean_run: MEAN_RUN_DEFAULT,
-            endpoints_digest: 0,
         }
     }
 }
--- a/crates/oleander-rollout/src/entry/config_guard.rs
+++ b/crates/oleander-rollout/src/entry/config_guard.rs
@@ -8,6 +8,7 @@
 use crate::peer::messages::{CONFIG_CHECK, KnownVersions};
 use crate::prelude::*;
 use crate::store::config_reader::ConfigReader;
+use crate::store::endpoint_freshness::EndpointFreshness;
 use crate::store::platform_update::apply_message;
 use crate::store::shared_view::SharedView;
 use futures_util::StreamExt as _;
@@ -33,6 +34,7 @@
     view: SharedView,
     client: Rc<LeaderClient>,
     reader: Rc<ConfigReader>,
+    freshness: EndpointFreshness,
     max_age: Millis,
 }
 
@@ -42,12 +44,14 @@
         view: SharedView,
         client: Rc<LeaderClient>,
         reader: Rc<ConfigReader>,
+        freshness: EndpointFreshness,
         config_within: Millis,
     ) -> Self {
         Self {
             view,
             client,
             reader,
+            freshness,
             max_age: Millis(config_within.0 * MAX_AGE_TENTHS / 10),
         }
     }
@@ -112,7 +116,8 @@
         let Ok((StatusCode::OK, body)) = call.await else {
             return;
         };
-        match apply_message(&self.view, body).await {
+        let message = (sent_at, body);
+        match apply_message(&self.view, &self.freshness, message).await {
             Ok(update) => {
                 if let Some(offset) = update.config_confirmed_ms {
                     let confirmation = self.reader.confirmation();
--- a/crates/oleander-rollout/src/entry/entry_process.rs
+++ b/crates/oleander-rollout/src/entry/entry_process.rs
@@ -73,10 +73,6 @@
     pub origins: Rc<OriginRegistry>,
     /// Counts of the requests of workspaces; `None` if they are not reported.
     pub usage: Option<Rc<UsageReporter>>,
-    /// Time of the last failed call to the store.
-    pub health: StoreHealth,
-    /// Open while the entry watches the list of endpoints itself, because no leader responds.
-    pub own_watch: Gate,
     /// Where the endpoints come from.
     pub endpoint_source: Rc<EndpointSource>,
     /// Room for bytes that wait; `None` if they are not bounded.
@@ -151,6 +147,7 @@
             view.clone(),
             Rc::clone(&leader_client),
             ConfigReader::new(cfg.store, view.clone(), confirmation.clone()),
+            freshness.clone(),
             cfg.keys.config_within,
         );
         let entry = Rc::new(Self {
@@ -160,9 +157,7 @@
             caller,
             store,
             view,
-            health,
-            own_watch,
-            endpoint_source: EndpointSource::open(freshness),
+            endpoint_source: EndpointSource::open(freshness, own_watch),
             gates: Gates::default(),
             rooms: cfg.features.bounded_bytes.then(Rooms::default),
             metrics,
--- a/crates/oleander-rollout/src/entry/platform_updates.rs
+++ b/crates/oleander-rollout/src/entry/platform_updates.rs
@@ -1,8 +1,6 @@
 //! Receives configuration and endpoints from the leading dispatcher.
 //!
-//! While no leader responds, the entry watches the list of endpoints in the store itself. It
-//! doesn't always do so, because each weight load changes the list, which would wake the watch of
-//! every entry although entries don't need to know of loads.
+//! While no leader responds, the entry watches the list of endpoints in the store itself.
 
 use super::entry_process::Entry;
 use crate::peer::leader_error::LeaderError;
@@ -10,7 +8,9 @@
 use crate::prelude::*;
 use crate::store::applied_update::AppliedUpdate;
 use crate::store::platform_update::apply_message;
+use futures_util::future::{Either, select};
 use http::{Method, StatusCode};
+use std::pin::pin;
 use std::rc::Rc;
 
 /// Timeout of a call that waits for an update.
@@ -22,32 +22,32 @@
 
 /// Receives updates until the process ends.
 pub async fn run(entry: Rc<Entry>) {
-    let mut endpoints_digest = 0;
+    let mut lost = true;
     loop {
         let sent_at = now();
-        match next_update(&entry, endpoints_digest).await {
+        match next_update(&entry).await {
             Ok(update) => {
-                if entry.own_watch.is_open() {
+                let from_leader = entry.endpoint_source.update(sent_at, &update);
+                if lost && from_leader {
                     event(log::Level::Info, "leader-regained", String::new);
-                    entry.own_watch.set(false);
+                    lost = false;
+                }
+                if !from_leader {
+                    // It would answer the next call at once, with the same endpoints.
+                    sleep(RETRY_PAUSE).await;
                 }
-                endpoints_digest = update.endpoints_digest.unwrap_or(endpoints_digest);
-                entry.endpoint_source.update(sent_at, &update);
                 if let Some(offset) = update.config_confirmed_ms {
                     entry.confirmation.record_relative(sent_at, offset);
                 }
             }
             Err(error) => {
-                if !entry.own_watch.is_open() {
+                if !lost {
                     event(log::Level::Warn, "leader-lost", || {
                         format!("reason=\"{error}\"")
                     });
-                    // The leader may be unreachable because the store is: endpoints that expired
-                    // from the list of the store meanwhile must be kept.
-                    entry.health.record_failure();
-                    entry.own_watch.set(true);
+                    lost = true;
                 }
-                endpoints_digest = 0;
+                entry.endpoint_source.read_list();
                 sleep(RETRY_PAUSE).await;
                 entry.leader_client.ask_for_leader(ASK_TIMEOUT).await;
             }
@@ -55,16 +55,29 @@
     }
 }
 
-/// Waits for an update from the leader and applies it.
-async fn next_update(entry: &Entry, endpoints_digest: u64) -> Result<AppliedUpdate, LeaderError> {
+/// Waits for an update from the leader and applies it. Gives up when there is another leader, since the
+/// one that was asked may have lost the store.
+async fn next_update(entry: &Entry) -> Result<AppliedUpdate, LeaderError> {
+    let leader = entry.leader_client.leader();
+    let replaced = entry
+        .view
+        .wait_until(UPDATE_TIMEOUT, |_| entry.leader_client.leader() != leader);
+    match select(pin!(ask_for_update(entry)), pin!(replaced)).await {
+        Either::Left((update, _)) => update,
+        Either::Right(_) => Err(LeaderError::NotLeading),
+    }
+}
+
+async fn ask_for_update(entry: &Entry) -> Result<AppliedUpdate, LeaderError> {
     let no_answer = |reason: String| LeaderError::NoAnswer { reason };
+    let sent_at = now();
     let view = entry.view.get();
     let known = KnownVersions {
         config_version: view
             .routes
             .as_ref()
             .map_or(0, |routes| routes.config.version),
-        endpoints_digest,
+        endpoints_digest: entry.endpoint_source.digest(),
         node: entry.cfg.node.clone(),
         caller_rank: view.caller_rank,
     };
@@ -76,6 +89,7 @@
     if status != StatusCode::OK {
         return Err(no_answer(status.to_string()));
     }
-    let applied = apply_message(&entry.view, body).await;
+    let freshness = entry.endpoint_source.freshness();
+    let applied = apply_message(&entry.view, freshness, (sent_at, body)).await;
     applied.map_err(|error| no_answer(error.to_string()))
 }
--- a/crates/oleander-rollout/src/store/confirmation.rs
+++ b/crates/oleander-rollout/src/store/confirmation.rs
@@ -44,10 +44,15 @@
         }
     }
 
-    /// Records the confirmation of another process, `offset` milliseconds after the arrival of a
-    /// call that this process sent at `sent_at`. It is taken for as old as it may be: the call may
-    /// have arrived at once.
+    /// Records the confirmation of another process; see [`time_of`].
     pub fn record_relative(&self, sent_at: Millis, offset: i64) {
-        self.record(Millis(sent_at.0.saturating_add_signed(offset)));
+        self.record(time_of(sent_at, offset));
     }
 }
+
+/// Returns the time of a confirmation by another process, `offset` milliseconds after the arrival of a
+/// call that this process sent at `sent_at`. It is taken for as old as it may be: the call may have
+/// arrived at once.
+pub fn time_of(sent_at: Millis, offset: i64) -> Millis {
+    Millis(sent_at.0.saturating_add_signed(offset))
+}
--- a/crates/oleander-rollout/src/store/endpoint_watcher.rs
+++ b/crates/oleander-rollout/src/store/endpoint_watcher.rs
@@ -7,6 +7,8 @@
 use super::store_health::StoreHealth;
 use super::watch_event::WatchEvent;
 use crate::prelude::*;
+use indexmap::IndexSet;
+use oleander_platform::decode_error::DecodeError;
 use oleander_platform::endpoint::decode_endpoint;
 use oleander_platform::object::ENDPOINT_KIND;
 use oleander_platform::stored_object::StoredObject;
@@ -25,6 +27,10 @@
 /// so an entry that disappears around an outage is kept for that time. A store that refuses new
 /// calls may still answer a waiting watch: failures of all calls of this process count as an
 /// outage, and a deletion that a watch reports is confirmed by a new call.
+///
+/// The first list that a process reads after it has lost the leader may also lack entries that lapsed
+/// in an outage which this process has not noticed. They are kept for as long as they may be used if
+/// there was no outage and they have left.
 #[derive(Clone)]
 pub struct EndpointWatcher {
     store: Rc<StoreClient>,
@@ -72,20 +78,53 @@
     }
 
     fn put_all(&self, objects: &[StoredObject]) {
-        let known: Vec<String> = {
+        let (known, told): (Vec<String>, bool) = {
             let view = self.view.get();
-            view.endpoints.instances().map(str::to_owned).collect()
+            let instances = view.endpoints.instances().map(str::to_owned);
+            (instances.collect(), view.endpoints_told)
         };
-        for object in objects {
-            self.put(object);
+        if told {
+            self.view.update(|view| view.endpoints_told = false);
         }
+        let keep = if told {
+            let age = self.freshness.confirmation.age();
+            self.freshness.limits.keep_missing(age)
+        } else {
+            Millis::ZERO
+        };
+        self.put_listed(objects);
         let listed = |instance: &String| objects.iter().any(|object| &object.name == instance);
         for instance in known.into_iter().filter(|instance| !listed(instance)) {
-            self.not_listed(instance);
+            self.not_listed(instance, keep);
         }
         spawn(self.clone().set_known_when_settled());
     }
 
+    /// Puts all entries of a list in one update, since each update copies the table.
+    fn put_listed(&self, objects: &[StoredObject]) {
+        let names: IndexSet<&str> = objects.iter().map(|object| object.name.as_str()).collect();
+        self.missing
+            .borrow_mut()
+            .retain(|missing| !names.contains(missing.as_str()));
+        let mut entries = Vec::new();
+        let mut unreadable = Vec::new();
+        for object in objects {
+            match decode_endpoint(&object.name, object.spec.get()) {
+                Ok(entry) => entries.push(entry),
+                Err(err) => unreadable.push((&object.name, err)),
+            }
+        }
+        self.view.update(|view| {
+            let table = Arc::make_mut(&mut view.endpoints);
+            for entry in entries {
+                table.put(entry);
+            }
+        });
+        for (instance, err) in unreadable {
+            self.reject(instance, &err);
+        }
+    }
+
     fn put(&self, object: &StoredObject) {
         let instance = &object.name;
         self.missing
@@ -101,20 +140,22 @@
                 });
                 Arc::make_mut(&mut view.endpoints).put(entry);
             }),
-            Err(err) => {
-                event(log::Level::Warn, "endpoint-unreadable", || {
-                    format!("instance={instance} reason=\"{err}\"")
-                });
-                self.remove(instance, "unreadable");
-            }
+            Err(err) => self.reject(instance, &err),
         }
     }
 
-    /// Handles an instance that a new list of the store does not contain.
-    fn not_listed(&self, instance: String) {
-        if self.health.failed_within(REREGISTER_TIME) {
+    fn reject(&self, instance: &str, err: &DecodeError) {
+        event(log::Level::Warn, "endpoint-unreadable", || {
+            format!("instance={instance} reason=\"{err}\"")
+        });
+        self.remove(instance, "unreadable");
+    }
+
+    /// Handles an instance that a new list of the store does not contain; it may be kept for `keep`.
+    fn not_listed(&self, instance: String, keep: Millis) {
+        if keep > Millis::ZERO || self.health.failed_within(REREGISTER_TIME) {
             self.missing.borrow_mut().push(instance.clone());
-            spawn(self.clone().remove_unless_restored(instance));
+            spawn(self.clone().remove_after(instance, keep));
         } else {
             self.remove(&instance, "no longer in the store");
         }
@@ -140,6 +181,11 @@
         self.remove_unless_restored(instance).await;
     }
 
+    async fn remove_after(self, instance: String, keep: Millis) {
+        sleep(keep).await;
+        self.remove_unless_restored(instance).await;
+    }
+
     /// Marks the endpoints as known once lapsed entries had time to be registered again.
     async fn set_known_when_settled(self) {
         self.wait_for_lapsed().await;
--- a/crates/oleander-rollout/src/store/view.rs
+++ b/crates/oleander-rollout/src/store/view.rs
@@ -29,6 +29,9 @@
     pub retiring: IndexSet<String>,
     /// Whether `endpoints` is complete and up to date, so that others may rely on it.
     pub endpoints_known: bool,
+    /// Whether the leading dispatcher has sent `endpoints`, so that this process doesn't know whether the
+    /// store was down meanwhile.
+    pub endpoints_told: bool,
     /// Place of this process among those that call endpoints; `None` until the leader has sent it.
     pub caller_rank: Option<CallerRank>,
     /// Requests under which endpoints have crashed, as all processes have seen it.
