Take an announcement for the incarnation that was asked, not the listed one

What callers would see: requests to an endpoint that has said in an answer that it leaves, after the list has been updated.

Cause: an endpoint may start again under its id. An announcement was recorded for the start that the list named; if the endpoint had restarted before its new entry was known, the new entry looked like a later incarnation, and the announcement did not hold for it. Class: a fact bound to an identity that was not that of its source.

Evidence: the new test in leaving.rs failed (200 of the leaving endpoint instead of 503).

Now an announcement holds for all incarnations that can have answered: up to the time at which the request was sent, or the listed start if that is later. A report that names its own start is taken at its word. A test that let an endpoint restart in 1970, before its announcement, now uses the time of the restart.

--- a/crates/oleander-rollout/src/agent/engine_client.rs
+++ b/crates/oleander-rollout/src/agent/engine_client.rs
@@ -18,6 +18,7 @@
 use oleander_platform::load_order::{LoadOrder, encode_load_order};
 use oleander_platform::priority::engine_priority;
 use oleander_platform::{headers, paths};
+use oleanderlock::routing::announcer::Announcer;
 use oleanderlock::routing::endpoint_entry::EndpointEntry;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -67,12 +68,17 @@
             .header(HOST, self.addr.to_string())
             .body(Full::default())
             .map_err(SendError::not_sent)?;
-        let sent_at = now();
+        let (sent_at, asked) = (now(), unix_ms());
         let (head, body) = self.exchange("", req).await?;
         let report = decode_report(&body).map_err(SendError::no_answer)?;
         if let Some(listed) = listed {
-            let started = report.started_unix_ms.or(listed.started_unix_ms);
-            self.leaving.read(&head.headers, &listed.instance, started);
+            let by_list = Announcer::Listed {
+                listed: listed.started_unix_ms,
+                asked,
+            };
+            let announcer = report.started_unix_ms.map_or(by_list, Announcer::StartedAt);
+            self.leaving
+                .read(&head.headers, &listed.instance, announcer);
             self.read_limit(&head, listed, (RequestKind::Report, sent_at));
         }
         Ok(report)
@@ -98,11 +104,11 @@
             .header(headers::EXPECT_INSTANCE, &endpoint.instance)
             .body(Full::new(Bytes::from(encode_load_order(order))))
             .map_err(SendError::not_sent)?;
-        let sent_at = now();
+        let (sent_at, asked) = (now(), unix_ms());
         self.limits
             .record_sent(&endpoint.instance, RequestKind::Order, "");
         let (head, _) = self.exchange(&endpoint.instance, req).await?;
-        self.read_leaving(&head, endpoint);
+        self.read_leaving(&head, endpoint, asked);
         self.read_limit(&head, endpoint, (RequestKind::Order, sent_at));
         Ok(head.status)
     }
@@ -144,8 +150,9 @@
             Ok(message)
         };
         let to = self.destination(&endpoint.instance);
+        let asked = unix_ms();
         let mut exchange = self.pool.send_built(&to, build).await?;
-        if self.read_leaving(&exchange.head, endpoint) {
+        if self.read_leaving(&exchange.head, endpoint, asked) {
             exchange.close_after_body();
         }
         if exchange.head.status != StatusCode::MISDIRECTED_REQUEST {
@@ -156,10 +163,12 @@
         Ok(exchange)
     }
 
-    /// Reads from a response whether the engine is leaving; if so, closes idle connections to it.
-    fn read_leaving(&self, head: &Parts, endpoint: &EndpointEntry) -> bool {
-        let (instance, started) = (&endpoint.instance, endpoint.started_unix_ms);
-        let is_leaving = self.leaving.read(&head.headers, instance, started);
+    /// Reads from a response to a request that was sent at the Unix time `asked`, in milliseconds, whether
+    /// the engine is leaving; if so, closes idle connections to it.
+    fn read_leaving(&self, head: &Parts, endpoint: &EndpointEntry, asked: u64) -> bool {
+        let (instance, listed) = (&endpoint.instance, endpoint.started_unix_ms);
+        let announcer = Announcer::Listed { listed, asked };
+        let is_leaving = self.leaving.read(&head.headers, instance, announcer);
         if is_leaving {
             self.pool.close_idle(&self.destination(instance));
         }
--- a/crates/oleander-rollout/src/call/caller.rs
+++ b/crates/oleander-rollout/src/call/caller.rs
@@ -40,6 +40,7 @@
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::Full;
 use oleanderlock::routing::after_failure::AfterFailure;
+use oleanderlock::routing::announcer::Announcer;
 use oleanderlock::routing::attempt_failure::AttemptFailure;
 use oleanderlock::routing::call_state::CallState;
 use oleanderlock::routing::endpoint_entry::EndpointEntry;
@@ -431,6 +432,7 @@
         endpoint: &EndpointEntry,
     ) -> Result<(ResponseClass, Exchange), AttemptOutcome> {
         let to = Destination::of(endpoint);
+        let asked = unix_ms();
         let build = || self.attempt_message(req, kind, endpoint);
         let sent = self.pool.send_built(&to, build).await;
         let mut exchange = sent.map_err(|error| match error {
@@ -438,8 +440,13 @@
             SendError::NotSent { .. } => AttemptOutcome::NotRun("unreachable"),
             SendError::NoAnswer { reason } => AttemptOutcome::Lost(reason),
         })?;
-        let (instance, started) = (&endpoint.instance, endpoint.started_unix_ms);
-        if self.leaving.read(&exchange.head.headers, instance, started) {
+        let instance = &endpoint.instance;
+        let listed = endpoint.started_unix_ms;
+        let announcer = Announcer::Listed { listed, asked };
+        if self
+            .leaving
+            .read(&exchange.head.headers, instance, announcer)
+        {
             exchange.close_after_body();
             self.pool.close_idle(&to);
         }
--- a/crates/oleander-rollout/src/call/leaving_registry.rs
+++ b/crates/oleander-rollout/src/call/leaving_registry.rs
@@ -5,6 +5,7 @@
 use http::HeaderMap;
 use oleander_platform::headers;
 use oleander_platform::leaving::decode_leaving;
+use oleanderlock::routing::announcer::Announcer;
 use oleanderlock::routing::endpoint_entry::EndpointEntry;
 use oleanderlock::routing::leaving_endpoints::LeavingEndpoints;
 use std::cell::RefCell;
@@ -19,18 +20,13 @@
 }
 
 impl LeavingRegistry {
-    /// Reads the announcement in a response of `instance`, which started at `started_unix_ms` if
-    /// that is known; returns whether the endpoint is leaving.
-    pub fn read(
-        &self,
-        header_map: &HeaderMap,
-        instance: &str,
-        started_unix_ms: Option<u64>,
-    ) -> bool {
+    /// Reads the announcement in a response of `instance`, the incarnation `announcer`; returns whether
+    /// the endpoint is leaving.
+    pub fn read(&self, header_map: &HeaderMap, instance: &str, announcer: Announcer) -> bool {
         let values = header_map.get_all(headers::LEAVING);
         match decode_leaving(values.iter().map(|value| value.as_bytes())) {
             Ok(true) => {
-                self.record(instance, started_unix_ms);
+                self.record(instance, announcer);
                 true
             }
             Ok(false) => false,
@@ -41,11 +37,12 @@
         }
     }
 
-    fn record(&self, instance: &str, started_unix_ms: Option<u64>) {
+    fn record(&self, instance: &str, announcer: Announcer) {
         let mut endpoints = self.endpoints.borrow_mut();
-        if endpoints.record(instance, started_unix_ms, unix_ms()) {
+        if endpoints.record(instance, announcer) {
             event(log::Level::Info, "endpoint-leaving", || {
-                format!("instance={instance} started={started_unix_ms:?}")
+                let started = announcer.latest_start();
+                format!("instance={instance} started={started}")
             });
         }
     }
--- a/crates/oleander-rollout/src/call/resumption_checks.rs
+++ b/crates/oleander-rollout/src/call/resumption_checks.rs
@@ -14,6 +14,7 @@
 use http::{Method, Request};
 use http_body_util::Full;
 use oleander_platform::{headers, paths};
+use oleanderlock::routing::announcer::Announcer;
 use oleanderlock::routing::endpoint_entry::EndpointEntry;
 use oleanderlock::routing::stream_origin::{StreamOrigin, differs};
 
@@ -102,10 +103,13 @@
             .header(headers::EXPECT_INSTANCE, &endpoint.instance)
             .body(Full::default())
             .map_err(SendError::not_sent)?;
+        let asked = unix_ms();
         let exchange = self.pool.send(&to, req).await?;
         let (head, body) = exchange.collect(REPORT_MAX_BYTES).await?;
-        let (instance, started) = (&endpoint.instance, endpoint.started_unix_ms);
-        self.leaving.read(&head.headers, instance, started);
+        let listed = endpoint.started_unix_ms;
+        let announcer = Announcer::Listed { listed, asked };
+        self.leaving
+            .read(&head.headers, &endpoint.instance, announcer);
         Ok(StartReport::read(head.status, &body))
     }
 }
--- a/crates/oleander-rollout/tests/leaving.rs
+++ b/crates/oleander-rollout/tests/leaving.rs
@@ -8,7 +8,7 @@
 use oleander_platform_standins::store_faults::StoreFaults;
 use serde_json::json;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, UNIX_EPOCH};
 use support::deployment::Deployment;
 use support::deployment_size::{DeploymentSize, SMALL};
 use support::http::Reply;
@@ -24,6 +24,12 @@
     services: 2,
 };
 
+/// Returns the Unix time, in milliseconds.
+fn unix_ms() -> u64 {
+    let time = UNIX_EPOCH.elapsed().expect("a time after 1970");
+    u64::try_from(time.as_millis()).expect("a time before the year 500 million")
+}
+
 /// Starts a deployment in which the entry has reached service 0, because the other one refuses all
 /// calls.
 fn services_only() -> Deployment {
@@ -116,7 +122,7 @@
     assert_later_calls_go_elsewhere(&deployment, before);
     deployment.services[0].set_added_headers(&[]);
     deployment.services[1].set_default_behavior(CallBehavior::Refuse);
-    entry["born"] = json!(2);
+    entry["born"] = json!(unix_ms());
     deployment.store.put("servers", "desk-0", &entry);
     wait_for("the restarted endpoint is used", || {
         let _ = get(&deployment, "/calls/x", "again");
@@ -124,6 +130,24 @@
     });
 }
 
+#[test]
+fn an_announcement_holds_for_an_incarnation_that_the_list_does_not_name_yet() {
+    let deployment = services_only();
+    let mut entry = deployment.services[0].entry("desk");
+    entry["born"] = json!(unix_ms() - 60_000);
+    deployment.store.put("servers", "desk-0", &entry);
+    thread::sleep(Duration::from_millis(300));
+    // It has restarted before it announces that it leaves.
+    let restarted = unix_ms();
+    thread::sleep(Duration::from_millis(10));
+    deployment.services[0].set_added_headers(&[LEAVING]);
+    let before = wait_for_announcement(&deployment);
+    entry["born"] = json!(restarted);
+    deployment.store.put("servers", "desk-0", &entry);
+    thread::sleep(Duration::from_millis(300));
+    assert_later_calls_go_elsewhere(&deployment, before);
+}
+
 #[test]
 fn malformed_announcements_are_logged_once_and_ignored() {
     for headers in [&[("server-leaving", "yes")][..], &[LEAVING, LEAVING][..]] {
--- a/crates/oleanderlock/src/routing/leaving_endpoints.rs
+++ b/crates/oleanderlock/src/routing/leaving_endpoints.rs
@@ -3,8 +3,9 @@
 //! Load pattern: endpoints are replaced one after the other while the platform's list is out of
 //! date, because the store is down or this process has lost touch with it. The announcement comes
 //! with the responses themselves and is newer than the list. A restarted endpoint may have the same
-//! instance id again; it is known by its later start.
+//! instance id again; it is known by its later start. It may leave before the list names that start.
 
+use super::announcer::Announcer;
 use super::endpoint_entry::EndpointEntry;
 use indexmap::IndexMap;
 
@@ -21,20 +22,13 @@
 }
 
 impl LeavingEndpoints {
-    /// Records an announcement of the incarnation of `instance` that started at `started_unix_ms`;
-    /// returns whether it is the first one of this incarnation.
-    ///
-    /// If the start is not known, all incarnations that have started up to `now_unix_ms` count as
-    /// leaving. Both are Unix times in milliseconds.
-    pub fn record(
-        &mut self,
-        instance: &str,
-        started_unix_ms: Option<u64>,
-        now_unix_ms: u64,
-    ) -> bool {
-        let start = started_unix_ms.unwrap_or(now_unix_ms);
+    /// Records an announcement of `instance`; returns whether it is the first one of this incarnation, as
+    /// far as that is known. All incarnations up to the latest possible start of the announcer count as
+    /// leaving.
+    pub fn record(&mut self, instance: &str, announcer: Announcer) -> bool {
+        let start = announcer.latest_start();
         if let Some(latest) = self.latest_start.get_mut(instance) {
-            let is_new = started_unix_ms.is_some_and(|start| start > *latest);
+            let is_new = announcer.is_later_than(*latest);
             *latest = start.max(*latest);
             return is_new;
         }
--- a/crates/oleanderlock/src/routing/mod.rs
+++ b/crates/oleanderlock/src/routing/mod.rs
@@ -2,6 +2,7 @@
 //! retry rule after a failed attempt.
 
 pub mod after_failure;
+pub mod announcer;
 pub mod attempt_failure;
 pub mod call_state;
 pub mod call_window;
--- a/crates/oleanderlock/tests/leaving_endpoints.rs
+++ b/crates/oleanderlock/tests/leaving_endpoints.rs
@@ -1,6 +1,7 @@
 //! Endpoints that have announced that they are leaving, through restarts and incomplete entries.
 
 use oleanderlock::prelude::*;
+use oleanderlock::routing::announcer::Announcer;
 use oleanderlock::routing::endpoint_entry::EndpointEntry;
 use oleanderlock::routing::endpoint_state::EndpointState;
 use oleanderlock::routing::leaving_endpoints::LeavingEndpoints;
@@ -23,11 +24,34 @@
     }
 }
 
+/// Returns the announcer that answered a request sent at `asked`, when the list names the start `listed`.
+fn answered(listed: Option<u64>, asked: u64) -> Announcer {
+    Announcer::Listed { listed, asked }
+}
+
+#[test]
+fn an_incarnation_that_the_list_does_not_name_yet_is_leaving() {
+    let mut leaving = LeavingEndpoints::default();
+    assert!(leaving.record("a", answered(Some(NOW - 9000), NOW)));
+    assert!(!leaving.record("a", answered(Some(NOW - 9000), NOW + 5)));
+    assert!(leaving.contains(&entry("a", Some(NOW - 9000))));
+    assert!(leaving.contains(&entry("a", Some(NOW - 500))));
+    assert!(!leaving.contains(&entry("a", Some(NOW + 6))));
+}
+
+#[test]
+fn the_clock_of_an_endpoint_may_be_ahead() {
+    let mut leaving = LeavingEndpoints::default();
+    leaving.record("a", answered(Some(NOW + 2000), NOW));
+    assert!(leaving.contains(&entry("a", Some(NOW + 2000))));
+    assert!(!leaving.contains(&entry("a", Some(NOW + 2001))));
+}
+
 #[test]
 fn only_the_incarnation_that_announced_it_is_leaving() {
     let mut leaving = LeavingEndpoints::default();
-    assert!(leaving.record("a", Some(NOW - 500), NOW));
-    assert!(!leaving.record("a", Some(NOW - 500), NOW + 100));
+    assert!(leaving.record("a", Announcer::StartedAt(NOW - 500)));
+    assert!(!leaving.record("a", Announcer::StartedAt(NOW - 500)));
     assert!(leaving.contains(&entry("a", Some(NOW - 500))));
     assert!(leaving.contains(&entry("a", Some(NOW - 900))));
     assert!(!leaving.contains(&entry("a", Some(NOW - 499))));
@@ -37,9 +61,9 @@
 #[test]
 fn a_later_incarnation_can_leave_too_and_an_older_announcement_does_not_bring_it_back() {
     let mut leaving = LeavingEndpoints::default();
-    leaving.record("a", Some(1), NOW);
-    assert!(leaving.record("a", Some(7), NOW));
-    assert!(!leaving.record("a", Some(1), NOW));
+    leaving.record("a", Announcer::StartedAt(1));
+    assert!(leaving.record("a", Announcer::StartedAt(7)));
+    assert!(!leaving.record("a", Announcer::StartedAt(1)));
     assert!(leaving.contains(&entry("a", Some(7))));
     assert!(!leaving.contains(&entry("a", Some(8))));
 }
@@ -47,8 +71,8 @@
 #[test]
 fn without_a_known_start_all_incarnations_up_to_the_announcement_are_leaving() {
     let mut leaving = LeavingEndpoints::default();
-    assert!(leaving.record("a", None, NOW));
-    assert!(!leaving.record("a", None, NOW + 10));
+    assert!(leaving.record("a", answered(None, NOW)));
+    assert!(!leaving.record("a", answered(None, NOW + 10)));
     assert!(leaving.contains(&entry("a", None)));
     assert!(leaving.contains(&entry("a", Some(NOW + 10))));
     assert!(!leaving.contains(&entry("a", Some(NOW + 11))));
@@ -57,7 +81,7 @@
 #[test]
 fn an_entry_without_a_start_does_not_bring_an_endpoint_back() {
     let mut leaving = LeavingEndpoints::default();
-    leaving.record("a", Some(NOW - 500), NOW);
+    leaving.record("a", Announcer::StartedAt(NOW - 500));
     assert!(leaving.contains(&entry("a", None)));
 }
 
@@ -65,7 +89,7 @@
 fn memory_is_bounded_and_the_newest_announcements_are_kept() {
     let mut leaving = LeavingEndpoints::default();
     for n in 0..5000_u64 {
-        leaving.record(&format!("i-{n}"), Some(n), NOW);
+        leaving.record(&format!("i-{n}"), Announcer::StartedAt(n));
     }
     let remembered =
         (0..5000_u64).filter(|n| leaving.contains(&entry(&format!("i-{n}"), Some(*n))));
