--- /dev/null
+++ b/crates/oleander-rollout/tests/odd_entries.rs
@@ -0,0 +1,114 @@
+//! Entries of another writer among those of the endpoints.
+
+mod support;
+
+use oleander_platform_standins::call_behavior::CallBehavior;
+use serde_json::json;
+use std::thread;
+use std::time::Duration;
+use support::deployment::Deployment;
+use support::deployment_size::DeploymentSize;
+use support::{check_results, job, wait_for};
+
+const SIZE: DeploymentSize = DeploymentSize {
+    entries: 1,
+    engines: 1,
+    dispatchers: 1,
+    services: 2,
+};
+/// Names of further entries: more than a page of a list holds, so that pages end with them.
+const ODD_NAMES: usize = 120;
+/// Time within which an endpoint that leaves must get no more requests: the default of
+/// `bounds.leave_within`.
+const LEAVE_WITHIN: Duration = Duration::from_secs(2);
+
+/// Returns the specs of odd entries; `addr` is that of an endpoint.
+fn odd_specs(addr: &str) -> Vec<String> {
+    let nested = |depth: usize| format!("{}0{}", "[".repeat(depth), "]".repeat(depth));
+    let with = |key: &str, value: &str| {
+        let mut entry = json!({"service": "llm", "addr": addr, "zone": "z", "slots": 8,
+            "state": "ready", "cold_left_ms": 0, "seq": 1, "born": 2});
+        entry[key] = json!("@");
+        entry.to_string().replace("\"@\"", value)
+    };
+    vec![
+        nested(100_000),
+        format!("{}1{}", "{\"a\":".repeat(100_000), "}".repeat(100_000)),
+        with("state", &nested(100_000)),
+        with("slots", &"9".repeat(400)),
+        with("cold_left_ms", "1e400"),
+        with("born", "18446744073709551615"),
+        with("born", "1e30"),
+        with("addr", "\"127.0.0.1:99999\""),
+        with("addr", "\"127.0.0.1:0\""),
+        with("state", "\"a\u{1}b\""),
+        with("service", r#""\ud800\x""#),
+        "null".to_owned(),
+    ]
+}
+
+fn put_odd_entries(deployment: &Deployment) {
+    let addr = deployment.engines[0].addr().to_string();
+    for (n, spec) in odd_specs(&addr).iter().enumerate() {
+        deployment
+            .store
+            .put_raw("servers", &format!("odd-{n}"), spec);
+    }
+    for n in 0..ODD_NAMES {
+        let name = format!("a b%2f&after=z?#{n:03}\u{e9}");
+        deployment.store.put("servers", &name, &json!("odd"));
+    }
+}
+
+fn call(deployment: &Deployment) -> bool {
+    let headers = [("request-id", "r"), ("deadline-ms", "1400")];
+    let reply = deployment.call(0, "POST", "/calls/x", &headers, b"body");
+    reply.is_some_and(|reply| reply.status == 200)
+}
+
+/// Checks that changes of the list are followed: service 0 leaves and comes back.
+fn assert_list_is_followed(deployment: &Deployment) {
+    let entry = deployment.services[0].entry("desk");
+    let mut leaving = entry.clone();
+    leaving["state"] = json!("draining");
+    deployment.store.put("servers", "desk-0", &leaving);
+    thread::sleep(LEAVE_WITHIN);
+    let before = deployment.services[0].calls_run().len();
+    for _ in 0..20 {
+        assert!(call(deployment));
+    }
+    assert_eq!(deployment.services[0].calls_run().len(), before);
+    deployment.store.put("servers", "desk-0", &entry);
+    deployment.services[1].set_default_behavior(CallBehavior::Refuse);
+    wait_for("the endpoint is used again", || {
+        call(deployment) && deployment.services[0].calls_run().len() > before
+    });
+    deployment.services[1].set_default_behavior(CallBehavior::Answer);
+}
+
+fn assert_jobs_are_run(deployment: &Deployment, id: &str, step: u64) {
+    let body = job(step, 1, 3, 5);
+    deployment.submit(0, id, &body);
+    check_results(&deployment.read_all(0, id, 6), &body);
+}
+
+#[test]
+fn odd_entries_neither_end_processes_nor_keep_them_from_following_the_list() {
+    let mut deployment = Deployment::start(SIZE);
+    put_odd_entries(&deployment);
+    assert_list_is_followed(&deployment);
+    assert_jobs_are_run(&deployment, "job-a", 1);
+    // A removed entry is read again to confirm that.
+    deployment.store.remove("servers", "odd-0");
+    for node in deployment.nodes_mut() {
+        node.expect_running();
+        node.kill();
+        node.start();
+    }
+    wait_for("the entry serves calls", || call(&deployment));
+    assert_jobs_are_run(&deployment, "job-b", 2);
+    assert_list_is_followed(&deployment);
+    deployment
+        .nodes_mut()
+        .for_each(support::node::Node::expect_running);
+}
