Break off a stream in which another response stands, and items too

What operators of similar systems saw: a stream had begun and broke off, the next worker answered with an error, and clients found its text or its head within their stream, or the stream ended as if it were complete.

Here: error statuses of the next endpoint were never relayed, nor was an answer that breaks off in its head. But a block of lines that are no event was taken for a comment and passed on, so that a success with an error's text, or a second response behind a stream without length, stood in the client's stream. An agent skipped such a block and took the end of the connection behind it for the end of the run: the item was listed as done with a part of its text. A resumption that was answered by a success without an event stream ended the stream as complete.

Cause: whatever is not understood was taken for something without meaning. Class: leniency at the border of a protocol.

Now a block is an event, a comment or foreign, and a foreign one ends the stream as broken: it goes on elsewhere or is broken off visibly. Streams that may not be resumed are read by events too if they say that they are event streams, and a resumption must say so if the first response did.

--- a/crates/oleander-rollout/src/agent/run.rs
+++ b/crates/oleander-rollout/src/agent/run.rs
@@ -249,6 +249,15 @@
     let mut last = None;
     loop {
         while let Some(run_event) = buf.next_event() {
+            let run_event = match run_event {
+                Ok(run_event) => run_event,
+                Err(error) => {
+                    event(log::Level::Warn, "run-spoiled", || {
+                        format!("request={} reason=\"{error}\"", work.key.item)
+                    });
+                    return RunEnd::Broken;
+                }
+            };
             let now = now();
             if let Some(last) = last.replace(now) {
                 let mut state = agent.state.borrow_mut();
--- a/crates/oleander-rollout/src/call/event_stream.rs
+++ b/crates/oleander-rollout/src/call/event_stream.rs
@@ -13,11 +13,11 @@
 use super::stream_limits::StreamLimits;
 use crate::http::send_error::SendError;
 use crate::prelude::*;
-use http::header::{HeaderName, HeaderValue};
+use http::header::{CONTENT_TYPE, HeaderName, HeaderValue};
 use http::response::Parts;
 use oleander_platform::event_buffer::EventBuffer;
 use oleander_platform::headers::LAST_EVENT_ID;
-use oleander_platform::run_event::RunEvent;
+use oleander_platform::stream_block::StreamBlock;
 use oleanderlock::routing::endpoint_entry::EndpointEntry;
 use oleanderlock::routing::stall_clock::StallClock;
 use oleanderlock::routing::stream_origin::StreamOrigin;
@@ -28,6 +28,9 @@
 /// one is passed on as it arrives, and not resumed.
 const EVENT_MAX_BYTES: usize = 64 << 10;
 
+/// Content type of an event stream.
+const EVENT_STREAM: &str = "text/event-stream";
+
 /// A stream of events that goes on at another endpoint when its endpoint breaks off.
 #[derive(Debug)]
 pub struct EventStream {
@@ -38,7 +41,9 @@
     opened: Option<OpenedStream>,
     limits: StreamLimits,
     clock: StallClock,
-    // `None` if bytes are passed on as they arrive.
+    // Whether the first response says that it is an event stream; others must say so too then.
+    says_events: bool,
+    // Holds back what is not a whole event; `None` if bytes are passed on as they arrive.
     events: Option<EventBuffer>,
     position: StreamPosition,
     last_part_at: Millis,
@@ -61,10 +66,13 @@
     ) -> Result<Self, StreamFailure> {
         let mut progress = CallProgress::default();
         let opened = caller.open_stream(&req, &mut progress).await?;
-        let is_stream = opened.exchange.head.status.is_success();
+        let head = &opened.exchange.head;
+        let is_stream = head.status.is_success();
+        let says_events = is_event_stream(head);
         let mut stream = Self {
             caller: Rc::clone(caller),
-            events: (req.repeatable && is_stream).then(EventBuffer::default),
+            says_events,
+            events: (is_stream && (req.repeatable || says_events)).then(EventBuffer::default),
             clock: StallClock::new(now(), limits.stall_after),
             opened: Some(opened),
             position: StreamPosition::new(after_event),
@@ -153,14 +161,18 @@
         let Some(events) = &mut self.events else {
             return Ok(None);
         };
-        if let Some((event, bytes)) = events.next_block() {
-            let is_next = event == RunEvent::default() || self.position.advance(event.id);
-            if !is_next {
-                let last = self.position.last();
-                let reason = format!("event {:?} after event {last}", event.id);
-                return Err(SendError::no_answer(reason));
+        if let Some((block, bytes)) = events.next_block() {
+            match block {
+                StreamBlock::Foreign(err) => return Err(SendError::no_answer(err)),
+                StreamBlock::Event(event)
+                    if self.req.repeatable && !self.position.advance(event.id) =>
+                {
+                    let last = self.position.last();
+                    let reason = format!("event {:?} after event {last}", event.id);
+                    return Err(SendError::no_answer(reason));
+                }
+                StreamBlock::Event(_) | StreamBlock::Comment => return Ok(Some(bytes)),
             }
-            return Ok(Some(bytes));
         }
         if events.remaining() <= EVENT_MAX_BYTES {
             return Ok(None);
@@ -181,7 +193,10 @@
 
     fn may_resume(&self) -> bool {
         let attempts_left = self.progress.attempts_made < self.req.attempts;
-        self.events.is_some() && self.position.is_resumable() && attempts_left
+        self.req.repeatable
+            && self.events.is_some()
+            && self.position.is_resumable()
+            && attempts_left
     }
 
     fn restart_clock(&mut self) {
@@ -267,7 +282,8 @@
                 })
                 .ok()?;
             let status = opened.exchange.head.status;
-            if status.is_success() {
+            let is_stream = is_event_stream(&opened.exchange.head) || !self.says_events;
+            if status.is_success() && is_stream {
                 self.caller.metrics.record_retry("stream-resumed");
                 event(log::Level::Info, "stream-resumed", || {
                     format!(
@@ -279,12 +295,19 @@
             }
             let endpoint = opened.endpoint.clone();
             drop(opened);
-            self.record_broken(&endpoint, &format!("status {}", status.as_u16()))
-                .await;
+            let reason = format!("status {}, not a stream", status.as_u16());
+            self.record_broken(&endpoint, &reason).await;
         }
     }
 }
 
+/// Whether a response says that it is an event stream.
+fn is_event_stream(head: &Parts) -> bool {
+    let value = head.headers.get(CONTENT_TYPE);
+    let value = value.and_then(|value| value.to_str().ok());
+    value.is_some_and(|value| value.trim_start().starts_with(EVENT_STREAM))
+}
+
 impl Drop for EventStream {
     fn drop(&mut self) {
         let metrics = &self.caller.metrics;
--- a/crates/oleander-rollout/tests/formats.rs
+++ b/crates/oleander-rollout/tests/formats.rs
@@ -677,7 +677,7 @@
 fn platform_names() -> Vec<Line> {
     let mut buf = EventBuffer::default();
     buf.push(b"id: 3\nweight-versions: 5\ndata: a\ndata: b\n\nid");
-    let RunEvent { id, data, version } = buf.next_event().expect("an event");
+    let RunEvent { id, data, version } = buf.next_event().expect("a block").expect("an event");
     vec![
         text(
             "event of a run",
