Survive an engine that breaks off within a line, also in debug builds

The test found that read_line of futures-lite panics in debug builds when the connection breaks within a line, which ended the agent; the release build went on. Lines are read as bytes now. broken_answers.rs panicked before.

--- a/crates/oleander-daemon/src/http/event_reader.rs
+++ b/crates/oleander-daemon/src/http/event_reader.rs
@@ -7,13 +7,13 @@
 /// Maximum length of a line, in bytes.
 const LINE_MAX_BYTES: usize = 1 << 20;
 /// Prefix of the lines that carry an event; other lines are skipped.
-const DATA: &str = "data:";
+const DATA: &[u8] = b"data:";
 
 /// Reads the events of one response.
 #[derive(Debug)]
 pub struct EventReader<R> {
     reader: BufReader<R>,
-    line: String,
+    line: Vec<u8>,
 }
 
 impl<R: AsyncRead + Unpin> EventReader<R> {
@@ -21,7 +21,7 @@
     pub fn new(reader: R) -> Self {
         Self {
             reader: BufReader::new(reader),
-            line: String::new(),
+            line: Vec::new(),
         }
     }
 
@@ -33,16 +33,17 @@
     pub async fn next(&mut self) -> Result<EngineEvent, StreamError> {
         loop {
             self.line.clear();
+            // `read_line` panics in debug builds if the connection breaks within a line.
             let read = self
                 .reader
-                .read_line(&mut self.line)
+                .read_until(b'\n', &mut self.line)
                 .await
                 .map_err(|_| StreamError)?;
             if read == 0 || self.line.len() > LINE_MAX_BYTES {
                 return Err(StreamError);
             }
             if let Some(data) = self.line.strip_prefix(DATA) {
-                return serde_json::from_str(data.trim()).map_err(|_| StreamError);
+                return serde_json::from_slice(data.trim_ascii()).map_err(|_| StreamError);
             }
         }
     }
