Don't let a long watch make the last successful call of a leader older

A leader refuses entries when its last successful call to the store is too old. The newest start counts now.

--- a/crates/oleander-rollout/src/store/store_client.rs
+++ b/crates/oleander-rollout/src/store/store_client.rs
@@ -278,7 +278,9 @@
             }
             status if status.is_server_error() => Err(StoreError::no_answer(status)),
             _ => {
-                self.last_success.set(Some(began));
+                // A watch that began earlier may end later.
+                let last = self.last_success.get().max(Some(began));
+                self.last_success.set(last);
                 Ok(response)
             }
         }
