Take the endpoints of the leader again as soon as it is well

It takes them now while they are younger than 6/10 of bounds.leave_within, and their age counts from then on, so that the bound holds as before.

--- a/crates/oleander-rollout/src/store/confirmation.rs
+++ b/crates/oleander-rollout/src/store/confirmation.rs
@@ -20,6 +20,11 @@
         self.at.fetch_max(at.0, Ordering::SeqCst);
     }
 
+    /// Records that the copy has been replaced by one that was current at the time `at`.
+    pub fn replace(&self, at: Millis) {
+        self.at.store(at.0, Ordering::SeqCst);
+    }
+
     /// Returns when the copy was last confirmed; `None` if it never was.
     pub fn at(&self) -> Option<Millis> {
         let at = self.at.load(Ordering::SeqCst);
--- a/crates/oleander-rollout/src/store/endpoint_freshness.rs
+++ b/crates/oleander-rollout/src/store/endpoint_freshness.rs
@@ -23,6 +23,12 @@
         }
     }
 
+    /// Whether a copy that was last known to be the list at `confirmed_at` may replace this one.
+    pub fn takes(&self, confirmed_at: Option<Millis>) -> bool {
+        let age = confirmed_at.map_or(Millis::MAX, |at| now().since(at));
+        age <= self.limits.take_age() || confirmed_at >= self.confirmation.at()
+    }
+
     /// Whether the copy is so old that this process must read the list itself.
     pub fn is_stale(&self) -> bool {
         self.confirmation.age() >= self.limits.max_age()
--- a/crates/oleander-rollout/src/store/platform_update.rs
+++ b/crates/oleander-rollout/src/store/platform_update.rs
@@ -40,8 +40,8 @@
     }
 }
 
-/// Applies an update, which is the response to a call sent at `sent_at`, to the view. Endpoints are not
-/// applied if those of the view are known to be newer: a leader that has lost the store still has its
+/// Applies an update, which is the response to a call sent at `sent_at`, to the view. Endpoints that are
+/// too old are not applied if those of the view are newer: a leader that has lost the store still has its
 /// old ones.
 pub fn apply_platform_update(
     view: &SharedView,
@@ -73,7 +73,7 @@
     let confirmed_at = update
         .endpoints_confirmed_ms
         .map(|offset| time_of(sent_at, offset));
-    if freshness.confirmation.at() > confirmed_at {
+    if !freshness.takes(confirmed_at) {
         event(log::Level::Info, "endpoints-outdated", || {
             format!("endpoints={} digest={digest:016x}", entries.len())
         });
@@ -82,6 +82,9 @@
     event(log::Level::Info, "endpoints-told", || {
         format!("endpoints={} digest={digest:016x}", entries.len())
     });
+    if let Some(at) = confirmed_at {
+        freshness.confirmation.replace(at);
+    }
     view.update(|view| {
         view.endpoints = Arc::new(EndpointTable::from_entries(entries));
         view.endpoints_known = true;
--- a/crates/oleanderlock/src/routing/list_age.rs
+++ b/crates/oleanderlock/src/routing/list_age.rs
@@ -12,11 +12,12 @@
 /// Longest wait of a call for an update of the copy.
 const UPDATE_WAIT_MAX: Millis = Millis(1000);
 /// Parts of the time within which an endpoint must be left, in tenths: the wait of a watch, the wait
-/// for an update, the age at which a process reads the list itself, and the age up to which an entry is
-/// kept that has disappeared. A copy is confirmed as of the start of a watch, so it is two waits old
+/// for an update, the age up to which the copy of another process replaces an own one, the age at which a
+/// process reads the list itself, and the age up to which an entry is kept that has disappeared. A copy is confirmed as of the start of a watch, so it is two waits old
 /// when the next watch ends.
 const WATCH_TENTHS: u64 = 2;
 const UPDATE_TENTHS: u64 = 3;
+const TAKE_TENTHS: u64 = 6;
 const MAX_AGE_TENTHS: u64 = 8;
 const KEEP_MISSING_TENTHS: u64 = 9;
 
@@ -46,6 +47,12 @@
         self.tenths(UPDATE_TENTHS).min(UPDATE_WAIT_MAX)
     }
 
+    /// Returns the age up to which the copy of another process may replace one that this process has read
+    /// itself, although that is newer: from then on, the age of the copy taken counts.
+    pub fn take_age(self) -> Millis {
+        self.tenths(TAKE_TENTHS)
+    }
+
     /// Returns the age at which a process that gets the list from another one reads it itself.
     pub fn max_age(self) -> Millis {
         self.tenths(MAX_AGE_TENTHS)
--- a/crates/oleanderlock/tests/list_age.rs
+++ b/crates/oleanderlock/tests/list_age.rs
@@ -67,3 +67,15 @@
         assert!(limits.keep_missing(limits.max_age()) > Millis::ZERO);
     }
 }
+
+#[test]
+fn a_copy_that_replaces_a_newer_one_is_given_up_in_time_and_one_of_a_leader_that_is_well_is_taken()
+{
+    for leave_within in [500, 2000, 3000, 4000, 10_000].map(Millis) {
+        let limits = ListAgeLimits::new(leave_within);
+        assert!(limits.take_age() < limits.max_age());
+        assert!(limits.max_age() < leave_within);
+        let oldest_at_leader = Millis(2 * limits.watch_wait().0);
+        assert!(oldest_at_leader < limits.take_age());
+    }
+}
