Don't take a call that times out for an outage while others are answered

Cause: any failed call counted as an outage of the store, and for 2.2 s after the last one an endpoint that has disappeared is kept, in case it lapsed in the outage. Writes of a busy leader timed out again and again from 14.6 to 18.5 s, while its watch and its other calls were answered, so that it passed on what had left until 20.7 s (endpoint-gone, "not registered again after an outage of the store").

Now a failed call shows an outage only if no call that began later has been answered. In an outage none is, and each that fails counts as before.

--- a/crates/oleander-rollout/src/store/store_client.rs
+++ b/crates/oleander-rollout/src/store/store_client.rs
@@ -240,9 +240,16 @@
         body: Vec<u8>,
         limit: Millis,
     ) -> Result<(StatusCode, Bytes), StoreError> {
-        let result = self.exchange(method, path, body, limit).await;
+        let began = now();
+        let exchange = within(limit, self.exchange(method, path, body)).await;
+        let result = exchange.unwrap_or_else(|| Err(StoreError::no_answer("timeout")));
         if result.is_err() {
-            self.health.record_failure();
+            self.health.record_failure(began);
+        } else {
+            self.health.record_answer(began);
+            // A watch that began earlier may end later.
+            let last = self.last_success.get().max(Some(began));
+            self.last_success.set(last);
         }
         result
     }
@@ -252,9 +259,7 @@
         method: Method,
         path: &str,
         body: Vec<u8>,
-        limit: Millis,
     ) -> Result<(StatusCode, Bytes), StoreError> {
-        let began = now();
         let req = Request::builder()
             .method(method)
             .uri(path)
@@ -266,23 +271,17 @@
             let exchange = self.pool.send(&self.destination, req).await?;
             exchange.collect(RESPONSE_MAX_BYTES).await
         };
-        let response = match within(limit, exchange).await {
-            None => return Err(StoreError::no_answer("timeout")),
-            Some(Err(SendError::NoAnswer { reason })) => return Err(StoreError::no_answer(reason)),
-            Some(Err(error)) => return Err(StoreError::not_done(error.reason())),
-            Some(Ok((head, body))) => (head.status, body),
+        let response = match exchange.await {
+            Err(SendError::NoAnswer { reason }) => return Err(StoreError::no_answer(reason)),
+            Err(error) => return Err(StoreError::not_done(error.reason())),
+            Ok((head, body)) => (head.status, body),
         };
         match response.0 {
             StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
                 Err(StoreError::not_done(response.0))
             }
             status if status.is_server_error() => Err(StoreError::no_answer(status)),
-            _ => {
-                // A watch that began earlier may end later.
-                let last = self.last_success.get().max(Some(began));
-                self.last_success.set(last);
-                Ok(response)
-            }
+            _ => Ok(response),
         }
     }
 }
--- a/crates/oleander-rollout/tests/calls.rs
+++ b/crates/oleander-rollout/tests/calls.rs
@@ -357,6 +357,7 @@
     down: true,
     keep_watches: true,
     lose_response_every: 0,
+    hang_writes: false,
 };
 
 /// Waits until the entry has received an update from the leader.
--- a/crates/oleander-rollout/tests/stale_endpoints.rs
+++ b/crates/oleander-rollout/tests/stale_endpoints.rs
@@ -4,6 +4,7 @@
 mod support;
 
 use oleander_platform_standins::stand_in_service::StandInService;
+use oleander_platform_standins::store_faults::StoreFaults;
 use serde_json::json;
 use std::cell::RefCell;
 use std::thread;
@@ -19,6 +20,8 @@
 const LEAVE_WITHIN: Duration = Duration::from_secs(2);
 /// Time for which calls are sent after that.
 const CALLS_AFTER: Duration = Duration::from_secs(4);
+/// Time within which a write of the leader has timed out.
+const HANG_BEFORE: Duration = Duration::from_millis(2500);
 /// Interval of the calls.
 const CALL_INTERVAL: Duration = Duration::from_millis(25);
 /// Events of a run that takes over three seconds.
@@ -143,6 +146,32 @@
     check_calls(Loss::Leader);
 }
 
+#[test]
+fn no_call_reaches_an_endpoint_that_disappeared_while_writes_of_the_leader_time_out() {
+    let relayed = RelayedLeader::start(1);
+    let deployment = &relayed.deployment;
+    deployment.submit(0, "job-a", &job(1, 1, 1, 2));
+    deployment.read_all(0, "job-a", 2);
+    let store = &deployment.store;
+    store.set_faults(StoreFaults {
+        hang_writes: true,
+        ..StoreFaults::default()
+    });
+    let hung_at = Instant::now();
+    let mut left_at = None;
+    while hung_at.elapsed() < HANG_BEFORE + LEAVE_WITHIN + CALLS_AFTER {
+        if left_at.is_none() && hung_at.elapsed() > HANG_BEFORE {
+            left_at = Some(relayed.leave(Leave::Unannounced));
+        }
+        assert!(call(deployment), "service 1 serves");
+        // The leader reads the store for this, with success.
+        deployment.read(0, "job-a", 2);
+        thread::sleep(CALL_INTERVAL);
+    }
+    let left_at = left_at.expect("the endpoint has left");
+    assert_no_arrival_after(&deployment.services[0], left_at, "writes time out");
+}
+
 #[test]
 fn no_scoring_call_reaches_an_endpoint_that_left_while_the_leader_was_lost() {
     for loss in [Loss::StoreOfLeader, Loss::Leader] {
