--- a/crates/oleander-load/tests/logs.rs
+++ b/crates/oleander-load/tests/logs.rs
@@ -157,11 +157,16 @@
             "groups": [{"prompt": "advice", "lengths": [4, 5]}]});
         let opened = api.post("/v1/trainers/advice/steps/7", &step).await;
         assert_eq!(opened.expect("an answer").status, 201);
+        // The step is acknowledged before its samples are requested.
+        let requested = "event=sample-requested";
         let log = d.folder().join("entry-1.log");
-        let text = std::fs::read_to_string(log).expect("a log");
-        let mut samples = text
-            .lines()
-            .filter(|line| line.contains("event=sample-requested"));
+        let until = Instant::now() + HANG;
+        let mut text = String::new();
+        while !text.contains(requested) && Instant::now() < until {
+            pause(20).await;
+            text = std::fs::read_to_string(&log).expect("a log");
+        }
+        let mut samples = text.lines().filter(|line| line.contains(requested));
         let sample = samples.next().unwrap_or_default();
         assert!(sample.contains("step=advice/7 group=0 index=0"), "{text}");
         let (_, request) = sample.split_once("request=").expect("a request");
