--- a/crates/oleander-rollout/tests/failures.rs
+++ b/crates/oleander-rollout/tests/failures.rs
@@ -33,6 +33,7 @@
     down: true,
     keep_watches: false,
     lose_response_every: 0,
+    hang_writes: false,
 };
 
 /// Starts a deployment of one service and waits until a call reaches it.
