--- a/crates/oleander-rollout/src/store/endpoint_source.rs
+++ b/crates/oleander-rollout/src/store/endpoint_source.rs
@@ -10,12 +10,12 @@
 /// Shortest pause between two checks of the age of the endpoints.
 const CHECK_PAUSE: Millis = Millis(100);
 
-/// Where an entry or agent gets its endpoints from: the leading dispatcher passes its copy of the
-/// platform's list on, with the time at which that was current. While that copy is too old, because
-/// the leader is lost or has lost the store itself, this process reads the list itself.
+/// Where an entry or agent gets its endpoints from.
 ///
-/// It doesn't always do so, because each weight load changes the list, which would wake the watch of
-/// every process.
+/// The leading dispatcher passes its copy of the platform's list on, with the time at which that was
+/// current. While that copy is too old, because the leader is lost or has lost the store, this process
+/// watches the list itself. It doesn't always do so, because each weight load changes the list, which
+/// would wake the watch of every process.
 #[derive(Debug)]
 pub struct EndpointSource {
     freshness: EndpointFreshness,
--- a/crates/oleander-rollout/src/store/endpoint_watcher.rs
+++ b/crates/oleander-rollout/src/store/endpoint_watcher.rs
@@ -25,8 +25,8 @@
 ///
 /// The entries of endpoints lapse while the store is down and are registered again shortly after,
 /// so an entry that disappears around an outage is kept for that time. A store that refuses new
-/// calls may still answer a waiting watch: failures of all calls of this process count as an
-/// outage, and a deletion that a watch reports is confirmed by a new call.
+/// calls may still answer a waiting watch: calls of this process that fail while no later one is
+/// answered count as an outage, and a deletion that a watch reports is confirmed by a new call.
 ///
 /// The first list that a process reads after it has lost the leader may also lack entries that lapsed
 /// in an outage which this process has not noticed. They are kept for as long as they may be used if
