--- a/crates/oleander-rollout/tests/broken_answers.rs
+++ b/crates/oleander-rollout/tests/broken_answers.rs
@@ -27,11 +27,11 @@
 /// Returns the proper beginnings of a head.
 fn cut_heads(head: &str) -> Vec<&str> {
     let all = 1..head.len();
-    let tried = all.filter(|end| end % CUT_STEP == 0 || end + LAST_BYTES > head.len());
-    let whole_interim = "HTTP/1.1 100 Continue\r\n\r\n".len();
-    let cut = tried.filter(|end| head.is_char_boundary(*end) && *end != whole_interim);
+    let interim = "HTTP/1.1 100 Continue\r\n\r\n".len();
+    let tried =
+        all.filter(|end| end % CUT_STEP == 0 || end + LAST_BYTES > head.len() || *end == interim);
     // A cut within a placeholder would leave a part of it.
-    let cut = cut.filter(|end| {
+    let cut = tried.filter(|end| {
         let open = head[..*end].rfind('{');
         open.is_none_or(|open| head[open..*end].contains('}'))
     });
