--- a/review/harness/src/deployment.rs
+++ b/review/harness/src/deployment.rs
@@ -8,7 +8,7 @@
 use oleander_platform_standins::stand_in_service::StandInService;
 use serde_json::{Value, json};
 use std::path::PathBuf;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
@@ -35,9 +35,13 @@
     pub agents: Vec<Node>,
     pub dispatchers: Vec<Node>,
     pub record: Record,
+    failures: Failures,
     dir: PathBuf,
 }
 
+/// Items of runs that were answered with 500.
+type Failures = Arc<Mutex<Vec<String>>>;
+
 /// Returns a configuration with a route for batch jobs and one for reward calls.
 pub fn config(version: u64) -> Value {
     json!({
@@ -64,11 +68,19 @@
         store.put("config", "main", config);
         let service = StandInService::spawn("desk-0");
         store.put("servers", &service.instance(), &service.entry("desk"));
-        let failures = Arc::default();
+        let failures = Failures::default();
         let engines: Vec<Engine> = (0..size.engines)
             .map(|n| {
                 let name = format!("engine-{n}");
-                Engine::start(&name, size.slots, size.event_ms, &store, &failures, record)
+                Engine::start(
+                    "llm",
+                    &name,
+                    size.slots,
+                    size.event_ms,
+                    &store,
+                    &failures,
+                    record,
+                )
             })
             .collect();
         let node = |name: String, role, engine| {
@@ -100,6 +112,7 @@
             engines,
             service,
             record: record.clone(),
+            failures,
             dir,
         };
         deployment.wait("entries are ready", |d| {
@@ -123,6 +136,37 @@
         deployment
     }
 
+    /// Adds a worker of a service with its agent.
+    pub fn add_engine(&mut self, service: &str, size: &Size) {
+        let name = format!("{service}-{}", self.engines.len());
+        let (store, record) = (&self.store, &self.record);
+        let (slots, event_ms) = (size.slots, size.event_ms);
+        let engine = Engine::start(
+            service,
+            &name,
+            slots,
+            event_ms,
+            store,
+            &self.failures,
+            record,
+        );
+        let name = format!("side-{}", self.agents.len());
+        let addr = store.address_for(&name);
+        let engine_addr = Some(engine.addr);
+        let mut node = Node::new(
+            &name,
+            "agent",
+            addr,
+            size.bound_ms,
+            engine_addr,
+            &self.dir,
+            record,
+        );
+        node.start();
+        self.engines.push(engine);
+        self.agents.push(node);
+    }
+
     /// Waits until a condition holds.
     ///
     /// # Panics
@@ -149,8 +193,13 @@
 
     /// Submits a batch job until it is accepted.
     pub fn submit(&self, entry: usize, id: &str, job: &Value) {
+        self.submit_at(entry, "/rollout/", id, job);
+    }
+
+    /// Submits a batch job under the path prefix of a route until it is accepted.
+    pub fn submit_at(&self, entry: usize, prefix: &str, id: &str, job: &Value) {
         let headers = [("request-id", id), ("deadline-ms", "12000")];
-        let target = format!("/rollout/{id}");
+        let target = format!("{prefix}{id}");
         let addr = self.entries[entry].calls;
         self.wait("the job is accepted", |d| {
             let reply = call(addr, "POST", &target, &headers, job.to_string().as_bytes());
--- a/review/harness/src/engine.rs
+++ b/review/harness/src/engine.rs
@@ -41,6 +41,7 @@
 }
 
 struct State {
+    service: String,
     instance: String,
     software: String,
     born: u64,
@@ -71,8 +72,9 @@
 }
 
 impl Engine {
-    /// Starts an engine at version 1 and lists it in the store.
+    /// Starts an engine of a service at version 1 and lists it in the store.
     pub fn start(
+        service: &str,
         name: &str,
         slots: usize,
         event_ms: u64,
@@ -81,6 +83,7 @@
         record: &Record,
     ) -> Self {
         let state = Arc::new(Mutex::new(State {
+            service: service.to_owned(),
             instance: name.to_owned(),
             software: "v1".to_owned(),
             born: unix_ms(),
@@ -117,7 +120,7 @@
     /// Writes its entry to the list of workers.
     pub fn list(&self) {
         let state = self.state.lock().expect("a state");
-        let spec = json!({"service": "llm", "addr": self.addr.to_string(), "zone": "wdh-a",
+        let spec = json!({"service": state.service, "addr": self.addr.to_string(), "zone": "wdh-a",
             "version": state.software, "slots": state.slots, "state": "ready", "cold_left_ms": 0,
             "seq": state.seq, "born": state.born, "stage": "both", "models": models(&state)});
         let instance = state.instance.clone();
@@ -135,6 +138,11 @@
         });
     }
 
+    /// Returns its service.
+    pub fn service(&self) -> String {
+        self.state.lock().expect("a state").service.clone()
+    }
+
     /// Whether it has crashed and does not listen.
     pub fn is_down(&self) -> bool {
         self.down.load(Ordering::Relaxed)
