--- a/review/harness/src/bin/agent_hangs.rs
+++ b/review/harness/src/bin/agent_hangs.rs
@@ -17,6 +17,9 @@
 const CONTACT_MS: u128 = 3000;
 /// Time at no worker after which the rule LOST is broken.
 const IDLE_MS: u128 = 5000;
+/// Time after a report at which the second worker crashes, so that the next report is asked for when it is
+/// listed again.
+const AFTER_REPORT: Duration = Duration::from_millis(20);
 /// Time after its start at which a worker lists itself.
 const REGISTER_AFTER: Duration = Duration::from_millis(90);
 
@@ -50,7 +53,9 @@
         // Gone for good.
         deployment.engines[0].crash();
         deployment.engines[0].unlist_after_lapse();
-        sleep(Duration::from_millis(550));
+        sleep(Duration::from_millis(300));
+        deployment.engines[1].wait_for_report();
+        sleep(AFTER_REPORT);
         deployment.engines[1].crash();
         deployment.engines[1].restart("engine-1-again", "v2", REGISTER_AFTER);
     }
--- a/review/harness/src/bin/single_version.rs
+++ b/review/harness/src/bin/single_version.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 /// Routes that the configuration has grown by.
-const MORE_ROUTES: usize = 1400;
+const MORE_ROUTES: usize = 1980;
 
 const FIRST_JOB: &str = "3b90d2f4a1c87e65";
 const JOB: &str = "7c41e09b52d6a3f8";
--- a/review/harness/src/engine.rs
+++ b/review/harness/src/engine.rs
@@ -51,6 +51,7 @@
     loading: bool,
     seq: u64,
     running: usize,
+    reports: usize,
     runs: Vec<Run>,
 }
 
@@ -93,6 +94,7 @@
             loading: false,
             seq: 0,
             running: 0,
+            reports: 0,
             runs: Vec::new(),
         }));
         let cell: Arc<Mutex<Option<Engine>>> = Arc::default();
@@ -143,6 +145,15 @@
         self.state.lock().expect("a state").service.clone()
     }
 
+    /// Waits until its agent has asked for its report once more, as it does each 400 ms.
+    pub fn wait_for_report(&self) {
+        let reports = || self.state.lock().expect("a state").reports;
+        let before = reports();
+        while reports() == before {
+            sleep(Duration::from_millis(2));
+        }
+    }
+
     /// Whether it has crashed and does not listen.
     pub fn is_down(&self) -> bool {
         self.down.load(Ordering::Relaxed)
@@ -212,7 +223,8 @@
         }
         match (req.method.as_str(), req.path()) {
             ("GET", "/-/report") => {
-                let state = self.state.lock().expect("a state");
+                let mut state = self.state.lock().expect("a state");
+                state.reports += 1;
                 let body = json!({"stage": "both", "models": models(&state), "busy": state.loading,
                     "seq": state.seq, "queued": 0, "running": state.running, "kv_used": 0,
                     "kv_total": 97451, "handles": 0, "born": state.born});
