--- a/review/harness/src/bin/agent_hangs.rs
+++ b/review/harness/src/bin/agent_hangs.rs
@@ -10,7 +10,7 @@
 
 const JOB: &str = "7c41e09b52d6a3f8";
 const ITEMS: usize = 8;
-const EVENTS: usize = 50;
+const EVENTS: usize = 70;
 /// Time after which the trainer gives up.
 const DEADLINE_MS: u128 = 12_000;
 /// `contact_ms`: time after a disruption at which the steady state begins.
@@ -21,7 +21,7 @@
 /// listed again.
 const AFTER_REPORT: Duration = Duration::from_millis(20);
 /// Time after its start at which a worker lists itself.
-const REGISTER_AFTER: Duration = Duration::from_millis(90);
+const REGISTER_AFTER: Duration = Duration::from_millis(150);
 
 fn main() {
     run(case)
@@ -33,7 +33,7 @@
         dispatchers: 2,
         engines: 2,
         slots: 4,
-        event_ms: 40,
+        event_ms: 30,
         bound_ms: 2000,
     };
     let mut deployment = Deployment::start(&size, &config(1), record);
@@ -48,7 +48,7 @@
     deployment.wait("all slots are taken", |d| {
         d.engines.iter().all(|one| one.running() == 4)
     });
-    sleep(Duration::from_millis(1200));
+    sleep(Duration::from_millis(1500));
     if has_trouble() {
         // Gone for good.
         deployment.engines[0].crash();
--- a/review/harness/src/deployment.rs
+++ b/review/harness/src/deployment.rs
@@ -177,8 +177,8 @@
         while !condition(self) {
             if began.elapsed() > WAIT {
                 self.record.line(&format!("can't run: {what} not in time"));
-                println!("can't run: {what} not in time");
-                std::process::exit(2);
+                // The processes are ended on the way.
+                panic!("{what}: not in time");
             }
             sleep(Duration::from_millis(5));
         }
--- a/review/harness/src/process.rs
+++ b/review/harness/src/process.rs
@@ -6,11 +6,24 @@
 use std::os::unix::process::ExitStatusExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 
-/// Returns a loopback address with a port that is free now.
+/// Range of the ports of the system's processes, below those that the kernel gives to others.
+const PORTS: std::ops::Range<u32> = 12_000..30_000;
+
+/// Returns a loopback address with a port that is free now and was not returned before.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address")
+    static TAKEN: AtomicU32 = AtomicU32::new(0);
+    let ports = PORTS.end - PORTS.start;
+    loop {
+        let taken = TAKEN.fetch_add(1, Ordering::Relaxed);
+        let place = (std::process::id() * 97 + taken) % ports;
+        let port = u16::try_from(PORTS.start + place).expect("a port");
+        let addr = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(addr).is_ok() {
+            return addr;
+        }
+    }
 }
 
 /// One machine of the system with its role; its process may be down.
