--- a/review/harness/src/deployment.rs
+++ b/review/harness/src/deployment.rs
@@ -14,6 +14,8 @@
 
 /// Longest wait for a deployment to become ready, or for a step of a case.
 pub const WAIT: Duration = Duration::from_secs(30);
+/// Time after the start at which a case gives up waiting.
+const LONGEST_RUN_MS: u128 = 100_000;
 
 /// What a deployment consists of.
 pub struct Size {
@@ -175,7 +177,7 @@
     pub fn wait(&self, what: &str, condition: impl Fn(&Self) -> bool) {
         let began = Instant::now();
         while !condition(self) {
-            if began.elapsed() > WAIT {
+            if began.elapsed() > WAIT || self.record.now_ms() > LONGEST_RUN_MS {
                 self.record.line(&format!("can't run: {what} not in time"));
                 // The processes are ended on the way.
                 panic!("{what}: not in time");
@@ -228,7 +230,8 @@
     pub fn read_all(&self, entry: usize, id: &str, total: usize, limit: Duration) -> Vec<Value> {
         let mut results: Vec<Value> = Vec::new();
         let began = Instant::now();
-        while results.len() < total && began.elapsed() < limit {
+        let in_time = || began.elapsed() < limit && self.record.now_ms() < LONGEST_RUN_MS;
+        while results.len() < total && in_time() {
             let reply = self.read(entry, id, results.len());
             let status = reply.as_ref().map(|reply| reply.status);
             if status != Some(200) {
--- a/review/harness/src/engine.rs
+++ b/review/harness/src/engine.rs
@@ -315,6 +315,11 @@
         };
         let mut state = self.state.lock().expect("a state");
         state.runs[index].is_running = false;
+        let (whole, events) = (state.runs[index].is_whole, state.runs[index].versions.len());
+        self.record.line(&format!(
+            "run ends {} item={id} events={events} whole={whole}",
+            self.addr
+        ));
         if state.born == born {
             state.running -= 1;
         }
