--- a/review/harness/src/bin/single_version.rs
+++ b/review/harness/src/bin/single_version.rs
@@ -25,7 +25,7 @@
         engines: 2,
         slots: 4,
         event_ms: 40,
-        bound_ms: 3000,
+        bound_ms: 2000,
     };
     let mut config = config(1);
     let routes = config["routes"].as_array_mut().expect("routes");
