Count each return of an item once, however often its message arrives

Cause: an agent handed in results and returned items in one message. The leader counted the failures of the returned items at once, then refused the message because its results could not be listed, and the agent sent it again. The leader's log shows two lines item-returned for one run, 4.2 s apart.

A return now has an id, and the scheduler applies each id once; agents send returned items apart from results. An item of an unknown job is no longer given up.

--- a/crates/oleander-rollout/src/agent/agent_process.rs
+++ b/crates/oleander-rollout/src/agent/agent_process.rs
@@ -223,10 +223,8 @@
         let items = state.items.values();
         let items = items.filter(|item| matches(item.run.is_some()));
         let items: Vec<ReturnedItem> = items
-            .map(|item| ReturnedItem {
-                key: item.work.key.clone(),
-                reason,
-                progress: item.work.progress.clone(),
+            .map(|item| {
+                ReturnedItem::new(item.work.key.clone(), reason, item.work.progress.clone())
             })
             .collect();
         for item in items {
@@ -246,11 +244,11 @@
         for name in names {
             // Removing an item cancels its run.
             if let Some(item) = state.items.shift_remove(name) {
-                let returned = ReturnedItem {
-                    key: item.work.key.clone(),
-                    reason: ReturnReason::Recalled,
-                    progress: item.work.progress.clone(),
-                };
+                let returned = ReturnedItem::new(
+                    item.work.key.clone(),
+                    ReturnReason::Recalled,
+                    item.work.progress.clone(),
+                );
                 state.returned.insert(name.clone(), returned);
             }
         }
--- a/crates/oleander-rollout/src/agent/outcomes.rs
+++ b/crates/oleander-rollout/src/agent/outcomes.rs
@@ -6,6 +6,7 @@
 use crate::prelude::*;
 use http::{Method, StatusCode};
 use oleanderlock::batch::sample::Sample;
+use std::cell::RefCell;
 use std::collections::HashSet;
 use std::rc::Rc;
 
@@ -18,7 +19,7 @@
 
 /// Sends outcomes until the process ends. Several calls may be in flight, each for other items.
 pub async fn run(agent: Rc<Agent>) {
-    let in_flight: Rc<std::cell::RefCell<HashSet<String>>> = Rc::default();
+    let in_flight: Rc<RefCell<HashSet<String>>> = Rc::default();
     loop {
         let listener = agent.changed.listen();
         let (samples, returned) = unsent_outcomes(&agent, &in_flight.borrow());
@@ -27,21 +28,36 @@
             sleep(BATCH_DELAY).await;
             continue;
         }
-        let names: Vec<String> = samples
-            .iter()
-            .map(|sample| sample.key.to_string())
-            .chain(returned.iter().map(|item| item.key.to_string()))
-            .collect();
-        in_flight.borrow_mut().extend(names.iter().cloned());
-        let (agent, in_flight) = (Rc::clone(&agent), Rc::clone(&in_flight));
-        spawn(async move {
-            send(&agent, samples, returned, &names).await;
-            for name in &names {
-                in_flight.borrow_mut().remove(name);
-            }
-            agent.notify();
-        });
+        // Returned items don't wait until results are listed: other agents can run them meanwhile.
+        spawn_send(&agent, &in_flight, samples, Vec::new());
+        spawn_send(&agent, &in_flight, Vec::new(), returned);
+    }
+}
+
+/// Sends outcomes, if there are any, in a task of its own.
+fn spawn_send(
+    agent: &Rc<Agent>,
+    in_flight: &Rc<RefCell<HashSet<String>>>,
+    samples: Vec<Sample>,
+    returned: Vec<ReturnedItem>,
+) {
+    let names: Vec<String> = samples
+        .iter()
+        .map(|sample| sample.key.to_string())
+        .chain(returned.iter().map(|item| item.key.to_string()))
+        .collect();
+    if names.is_empty() {
+        return;
     }
+    in_flight.borrow_mut().extend(names.iter().cloned());
+    let (agent, in_flight) = (Rc::clone(agent), Rc::clone(in_flight));
+    spawn(async move {
+        send(&agent, samples, returned, &names).await;
+        for name in &names {
+            in_flight.borrow_mut().remove(name);
+        }
+        agent.notify();
+    });
 }
 
 /// Returns the results and returned items that are in no call in flight.
@@ -65,9 +81,11 @@
     match call(agent, &message).await {
         Ok(()) => {
             let mut state = agent.state.borrow_mut();
-            for name in names {
-                state.samples.shift_remove(name);
-                state.returned.shift_remove(name);
+            for sample in &message.samples {
+                state.samples.shift_remove(&sample.key.to_string());
+            }
+            for item in &message.returned {
+                state.remove_return(&item.key.to_string(), item.id);
             }
         }
         Err(error) => {
--- a/crates/oleander-rollout/src/agent/pull.rs
+++ b/crates/oleander-rollout/src/agent/pull.rs
@@ -161,6 +161,9 @@
         }
         for work in response.work {
             let name = work.key.to_string();
+            // The leader assigns an item again once it has taken the return of it, whose answer may
+            // come later than the work.
+            state.returned.shift_remove(&name);
             if !state.item_names().contains(&name) {
                 state.items.insert(name, HeldItem::waiting(work));
             }
--- a/crates/oleander-rollout/src/agent/run.rs
+++ b/crates/oleander-rollout/src/agent/run.rs
@@ -118,11 +118,9 @@
 
 fn return_item(agent: &Agent, work: &WorkItem, reason: ReturnReason, progress: Progress) {
     agent.metrics.record_retry(&reason.to_string());
-    agent.state.borrow_mut().return_item(ReturnedItem {
-        key: work.key.clone(),
-        reason,
-        progress: (progress.last_event > 0).then_some(progress),
-    });
+    let progress = (progress.last_event > 0).then_some(progress);
+    let item = ReturnedItem::new(work.key.clone(), reason, progress);
+    agent.state.borrow_mut().return_item(item);
 }
 
 /// Starts runs, each after the last event of the one before, until the text is complete or the item
--- a/crates/oleander-rollout/src/agent/runner.rs
+++ b/crates/oleander-rollout/src/agent/runner.rs
@@ -102,11 +102,7 @@
         let version = state.version_of(&item.work.model);
         let progress = item.work.progress.clone();
         if version.is_some_and(|version| version < item.work.oldest_version) {
-            state.return_item(ReturnedItem {
-                key,
-                reason: ReturnReason::TooOld,
-                progress,
-            });
+            state.return_item(ReturnedItem::new(key, ReturnReason::TooOld, progress));
         }
     }
     drop(state);
--- a/crates/oleander-rollout/src/agent/state.rs
+++ b/crates/oleander-rollout/src/agent/state.rs
@@ -141,6 +141,13 @@
         }
     }
 
+    /// Removes a return that the leader has taken; one of a later run of the item stays.
+    pub fn remove_return(&mut self, name: &str, id: u64) {
+        if self.returned.get(name).is_some_and(|item| item.id == id) {
+            self.returned.shift_remove(name);
+        }
+    }
+
     /// Returns the names of all items that the agent has to run, report or return, as `JOB/ITEM`.
     pub fn item_names(&self) -> Vec<String> {
         let held = self.items.keys().chain(self.samples.keys());
--- a/crates/oleander-rollout/src/dispatch/agents_api.rs
+++ b/crates/oleander-rollout/src/dispatch/agents_api.rs
@@ -209,30 +209,37 @@
 }
 
 /// Takes back an item that an agent could not finish: it is assigned again, or given up after too
-/// many failures of engines.
+/// many failures of engines. A repeated message, as after a lost answer or while results can't be
+/// listed, changes nothing.
 fn requeue(dispatcher: &Dispatcher, agent: &str, item: ReturnedItem) {
     let mut state = dispatcher.state.borrow_mut();
     let ReturnedItem {
         key,
         reason,
         progress,
+        id,
     } = item;
+    let is_new = state.scheduler.record_return(agent, &key, id);
     event(log::Level::Info, "item-returned", || {
         let events = progress.as_ref().map_or(0, |progress| progress.last_event);
+        let repeated = !is_new;
         format!(
-            "request={} job={} agent={agent} reason={reason} events={events}",
+            "request={} job={} agent={agent} reason={reason} events={events} id={id} repeated={repeated}",
             key.item, key.job
         )
     });
-    dispatcher.metrics.record_retry(&reason.to_string());
-    let attempts = state
-        .scheduler
-        .job(&key.job)
-        .map_or(0, |job| job.policy.attempts);
-    if reason == ReturnReason::EngineFailed && state.scheduler.record_failure(&key) >= attempts {
-        give_up(&mut state, key, "the engines failed too often");
+    if !is_new {
         return;
     }
+    dispatcher.metrics.record_retry(&reason.to_string());
+    if reason == ReturnReason::EngineFailed {
+        let failures = state.scheduler.record_failure(&key);
+        let attempts = state.scheduler.job(&key.job).map(|job| job.policy.attempts);
+        if attempts.is_some_and(|attempts| failures >= attempts) {
+            give_up(&mut state, key, "the engines failed too often");
+            return;
+        }
+    }
     state.checkpoints.remove(&key);
     state.scheduler.return_item(agent, &key, progress);
 }
--- a/crates/oleander-rollout/tests/formats.rs
+++ b/crates/oleander-rollout/tests/formats.rs
@@ -477,6 +477,7 @@
         json("news", &platform_news()),
         json("no news", &PlatformUpdate::default()),
         json("hand-in", &hand_in()),
+        json("hand-in with an id", &hand_in_with_id()),
         json("empty hand-in", &ItemOutcomes::default()),
         json("health", &health()),
         json(
--- a/crates/oleander-rollout/tests/formats_support/examples.rs
+++ b/crates/oleander-rollout/tests/formats_support/examples.rs
@@ -378,6 +378,7 @@
         key: key("i-4"),
         reason,
         progress: Some(progress()),
+        id: 0,
     };
     let mut returned: Vec<ReturnedItem> = reasons.into_iter().map(with).collect();
     returned[0].progress = None;
@@ -388,6 +389,17 @@
     }
 }
 
+pub fn hand_in_with_id() -> ItemOutcomes {
+    let returned = hand_in().returned.into_iter().take(1);
+    ItemOutcomes {
+        agent: "a-1".to_owned(),
+        samples: Vec::new(),
+        returned: returned
+            .map(|item| ReturnedItem { id: 5, ..item })
+            .collect(),
+    }
+}
+
 pub fn health() -> DispatcherHealth {
     DispatcherHealth {
         leads: true,
--- a/crates/oleanderlock/src/batch/item_state.rs
+++ b/crates/oleanderlock/src/batch/item_state.rs
@@ -4,6 +4,7 @@
 use super::job_item::JobItem;
 use super::progress::Progress;
 use crate::prelude::*;
+use std::collections::VecDeque;
 
 /// An item of a batch job and its state.
 #[derive(Clone, Debug)]
@@ -19,6 +20,8 @@
     /// Time until which it rather waits for an engine of the software version that has begun it than
     /// starts again at another one; `None` if it has not waited yet.
     pub version_wait_until: Option<Millis>,
+    /// Ids of its last returns, oldest first.
+    pub returns: VecDeque<u64>,
     /// Agent that returned it last without a result; others are preferred.
     pub returned_by: Option<String>,
     /// Time until which it is not assigned, because an agent that has not reported yet may still
@@ -35,6 +38,7 @@
             failures: 0,
             progress: None,
             version_wait_until: None,
+            returns: VecDeque::new(),
             returned_by: None,
             hold_until: Millis::ZERO,
         }
--- a/crates/oleanderlock/src/batch/scheduler.rs
+++ b/crates/oleanderlock/src/batch/scheduler.rs
@@ -24,6 +24,9 @@
 
 /// Weight of the newest step in the moving average of a model's tokens per step, in eighths.
 const NEW_STEP_WEIGHT_EIGHTHS: u64 = 2;
+/// Returns of an item whose repetitions are recognized. An agent repeats a message until it is
+/// answered, so only the newest returns can come again.
+const REMEMBERED_RETURNS: usize = 16;
 
 /// Assigns the items of batch jobs to agents, plans weight loads and recalls items.
 ///
@@ -138,6 +141,28 @@
         }
     }
 
+    /// Records the return of an item by an agent; returns false if it must not be applied, because the
+    /// item is unknown or a message with the same return has been applied before.
+    ///
+    /// `id` is unique to the return and the same in each repetition of its message. Without one (0),
+    /// a return counts as repeated unless the item is assigned to the agent.
+    pub fn record_return(&mut self, agent: &str, key: &ItemKey, id: u64) -> bool {
+        let Some(item) = self.item_mut(key) else {
+            return false;
+        };
+        if id == 0 {
+            return item.is_running_on(agent);
+        }
+        if item.returns.contains(&id) {
+            return false;
+        }
+        if item.returns.len() == REMEMBERED_RETURNS {
+            item.returns.pop_front();
+        }
+        item.returns.push_back(id);
+        true
+    }
+
     /// Counts a run that the engine answered with a failure; returns the failures of the item so
     /// far, or 0 for an unknown item.
     pub fn record_failure(&mut self, key: &ItemKey) -> u32 {
--- a/crates/oleanderlock/tests/batch_scheduler.rs
+++ b/crates/oleanderlock/tests/batch_scheduler.rs
@@ -660,3 +660,33 @@
     let elsewhere = again.iter().filter(|one| one.agent == "busy").count();
     assert_eq!((again.len(), elsewhere), (6, 4));
 }
+
+#[test]
+fn a_return_that_arrives_again_changes_nothing() {
+    let mut scheduler = Scheduler::new(SchedulerConfig::default());
+    scheduler.accept(job("j", 1, group("g", 1)), POLICY, Millis(0));
+    let item = key("j", "g-0");
+    scheduler.apply_report(Millis(0), report("a", 1, 1));
+    assert_eq!(scheduler.assign(Millis(0)).len(), 1);
+    assert!(scheduler.record_return("a", &item, 7));
+    scheduler.return_item("a", &item, None);
+    assert!(!scheduler.record_return("a", &item, 7));
+    assert_eq!(scheduler.assign(Millis(1)).len(), 1);
+    // The first copy of the message arrives after its repetition and the next assignment.
+    assert!(!scheduler.record_return("a", &item, 7));
+    assert!(scheduler.record_return("a", &item, 8));
+    assert!(!scheduler.record_return("a", &key("unknown", "g-0"), 9));
+}
+
+#[test]
+fn a_return_without_an_id_counts_only_while_the_item_is_assigned_to_the_agent() {
+    let mut scheduler = Scheduler::new(SchedulerConfig::default());
+    scheduler.accept(job("j", 1, group("g", 1)), POLICY, Millis(0));
+    let item = key("j", "g-0");
+    scheduler.apply_report(Millis(0), report("a", 1, 1));
+    scheduler.assign(Millis(0));
+    assert!(!scheduler.record_return("b", &item, 0));
+    assert!(scheduler.record_return("a", &item, 0));
+    scheduler.return_item("a", &item, None);
+    assert!(!scheduler.record_return("a", &item, 0));
+}
