Let what an agent has reported of an item belong to its present run

Callers lost steps (LOST): an agent never asked for work again after its engine had come back with newer software while items with earlier output waited.

Cause: the output of an earlier run was discarded when the run began, but stayed with the item and was reported as a part of the new run. The next report then subtracted more events than the run had and panicked in the task that pulls work ("start byte index ... is out of bounds" on standard error).

A run replaces the stored output when it begins, and the reported part is compared with it. The same record had a second fault: an answer to an earlier report that came after a request for the whole run counted a part in the middle as the start. A run that panics now returns its item.

--- a/crates/oleander-rollout/src/agent/held_item.rs
+++ b/crates/oleander-rollout/src/agent/held_item.rs
@@ -42,16 +42,19 @@
     /// few new events.
     pub fn unreported_part(&self) -> Option<RunPart> {
         let progress = self.work.progress.as_ref()?;
-        let new = progress.last_event - self.reported.last_event;
+        let (new, text, after_event) = match self.reported.unreported(progress) {
+            Some((new, text)) => (new, text, self.reported.last_event),
+            None => (progress.last_event, progress.text.as_str(), 0),
+        };
         if self.run.is_none() || progress.last_event < LONG_RUN_EVENTS || new < NEW_EVENTS_MIN {
             return None;
         }
         Some(RunPart {
             key: self.work.key.clone(),
             run: self.reported.run,
-            after_event: self.reported.last_event,
+            after_event,
             last_event: progress.last_event,
-            text: progress.text[self.reported.bytes..].to_owned(),
+            text: text.to_owned(),
             versions: progress.versions.clone(),
             software: progress.software.clone(),
         })
--- a/crates/oleander-rollout/src/agent/run.rs
+++ b/crates/oleander-rollout/src/agent/run.rs
@@ -10,6 +10,7 @@
 use crate::http::send_error::SendError;
 use crate::peer::messages::{ReturnReason, ReturnedItem, WorkItem};
 use crate::prelude::*;
+use futures_util::FutureExt as _;
 use http::StatusCode;
 use oleander_platform::event_buffer::EventBuffer;
 use oleander_platform::headers;
@@ -18,6 +19,7 @@
 use oleanderlock::batch::sample::Sample;
 use oleanderlock::batch::sample_end::SampleEnd;
 use oleanderlock::routing::stall_clock::StallClock;
+use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
 
 /// Timeout of the response to a run and of each of its events; a weight load pauses runs for about
@@ -39,10 +41,25 @@
 /// Broken runs after which an item is returned for another engine.
 const BREAKS_MAX: u32 = 4;
 
-/// Runs an item until it has a result or has to be returned to the dispatcher.
-pub async fn run_item(agent: Rc<Agent>, work: WorkItem) {
+/// Runs an item until it has a result or has to be returned to the dispatcher; returns it also if the
+/// run panics, so that it doesn't hold a slot for good.
+pub async fn run_or_return(agent: Rc<Agent>, work: WorkItem) {
+    let run = AssertUnwindSafe(run_item(Rc::clone(&agent), work.clone()));
+    if run.catch_unwind().await.is_err() {
+        // The message and place of the panic are on standard error.
+        event(log::Level::Error, "run-panicked", || {
+            format!("request={} job={}", work.key.item, work.key.job)
+        });
+        agent.metrics.count_event("run_panicked");
+        return_item(&agent, &work, ReturnReason::EngineLost, Progress::default());
+        agent.notify();
+    }
+}
+
+async fn run_item(agent: Rc<Agent>, work: WorkItem) {
     let started_at = now();
     let mut progress = usable_progress(&agent, &work);
+    save_progress(&agent, &work, &progress);
     let run_end = generate_text(&agent, &work, &mut progress).await;
     let events = progress.last_event;
     event(log::Level::Info, "run-ended", || {
@@ -156,12 +173,7 @@
 
 /// Stores the progress with the item, so that it is not lost when the run is cancelled.
 fn save_progress(agent: &Agent, work: &WorkItem, progress: &Progress) {
-    let mut state = agent.state.borrow_mut();
-    if let Some(item) = state.items.get_mut(&work.key.to_string())
-        && progress.last_event > 0
-    {
-        item.work.progress = Some(progress.clone());
-    }
+    agent.state.borrow_mut().set_progress(&work.key, progress);
 }
 
 /// Runs an item once; `timeout` is that of the response and of each event.
--- a/crates/oleander-rollout/src/agent/runner.rs
+++ b/crates/oleander-rollout/src/agent/runner.rs
@@ -2,7 +2,7 @@
 
 use super::agent_process::Agent;
 use super::reported_progress::ReportedProgress;
-use super::run::run_item;
+use super::run::run_or_return;
 use super::token_memory;
 use crate::peer::messages::{ReturnReason, ReturnedItem};
 use crate::prelude::*;
@@ -63,14 +63,11 @@
                 }
             }
             agent.reserve_request(&endpoint);
-            let run = spawn_task(run_item(Rc::clone(agent), work));
+            let run = spawn_task(run_or_return(Rc::clone(agent), work));
             let item = &mut state.items[&name];
             item.run = Some(run);
             item.started_at = now();
-            item.reported = ReportedProgress {
-                run: rand::random(),
-                ..ReportedProgress::default()
-            };
+            item.reported = ReportedProgress::of_new_run();
             free -= 1;
         }
     }
--- a/crates/oleander-rollout/src/agent/state.rs
+++ b/crates/oleander-rollout/src/agent/state.rs
@@ -7,6 +7,7 @@
 use oleander_platform::engine_report::EngineReport;
 use oleanderlock::batch::event_pace::EventPace;
 use oleanderlock::batch::item_key::ItemKey;
+use oleanderlock::batch::progress::Progress;
 use oleanderlock::batch::run_part::RunPart;
 use oleanderlock::batch::sample::Sample;
 
@@ -90,21 +91,23 @@
     /// Records that the leader has accepted parts of runs.
     pub fn mark_reported(&mut self, parts: &[RunPart]) {
         for part in parts {
-            let item = self.items.get_mut(&part.key.to_string());
-            if let Some(reported) = item.map(|item| &mut item.reported)
-                && reported.run == part.run
-            {
-                reported.last_event = part.last_event;
-                reported.bytes += part.text.len();
+            if let Some(item) = self.items.get_mut(&part.key.to_string()) {
+                item.reported.record(part);
             }
         }
     }
 
+    /// Stores the progress of the present run of an item, in the place of that of an earlier run.
+    pub fn set_progress(&mut self, key: &ItemKey, progress: &Progress) {
+        if let Some(item) = self.items.get_mut(&key.to_string()) {
+            item.work.progress = (progress.last_event > 0).then(|| progress.clone());
+        }
+    }
+
     /// Makes the next report contain the whole progress of a run.
     pub fn resend_full(&mut self, name: &str) {
         if let Some(item) = self.items.get_mut(name) {
-            item.reported.last_event = 0;
-            item.reported.bytes = 0;
+            item.reported.forget();
         }
     }
 
