--- a/crates/oleander-rollout/src/observe/log_sink.rs
+++ b/crates/oleander-rollout/src/observe/log_sink.rs
@@ -1,6 +1,7 @@
 //! Log output on standard output. A separate thread writes it, so that no task blocks on the
 //! output.
 
+use crate::runtime::spawn_thread;
 use log::LevelFilter;
 use oleander_base::logging::unix_ms;
 use std::io::Write;
@@ -24,9 +25,7 @@
 /// The error of the operating system when the thread can't be started.
 pub fn start(node: &str, role: &str, level: LevelFilter) -> std::io::Result<()> {
     let (tx, rx) = sync_channel(QUEUED_LINES_MAX);
-    std::thread::Builder::new()
-        .name("log".to_owned())
-        .spawn(move || write_lines(&rx))?;
+    spawn_thread("log", move || write_lines(&rx))?;
     let (node, role) = (node.to_owned(), role.to_owned());
     let dispatch = fern::Dispatch::new()
         .format(move |out, message, record| {
--- a/crates/oleander-rollout/src/process.rs
+++ b/crates/oleander-rollout/src/process.rs
@@ -9,6 +9,7 @@
 use crate::observe::metrics_server;
 use crate::prelude::*;
 use crate::role::Role;
+use crate::runtime::spawn_thread;
 use crate::settings::Config;
 use log::LevelFilter;
 use oleander_base::exit_code::ExitCode;
@@ -113,15 +114,13 @@
 fn spawn_signals() -> std::io::Result<Receiver<i32>> {
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
     let (tx, rx) = unbounded();
-    std::thread::Builder::new()
-        .name("signals".to_owned())
-        .spawn(move || {
-            for signal in signals.forever() {
-                if tx.send_blocking(signal).is_err() {
-                    return;
-                }
+    spawn_thread("signals", move || {
+        for signal in signals.forever() {
+            if tx.send_blocking(signal).is_err() {
+                return;
             }
-        })?;
+        }
+    })?;
     Ok(rx)
 }
 
--- a/crates/oleander-rollout/src/store/follow.rs
+++ b/crates/oleander-rollout/src/store/follow.rs
@@ -16,6 +16,7 @@
 use super::watch::{WATCH_WAIT, follow};
 use super::watch_event::WatchEvent;
 use crate::prelude::*;
+use crate::runtime::spawn_thread;
 use oleander_platform::config::decode_config;
 use oleander_platform::object::{
     CONFIG_KIND, CONFIG_NAME, ENDPOINT_KIND, RETIREMENT_KIND, VERSION_KIND,
@@ -45,11 +46,9 @@
     freshness: EndpointFreshness,
     view: SharedView,
 ) -> std::io::Result<JoinHandle<()>> {
-    std::thread::Builder::new()
-        .name("control".to_owned())
-        .spawn(move || {
-            crate::runtime::run(follow_all(store, interests, gate, health, freshness, view))
-        })
+    spawn_thread("control", move || {
+        crate::runtime::run(follow_all(store, interests, gate, health, freshness, view))
+    })
 }
 
 /// Watches all kinds of interest; never returns.
