Run the items of a job only at the services of its route

Cause: the scheduler chose by model, version, load and software; the terms of a job held no service and were read from the configuration once.

Terms now hold the targets of the route, are taken again when the configuration changes, and bound assignments, recalls and the division of engines for loads. Items of a split route get their service by its weights; items whose route is not known wait.

--- a/crates/oleander-rollout/src/dispatch/jobs.rs
+++ b/crates/oleander-rollout/src/dispatch/jobs.rs
@@ -1,6 +1,7 @@
 //! Jobs and their end marks, as read from the store.
 
 use super::dispatcher::Dispatcher;
+use super::state::State;
 use crate::prelude::*;
 use crate::store::gate::Gate;
 use crate::store::job_objects::{JOB_END_KIND, JOB_KIND, decode_record, read_job};
@@ -13,6 +14,7 @@
 use oleanderlock::batch::item_key::ItemKey;
 use oleanderlock::batch::job::Job;
 use oleanderlock::batch::job_policy::JobPolicy;
+use oleanderlock::routing::route_table::RouteTable;
 use oleanderlock::workspaces::workspace::rank_of;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -186,36 +188,71 @@
     dispatcher.schedule();
 }
 
-/// Returns the terms of a job by its route and workspace, or the defaults if there is no
-/// configuration or route.
+/// Takes the terms of all open jobs from the configuration, if it has changed since the last call. A
+/// job whose route was removed keeps its terms.
+pub fn refresh_policies(dispatcher: &Dispatcher, state: &mut State) {
+    let view = dispatcher.view.get();
+    let Some(routes) = &view.routes else {
+        return;
+    };
+    if state.policies_version == Some(routes.config.version) {
+        return;
+    }
+    state.policies_version = Some(routes.config.version);
+    let open = state.scheduler.jobs().filter(|job| !job.ended);
+    let policies = open.filter_map(|job| {
+        let policy = policy_by_route(routes, &job.host, &job.path, job.workspace.as_deref())?;
+        (policy != job.policy).then(|| (job.id.clone(), policy))
+    });
+    let policies: Vec<(String, JobPolicy)> = policies.collect();
+    for (id, policy) in policies {
+        event(log::Level::Info, "job-terms-changed", || {
+            let version = routes.config.version;
+            format!("job={id} config={version} policy={policy:?}")
+        });
+        state.scheduler.set_policy(&id, policy);
+    }
+}
+
+/// Returns the terms of a job. Without a configuration or route it has no service, so that its items
+/// wait until [`refresh_policies`] finds its route.
 fn policy_of(dispatcher: &Dispatcher, job: &Job) -> JobPolicy {
     let view = dispatcher.view.get();
+    let workspace = job.workspace.as_deref();
     let routes = view.routes.as_ref();
-    let route = routes.and_then(|routes| routes.find(&job.host, &job.path));
+    let known = routes.and_then(|routes| policy_by_route(routes, &job.host, &job.path, workspace));
+    known.unwrap_or(JobPolicy {
+        targets: Vec::new(),
+        attempts: ATTEMPTS_DEFAULT,
+        due_after: DUE_DEFAULT,
+        keep: KEEP_DEFAULT,
+        single_version: true,
+        rank: 0,
+        workspace_rank: None,
+    })
+}
+
+/// Returns the terms of jobs that are submitted to a host and path; `None` without a route.
+fn policy_by_route(
+    routes: &RouteTable,
+    host: &str,
+    path: &str,
+    workspace: Option<&str>,
+) -> Option<JobPolicy> {
+    let route = routes.find(host, path)?;
     // Without workspaces, priorities have no effect on jobs.
-    let workspaces = routes.and_then(|routes| routes.config.workspaces.as_deref());
-    let workspace = job.workspace.as_deref();
+    let workspaces = routes.config.workspaces.as_deref();
     let workspace_rank = workspace.and_then(|name| rank_of(workspaces?, name));
-    let route_rank = workspaces.and(route).map(|route| route.rank);
-    let rank = workspace_rank.or(route_rank).unwrap_or_default();
-    route.map_or(
-        JobPolicy {
-            attempts: ATTEMPTS_DEFAULT,
-            due_after: DUE_DEFAULT,
-            keep: KEEP_DEFAULT,
-            single_version: false,
-            rank,
-            workspace_rank,
-        },
-        |route| JobPolicy {
-            attempts: route.attempts,
-            due_after: route.run_objective,
-            keep: route.keep,
-            single_version: route.single_version,
-            rank,
-            workspace_rank,
-        },
-    )
+    let route_rank = workspaces.map(|_| route.rank);
+    Some(JobPolicy {
+        targets: route.targets.clone(),
+        attempts: route.attempts,
+        due_after: route.run_objective,
+        keep: route.keep,
+        single_version: route.single_version,
+        rank: workspace_rank.or(route_rank).unwrap_or_default(),
+        workspace_rank,
+    })
 }
 
 /// Ends a job: its items are no longer scheduled, and agents drop them.
--- a/crates/oleander-rollout/src/dispatch/state.rs
+++ b/crates/oleander-rollout/src/dispatch/state.rs
@@ -27,6 +27,9 @@
     pub chunks: IndexMap<u64, u64>,
     /// All jobs in the store, by id, ended ones included.
     pub jobs: IndexMap<String, JobRecord>,
+    /// Version of the configuration from which the terms of the jobs were taken; `None` before the
+    /// first.
+    pub policies_version: Option<u64>,
     /// Ids of the jobs that have ended.
     pub ended: IndexSet<String>,
     /// Ids of jobs that had ended before this dispatcher led and whose results it has not read yet.
--- a/crates/oleander-rollout/src/dispatch/ticks.rs
+++ b/crates/oleander-rollout/src/dispatch/ticks.rs
@@ -3,7 +3,7 @@
 
 use super::dispatcher::Dispatcher;
 use super::state::State;
-use super::{platform_updates, retire};
+use super::{jobs, platform_updates, retire};
 use crate::peer::messages::{LoadWork, WorkItem};
 use crate::prelude::*;
 use crate::store::job_objects::{JOB_END_KIND, JOB_KIND, RESULT_KIND, chunk_name};
@@ -55,6 +55,7 @@
         if state.leading_epoch().is_none() {
             return;
         }
+        jobs::refresh_policies(self, &mut state);
         for (model, version) in &self.view.get().versions {
             state.scheduler.set_target_version(model, *version);
         }
@@ -127,13 +128,14 @@
 /// Recalls items that should move to another engine.
 fn recall_items(dispatcher: &Dispatcher) {
     let mut state = dispatcher.state.borrow_mut();
+    jobs::refresh_policies(dispatcher, &mut state);
     for recall in state.scheduler.recalls(now()) {
         let Recall { agent, key, reason } = recall;
         let name = key.to_string();
         let outbox = state.outbox(&agent);
         let list = match reason {
             RecallReason::SlowEngine | RecallReason::Straggler => &mut outbox.recall,
-            RecallReason::NoSlot => &mut outbox.recall_waiting,
+            RecallReason::NoSlot | RecallReason::OtherService => &mut outbox.recall_waiting,
         };
         if list.contains(&name) {
             continue;
--- a/crates/oleander-rollout/tests/formats.rs
+++ b/crates/oleander-rollout/tests/formats.rs
@@ -860,10 +860,11 @@
         SubmitOutcome::Refused,
         SubmitOutcome::Unknown,
     ];
-    let recalls: [&str; 3] = [
+    let recalls: [&str; 4] = [
         RecallReason::SlowEngine.into(),
         RecallReason::Straggler.into(),
         RecallReason::NoSlot.into(),
+        RecallReason::OtherService.into(),
     ];
     let returns = hand_in()
         .returned
--- a/crates/oleanderlock/src/batch/agent_state.rs
+++ b/crates/oleanderlock/src/batch/agent_state.rs
@@ -43,10 +43,20 @@
 
     /// Whether its engine may run items of a job now, regardless of free slots.
     pub fn may_run(&self, now: Millis, job: &JobState) -> bool {
-        let version = self.report.weights.get(&job.model);
         let loading =
             self.report.loading.as_ref() == Some(&job.model) || self.load_granted_until > now;
-        !self.report.leaving && !loading && version.is_some_and(|has| *has >= job.oldest_version)
+        !self.report.leaving && !loading && self.suits(job)
+    }
+
+    /// Whether its engine is of a service of the job's route and has weights that the job accepts.
+    pub fn suits(&self, job: &JobState) -> bool {
+        let version = self.report.weights.get(&job.model);
+        self.serves(job) && version.is_some_and(|has| *has >= job.oldest_version)
+    }
+
+    /// Whether its engine is of a service of the job's route.
+    pub fn serves(&self, job: &JobState) -> bool {
+        job.policy.allows(self.report.service.as_deref())
     }
 
     /// Whether its engine loads weights or has been granted a load.
--- a/crates/oleanderlock/src/batch/scheduler.rs
+++ b/crates/oleanderlock/src/batch/scheduler.rs
@@ -36,8 +36,8 @@
     pub(super) cfg: SchedulerConfig,
     pub(super) jobs: IndexMap<String, JobState>,
     pub(super) agents: IndexMap<String, AgentState>,
-    /// The set of engines of each model.
-    pub(super) engine_sets: EngineSets,
+    /// The set of engines of each model, by service.
+    pub(super) engine_sets: IndexMap<Option<String>, EngineSets>,
     /// Newest announced weight version of each model.
     pub(super) target_versions: IndexMap<String, u64>,
     /// Moving average of the expected tokens per step, by model.
@@ -86,6 +86,13 @@
         *mean = (*mean * (8 - NEW_STEP_WEIGHT_EIGHTHS) + tokens * NEW_STEP_WEIGHT_EIGHTHS) / 8;
     }
 
+    /// Replaces the limits and rules of a job, as after a change of its route.
+    pub fn set_policy(&mut self, id: &str, policy: JobPolicy) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.policy = policy;
+        }
+    }
+
     /// Returns a job by id, ended or not.
     pub fn job(&self, id: &str) -> Option<&JobState> {
         self.jobs.get(id)
--- a/crates/oleanderlock/src/batch/scheduler_assign.rs
+++ b/crates/oleanderlock/src/batch/scheduler_assign.rs
@@ -44,7 +44,7 @@
                 let waits = self.waits_for_version(now, index, item_index);
                 match self.choose_agent(now, &self.jobs[index], item_index, waits) {
                     Some(name) => assigned.push(self.assign_item(now, index, item_index, name)),
-                    None if waits => {}
+                    None if waits || self.jobs[index].policy.targets.len() > 1 => {}
                     None => break,
                 }
             }
@@ -126,11 +126,28 @@
         known.all(|other| other == first).then(|| first.clone())
     }
 
+    /// Returns the service of the route that is to run an item; `None` if any of them may, because there
+    /// is one only, or no engine of the service that the weights give could run it now.
+    fn service_of<'a>(&self, now: Millis, job: &'a JobState, item: &str) -> Option<&'a str> {
+        if job.policy.targets.len() < 2 {
+            return None;
+        }
+        let service = job.policy.service_of(item)?;
+        let mut agents = self.agents.values();
+        let is_there = agents.any(|agent| {
+            agent.report.service.as_deref() == Some(service)
+                && agent.report.slots > 0
+                && agent.may_run(now, job)
+        });
+        is_there.then_some(service)
+    }
+
     /// Returns the agent that is expected to finish an item of a job first. The agent that has
     /// returned the item is only chosen if no other one has capacity: its engine may hang on the
     /// item again. An engine of another software version than the one that has begun the item would
     /// start again, and is chosen if no engine of that version has capacity, unless the item `waits`
-    /// for one.
+    /// for one. On a route with several services, the item gets the one that its weights give, unless
+    /// no engine of that service could run it.
     fn choose_agent(
         &self,
         now: Millis,
@@ -145,11 +162,15 @@
             let software = agent.report.software.as_deref();
             progress.is_some_and(|progress| !progress.may_resume_at(software))
         };
+        let service = self.service_of(now, job, &item.item.id);
         let fits = |agent: &AgentState| {
-            agent.has_capacity() && agent.may_run(now, job) && !(waits && starts_again(agent))
+            agent.has_capacity()
+                && agent.may_run(now, job)
+                && service.is_none_or(|service| agent.report.service.as_deref() == Some(service))
+                && !(waits && starts_again(agent))
         };
         let cost = |agent: &AgentState| {
-            let own_set = self.engine_sets.model_of(&agent.report.agent) == Some(&job.model);
+            let own_set = self.set_of(agent) == Some(&job.model);
             let penalty = if own_set {
                 0
             } else {
--- a/crates/oleanderlock/src/batch/scheduler_loads.rs
+++ b/crates/oleanderlock/src/batch/scheduler_loads.rs
@@ -56,7 +56,7 @@
         if agent.is_loading(now) || agent.report.slots == 0 {
             return None;
         }
-        let model = self.engine_sets.model_of(name)?;
+        let model = self.set_of(agent)?;
         let version = *self.target_versions.get(model)?;
         let held = *agent.report.weights.get(model)?;
         let is_due = self.is_blocking_job(name)
@@ -77,15 +77,15 @@
         let may_change_version = |job: &JobState| job.model != model || !job.policy.single_version;
         let mut jobs = agent.assigned.keys().map(|key| self.jobs.get(&key.job));
         agent.report.waiting.is_empty()
-            && !self.has_waiting_items(model)
+            && !self.has_waiting_items(agent, model)
             && jobs.all(|job| job.is_none_or(may_change_version))
     }
 
     /// Whether the engine's weights are too old for an open job of its model.
     fn is_blocking_job(&self, name: &str) -> bool {
-        let held = self.engine_sets.model_of(name).and_then(|model| {
+        let held = self.set_of(&self.agents[name]).and_then(|model| {
             let held = self.agents[name].report.weights.get(model)?;
-            Some(*held < self.needed_version(model))
+            Some(*held < self.needed_version(&self.agents[name], model))
         });
         held == Some(true)
     }
@@ -100,40 +100,77 @@
             .unwrap_or_default()
     }
 
-    /// Returns the oldest version that all open jobs of a model accept; 0 without open jobs.
-    fn needed_version(&self, model: &str) -> u64 {
-        let open = self.jobs.values();
-        let open = open.filter(|job| !job.ended && job.model == model);
+    /// Returns the oldest version that all open jobs of a model accept which the engine of an agent
+    /// may run; 0 without such jobs.
+    fn needed_version(&self, agent: &AgentState, model: &str) -> u64 {
+        let open = self.open_jobs(agent, model);
         open.map(|job| job.oldest_version).max().unwrap_or_default()
     }
 
-    fn has_waiting_items(&self, model: &str) -> bool {
+    /// Returns the open jobs of a model whose route leads to the service of an agent's engine.
+    fn open_jobs(&self, agent: &AgentState, model: &str) -> impl Iterator<Item = &JobState> {
         let open = self.jobs.values();
-        let mut open = open.filter(|job| !job.ended && job.model == model);
+        open.filter(move |job| !job.ended && job.model == model && agent.serves(job))
+    }
+
+    fn has_waiting_items(&self, agent: &AgentState, model: &str) -> bool {
+        let mut open = self.open_jobs(agent, model);
         open.any(|job| {
             let mut items = job.items.values();
             items.any(|item| item.phase == ItemPhase::Waiting)
         })
     }
 
+    /// Divides the engines of each service among the models that they hold.
     fn balance_engine_sets(&mut self) {
+        let mut by_service: IndexMap<Option<String>, ServiceEngines> = IndexMap::new();
         let live = self
             .agents
             .iter()
             .filter(|(_, agent)| !agent.report.leaving);
         let live = live.filter(|(_, agent)| !agent.report.weights.is_empty());
-        let mut work: IndexMap<String, u64> = IndexMap::new();
-        let mut agents: IndexMap<String, Option<String>> = IndexMap::new();
         for (name, agent) in live {
+            let service = by_service.entry(agent.report.service.clone()).or_default();
             for model in agent.report.weights.keys() {
-                let of_model = self.mean_step_tokens.get(model).copied();
-                work.insert(model.clone(), of_model.unwrap_or(1));
+                if !service.work.contains_key(model) {
+                    service
+                        .work
+                        .insert(model.clone(), self.work_of(agent, model));
+                }
             }
-            agents.insert(name.clone(), self.least_outdated_model(agent));
+            service
+                .agents
+                .insert(name.clone(), self.least_outdated_model(agent));
+        }
+        for service in by_service.values_mut() {
+            service.work.sort_keys();
+            service.agents.sort_keys();
+        }
+        self.engine_sets
+            .retain(|service, _| by_service.contains_key(service));
+        for (name, service) in by_service {
+            let sets = self.engine_sets.entry(name).or_default();
+            sets.balance(&service.work, &service.agents);
         }
-        work.sort_keys();
-        agents.sort_keys();
-        self.engine_sets.balance(&work, &agents);
+    }
+
+    /// Returns the model to whose set the engine of an agent belongs.
+    pub(super) fn set_of(&self, agent: &AgentState) -> Option<&str> {
+        let sets = self.engine_sets.get(&agent.report.service)?;
+        sets.model_of(&agent.report.agent)
+    }
+
+    /// Returns the work of a model at the service of an agent's engine: its mean tokens per step, or 1
+    /// if it has none or the routes of its jobs lead to other services.
+    fn work_of(&self, agent: &AgentState, model: &str) -> u64 {
+        let mut of_model = self
+            .jobs
+            .values()
+            .filter(|job| job.model == model)
+            .peekable();
+        let is_elsewhere = of_model.peek().is_some() && !of_model.any(|job| agent.serves(job));
+        let tokens = self.mean_step_tokens.get(model).copied();
+        tokens.filter(|_| !is_elsewhere).unwrap_or(1)
     }
 
     /// Returns the model whose version on the engine is least behind its target version.
@@ -147,3 +184,12 @@
         Some(least_outdated.0.clone())
     }
 }
+
+/// The engines of one service.
+#[derive(Debug, Default)]
+struct ServiceEngines {
+    /// Work of each model.
+    work: IndexMap<String, u64>,
+    /// The model whose version is least behind on the engine of each agent.
+    agents: IndexMap<String, Option<String>>,
+}
--- a/crates/oleanderlock/src/batch/scheduler_recall.rs
+++ b/crates/oleanderlock/src/batch/scheduler_recall.rs
@@ -43,7 +43,8 @@
     /// Returns the items to recall now. They stay assigned until their agents return them, so the
     /// same item may be in several results.
     pub fn recalls(&self, now: Millis) -> Vec<Recall> {
-        let mut recalls = self.recalls_of_waiting(now);
+        let mut recalls = self.recalls_of_other_services();
+        recalls.extend(self.recalls_of_waiting(now));
         recalls.extend(self.recalls_of_stragglers(now));
         for (name, agent) in &self.agents {
             let recall = |key: &ItemKey, reason| Recall {
@@ -71,6 +72,26 @@
         recalls
     }
 
+    /// Returns items that wait for a slot of a service to which their route no longer leads.
+    fn recalls_of_other_services(&self) -> Vec<Recall> {
+        let mut recalls = Vec::new();
+        for (name, agent) in &self.agents {
+            let waiting = agent.report.waiting.iter();
+            for key in waiting.filter_map(|item| ItemKey::parse(item)) {
+                let job = self.jobs.get(&key.job);
+                let moved = |job: &&JobState| !job.policy.targets.is_empty() && !agent.serves(job);
+                if agent.assigned.contains_key(&key) && job.filter(moved).is_some() {
+                    recalls.push(Recall {
+                        agent: name.clone(),
+                        key,
+                        reason: RecallReason::OtherService,
+                    });
+                }
+            }
+        }
+        recalls
+    }
+
     /// Returns items that wait for a slot, one for each free slot of an engine that may take them.
     fn recalls_of_waiting(&self, now: Millis) -> Vec<Recall> {
         let mut taken: IndexMap<&str, usize> = IndexMap::new();
@@ -140,6 +161,7 @@
         let interval_max_us = agent.event_interval_us() * STRAGGLER_INTERVAL_MAX_SIXTHS / 6;
         let fits = |peer: &(&String, &AgentState)| {
             self.could_start(now, *peer, job, taken)
+                && peer.1.report.service == agent.report.service
                 && peer.1.report.software == agent.report.software
                 && peer.1.report.event_us > 0
                 && peer.1.event_interval_us() <= interval_max_us
@@ -163,6 +185,7 @@
         let interval_max_us = agent.event_interval_us() * RECALL_INTERVAL_MAX_QUARTERS / 4;
         let fits = |peer: &(&String, &AgentState)| {
             self.could_start(now, *peer, job, taken)
+                && peer.1.report.service == agent.report.service
                 && peer.1.event_interval_us() <= interval_max_us
         };
         let free = self.agents.iter().find(fits)?;
@@ -181,7 +204,7 @@
         taken: &IndexMap<&str, usize>,
     ) -> bool {
         let taken = taken.get(name.as_str()).copied().unwrap_or_default();
-        self.engine_sets.model_of(name) == Some(&job.model)
+        self.set_of(agent) == Some(&job.model)
             && agent.may_run(now, job)
             && agent.free_slots() > taken
     }
@@ -190,10 +213,9 @@
     /// a version that the job accepts.
     fn free_slots_of_faster_engines(&self, slow: &AgentState, job: &JobState) -> FreeSlots {
         let fits = |agent: &&AgentState| {
-            let version = agent.report.weights.get(&job.model);
-            let fresh = version.is_some_and(|has| *has >= job.oldest_version);
             let loading = agent.report.loading.as_ref() == Some(&job.model);
-            fresh
+            agent.suits(job)
+                && agent.report.service == slow.report.service
                 && !loading
                 && agent.event_interval_us() * SLOW_ENGINE_RATIO < slow.event_interval_us()
         };
--- a/crates/oleanderlock/src/routing/route.rs
+++ b/crates/oleanderlock/src/routing/route.rs
@@ -1,7 +1,7 @@
 //! Route of the configuration.
 
 use super::route_kind::RouteKind;
-use super::route_target::RouteTarget;
+use super::route_target::{RouteTarget, pick_service};
 use crate::prelude::*;
 use serde::{Deserialize, Serialize};
 
@@ -51,18 +51,6 @@
     ///
     /// With all weights zero it is the first target; `None` without targets.
     pub fn pick_service(&self, draw: u64) -> Option<&str> {
-        let total: u64 = self.targets.iter().map(|to| u64::from(to.weight)).sum();
-        if total == 0 {
-            return self.targets.first().map(|to| to.service.as_str());
-        }
-        let mut left = draw % total;
-        for target in &self.targets {
-            let weight = u64::from(target.weight);
-            if left < weight {
-                return Some(&target.service);
-            }
-            left -= weight;
-        }
-        None
+        pick_service(&self.targets, draw)
     }
 }
--- a/crates/oleanderlock/tests/batch_checkpoints.rs
+++ b/crates/oleanderlock/tests/batch_checkpoints.rs
@@ -17,6 +17,9 @@
 use oleanderlock::batch::scheduler::Scheduler;
 use oleanderlock::batch::scheduler_config::SchedulerConfig;
 use oleanderlock::prelude::*;
+use oleanderlock::routing::route_target::RouteTarget;
+
+const SERVICE: &str = "llm";
 
 const MODEL: &str = "advisor";
 /// Larger than any page of these tests.
@@ -64,6 +67,7 @@
         slots: 8,
         weights: IndexMap::from([(MODEL.to_owned(), 1)]),
         items: items.iter().map(|item| key(item).to_string()).collect(),
+        service: Some(SERVICE.to_owned()),
         ..AgentReport::default()
     }
 }
@@ -172,6 +176,10 @@
         score_call: None,
     };
     let policy = JobPolicy {
+        targets: vec![RouteTarget {
+            service: SERVICE.to_owned(),
+            weight: 1,
+        }],
         attempts: 3,
         due_after: Millis(7500),
         keep: Millis(40_000),
--- a/crates/oleanderlock/tests/batch_loads.rs
+++ b/crates/oleanderlock/tests/batch_loads.rs
@@ -10,6 +10,8 @@
 use oleanderlock::batch::scheduler::Scheduler;
 use oleanderlock::batch::scheduler_config::SchedulerConfig;
 use oleanderlock::prelude::*;
+use oleanderlock::routing::route_target::RouteTarget;
+use std::sync::LazyLock;
 
 const MODEL: &str = "advisor";
 const ENGINES: usize = 3;
@@ -25,14 +27,19 @@
 const TRAINING_MS: u64 = 500;
 const TICK_MS: u64 = 50;
 const STEPS: u64 = 5;
-const POLICY: JobPolicy = JobPolicy {
+const SERVICE: &str = "llm";
+static POLICY: LazyLock<JobPolicy> = LazyLock::new(|| JobPolicy {
+    targets: vec![RouteTarget {
+        service: SERVICE.to_owned(),
+        weight: 1,
+    }],
     attempts: 3,
     due_after: Millis(7500),
     keep: Millis(40_000),
     single_version: false,
     rank: 0,
     workspace_rank: None,
-};
+});
 
 /// Simulated engine with its agent.
 #[derive(Debug)]
@@ -53,6 +60,7 @@
             weights: IndexMap::from([(MODEL.to_owned(), self.version)]),
             loading: self.load.map(|_| MODEL.to_owned()),
             items: self.runs.keys().map(ItemKey::to_string).collect(),
+            service: Some(SERVICE.to_owned()),
             ..AgentReport::default()
         }
     }
@@ -113,7 +121,7 @@
     for number in 1..=STEPS {
         scheduler.set_target_version(MODEL, number);
         now += TICK_MS;
-        scheduler.accept(step(number), POLICY, Millis(now));
+        scheduler.accept(step(number), POLICY.clone(), Millis(now));
         let submitted = now;
         let id = format!("step-{number}");
         let mut ended = None;
--- a/crates/oleanderlock/tests/batch_recall.rs
+++ b/crates/oleanderlock/tests/batch_recall.rs
@@ -4,7 +4,7 @@
 
 mod batch_support;
 
-use batch_support::{MODEL, POLICY, step};
+use batch_support::{MODEL, POLICY, SERVICE, step};
 use indexmap::IndexMap;
 use oleanderlock::batch::agent_report::AgentReport;
 use oleanderlock::batch::item_key::ItemKey;
@@ -48,6 +48,7 @@
             weights: IndexMap::from([(MODEL.to_owned(), 1)]),
             items: items.map(ItemKey::to_string).collect(),
             waiting: self.waiting.iter().map(ItemKey::to_string).collect(),
+            service: Some(SERVICE.to_owned()),
             ..AgentReport::default()
         }
     }
@@ -97,7 +98,7 @@
     }
     // The trainer does not know which runs will be long.
     let step = step(ITEMS, 4, |_| None);
-    scheduler.accept(step, POLICY, Millis(0));
+    scheduler.accept(step, POLICY.clone(), Millis(0));
     // Waiting items are recalled only for engines in the set of their model, and this call also
     // assigns the engines to the sets.
     scheduler.plan_loads(Millis(0));
--- a/crates/oleanderlock/tests/batch_scheduler.rs
+++ b/crates/oleanderlock/tests/batch_scheduler.rs
@@ -14,16 +14,23 @@
 use oleanderlock::batch::scheduler::Scheduler;
 use oleanderlock::batch::scheduler_config::SchedulerConfig;
 use oleanderlock::prelude::*;
+use oleanderlock::routing::route_target::RouteTarget;
+use std::sync::LazyLock;
 
 const MODEL: &str = "advisor";
-const POLICY: JobPolicy = JobPolicy {
+const SERVICE: &str = "llm";
+static POLICY: LazyLock<JobPolicy> = LazyLock::new(|| JobPolicy {
+    targets: vec![RouteTarget {
+        service: SERVICE.to_owned(),
+        weight: 1,
+    }],
     attempts: 3,
     due_after: Millis(7500),
     keep: Millis(40_000),
     single_version: false,
     rank: 0,
     workspace_rank: None,
-};
+});
 
 fn item(id: &str, group: &str, expected_tokens: Option<u64>) -> JobItem {
     JobItem {
@@ -64,6 +71,7 @@
         instance: format!("instance-of-{agent}"),
         slots,
         weights: IndexMap::from([(MODEL.to_owned(), version)]),
+        service: Some(SERVICE.to_owned()),
         ..AgentReport::default()
     }
 }
@@ -103,7 +111,7 @@
     let mut scheduler = scheduler();
     scheduler.apply_report(Millis(0), report("a", 8, 1));
     scheduler.apply_report(Millis(0), report("b", 8, 1));
-    scheduler.accept(job("j", 1, group("g", 8)), POLICY, Millis(0));
+    scheduler.accept(job("j", 1, group("g", 8)), POLICY.clone(), Millis(0));
     let assigned = scheduler.assign(Millis(0));
     let to_a = assigned
         .iter()
@@ -116,7 +124,7 @@
 fn an_agent_has_few_items_beyond_its_slots() {
     let mut scheduler = scheduler();
     scheduler.apply_report(Millis(0), report("a", 8, 1));
-    scheduler.accept(job("j", 1, group("g", 30)), POLICY, Millis(0));
+    scheduler.accept(job("j", 1, group("g", 30)), POLICY.clone(), Millis(0));
     assert_eq!(scheduler.assign(Millis(0)).len(), 10);
     assert_eq!(scheduler.assign(Millis(0)), []);
     scheduler.finish(&key("j", "g-0"));
@@ -127,7 +135,10 @@
 /// against a priority that goes before the due time.
 #[test]
 fn among_jobs_that_are_due_together_the_most_urgent_is_served_first() {
-    let ranked = |rank| JobPolicy { rank, ..POLICY };
+    let ranked = |rank| JobPolicy {
+        rank,
+        ..POLICY.clone()
+    };
     let mut scheduler = scheduler();
     scheduler.apply_report(Millis(0), report("a", 8, 1));
     let jobs = [
@@ -151,8 +162,8 @@
 fn the_job_that_is_due_first_is_served_first() {
     let mut scheduler = scheduler();
     scheduler.apply_report(Millis(0), report("a", 1, 1));
-    scheduler.accept(job("late", 1, group("g", 2)), POLICY, Millis(500));
-    scheduler.accept(job("early", 1, group("h", 2)), POLICY, Millis(100));
+    scheduler.accept(job("late", 1, group("g", 2)), POLICY.clone(), Millis(500));
+    scheduler.accept(job("early", 1, group("h", 2)), POLICY.clone(), Millis(100));
     let assigned = scheduler.assign(Millis(600));
     let jobs: Vec<&str> = assigned
         .iter()
@@ -167,7 +178,7 @@
     scheduler.apply_report(Millis(0), report("a", 8, 1));
     let lengths = [("short", 100), ("long", 4000), ("middle", 900)];
     let items = lengths.map(|(id, tokens)| item(id, "g", Some(tokens)));
-    scheduler.accept(job("j", 1, items.to_vec()), POLICY, Millis(0));
+    scheduler.accept(job("j", 1, items.to_vec()), POLICY.clone(), Millis(0));
     let assigned = scheduler.assign(Millis(0));
     let order: Vec<&str> = assigned
         .iter()
@@ -187,8 +198,8 @@
         Millis(0),
         with_event_interval(36_000, report("b-fast", 8, 1)),
     );
-    scheduler.accept(job("j", 1, group("g", 4)), POLICY, Millis(0));
-    scheduler.accept(job("k", 1, group("h", 4)), POLICY, Millis(0));
+    scheduler.accept(job("j", 1, group("g", 4)), POLICY.clone(), Millis(0));
+    scheduler.accept(job("k", 1, group("h", 4)), POLICY.clone(), Millis(0));
     assert_eq!(agents_of(&scheduler.assign(Millis(0))), ["b-fast"]);
 }
 
@@ -196,7 +207,7 @@
 fn runs_are_recalled_from_a_slow_engine_and_resume() {
     let mut scheduler = scheduler();
     scheduler.apply_report(Millis(0), report("slow", 8, 1));
-    scheduler.accept(job("j", 1, group("g", 1)), POLICY, Millis(0));
+    scheduler.accept(job("j", 1, group("g", 1)), POLICY.clone(), Millis(0));
     assert_eq!(scheduler.assign(Millis(0)).len(), 1);
     let slow = with_items(&["j/g-0"], report("slow", 8, 1));
     scheduler.apply_report(Millis(1000), with_event_interval(135_000, slow));
@@ -228,7 +239,7 @@
 fn progress_of_outdated_weights_is_discarded() {
     let mut scheduler = scheduler();
     scheduler.apply_report(Millis(0), report("a", 8, 3));
-    scheduler.accept(job("j", 3, group("g", 1)), POLICY, Millis(0));
+    scheduler.accept(job("j", 3, group("g", 1)), POLICY.clone(), Millis(0));
     scheduler.assign(Millis(0));
     let progress = Progress {
         last_event: 7,
@@ -244,7 +255,7 @@
 fn an_engine_with_outdated_weights_gets_no_items() {
     let mut scheduler = scheduler();
     scheduler.apply_report(Millis(0), report("a", 8, 1));
-    scheduler.accept(job("j", 2, group("g", 1)), POLICY, Millis(0));
+    scheduler.accept(job("j", 2, group("g", 1)), POLICY.clone(), Millis(0));
     assert_eq!(scheduler.assign(Millis(0)), []);
 }
 
@@ -252,7 +263,7 @@
 fn a_lost_assignment_is_repeated() {
     let mut scheduler = scheduler();
     scheduler.apply_report(Millis(0), report("a", 8, 1));
-    scheduler.accept(job("j", 1, group("g", 1)), POLICY, Millis(0));
+    scheduler.accept(job("j", 1, group("g", 1)), POLICY.clone(), Millis(0));
     assert_eq!(scheduler.assign(Millis(0)).len(), 1);
     let early = scheduler.apply_report(Millis(500), report("a", 8, 1));
     assert_eq!(early.returned, []);
@@ -265,7 +276,7 @@
 fn the_items_of_a_silent_agent_are_reassigned() {
     let mut scheduler = scheduler();
     scheduler.apply_report(Millis(0), report("a", 8, 1));
-    scheduler.accept(job("j", 1, group("g", 1)), POLICY, Millis(0));
+    scheduler.accept(job("j", 1, group("g", 1)), POLICY.clone(), Millis(0));
     scheduler.assign(Millis(0));
     assert_eq!(
         scheduler.remove_silent_agents(Millis(2500)),
@@ -280,7 +291,7 @@
 fn a_returning_agent_drops_items_that_were_reassigned() {
     let mut scheduler = scheduler();
     scheduler.apply_report(Millis(0), report("a", 8, 1));
-    scheduler.accept(job("j", 1, group("g", 1)), POLICY, Millis(0));
+    scheduler.accept(job("j", 1, group("g", 1)), POLICY.clone(), Millis(0));
     scheduler.assign(Millis(0));
     scheduler.remove_silent_agents(Millis(3000));
     scheduler.apply_report(Millis(3000), report("b", 8, 1));
@@ -292,7 +303,7 @@
 #[test]
 fn a_new_leader_adopts_the_running_items_in_reports() {
     let mut scheduler = scheduler();
-    scheduler.accept(job("j", 1, group("g", 2)), POLICY, Millis(0));
+    scheduler.accept(job("j", 1, group("g", 2)), POLICY.clone(), Millis(0));
     let outcome = scheduler.apply_report(
         Millis(0),
         with_items(&["j/g-0", "j/g-1"], report("a", 8, 1)),
@@ -305,7 +316,7 @@
 fn ending_a_job_returns_its_running_items() {
     let mut scheduler = scheduler();
     scheduler.apply_report(Millis(0), report("a", 8, 1));
-    scheduler.accept(job("j", 1, group("g", 2)), POLICY, Millis(0));
+    scheduler.accept(job("j", 1, group("g", 2)), POLICY.clone(), Millis(0));
     scheduler.assign(Millis(0));
     scheduler.finish(&key("j", "g-0"));
     assert_eq!(scheduler.end("j"), [("a".to_owned(), key("j", "g-1"))]);
@@ -317,7 +328,7 @@
     let mut scheduler = scheduler();
     let policy = JobPolicy {
         single_version: true,
-        ..POLICY
+        ..POLICY.clone()
     };
     scheduler.apply_report(Millis(0), report("a", 8, 1));
     scheduler.accept(job("j", 1, group("g", 1)), policy, Millis(0));
@@ -335,10 +346,10 @@
 fn an_engine_loads_at_once_when_a_step_needs_it() {
     let mut scheduler = scheduler();
     scheduler.apply_report(Millis(0), report("a", 8, 1));
-    scheduler.accept(job("j", 1, group("g", 1)), POLICY, Millis(0));
+    scheduler.accept(job("j", 1, group("g", 1)), POLICY.clone(), Millis(0));
     scheduler.assign(Millis(0));
     scheduler.set_target_version(MODEL, 3);
-    scheduler.accept(job("k", 2, group("h", 1)), POLICY, Millis(0));
+    scheduler.accept(job("k", 2, group("h", 1)), POLICY.clone(), Millis(0));
     assert_eq!(scheduler.plan_loads(Millis(10)).len(), 1);
 }
 
@@ -356,7 +367,11 @@
 
 /// Submits a step that needs version `oldest` or newer, and ends it.
 fn submit_and_end_step(scheduler: &mut Scheduler, oldest: u64) {
-    scheduler.accept(job("before", oldest, group("b", 1)), POLICY, Millis(0));
+    scheduler.accept(
+        job("before", oldest, group("b", 1)),
+        POLICY.clone(),
+        Millis(0),
+    );
     scheduler.end("before");
 }
 
@@ -390,7 +405,7 @@
     // The step that is announced with version 3 also accepts version 2.
     scheduler.set_target_version(MODEL, 3);
     assert_eq!(scheduler.plan_loads(Millis(0)), []);
-    scheduler.accept(job("j", 2, group("g", 1)), POLICY, Millis(30));
+    scheduler.accept(job("j", 2, group("g", 1)), POLICY.clone(), Millis(30));
     assert_eq!(scheduler.assign(Millis(30)).len(), 1);
     scheduler.finish(&key("j", "g-0"));
     assert_eq!(scheduler.plan_loads(Millis(600)).len(), 1);
@@ -405,7 +420,7 @@
     // The engine sets need the agents.
     assert_eq!(scheduler.plan_loads(Millis(0)), []);
     // Two slots and two prefetched items for each engine, and one item more.
-    scheduler.accept(job("j", 1, group("g", 9)), POLICY, Millis(0));
+    scheduler.accept(job("j", 1, group("g", 9)), POLICY.clone(), Millis(0));
     let assigned = scheduler.assign(Millis(0));
     assert_eq!(assigned.len(), 8);
     scheduler.set_target_version(MODEL, 2);
@@ -426,7 +441,7 @@
     for one in &at_b[1..] {
         scheduler.finish(&one.key);
     }
-    scheduler.accept(job("k", 1, group("h", 1)), POLICY, Millis(310));
+    scheduler.accept(job("k", 1, group("h", 1)), POLICY.clone(), Millis(310));
     assert_eq!(scheduler.assign(Millis(310)), []);
 }
 
@@ -437,7 +452,7 @@
     scheduler.apply_report(Millis(0), report("b", 8, 1));
     let policy = JobPolicy {
         single_version: true,
-        ..POLICY
+        ..POLICY.clone()
     };
     scheduler.accept(job("j", 1, group("g", 1)), policy, Millis(0));
     let assigned = scheduler.assign(Millis(0));
@@ -469,7 +484,7 @@
             let name = format!("agent-{number:02}");
             scheduler.apply_report(Millis(0), report(&name, 8, 1));
         }
-        scheduler.accept(job("j", 2, group("g", 1)), POLICY, Millis(0));
+        scheduler.accept(job("j", 2, group("g", 1)), POLICY.clone(), Millis(0));
         scheduler.set_target_version(MODEL, 2);
         assert_eq!(
             scheduler.plan_loads(Millis(0)).len(),
@@ -484,7 +499,7 @@
 fn scheduler_with_waiting() -> Scheduler {
     let mut scheduler = scheduler();
     scheduler.apply_report(Millis(0), report("full", 1, 1));
-    scheduler.accept(job("j", 1, group("g", 2)), POLICY, Millis(0));
+    scheduler.accept(job("j", 1, group("g", 2)), POLICY.clone(), Millis(0));
     assert_eq!(scheduler.assign(Millis(0)).len(), 2);
     scheduler.apply_report(Millis(100), waiting_report());
     scheduler
@@ -519,7 +534,7 @@
     let mut scheduler = scheduler_with_waiting();
     let mut other = with_items(&["k/h-0", "k/h-1"], report("full-too", 1, 1));
     other.waiting = vec!["k/h-1".to_owned()];
-    scheduler.accept(job("k", 1, group("h", 2)), POLICY, Millis(0));
+    scheduler.accept(job("k", 1, group("h", 2)), POLICY.clone(), Millis(0));
     scheduler.apply_report(Millis(0), with_event_interval(36_000, other));
     scheduler.apply_report(Millis(100), report("free", 1, 1));
     scheduler.plan_loads(Millis(100));
@@ -555,7 +570,7 @@
     scheduler.apply_report(Millis(0), report("b", 8, 1));
     let policy = JobPolicy {
         single_version: true,
-        ..POLICY
+        ..POLICY.clone()
     };
     scheduler.accept(job("j", 1, group("g", 3)), policy, Millis(0));
     scheduler.assign(Millis(0));
@@ -569,7 +584,7 @@
     let mut scheduler = scheduler();
     scheduler.apply_report(Millis(0), report("a", 8, 1));
     scheduler.apply_report(Millis(0), with_event_interval(200_000, report("b", 8, 1)));
-    scheduler.accept(job("j", 1, group("g", 1)), POLICY, Millis(0));
+    scheduler.accept(job("j", 1, group("g", 1)), POLICY.clone(), Millis(0));
     assert_eq!(scheduler.assign(Millis(0))[0].agent, "a");
     scheduler.set_target_version(MODEL, 2);
     // The other engine is too slow to take the run, and loads now because it is idle.
@@ -620,7 +635,7 @@
             model: model.to_owned(),
             ..job(model, 1, group("g", 1))
         };
-        scheduler.accept(before, POLICY, Millis(0));
+        scheduler.accept(before, POLICY.clone(), Millis(0));
         scheduler.end(model);
         scheduler.set_target_version(model, 2);
     }
@@ -645,7 +660,7 @@
     let mut scheduler = scheduler();
     scheduler.apply_report(Millis(0), report("hangs", 8, 1));
     scheduler.apply_report(Millis(0), report("busy", 8, 1));
-    scheduler.accept(job("j", 1, group("g", 12)), POLICY, Millis(0));
+    scheduler.accept(job("j", 1, group("g", 12)), POLICY.clone(), Millis(0));
     let assigned = scheduler.assign(Millis(0));
     let at = |agent: &str| -> Vec<ItemKey> {
         let of_agent = assigned.iter().filter(|one| one.agent == agent);
@@ -664,7 +679,7 @@
 #[test]
 fn a_return_that_arrives_again_changes_nothing() {
     let mut scheduler = Scheduler::new(SchedulerConfig::default());
-    scheduler.accept(job("j", 1, group("g", 1)), POLICY, Millis(0));
+    scheduler.accept(job("j", 1, group("g", 1)), POLICY.clone(), Millis(0));
     let item = key("j", "g-0");
     scheduler.apply_report(Millis(0), report("a", 1, 1));
     assert_eq!(scheduler.assign(Millis(0)).len(), 1);
@@ -681,7 +696,7 @@
 #[test]
 fn a_return_without_an_id_counts_only_while_the_item_is_assigned_to_the_agent() {
     let mut scheduler = Scheduler::new(SchedulerConfig::default());
-    scheduler.accept(job("j", 1, group("g", 1)), POLICY, Millis(0));
+    scheduler.accept(job("j", 1, group("g", 1)), POLICY.clone(), Millis(0));
     let item = key("j", "g-0");
     scheduler.apply_report(Millis(0), report("a", 1, 1));
     scheduler.assign(Millis(0));
--- a/crates/oleanderlock/tests/batch_software.rs
+++ b/crates/oleanderlock/tests/batch_software.rs
@@ -3,7 +3,7 @@
 
 mod batch_support;
 
-use batch_support::{MODEL, POLICY, step};
+use batch_support::{MODEL, POLICY, SERVICE, step};
 use indexmap::IndexMap;
 use oleanderlock::batch::agent_report::AgentReport;
 use oleanderlock::batch::item_key::ItemKey;
@@ -24,6 +24,7 @@
         slots,
         event_us,
         weights: IndexMap::from([(MODEL.to_owned(), 1)]),
+        service: Some(SERVICE.to_owned()),
         ..AgentReport::default()
     }
 }
@@ -47,7 +48,7 @@
 fn with_run(event_us: u64) -> (Scheduler, ItemKey) {
     let mut scheduler = Scheduler::new(SchedulerConfig::default());
     scheduler.apply_report(Millis(0), report("a", "v1", event_us, 8));
-    scheduler.accept(step(1, 1, |_| None), POLICY, Millis(0));
+    scheduler.accept(step(1, 1, |_| None), POLICY.clone(), Millis(0));
     let assigned = scheduler.assign(Millis(0));
     assert_eq!(assigned.len(), 1);
     (scheduler, assigned[0].key.clone())
@@ -125,7 +126,7 @@
 fn long_progress_waits_for_a_full_engine_of_its_version() {
     let mut scheduler = Scheduler::new(SchedulerConfig::default());
     scheduler.apply_report(Millis(0), report("a", "v1", FAST_US, 1));
-    scheduler.accept(step(6, 1, |_| None), POLICY, Millis(0));
+    scheduler.accept(step(6, 1, |_| None), POLICY.clone(), Millis(0));
     // One item runs, one is prefetched.
     let key = scheduler.assign(Millis(0))[0].key.clone();
     let long = Progress {
--- a/crates/oleanderlock/tests/batch_stragglers.rs
+++ b/crates/oleanderlock/tests/batch_stragglers.rs
@@ -5,7 +5,7 @@
 mod batch_support;
 
 use arbtest::arbtest;
-use batch_support::{MODEL, POLICY, step};
+use batch_support::{MODEL, POLICY, SERVICE, step};
 use indexmap::IndexMap;
 use oleanderlock::batch::agent_report::AgentReport;
 use oleanderlock::batch::event_pace::EventPace;
@@ -58,6 +58,7 @@
             weights: IndexMap::from([(MODEL.to_owned(), 1)]),
             items: self.runs.keys().map(ItemKey::to_string).collect(),
             event_us: self.interval_us,
+            service: Some(SERVICE.to_owned()),
             ..AgentReport::default()
         }
     }
@@ -80,7 +81,7 @@
         scheduler.apply_report(Millis(0), engine.report(name));
     }
     let step = step(ITEMS, 8, |index| Some(1000 + (index as u64 * 37) % 100));
-    scheduler.accept(step, POLICY, Millis(0));
+    scheduler.accept(step, POLICY.clone(), Millis(0));
     scheduler.plan_loads(Millis(0));
     // Events that are left of items that have moved.
     let mut left: IndexMap<ItemKey, u64> = IndexMap::new();
--- a/crates/oleanderlock/tests/batch_support/mod.rs
+++ b/crates/oleanderlock/tests/batch_support/mod.rs
@@ -4,16 +4,23 @@
 use oleanderlock::batch::job_item::JobItem;
 use oleanderlock::batch::job_policy::JobPolicy;
 use oleanderlock::prelude::*;
+use oleanderlock::routing::route_target::RouteTarget;
+use std::sync::LazyLock;
 
 pub const MODEL: &str = "advisor";
-pub const POLICY: JobPolicy = JobPolicy {
+pub const SERVICE: &str = "llm";
+pub static POLICY: LazyLock<JobPolicy> = LazyLock::new(|| JobPolicy {
+    targets: vec![RouteTarget {
+        service: SERVICE.to_owned(),
+        weight: 1,
+    }],
     attempts: 3,
     due_after: Millis(7500),
     keep: Millis(40_000),
     single_version: false,
     rank: 0,
     workspace_rank: None,
-};
+});
 
 /// Returns a step of `items` items in groups of `group_size`; the id of an item is its index.
 pub fn step(
