Read the configuration before a new leader leads

Samples of a single_ver route had two versions after a change of leader (VERSION).

Cause: a standby doesn't watch the configuration, and a new leader read it beside the jobs. Jobs that were read first got default terms for good, so that a load was ordered while their items ran. The leader's log shows job-known and leading before config-in-force.

recover now reads the configuration like the jobs, also when this dispatcher has an older one from an earlier time at which it led.

--- a/crates/oleander-rollout/src/dispatch/election.rs
+++ b/crates/oleander-rollout/src/dispatch/election.rs
@@ -11,7 +11,7 @@
 use crate::store::pulse::{PULSE_KIND, PULSE_NAME, Pulse};
 use crate::store::store_error::StoreError;
 use crate::store::view::View;
-use futures_util::future::join3;
+use futures_util::future::join4;
 use http::Method;
 use oleander_platform::stored_object::StoredObject;
 use oleanderlock::batch::leader_probe::LeaderProbe;
@@ -344,15 +344,16 @@
     sleep(LEADERSHIP_CHECK_EVERY).await;
 }
 
-/// Reads from the store what a leader needs: all jobs, all results of the jobs that have not ended,
-/// and the checkpoints of runs.
+/// Reads from the store what a leader needs: the configuration, all jobs, all results of the jobs that
+/// have not ended, and the checkpoints of runs.
 async fn recover(dispatcher: &Rc<Dispatcher>, epoch: u64) {
     let began = now();
     let read_from = dispatcher.state.borrow().read_from_chunk;
     let results = history::read_newest_chunks(dispatcher, epoch, read_from);
     let jobs = jobs::watch_and_read_all(dispatcher, epoch);
-    let (newest_chunks, (), checkpoints) =
-        join3(results, jobs, checkpoints::read(dispatcher)).await;
+    let config = read_config(dispatcher, epoch);
+    let (newest_chunks, (), (), checkpoints) =
+        join4(results, jobs, config, checkpoints::read(dispatcher)).await;
     let mut state = dispatcher.state.borrow_mut();
     let Some(newest_chunks) =
         newest_chunks.filter(|_| state.leadership == (LeadershipState::Recovering { epoch }))
@@ -391,6 +392,18 @@
     dispatcher.notify();
 }
 
+/// Reads the configuration; retries until the store answers or this dispatcher no longer holds
+/// `epoch`. Until then the terms of the jobs are not known, or are those of an earlier time at which
+/// this dispatcher led.
+async fn read_config(dispatcher: &Dispatcher, epoch: u64) {
+    while jobs::holds_epoch(dispatcher, epoch) && !dispatcher.config_reader.read_now().await {
+        if dispatcher.view.get().newer_leader(epoch).is_some() {
+            return;
+        }
+        sleep(STORE_RETRY_PAUSE).await;
+    }
+}
+
 /// Appends waiting results to the result log and gives up the epoch, so that another dispatcher can take over at once.
 pub async fn hand_over(dispatcher: &Dispatcher) {
     let leadership = dispatcher.state.borrow().leadership;
--- a/crates/oleander-rollout/src/store/config_reader.rs
+++ b/crates/oleander-rollout/src/store/config_reader.rs
@@ -65,9 +65,22 @@
     pub async fn refresh(&self) {
         let reading = self.reading.lock().await;
         let tried_at = self.tried_at.get();
-        if tried_at.is_some_and(|at| now().since(at) < READ_INTERVAL) {
-            return;
+        if tried_at.is_none_or(|at| now().since(at) >= READ_INTERVAL) {
+            self.attempt().await;
         }
+        drop(reading);
+    }
+
+    /// Reads the configuration, also if a reading began less than a second ago; returns whether it was
+    /// read.
+    pub async fn read_now(&self) -> bool {
+        let reading = self.reading.lock().await;
+        let is_read = self.attempt().await;
+        drop(reading);
+        is_read
+    }
+
+    async fn attempt(&self) -> bool {
         self.tried_at.set(Some(now()));
         let mut result = Ok(());
         for _ in 0..ATTEMPTS {
@@ -83,8 +96,9 @@
                 Err(_) => {}
             }
         }
-        drop(reading);
+        let is_read = result.is_ok();
         self.log(result.err());
+        is_read
     }
 
     /// Reads what has changed since the last reading, or the whole configuration.
--- a/crates/oleander-rollout/tests/item_versions.rs
+++ b/crates/oleander-rollout/tests/item_versions.rs
@@ -4,12 +4,18 @@
 
 use oleander_platform_standins::engine_faults::EngineFaults;
 use oleander_platform_standins::run_record::RunRecord;
+use oleander_platform_standins::store_faults::StoreFaults;
+use serde_json::json;
+use std::thread;
+use std::time::Duration;
 use support::deployment::Deployment;
 use support::deployment_size::DeploymentSize;
-use support::{check_results, job, wait_for};
+use support::{MODEL, check_results, config, job, wait_for};
 
 /// Event within which the runs at the first engine break off.
 const BREAK_AT_EVENT: u64 = 60;
+/// Time within which a changed configuration must be in force.
+const CONFIG_BOUND: Duration = Duration::from_secs(2);
 
 fn start(engines: usize) -> Deployment {
     Deployment::start(DeploymentSize {
@@ -173,3 +179,40 @@
         .store
         .put("servers", &engine.instance(), &engine.entry("llm"));
 }
+
+/// Guards against items with two versions on a route that allows one: a new leader gave its jobs
+/// default terms, because it read them before the configuration, and ordered a load.
+#[test]
+fn a_new_leader_knows_the_terms_of_its_jobs_before_it_orders_loads() {
+    let mut deployment = Deployment::start(DeploymentSize {
+        entries: 1,
+        engines: 2,
+        dispatchers: 2,
+        services: 1,
+    });
+    let mut config = config(2);
+    config["routes"][1]["single_ver"] = true.into();
+    deployment.store.put("config", "main", &config);
+    thread::sleep(CONFIG_BOUND);
+    for engine in &deployment.engines {
+        engine.set_event_interval(Duration::from_millis(40));
+    }
+    // More items than slots: the new leader assigns the rest.
+    let body = job(1, 1, 12, 60);
+    deployment.submit(0, "job-single", &body);
+    wait_for("the items run", || deployment.running() == 16);
+    deployment.store.set_faults(StoreFaults {
+        config_delay: Duration::from_millis(500),
+        ..StoreFaults::default()
+    });
+    let leader = deployment.leader().expect("a leader");
+    deployment.dispatchers[leader].kill();
+    let version = json!({"model": MODEL, "version": 2});
+    deployment.store.put("versions", MODEL, &version);
+    let results = deployment.read_all(0, "job-single", 24);
+    check_results(&results, &body);
+    for result in &results {
+        let versions = result["versions"].as_array().expect("versions");
+        assert_eq!(versions.len(), 1, "versions of {}", result["id"]);
+    }
+}
--- a/crates/oleander-rollout/tests/model_services.rs
+++ b/crates/oleander-rollout/tests/model_services.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use oleander_platform_standins::run_record::RunRecord;
+use oleander_platform_standins::store_faults::StoreFaults;
 use serde_json::Value;
 use std::thread;
 use std::time::Duration;
@@ -84,6 +85,45 @@
     );
 }
 
+// Guards against items that a leader assigns by the configuration of an earlier time at which it led.
+#[test]
+fn a_leader_that_led_before_uses_the_present_configuration() {
+    let mut deployment = start();
+    let first = deployment.leader().expect("a leader");
+    deployment.dispatchers[first].process().signal("STOP");
+    wait_for("the other dispatcher leads", || {
+        deployment.leader() == Some(1 - first)
+    });
+    deployment.dispatchers[first].process().signal("CONT");
+    wait_for("the first leader stands by", || {
+        let log = deployment.dispatchers[first].process().log();
+        log.contains("event=stepped-down")
+    });
+    // Ends the watches that still wait.
+    deployment.store.set_faults(StoreFaults {
+        down: true,
+        ..StoreFaults::default()
+    });
+    thread::sleep(Duration::from_millis(100));
+    deployment.store.set_faults(StoreFaults::default());
+    thread::sleep(Duration::from_secs(1));
+    let moved = config_with_jobs_at(3, "llm-b");
+    deployment.store.put("config", "main", &moved);
+    thread::sleep(CONFIG_BOUND);
+    deployment.store.set_faults(StoreFaults {
+        config_delay: Duration::from_millis(500),
+        ..StoreFaults::default()
+    });
+    deployment.dispatchers[1 - first].kill();
+    let body = job(5, 1, 4, 4);
+    deployment.submit(0, "job-e", &body);
+    check_results(&deployment.read_all(0, "job-e", 8), &body);
+    assert_eq!(
+        (runs_of(&deployment, 0, 5), runs_of(&deployment, 1, 5)),
+        (0, 8)
+    );
+}
+
 // Guards against items that wait for the old service of a route that has moved to another one.
 #[test]
 fn waiting_items_go_to_the_new_service_of_their_route() {
