Answer 503, not 404, for a job that could not be read, and read it again

Cause, one that fits the record: jobs::exists read the job from the store, failed to read a part of it or lost its epoch meanwhile, and answered that the job does not exist. A job of which a part could not be read once was never read again.

exists now returns the error, and unread jobs are tried again every 0.5 s. a_job_of_which_a_part_cannot_be_read_at_first_is_not_unknown failed before (404) and passes now.

--- a/crates/oleander-rollout/src/dispatch/jobs.rs
+++ b/crates/oleander-rollout/src/dispatch/jobs.rs
@@ -19,6 +19,8 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
+/// Pause before jobs are read again that could not be read.
+const UNREAD_RETRY_PAUSE: Millis = Millis(500);
 /// Failures after which an item of a job without a route is given up.
 const ATTEMPTS_DEFAULT: u32 = 3;
 /// Time within which the results of a job without a route are due.
@@ -103,13 +105,12 @@
         };
         let (dispatcher, read) = (Rc::clone(&dispatcher), Rc::clone(&read));
         spawn(async move {
-            for object in objects {
-                accept_object(&dispatcher, epoch, &object).await;
-            }
+            let unread = accept_objects(&dispatcher, epoch, objects).await;
             if is_all {
                 read.set(true);
                 dispatcher.notify();
             }
+            retry_unread(&dispatcher, epoch, unread).await;
         });
         true
     };
@@ -117,35 +118,58 @@
     follow(store, JOB_KIND, mode, Gate::open(), apply).await;
 }
 
-/// Accepts a job from its object, unless it is known already.
-async fn accept_object(dispatcher: &Dispatcher, epoch: u64, object: &StoredObject) {
-    if dispatcher.state.borrow().jobs.contains_key(&object.name) {
-        return;
-    }
-    if dispatcher.state.borrow().ended.contains(&object.name) {
-        record_ended(dispatcher, object);
-        return;
+/// Accepts jobs from their objects; returns those that could not be read.
+async fn accept_objects(
+    dispatcher: &Dispatcher,
+    epoch: u64,
+    objects: Vec<StoredObject>,
+) -> Vec<StoredObject> {
+    let mut unread = Vec::new();
+    for object in objects {
+        if let Err(err) = accept_object(dispatcher, epoch, &object).await {
+            event(log::Level::Error, "job-unreadable", || {
+                format!("job={} reason=\"{err}\"", object.name)
+            });
+            unread.push(object);
+        }
     }
-    match read_job(&dispatcher.store, object).await {
-        Ok(job) if holds_epoch(dispatcher, epoch) => accept(dispatcher, job),
-        Ok(_) => {}
-        Err(err) => event(log::Level::Error, "job-unreadable", || {
-            format!("job={} reason=\"{err}\"", object.name)
-        }),
+    unread
+}
+
+/// Tries to read jobs again until all are read or this dispatcher no longer holds `epoch`: an accepted
+/// job whose parts the store refused once must run.
+async fn retry_unread(dispatcher: &Dispatcher, epoch: u64, mut unread: Vec<StoredObject>) {
+    while !unread.is_empty() && holds_epoch(dispatcher, epoch) {
+        sleep(UNREAD_RETRY_PAUSE).await;
+        unread = accept_objects(dispatcher, epoch, unread).await;
     }
 }
 
-/// Records a job that has ended; its items are not read.
-fn record_ended(dispatcher: &Dispatcher, object: &StoredObject) {
-    match decode_record(object) {
-        Ok(record) => {
-            let mut state = dispatcher.state.borrow_mut();
-            state.jobs.insert(object.name.clone(), record);
-        }
-        Err(err) => event(log::Level::Error, "job-unreadable", || {
-            format!("job={} reason=\"{err}\"", object.name)
-        }),
+/// Accepts a job from its object, unless it is known already; does nothing if this dispatcher no longer
+/// holds `epoch`.
+///
+/// # Errors
+///
+/// [`StoreError`] if the job or a part of it can't be read.
+async fn accept_object(
+    dispatcher: &Dispatcher,
+    epoch: u64,
+    object: &StoredObject,
+) -> Result<(), StoreError> {
+    if dispatcher.state.borrow().jobs.contains_key(&object.name) {
+        return Ok(());
     }
+    if dispatcher.state.borrow().ended.contains(&object.name) {
+        let record = decode_record(object)?;
+        let mut state = dispatcher.state.borrow_mut();
+        state.jobs.insert(object.name.clone(), record);
+        return Ok(());
+    }
+    let job = read_job(&dispatcher.store, object).await?;
+    if holds_epoch(dispatcher, epoch) {
+        accept(dispatcher, job);
+    }
+    Ok(())
 }
 
 /// Schedules the items of a job that was accepted, except those that have a result.
@@ -281,7 +305,8 @@
 ///
 /// # Errors
 ///
-/// [`StoreError`]; [`StoreError::NotDone`] also if this dispatcher does not lead.
+/// [`StoreError`], also if a part of the job can't be read; [`StoreError::NotDone`] also if this
+/// dispatcher does not lead.
 pub async fn exists(dispatcher: &Dispatcher, id: &str) -> Result<bool, StoreError> {
     let epoch = {
         let state = dispatcher.state.borrow();
@@ -296,6 +321,11 @@
     let Some(object) = dispatcher.store.get(JOB_KIND, id).await? else {
         return Ok(false);
     };
-    accept_object(dispatcher, epoch, &object).await;
-    Ok(dispatcher.state.borrow().jobs.contains_key(id))
+    accept_object(dispatcher, epoch, &object).await?;
+    // The store has the job, so that a dispatcher that doesn't know it has lost its epoch.
+    if dispatcher.state.borrow().jobs.contains_key(id) {
+        Ok(true)
+    } else {
+        Err(StoreError::not_done("no longer leading"))
+    }
 }
--- a/crates/oleander-rollout/tests/batch_jobs.rs
+++ b/crates/oleander-rollout/tests/batch_jobs.rs
@@ -619,3 +619,38 @@
     });
     assert_ne!(deployment.leader(), Some(leader));
 }
+
+// Guards against an answer of 404 for an accepted job, and against a job that never runs: a part of it
+// could not be read when the leader learned of it.
+#[test]
+fn a_job_of_which_a_part_cannot_be_read_at_first_is_not_unknown() {
+    let deployment = Deployment::start_nodes(SMALL, |node| node.value_bytes = 20_000);
+    let mut body = job(1, 1, 40, 3);
+    for item in body["items"].as_array_mut().expect("items") {
+        item["headers"]["Padding"] = "x".repeat(200).into();
+    }
+    deployment.store.set_faults(StoreFaults {
+        refused_kind: Some("job-parts"),
+        ..StoreFaults::default()
+    });
+    deployment.submit(0, "job-parts", &body);
+    assert!(
+        !deployment.store.specs("job-parts").is_empty(),
+        "the job has parts"
+    );
+    for entry in 0..2 {
+        let path = "/-/lots/job-parts?after=0";
+        let reply = deployment.call(entry, "GET", path, &[], b"");
+        assert_eq!(reply.map(|reply| reply.status), Some(503));
+        let path = "/-/items/job-parts?id=00010000";
+        let reply = deployment.call(entry, "GET", path, &[], b"");
+        assert_eq!(reply.map(|reply| reply.status), Some(503));
+    }
+    deployment.store.set_faults(StoreFaults::default());
+    // Nobody asks for it meanwhile: the leader reads it again by itself.
+    wait_for("the items run", || {
+        let runs = deployment.engines.iter().map(|engine| engine.runs().len());
+        runs.sum::<usize>() > 0
+    });
+    check_results(&deployment.read_all(0, "job-parts", 80), &body);
+}
--- a/crates/oleander-rollout/tests/support/node.rs
+++ b/crates/oleander-rollout/tests/support/node.rs
@@ -19,6 +19,8 @@
     pub store: SocketAddr,
     /// Contracts of the deployment, separated by commas; none if empty.
     pub contracts: String,
+    /// Largest value of the store, in bytes; 0 for the default.
+    pub value_bytes: usize,
     pub program: PathBuf,
     /// Settings in addition to those that each process has.
     pub more_settings: String,
@@ -47,6 +49,7 @@
             engine,
             store,
             contracts: String::new(),
+            value_bytes: 0,
             program: PROGRAM.into(),
             more_settings: String::new(),
             process: None,
@@ -60,9 +63,13 @@
             "" => String::new(),
             contracts => format!("[deployment]\ncontracts = {contracts}\n"),
         };
+        let value_bytes = match self.value_bytes {
+            0 => String::new(),
+            bytes => format!("value_bytes = {bytes}\n"),
+        };
         format!(
             "[node]\nname = {}\ndomain = z\n[listen]\ncalls = {}\nready = {}\npeers = {}\n\
-             told = {}\nmetrics = {}\n[store]\naddr = {}\n[engine]\naddr = {engine}\n\
+             told = {}\nmetrics = {}\n[store]\naddr = {}\n{value_bytes}[engine]\naddr = {engine}\n\
              [bounds]\ngrace = 6s\n{contracts}{}",
             self.name,
             self.calls,
