--- a/crates/oleander-rollout/src/dispatch/election.rs
+++ b/crates/oleander-rollout/src/dispatch/election.rs
@@ -3,7 +3,7 @@
 use super::dispatcher::Dispatcher;
 use super::leadership_state::LeadershipState;
 use super::state::State;
-use super::{checkpoints, commit, history, jobs};
+use super::{checkpoints, commit, history, jobs, retire, succession};
 use crate::peer::messages::{DispatcherHealth, HEALTH};
 use crate::prelude::*;
 use crate::store::dispatcher_object::{DISPATCHER_KIND, DispatcherObject, NODE_PREFIX};
@@ -44,6 +44,9 @@
 /// Extra delay of each standby behind the one before it in name order, if there is no leader.
 const RANK_DELAY: Millis = Millis(120);
 
+/// Time for which a dispatcher whose machine is to be retired leaves the leadership to others.
+const RETIRING_DELAY: Millis = Millis(3000);
+
 /// Registers this dispatcher, then leads or stands by until the process ends.
 pub async fn run(dispatcher: Rc<Dispatcher>) {
     spawn(register(Rc::clone(&dispatcher)));
@@ -102,10 +105,11 @@
     let view = dispatcher.view.get();
     let node = &dispatcher.cfg.node;
     let paused = now() < dispatcher.paused_until.get();
-    if !view.dispatchers_known || view.retiring.contains(node) || paused {
+    if !view.dispatchers_known || paused {
         sleep(LEADERSHIP_CHECK_EVERY).await;
         return;
     }
+    let retiring = view.retiring.contains(node);
     if is_vacant(&view, node) {
         let rank = view
             .dispatchers
@@ -116,7 +120,12 @@
             .leader
             .as_ref()
             .is_some_and(|(leader, _)| &leader.node == node);
-        sleep(Millis(if led_before { 0 } else { RANK_DELAY.0 * rank })).await;
+        sleep(match (retiring, led_before) {
+            (true, _) => RETIRING_DELAY,
+            (false, true) => Millis::ZERO,
+            (false, false) => Millis(RANK_DELAY.0 * rank),
+        })
+        .await;
         let expected = dispatcher.view.get().leader.clone();
         if is_vacant(&dispatcher.view.get(), node) {
             take_over(dispatcher, expected, "there is no leader").await;
@@ -128,7 +137,10 @@
     };
     let began = now();
     let answer = probe(dispatcher, leader).await;
-    if watch.record_probe(now(), answer) && is_lost(dispatcher, leader, watch).await {
+    if watch.record_probe(now(), answer)
+        && is_lost(dispatcher, leader, watch).await
+        && !(retiring && others_take_over(dispatcher, view.leader.as_ref()).await)
+    {
         // A failed takeover does not reset the count of missed probes, so that the standby tries
         // again after the next missed probe. The first write that the store accepts wins.
         let reason = format!("last probe {answer:?} misses={}", watch.misses());
@@ -143,6 +155,17 @@
         .await;
 }
 
+/// Leaves the leadership to dispatchers whose machines stay, for [`RETIRING_DELAY`]; returns whether
+/// one of them has taken over from `lost`.
+async fn others_take_over(dispatcher: &Dispatcher, lost: Option<&(LeaderObject, u64)>) -> bool {
+    let has_changed = |view: &View| view.leader.as_ref() != lost;
+    dispatcher
+        .view
+        .wait_until(RETIRING_DELAY, has_changed)
+        .await;
+    has_changed(&dispatcher.view.get())
+}
+
 /// Reads the pulse of a leader that missed a probe; returns whether to take over.
 async fn is_lost(dispatcher: &Dispatcher, leader: &LeaderObject, watch: &mut LeaderWatch) -> bool {
     let number = match read_pulse(dispatcher).await {
@@ -329,8 +352,11 @@
         return;
     }
     if view.retiring.contains(&dispatcher.cfg.node) {
-        hand_over(dispatcher).await;
-        return;
+        if succession::has_successor(&dispatcher.leader_client, &view, &dispatcher.cfg.node).await {
+            hand_over(dispatcher).await;
+            return;
+        }
+        retire::report_running(dispatcher).await;
     }
     let last_report = dispatcher.state.borrow().last_report;
     if last_report.is_some_and(|at| now().since(at) > AGENT_SILENCE_MAX) {
--- a/crates/oleander-rollout/src/dispatch/mod.rs
+++ b/crates/oleander-rollout/src/dispatch/mod.rs
@@ -25,4 +25,5 @@
 mod retire;
 pub mod state;
 mod streams_api;
+mod succession;
 mod ticks;
--- a/crates/oleander-rollout/src/dispatch/retire.rs
+++ b/crates/oleander-rollout/src/dispatch/retire.rs
@@ -1,13 +1,33 @@
 //! Retirement of machines.
 //!
 //! Dispatchers keep no durable data on their machine, so a machine is empty as soon as its
-//! dispatcher does not lead.
+//! dispatcher does not lead. A leader goes on leading until another dispatcher can.
 
 use super::dispatcher::Dispatcher;
 use crate::prelude::*;
 use oleander_platform::object::RETIREMENT_KIND;
 use oleander_platform::retirement;
 
+/// Reports that the machine of this leader can't be emptied yet, because no other dispatcher could
+/// lead; once for each retirement.
+pub async fn report_running(dispatcher: &Dispatcher) {
+    let node = &dispatcher.cfg.node;
+    if dispatcher.state.borrow().retirement_reported {
+        return;
+    }
+    let status = retirement::running_status();
+    let written = dispatcher
+        .store
+        .put_status(RETIREMENT_KIND, node, &status)
+        .await;
+    event(log::Level::Warn, "no-successor", || {
+        format!("node={node} result={written:?} reason=\"no other dispatcher answers\"")
+    });
+    if written.is_ok() {
+        dispatcher.state.borrow_mut().retirement_reported = true;
+    }
+}
+
 /// Reports every machine that is to be retired, except that of this leader, as empty.
 pub async fn run(dispatcher: &Dispatcher) {
     let retiring = dispatcher.view.get().retiring.clone();
--- a/crates/oleander-rollout/src/peer/leader_client.rs
+++ b/crates/oleander-rollout/src/peer/leader_client.rs
@@ -1,11 +1,12 @@
 //! Client of the leading dispatcher.
 
 use super::leader_error::LeaderError;
-use super::messages::DispatcherHealth;
+use super::messages::{DispatcherHealth, HEALTH};
 use crate::http::destination::Destination;
 use crate::http::pool::Pool;
 use crate::prelude::*;
 use crate::store::shared_view::SharedView;
+use futures_util::future::join_all;
 use http::header::{CONTENT_TYPE, HOST};
 use http::{Method, Request, StatusCode};
 use http_body_util::Full;
@@ -102,39 +103,38 @@
         }
     }
 
-    /// Asks all known dispatchers for the leader, for a process that can't read it from the store;
-    /// waits for at most `limit` for each.
+    /// Asks all known dispatchers at the same time for the leader, for a process that can't read it from
+    /// the store; waits for at most `limit`.
     pub async fn ask_for_leader(&self, limit: Millis) {
         let dispatchers: Vec<SocketAddr> = self.view.get().dispatchers.values().copied().collect();
-        for addr in dispatchers {
-            let asked = self.call_at(
-                addr,
-                Method::GET,
-                super::messages::HEALTH,
-                Vec::new(),
-                limit,
-            );
-            let Ok((_, body)) = asked.await else {
-                continue;
-            };
-            let Ok(health) = serde_json::from_slice::<DispatcherHealth>(&body) else {
-                continue;
-            };
-            let named = if health.leads {
-                Some(addr)
-            } else {
-                health.leader
-            };
-            let newer = self
-                .hint
-                .get()
-                .is_none_or(|(_, epoch)| health.epoch > epoch);
-            if let Some(leader) = named.filter(|_| newer) {
-                self.hint.set(Some((leader, health.epoch)));
-                event(log::Level::Info, "leader-hint", || {
-                    format!("epoch={} leader={leader} from={addr}", health.epoch)
-                });
-            }
+        join_all(dispatchers.into_iter().map(|addr| self.ask(addr, limit))).await;
+    }
+
+    /// Asks one dispatcher for the leader, and records it if its epoch is later than that of the last
+    /// one that was named.
+    async fn ask(&self, addr: SocketAddr, limit: Millis) {
+        let asked = self.call_at(addr, Method::GET, HEALTH, Vec::new(), limit);
+        // The caller logs that it has no leader.
+        let Ok((_, body)) = asked.await else {
+            return;
+        };
+        let Ok(health) = serde_json::from_slice::<DispatcherHealth>(&body) else {
+            return;
+        };
+        let named = if health.leads {
+            Some(addr)
+        } else {
+            health.leader
+        };
+        let newer = self
+            .hint
+            .get()
+            .is_none_or(|(_, epoch)| health.epoch > epoch);
+        if let Some(leader) = named.filter(|_| newer) {
+            self.hint.set(Some((leader, health.epoch)));
+            event(log::Level::Info, "leader-hint", || {
+                format!("epoch={} leader={leader} from={addr}", health.epoch)
+            });
         }
     }
 }
--- a/crates/oleander-rollout/tests/batch_jobs.rs
+++ b/crates/oleander-rollout/tests/batch_jobs.rs
@@ -654,3 +654,37 @@
     });
     check_results(&deployment.read_all(0, "job-parts", 80), &body);
 }
+
+// Guards against jobs that are accepted and never read again: the last dispatcher handed over for the
+// sake of its retirement although no other one was there to lead.
+#[test]
+fn a_leader_that_is_to_be_retired_leads_until_another_dispatcher_can() {
+    let mut deployment = Deployment::start(SMALL);
+    let leader = deployment.leader().expect("a leader");
+    deployment.dispatchers[1 - leader].kill();
+    let name = deployment.dispatchers[leader].name.clone();
+    let state = |deployment: &Deployment| {
+        let object = deployment.store.get("retirements", &name);
+        object.map(|object| object["status"]["state"].clone())
+    };
+    deployment
+        .store
+        .put("retirements", &name, &json!({"over_s": 5}));
+    wait_for("the operator is told", || {
+        state(&deployment) == Some("running".into())
+    });
+    let body = job(1, 1, 4, 3);
+    deployment.submit(0, "job-last", &body);
+    check_results(&deployment.read_all(0, "job-last", 8), &body);
+    // Its process is restarted: it leads again, since there is nobody else.
+    deployment.dispatchers[leader].kill();
+    deployment.dispatchers[leader].start();
+    let body = job(2, 1, 4, 3);
+    deployment.submit(0, "job-again", &body);
+    check_results(&deployment.read_all(0, "job-again", 8), &body);
+    deployment.dispatchers[1 - leader].start();
+    wait_for("the machine is empty", || {
+        state(&deployment) == Some("done".into())
+    });
+    assert_eq!(deployment.leader(), Some(1 - leader));
+}
