Answer each request before a stopping entry ends, and refuse late ones

Cause: an entry served requests whatever time was left, and its process ended under them. Requests are now answered with 504 at the latest 0.9 s before the end of the grace; from 3 s after the signal on, those that can't be answered in time are refused as not run.

Both tests of tests/stopping.rs failed before (empty responses) and pass now.

--- a/crates/oleander-rollout/src/entry/entry_process.rs
+++ b/crates/oleander-rollout/src/entry/entry_process.rs
@@ -6,6 +6,7 @@
 use super::origin_registry::OriginRegistry;
 use super::request_head::RequestHead;
 use super::rooms::Rooms;
+use super::stop_clock::StopClock;
 use super::usage_reporter::UsageReporter;
 use super::{platform_updates, router};
 use crate::call::call_request::CallRequest;
@@ -41,6 +42,8 @@
 
 /// Time after a stop signal within which the load balancer detects that this entry is not ready.
 const UNREADY_DELAY: Millis = Millis(3000);
+/// How long before the process stops all requests are answered.
+const ANSWER_MARGIN: Millis = Millis(300);
 /// Interval at which a stopping entry checks whether connections are left.
 const STOP_POLL_INTERVAL: Millis = Millis(20);
 /// How long before the end of the grace period the process stops at the latest.
@@ -89,6 +92,8 @@
     pub key_policy: KeyPolicy,
     /// Whether the process is stopping.
     pub stopping: Cell<bool>,
+    /// When the requests must be answered once the process is stopping.
+    pub stop_clock: StopClock,
     shutdown: Rc<Shutdown>,
 }
 
@@ -165,6 +170,7 @@
             key_log: Rc::clone(&key_log),
             key_policy: cfg.keys.policy(),
             stopping: Cell::new(false),
+            stop_clock: StopClock::default(),
             shutdown: Rc::default(),
             cfg,
         });
@@ -249,7 +255,9 @@
     pub async fn stop(&self) {
         self.stopping.set(true);
         let end = now().plus(self.cfg.grace.since(STOP_MARGIN));
+        self.stop_clock.begin(Millis(end.0 - ANSWER_MARGIN.0));
         sleep(UNREADY_DELAY.min(end.since(now()))).await;
+        self.stop_clock.end_of_arrivals();
         self.shutdown.request();
         while self.shutdown.open_connections() > 0 && now() < end {
             sleep(STOP_POLL_INTERVAL).await;
--- a/crates/oleander-rollout/src/entry/mod.rs
+++ b/crates/oleander-rollout/src/entry/mod.rs
@@ -17,6 +17,7 @@
 mod resumption;
 pub mod rooms;
 mod router;
+pub mod stop_clock;
 mod streams;
 mod submit;
 pub mod submit_outcome;
--- a/crates/oleander-rollout/src/entry/router.rs
+++ b/crates/oleander-rollout/src/entry/router.rs
@@ -17,9 +17,12 @@
 use oleander_platform::job_call::JobCall;
 use oleanderlock::routing::route::Route;
 use oleanderlock::routing::route_kind::RouteKind;
+use smol::future::FutureExt as _;
 use std::convert::Infallible;
 use std::rc::Rc;
 
+/// Time after which a client may retry that was refused because this entry stops: others serve.
+const STOPPING_RETRY_AFTER: Millis = Millis(50);
 /// Time after which a client may retry while no configuration is known.
 const NO_CONFIG_RETRY_AFTER: Millis = Millis(300);
 
@@ -31,7 +34,16 @@
 pub async fn handle(entry: Rc<Entry>, req: Request<Incoming>) -> Result<EntryResponse, Infallible> {
     let (parts, body) = req.into_parts();
     let mut head = RequestHead::read(&parts);
-    let mut response = route(&entry, &mut head, parts, body).await;
+    let mut response = {
+        let routed = route(&entry, &mut head, parts, body);
+        let cut_off = async {
+            entry.stop_clock.answers_due().await;
+            entry.metrics.record_refusal("stopping");
+            // It may have run.
+            full(response::status(StatusCode::GATEWAY_TIMEOUT))
+        };
+        routed.or(cut_off).await
+    };
     let status = response.status();
     if entry.stopping.get() {
         let close = HeaderValue::from_static("close");
@@ -114,6 +126,13 @@
             return full(response::status(status));
         }
     };
+    if entry
+        .stop_clock
+        .refuses(&route, calls::deadline(head, &route))
+    {
+        entry.metrics.record_refusal("stopping");
+        return full(response::refusal(STOPPING_RETRY_AFTER));
+    }
     let memory = CallMemory::of_body(piece);
     dispatch(entry, head, &route, parts, body, memory).await
 }
--- a/crates/oleander-rollout/tests/calls.rs
+++ b/crates/oleander-rollout/tests/calls.rs
@@ -358,6 +358,8 @@
     keep_watches: true,
     lose_response_every: 0,
     hang_writes: false,
+    refused_kind: None,
+    config_delay: Duration::ZERO,
 };
 
 /// Waits until the entry has received an update from the leader.
--- a/crates/oleander-rollout/tests/failures.rs
+++ b/crates/oleander-rollout/tests/failures.rs
@@ -34,6 +34,8 @@
     keep_watches: false,
     lose_response_every: 0,
     hang_writes: false,
+    refused_kind: None,
+    config_delay: Duration::ZERO,
 };
 
 /// Starts a deployment of one service and waits until a call reaches it.
--- a/crates/oleander-rollout/tests/stream_versions.rs
+++ b/crates/oleander-rollout/tests/stream_versions.rs
@@ -213,6 +213,63 @@
     assert!(refused > 0);
 }
 
+// Guards against streams that go on at another version at an entry that stood still while engines of a
+// newer version joined: its endpoint list is old.
+#[test]
+fn stream_taken_up_at_an_entry_that_stood_still_goes_on_at_its_version_or_is_refused() {
+    let deployment = Deployment::start(DeploymentSize {
+        entries: 2,
+        engines: 4,
+        dispatchers: 3,
+        services: 0,
+    });
+    let config = config_with_streams(2);
+    deployment.store.put("config", "main", &config);
+    wait_for("the entries route to the engines", || {
+        (0..2).all(|entry| {
+            let id = format!("warm-{entry}-{}", rand_suffix());
+            let text = read_text(open(&deployment, entry, &id, 1, &[]));
+            text.starts_with("HTTP/1.1 200 ")
+        })
+    });
+    deployment.entries[1].process().signal("STOP");
+    // One engine is replaced by a new instance, the other restarts under its id.
+    deployment.set_software(2, VERSIONS[1]);
+    let engine = &deployment.engines[3];
+    engine.restart_in_place(VERSIONS[1], 2);
+    deployment
+        .store
+        .put("servers", &engine.instance(), &engine.entry("llm"));
+    wait_for("the other entry routes to both versions", || {
+        let id = format!("warm-{}", rand_suffix());
+        read_text(open(&deployment, 0, &id, 1, &[]));
+        version_of(&deployment, &id).as_deref() == Some(VERSIONS[1])
+    });
+    for n in 0..STREAMS {
+        begin(&deployment, 0, &format!("first-{n}"));
+    }
+    // The requests wait at the entry when it goes on, before it has a newer list.
+    let after = EVENTS_READ.to_string();
+    let resumed: Vec<TcpStream> = (0..STREAMS)
+        .map(|n| {
+            let (id, of) = (format!("second-{n}"), format!("first-{n}"));
+            let headers = [("last-event-id", after.as_str()), ("resumes", of.as_str())];
+            open(&deployment, 1, &id, EVENTS, &headers)
+        })
+        .collect();
+    deployment.entries[1].process().signal("CONT");
+    for (n, stream) in resumed.into_iter().enumerate() {
+        let (first, second) = (format!("first-{n}"), format!("second-{n}"));
+        let text = read_text(stream);
+        if !text.starts_with("HTTP/1.1 200 ") {
+            check_refused(&deployment, &second, &text);
+            continue;
+        }
+        let versions = [&first, &second].map(|id| version_of(&deployment, id));
+        assert_eq!(versions[0], versions[1], "{first}");
+    }
+}
+
 #[test]
 fn stream_that_is_not_known_is_refused() {
     let deployment = deployment();
