Bound the leader's memory by open work and a budget, and delete what is old

Cause: all listed results of the last 180 s and all items of ended jobs stayed in memory, and a new leader read all of them back before it served.

The result log keeps an index and the texts of the newest results within a budget from the settings; others are read from their chunks. A takeover reads page by page. Deletion is a task of its own that keeps pace, deletes parts of jobs, goes in the order of the chunks and keeps chunks with results of open jobs.

--- a/crates/oleander-rollout/src/dispatch/agents_api.rs
+++ b/crates/oleander-rollout/src/dispatch/agents_api.rs
@@ -197,9 +197,8 @@
             if state.leading_epoch().is_none() {
                 return false;
             }
-            let settled = |key: &ItemKey| {
-                state.ended.contains(&key.job) || state.log.listed_sample(key).is_some()
-            };
+            let settled =
+                |key: &ItemKey| state.ended.contains(&key.job) || state.log.is_listed(key);
             if keys.iter().all(settled) {
                 return true;
             }
--- a/crates/oleander-rollout/src/dispatch/commit.rs
+++ b/crates/oleander-rollout/src/dispatch/commit.rs
@@ -158,3 +158,31 @@
         }
     }
 }
+
+/// Reads results of a job that are only in their chunks back into memory: those without the first `after`
+/// that fit into about `max_bytes`.
+///
+/// # Errors
+///
+/// [`StoreError`] if a chunk can't be read.
+pub async fn reload(
+    dispatcher: &Dispatcher,
+    job: &str,
+    after: usize,
+    max_bytes: usize,
+) -> Result<(), StoreError> {
+    let missing = dispatcher
+        .state
+        .borrow()
+        .log
+        .missing_chunks(job, after, max_bytes);
+    for index in missing {
+        let chunk = read_chunk(&dispatcher.store, index).await?;
+        let chunk = chunk.ok_or_else(|| {
+            StoreError::no_answer(format!("chunk {index} of the results is missing"))
+        })?;
+        dispatcher.metrics.count_event("results_reloaded");
+        dispatcher.state.borrow_mut().log.reload(&chunk);
+    }
+    Ok(())
+}
--- a/crates/oleander-rollout/src/dispatch/election.rs
+++ b/crates/oleander-rollout/src/dispatch/election.rs
@@ -3,7 +3,7 @@
 use super::dispatcher::Dispatcher;
 use super::leadership_state::LeadershipState;
 use super::state::State;
-use super::{checkpoints, commit, history, jobs, retire, succession};
+use super::{checkpoints, cleanup, commit, history, jobs, retire, succession};
 use crate::peer::messages::{DispatcherHealth, HEALTH};
 use crate::prelude::*;
 use crate::store::dispatcher_object::{DISPATCHER_KIND, DispatcherObject, NODE_PREFIX};
@@ -17,6 +17,7 @@
 use oleanderlock::batch::leader_probe::LeaderProbe;
 use oleanderlock::batch::leader_watch::LeaderWatch;
 use oleanderlock::batch::pulse_verdict::PulseVerdict;
+use oleanderlock::batch::result_log::ResultLog;
 use oleanderlock::batch::scheduler::Scheduler;
 use oleanderlock::batch::scheduler_config::SchedulerConfig;
 use serde_json::value::to_raw_value;
@@ -44,6 +45,8 @@
 /// Extra delay of each standby behind the one before it in name order, if there is no leader.
 const RANK_DELAY: Millis = Millis(120);
 
+/// Listed results take at most the memory of the process divided by this; they are encoded beside that.
+const RESULTS_MEMORY_DIVISOR: usize = 8;
 /// Time for which a dispatcher whose machine is to be retired leaves the leadership to others.
 const RETIRING_DELAY: Millis = Millis(3000);
 
@@ -302,6 +305,7 @@
     *dispatcher.state.borrow_mut() = State {
         leadership: LeadershipState::Recovering { epoch },
         scheduler: Scheduler::new(SchedulerConfig::default()),
+        log: ResultLog::with_budget(dispatcher.cfg.memory_bytes / RESULTS_MEMORY_DIVISOR),
         ..State::default()
     };
     dispatcher.notify();
@@ -408,11 +412,12 @@
     }
     spawn(commit::run(Rc::clone(dispatcher), epoch));
     spawn(checkpoints::run(Rc::clone(dispatcher), epoch));
+    spawn(cleanup::run(Rc::clone(dispatcher), epoch));
     if newest_chunks.has_older {
         spawn(history::read_older(
             Rc::clone(dispatcher),
             epoch,
-            newest_chunks.first_chunk,
+            newest_chunks.first_chunk.unwrap_or_default(),
         ));
     }
     dispatcher.notify();
--- a/crates/oleander-rollout/src/dispatch/history.rs
+++ b/crates/oleander-rollout/src/dispatch/history.rs
@@ -7,9 +7,9 @@
 use crate::prelude::*;
 use crate::store::job_objects::{RESULT_KIND, chunk_name, decode_chunk};
 use crate::store::store_error::StoreError;
-use crate::store::watch::list_pages;
 use oleander_platform::object_page::ObjectPage;
 use oleanderlock::batch::result_chunk::ResultChunk;
+use oleanderlock::batch::result_log::ResultLog;
 use std::rc::Rc;
 
 /// Pause after a failed call to the store.
@@ -17,82 +17,75 @@
 /// Pause after each page of older chunks, which leaves the processor to more urgent work.
 const OLDER_PAUSE: Millis = Millis(100);
 
-/// Reads the chunks from number `from` on; retries until the store answers. Returns `None` if this
-/// dispatcher no longer holds `epoch`.
+/// Reads the chunks from number `from` on, page by page; retries until the store answers. Returns `None`
+/// if this dispatcher no longer holds `epoch`.
 pub async fn read_newest_chunks(
     dispatcher: &Dispatcher,
     epoch: u64,
     from: u64,
 ) -> Option<NewestChunks> {
+    let mut read = NewestChunks::default();
+    // The chunk before is read too, so that the numbers continue even if there is none from `from` on.
+    let mut after = from.checked_sub(2).map(chunk_name);
+    let mut from = from;
     while jobs::holds_epoch(dispatcher, epoch) {
         if dispatcher.view.get().newer_leader(epoch).is_some() {
             return None;
         }
-        match fetch_newest_chunks(dispatcher, from).await {
-            Ok(chunks) => return Some(apply_newest_chunks(dispatcher, &chunks, from)),
-            Err(err) => event(log::Level::Warn, "recovery-failed", || {
-                format!("epoch={epoch} reason=\"{err}\"")
-            }),
+        match read_page(dispatcher, after.as_deref()).await {
+            Ok((chunks, page)) => {
+                apply_newest_chunks(dispatcher, &chunks, &mut read);
+                if page.has_more && page.last_name.is_some() {
+                    after = page.last_name;
+                } else if read.first_chunk.is_none() && from > 0 {
+                    (after, from) = (None, 0);
+                } else {
+                    read.has_older = from > 0 && read.first_chunk.is_some_and(|first| first > 0);
+                    return Some(read);
+                }
+            }
+            Err(err) => {
+                event(log::Level::Warn, "recovery-failed", || {
+                    format!("epoch={epoch} reason=\"{err}\"")
+                });
+                sleep(STORE_RETRY_PAUSE).await;
+            }
         }
-        sleep(STORE_RETRY_PAUSE).await;
     }
     None
 }
 
-/// Reads the chunks from number `from` on, or all if there is none.
-async fn fetch_newest_chunks(
-    dispatcher: &Dispatcher,
-    from: u64,
-) -> Result<Vec<ResultChunk>, StoreError> {
-    let chunks = chunks_from(dispatcher, from).await?;
-    if chunks.is_empty() && from > 0 {
-        return chunks_from(dispatcher, 0).await;
-    }
-    Ok(chunks)
-}
-
-fn apply_newest_chunks(dispatcher: &Dispatcher, chunks: &[ResultChunk], from: u64) -> NewestChunks {
+fn apply_newest_chunks(dispatcher: &Dispatcher, chunks: &[ResultChunk], read: &mut NewestChunks) {
     let mut state = dispatcher.state.borrow_mut();
     for chunk in chunks {
         commit::apply(&mut state, chunk);
+        read.first_chunk.get_or_insert(chunk.index);
+        read.result_count += chunk.samples.len();
     }
-    let first_chunk = chunks.first().map_or(0, |chunk| chunk.index);
-    NewestChunks {
-        first_chunk,
-        result_count: chunks.iter().map(|chunk| chunk.samples.len()).sum(),
-        has_older: from > 0 && first_chunk > 0,
-    }
-}
-
-/// Reads the chunks from number `from` on and the one before, so that the numbers continue even if
-/// there is none from `from` on.
-async fn chunks_from(dispatcher: &Dispatcher, from: u64) -> Result<Vec<ResultChunk>, StoreError> {
-    let after = from.checked_sub(2).map(chunk_name);
-    let pages = list_pages(&dispatcher.store, RESULT_KIND, after).await?;
-    let mut chunks = Vec::new();
-    for page in &pages {
-        chunks.extend(decode(page)?);
-    }
-    Ok(chunks)
 }
 
-fn decode(page: &ObjectPage) -> Result<Vec<ResultChunk>, StoreError> {
+async fn read_page(
+    dispatcher: &Dispatcher,
+    after: Option<&str>,
+) -> Result<(Vec<ResultChunk>, ObjectPage), StoreError> {
+    let page = dispatcher.store.page(RESULT_KIND, after).await?;
     if let Some(err) = page.errors.first() {
         return Err(StoreError::no_answer(err));
     }
-    page.objects.iter().map(decode_chunk).collect()
+    let chunks: Result<Vec<ResultChunk>, StoreError> =
+        page.objects.iter().map(decode_chunk).collect();
+    Ok((chunks?, page))
 }
 
 /// Reads the chunks before number `before` and adds them to the result log, while this dispatcher
 /// leads in `epoch`.
 pub async fn read_older(dispatcher: Rc<Dispatcher>, epoch: u64, before: u64) {
     let began = now();
-    let mut chunks: Vec<ResultChunk> = Vec::new();
+    let mut older = ResultLog::with_budget(0);
+    let mut written: Vec<(u64, u64)> = Vec::new();
     let mut after: Option<String> = None;
     while dispatcher.leads_in(epoch) {
-        let page = dispatcher.store.page(RESULT_KIND, after.as_deref()).await;
-        let read = page.and_then(|page| Ok((decode(&page)?, page)));
-        let (read, page) = match read {
+        let (chunks, page) = match read_page(&dispatcher, after.as_deref()).await {
             Ok(read) => read,
             Err(err) => {
                 event(log::Level::Warn, "history-failed", || {
@@ -102,35 +95,39 @@
                 continue;
             }
         };
-        let count = read.len();
-        chunks.extend(read.into_iter().filter(|chunk| chunk.index < before));
-        let reached = chunks.len() < count || !page.has_more || page.last_name.is_none();
+        let is_last = !page.has_more || page.last_name.is_none();
+        let reached = chunks.iter().any(|chunk| chunk.index >= before);
+        for chunk in chunks.iter().filter(|chunk| chunk.index < before) {
+            written.push((chunk.index, chunk.written_unix_ms));
+            older.apply(chunk);
+        }
         after = page.last_name;
-        if reached {
-            prepend_older(&dispatcher, epoch, chunks, began);
+        if reached || is_last {
+            prepend_older(&dispatcher, epoch, (older, written), began);
             return;
         }
         sleep(OLDER_PAUSE).await;
     }
 }
 
-fn prepend_older(dispatcher: &Dispatcher, epoch: u64, chunks: Vec<ResultChunk>, began: Millis) {
+fn prepend_older(
+    dispatcher: &Dispatcher,
+    epoch: u64,
+    (older, written): (ResultLog, Vec<(u64, u64)>),
+    began: Millis,
+) {
     if !dispatcher.leads_in(epoch) {
         return;
     }
     event(log::Level::Info, "history-read", || {
         let took = now().since(began);
-        format!("epoch={epoch} chunks={} took={took}", chunks.len())
+        format!("epoch={epoch} chunks={} took={took}", written.len())
     });
     let mut state = dispatcher.state.borrow_mut();
     let state = &mut *state;
-    for chunk in &chunks {
-        state.chunks.insert(chunk.index, chunk.written_unix_ms);
-    }
+    state.chunks.extend(written);
     // Jobs that this dispatcher does not know have been deleted; it read all others before leading.
-    state
-        .log
-        .prepend(chunks, |job| state.jobs.contains_key(job));
+    state.log.prepend(older, |job| state.jobs.contains_key(job));
     state.jobs_with_unread_results.clear();
     dispatcher.notify();
 }
--- a/crates/oleander-rollout/src/dispatch/jobs.rs
+++ b/crates/oleander-rollout/src/dispatch/jobs.rs
@@ -130,7 +130,13 @@
             event(log::Level::Error, "job-unreadable", || {
                 format!("job={} reason=\"{err}\"", object.name)
             });
+            let mut state = dispatcher.state.borrow_mut();
+            state.unread_jobs.insert(object.name.clone());
+            drop(state);
             unread.push(object);
+        } else {
+            let mut state = dispatcher.state.borrow_mut();
+            state.unread_jobs.shift_remove(&object.name);
         }
     }
     unread
--- a/crates/oleander-rollout/src/dispatch/jobs_api.rs
+++ b/crates/oleander-rollout/src/dispatch/jobs_api.rs
@@ -126,6 +126,9 @@
     if !commit::verify(dispatcher, max_age).await {
         return response::refusal(RETRY_AFTER);
     }
+    if let Err(err) = commit::reload(dispatcher, job, after, RESULTS_MAX_BYTES).await {
+        return uncertain(job, &err);
+    }
     let state = dispatcher.state.borrow();
     if state.jobs_with_unread_results.contains(job) {
         return uncertain(
@@ -137,7 +140,10 @@
         return response::refusal(RETRY_AFTER);
     };
     let samples = state.log.read(job, after, RESULTS_MAX_BYTES);
-    response::json(encode_results(record.total, after, samples))
+    if samples.is_empty() && state.log.listed_count(job) > after {
+        return uncertain(job, &"the results left the memory while they were read");
+    }
+    response::json(encode_results(record.total, after, &samples))
 }
 
 /// Waits until a job has more than `count` results, or this dispatcher no longer leads.
--- a/crates/oleander-rollout/src/dispatch/mod.rs
+++ b/crates/oleander-rollout/src/dispatch/mod.rs
@@ -8,6 +8,7 @@
 
 mod agents_api;
 mod checkpoints;
+mod cleanup;
 mod commit;
 mod config_api;
 mod crash_sweep;
--- a/crates/oleander-rollout/src/dispatch/state.rs
+++ b/crates/oleander-rollout/src/dispatch/state.rs
@@ -27,6 +27,8 @@
     pub chunks: IndexMap<u64, u64>,
     /// All jobs in the store, by id, ended ones included.
     pub jobs: IndexMap<String, JobRecord>,
+    /// Ids of jobs in the store that could not be read yet.
+    pub unread_jobs: IndexSet<String>,
     /// Version of the configuration from which the terms of the jobs were taken; `None` before the
     /// first.
     pub policies_version: Option<u64>,
--- a/crates/oleander-rollout/src/dispatch/ticks.rs
+++ b/crates/oleander-rollout/src/dispatch/ticks.rs
@@ -1,12 +1,11 @@
 //! Periodic work of the leader: assigning items, dropping silent agents, giving up items that are
-//! too old, deleting objects that are no longer needed.
+//! too old.
 
 use super::dispatcher::Dispatcher;
 use super::state::State;
 use super::{jobs, platform_updates, retire};
 use crate::peer::messages::{LoadWork, WorkItem};
 use crate::prelude::*;
-use crate::store::job_objects::{JOB_END_KIND, JOB_KIND, RESULT_KIND, chunk_name};
 use oleanderlock::batch::assignment::Assignment;
 use oleanderlock::batch::item_key::ItemKey;
 use oleanderlock::batch::recall::Recall;
@@ -17,18 +16,11 @@
 
 /// Time between two ticks.
 const TICK: Millis = Millis(100);
-/// Time between two searches for objects that are no longer needed.
-const CLEAN_EVERY: Millis = Millis::from_secs(10);
-/// Time for which objects stay in the store after their results need no longer be readable.
-const CLEAN_MARGIN: Millis = Millis::from_secs(60);
-/// Most jobs, and most chunks, that are deleted at a time.
-const CLEAN_MAX: usize = 20;
 /// Fewest scoring attempts of an item, whatever its route allows.
 const SCORE_ATTEMPTS_MIN: u32 = 3;
 
 /// Does the periodic work until the process stops.
 pub async fn run(dispatcher: Rc<Dispatcher>) {
-    let mut next_clean = now().plus(CLEAN_EVERY);
     while !dispatcher.stopping.get() {
         sleep(TICK).await;
         if dispatcher.state.borrow().leading_epoch().is_none() {
@@ -40,10 +32,6 @@
         give_up_expired(&dispatcher);
         dispatcher.schedule();
         retire::run(&dispatcher).await;
-        if now() >= next_clean {
-            next_clean = now().plus(CLEAN_EVERY);
-            delete_expired(&dispatcher).await;
-        }
     }
 }
 
@@ -186,43 +174,3 @@
         end: SampleEnd::GivenUp,
     });
 }
-
-/// Deletes ended jobs and chunks of results that need no longer be readable.
-async fn delete_expired(dispatcher: &Dispatcher) {
-    let unix_ms = unix_ms();
-    let keep = dispatcher.cfg.keep_results.plus(CLEAN_MARGIN).0;
-    let is_old = |at: u64| at.saturating_add(keep) < unix_ms;
-    let (jobs, chunks) = {
-        let state = dispatcher.state.borrow();
-        let jobs = state.jobs.iter();
-        let jobs = jobs
-            .filter(|(id, job)| is_old(job.submitted_unix_ms) && state.ended.contains(id.as_str()));
-        let jobs: Vec<String> = jobs.take(CLEAN_MAX).map(|(id, _)| id.clone()).collect();
-        // The newest chunk stays, because the next leader continues its number.
-        let newest = state.log.next_chunk_index().saturating_sub(1);
-        let chunks = state.chunks.iter();
-        let chunks = chunks.filter(|(index, at)| is_old(**at) && **index < newest);
-        let chunks: Vec<u64> = chunks.take(CLEAN_MAX).map(|(index, _)| *index).collect();
-        (jobs, chunks)
-    };
-    for id in jobs {
-        // The end mark is deleted last: a job without it would run again.
-        let mut deleted = dispatcher.store.delete(JOB_KIND, &id).await;
-        if deleted.is_ok() {
-            deleted = dispatcher.store.delete(JOB_END_KIND, &id).await;
-        }
-        if deleted.is_ok() {
-            let mut state = dispatcher.state.borrow_mut();
-            state.jobs.shift_remove(&id);
-            state.ended.shift_remove(&id);
-            state.scheduler.remove_job(&id);
-            state.log.remove_job(&id);
-        }
-    }
-    for index in chunks {
-        let name = chunk_name(index);
-        if dispatcher.store.delete(RESULT_KIND, &name).await.is_ok() {
-            dispatcher.state.borrow_mut().chunks.shift_remove(&index);
-        }
-    }
-}
--- a/crates/oleander-rollout/src/observe/metrics.rs
+++ b/crates/oleander-rollout/src/observe/metrics.rs
@@ -3,7 +3,7 @@
 use crate::observe::log_sink;
 use crate::prelude::*;
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry, TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
 /// Upper bounds of latency buckets, in seconds.
@@ -20,6 +20,8 @@
     events: IntCounterVec,
     workspaces: IntCounterVec,
     latency: HistogramVec,
+    memory: IntGaugeVec,
+    kept: IntGaugeVec,
 }
 
 impl Default for Metrics {
@@ -27,6 +29,9 @@
         let counters = |name: &str, help: &str, label: &str| {
             IntCounterVec::new(Opts::new(name, help), &[label]).expect("a valid metric name")
         };
+        let gauges = |name: &str, help: &str, label: &str| {
+            IntGaugeVec::new(Opts::new(name, help), &[label]).expect("a valid metric name")
+        };
         let latency = HistogramOpts::new("oleanderlock_latency_seconds", "Time by kind of work")
             .buckets(LATENCY_BUCKETS_S.to_vec());
         let metrics = Self {
@@ -40,6 +45,12 @@
                 "workspace",
             ),
             latency: HistogramVec::new(latency, &["work"]).expect("a valid metric name"),
+            memory: gauges(
+                "oleanderlock_memory_bytes",
+                "Memory in use, by part",
+                "part",
+            ),
+            kept: gauges("oleanderlock_kept", "Things that are kept, by kind", "kind"),
         };
         let registered = [
             metrics
@@ -51,6 +62,8 @@
                 .registry
                 .register(Box::new(metrics.workspaces.clone())),
             metrics.registry.register(Box::new(metrics.latency.clone())),
+            metrics.registry.register(Box::new(metrics.memory.clone())),
+            metrics.registry.register(Box::new(metrics.kept.clone())),
         ];
         assert!(
             registered.iter().all(Result::is_ok),
@@ -89,6 +102,16 @@
         let _ = self.workspaces.remove_label_values(&[workspace]);
     }
 
+    /// Sets the memory that a part of the process uses, in bytes.
+    pub fn set_memory(&self, part: &str, bytes: usize) {
+        set(&self.memory, part, bytes);
+    }
+
+    /// Sets how many things of a kind are kept.
+    pub fn set_kept(&self, kind: &str, count: usize) {
+        set(&self.kept, kind, count);
+    }
+
     /// Records the latency of one piece of work, by the kind `work`.
     pub fn record_latency(&self, work: &str, length: Millis) {
         let seconds = length.0 as f64 / 1000.0;
@@ -109,3 +132,8 @@
         String::from_utf8(buf).unwrap_or_default()
     }
 }
+
+fn set(gauges: &IntGaugeVec, label: &str, value: usize) {
+    let value = i64::try_from(value).unwrap_or(i64::MAX);
+    gauges.with_label_values(&[label]).set(value);
+}
--- a/crates/oleander-rollout/src/observe/mod.rs
+++ b/crates/oleander-rollout/src/observe/mod.rs
@@ -2,5 +2,6 @@
 
 pub mod event_log;
 pub mod log_sink;
+pub mod memory_watch;
 pub mod metrics;
 pub mod metrics_server;
--- a/crates/oleander-rollout/src/process.rs
+++ b/crates/oleander-rollout/src/process.rs
@@ -4,9 +4,9 @@
 use crate::cli::Args;
 use crate::dispatch::dispatcher::Dispatcher;
 use crate::entry::entry_process::Entry;
-use crate::observe::log_sink;
 use crate::observe::metrics::Metrics;
 use crate::observe::metrics_server;
+use crate::observe::{log_sink, memory_watch};
 use crate::prelude::*;
 use crate::role::Role;
 use crate::runtime::spawn_thread;
@@ -74,6 +74,7 @@
                 cfg.domain, cfg.store, cfg.peers
             )
         });
+        spawn(memory_watch::run(cfg.memory_bytes, metrics.clone()));
         let running = open(args.role, cfg.clone(), metrics)?;
         spawn(watch_settings(args.settings.clone(), cfg));
         while let Ok(signal) = signals.recv().await {
--- a/crates/oleander-rollout/src/settings.rs
+++ b/crates/oleander-rollout/src/settings.rs
@@ -33,6 +33,8 @@
     pub store: SocketAddr,
     /// Largest value that the store accepts, in bytes.
     pub value_bytes: usize,
+    /// Memory that the process may use, in bytes.
+    pub memory_bytes: usize,
     /// Address of the agent's engine; required for agents, not used by others.
     pub engine: Option<SocketAddr>,
     /// Time between SIGTERM and SIGKILL, within which the process stops.
@@ -53,6 +55,8 @@
 
 /// Default of [`Config::value_bytes`].
 const VALUE_BYTES_DEFAULT: usize = 1 << 20;
+/// Default of [`Config::memory_bytes`], in megabytes.
+const MEMORY_MB_DEFAULT: usize = 256;
 /// Default of [`Config::grace`].
 const GRACE_DEFAULT: Millis = Millis::from_secs(8);
 /// Default of [`Config::leave_within`].
@@ -95,6 +99,12 @@
                 VALUE_BYTES_DEFAULT,
                 "a number of bytes",
             ),
+            memory_bytes: settings.parsed(
+                "node",
+                "memory_mb",
+                MEMORY_MB_DEFAULT,
+                "a number of megabytes",
+            ) << 20,
             engine: optional_addr(&mut settings, "engine", "addr"),
             grace: settings.duration("bounds", "grace", GRACE_DEFAULT),
             leave_within: settings.duration("bounds", "leave_within", LEAVE_WITHIN_DEFAULT),
--- a/crates/oleander-rollout/src/store/job_objects.rs
+++ b/crates/oleander-rollout/src/store/job_objects.rs
@@ -43,6 +43,8 @@
 #[derive(Deserialize)]
 struct StoredHead {
     job: JobHead,
+    #[serde(default)]
+    more_parts: usize,
     total: usize,
 }
 
@@ -183,6 +185,28 @@
     Ok(job)
 }
 
+/// Deletes a job with its parts and end mark; `object` is the stored job, `None` if it is deleted already.
+///
+/// # Errors
+///
+/// [`StoreError`]; what is left is deleted by the next call.
+pub async fn delete_job(
+    store: &StoreClient,
+    id: &str,
+    object: Option<&StoredObject>,
+) -> Result<(), StoreError> {
+    if let Some(object) = object {
+        let head: StoredHead =
+            serde_json::from_str(object.spec.get()).map_err(StoreError::no_answer)?;
+        for number in 0..head.more_parts {
+            store.delete(JOB_PART_KIND, &part_name(id, number)).await?;
+        }
+        store.delete(JOB_KIND, id).await?;
+    }
+    // The end mark is deleted last: a job without it would run again.
+    store.delete(JOB_END_KIND, id).await
+}
+
 /// Appends a chunk to the result log.
 ///
 /// # Errors
--- a/crates/oleander-rollout/tests/formats.rs
+++ b/crates/oleander-rollout/tests/formats.rs
@@ -928,9 +928,10 @@
     ]
 }
 
-const SETTINGS: [(&str, &str, &str); 13] = [
+const SETTINGS: [(&str, &str, &str); 14] = [
     ("node", "name", "n-1"),
     ("node", "domain", "z"),
+    ("node", "memory_mb", "5"),
     ("listen", "calls", "10.0.0.1:1"),
     ("listen", "ready", "10.0.0.1:2"),
     ("listen", "peers", "10.0.0.1:3"),
@@ -1003,6 +1004,7 @@
         ("port_range.0", "3"),
         ("port_range.1", "4"),
         ("platform.addr", "10.0.0.1:5"),
+        ("limits.ram_mb", "5"),
         ("platform.value_bytes", "6"),
         ("app", "10.0.0.1:7"),
         ("bounds.grace_s", "8"),
--- a/crates/oleander-rollout/tests/support/node.rs
+++ b/crates/oleander-rollout/tests/support/node.rs
@@ -21,6 +21,8 @@
     pub contracts: String,
     /// Largest value of the store, in bytes; 0 for the default.
     pub value_bytes: usize,
+    /// Memory of the process, in megabytes; 0 for the default.
+    pub memory_mb: usize,
     pub program: PathBuf,
     /// Settings in addition to those that each process has.
     pub more_settings: String,
@@ -50,6 +52,7 @@
             store,
             contracts: String::new(),
             value_bytes: 0,
+            memory_mb: 0,
             program: PROGRAM.into(),
             more_settings: String::new(),
             process: None,
@@ -67,8 +70,12 @@
             0 => String::new(),
             bytes => format!("value_bytes = {bytes}\n"),
         };
+        let memory = match self.memory_mb {
+            0 => String::new(),
+            megabytes => format!("memory_mb = {megabytes}\n"),
+        };
         format!(
-            "[node]\nname = {}\ndomain = z\n[listen]\ncalls = {}\nready = {}\npeers = {}\n\
+            "[node]\nname = {}\ndomain = z\n{memory}[listen]\ncalls = {}\nready = {}\npeers = {}\n\
              told = {}\nmetrics = {}\n[store]\naddr = {}\n{value_bytes}[engine]\naddr = {engine}\n\
              [bounds]\ngrace = 6s\n{contracts}{}",
             self.name,
--- a/crates/oleanderlock/src/batch/job_state.rs
+++ b/crates/oleanderlock/src/batch/job_state.rs
@@ -27,7 +27,7 @@
     pub submitted: Millis,
     /// Limits and rules of its route.
     pub policy: JobPolicy,
-    /// Items by id, in the order of the submission.
+    /// Items by id, in the order of the submission; none once the job has ended.
     pub items: IndexMap<String, ItemState>,
     /// Whether the trainer has ended it.
     pub ended: bool,
@@ -98,12 +98,9 @@
         keys.collect()
     }
 
-    /// Ends the job and marks all items as finished; items without a result get none.
+    /// Ends the job and drops its items; those without a result get none.
     pub fn end(&mut self) {
         self.ended = true;
-        for item in self.items.values_mut() {
-            item.phase = ItemPhase::Finished;
-            item.progress = None;
-        }
+        self.items = IndexMap::new();
     }
 }
--- a/crates/oleanderlock/src/batch/mod.rs
+++ b/crates/oleanderlock/src/batch/mod.rs
@@ -25,6 +25,7 @@
 pub mod job_state;
 pub mod leader_probe;
 pub mod leader_watch;
+mod listed_result;
 pub mod load_grant;
 pub mod progress;
 pub mod pulse_verdict;
--- a/crates/oleanderlock/src/batch/result_log.rs
+++ b/crates/oleanderlock/src/batch/result_log.rs
@@ -6,9 +6,12 @@
 //! its job follows from the log alone, and is the same for every reader. A result is listed once it
 //! is in a stored chunk; until then it is staged.
 //!
-//! Memory is bounded by the jobs that have not been removed with [`ResultLog::remove_job`].
+//! The texts of listed results are kept up to a budget, the newest ones; the others are read again from
+//! their chunks. All other memory is bounded by the items of the jobs that have not been removed with
+//! [`ResultLog::remove_job`].
 
 use super::item_key::ItemKey;
+use super::listed_result::ListedResult;
 use super::result_chunk::ResultChunk;
 use super::sample::Sample;
 use indexmap::{IndexMap, IndexSet};
@@ -26,6 +29,12 @@
     staged: VecDeque<Sample>,
     /// Chunk whose write has not been confirmed.
     pending_chunk: Option<Arc<ResultChunk>>,
+    /// Items whose listed results are in memory, those that were loaded first at the front.
+    loaded: VecDeque<ItemKey>,
+    /// Size of the listed results that are in memory, in bytes.
+    loaded_bytes: usize,
+    /// Most bytes of listed results that are kept in memory; `None` for all.
+    budget_bytes: Option<usize>,
 }
 
 /// The listed results of a job.
@@ -33,10 +42,24 @@
 struct JobResults {
     /// Number of the first chunk with a result of the job.
     first_chunk: u64,
-    samples: Vec<Arc<Sample>>,
+    results: Vec<ListedResult>,
+}
+
+impl JobResults {
+    fn get_mut(&mut self, item: &str) -> Option<&mut ListedResult> {
+        self.results.iter_mut().find(|result| result.item == item)
+    }
 }
 
 impl ResultLog {
+    /// Creates an empty log that keeps at most about `budget_bytes` of listed results in memory.
+    pub fn with_budget(budget_bytes: usize) -> Self {
+        Self {
+            budget_bytes: Some(budget_bytes),
+            ..Self::default()
+        }
+    }
+
     /// Stages a result for listing; returns false if its item already has a result.
     pub fn stage(&mut self, sample: Sample) -> bool {
         if !self.known.insert(sample.key.clone()) {
@@ -51,13 +74,51 @@
         self.known.contains(key)
     }
 
-    /// Returns the listed result of an item.
-    pub fn listed_sample(&self, key: &ItemKey) -> Option<&Arc<Sample>> {
-        let listed = self.listed.get(&key.job)?;
-        listed
-            .samples
-            .iter()
-            .find(|sample| sample.key.item == key.item)
+    /// Whether the result of an item is listed.
+    pub fn is_listed(&self, key: &ItemKey) -> bool {
+        let of_job = self.listed.get(&key.job);
+        of_job.is_some_and(|of_job| of_job.results.iter().any(|result| result.item == key.item))
+    }
+
+    /// Returns the size of the listed results that are in memory, in bytes.
+    pub fn loaded_bytes(&self) -> usize {
+        self.loaded_bytes
+    }
+
+    /// Takes the results of a stored chunk back into memory, those that are listed from it.
+    pub fn reload(&mut self, chunk: &ResultChunk) {
+        for sample in &chunk.samples {
+            let of_job = self.listed.get_mut(&sample.key.job);
+            let listed = of_job.and_then(|of_job| of_job.get_mut(&sample.key.item));
+            if let Some(listed) = listed
+                && listed.chunk == chunk.index
+                && listed.sample.is_none()
+            {
+                listed.sample = Some(Arc::new(sample.clone()));
+                self.loaded_bytes += listed.bytes;
+                self.loaded.push_back(sample.key.clone());
+            }
+        }
+        self.keep_budget();
+    }
+
+    /// Removes the results that were loaded first from memory until the rest is within the budget. The
+    /// last one stays, so that each can be read.
+    fn keep_budget(&mut self) {
+        let Some(budget) = self.budget_bytes else {
+            return;
+        };
+        while self.loaded_bytes > budget && self.loaded.len() > 1 {
+            let Some(key) = self.loaded.pop_front() else {
+                return;
+            };
+            let of_job = self.listed.get_mut(&key.job);
+            let listed = of_job.and_then(|of_job| of_job.get_mut(&key.item));
+            if let Some(listed) = listed.filter(|listed| listed.sample.is_some()) {
+                listed.sample = None;
+                self.loaded_bytes -= listed.bytes;
+            }
+        }
     }
 
     /// Whether there are results that are not listed yet.
@@ -123,15 +184,19 @@
         let own = self.pending_chunk.take();
         for sample in &chunk.samples {
             self.known.insert(sample.key.clone());
-            if self.listed_sample(&sample.key).is_none() {
+            if !self.is_listed(&sample.key) {
                 let listed = self.listed.entry(sample.key.job.clone());
                 let listed = listed.or_insert_with(|| JobResults {
                     first_chunk: chunk.index,
-                    samples: Vec::new(),
+                    results: Vec::new(),
                 });
-                listed.samples.push(Arc::new(sample.clone()));
+                let result = ListedResult::new(chunk.index, sample);
+                self.loaded_bytes += result.bytes;
+                self.loaded.push_back(sample.key.clone());
+                listed.results.push(result);
             }
         }
+        self.keep_budget();
         if let Some(own) = own.filter(|own| own.writer != chunk.writer) {
             for sample in own.samples.iter().rev() {
                 self.staged.push_front(sample.clone());
@@ -140,7 +205,7 @@
         let listed = &self.listed;
         self.staged.retain(|sample| {
             let of_job = listed.get(&sample.key.job);
-            of_job.is_none_or(|all| all.samples.iter().all(|one| one.key != sample.key))
+            of_job.is_none_or(|all| all.results.iter().all(|one| one.item != sample.key.item))
         });
         true
     }
@@ -159,47 +224,73 @@
         first.unwrap_or(self.next_chunk_index)
     }
 
-    /// Inserts the results of older chunks, in order, before those that are already listed.
+    /// Returns the jobs that have listed results, each with the number of the first chunk that holds one.
+    pub fn jobs(&self) -> impl Iterator<Item = (&str, u64)> {
+        let jobs = self.listed.iter();
+        jobs.map(|(job, listed)| (job.as_str(), listed.first_chunk))
+    }
+
+    /// Returns the number of the first chunk that holds a result of a job that has not been removed;
+    /// chunks before it are needed by nobody.
+    pub fn first_kept_chunk(&self) -> u64 {
+        let first = self.listed.values().map(|listed| listed.first_chunk).min();
+        first.unwrap_or(self.next_chunk_index)
+    }
+
+    /// Inserts the results of an older part of the log, in order, before those that are already listed.
     ///
     /// Results of jobs that `is_kept` rejects are skipped: nothing would remove them later.
-    pub fn prepend(&mut self, chunks: Vec<ResultChunk>, is_kept: impl Fn(&str) -> bool) {
-        let mut older: IndexMap<String, (u64, IndexMap<ItemKey, Arc<Sample>>)> = IndexMap::new();
-        for chunk in chunks {
-            let samples = chunk.samples.into_iter();
-            for sample in samples.filter(|sample| is_kept(&sample.key.job)) {
-                let of_job = older.entry(sample.key.job.clone());
-                let (_, results) = of_job.or_insert_with(|| (chunk.index, IndexMap::new()));
-                results
-                    .entry(sample.key.clone())
-                    .or_insert_with(|| Arc::new(sample));
-            }
+    pub fn prepend(&mut self, mut older: ResultLog, is_kept: impl Fn(&str) -> bool) {
+        let jobs: Vec<String> = older.listed.keys().cloned().collect();
+        for job in jobs.iter().filter(|job| !is_kept(job)) {
+            older.remove_job(job);
         }
-        for (job, (first_chunk, mut results)) in older {
-            self.known.extend(results.keys().cloned());
+        for (job, mut of_job) in older.listed {
             let later = self.listed.swap_remove(&job);
-            for sample in later.into_iter().flat_map(|listed| listed.samples) {
-                results.entry(sample.key.clone()).or_insert(sample);
+            for result in later.into_iter().flat_map(|later| later.results) {
+                match of_job.get_mut(&result.item) {
+                    // The older one counts; the later copy leaves the memory.
+                    Some(_) if result.sample.is_some() => self.loaded_bytes -= result.bytes,
+                    Some(_) => {}
+                    None => of_job.results.push(result),
+                }
             }
-            let samples = results.into_values().collect();
-            self.listed.insert(
-                job,
-                JobResults {
-                    first_chunk,
-                    samples,
-                },
-            );
+            self.listed.insert(job, of_job);
         }
+        self.known.extend(older.known);
+        self.loaded_bytes += older.loaded_bytes;
+        // Older results leave the memory first.
+        older.loaded.append(&mut self.loaded);
+        self.loaded = older.loaded;
+        self.keep_budget();
     }
 
     /// Returns the listed results of a job without the first `after`: as many as fit into about
-    /// `max_bytes`, or a single one that is larger. An unknown job has none.
-    pub fn read(&self, job: &str, after: usize, max_bytes: usize) -> &[Arc<Sample>] {
+    /// `max_bytes`, or a single one that is larger, and none from the first one on that is not in memory. An
+    /// unknown job has none.
+    pub fn read(&self, job: &str, after: usize, max_bytes: usize) -> Vec<Arc<Sample>> {
+        let page = self.page(job, after, max_bytes).iter();
+        page.map_while(|result| result.sample.clone()).collect()
+    }
+
+    /// Returns the numbers of the chunks that must be [reloaded](Self::reload) before
+    /// [`read`](Self::read) returns all results that fit.
+    pub fn missing_chunks(&self, job: &str, after: usize, max_bytes: usize) -> Vec<u64> {
+        let page = self.page(job, after, max_bytes).iter();
+        let missing = page.filter(|result| result.sample.is_none());
+        let mut chunks: Vec<u64> = missing.map(|result| result.chunk).collect();
+        chunks.sort_unstable();
+        chunks.dedup();
+        chunks
+    }
+
+    fn page(&self, job: &str, after: usize, max_bytes: usize) -> &[ListedResult] {
         let listed = self.listed.get(job);
-        let listed = listed.map_or(&[][..], |listed| &listed.samples);
+        let listed = listed.map_or(&[][..], |listed| &listed.results);
         let rest = listed.get(after..).unwrap_or_default();
         let mut bytes = 0;
-        let fitting = rest.iter().take_while(|sample| {
-            bytes += sample.size_bytes();
+        let fitting = rest.iter().take_while(|result| {
+            bytes += result.bytes;
             bytes <= max_bytes
         });
         let count = fitting.count().max(usize::from(!rest.is_empty()));
@@ -210,12 +301,17 @@
     pub fn listed_count(&self, job: &str) -> usize {
         self.listed
             .get(job)
-            .map_or(0, |listed| listed.samples.len())
+            .map_or(0, |listed| listed.results.len())
     }
 
     /// Removes the results of a job, listed and staged.
     pub fn remove_job(&mut self, job: &str) {
-        self.listed.swap_remove(job);
+        if let Some(removed) = self.listed.swap_remove(job) {
+            let loaded = removed.results.iter();
+            let loaded = loaded.filter(|result| result.sample.is_some());
+            self.loaded_bytes -= loaded.map(|result| result.bytes).sum::<usize>();
+            self.loaded.retain(|key| key.job != job);
+        }
         self.known.retain(|key| key.job != job);
         self.staged.retain(|sample| sample.key.job != job);
     }
--- a/crates/oleanderlock/tests/batch_recovery.rs
+++ b/crates/oleanderlock/tests/batch_recovery.rs
@@ -97,7 +97,7 @@
             "{job} from {from}"
         );
     }
-    log.prepend(history.chunks[..first].to_vec(), |_| true);
+    log.prepend(log_of(&history.chunks[..first]), |_| true);
     for job in &jobs {
         assert_eq!(
             results(&log, job),
@@ -170,7 +170,7 @@
         samples: vec![sample(job, 0)],
     };
     let mut log = log_of(&[chunk(2, 1)]);
-    log.prepend(vec![chunk(0, 0), chunk(1, 2)], |job| job == "j2");
+    log.prepend(log_of(&[chunk(0, 0), chunk(1, 2)]), |job| job == "j2");
     assert_eq!(results(&log, "j0"), []);
     assert_eq!(results(&log, "j2").len(), 1);
     // Otherwise each later leader would read the chunks of the deleted job again.
--- a/crates/oleanderlock/tests/batch_results.rs
+++ b/crates/oleanderlock/tests/batch_results.rs
@@ -1,6 +1,7 @@
 //! The result log: one order for all readers, whichever dispatcher writes.
 
 use oleanderlock::batch::item_key::ItemKey;
+use oleanderlock::batch::result_chunk::ResultChunk;
 use oleanderlock::batch::result_log::ResultLog;
 use oleanderlock::batch::sample::Sample;
 use oleanderlock::batch::sample_end::SampleEnd;
@@ -118,3 +119,50 @@
     assert_eq!(log.read("j", 99, 100).len(), 0);
     assert_eq!(log.read("unknown", 0, 100).len(), 0);
 }
+
+/// Returns the chunk number `index` with the results of these items, each of 100 bytes of text.
+fn chunk_of(index: u64, items: &[&str]) -> ResultChunk {
+    let text = "x".repeat(100);
+    ResultChunk {
+        index,
+        writer: String::new(),
+        written_unix_ms: 0,
+        samples: items.iter().map(|item| sample(item, &text)).collect(),
+    }
+}
+
+// Guards against memory that grows with what has been listed, and against positions that change when
+// results are only in their chunks.
+#[test]
+fn results_beyond_the_budget_are_read_again_from_their_chunks() {
+    let budget = 2 * sample("a", &"x".repeat(100)).size_bytes();
+    let mut log = ResultLog::with_budget(budget);
+    let chunks: Vec<ResultChunk> = [["a", "b"], ["c", "d"], ["e", "f"]]
+        .iter()
+        .zip(0..)
+        .map(|(items, index)| chunk_of(index, items))
+        .collect();
+    for chunk in &chunks {
+        assert!(log.apply(chunk));
+        assert!(log.loaded_bytes() <= budget);
+    }
+    assert_eq!(log.listed_count("j"), 6);
+    assert_eq!(items(&log, 4), ["e", "f"]);
+    assert_eq!(items(&log, 0), Vec::<String>::new());
+    assert_eq!(log.missing_chunks("j", 0, MAX_BYTES), [0, 1]);
+    for (after, index) in [(0, 0), (2, 1), (0, 0)] {
+        log.reload(&chunks[index]);
+        assert!(log.loaded_bytes() <= budget);
+        let expected: Vec<String> = chunks[index]
+            .samples
+            .iter()
+            .map(|one| one.key.item.clone())
+            .collect();
+        assert_eq!(items(&log, after), expected);
+    }
+    // A repeated reading, and results of removed jobs, take no memory twice.
+    log.reload(&chunks[0]);
+    assert!(log.loaded_bytes() <= budget);
+    log.remove_job("j");
+    assert_eq!(log.loaded_bytes(), 0);
+}
