--- a/crates/oleander-rollout/tests/soak_support/action.rs
+++ b/crates/oleander-rollout/tests/soak_support/action.rs
@@ -24,6 +24,8 @@
     PauseLeader,
     /// The leading dispatcher is killed and started again.
     KillLeader,
+    /// The machine of a dispatcher is to be retired.
+    Retire { dispatcher: usize },
     /// The leading dispatcher and the store can't reach each other.
     CutLeader,
     /// A link delays all data.
--- a/crates/oleander-rollout/tests/soak_support/plan.rs
+++ b/crates/oleander-rollout/tests/soak_support/plan.rs
@@ -17,8 +17,11 @@
 /// Longest power cut of all entries, in milliseconds.
 const POWER_CUT_MAX_MS: u64 = 1500;
 
-/// Draws `count` actions and a power cut of all entries that start within `time`, in the order of
-/// their start.
+/// Retirements in a soak, which may overlap so that no dispatcher's machine stays.
+const RETIREMENTS: usize = 3;
+
+/// Draws `count` actions, a power cut of all entries and retirements that start within `time`, in the
+/// order of their start.
 pub fn plan(seed: u64, count: usize, time: Duration) -> Vec<PlannedAction> {
     let mut rng = StdRng::seed_from_u64(seed);
     let mut plan: Vec<PlannedAction> = (0..count)
@@ -28,7 +31,7 @@
             action: action(&mut rng),
         })
         .collect();
-    // Drawn last, so that the other actions of a seed stay as they were before there were power cuts.
+    // Drawn last, so that the other actions of a seed stay as they were before there were these.
     plan.push(PlannedAction {
         start: time.mul_f64(rng.random::<f64>()),
         duration: Duration::from_millis(rng.random_range(100..POWER_CUT_MAX_MS)),
@@ -36,6 +39,15 @@
             engine: rng.random_range(0..1000),
         },
     });
+    for _ in 0..RETIREMENTS {
+        plan.push(PlannedAction {
+            start: time.mul_f64(rng.random::<f64>()),
+            duration: Duration::from_millis(rng.random_range(100..5000)),
+            action: Action::Retire {
+                dispatcher: rng.random_range(0..1000),
+            },
+        });
+    }
     plan.sort_by_key(|planned| planned.start);
     plan
 }
--- a/crates/oleander-rollout/tests/soak_support/soak_deployment.rs
+++ b/crates/oleander-rollout/tests/soak_support/soak_deployment.rs
@@ -235,6 +235,11 @@
                 let leader = self.pick_leader();
                 self.kill(self.first_dispatcher + leader);
             }
+            Action::Retire { dispatcher } => {
+                let name = self.dispatcher_name(dispatcher);
+                let request = serde_json::json!({"over_s": 5});
+                self.around.store.put("retirements", &name, &request);
+            }
             Action::CutLeader => {
                 let leader = self.pick_leader();
                 self.dispatcher_links[leader].set(RelayMode::Cut {
@@ -335,6 +340,10 @@
                     self.resume(self.first_dispatcher + leader);
                 }
             }
+            Action::Retire { dispatcher } => {
+                let name = self.dispatcher_name(dispatcher);
+                self.around.store.remove("retirements", &name);
+            }
             Action::CutLeader => {
                 for link in &self.dispatcher_links {
                     link.set(RelayMode::Pass);
@@ -380,6 +389,11 @@
         }
     }
 
+    fn dispatcher_name(&self, dispatcher: usize) -> String {
+        let dispatchers = &self.nodes[self.first_dispatcher..];
+        dispatchers[dispatcher % dispatchers.len()].0.name.clone()
+    }
+
     /// Ends all faults that are still active.
     pub fn end_all_faults(&mut self, observed: &Observations) {
         self.around.store.set_faults(StoreFaults::default());
