--- a/crates/oleander-rollout/src/dispatch/retire.rs
+++ b/crates/oleander-rollout/src/dispatch/retire.rs
@@ -5,6 +5,7 @@
 
 use super::dispatcher::Dispatcher;
 use crate::prelude::*;
+use crate::store::store_error::StoreError;
 use oleander_platform::object::RETIREMENT_KIND;
 use oleander_platform::retirement;
 
@@ -15,28 +16,18 @@
     if dispatcher.state.borrow().retirement_reported {
         return;
     }
-    let status = retirement::running_status();
-    let written = dispatcher
-        .store
-        .put_status(RETIREMENT_KIND, node, &status)
-        .await;
+    let written = put_status(dispatcher, node, &retirement::running_status()).await;
     event(log::Level::Warn, "no-successor", || {
         format!("node={node} result={written:?} reason=\"no other dispatcher answers\"")
     });
-    if written.is_ok() {
-        dispatcher.state.borrow_mut().retirement_reported = true;
-    }
+    dispatcher.state.borrow_mut().retirement_reported = written.is_ok();
 }
 
 /// Reports every machine that is to be retired, except that of this leader, as empty.
 pub async fn run(dispatcher: &Dispatcher) {
     let retiring = dispatcher.view.get().retiring.clone();
     for node in retiring.iter().filter(|node| **node != dispatcher.cfg.node) {
-        let status = retirement::done_status();
-        let written = dispatcher
-            .store
-            .put_status(RETIREMENT_KIND, node, &status)
-            .await;
+        let written = put_status(dispatcher, node, &retirement::done_status()).await;
         event(log::Level::Info, "machine-emptied", || {
             format!("node={node} result={written:?}")
         });
@@ -47,3 +38,12 @@
         }
     }
 }
+
+async fn put_status(
+    dispatcher: &Dispatcher,
+    node: &str,
+    status: &serde_json::Value,
+) -> Result<(), StoreError> {
+    let store = &dispatcher.store;
+    store.put_status(RETIREMENT_KIND, node, status).await
+}
--- a/crates/oleander-rollout/src/entry/entry_process.rs
+++ b/crates/oleander-rollout/src/entry/entry_process.rs
@@ -255,7 +255,8 @@
     pub async fn stop(&self) {
         self.stopping.set(true);
         let end = now().plus(self.cfg.grace.since(STOP_MARGIN));
-        self.stop_clock.begin(Millis(end.0 - ANSWER_MARGIN.0));
+        self.stop_clock
+            .begin(Millis(end.0.saturating_sub(ANSWER_MARGIN.0)));
         sleep(UNREADY_DELAY.min(end.since(now()))).await;
         self.stop_clock.end_of_arrivals();
         self.shutdown.request();
