--- a/crates/oleander-rollout/src/dispatch/commit.rs
+++ b/crates/oleander-rollout/src/dispatch/commit.rs
@@ -176,7 +176,8 @@
         .borrow()
         .log
         .missing_chunks(job, after, max_bytes);
-    for index in missing {
+    // The first positions come last: they are the last to leave the memory again.
+    for index in missing.into_iter().rev() {
         let chunk = read_chunk(&dispatcher.store, index).await?;
         let chunk = chunk.ok_or_else(|| {
             StoreError::no_answer(format!("chunk {index} of the results is missing"))
--- a/crates/oleander-rollout/src/dispatch/history.rs
+++ b/crates/oleander-rollout/src/dispatch/history.rs
@@ -99,6 +99,8 @@
         let reached = chunks.iter().any(|chunk| chunk.index >= before);
         for chunk in chunks.iter().filter(|chunk| chunk.index < before) {
             written.push((chunk.index, chunk.written_unix_ms));
+            // Chunks that an earlier build has deleted out of order leave a gap.
+            older.skip_to(chunk.index);
             older.apply(chunk);
         }
         after = page.last_name;
--- a/crates/oleanderlock/src/batch/result_log.rs
+++ b/crates/oleanderlock/src/batch/result_log.rs
@@ -210,6 +210,12 @@
         true
     }
 
+    /// Makes chunk number `index` the next one, if it is later than that: those between are gone, and none
+    /// of their results need be readable.
+    pub fn skip_to(&mut self, index: u64) {
+        self.next_chunk_index = self.next_chunk_index.max(index);
+    }
+
     /// Returns the number of the first chunk that a new leader must read before it leads: this chunk
     /// and later ones hold all results of jobs that have not ended.
     ///
--- a/crates/oleanderlock/tests/batch_results.rs
+++ b/crates/oleanderlock/tests/batch_results.rs
@@ -166,3 +166,21 @@
     log.remove_job("j");
     assert_eq!(log.loaded_bytes(), 0);
 }
+
+// Guards against older results that a new leader no longer lists: a chunk in front of them was gone.
+#[test]
+fn results_behind_a_gap_of_deleted_chunks_are_listed() {
+    let mut older = ResultLog::with_budget(0);
+    for (index, item) in [(3, "a"), (5, "b"), (6, "c")] {
+        older.skip_to(index);
+        assert!(older.apply(&chunk_of(index, &[item])));
+    }
+    let mut log = ResultLog::default();
+    assert!(log.apply(&chunk_of(7, &["d"])));
+    log.prepend(older, |_| true);
+    assert_eq!(log.listed_count("j"), 4);
+    for index in [3, 5] {
+        log.reload(&chunk_of(index, &[if index == 3 { "a" } else { "b" }]));
+    }
+    assert_eq!(items(&log, 0), ["a", "b", "c", "d"]);
+}
