Write bodies from where they are, so that connections keep no copies

Cause: the streams that hyper writes to say nothing about vectored writes, so it copied each body into the write buffer of its connection, and a connection keeps that buffer at the size of its largest body. Entries read pages of results of up to 1 MB on some tens of connections. Seen in a trial that counted allocations by size: 20 to 28 MB in blocks of 0.5 to 2 MB at the leader, also after all jobs had ended.

The server and the pool now ask for vectored writes, which both streams pass on to the socket.

--- a/crates/oleander-rollout/src/http/fair_stream.rs
+++ b/crates/oleander-rollout/src/http/fair_stream.rs
@@ -7,7 +7,7 @@
 use smol::io::{AsyncRead, AsyncWrite};
 use smol::net::TcpStream;
 use std::cell::Cell;
-use std::io::{Error, ErrorKind, Result};
+use std::io::{Error, ErrorKind, IoSlice, Result};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -115,6 +115,14 @@
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
         Pin::new(&mut self.stream).poll_flush(cx)
     }
--- a/crates/oleander-rollout/src/http/paced_stream.rs
+++ b/crates/oleander-rollout/src/http/paced_stream.rs
@@ -6,7 +6,7 @@
 use smol::io::{AsyncRead, AsyncWrite};
 use smol::net::TcpStream;
 use std::future::Future;
-use std::io::{Error, ErrorKind, Result};
+use std::io::{Error, ErrorKind, IoSlice, Result};
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
@@ -40,25 +40,13 @@
             .get_or_insert_with(|| Timer::after(until.since(now).into()));
         Pin::new(timer).poll(cx).is_ready()
     }
-}
 
-impl AsyncRead for PacedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
+    /// Counts what was written; turns a write that waits into an error once the client reads too little.
+    fn check_pace(
+        &mut self,
         cx: &mut Context<'_>,
-        buf: &mut [u8],
+        written: Poll<Result<usize>>,
     ) -> Poll<Result<usize>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
-    }
-}
-
-impl AsyncWrite for PacedStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
         match &written {
             Poll::Pending if self.is_too_slow(cx) => {
                 event(log::Level::Info, "reader-too-slow", || {
@@ -79,6 +67,36 @@
         }
         written
     }
+}
+
+impl AsyncRead for PacedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<Result<usize>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for PacedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.check_pace(cx, written)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.check_pace(cx, written)
+    }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
         Pin::new(&mut self.stream).poll_flush(cx)
--- a/crates/oleander-rollout/src/http/pool.rs
+++ b/crates/oleander-rollout/src/http/pool.rs
@@ -121,6 +121,8 @@
         let stream = stream.map_err(SendError::not_sent)?;
         let head_limit = HeadLimit::default();
         let (sender, connection) = Builder::new()
+            // Bodies are written from where they are: a connection would keep a copy as large as its largest.
+            .writev(true)
             .handshake(FuturesIo::new(FairStream::new(stream, head_limit.clone())))
             .await
             .map_err(SendError::not_sent)?;
--- a/crates/oleander-rollout/src/http/server.rs
+++ b/crates/oleander-rollout/src/http/server.rs
@@ -111,6 +111,8 @@
     let stream = PacedStream::new(stream, pace);
     let connection = Builder::new()
         .timer(SmolTimer::new())
+        // Bodies are written from where they are: a connection would keep a copy as large as its largest.
+        .writev(true)
         .max_buf_size(limits.head_bytes.max(HEAD_BUFFER_MIN_BYTES))
         .header_read_timeout(std::time::Duration::from(limits.idle))
         .serve_connection(FuturesIo::new(stream), service);
