Refuse new jobs while open jobs take all the memory that they may

Nothing bounded the jobs that a leader holds: entries accepted each one, and a leader that passes the memory of its machine is killed, again and again, as the jobs are in the store.

The leader compares the items of its open jobs with a quarter of its memory (1 MB at least) and tells the entries with the platform updates that they wait for anyway (jobs_full; entries of earlier builds don't ask and aren't told). An entry then refuses new jobs with 503 and Retry-After before anything is written. A repeated submission of an accepted job is answered as before: the entry asks the store first. Without a leader the last answer holds.

The budget may be passed by the jobs that are accepted before the entries know, a fraction of a second.

jobs_beyond_the_memory_of_the_leader_are_refused_before_anything_is_written fails without the limit ("all jobs are accepted"). Records of formats: additions only.

--- a/crates/oleander-rollout/src/dispatch/cleanup.rs
+++ b/crates/oleander-rollout/src/dispatch/cleanup.rs
@@ -37,6 +37,7 @@
     let state = dispatcher.state.borrow();
     let metrics = &dispatcher.metrics;
     metrics.set_memory("listed-results", state.log.loaded_bytes());
+    metrics.set_memory("open-jobs", state.scheduler.open_bytes());
     metrics.set_kept("jobs", state.jobs.len());
     metrics.set_kept("unfinished-items", state.scheduler.unfinished_items());
     metrics.set_kept(
--- a/crates/oleander-rollout/src/dispatch/platform_updates.rs
+++ b/crates/oleander-rollout/src/dispatch/platform_updates.rs
@@ -9,17 +9,39 @@
 use oleanderlock::routing::caller_rank::CallerRank;
 use oleanderlock::routing::endpoint_entry::EndpointEntry;
 
-/// Takes configuration and endpoints from the view; returns whether agents need an update.
+/// Open jobs take at most the memory of the process divided by this, and the jobs that are accepted before
+/// the entries know that the limit is reached.
+const JOBS_MEMORY_DIVISOR: usize = 4;
+/// Memory of open jobs that is used in any case, in bytes.
+const JOBS_MIN_BYTES: usize = 1 << 20;
+
+/// Takes configuration, endpoints and the memory of the open jobs; returns whether agents need an update.
 pub fn refresh(dispatcher: &Dispatcher, state: &mut State) -> bool {
     let view = dispatcher.view.get();
     let config_version = view
         .routes
         .as_ref()
         .map_or(0, |routes| routes.config.version);
+    let room_changed = refresh_room(dispatcher, state);
     let config_changed = config_version != state.published_config_version;
     state.published_config_version = config_version;
     let endpoints_changed = view.endpoints_known && state.endpoints.update(&view.endpoints);
-    config_changed || endpoints_changed
+    config_changed || endpoints_changed || room_changed
+}
+
+/// Compares the memory of the open jobs with their budget; returns whether the answer has changed.
+fn refresh_room(dispatcher: &Dispatcher, state: &mut State) -> bool {
+    let open = state.scheduler.open_bytes();
+    let budget = (dispatcher.cfg.memory_bytes / JOBS_MEMORY_DIVISOR).max(JOBS_MIN_BYTES);
+    let full = state.leading_epoch().is_some() && open >= budget;
+    if full == state.jobs_full {
+        return false;
+    }
+    state.jobs_full = full;
+    event(log::Level::Warn, "jobs-full", || {
+        format!("full={full} open={open} budget={budget}")
+    });
+    true
 }
 
 /// Brings the endpoints that are sent up to date; returns when they were current, in milliseconds after
@@ -52,6 +74,7 @@
         endpoints_digest: report.endpoints_digest,
         node: report.agent.clone(),
         caller_rank: known_rank,
+        jobs_full: None,
     };
     let needed = |entry: &EndpointEntry| {
         Some(entry.addr) == report.engine || Some(&entry.service) != report.service.as_ref()
@@ -105,5 +128,9 @@
         caller_rank: rank.filter(|rank| Some(*rank) != known.caller_rank),
         config_confirmed_ms: None,
         endpoints_confirmed_ms: None,
+        jobs_full: known
+            .jobs_full
+            .filter(|known| *known != state.jobs_full)
+            .map(|_| state.jobs_full),
     }
 }
--- a/crates/oleander-rollout/src/dispatch/state.rs
+++ b/crates/oleander-rollout/src/dispatch/state.rs
@@ -44,6 +44,8 @@
     pub endpoints: EndpointSummary,
     /// Newest version of the configuration that was offered to agents; 0 for none.
     pub published_config_version: u64,
+    /// Whether the open jobs take all memory that they may take.
+    pub jobs_full: bool,
     /// Whether the store has the status that the machine of this leader is not empty yet.
     pub retirement_reported: bool,
     /// Time of the last report of any agent; `None` before the first.
--- a/crates/oleander-rollout/src/entry/platform_updates.rs
+++ b/crates/oleander-rollout/src/entry/platform_updates.rs
@@ -80,6 +80,7 @@
         endpoints_digest: entry.endpoint_source.digest(),
         node: entry.cfg.node.clone(),
         caller_rank: view.caller_rank,
+        jobs_full: Some(view.jobs_full),
     };
     let body = serde_json::to_vec(&known).map_err(|error| no_answer(error.to_string()))?;
     let (status, body) = entry
--- a/crates/oleander-rollout/src/entry/submit.rs
+++ b/crates/oleander-rollout/src/entry/submit.rs
@@ -8,7 +8,7 @@
 use crate::peer::messages::JOBS;
 use crate::prelude::*;
 use crate::store::job_creation::JobCreation;
-use crate::store::job_objects::create_job;
+use crate::store::job_objects::{JOB_KIND, create_job};
 use crate::store::store_error::StoreError;
 use http::request::Parts;
 use http::{Method, StatusCode};
@@ -56,7 +56,11 @@
     let until = head
         .arrived
         .plus(Millis(timeout.0 * STORE_TIMEOUT_TENTHS / 10));
-    let outcome = store(entry, &job, until).await;
+    let outcome = if is_over_budget(entry, &job.id).await {
+        SubmitOutcome::NoMemory
+    } else {
+        store(entry, &job, until).await
+    };
     let took = now().since(head.arrived);
     event(log::Level::Info, "job-submitted", || {
         format!(
@@ -77,6 +81,10 @@
             entry.metrics.record_refusal("store-away");
             response::refusal(retry_after(timeout.since(took)))
         }
+        SubmitOutcome::NoMemory => {
+            entry.metrics.record_refusal("no-job-memory");
+            response::refusal(retry_after(timeout.since(took)))
+        }
         SubmitOutcome::Unknown => {
             entry.metrics.record_refusal("store-unsure");
             response::status(StatusCode::BAD_GATEWAY)
@@ -84,6 +92,12 @@
     }
 }
 
+/// Whether the leading dispatcher has no memory for a job that is not in the store. If that is not known,
+/// the job is stored: it may have been accepted before.
+async fn is_over_budget(entry: &Entry, id: &str) -> bool {
+    entry.view.get().jobs_full && matches!(entry.store.get(JOB_KIND, id).await, Ok(None))
+}
+
 /// Writes a job to the store, through the leading dispatcher when the store refuses calls of this
 /// entry.
 async fn store(entry: &Entry, job: &Job, until: Millis) -> SubmitOutcome {
--- a/crates/oleander-rollout/src/entry/submit_outcome.rs
+++ b/crates/oleander-rollout/src/entry/submit_outcome.rs
@@ -12,6 +12,8 @@
     ForeignId,
     /// The job was not written, and will not be.
     Refused,
+    /// The job was not written, and will not be: the leading dispatcher has no memory for it.
+    NoMemory,
     /// The job may have been written, or may still be.
     Unknown,
 }
--- a/crates/oleander-rollout/src/peer/messages/known_versions.rs
+++ b/crates/oleander-rollout/src/peer/messages/known_versions.rs
@@ -16,4 +16,8 @@
     /// Place among the processes that call endpoints; `None` if it is not known.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub caller_rank: Option<CallerRank>,
+    /// What an entry knows of [`PlatformUpdate::jobs_full`](super::PlatformUpdate::jobs_full); `None` if
+    /// it doesn't ask.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub jobs_full: Option<bool>,
 }
--- a/crates/oleander-rollout/src/peer/messages/platform_update.rs
+++ b/crates/oleander-rollout/src/peer/messages/platform_update.rs
@@ -25,11 +25,17 @@
     /// arrival of the call; `None` if it doesn't know.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub endpoints_confirmed_ms: Option<i64>,
+    /// Whether the leader has no memory for more jobs; `None` if the receiver knows it, or doesn't ask.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub jobs_full: Option<bool>,
 }
 
 impl PlatformUpdate {
     /// Whether the receiver is up to date.
     pub fn is_empty(&self) -> bool {
-        self.config.is_none() && self.endpoints.is_none() && self.caller_rank.is_none()
+        self.config.is_none()
+            && self.endpoints.is_none()
+            && self.caller_rank.is_none()
+            && self.jobs_full.is_none()
     }
 }
--- a/crates/oleander-rollout/src/store/platform_update.rs
+++ b/crates/oleander-rollout/src/store/platform_update.rs
@@ -56,6 +56,10 @@
     if let Some(config) = update.config {
         adopt_config(view, RouteTable::new(config));
     }
+    if let Some(full) = update.jobs_full {
+        event(log::Level::Info, "jobs-full", || format!("full={full}"));
+        view.update(|view| view.jobs_full = full);
+    }
     if let Some(rank) = update.caller_rank {
         event(log::Level::Info, "caller-rank", || {
             let CallerRank {
--- a/crates/oleander-rollout/src/store/view.rs
+++ b/crates/oleander-rollout/src/store/view.rs
@@ -34,6 +34,8 @@
     pub endpoints_told: bool,
     /// Place of this process among those that call endpoints; `None` until the leader has sent it.
     pub caller_rank: Option<CallerRank>,
+    /// Whether the leading dispatcher has no memory for more jobs.
+    pub jobs_full: bool,
     /// Requests under which endpoints have crashed, as all processes have seen it.
     pub crash_suspects: Arc<CrashSuspects>,
     /// Revision of the store when this process first read it; 0 before.
--- a/crates/oleander-rollout/tests/formats.rs
+++ b/crates/oleander-rollout/tests/formats.rs
@@ -455,6 +455,20 @@
                 ..PlatformUpdate::default()
             },
         ),
+        json(
+            "known memory of jobs",
+            &KnownVersions {
+                jobs_full: Some(false),
+                ..KnownVersions::default()
+            },
+        ),
+        json(
+            "no memory for jobs",
+            &PlatformUpdate {
+                jobs_full: Some(true),
+                ..PlatformUpdate::default()
+            },
+        ),
         text(
             "path of the check of a configuration",
             messages::CONFIG_CHECK,
--- a/crates/oleander-rollout/tests/formats_support/examples.rs
+++ b/crates/oleander-rollout/tests/formats_support/examples.rs
@@ -343,6 +343,7 @@
         caller_rank: None,
         config_confirmed_ms: None,
         endpoints_confirmed_ms: None,
+        jobs_full: None,
     }
 }
 
--- a/crates/oleander-rollout/tests/long_runs.rs
+++ b/crates/oleander-rollout/tests/long_runs.rs
@@ -132,3 +132,47 @@
     deployment.submit(0, "job-later", &body);
     check_results(&deployment.read_all(0, "job-later", 8), &body);
 }
+
+/// Returns a job whose items take about 6 KB each.
+fn large_job(step: u64) -> Value {
+    let mut body = job(step, 1, GROUPS, 3);
+    for item in body["items"].as_array_mut().expect("items") {
+        item["scorer_url"]["body"] = "eHh4".repeat(1500).into();
+    }
+    body
+}
+
+// Guards against a leader that accepts jobs until its machine has no memory left.
+#[test]
+fn jobs_beyond_the_memory_of_the_leader_are_refused_before_anything_is_written() {
+    let deployment = Deployment::start_nodes(SMALL, |node| node.memory_mb = 4);
+    for engine in &deployment.engines {
+        engine.set_event_interval(Duration::from_secs(20));
+    }
+    let mut step = 0;
+    wait_for("a job is refused", || {
+        step += 1;
+        assert!(step < 20, "all jobs are accepted");
+        deployment.try_submit(0, &id(step), &large_job(step)) == Some(503)
+    });
+    assert_eq!(deployment.store.get("jobs", &id(step)), None);
+    let parts = deployment.store.specs("job-parts").len();
+    let path = format!("/rollout/{}", id(step));
+    let headers = [("request-id", id(step)), ("deadline-ms", "3000".to_owned())];
+    let headers = headers.each_ref().map(|(name, value)| (*name, &**value));
+    let body = large_job(step).to_string();
+    let reply = deployment.call(0, "POST", &path, &headers, body.as_bytes());
+    let reply = reply.expect("an answer");
+    assert_eq!(reply.status, 503);
+    assert!(reply.headers.contains_key("retry-after"));
+    assert_eq!(deployment.store.specs("job-parts").len(), parts);
+    // A trainer that repeats the submission of an accepted job is told so.
+    let repeated = deployment.try_submit(0, &id(1), &large_job(1));
+    assert_eq!(repeated, Some(202));
+    let other = deployment.try_submit(1, &id(step), &large_job(step));
+    assert_eq!(other, Some(503));
+    for accepted in 1..step {
+        end(&deployment, accepted);
+    }
+    deployment.submit(0, &id(step), &large_job(step));
+}
--- a/crates/oleanderlock/src/batch/job_item.rs
+++ b/crates/oleanderlock/src/batch/job_item.rs
@@ -23,3 +23,17 @@
     /// The call that scores the generated text; `None` if the job asks for no scores.
     pub score_call: Option<ScoreCall>,
 }
+
+/// Approximate memory of an item and its state besides its texts, in bytes.
+const ITEM_OVERHEAD_BYTES: usize = 600;
+
+impl JobItem {
+    /// Returns the approximate memory that the item takes while its job is open, in bytes.
+    pub fn size_bytes(&self) -> usize {
+        let headers = self.headers.iter();
+        let headers: usize = headers.map(|(name, value)| name.len() + value.len()).sum();
+        let score = self.score_call.as_ref().map_or(0, ScoreCall::size_bytes);
+        let texts = self.id.len() + self.path.len() + self.body_base64.len() + self.group.len();
+        texts + headers + score + ITEM_OVERHEAD_BYTES
+    }
+}
--- a/crates/oleanderlock/src/batch/job_state.rs
+++ b/crates/oleanderlock/src/batch/job_state.rs
@@ -4,6 +4,7 @@
 use super::item_phase::ItemPhase;
 use super::item_state::ItemState;
 use super::job::Job;
+use super::job_item::JobItem;
 use super::job_policy::JobPolicy;
 use crate::prelude::*;
 use indexmap::IndexMap;
@@ -29,6 +30,8 @@
     pub policy: JobPolicy,
     /// Items by id, in the order of the submission; none once the job has ended.
     pub items: IndexMap<String, ItemState>,
+    /// Approximate memory of the items, in bytes; 0 once the job has ended.
+    pub size_bytes: usize,
     /// Whether the trainer has ended it.
     pub ended: bool,
 }
@@ -36,6 +39,7 @@
 impl JobState {
     /// Creates the state of an accepted job, with all items waiting.
     pub fn new(job: Job, policy: JobPolicy, submitted: Millis) -> Self {
+        let size_bytes = job.items.iter().map(JobItem::size_bytes).sum();
         let items = job.items.into_iter();
         let items = items.map(|item| (item.id.clone(), ItemState::new(item)));
         let items = items.collect();
@@ -49,6 +53,7 @@
             submitted,
             policy,
             items,
+            size_bytes,
             ended: false,
         }
     }
@@ -102,5 +107,6 @@
     pub fn end(&mut self) {
         self.ended = true;
         self.items = IndexMap::new();
+        self.size_bytes = 0;
     }
 }
--- a/crates/oleanderlock/src/batch/scheduler.rs
+++ b/crates/oleanderlock/src/batch/scheduler.rs
@@ -103,6 +103,11 @@
         self.jobs.values()
     }
 
+    /// Returns the approximate memory of the items of all open jobs, in bytes.
+    pub fn open_bytes(&self) -> usize {
+        self.jobs.values().map(|job| job.size_bytes).sum()
+    }
+
     /// Returns the number of items without a result, of all jobs.
     pub fn unfinished_items(&self) -> usize {
         let items = self.jobs.values().flat_map(|job| job.items.values());
--- a/crates/oleanderlock/src/batch/score_call.rs
+++ b/crates/oleanderlock/src/batch/score_call.rs
@@ -14,3 +14,10 @@
     /// Request body in base64.
     pub body_base64: String,
 }
+
+impl ScoreCall {
+    /// Returns the size of its texts in bytes.
+    pub fn size_bytes(&self) -> usize {
+        self.id.len() + self.host.len() + self.path.len() + self.body_base64.len()
+    }
+}
