Read the stored jobs page by page at a takeover

It watches from the revision of the first page, and reads the pages again when the store no longer has the changes (OnDisconnect::Resume).

--- a/crates/oleander-rollout/src/dispatch/jobs.rs
+++ b/crates/oleander-rollout/src/dispatch/jobs.rs
@@ -8,7 +8,7 @@
 use crate::store::job_record::JobRecord;
 use crate::store::on_disconnect::OnDisconnect;
 use crate::store::store_error::StoreError;
-use crate::store::watch::{WATCH_WAIT, follow};
+use crate::store::watch::{WATCH_WAIT, follow, log_unreadable};
 use crate::store::watch_event::WatchEvent;
 use oleander_platform::stored_object::StoredObject;
 use oleanderlock::batch::item_key::ItemKey;
@@ -19,6 +19,8 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
+/// Pause after a page of jobs that could not be read.
+const STORE_RETRY_PAUSE: Millis = Millis(100);
 /// Pause before jobs are read again that could not be read.
 const UNREAD_RETRY_PAUSE: Millis = Millis(500);
 /// Failures after which an item of a job without a route is given up.
@@ -88,34 +90,67 @@
     follow(store, JOB_END_KIND, mode, Gate::open(), apply).await;
 }
 
-/// Watches jobs; sets `read` when all stored ones were read with all their parts.
+/// Reads all stored jobs with all their parts, then sets `read` and watches jobs; reads all again when the
+/// store no longer has the changes.
 async fn watch_jobs(dispatcher: Rc<Dispatcher>, epoch: u64, read: Rc<Cell<bool>>) {
-    let store = Rc::clone(&dispatcher.store);
-    let apply = move |change| {
-        if !holds_epoch(&dispatcher, epoch) {
-            return false;
-        }
-        let (objects, is_all) = match change {
-            WatchEvent::All(objects, _) => (objects, true),
-            WatchEvent::Put(object) => (vec![object], false),
-            WatchEvent::Gone(_)
-            | WatchEvent::Current(_)
-            | WatchEvent::Regained
-            | WatchEvent::Lost => return true,
+    while let Some((from, unread)) = read_stored(&dispatcher, epoch).await {
+        read.set(true);
+        dispatcher.notify();
+        spawn_retry(&dispatcher, epoch, unread);
+        let applying = Rc::clone(&dispatcher);
+        let apply = move |change| {
+            if !holds_epoch(&applying, epoch) {
+                return false;
+            }
+            if let WatchEvent::Put(object) = change {
+                let dispatcher = Rc::clone(&applying);
+                spawn(async move {
+                    let unread = accept_objects(&dispatcher, epoch, vec![object]).await;
+                    retry_unread(&dispatcher, epoch, unread).await;
+                });
+            }
+            true
         };
-        let (dispatcher, read) = (Rc::clone(&dispatcher), Rc::clone(&read));
-        spawn(async move {
-            let unread = accept_objects(&dispatcher, epoch, objects).await;
-            if is_all {
-                read.set(true);
-                dispatcher.notify();
+        let mode = (OnDisconnect::Resume { from }, WATCH_WAIT);
+        let store = Rc::clone(&dispatcher.store);
+        follow(store, JOB_KIND, mode, Gate::open(), apply).await;
+    }
+}
+
+/// Reads and accepts all stored jobs, one page after the other: all at once would take the memory of minutes
+/// of ended jobs. Returns the revision from which to watch, and the jobs that could not be read; `None` if this
+/// dispatcher no longer holds `epoch`.
+async fn read_stored(dispatcher: &Dispatcher, epoch: u64) -> Option<(u64, Vec<StoredObject>)> {
+    let mut unread = Vec::new();
+    let mut from = None;
+    let mut after: Option<String> = None;
+    while holds_epoch(dispatcher, epoch) {
+        let page = match dispatcher.store.page(JOB_KIND, after.as_deref()).await {
+            Ok(page) => page,
+            Err(err) => {
+                event(log::Level::Warn, "jobs-unread", || {
+                    format!("epoch={epoch} reason=\"{err}\"")
+                });
+                sleep(STORE_RETRY_PAUSE).await;
+                continue;
             }
-            retry_unread(&dispatcher, epoch, unread).await;
-        });
-        true
-    };
-    let mode = (OnDisconnect::Resume, WATCH_WAIT);
-    follow(store, JOB_KIND, mode, Gate::open(), apply).await;
+        };
+        log_unreadable(JOB_KIND, &page.errors);
+        // Watching from the revision of the first page repeats changes made between two pages.
+        let from = *from.get_or_insert(page.revision);
+        let next = page.last_name.filter(|_| page.has_more);
+        unread.extend(accept_objects(dispatcher, epoch, page.objects).await);
+        if next.is_none() {
+            return Some((from, unread));
+        }
+        after = next;
+    }
+    None
+}
+
+fn spawn_retry(dispatcher: &Rc<Dispatcher>, epoch: u64, unread: Vec<StoredObject>) {
+    let dispatcher = Rc::clone(dispatcher);
+    spawn(async move { retry_unread(&dispatcher, epoch, unread).await });
 }
 
 /// Accepts jobs from their objects; returns those that could not be read.
--- a/crates/oleander-rollout/src/store/on_disconnect.rs
+++ b/crates/oleander-rollout/src/store/on_disconnect.rs
@@ -8,5 +8,8 @@
     List,
     /// Resumes the watch at the last revision: for a large kind whose new objects this process
     /// also learns of in another way.
-    Resume,
+    Resume {
+        /// Revision of the store from which to watch at first.
+        from: u64,
+    },
 }
--- a/crates/oleander-rollout/src/store/watch.rs
+++ b/crates/oleander-rollout/src/store/watch.rs
@@ -22,7 +22,8 @@
 /// Lists the objects of a kind and watches them while `gate` is open; passes every event to `apply`
 /// until it returns false. A call that watches waits for at most `wait`.
 ///
-/// After `gate` was closed the kind is listed again.
+/// After `gate` was closed the kind is listed again. With [`OnDisconnect::Resume`] nothing is listed, and the
+/// function returns when the store no longer has the changes.
 pub async fn follow(
     store: Rc<StoreClient>,
     kind: &'static str,
@@ -30,7 +31,10 @@
     gate: Gate,
     mut apply: impl FnMut(WatchEvent) -> bool,
 ) {
-    let mut revision = None;
+    let mut revision = match on_disconnect {
+        OnDisconnect::List => None,
+        OnDisconnect::Resume { from } => Some(from),
+    };
     let mut failures = 0;
     loop {
         if !gate.is_open() {
@@ -55,6 +59,9 @@
             }
             Err(StoreError::HistoryGone) => {
                 event(log::Level::Info, "history-gone", || format!("kind={kind}"));
+                if on_disconnect != OnDisconnect::List {
+                    return;
+                }
                 revision = None;
             }
             Err(err) => {
@@ -151,7 +158,8 @@
     Ok(apply(WatchEvent::Current(started_at)).then_some(page.revision))
 }
 
-fn log_unreadable(kind: &str, faults: &[DecodeError]) {
+/// Logs the objects of a page that can't be decoded.
+pub fn log_unreadable(kind: &str, faults: &[DecodeError]) {
     for err in faults {
         event(log::Level::Warn, "object-unreadable", || {
             format!("kind={kind} reason=\"{err}\"")
--- a/crates/oleander-rollout/tests/long_runs.rs
+++ b/crates/oleander-rollout/tests/long_runs.rs
@@ -176,3 +176,54 @@
     }
     deployment.submit(0, &id(step), &large_job(step));
 }
+
+/// Writes `count` ended jobs of about 200 KB each to the store.
+fn write_ended_jobs(deployment: &Deployment, count: usize) {
+    let mut job = deployment.store.specs("jobs").remove(0);
+    let item = &mut job["job"]["items"][0];
+    item["body_base64"] = "eHh4".repeat(50_000).into();
+    job["more_parts"] = 0.into();
+    for n in 0..count {
+        let name = format!("ended-{n:04}");
+        job["job"]["id"] = name.as_str().into();
+        deployment.store.put("job-ends", &name, &true.into());
+        deployment.store.put("jobs", &name, &job);
+    }
+}
+
+/// Starts a dispatcher, kills the leader, and returns the memory of the new leader at its peak.
+fn take_over(deployment: &mut Deployment) -> u64 {
+    let old = deployment.leader().expect("a leader");
+    let new = 1 - old;
+    if deployment.dispatchers[new].process.is_none() {
+        deployment.dispatchers[new].start();
+    }
+    wait_for("the standby knows the leader", || {
+        let log = deployment.dispatchers[new].process().log();
+        log.contains("event=leader-known")
+    });
+    deployment.dispatchers[old].kill();
+    wait_for("the standby leads", || {
+        let log = deployment.dispatchers[new].process().log();
+        log.contains("event=leading")
+    });
+    deployment.dispatchers[new].process().peak_memory()
+}
+
+// Guards against a new leader that passes the memory of its machine as it reads the jobs of the last minutes.
+#[test]
+fn a_takeover_takes_no_more_memory_with_ten_times_the_ended_jobs() {
+    let mut deployment = Deployment::start(SMALL);
+    let body = job(0, 1, 4, 3);
+    deployment.submit(0, &id(0), &body);
+    check_results(&deployment.read_all(0, &id(0), 8), &body);
+    write_ended_jobs(&deployment, 20);
+    let few = take_over(&mut deployment);
+    write_ended_jobs(&deployment, 200);
+    let many = take_over(&mut deployment);
+    assert!(
+        many < few + few / 10,
+        "{few} bytes with 20 jobs, {many} with 200"
+    );
+    check_results(&deployment.read_all(1, &id(0), 8), &body);
+}
