Close idle connections to destinations that are called no more

A pool looked for expired connections only when a request went to the same destination, and kept an entry for each instance that it had ever called: one for each restart of an endpoint, for as long as the process runs.

Every 5 s, when a connection comes back, the pool now drops those that have expired or were closed by the remote side, and the destinations that have none left.

--- a/crates/oleander-rollout/src/http/pool.rs
+++ b/crates/oleander-rollout/src/http/pool.rs
@@ -15,7 +15,7 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use smol_hyper::rt::FuturesIo;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 
@@ -24,6 +24,9 @@
 /// How long before the remote side's idle timeout a connection is no longer reused.
 const IDLE_MARGIN: Millis = Millis(500);
 
+/// Time between two searches for connections that are no longer used.
+const SWEEP_EVERY: Millis = Millis::from_secs(5);
+
 /// An open connection, on which a request can be sent.
 #[derive(Debug)]
 pub(super) struct IdleConnection {
@@ -33,10 +36,18 @@
     expires_at: Millis,
 }
 
+impl IdleConnection {
+    /// Whether it has not expired and the remote side has not closed it.
+    fn is_usable(&self, now: Millis) -> bool {
+        self.expires_at > now && !self.sender.is_closed()
+    }
+}
+
 /// Connections that are kept open between requests, by destination.
 #[derive(Debug)]
 pub struct Pool {
     idle: RefCell<HashMap<Destination, Vec<IdleConnection>>>,
+    swept_at: Cell<Millis>,
     connect_timeout: Millis,
     pub(super) bodies: BodyBudget,
 }
@@ -46,6 +57,7 @@
     pub fn new(connect_timeout: Millis) -> Rc<Self> {
         Rc::new(Self {
             idle: RefCell::default(),
+            swept_at: Cell::new(now()),
             connect_timeout,
             bodies: BodyBudget::default(),
         })
@@ -109,7 +121,7 @@
         let now = now();
         let mut all = self.idle.borrow_mut();
         let connections = all.get_mut(to)?;
-        connections.retain(|idle| idle.expires_at > now && !idle.sender.is_closed());
+        connections.retain(|idle| idle.is_usable(now));
         let index = connections
             .iter()
             .rposition(|idle| idle.sender.is_ready())?;
@@ -164,11 +176,31 @@
         if connection.sender.is_closed() {
             return;
         }
+        self.sweep();
         connection.expires_at = now().plus(idle_timeout(headers));
         let mut all = self.idle.borrow_mut();
         let destination = connection.destination.clone();
         all.entry(destination).or_default().push(connection);
     }
+
+    /// Closes connections that have expired, every [`SWEEP_EVERY`]: no request looks for those to a
+    /// destination that has gone.
+    fn sweep(&self) {
+        let now = now();
+        if now.since(self.swept_at.get()) < SWEEP_EVERY {
+            return;
+        }
+        self.swept_at.set(now);
+        self.idle.borrow_mut().retain(|_, connections| {
+            connections.retain(|idle| idle.is_usable(now));
+            !connections.is_empty()
+        });
+    }
+
+    /// Returns the number of destinations to which connections are kept.
+    pub fn destinations(&self) -> usize {
+        self.idle.borrow().len()
+    }
 }
 
 /// Returns for how long a connection may stay idle after a response with these headers.
--- a/crates/oleander-rollout/tests/http_server.rs
+++ b/crates/oleander-rollout/tests/http_server.rs
@@ -97,3 +97,29 @@
         assert_eq!(pool.idle_connections(&to), 0);
     });
 }
+
+// Guards against a pool that grows with each instance that was ever called.
+#[test]
+fn connections_to_instances_that_are_called_no_more_are_closed() {
+    const INSTANCES: usize = 100;
+    runtime::run(async {
+        let (addr, _) = start();
+        let pool = Pool::new(CONNECT_TIMEOUT);
+        let call = async |instance: String| {
+            let to = Destination { addr, instance };
+            let exchange = pool.send(&to, request("/")).await.expect("an answer");
+            exchange.collect(100).await.expect("a body");
+        };
+        for n in 0..INSTANCES {
+            call(format!("gone-{n}")).await;
+        }
+        assert_eq!(pool.destinations(), INSTANCES);
+        let mut waited = Millis::ZERO;
+        while pool.destinations() > 1 {
+            assert!(waited < Millis(20_000), "{} left", pool.destinations());
+            sleep(Millis(500)).await;
+            waited = waited.plus(Millis(500));
+            call("in-use".to_owned()).await;
+        }
+    });
+}
