Delete old results also between those of a job that stays open

A chunk stayed in the store as long as any job that had not been deleted had a result in an earlier one.

The leader deletes each old chunk, but the newest, in which no job that is kept has a result. A new leader takes a gap in the listed chunks for deleted ones; chunks are only created one after the other.

--- a/crates/oleander-rollout/src/dispatch/cleanup.rs
+++ b/crates/oleander-rollout/src/dispatch/cleanup.rs
@@ -104,19 +104,17 @@
     Ok(())
 }
 
-/// Deletes the oldest chunks, in order: the next leader takes a missing chunk for the end of the log.
+/// Deletes old chunks without a result that is still readable, also between chunks of a job that stays open.
 async fn delete_chunks(dispatcher: &Dispatcher, epoch: u64) -> Result<(), StoreError> {
     let old: Vec<u64> = {
         let state = dispatcher.state.borrow();
-        // Results of jobs that are still open, or not deleted yet, keep their positions. The newest
-        // chunk stays, because the next leader continues its number.
+        let needed = state.log.needed_chunks();
+        // The newest chunk stays, because the next leader continues its number.
         let newest = state.log.next_chunk_index().saturating_sub(1);
-        let kept = state.log.first_kept_chunk().min(newest);
-        let mut chunks: Vec<(u64, u64)> = state.chunks.iter().map(|(n, at)| (*n, *at)).collect();
-        chunks.sort_unstable();
-        let old = chunks.into_iter();
-        let old = old.take_while(|(index, at)| *index < kept && is_old(dispatcher, *at));
-        old.take(CHUNKS_MAX).map(|(index, _)| index).collect()
+        let old = state.chunks.iter().filter(|(index, at)| {
+            **index < newest && !needed.contains(*index) && is_old(dispatcher, **at)
+        });
+        old.take(CHUNKS_MAX).map(|(index, _)| *index).collect()
     };
     if !dispatcher
         .state
--- a/crates/oleander-rollout/src/dispatch/history.rs
+++ b/crates/oleander-rollout/src/dispatch/history.rs
@@ -58,6 +58,8 @@
 fn apply_newest_chunks(dispatcher: &Dispatcher, chunks: &[ResultChunk], read: &mut NewestChunks) {
     let mut state = dispatcher.state.borrow_mut();
     for chunk in chunks {
+        // Chunks between those of a job that stays open are deleted.
+        state.log.skip_to(chunk.index);
         commit::apply(&mut state, chunk);
         read.first_chunk.get_or_insert(chunk.index);
         read.result_count += chunk.samples.len();
@@ -99,7 +101,7 @@
         let reached = chunks.iter().any(|chunk| chunk.index >= before);
         for chunk in chunks.iter().filter(|chunk| chunk.index < before) {
             written.push((chunk.index, chunk.written_unix_ms));
-            // Chunks that an earlier build has deleted out of order leave a gap.
+            // Chunks between those of a job that stays open are deleted.
             older.skip_to(chunk.index);
             older.apply(chunk);
         }
--- a/crates/oleanderlock/src/batch/result_log.rs
+++ b/crates/oleanderlock/src/batch/result_log.rs
@@ -236,11 +236,11 @@
         jobs.map(|(job, listed)| (job.as_str(), listed.first_chunk))
     }
 
-    /// Returns the number of the first chunk that holds a result of a job that has not been removed;
-    /// chunks before it are needed by nobody.
-    pub fn first_kept_chunk(&self) -> u64 {
-        let first = self.listed.values().map(|listed| listed.first_chunk).min();
-        first.unwrap_or(self.next_chunk_index)
+    /// Returns the numbers of the chunks that hold a listed result of a job that has not been removed; the
+    /// others are needed by nobody.
+    pub fn needed_chunks(&self) -> IndexSet<u64> {
+        let results = self.listed.values().flat_map(|listed| &listed.results);
+        results.map(|result| result.chunk).collect()
     }
 
     /// Inserts the results of an older part of the log, in order, before those that are already listed.
