--- a/crates/oleander-rollout/src/dispatch/election.rs
+++ b/crates/oleander-rollout/src/dispatch/election.rs
@@ -46,7 +46,7 @@
 const RANK_DELAY: Millis = Millis(120);
 
 /// Listed results take at most the memory of the process divided by this; they are encoded beside that.
-const RESULTS_MEMORY_DIVISOR: usize = 5;
+const RESULTS_MEMORY_DIVISOR: usize = 4;
 /// Time for which a dispatcher whose machine is to be retired leaves the leadership to others.
 const RETIRING_DELAY: Millis = Millis(3000);
 
