Accept jobs while no leader says that it has no memory

An entry kept refusing jobs after it had lost the leader that had said so, and for good if the next leader is of an earlier build, which says nothing of memory. An entry without a leader now accepts jobs; the next leader says it again.

--- a/crates/oleander-rollout/src/entry/platform_updates.rs
+++ b/crates/oleander-rollout/src/entry/platform_updates.rs
@@ -47,6 +47,10 @@
                     });
                     lost = true;
                 }
+                // The next leader says it again, if it has no memory for more jobs.
+                if entry.view.get().jobs_full {
+                    entry.view.update(|view| view.jobs_full = false);
+                }
                 entry.endpoint_source.read_list();
                 sleep(RETRY_PAUSE).await;
                 entry.leader_client.ask_for_leader(ASK_TIMEOUT).await;
--- a/crates/oleander-rollout/tests/long_runs.rs
+++ b/crates/oleander-rollout/tests/long_runs.rs
@@ -7,6 +7,7 @@
 use support::deployment::Deployment;
 use support::deployment_size::SMALL;
 use support::http::call;
+use support::node::Node;
 use support::{check_results, job, wait_for};
 
 /// Jobs of a test, whose results take more than the memory that is left for them.
@@ -177,6 +178,23 @@
     deployment.submit(0, &id(step), &large_job(step));
 }
 
+// Guards against entries that refuse jobs for good: the next leader may be of a build that says nothing of memory.
+#[test]
+fn jobs_are_accepted_while_no_leader_says_that_it_has_no_memory() {
+    let mut deployment = Deployment::start_nodes(SMALL, |node| node.memory_mb = 4);
+    for engine in &deployment.engines {
+        engine.set_event_interval(Duration::from_secs(20));
+    }
+    let mut step = 0;
+    wait_for("a job is refused", || {
+        step += 1;
+        assert!(step < 20, "all jobs are accepted");
+        deployment.try_submit(0, &id(step), &large_job(step)) == Some(503)
+    });
+    deployment.dispatchers.iter_mut().for_each(Node::kill);
+    deployment.submit(0, &id(step), &large_job(step));
+}
+
 /// Writes `count` ended jobs of about 200 KB each to the store.
 fn write_ended_jobs(deployment: &Deployment, count: usize) {
     let mut job = deployment.store.specs("jobs").remove(0);
