--- a/crates/oleander-rollout/src/agent/run.rs
+++ b/crates/oleander-rollout/src/agent/run.rs
@@ -220,6 +220,19 @@
         return RunEnd::Broken;
     }
     let not_run = header(headers::NOT_RUN).is_some();
+    if !exchange.head.status.is_success() && !not_run {
+        event(log::Level::Info, "run-failure", || {
+            format!(
+                "request={} instance={} status={} echoed={} first_on_connection={} signature={:?}",
+                work.key.item,
+                endpoint.instance,
+                exchange.head.status.as_u16(),
+                echoed.is_some(),
+                exchange.is_first_on_connection(),
+                header(headers::SIGNATURE)
+            )
+        });
+    }
     let version = header(headers::WEIGHT_VERSION).and_then(|text| text.trim().parse().ok());
     match exchange.head.status {
         StatusCode::OK => {}
--- a/crates/oleander-rollout/src/call/caller.rs
+++ b/crates/oleander-rollout/src/call/caller.rs
@@ -39,6 +39,7 @@
 use futures_util::stream::FuturesUnordered;
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::Full;
+use oleander_platform::headers;
 use oleanderlock::routing::after_failure::AfterFailure;
 use oleanderlock::routing::announcer::Announcer;
 use oleanderlock::routing::attempt_failure::AttemptFailure;
@@ -250,6 +251,16 @@
                     progress.failures += 1;
                 }
                 response.failures = progress.failures;
+                event(log::Level::Info, "attempt-failure-counted", || {
+                    let signature = response.head.headers.get(headers::SIGNATURE);
+                    format!(
+                        "request={} instance={instance} status={} failures={} first_on_connection={} signature={signature:?}",
+                        req.id,
+                        response.head.status.as_u16(),
+                        response.failures,
+                        response.first_on_connection
+                    )
+                });
                 progress.failure = Some(response);
                 self.metrics.record_retry("endpoint-failure");
                 reason
--- a/crates/oleander-rollout/src/call/endpoint_response.rs
+++ b/crates/oleander-rollout/src/call/endpoint_response.rs
@@ -12,4 +12,6 @@
     pub body: Blocks,
     /// Endpoints that responded to this call with status 500, this one included.
     pub failures: u32,
+    /// Whether the call was the first request on its connection.
+    pub first_on_connection: bool,
 }
--- a/crates/oleander-rollout/src/call/read_response.rs
+++ b/crates/oleander-rollout/src/call/read_response.rs
@@ -37,6 +37,7 @@
         // The connection is closed: the response to this call may still follow on it.
         return AttemptOutcome::Unusable(FOREIGN.to_owned());
     }
+    let first_on_connection = exchange.is_first_on_connection();
     let response = match memory.take_response() {
         None => exchange.collect_blocks(RESPONSE_MAX_BYTES).await,
         Some(held) => {
@@ -62,6 +63,7 @@
         head,
         body,
         failures: 0,
+        first_on_connection,
     };
     match class {
         ResponseClass::Failure => AttemptOutcome::Failure(response),
--- a/crates/oleander-rollout/src/http/exchange.rs
+++ b/crates/oleander-rollout/src/http/exchange.rs
@@ -18,19 +18,32 @@
     pub head: Parts,
     body: Incoming,
     connection: Option<PooledConnection>,
+    first_on_connection: bool,
     reusable: bool,
 }
 
 impl Exchange {
-    pub(super) fn new(head: Parts, body: Incoming, connection: PooledConnection) -> Self {
+    pub(super) fn new(
+        head: Parts,
+        body: Incoming,
+        connection: PooledConnection,
+        first_on_connection: bool,
+    ) -> Self {
         Self {
             head,
             body,
             connection: Some(connection),
+            first_on_connection,
             reusable: true,
         }
     }
 
+    /// Whether the request was the first one on its connection: the response can't be the late copy of
+    /// an earlier one.
+    pub fn is_first_on_connection(&self) -> bool {
+        self.first_on_connection
+    }
+
     /// Closes the connection at the end of the body instead of keeping it for later requests.
     pub fn close_after_body(&mut self) {
         self.reusable = false;
--- a/crates/oleander-rollout/src/http/pool.rs
+++ b/crates/oleander-rollout/src/http/pool.rs
@@ -101,11 +101,8 @@
                     connection.head_limit.stop();
                     let (head, body) = response.into_parts();
                     let pool = Rc::clone(self);
-                    return Ok(Exchange::new(
-                        head,
-                        body,
-                        PooledConnection { pool, connection },
-                    ));
+                    let connection = PooledConnection { pool, connection };
+                    return Ok(Exchange::new(head, body, connection, !reused));
                 }
                 Err(mut error) => match error.take_message() {
                     // The remote side closed the idle connection; nothing was sent on it.
