Take a response that names no request for the present one only on a new connection

What callers saw: an item errored although its engine had neither answered 422 nor failed as often as the route allows.

Cause: endpoints echo Request-Id in each response to a request that has one; orders and reports have none. A response without it was foreign only if it was successful, so the late copy of a 422, 500 or 503 to an order counted against the item whose run came next on the connection, and against calls likewise. The class is the same as before: an answer counts by its arrival.

Such a response is now foreign, whatever its status, unless its request was the first one on the connection, where no earlier response can be repeated.

a_late_response_that_names_no_request_fails_no_item failed before (errored, expected done; three of three runs) and passes; tests/failures.rs passes.

--- a/crates/oleander-rollout/src/agent/run.rs
+++ b/crates/oleander-rollout/src/agent/run.rs
@@ -214,9 +214,10 @@
     let header = |name: &str| exchange.head.headers.get(name)?.to_str().ok();
     let echoed = header(headers::REQUEST_ID);
     let is_signed = header(headers::SIGNATURE).is_some();
-    // The late copy of another response, such as that to an order, which has neither header.
-    let is_foreign = echoed.map_or(exchange.head.status.is_success(), |id| id != work.key.item);
-    if is_foreign || (exchange.head.status.is_success() && !is_signed) {
+    let is_success = exchange.head.status.is_success();
+    // The late copy of another response, such as that to an order, names another request or none.
+    let is_foreign = !exchange.may_answer(&work.key.item);
+    if is_foreign || (is_success && !(is_signed && echoed.is_some())) {
         return RunEnd::Broken;
     }
     let not_run = header(headers::NOT_RUN).is_some();
--- a/crates/oleander-rollout/src/call/caller.rs
+++ b/crates/oleander-rollout/src/call/caller.rs
@@ -461,7 +461,7 @@
             exchange.close_after_body();
             self.pool.close_idle(&to);
         }
-        let class = classify(&exchange.head, &req.id);
+        let class = classify(&exchange, &req.id);
         // The response to another request names the limit of the endpoint as well.
         if class != ResponseClass::OtherInstance {
             self.limits
--- a/crates/oleander-rollout/src/call/response_class.rs
+++ b/crates/oleander-rollout/src/call/response_class.rs
@@ -1,7 +1,7 @@
 //! What the head of an endpoint's response means for a call.
 
+use crate::http::exchange::Exchange;
 use http::StatusCode;
-use http::response::Parts;
 use oleander_platform::headers;
 
 /// What the head of an endpoint's response means for a call.
@@ -15,8 +15,8 @@
     NotRun,
     /// Another instance uses the address now, and has not run the call.
     OtherInstance,
-    /// The response belongs to another call, or is successful without the headers that every
-    /// successful response of an endpoint has.
+    /// The response belongs to another call, or may do so because it names none, or is successful
+    /// without the headers that every successful response of an endpoint has.
     Foreign,
     /// The status promises that the call has not run, but the header that states it is missing.
     Unclear,
@@ -37,14 +37,15 @@
     StatusCode::SERVICE_UNAVAILABLE,
 ];
 
-/// Classifies the head of a response to the call `id`.
-pub fn classify(head: &Parts, id: &str) -> ResponseClass {
-    let header = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
-    let echoed = header(headers::REQUEST_ID);
+/// Classifies the head of the response to the call `id`.
+pub fn classify(response: &Exchange, id: &str) -> ResponseClass {
+    let head = &response.head;
     // First, because the late copy of a refusal says nothing about this call.
-    if echoed.is_some_and(|echoed| echoed != id) {
+    if !response.may_answer(id) {
         return ResponseClass::Foreign;
     }
+    let header = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
+    let echoed = header(headers::REQUEST_ID);
     if head.status == StatusCode::MISDIRECTED_REQUEST {
         return ResponseClass::OtherInstance;
     }
--- a/crates/oleander-rollout/src/http/exchange.rs
+++ b/crates/oleander-rollout/src/http/exchange.rs
@@ -8,6 +8,7 @@
 use crate::prelude::*;
 use http::response::Parts;
 use hyper::body::{Body, Frame, Incoming};
+use oleander_platform::headers;
 use std::pin::Pin;
 
 /// A response whose body has not been read yet. Dropping it before the end of the body closes the
@@ -44,6 +45,18 @@
         self.first_on_connection
     }
 
+    /// Whether this may be the response to the request `id`: it names that request, or none and can't be
+    /// the late copy of an earlier response.
+    pub fn may_answer(&self, id: &str) -> bool {
+        let echoed = self.head.headers.get(headers::REQUEST_ID);
+        echoed.map_or(self.first_on_connection, |echoed| echoed.as_bytes() == id.as_bytes())
+    }
+
+    /// Whether the response names a request.
+    pub fn names_request(&self) -> bool {
+        self.head.headers.contains_key(headers::REQUEST_ID)
+    }
+
     /// Closes the connection at the end of the body instead of keeping it for later requests.
     pub fn close_after_body(&mut self) {
         self.reusable = false;
