Send orders, checks and reports that a copy could answer on a connection of their own

Found by reading for the same cause: requests without an id can't tell a late copy from their response. An order could be acknowledged by the copy of an earlier response on its connection; a report from before an engine named its limit, repeated later, lifts the limit; the check before a stream is resumed could read the copy of a call's response, and its own copy spoiled the next call there.

Orders, resumption checks and, while a limit is in force, reports are sent on a new connection, which is closed after the response. A response to them that names a request is foreign.

Found by the review of the fix: a connection that is opened because none of the idle ones may carry the request was added to them, so that a client that repeats one Request-Id, or retries at a full endpoint, used up the connections that an endpoint accepts from all.

--- a/crates/oleander-rollout/src/agent/engine_client.rs
+++ b/crates/oleander-rollout/src/agent/engine_client.rs
@@ -6,6 +6,7 @@
 use crate::http::destination::Destination;
 use crate::http::exchange::Exchange;
 use crate::http::pool::Pool;
+use crate::http::reuse::Reuse;
 use crate::http::send_error::SendError;
 use crate::peer::messages::WorkItem;
 use crate::prelude::*;
@@ -69,7 +70,11 @@
             .body(Full::default())
             .map_err(SendError::not_sent)?;
         let (sent_at, asked) = (now(), unix_ms());
-        let (head, body) = self.exchange("", req).await?;
+        // A repeated report from before the engine named its limit would lift the limit. Otherwise, an
+        // earlier report of the same process does no harm.
+        let limited = listed.is_some_and(|listed| self.limits.is_limited(&listed.instance));
+        let reuse = if limited { Reuse::Never } else { Reuse::Any };
+        let (head, body) = self.exchange("", req, reuse).await?;
         let report = decode_report(&body).map_err(SendError::no_answer)?;
         if let Some(listed) = listed {
             let by_list = Announcer::Listed {
@@ -107,7 +112,7 @@
         let (sent_at, asked) = (now(), unix_ms());
         self.limits
             .record_sent(&endpoint.instance, RequestKind::Order, "");
-        let (head, _) = self.exchange(&endpoint.instance, req).await?;
+        let (head, _) = self.exchange(&endpoint.instance, req, Reuse::Never).await?;
         self.read_leaving(&head, endpoint, asked);
         self.read_limit(&head, endpoint, (RequestKind::Order, sent_at));
         Ok(head.status)
@@ -117,11 +122,13 @@
         &self,
         instance: &str,
         req: Request<Full<Bytes>>,
+        reuse: Reuse<'_>,
     ) -> Result<(Parts, Bytes), SendError> {
         let to = self.destination(instance);
         let exchange = async {
-            let exchange = self.pool.send(&to, req).await?;
-            exchange.collect(RESPONSE_MAX_BYTES).await
+            let build = || Ok(req.clone());
+            let exchange = self.pool.send_built(&to, reuse, build).await?;
+            exchange.expect_no_id()?.collect(RESPONSE_MAX_BYTES).await
         };
         let result = within(CALL_TIMEOUT, exchange).await;
         result.unwrap_or_else(|| Err(SendError::no_answer("timeout")))
@@ -153,7 +160,7 @@
         let asked = unix_ms();
         let mut exchange = self
             .pool
-            .send_built(&to, Some(&work.key.item), build)
+            .send_built(&to, Reuse::OncePerId(&work.key.item), build)
             .await?;
         if self.read_leaving(&exchange.head, endpoint, asked) {
             exchange.close_after_body();
--- a/crates/oleander-rollout/src/call/caller.rs
+++ b/crates/oleander-rollout/src/call/caller.rs
@@ -29,6 +29,7 @@
 use crate::http::destination::Destination;
 use crate::http::exchange::Exchange;
 use crate::http::pool::Pool;
+use crate::http::reuse::Reuse;
 use crate::http::send_error::SendError;
 use crate::observe::metrics::Metrics;
 use crate::prelude::*;
@@ -445,7 +446,8 @@
         let to = Destination::of(endpoint);
         let asked = unix_ms();
         let build = || self.attempt_message(req, kind, endpoint);
-        let sent = self.pool.send_built(&to, Some(&req.id), build).await;
+        let reuse = Reuse::OncePerId(&req.id);
+        let sent = self.pool.send_built(&to, reuse, build).await;
         let mut exchange = sent.map_err(|error| match error {
             SendError::Withheld { reason } => AttemptOutcome::NotRun(reason),
             SendError::NotSent { .. } => AttemptOutcome::NotRun("unreachable"),
--- a/crates/oleander-rollout/src/call/resumption_checks.rs
+++ b/crates/oleander-rollout/src/call/resumption_checks.rs
@@ -8,6 +8,7 @@
 use super::origin_check::OriginCheck;
 use super::start_report::StartReport;
 use crate::http::destination::Destination;
+use crate::http::reuse::Reuse;
 use crate::http::send_error::SendError;
 use crate::prelude::*;
 use http::header::HOST;
@@ -104,7 +105,8 @@
             .body(Full::default())
             .map_err(SendError::not_sent)?;
         let asked = unix_ms();
-        let exchange = self.pool.send(&to, req).await?;
+        let build = || Ok(req.clone());
+        let exchange = self.pool.send_built(&to, Reuse::Never, build).await?;
         let (head, body) = exchange.collect(REPORT_MAX_BYTES).await?;
         let listed = endpoint.started_unix_ms;
         let announcer = Announcer::Listed { listed, asked };
--- a/crates/oleander-rollout/src/duty/platform_api.rs
+++ b/crates/oleander-rollout/src/duty/platform_api.rs
@@ -3,6 +3,7 @@
 use super::platform_api_outcome::PlatformApiOutcome;
 use crate::http::destination::Destination;
 use crate::http::pool::Pool;
+use crate::http::reuse::Reuse;
 use crate::http::send_error::SendError;
 use crate::prelude::*;
 use http::header::{CONTENT_TYPE, HOST};
@@ -62,7 +63,7 @@
         };
         let exchange = async {
             let to = Destination::any(self.addr);
-            let exchange = self.pool.send_built(&to, None, build).await?;
+            let exchange = self.pool.send_built(&to, Reuse::Any, build).await?;
             exchange.collect(RESPONSE_MAX_BYTES).await
         };
         match within(CALL_TIMEOUT, exchange).await {
--- a/crates/oleander-rollout/src/http/exchange.rs
+++ b/crates/oleander-rollout/src/http/exchange.rs
@@ -49,12 +49,21 @@
     /// the late copy of an earlier response.
     pub fn may_answer(&self, id: &str) -> bool {
         let echoed = self.head.headers.get(headers::REQUEST_ID);
-        echoed.map_or(self.first_on_connection, |echoed| echoed.as_bytes() == id.as_bytes())
+        echoed.map_or(self.first_on_connection, |echoed| {
+            echoed.as_bytes() == id.as_bytes()
+        })
     }
 
-    /// Whether the response names a request.
-    pub fn names_request(&self) -> bool {
-        self.head.headers.contains_key(headers::REQUEST_ID)
+    /// Returns the response to a request that has no id.
+    ///
+    /// # Errors
+    ///
+    /// [`SendError::NoAnswer`] when it names a request and may be the late copy of the response to it.
+    pub fn expect_no_id(self) -> Result<Self, SendError> {
+        if !self.first_on_connection && self.head.headers.contains_key(headers::REQUEST_ID) {
+            return Err(SendError::no_answer("a response to another request"));
+        }
+        Ok(self)
     }
 
     /// Closes the connection at the end of the body instead of keeping it for later requests.
--- a/crates/oleander-rollout/src/http/mod.rs
+++ b/crates/oleander-rollout/src/http/mod.rs
@@ -12,6 +12,7 @@
 pub mod pool;
 mod pooled_connection;
 pub mod response;
+pub mod reuse;
 pub mod room;
 pub mod send_error;
 pub mod server;
--- a/crates/oleander-rollout/src/http/pool.rs
+++ b/crates/oleander-rollout/src/http/pool.rs
@@ -9,6 +9,7 @@
 use super::exchange::Exchange;
 use super::fair_stream::{FairStream, HeadLimit};
 use super::pooled_connection::PooledConnection;
+use super::reuse::Reuse;
 use super::send_error::SendError;
 use super::socket::connect;
 use crate::prelude::*;
@@ -43,6 +44,14 @@
     fn is_usable(&self, now: Millis) -> bool {
         self.expires_at > now && !self.sender.is_closed()
     }
+
+    fn may_carry(&self, reuse: Reuse<'_>) -> bool {
+        match reuse {
+            Reuse::Any => true,
+            Reuse::OncePerId(id) => self.carried.allows(id),
+            Reuse::Never => false,
+        }
+    }
 }
 
 /// Connections that are kept open between requests, by destination.
@@ -65,8 +74,8 @@
         })
     }
 
-    /// Sends a request without an id, on an idle connection if there is one, and waits for status and
-    /// headers of the response.
+    /// Sends a request, on an idle connection if there is one, and waits for status and headers of
+    /// the response.
     ///
     /// # Errors
     ///
@@ -77,13 +86,12 @@
         to: &Destination,
         req: Request<Full<Bytes>>,
     ) -> Result<Exchange, SendError> {
-        self.send_built(to, None, || Ok(req.clone())).await
+        self.send_built(to, Reuse::Any, || Ok(req.clone())).await
     }
 
     /// Does the same as [`Self::send`] with a request that `build` returns once a connection is
-    /// open, since the time until then may have changed what may be sent. A request with an `id` is
-    /// sent on a connection that has carried none with the same id, so that the late copy of an earlier
-    /// response to it can't be taken for its response.
+    /// open, since the time until then may have changed what may be sent. Only connections that `reuse`
+    /// allows carry it.
     ///
     /// # Errors
     ///
@@ -91,16 +99,19 @@
     pub async fn send_built(
         self: &Rc<Self>,
         to: &Destination,
-        id: Option<&str>,
+        reuse: Reuse<'_>,
         build: impl Fn() -> Result<Request<Full<Bytes>>, SendError>,
     ) -> Result<Exchange, SendError> {
         loop {
-            let (mut connection, reused) = match self.take_idle(to, id) {
+            let (mut connection, reused) = match self.take_idle(to, reuse) {
                 Some(connection) => (connection, true),
-                None => (self.open(to).await?, false),
+                None => {
+                    self.close_oldest_idle(to);
+                    (self.open(to).await?, false)
+                }
             };
             let req = build()?;
-            if let Some(id) = id {
+            if let Reuse::OncePerId(id) = reuse {
                 connection.carried.add(id);
             }
             connection.head_limit.start();
@@ -110,7 +121,12 @@
                     let (head, body) = response.into_parts();
                     let pool = Rc::clone(self);
                     let connection = PooledConnection { pool, connection };
-                    return Ok(Exchange::new(head, body, connection, !reused));
+                    let mut exchange = Exchange::new(head, body, connection, !reused);
+                    if reuse == Reuse::Never {
+                        // A copy of this response could not be told from that to a later request.
+                        exchange.close_after_body();
+                    }
+                    return Ok(exchange);
                 }
                 Err(mut error) => match error.take_message() {
                     // The remote side closed the idle connection; nothing was sent on it.
@@ -122,15 +138,25 @@
         }
     }
 
-    fn take_idle(&self, to: &Destination, id: Option<&str>) -> Option<IdleConnection> {
+    fn take_idle(&self, to: &Destination, reuse: Reuse<'_>) -> Option<IdleConnection> {
         let now = now();
         let mut all = self.idle.borrow_mut();
         let connections = all.get_mut(to)?;
         connections.retain(|idle| idle.is_usable(now));
-        let index = connections.iter().rposition(|idle| {
-            idle.sender.is_ready() && id.is_none_or(|id| idle.carried.allows(id))
-        })?;
-        Some(connections.swap_remove(index))
+        let index = connections
+            .iter()
+            .rposition(|idle| idle.sender.is_ready() && idle.may_carry(reuse))?;
+        Some(connections.remove(index))
+    }
+
+    /// Closes the idle connection to a destination that has been idle for longest, which a new one
+    /// replaces: requests that are sent again would add connections otherwise.
+    fn close_oldest_idle(&self, to: &Destination) {
+        if let Some(connections) = self.idle.borrow_mut().get_mut(to)
+            && !connections.is_empty()
+        {
+            connections.remove(0);
+        }
     }
 
     async fn open(&self, to: &Destination) -> Result<IdleConnection, SendError> {
--- a/crates/oleander-rollout/tests/http_server.rs
+++ b/crates/oleander-rollout/tests/http_server.rs
@@ -4,6 +4,7 @@
 use http_body_util::Full;
 use oleander_rollout::http::destination::Destination;
 use oleander_rollout::http::pool::Pool;
+use oleander_rollout::http::reuse::Reuse;
 use oleander_rollout::http::send_error::SendError;
 use oleander_rollout::http::server::{bind, serve};
 use oleander_rollout::http::server_limits::ServerLimits;
@@ -71,7 +72,7 @@
         let to = Destination::any(addr);
         let withheld = || Err(SendError::Withheld { reason: "leaving" });
         for _ in 0..2 {
-            let sent = pool.send_built(&to, withheld).await;
+            let sent = pool.send_built(&to, Reuse::Any, withheld).await;
             assert!(matches!(sent, Err(SendError::Withheld { .. })), "{sent:?}");
             let exchange = pool.send(&to, request("/")).await.expect("an answer");
             exchange.collect(100).await.expect("a body");
--- a/crates/oleander-rollout/tests/late_copies.rs
+++ b/crates/oleander-rollout/tests/late_copies.rs
@@ -10,13 +10,22 @@
 use oleander_platform_standins::stand_in_service::StandInService;
 use oleander_rollout::http::destination::Destination;
 use oleander_rollout::http::pool::Pool;
+use oleander_rollout::http::reuse::Reuse;
 use oleander_rollout::prelude::*;
 use oleander_rollout::runtime;
 use serde_json::json;
+use std::thread;
+use std::time::Duration;
 use support::deployment::Deployment;
 use support::deployment_size::{DeploymentSize, SMALL};
 use support::{MODEL, check_results, job};
 
+const LIMIT: &str = "server-limit";
+/// Times that a limit is named and lifted.
+const ROUNDS: usize = 4;
+/// Time in which an agent reads several reports of its engine.
+const REPORTS: Duration = Duration::from_millis(1200);
+
 // Guards against items that are errored before the last of their attempts: the late copy of a failed
 // scoring call was counted as the failure of the next one.
 #[test]
@@ -94,7 +103,7 @@
                 let req = Request::post("/calls/x").header("request-id", id);
                 Ok(req.body(Full::default()).expect("a request"))
             };
-            let exchange = pool.send_built(&to, Some(id), build).await;
+            let exchange = pool.send_built(&to, Reuse::OncePerId(id), build).await;
             let exchange = exchange.expect("an answer");
             let first = exchange.is_first_on_connection();
             exchange.collect(1000).await.expect("a body");
@@ -104,7 +113,16 @@
         assert!(!send("b").await);
         assert!(send("a").await, "on the connection that carried it");
         assert!(!send("c").await);
-        assert_eq!(pool.idle_connections(&to), 2);
+        assert_eq!(pool.idle_connections(&to), 1);
+        let build = || {
+            Ok(Request::get("/calls/x")
+                .body(Full::default())
+                .expect("a request"))
+        };
+        let exchange = pool.send_built(&to, Reuse::Never, build).await;
+        let exchange = exchange.expect("an answer");
+        assert!(exchange.is_first_on_connection());
+        drop(exchange);
         let mut opened = 0;
         for n in 0..1000 {
             opened += usize::from(send(&n.to_string()).await);
@@ -112,3 +130,56 @@
         assert!((2..=5).contains(&opened), "{opened} connections");
     });
 }
+
+// Guards against more requests than an endpoint has named: the late copy of a report from before it named
+// its limit lifted the limit.
+#[test]
+fn a_repeated_report_lifts_no_limit() {
+    let deployment = Deployment::start(DeploymentSize {
+        engines: 1,
+        ..SMALL
+    });
+    let engine = &deployment.engines[0];
+    engine.set_faults(EngineFaults {
+        late_copies: true,
+        ..EngineFaults::default()
+    });
+    for round in 1..=ROUNDS {
+        thread::sleep(REPORTS);
+        engine.set_added_headers(&[(LIMIT, "50")]);
+        let body = job(round as u64, 1, 1, 2);
+        let id = format!("job-{round}");
+        deployment.submit(0, &id, &body);
+        check_results(&deployment.read_all(0, &id, 2), &body);
+        thread::sleep(REPORTS);
+        let log = deployment.agents[0].process().log();
+        let lifted = log.matches("event=endpoint-limit-lifted ").count();
+        // Once after each round before.
+        assert_eq!(lifted + 1, round, "{log}");
+        engine.set_added_headers(&[]);
+    }
+}
+
+// Guards against connections that are added with each repetition of a request, until an endpoint accepts no
+// more.
+#[test]
+fn requests_that_are_sent_again_add_no_connections() {
+    let service = StandInService::spawn("desk-0");
+    runtime::run(async move {
+        let to = Destination::any(service.addr());
+        let pool = Pool::new(Millis(1000));
+        let build = || {
+            let req = Request::post("/calls/x").header("request-id", "same");
+            Ok(req.body(Full::default()).expect("a request"))
+        };
+        for _ in 0..200 {
+            for reuse in [Reuse::OncePerId("same"), Reuse::Never] {
+                let exchange = pool.send_built(&to, reuse, build).await;
+                let exchange = exchange.expect("an answer");
+                assert!(exchange.is_first_on_connection());
+                exchange.collect(1000).await.expect("a body");
+                assert!(pool.idle_connections(&to) <= 1);
+            }
+        }
+    });
+}
