Don't let a response to another request raise a limit

Cause, found by the review of the late copies: the head of a foreign response is read for the limit of its endpoint, also when it is the copy of a response from before the limit was lowered, which raises it until the next response. A foreign response now counts only if no limit is known or its limit is lower.

--- a/crates/oleander-rollout/src/agent/engine_client.rs
+++ b/crates/oleander-rollout/src/agent/engine_client.rs
@@ -165,10 +165,12 @@
         if self.read_leaving(&exchange.head, endpoint, asked) {
             exchange.close_after_body();
         }
-        if exchange.head.status != StatusCode::MISDIRECTED_REQUEST {
-            let headers = &exchange.head.headers;
+        let (headers, instance) = (&exchange.head.headers, &endpoint.instance);
+        if !exchange.may_answer(&work.key.item) {
             self.limits
-                .read_head(headers, &endpoint.instance, RequestKind::Run);
+                .read_foreign(headers, instance, RequestKind::Run);
+        } else if exchange.head.status != StatusCode::MISDIRECTED_REQUEST {
+            self.limits.read_head(headers, instance, RequestKind::Run);
         }
         Ok(exchange)
     }
--- a/crates/oleander-rollout/src/call/caller.rs
+++ b/crates/oleander-rollout/src/call/caller.rs
@@ -464,10 +464,12 @@
             self.pool.close_idle(&to);
         }
         let class = classify(&exchange, &req.id);
-        // The response to another request names the limit of the endpoint as well.
-        if class != ResponseClass::OtherInstance {
-            self.limits
-                .read_head(&exchange.head.headers, instance, kind);
+        let headers = &exchange.head.headers;
+        match class {
+            ResponseClass::OtherInstance => {}
+            // It names a limit of the endpoint as well.
+            ResponseClass::Foreign => self.limits.read_foreign(headers, instance, kind),
+            _ => self.limits.read_head(headers, instance, kind),
         }
         Ok((class, exchange))
     }
--- a/crates/oleander-rollout/src/call/limit_registry.rs
+++ b/crates/oleander-rollout/src/call/limit_registry.rs
@@ -10,6 +10,7 @@
 use oleanderlock::routing::caller_grant::CallerGrant;
 use oleanderlock::routing::caller_share::CallerShare;
 use oleanderlock::routing::rate_limits::RateLimits;
+use oleanderlock::routing::request_rate::RequestRate;
 use std::cell::RefCell;
 
 /// Rate limits that endpoints have named in responses to this process.
@@ -34,8 +35,28 @@
     /// Reads the limit that the head of a response of `instance` to a request of `kind` names, if
     /// any.
     pub fn read_head(&self, header_map: &HeaderMap, instance: &str, kind: RequestKind) {
+        self.read_rate(header_map, instance, kind, |_| true);
+    }
+
+    /// Does the same with a response to another request, which may be older than what is known: it
+    /// never raises the limit.
+    pub fn read_foreign(&self, header_map: &HeaderMap, instance: &str, kind: RequestKind) {
+        let known = self.limits.borrow().rate(instance);
+        self.read_rate(header_map, instance, kind, |rate| {
+            known.is_none_or(|known| rate < known)
+        });
+    }
+
+    fn read_rate(
+        &self,
+        header_map: &HeaderMap,
+        instance: &str,
+        kind: RequestKind,
+        counts: impl Fn(RequestRate) -> bool,
+    ) {
         let values = header_map.get_all(headers::RATE_LIMIT);
         match decode_rate_limit(values.iter().map(|value| value.as_bytes())) {
+            Ok(Some(rate)) if !counts(rate) => {}
             Ok(Some(rate)) => {
                 if self.limits.borrow_mut().record(instance, rate, now()) {
                     event(log::Level::Info, "endpoint-limit", || {
