Count a failed run once however late its return is repeated

Callers could see an item errored before `attempts` answers of 500 to it.

Cause: the scheduler remembered the last 16 returns of an item, of any reason. A return that is repeated later than 16 others, as by an agent whose answer was lost while the item went from engine to engine, counted as another failure.

The ids of the returns that count as failures are now kept for as long as the item; there are at most about as many as its attempts.

Evidence: the new test failed before, at 'assertion failed: !scheduler.record_return("a", &item, 7)' (batch_scheduler.rs:708); batch_scheduler passes now (33 tests).

--- a/crates/oleander-rollout/src/dispatch/agents_api.rs
+++ b/crates/oleander-rollout/src/dispatch/agents_api.rs
@@ -232,7 +232,7 @@
     }
     dispatcher.metrics.record_retry(&reason.to_string());
     if reason == ReturnReason::EngineFailed {
-        let failures = state.scheduler.record_failure(&key);
+        let failures = state.scheduler.record_failure(&key, id);
         let attempts = state.scheduler.job(&key.job).map(|job| job.policy.attempts);
         if attempts.is_some_and(|attempts| failures >= attempts) {
             give_up(&mut state, key, "the engines failed too often");
--- a/crates/oleanderlock/src/batch/item_state.rs
+++ b/crates/oleanderlock/src/batch/item_state.rs
@@ -22,6 +22,8 @@
     pub version_wait_until: Option<Millis>,
     /// Ids of its last returns, oldest first.
     pub returns: VecDeque<u64>,
+    /// Ids of the returns that are counted in `failures`.
+    pub failed_returns: Vec<u64>,
     /// Agent that returned it last without a result; others are preferred.
     pub returned_by: Option<String>,
     /// Time until which it is not assigned, because an agent that has not reported yet may still
@@ -39,6 +41,7 @@
             progress: None,
             version_wait_until: None,
             returns: VecDeque::new(),
+            failed_returns: Vec::new(),
             returned_by: None,
             hold_until: Millis::ZERO,
         }
@@ -48,4 +51,9 @@
     pub fn is_running_on(&self, name: &str) -> bool {
         matches!(&self.phase, ItemPhase::Running { agent } if agent == name)
     }
+
+    /// Whether the return `id` of the item has been recorded, as far as it is remembered.
+    pub fn has_returned(&self, id: u64) -> bool {
+        self.returns.contains(&id) || self.failed_returns.contains(&id)
+    }
 }
--- a/crates/oleanderlock/src/batch/scheduler.rs
+++ b/crates/oleanderlock/src/batch/scheduler.rs
@@ -24,8 +24,7 @@
 
 /// Weight of the newest step in the moving average of a model's tokens per step, in eighths.
 const NEW_STEP_WEIGHT_EIGHTHS: u64 = 2;
-/// Returns of an item whose repetitions are recognized. An agent repeats a message until it is
-/// answered, so only the newest returns can come again.
+/// Returns of an item whose repetitions are recognized, besides those of failed runs.
 const REMEMBERED_RETURNS: usize = 16;
 
 /// Assigns the items of batch jobs to agents, plans weight loads and recalls items.
@@ -165,7 +164,7 @@
         if id == 0 {
             return item.is_running_on(agent);
         }
-        if item.returns.contains(&id) {
+        if item.has_returned(id) {
             return false;
         }
         if item.returns.len() == REMEMBERED_RETURNS {
@@ -175,13 +174,17 @@
         true
     }
 
-    /// Counts a run that the engine answered with a failure; returns the failures of the item so
-    /// far, or 0 for an unknown item.
-    pub fn record_failure(&mut self, key: &ItemKey) -> u32 {
+    /// Counts a run that the engine answered with a failure, which the return `id` reports, and whose
+    /// repetitions are recognized from now on; returns the failures of the item so far, or 0 for an
+    /// unknown item.
+    pub fn record_failure(&mut self, key: &ItemKey, id: u64) -> u32 {
         let Some(item) = self.item_mut(key) else {
             return 0;
         };
         item.failures += 1;
+        if id != 0 {
+            item.failed_returns.push(id);
+        }
         item.failures
     }
 
--- a/crates/oleanderlock/tests/batch_scheduler.rs
+++ b/crates/oleanderlock/tests/batch_scheduler.rs
@@ -693,6 +693,23 @@
     assert!(!scheduler.record_return("a", &key("unknown", "g-0"), 9));
 }
 
+// Guards against items that are errored before the last of their attempts: the return of a failed run
+// that is sent again after many other returns of the item was taken for another failure.
+#[test]
+fn a_failed_run_counts_once_however_many_returns_come_before_its_repetition() {
+    let mut scheduler = Scheduler::new(SchedulerConfig::default());
+    scheduler.accept(job("j", 1, group("g", 1)), POLICY.clone(), Millis(0));
+    let item = key("j", "g-0");
+    assert!(scheduler.record_return("a", &item, 7));
+    assert_eq!(scheduler.record_failure(&item, 7), 1);
+    for id in 100..200 {
+        assert!(scheduler.record_return("b", &item, id));
+    }
+    assert!(!scheduler.record_return("a", &item, 7));
+    assert!(scheduler.record_return("b", &item, 8));
+    assert_eq!(scheduler.record_failure(&item, 8), 2);
+}
+
 #[test]
 fn a_return_without_an_id_counts_only_while_the_item_is_assigned_to_the_agent() {
     let mut scheduler = Scheduler::new(SchedulerConfig::default());
