Don't give items up early because wall clocks differ

Callers could see an item errored before keep_s had passed.

Cause: the leader took the age of a job as the difference of its own wall clock to that of the entry that had accepted it, so an entry that is behind, or a leader that is ahead, shortened keep_s by the difference. With a difference of 50 s and a keep_s of 40 s, items were errored at once.

Wall clocks are assumed to differ by less than a minute (PROMISES.md). The age from which items are kept is now that minute less, at least 0: from then on the monotonic clock of the leader counts. A job that a leader learns of late, as after a takeover, may be kept for up to a minute longer. The order of jobs by their due time is as before.

Evidence: the new test failed before with 'left: String("errored"), right: "done"' and passes now. Of the 30 tests of batch_jobs, one failed in the run of the whole file: long_runs_resume_from_checkpoints_after_a_restart_of_all_processes (three resumptions, [93, 69, 92], two expected); it passed when run with the new test alone.

--- a/crates/oleander-rollout/src/dispatch/jobs.rs
+++ b/crates/oleander-rollout/src/dispatch/jobs.rs
@@ -29,6 +29,8 @@
 const DUE_DEFAULT: Millis = Millis::from_secs(10);
 /// Time after which items of a job without a route may be given up.
 const KEEP_DEFAULT: Millis = Millis::from_secs(60);
+/// Largest difference between the wall clocks of two processes.
+const CLOCK_DIFFERENCE_MAX: Millis = Millis::from_secs(60);
 
 /// Starts to watch jobs and their end marks in `epoch`; returns when all stored ones were read.
 pub async fn watch_and_read_all(dispatcher: &Rc<Dispatcher>, epoch: u64) {
@@ -237,6 +239,8 @@
     });
     let keys: Vec<String> = job.items.iter().map(|item| item.id.clone()).collect();
     state.scheduler.accept(job, policy, now().since(age));
+    let age_min = age.since(CLOCK_DIFFERENCE_MAX);
+    state.scheduler.keep_from(&id, now().since(age_min));
     for item in keys {
         let key = ItemKey {
             job: id.clone(),
--- a/crates/oleander-rollout/tests/batch_jobs.rs
+++ b/crates/oleander-rollout/tests/batch_jobs.rs
@@ -688,3 +688,24 @@
     });
     assert_eq!(deployment.leader(), Some(1 - leader));
 }
+
+// Guards against items that are errored before `keep_s`: the age of a job was the difference of the
+// leader's wall clock to that of the entry that accepted it.
+#[test]
+fn no_item_is_errored_early_because_the_clock_of_an_entry_is_behind() {
+    let deployment = Deployment::start(SMALL);
+    for engine in &deployment.engines {
+        engine.set_event_interval(Duration::from_millis(200));
+    }
+    let body = job(1, 1, 1, 5);
+    deployment.submit(0, "job-a", &body);
+    check_results(&deployment.read_all(0, "job-a", 2), &body);
+    let stored = deployment.store.get("jobs", "job-a");
+    let mut spec = stored.expect("a stored job")["spec"].clone();
+    let submitted = spec["job"]["submitted_unix_ms"].as_u64();
+    // The route keeps items for 40 s.
+    spec["job"]["submitted_unix_ms"] = json!(submitted.expect("a time") - 50_000);
+    spec["job"]["id"] = json!("job-b");
+    deployment.store.put("jobs", "job-b", &spec);
+    check_results(&deployment.read_all(0, "job-b", 2), &body);
+}
--- a/crates/oleanderlock/src/batch/job_state.rs
+++ b/crates/oleanderlock/src/batch/job_state.rs
@@ -26,6 +26,8 @@
     pub workspace: Option<String>,
     /// Time of the submission on the clock of this process.
     pub submitted: Millis,
+    /// Latest time at which it may have been submitted, from which its items are kept.
+    pub kept_from: Millis,
     /// Limits and rules of its route.
     pub policy: JobPolicy,
     /// Items by id, in the order of the submission; none once the job has ended.
@@ -51,6 +53,7 @@
             oldest_version: job.oldest_version,
             workspace: job.workspace,
             submitted,
+            kept_from: submitted,
             policy,
             items,
             size_bytes,
--- a/crates/oleanderlock/src/batch/scheduler.rs
+++ b/crates/oleanderlock/src/batch/scheduler.rs
@@ -92,6 +92,14 @@
         }
     }
 
+    /// Sets the time from which the items of a job are kept; it is the time of the submission unless
+    /// that is uncertain.
+    pub fn keep_from(&mut self, id: &str, at: Millis) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.kept_from = at;
+        }
+    }
+
     /// Returns a job by id, ended or not.
     pub fn job(&self, id: &str) -> Option<&JobState> {
         self.jobs.get(id)
