Copy only the new part of a run's text with each event

What was seen: the agent stored the whole text of a run with each of its events, so that a long text of many small events cost its square in processor time; the agent's other runs waited meanwhile.

Why this works: within a run the text only grows, and the stored progress is a prefix of it or none. The part beyond the stored one is appended. A progress of other software, or a shorter one, is still copied as a whole.

--- a/crates/oleander-rollout/src/agent/state.rs
+++ b/crates/oleander-rollout/src/agent/state.rs
@@ -97,10 +97,15 @@
         }
     }
 
-    /// Stores the progress of the present run of an item, in the place of that of an earlier run.
+    /// Stores the progress of the present run of an item: either none, or one that goes on where what
+    /// is stored ends, so that only the new part is copied.
     pub fn set_progress(&mut self, key: &ItemKey, progress: &Progress) {
-        if let Some(item) = self.items.get_mut(&key.to_string()) {
-            item.work.progress = (progress.last_event > 0).then(|| progress.clone());
+        let Some(item) = self.items.get_mut(&key.to_string()) else {
+            return;
+        };
+        match &mut item.work.progress {
+            Some(stored) if progress.last_event > 0 => extend_progress(stored, progress),
+            stored => *stored = (progress.last_event > 0).then(|| progress.clone()),
         }
     }
 
@@ -169,3 +174,17 @@
             .collect()
     }
 }
+
+/// Copies to `stored` what `progress` has beyond it.
+fn extend_progress(stored: &mut Progress, progress: &Progress) {
+    let text = progress.text.get(stored.text.len()..);
+    let versions = progress.versions.get(stored.versions.len()..);
+    match (text, versions) {
+        (Some(text), Some(versions)) if stored.software == progress.software => {
+            stored.text.push_str(text);
+            stored.versions.extend_from_slice(versions);
+            stored.last_event = progress.last_event;
+        }
+        _ => stored.clone_from(progress),
+    }
+}
--- a/crates/oleander-rollout/tests/run_reports.rs
+++ b/crates/oleander-rollout/tests/run_reports.rs
@@ -156,3 +156,30 @@
         Ok(())
     });
 }
+
+/// Events of a long run.
+const LONG_RUN_EVENTS: u64 = 20_000;
+/// Times that a text which doubles its memory when it is full may move.
+const MOVES_MAX: usize = 64;
+
+// Guards against processor time that grows with the square of a run's text: an engine that sent one small
+// event after the other kept its agent busy with copies of the text.
+#[test]
+fn an_event_costs_no_copy_of_the_whole_text() {
+    let mut state = running(None);
+    let mut whole = Progress::default();
+    let (mut capacity, mut moves) = (0, 0);
+    for number in 1..=LONG_RUN_EVENTS {
+        whole.last_event = number;
+        whole.text.push('\n');
+        whole.versions = vec![1];
+        state.set_progress(&key(), &whole);
+        let held = state.items[&key().to_string()].work.progress.as_ref();
+        let held = held.expect("the progress of the run").text.capacity();
+        moves += usize::from(held != capacity);
+        capacity = held;
+    }
+    let held = state.items[&key().to_string()].work.progress.as_ref();
+    assert_eq!(held, Some(&whole));
+    assert!(moves < MOVES_MAX, "the text was copied {moves} times");
+}
