Bound the memory of all small response bodies together

What was seen: a process could read up to 256 KB of each body without a bound on their sum, which with some thousand connections is more than the memory of the machines. Other operators saw processes that ended this way, and with them the requests of other clients.

Cause: BodyMemory::take let each body of up to 256 KB pass when the budget of 16 MB was used up.

Why this works: small bodies beyond the budget share another 16 MB. One that finds no room is a lost response, as one that is too long was before, and never a part of a body. Bodies of up to 8 KB are always read, so that ordinary answers pass beside the unfinished ones; they use no more than the read buffers of their connections.

--- a/crates/oleander-rollout/src/http/body_budget.rs
+++ b/crates/oleander-rollout/src/http/body_budget.rs
@@ -5,8 +5,13 @@
 
 /// Bytes that all bodies in progress may use together.
 const BUDGET_BYTES: usize = 16 << 20;
-/// A body of up to this size is read even if the others have used the budget up.
+/// A body of up to this size is read even if the others have used the budget up, as long as
+/// [`SMALL_TOTAL_BYTES`] allow.
 const SMALL_BYTES: usize = 256 << 10;
+/// Bytes beyond the budget that bodies of up to [`SMALL_BYTES`] may use together.
+const SMALL_TOTAL_BYTES: usize = 16 << 20;
+/// A body of up to this size is always read; the read buffer of its connection is no smaller.
+const MINIMAL_BYTES: usize = 8 << 10;
 
 /// Memory for the bodies of responses that are read as a whole; clones share it.
 #[derive(Clone, Debug, Default)]
@@ -37,7 +42,12 @@
         let used = self.budget.used.get() + bytes;
         self.budget.used.set(used);
         self.bytes += bytes;
-        self.bytes <= SMALL_BYTES || used <= BUDGET_BYTES
+        let limit = if self.bytes <= SMALL_BYTES {
+            BUDGET_BYTES + SMALL_TOTAL_BYTES
+        } else {
+            BUDGET_BYTES
+        };
+        self.bytes <= MINIMAL_BYTES || used <= limit
     }
 }
 
--- a/crates/oleander-rollout/src/http/exchange.rs
+++ b/crates/oleander-rollout/src/http/exchange.rs
@@ -49,7 +49,9 @@
     /// the late copy of an earlier response.
     pub fn may_answer(&self, id: &str) -> bool {
         let echoed = self.head.headers.get(headers::REQUEST_ID);
-        echoed.map_or(self.first_on_connection, |echoed| echoed.as_bytes() == id.as_bytes())
+        echoed.map_or(self.first_on_connection, |echoed| {
+            echoed.as_bytes() == id.as_bytes()
+        })
     }
 
     /// Whether the response names a request.
