Test that nodes outlive a store or a leader that responds without end

All nodes get the eight kinds of bytes in the place of the store, or of the leader, until they have asked 24 times; calls are answered meanwhile, and a job runs when the store or the leader answers again.

--- a/crates/oleander-rollout/tests/endless_responses.rs
+++ b/crates/oleander-rollout/tests/endless_responses.rs
@@ -6,13 +6,16 @@
 use oleander_platform_standins::endless_bytes::EndlessBytes;
 use oleander_platform_standins::stand_in_endless::StandInEndless;
 use serde_json::json;
+use std::cell::RefCell;
 use std::io::Read;
+use std::net::SocketAddr;
 use std::thread;
 use std::time::{Duration, Instant};
 use support::deployment::Deployment;
 use support::deployment_size::{DeploymentSize, SMALL};
 use support::http::Reply;
 use support::node::Node;
+use support::relay::Relay;
 use support::{MODEL, check_results, job, wait_for};
 
 /// Memory of an entry or agent of the smallest machines of the users.
@@ -197,3 +200,65 @@
         assert_memory(&agent, bytes);
     }
 }
+
+/// Responses after which the store or the leader answers again.
+const RESPONSES: usize = 24;
+
+/// Has all nodes get bytes without end in the place of what they reach by `relays`, until they have
+/// asked often, and checks that calls are answered meanwhile and jobs run later.
+fn outlive(bytes: EndlessBytes, deployment: &mut Deployment, relays: &[(Relay, SocketAddr)]) {
+    let endless = StandInEndless::spawn(bytes, MODEL);
+    for (relay, _) in relays {
+        relay.redirect(endless.addr());
+    }
+    let mut calls = 0;
+    wait_for("the nodes have asked often", || {
+        calls += 1;
+        let reply = call(deployment, "/calls/x", &format!("beside-{calls}"));
+        assert_eq!(
+            reply.map(|reply| reply.status),
+            Some(200),
+            "{bytes:?}: a call beside"
+        );
+        deployment.nodes_mut().for_each(Node::expect_running);
+        endless.requests() >= RESPONSES
+    });
+    for (relay, target) in relays {
+        relay.redirect(*target);
+    }
+    let body = job(1, 1, 10, 3);
+    deployment.submit(0, "job-a", &body);
+    check_results(&deployment.read_all(0, "job-a", 20), &body);
+    for node in deployment.nodes_mut() {
+        node.expect_running();
+        assert_memory(node, bytes);
+    }
+}
+
+// Guards against processes that end by what the store sends, and against watches that never go on.
+#[test]
+fn nodes_outlive_a_store_that_responds_without_end() {
+    for bytes in ALL {
+        let relays = RefCell::new(Vec::new());
+        let mut deployment = Deployment::start_nodes(SMALL, |node| {
+            let relay = Relay::spawn(node.store);
+            relays.borrow_mut().push((relay.clone(), node.store));
+            node.store = relay.addr();
+        });
+        outlive(bytes, &mut deployment, &relays.into_inner());
+    }
+}
+
+// Guards against entries and agents that end by what the leader sends.
+#[test]
+fn nodes_outlive_a_leader_that_responds_without_end() {
+    for bytes in ALL {
+        let relays = RefCell::new(Vec::new());
+        let mut deployment = Deployment::start_nodes(SMALL, |node| {
+            let relay = Relay::spawn(node.peers);
+            relays.borrow_mut().push((relay.clone(), node.peers));
+            node.advertised = relay.addr();
+        });
+        outlive(bytes, &mut deployment, &relays.into_inner());
+    }
+}
--- a/crates/oleander-rollout/tests/support/relay.rs
+++ b/crates/oleander-rollout/tests/support/relay.rs
@@ -14,6 +14,8 @@
 
 #[derive(Debug)]
 struct State {
+    /// Where new connections lead.
+    target: SocketAddr,
     mode: RelayMode,
     /// Connections with a smaller number forward nothing any more.
     silent_before: u64,
@@ -23,7 +25,7 @@
     next: u64,
 }
 
-/// A relay to one address; cheap to clone.
+/// A relay to one address at a time; cheap to clone.
 #[derive(Clone, Debug)]
 pub struct Relay {
     addr: SocketAddr,
@@ -36,6 +38,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let addr = listener.local_addr().expect("a bound address");
         let state = Arc::new(Mutex::new(State {
+            target,
             mode: RelayMode::Pass,
             silent_before: 0,
             reset_before: 0,
@@ -45,7 +48,7 @@
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let state = Arc::clone(&of_listener);
-                thread::spawn(move || connection(&state, stream, target));
+                thread::spawn(move || connection(&state, stream));
             }
         });
         Self { addr, state }
@@ -61,6 +64,12 @@
         self.state.lock().mode = mode;
     }
 
+    /// Resets all open connections; new ones lead to `target`.
+    pub fn redirect(&self, target: SocketAddr) {
+        self.state.lock().target = target;
+        self.reset();
+    }
+
     /// Makes all open connections forward nothing any more; new ones are not affected.
     pub fn silence(&self) {
         let mut state = self.state.lock();
@@ -74,11 +83,11 @@
     }
 }
 
-fn connection(state: &Arc<Mutex<State>>, near: TcpStream, target: SocketAddr) {
-    let (number, mode) = {
+fn connection(state: &Arc<Mutex<State>>, near: TcpStream) {
+    let (number, mode, target) = {
         let mut state = state.lock();
         state.next += 1;
-        (state.next - 1, state.mode)
+        (state.next - 1, state.mode, state.target)
     };
     if mode == RelayMode::Refuse {
         reset(&near);
