Tell others at once of a request whose retry has crashed an endpoint too

What was seen: 6 crashes in a_request_that_crashes_endpoints_is_sent_to_no_more_than_a_few, 5 allowed (once).

Cause, inferred for that failure, whose log was not kept: a process told others of its first and second crash under a request only 500 ms after each, and one call may crash two endpoints. With short pauses before the retries, three entries crash two each before the first of them has told. The log of the new test, which repeats the request without a pause, shows this order: two crashes at each of three entries within 450 ms, the first crash-reported 52 ms after the last.

A retry has already failed after the second crash, so it is told at once; only the first waits for the retry. Requests that were in flight at two crashed endpoints are told too, and are cleared by their next success as before.

--- a/crates/oleander-rollout/src/call/crash_registry.rs
+++ b/crates/oleander-rollout/src/call/crash_registry.rs
@@ -10,7 +10,7 @@
 use crate::store::shared_view::SharedView;
 use crate::store::store_client::StoreClient;
 use oleanderlock::routing::crash_suspects::{
-    CRASHES_MAX, CRASHES_PER_CALL_MAX, CrashSuspects, Crashes,
+    CRASHES_MAX, CRASHES_PER_CALL_MAX, CrashSuspects, Crashes, report_delay,
 };
 use oleanderlock::routing::endpoint_entry::EndpointEntry;
 use oleanderlock::routing::request_content::RequestContent;
@@ -23,9 +23,6 @@
 const BACKOFF_MAX: Millis = Millis(200);
 /// Time after which a caller may repeat a request under which endpoints crash.
 const REFUSAL_RETRY_AFTER: Millis = Millis::from_secs(60);
-/// Time after a crash within which a retry of the request may still show that the request is not
-/// the cause, so that others need not know of it.
-const REPORT_DELAY: Millis = Millis(500);
 /// Pause after crashes could not be written to the store.
 const RETRY_PAUSE: Millis = Millis(200);
 /// Attempts to write crashes to the store.
@@ -131,9 +128,7 @@
         });
         let this = Rc::clone(self);
         spawn(async move {
-            if count < CRASHES_MAX {
-                sleep(REPORT_DELAY).await;
-            }
+            sleep(report_delay(count)).await;
             this.report(&content).await;
         });
     }
--- a/crates/oleander-rollout/tests/crashing_requests.rs
+++ b/crates/oleander-rollout/tests/crashing_requests.rs
@@ -87,6 +87,16 @@
 
 /// Repeats the deadly request at one entry after the other, with new ids, while endpoints restart.
 fn repeat(deployment: &Deployment, path: &str, rounds: std::ops::Range<usize>) {
+    repeat_with(deployment, path, rounds, PAUSE);
+}
+
+/// Does the same as [`repeat`], with this pause after each call.
+fn repeat_with(
+    deployment: &Deployment,
+    path: &str,
+    rounds: std::ops::Range<usize>,
+    pause: Duration,
+) {
     for round in rounds {
         let entry = round % deployment.entries.len();
         call(
@@ -96,11 +106,28 @@
             &format!("deadly-{path}-{round}"),
             DEADLY,
         );
-        thread::sleep(PAUSE);
+        thread::sleep(pause);
         restart_crashed(deployment, round);
     }
 }
 
+#[test]
+fn a_request_that_is_repeated_at_once_at_each_entry_crashes_no_more_than_a_few() {
+    let deployment = deployment(SERVICES);
+    let entries = SERVICES.entries;
+    for n in 0..6 {
+        let path = format!("/calls/{n}");
+        let before = crashes(&deployment.services);
+        let rounds = n * entries..(n + 1) * entries;
+        repeat_with(&deployment, &path, rounds, Duration::ZERO);
+        let crashes = crashes(&deployment.services) - before;
+        assert!(
+            crashes <= CRASHES_MAX + CRASHES_IN_FLIGHT,
+            "{path}: {crashes} crashes"
+        );
+    }
+}
+
 #[test]
 fn a_request_that_crashes_endpoints_is_sent_to_no_more_than_a_few() {
     for path in ["/calls/x", "/once/x"] {
--- a/crates/oleanderlock/src/routing/crash_suspects.rs
+++ b/crates/oleanderlock/src/routing/crash_suspects.rs
@@ -5,6 +5,7 @@
 //! cause; they succeed elsewhere soon, which clears them.
 
 use super::request_content::RequestContent;
+use crate::prelude::*;
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
@@ -12,6 +13,9 @@
 pub const CRASHES_MAX: usize = 3;
 /// Crashes after which one call makes no further attempt.
 pub const CRASHES_PER_CALL_MAX: usize = 2;
+/// Time after the first crash under a request within which a retry may still show that the request is
+/// not the cause, so that others need not know of it.
+const FIRST_REPORT_DELAY: Millis = Millis(500);
 /// Time for which a crash counts, in milliseconds.
 pub const KEEP_MS: u64 = 600_000;
 /// Most requests that are remembered; the one that was recorded first is removed first.
@@ -19,6 +23,19 @@
 /// Most instances that are remembered for one request.
 const INSTANCES_MAX: usize = 16;
 
+/// Returns how long a process waits before it tells others of a request under which it knows of
+/// `crashes` crashes.
+///
+/// A retry has already failed after the second crash: until others know of it, the next repetition
+/// crashes as many endpoints at each of them.
+pub fn report_delay(crashes: usize) -> Millis {
+    if crashes < CRASHES_PER_CALL_MAX {
+        FIRST_REPORT_DELAY
+    } else {
+        Millis::ZERO
+    }
+}
+
 /// Crashes under one request.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Crashes {
--- a/crates/oleanderlock/tests/crash_suspects.rs
+++ b/crates/oleanderlock/tests/crash_suspects.rs
@@ -1,6 +1,9 @@
 //! Requests under which endpoints have crashed.
 
-use oleanderlock::routing::crash_suspects::{CrashSuspects, Crashes, KEEP_MS};
+use oleanderlock::prelude::*;
+use oleanderlock::routing::crash_suspects::{
+    CRASHES_MAX, CRASHES_PER_CALL_MAX, CrashSuspects, Crashes, KEEP_MS, report_delay,
+};
 use oleanderlock::routing::request_content::RequestContent;
 
 /// Unix time of the first crash, in milliseconds.
@@ -73,3 +76,11 @@
     }
     assert_eq!(many.instances.len(), 16);
 }
+
+#[test]
+fn others_learn_at_once_of_a_request_whose_retry_has_crashed_an_endpoint_too() {
+    assert!(report_delay(1) > Millis::ZERO);
+    for crashes in CRASHES_PER_CALL_MAX..=CRASHES_MAX {
+        assert_eq!(report_delay(crashes), Millis::ZERO, "{crashes} crashes");
+    }
+}
