--- a/crates/oleander-rollout/src/dispatch/ticks.rs
+++ b/crates/oleander-rollout/src/dispatch/ticks.rs
@@ -155,7 +155,7 @@
     let old = state
         .scheduler
         .jobs()
-        .filter(|job| !job.ended && now.since(job.submitted) > job.policy.keep);
+        .filter(|job| now.since(job.submitted) > job.policy.keep);
     let keys: Vec<ItemKey> = old.flat_map(|job| job.unfinished()).collect();
     for key in keys {
         give_up(&mut state, key, "kept too long");
--- a/crates/oleanderlock/src/batch/job_policy.rs
+++ b/crates/oleanderlock/src/batch/job_policy.rs
@@ -27,10 +27,7 @@
 impl JobPolicy {
     /// Whether engines of a service may run items of the job.
     pub fn allows(&self, service: Option<&str>) -> bool {
-        let mut targets = self.targets.iter();
-        targets.any(|target| {
-            Some(target.service.as_str()) == service && takes_calls(&self.targets, target)
-        })
+        leads_to(&self.targets, service)
     }
 
     /// Returns the service that an item gets by the weights of the route: always the same one for the
@@ -44,3 +41,10 @@
         pick_service(&self.targets, hasher.finish())
     }
 }
+
+/// Whether engines of a service may run items of jobs whose route has these targets.
+pub(super) fn leads_to(targets: &[RouteTarget], service: Option<&str>) -> bool {
+    let mut of_service = targets.iter();
+    of_service
+        .any(|target| Some(target.service.as_str()) == service && takes_calls(targets, target))
+}
--- a/crates/oleanderlock/src/batch/mod.rs
+++ b/crates/oleanderlock/src/batch/mod.rs
@@ -14,6 +14,7 @@
 pub mod checkpoint;
 pub mod checkpoint_log;
 pub mod checkpoint_page;
+mod ended_jobs;
 pub mod engine_sets;
 pub mod event_pace;
 pub mod item_key;
--- a/crates/oleanderlock/src/batch/scheduler.rs
+++ b/crates/oleanderlock/src/batch/scheduler.rs
@@ -8,6 +8,7 @@
 
 use super::agent_report::AgentReport;
 use super::agent_state::AgentState;
+use super::ended_jobs::EndedJobs;
 use super::engine_sets::EngineSets;
 use super::item_key::ItemKey;
 use super::item_phase::ItemPhase;
@@ -34,7 +35,11 @@
 #[derive(Clone, Debug, Default)]
 pub struct Scheduler {
     pub(super) cfg: SchedulerConfig,
+    /// Open jobs, in the order of their acceptance.
     pub(super) jobs: IndexMap<String, JobState>,
+    pub(super) ended: EndedJobs,
+    /// Approximate memory of the items of all open jobs, in bytes.
+    open_bytes: usize,
     pub(super) agents: IndexMap<String, AgentState>,
     /// The set of engines of each model, by service.
     pub(super) engine_sets: IndexMap<Option<String>, EngineSets>,
@@ -58,7 +63,7 @@
 
     /// Adds a job; returns false if a job with the same id exists.
     pub fn accept(&mut self, job: Job, policy: JobPolicy, submitted: Millis) -> bool {
-        if self.jobs.contains_key(&job.id) {
+        if self.job(&job.id).is_some() {
             return false;
         }
         self.update_mean_step_tokens(&job);
@@ -68,7 +73,9 @@
             .or_default();
         *oldest = job.oldest_version.max(*oldest);
         let id = job.id.clone();
-        self.jobs.insert(id, JobState::new(job, policy, submitted));
+        let job = JobState::new(job, policy, submitted);
+        self.open_bytes += job.size_bytes;
+        self.jobs.insert(id, job);
         true
     }
 
@@ -86,7 +93,7 @@
         *mean = (*mean * (8 - NEW_STEP_WEIGHT_EIGHTHS) + tokens * NEW_STEP_WEIGHT_EIGHTHS) / 8;
     }
 
-    /// Replaces the limits and rules of a job, as after a change of its route.
+    /// Replaces the limits and rules of an open job, as after a change of its route.
     pub fn set_policy(&mut self, id: &str, policy: JobPolicy) {
         if let Some(job) = self.jobs.get_mut(id) {
             job.policy = policy;
@@ -95,17 +102,17 @@
 
     /// Returns a job by id, ended or not.
     pub fn job(&self, id: &str) -> Option<&JobState> {
-        self.jobs.get(id)
+        self.jobs.get(id).or_else(|| self.ended.get(id))
     }
 
-    /// Returns all jobs that have not been removed, in the order of their acceptance.
+    /// Returns the open jobs, in the order of their acceptance.
     pub fn jobs(&self) -> impl Iterator<Item = &JobState> {
         self.jobs.values()
     }
 
     /// Returns the approximate memory of the items of all open jobs, in bytes.
     pub fn open_bytes(&self) -> usize {
-        self.jobs.values().map(|job| job.size_bytes).sum()
+        self.open_bytes
     }
 
     /// Returns the number of items without a result, of all jobs.
@@ -118,11 +125,13 @@
 
     /// Ends a job; returns its running items, each with the name of its agent.
     pub fn end(&mut self, id: &str) -> Vec<(String, ItemKey)> {
-        let Some(job) = self.jobs.get_mut(id) else {
+        let Some(mut job) = self.jobs.shift_remove(id) else {
             return Vec::new();
         };
+        self.open_bytes -= job.size_bytes;
         let running = job.running();
         job.end();
+        self.ended.insert(job);
         for (agent, key) in &running {
             self.unassign(agent, key);
         }
@@ -132,7 +141,7 @@
     /// Ends a job if it is open, and removes it.
     pub fn remove_job(&mut self, id: &str) {
         self.end(id);
-        self.jobs.shift_remove(id);
+        self.ended.remove(id);
     }
 
     /// Raises the target version of a model; an older version than the current target is ignored.
--- a/crates/oleanderlock/src/batch/scheduler_loads.rs
+++ b/crates/oleanderlock/src/batch/scheduler_loads.rs
@@ -10,6 +10,7 @@
 
 use super::agent_state::AgentState;
 use super::item_phase::ItemPhase;
+use super::job_policy::leads_to;
 use super::job_state::JobState;
 use super::load_grant::LoadGrant;
 use super::scheduler::Scheduler;
@@ -110,7 +111,7 @@
     /// Returns the open jobs of a model whose route leads to the service of an agent's engine.
     fn open_jobs(&self, agent: &AgentState, model: &str) -> impl Iterator<Item = &JobState> {
         let open = self.jobs.values();
-        open.filter(move |job| !job.ended && job.model == model && agent.serves(job))
+        open.filter(move |job| job.model == model && agent.serves(job))
     }
 
     fn has_waiting_items(&self, agent: &AgentState, model: &str) -> bool {
@@ -163,12 +164,12 @@
     /// Returns the work of a model at the service of an agent's engine: its mean tokens per step, or 1
     /// if it has none or the routes of its jobs lead to other services.
     fn work_of(&self, agent: &AgentState, model: &str) -> u64 {
-        let mut of_model = self
-            .jobs
-            .values()
-            .filter(|job| job.model == model)
-            .peekable();
-        let is_elsewhere = of_model.peek().is_some() && !of_model.any(|job| agent.serves(job));
+        let open = self.jobs.values().filter(|job| job.model == model);
+        let open = open.map(|job| job.policy.targets.as_slice());
+        let mut routes = open.chain(self.ended.routes_of(model)).peekable();
+        let service = agent.report.service.as_deref();
+        let is_elsewhere =
+            routes.peek().is_some() && !routes.any(|targets| leads_to(targets, service));
         let tokens = self.mean_step_tokens.get(model).copied();
         tokens.filter(|_| !is_elsewhere).unwrap_or(1)
     }
--- a/crates/oleanderlock/src/batch/scheduler_recall.rs
+++ b/crates/oleanderlock/src/batch/scheduler_recall.rs
@@ -258,5 +258,5 @@
 
 /// Whether a run of a job that was assigned at `since` may move as a straggler.
 fn may_move_straggler(now: Millis, job: &JobState, since: Millis) -> bool {
-    !job.ended && !job.policy.single_version && now.since(since) >= STRAGGLER_AGE_MIN
+    !job.policy.single_version && now.since(since) >= STRAGGLER_AGE_MIN
 }
