--- a/crates/oleander-rollout/tests/late_copies.rs
+++ b/crates/oleander-rollout/tests/late_copies.rs
@@ -26,6 +26,16 @@
 /// Time in which an agent reads several reports of its engine.
 const REPORTS: Duration = Duration::from_millis(1200);
 
+/// Starts a deployment with one engine, which has these faults.
+fn one_engine(faults: EngineFaults) -> Deployment {
+    let deployment = Deployment::start(DeploymentSize {
+        engines: 1,
+        ..SMALL
+    });
+    deployment.engines[0].set_faults(faults);
+    deployment
+}
+
 // Guards against items that are errored before the last of their attempts: the late copy of a failed
 // scoring call was counted as the failure of the next one.
 #[test]
@@ -53,15 +63,11 @@
 // an earlier run of the item takes the late copy of its failure.
 #[test]
 fn a_failed_run_counts_once_if_its_response_is_repeated() {
-    let deployment = Deployment::start(DeploymentSize {
-        engines: 1,
-        ..SMALL
-    });
-    let engine = &deployment.engines[0];
-    engine.set_faults(EngineFaults {
+    let deployment = one_engine(EngineFaults {
         late_copies: true,
         ..EngineFaults::default()
     });
+    let engine = &deployment.engines[0];
     engine.fail_runs_of_item("00010000", &[true, false, true]);
     let body = job(1, 1, 2, 5);
     deployment.submit(0, "job-a", &body);
@@ -73,11 +79,7 @@
 #[test]
 fn a_late_response_that_names_no_request_fails_no_item() {
     for stray_status in [422, 500] {
-        let deployment = Deployment::start(DeploymentSize {
-            engines: 1,
-            ..SMALL
-        });
-        deployment.engines[0].set_faults(EngineFaults {
+        let deployment = one_engine(EngineFaults {
             stray_status,
             ..EngineFaults::default()
         });
@@ -135,15 +137,11 @@
 // its limit lifted the limit.
 #[test]
 fn a_repeated_report_lifts_no_limit() {
-    let deployment = Deployment::start(DeploymentSize {
-        engines: 1,
-        ..SMALL
-    });
-    let engine = &deployment.engines[0];
-    engine.set_faults(EngineFaults {
+    let deployment = one_engine(EngineFaults {
         late_copies: true,
         ..EngineFaults::default()
     });
+    let engine = &deployment.engines[0];
     let lifted = || {
         let log = deployment.agents[0].process().log();
         log.matches("event=endpoint-limit-lifted ").count()
