review/7: an end that is answered 503 ends its job all the same

The store carries out the write that ends a job and its answer is lost: the trainer is promised that its request never runs, and the bodies of its open items are answered 404 from then on.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -10,7 +10,7 @@
 fi
 temporary=$(mktemp -d) || exit 2
 trap 'rm -rf "$temporary"' EXIT
-timeout -k 5 110 "$program" agents-apart review/7 "$temporary"
+timeout -k 5 110 "$program" refused-end review/7 "$temporary"
 code=$?
 if [ "$code" -gt 2 ]; then
     # It was ended from outside: the processes that it started are left.
--- a/review/harness-2/src/cases.rs
+++ b/review/harness-2/src/cases.rs
@@ -232,6 +232,60 @@
         Ok(!lost.is_empty())
     }
 
+    /// The store carries out the write that ends a batch job, and its answer is lost. The trainer is told
+    /// with 503 that its request has not run and never will, and yet the job has ended.
+    pub fn refused_end(&self) -> CaseResult<bool> {
+        const LOST_FOR: Duration = Duration::from_millis(4500);
+        let mut deployment = self.start();
+        let store = deployment.store.addr;
+        for (n, zone) in ["a", "b", "c"].into_iter().enumerate() {
+            let name = format!("store-{zone}-1");
+            self.add_plain(&mut deployment, (1 + n, &name, "dispatcher", zone), store)?;
+            self.add_engine(&mut deployment, (1 + n, zone, 4), store)?;
+        }
+        self.add_plain(&mut deployment, (10, "front-a-1", "entry", "a"), store)?;
+        deployment.wait_until_ready("front-a-1")?;
+        let entry = deployment.entry("front-a-1");
+        let step = Step::new("3fa8c6d1", 180, EVENTS);
+        step.submit(&deployment, entry)?;
+        thread::sleep(Duration::from_secs(2));
+        let began = Instant::now();
+        if self.trouble {
+            self.record
+                .line("the store loses the answers of writes that end jobs");
+            deployment.store.lose_answers(Some("job-ends"));
+        }
+        thread::sleep(Duration::from_millis(300));
+        let ended = step.end(&deployment, entry).map_or(0, |reply| reply.status);
+        thread::sleep((began + LOST_FOR).saturating_duration_since(Instant::now()));
+        let (writes, lost) = deployment.store.lose_answers(None);
+        if self.trouble {
+            self.record.line(&format!(
+                "the store answers again; {lost} of {writes} writes were not answered"
+            ));
+        }
+        // From now on for `contact_ms`, no machine is in touch.
+        thread::sleep(CONTACT + Duration::from_millis(500));
+        let runs = deployment.runs();
+        let is_new = |item: &&String| !runs.iter().any(|run| &run.item == *item);
+        let untouched: Vec<&String> = step.items.iter().filter(is_new).collect();
+        self.record
+            .line(&format!("{} items have been at no worker", untouched.len()));
+        let mut missing = 0;
+        for item in untouched.into_iter().take(10) {
+            missing += usize::from(step.body_status(&deployment, entry, item) == 404);
+            thread::sleep(Duration::from_millis(100));
+        }
+        step.read(&deployment, entry, 0);
+        deployment.expect_running()?;
+        self.record.line(&format!(
+            "check: the end was answered {ended}; the bodies of {missing} items that no worker has \
+             finished are answered 404"
+        ));
+        // 503 promises that the request has not run and never will.
+        Ok(ended == 503 && missing > 0)
+    }
+
     /// Starts a dispatcher, a model worker with its agent and an entry in each of three zones. The
     /// machines of zone a reach the first dispatcher at its own address, the others through the relay.
     fn start_with_relay(&self, slots: usize) -> CaseResult<(Deployment, Relay)> {
@@ -305,6 +359,7 @@
     match name {
         "foreign-entries" => case.foreign_entries(),
         "agents-apart" => case.agents_apart(),
+        "refused-end" => case.refused_end(),
         "cut-leader" => case.cut_leader(),
         other => Err(format!("no case {other}")),
     }
--- a/review/harness-2/src/deployment.rs
+++ b/review/harness-2/src/deployment.rs
@@ -294,6 +294,16 @@
         read
     }
 
+    /// Asks for the body of an item; returns the status of the answer, 0 without one.
+    pub fn body_status(&self, deployment: &Deployment, entry: SocketAddr, item: &str) -> u16 {
+        let path = format!("/-/items/{}?id={item}", self.id);
+        let reply = call(entry, "GET", &path, &[("host", HOST)], b"", READ_LIMIT);
+        let status = reply.map_or(0, |reply| reply.status);
+        let record = &deployment.record;
+        record.line(&format!("trainer: GET body of {item} -> {status}"));
+        status
+    }
+
     /// Ends the batch job.
     pub fn end(&self, deployment: &Deployment, entry: SocketAddr) -> Option<Reply> {
         let path = format!("/-/lots/{}", self.id);
--- a/review/harness-2/src/store.rs
+++ b/review/harness-2/src/store.rs
@@ -3,6 +3,7 @@
 use crate::http::{Request, decoded, respond, serve};
 use crate::json::{Json, number, object, text};
 use std::collections::BTreeMap;
+use std::io::Read;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
@@ -21,6 +22,10 @@
     revision: u64,
     kinds: BTreeMap<String, BTreeMap<String, Json>>,
     history: Vec<Change>,
+    /// Kind whose writes are carried out and not answered; `None` for no kind.
+    unanswered_kind: Option<String>,
+    writes: u64,
+    unanswered: u64,
 }
 
 #[derive(Clone)]
@@ -38,6 +43,9 @@
             revision: 1,
             kinds: BTreeMap::new(),
             history: Vec::new(),
+            unanswered_kind: None,
+            writes: 0,
+            unanswered: 0,
         };
         let shared = Arc::new((Mutex::new(state), Condvar::new()));
         let addr = listen(ip, Arc::clone(&shared), Rewrites::new());
@@ -62,6 +70,16 @@
         self.shared.1.notify_all();
     }
 
+    /// Loses the answers of all further writes of a kind, which are carried out all the same; `None`
+    /// ends that. Returns the numbers of writes and of lost answers since the last call.
+    pub fn lose_answers(&self, kind: Option<&str>) -> (u64, u64) {
+        let mut state = self.shared.0.lock().unwrap();
+        state.unanswered_kind = kind.map(str::to_owned);
+        let counts = (state.writes, state.unanswered);
+        (state.writes, state.unanswered) = (0, 0);
+        counts
+    }
+
     pub fn spec(&self, kind: &str, name: &str) -> Option<Json> {
         let state = self.shared.0.lock().unwrap();
         state
@@ -229,8 +247,16 @@
     let mut state = shared.0.lock().unwrap();
     if req.method != "GET" {
         let (status, body) = state.write(req, &kind, name.as_deref(), is_status);
+        let is_lost = state.unanswered_kind.as_ref() == Some(&kind);
+        state.writes += 1;
+        state.unanswered += u64::from(is_lost);
         drop(state);
         shared.1.notify_all();
+        if is_lost {
+            // Nothing more comes on this connection; it ends when the caller closes it.
+            while stream.read(&mut [0; 256]).is_ok_and(|read| read > 0) {}
+            return Ok(false);
+        }
         return answer(stream, rewrites, status, &body);
     }
     if let Some(name) = name {
