Tell an engine's entry from others at its address by what the engine says

Cause: an agent took the entry with the latest start at its engine's address for the engine's own. It differed from the engine's report, so that the agent reported no slots.

Evidence: on the code before, `agent-known instance=foreign slots=0` at the leader once the entry is listed; the record of the case has no 421. The tests entries_of_another_writer_at_an_engines_address_ stop_no_items and entries_of_another_writer_stop_no_items_where_no_starts_are_named failed on that code (not all results within 30 s) and pass now.

Change: OwnEntry decides by what the engine says: it is asked for reports with the expected instance and refuses those for others with 421; an entry with the reported start goes before others.

--- a/crates/oleander-rollout/src/agent/agent_process.rs
+++ b/crates/oleander-rollout/src/agent/agent_process.rs
@@ -132,15 +132,36 @@
         Ok(agent)
     }
 
-    /// Returns the newest endpoint that is listed at the address of the engine.
+    /// Returns the entry of the engine in the endpoint list; see [`OwnEntry::find`].
+    ///
+    /// [`OwnEntry::find`]: oleanderlock::routing::own_entry::OwnEntry::find
     pub fn endpoint(&self) -> Option<EndpointEntry> {
-        self.view
-            .get()
-            .endpoints
-            .newest_at(self.engine.addr())
+        let view = self.view.get();
+        let services = view.routes.as_ref().map(|routes| &routes.config.services);
+        let is_configured =
+            |service: &str| services.is_none_or(|services| services.contains_key(service));
+        let state = self.state.borrow();
+        let reported_start = state
+            .engine
+            .as_ref()
+            .and_then(|(report, _)| report.started_unix_ms);
+        let addr = self.engine.addr();
+        state
+            .own_entry
+            .find(&view.endpoints, addr, reported_start, is_configured)
             .cloned()
     }
 
+    /// Records that the engine has refused a request for the incarnation of `entry`, which is another
+    /// one's or out of date.
+    pub fn refuse_entry(&self, entry: &EndpointEntry) {
+        event(log::Level::Warn, "entry-refused", || {
+            format!("instance={} service={}", entry.instance, entry.service)
+        });
+        self.state.borrow_mut().own_entry.refuse(entry);
+        self.notify();
+    }
+
     /// Returns the version of the engine's software, if the list names it.
     pub fn software(&self) -> Option<String> {
         self.endpoint()?.software
@@ -162,7 +183,7 @@
     pub fn ready_endpoint(&self) -> Option<EndpointEntry> {
         let entry = self.endpoint()?;
         let state = self.state.borrow();
-        let replaced = state.replaced_instance.as_ref() == Some(&entry.instance);
+        let replaced = state.own_entry.has_refused(&entry);
         let leaving = self.caller.leaving().contains(&entry);
         let takes_work = !replaced && !leaving && !self.has_restarted(&entry);
         (entry.state == EndpointState::Ready && takes_work).then_some(entry)
--- a/crates/oleander-rollout/src/agent/engine_client.rs
+++ b/crates/oleander-rollout/src/agent/engine_client.rs
@@ -57,24 +57,33 @@
         self.addr
     }
 
-    /// Reads the report of the engine, which is listed as `listed`.
+    /// Reads the report of the engine, if it is still the listed endpoint `listed`; without that, of
+    /// any engine. Returns `None` if the engine is another one.
     ///
     /// # Errors
     ///
     /// Why there is no report; [`SendError::NoAnswer`] also when it can't be decoded.
-    pub async fn report(&self, listed: Option<&EndpointEntry>) -> Result<EngineReport, SendError> {
-        let req = Request::builder()
+    pub async fn report(
+        &self,
+        listed: Option<&EndpointEntry>,
+    ) -> Result<Option<EngineReport>, SendError> {
+        let mut req = Request::builder()
             .method(Method::GET)
             .uri(paths::REPORT)
-            .header(HOST, self.addr.to_string())
-            .body(Full::default())
-            .map_err(SendError::not_sent)?;
+            .header(HOST, self.addr.to_string());
+        if let Some(listed) = listed {
+            req = req.header(headers::EXPECT_INSTANCE, &listed.instance);
+        }
+        let req = req.body(Full::default()).map_err(SendError::not_sent)?;
         let (sent_at, asked) = (now(), unix_ms());
         // A repeated report from before the engine named its limit would lift the limit. Otherwise, an
         // earlier report of the same process does no harm.
         let limited = listed.is_some_and(|listed| self.limits.is_limited(&listed.instance));
         let reuse = if limited { Reuse::Never } else { Reuse::Any };
         let (head, body) = self.exchange("", req, reuse).await?;
+        if head.status == StatusCode::MISDIRECTED_REQUEST && listed.is_some() {
+            return Ok(None);
+        }
         let report = decode_report(&body).map_err(SendError::no_answer)?;
         if let Some(listed) = listed {
             let by_list = Announcer::Listed {
@@ -86,7 +95,7 @@
                 .read(&head.headers, &listed.instance, announcer);
             self.read_limit(&head, listed, (RequestKind::Report, sent_at));
         }
-        Ok(report)
+        Ok(Some(report))
     }
 
     /// Orders a load of weights, if the engine is still the listed `endpoint`; returns the status
--- a/crates/oleander-rollout/src/agent/engine_poll.rs
+++ b/crates/oleander-rollout/src/agent/engine_poll.rs
@@ -3,12 +3,17 @@
 
 use super::agent_process::Agent;
 use super::runner;
+use crate::http::send_error::SendError;
 use crate::peer::messages::ReturnReason;
 use crate::prelude::*;
+use oleander_platform::engine_report::EngineReport;
 use std::rc::Rc;
+use std::sync::Arc;
 
 /// Interval of the polls.
 const POLL_INTERVAL: Millis = Millis(400);
+/// Most entries at the engine's address about which one poll asks the engine.
+const ENTRIES_PER_POLL: usize = 8;
 
 /// Polls the engine until the process ends, and starts waiting items that it can run.
 pub async fn run(agent: Rc<Agent>) {
@@ -31,8 +36,7 @@
 
 /// Reads a report; returns whether the engine is running.
 pub async fn poll_report(agent: &Agent) -> bool {
-    let listed = agent.endpoint();
-    let report = agent.engine.report(listed.as_ref()).await;
+    let report = read_report(agent).await;
     let mut state = agent.state.borrow_mut();
     match report {
         Ok(report) => {
@@ -47,3 +51,24 @@
         }
     }
 }
+
+/// Reads a report of the engine, and finds out which entry at its address is its own: it refuses
+/// requests for other instances.
+async fn read_report(agent: &Agent) -> Result<EngineReport, SendError> {
+    let endpoints = Arc::clone(&agent.view.get().endpoints);
+    agent.state.borrow_mut().own_entry.retain_listed(&endpoints);
+    for _ in 0..ENTRIES_PER_POLL {
+        let listed = agent.endpoint();
+        let expected = listed.filter(|entry| !agent.state.borrow().own_entry.has_refused(entry));
+        let Some(entry) = expected else {
+            break;
+        };
+        if let Some(report) = agent.engine.report(Some(&entry)).await? {
+            agent.state.borrow_mut().own_entry.confirm(&entry);
+            return Ok(report);
+        }
+        agent.refuse_entry(&entry);
+    }
+    let report = agent.engine.report(None).await?;
+    report.ok_or_else(|| SendError::no_answer("another instance"))
+}
--- a/crates/oleander-rollout/src/agent/load.rs
+++ b/crates/oleander-rollout/src/agent/load.rs
@@ -109,7 +109,7 @@
     };
     let result = agent.engine.order_load(&endpoint, &order).await;
     if matches!(result, Ok(StatusCode::MISDIRECTED_REQUEST)) {
-        agent.state.borrow_mut().replaced_instance = Some(endpoint.instance.clone());
+        agent.refuse_entry(&endpoint);
     }
     event(log::Level::Info, "order", || {
         format!(
--- a/crates/oleander-rollout/src/agent/run.rs
+++ b/crates/oleander-rollout/src/agent/run.rs
@@ -241,8 +241,7 @@
             event(log::Level::Warn, "engine-replaced", || {
                 format!("request={} listed={}", work.key.item, endpoint.instance)
             });
-            agent.state.borrow_mut().replaced_instance = Some(endpoint.instance);
-            agent.notify();
+            agent.refuse_entry(&endpoint);
             return RunEnd::OtherInstance;
         }
         StatusCode::UNPROCESSABLE_ENTITY => return RunEnd::Impossible,
--- a/crates/oleander-rollout/src/agent/state.rs
+++ b/crates/oleander-rollout/src/agent/state.rs
@@ -10,6 +10,7 @@
 use oleanderlock::batch::progress::Progress;
 use oleanderlock::batch::run_part::RunPart;
 use oleanderlock::batch::sample::Sample;
+use oleanderlock::routing::own_entry::OwnEntry;
 
 /// Age after which a report no longer shows that the engine is running.
 const REPORT_MAX_AGE: Millis = Millis(1500);
@@ -30,9 +31,8 @@
     pub returned: IndexMap<String, ReturnedItem>,
     /// The engine's last report, and when it was received.
     pub engine: Option<(EngineReport, Millis)>,
-    /// Listed instance that another one has replaced at the engine's address: the engine has
-    /// refused requests for it, but the list of endpoints is not up to date yet.
-    pub replaced_instance: Option<String>,
+    /// What the engine has said about the entries at its address.
+    pub own_entry: OwnEntry,
     /// Model whose weights are being loaded.
     pub loading: Option<String>,
     /// Pace of the engine.
@@ -48,7 +48,7 @@
             samples: IndexMap::new(),
             returned: IndexMap::new(),
             engine: None,
-            replaced_instance: None,
+            own_entry: OwnEntry::default(),
             loading: None,
             pace: EventPace::default(),
             mean_run: MEAN_RUN_DEFAULT,
--- a/crates/oleander-rollout/tests/odd_entries.rs
+++ b/crates/oleander-rollout/tests/odd_entries.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use oleander_platform_standins::call_behavior::CallBehavior;
-use serde_json::json;
+use serde_json::{Value, json};
 use std::thread;
 use std::time::Duration;
 use support::deployment::Deployment;
@@ -47,6 +47,30 @@
     ]
 }
 
+/// Returns entries that another writer puts at the address of an engine whose start is 1, by case.
+fn entries_at(addr: &str) -> Vec<(&'static str, Value)> {
+    let entry = |service: &str, started: Option<u64>| {
+        let mut entry = json!({"service": service, "addr": addr, "zone": "z", "version": "v1",
+            "slots": 8, "state": "ready", "cold_left_ms": 0, "seq": 1});
+        if let Some(started) = started {
+            entry["born"] = json!(started);
+        }
+        entry
+    };
+    let mut draining = entry("kiosk", None);
+    draining["state"] = json!("draining");
+    vec![
+        ("unknown service, later start", entry("kiosk", Some(1000))),
+        ("unknown service, no start", entry("kiosk", None)),
+        ("unknown service, draining", draining),
+        ("other service, later start", entry("desk", Some(1000))),
+        ("other service, no start", entry("desk", None)),
+        ("same service, later start", entry("llm", Some(1000))),
+        ("same service, same start", entry("llm", Some(1))),
+        ("same service, no start", entry("llm", None)),
+    ]
+}
+
 fn put_odd_entries(deployment: &Deployment) {
     let addr = deployment.engines[0].addr().to_string();
     for (n, spec) in odd_specs(&addr).iter().enumerate() {
@@ -112,3 +136,44 @@
         .nodes_mut()
         .for_each(support::node::Node::expect_running);
 }
+
+/// Checks that entries of another writer at the address of an engine neither end runs nor keep items
+/// from it, also after a restart of its agent.
+fn check_entries_at_an_engine(names_start: bool) {
+    let mut deployment = Deployment::start(SIZE);
+    let engine = deployment.engines[0].clone();
+    if !names_start {
+        engine.hide_start();
+        let entry = engine.entry("llm");
+        deployment.store.put("servers", &engine.instance(), &entry);
+    }
+    let cases = entries_at(&engine.addr().to_string());
+    for (n, (case, entry)) in cases.iter().enumerate() {
+        let before = engine.runs().len();
+        let body = job(n as u64, 1, 12, 60);
+        let id = format!("job-{n}");
+        deployment.submit(0, &id, &body);
+        wait_for("items run", || engine.runs().len() >= before + 8);
+        deployment.store.put("servers", "foreign", entry);
+        check_results(&deployment.read_all(0, &id, 24), &body);
+        assert_eq!(engine.runs().len(), before + 24, "{case}: runs that ended");
+        for _ in 0..10 {
+            assert!(call(&deployment), "{case}");
+        }
+        let agent = &mut deployment.agents[0];
+        agent.kill();
+        agent.start();
+        assert_jobs_are_run(&deployment, &format!("after-{n}"), 100 + n as u64);
+        deployment.store.remove("servers", "foreign");
+    }
+}
+
+#[test]
+fn entries_of_another_writer_at_an_engines_address_stop_no_items() {
+    check_entries_at_an_engine(true);
+}
+
+#[test]
+fn entries_of_another_writer_stop_no_items_where_no_starts_are_named() {
+    check_entries_at_an_engine(false);
+}
--- a/crates/oleanderlock/src/routing/endpoint_table.rs
+++ b/crates/oleanderlock/src/routing/endpoint_table.rs
@@ -48,13 +48,11 @@
         entries.any(|entry| entry.service == service && entry.software.is_some())
     }
 
-    /// Returns the newest incarnation at an address, draining or not.
-    pub fn newest_at(&self, addr: SocketAddr) -> Option<&EndpointEntry> {
-        let there = self.entries.values().filter(|entry| entry.addr == addr);
-        there.max_by_key(|entry| {
-            let ready = entry.state == EndpointState::Ready;
-            (entry.started_unix_ms.unwrap_or_default(), ready)
-        })
+    /// Returns the entries at an address, draining or not.
+    pub fn at(&self, addr: SocketAddr) -> impl Iterator<Item = &EndpointEntry> {
+        self.entries
+            .values()
+            .filter(move |entry| entry.addr == addr)
     }
 
     /// Creates a table; of entries with the same instance id the last one is kept.
--- a/crates/oleanderlock/tests/routing_rules.rs
+++ b/crates/oleanderlock/tests/routing_rules.rs
@@ -108,22 +108,6 @@
     assert_eq!(ready, ["a"]);
 }
 
-#[test]
-fn the_newest_incarnation_at_an_address_is_found() {
-    let mut table = EndpointTable::default();
-    let mut old = endpoint("old", "z");
-    old.started_unix_ms = Some(1);
-    let mut new = endpoint("new", "z");
-    new.started_unix_ms = Some(2);
-    let addr = new.addr;
-    table.put(new);
-    table.put(old);
-    assert_eq!(
-        table.newest_at(addr).map(|one| one.instance.as_str()),
-        Some("new")
-    );
-}
-
 fn picked(loads: [EndpointLoad; 2], tried: &[String]) -> Option<String> {
     let entries = [endpoint("near", "z"), endpoint("far", "y")];
     let candidates: Vec<Candidate<'_>> = entries
