--- a/crates/oleander-rollout/tests/formats.rs
+++ b/crates/oleander-rollout/tests/formats.rs
@@ -530,7 +530,7 @@
     "services":[{"name":"desk","health_path":"/health","max_conns":100},{"name":"llm"}],
     "limits":{"max_header_bytes":1,"max_body_bytes":2,"header_ms":3,"idle_ms":4}}"#;
 const ENDPOINT: &str = r#"{"service":"llm","addr":"10.0.0.9:8080","zone":"z","slots":8,
-    "state":"ready","cold_left_ms":250,"born":1790000000003,
+    "state":"ready","cold_left_ms":250,"seq":4,"born":1790000000003,
     "models":[{"name":"advisor","version":5}]}"#;
 const REPORT: &str = r#"{"models":[{"name":"advisor","version":5}],"busy":true,"seq":4,"queued":2,
     "running":3,"born":1790000000003}"#;
