Answer an end as not run only if it has not run

Cause: the leader answered each error of the store with a refusal, also one after which the write may have taken effect; the entry kept only the last error of several tries, so that a call that got no answer became a refusal too.

Change: the leader repeats the write of the mark, which is one object and always the same, and answers 502 if its outcome stays open. The entry remembers that a try may have ended the job. NotReached tells a call that was never sent from one without an answer.

--- a/crates/oleander-rollout/src/dispatch/jobs_api.rs
+++ b/crates/oleander-rollout/src/dispatch/jobs_api.rs
@@ -25,6 +25,10 @@
 /// Percentage of the settle time for which a check that this dispatcher knows all results stays
 /// valid.
 const VERIFIED_PERCENT: u64 = 70;
+/// Time for which the write of an end is repeated if it gets no answer.
+const END_WRITE_TIME: Millis = Millis(2500);
+/// Pause before the write of an end is repeated.
+const END_RETRY_PAUSE: Millis = Millis(50);
 /// Time after which a caller that got no reliable answer may try again.
 const RETRY_AFTER: Millis = Millis(200);
 
@@ -188,21 +192,48 @@
     if has_ended() {
         return response::status(StatusCode::OK);
     }
-    match dispatcher
-        .store
-        .create(JOB_END_KIND, job, RawValue::TRUE)
-        .await
-    {
-        Ok(()) | Err(StoreError::Conflict) => {
+    match write_end(dispatcher, job).await {
+        Ok(()) => {
             jobs::end(dispatcher, job);
             response::status(StatusCode::OK)
         }
-        Err(err) => {
-            event(log::Level::Warn, "end-failed", || {
-                format!("job={job} reason=\"{err}\"")
-            });
-            response::refusal(RETRY_AFTER)
+        Err(StoreError::NotDone { .. }) => response::refusal(RETRY_AFTER),
+        // The mark may stand in the store, or come to stand there later.
+        Err(StoreError::NoAnswer { .. } | StoreError::Conflict | StoreError::HistoryGone) => {
+            response::status(StatusCode::BAD_GATEWAY)
+        }
+    }
+}
+
+/// Writes the end mark of a job. A write without an answer is repeated for up to [`END_WRITE_TIME`]:
+/// the mark of the job is always the same, so that the repetition shows whether it stands.
+///
+/// # Errors
+///
+/// [`StoreError::NotDone`] if no write has taken effect or will, otherwise another one.
+async fn write_end(dispatcher: &Dispatcher, job: &str) -> Result<(), StoreError> {
+    let until = now().plus(END_WRITE_TIME);
+    let mut may_be_written = false;
+    loop {
+        let written = dispatcher
+            .store
+            .create(JOB_END_KIND, job, RawValue::TRUE)
+            .await;
+        let err = match written {
+            Ok(()) | Err(StoreError::Conflict) => return Ok(()),
+            Err(err) => err,
+        };
+        event(log::Level::Warn, "end-failed", || {
+            format!("job={job} reason=\"{err}\"")
+        });
+        may_be_written |= !matches!(err, StoreError::NotDone { .. });
+        if !may_be_written {
+            return Err(err);
+        }
+        if now() >= until {
+            return Err(StoreError::no_answer(err));
         }
+        sleep(END_RETRY_PAUSE).await;
     }
 }
 
--- a/crates/oleander-rollout/src/entry/job_calls.rs
+++ b/crates/oleander-rollout/src/entry/job_calls.rs
@@ -13,6 +13,8 @@
 
 /// Time for which the leader is tried, in addition to the wait that the request asks for.
 const LEADER_TIMEOUT: Millis = Millis(1500);
+/// Time for which an end whose outcome is not known is tried.
+const END_TIMEOUT: Millis = Millis(3000);
 /// Pause between two calls to the leader.
 const RETRY_PAUSE: Millis = Millis(150);
 /// Time after which a client may retry when no leader responds.
@@ -49,28 +51,45 @@
             return response::status(StatusCode::INTERNAL_SERVER_ERROR);
         }
     };
-    let until = head.arrived.plus(wait).plus(LEADER_TIMEOUT);
+    let is_end = matches!(call, JobCall::End { .. });
+    let mut until = head.arrived.plus(wait).plus(LEADER_TIMEOUT);
     let mut last_error = LeaderError::Unknown;
+    // Whether an earlier try may have ended the job, or may still do so. Reads change nothing.
+    let mut may_have_ended = false;
     while now() < until {
-        let limit = until.since(now());
+        let limit = until.since(now()).min(wait.plus(LEADER_TIMEOUT));
         let called = entry
             .leader_client
             .call(method.clone(), &path, body.clone(), limit)
             .await;
         match called {
-            Ok((status, body)) => return client_response(head, &call, status, body),
-            Err(LeaderError::Unsure) => {
-                last_error = LeaderError::Unsure;
-                break;
+            Ok((status, _)) if is_end && status.is_server_error() => {
+                last_error = LeaderError::NoAnswer {
+                    reason: status.to_string(),
+                };
             }
+            Ok((status, body)) => return client_response(head, &call, status, body),
             Err(error) => last_error = error,
         }
+        may_have_ended |= is_end && matches!(last_error, LeaderError::NoAnswer { .. });
+        if may_have_ended {
+            until = head.arrived.plus(END_TIMEOUT);
+        } else if last_error == LeaderError::Unsure {
+            break;
+        }
         entry.leader_client.ask_for_leader(ASK_TIMEOUT).await;
         sleep(RETRY_PAUSE).await;
     }
     event(log::Level::Info, "job-call-refused", || {
-        format!("request={} call={call:?} reason=\"{last_error}\"", head.id)
+        format!(
+            "request={} call={call:?} may_have_ended={may_have_ended} reason=\"{last_error}\"",
+            head.id
+        )
     });
+    if may_have_ended {
+        entry.metrics.record_refusal("end-unsure");
+        return response::status(StatusCode::BAD_GATEWAY);
+    }
     entry.metrics.record_refusal("no-leader");
     response::refusal(NO_LEADER_RETRY_AFTER)
 }
--- a/crates/oleander-rollout/src/entry/submit.rs
+++ b/crates/oleander-rollout/src/entry/submit.rs
@@ -151,6 +151,7 @@
         Err(LeaderError::Unknown | LeaderError::NotLeading | LeaderError::Unsure) => {
             Err(StoreError::not_done("no leader with a store"))
         }
+        Err(LeaderError::NotReached { reason }) => Err(StoreError::not_done(reason)),
         Ok((status, _)) => Err(StoreError::no_answer(status)),
         Err(LeaderError::NoAnswer { reason }) => Err(StoreError::no_answer(reason)),
     }
--- a/crates/oleander-rollout/src/peer/leader_client.rs
+++ b/crates/oleander-rollout/src/peer/leader_client.rs
@@ -4,6 +4,7 @@
 use super::messages::{DispatcherHealth, HEALTH};
 use crate::http::destination::Destination;
 use crate::http::pool::Pool;
+use crate::http::send_error::SendError;
 use crate::prelude::*;
 use crate::store::shared_view::SharedView;
 use futures_util::future::join_all;
@@ -75,7 +76,8 @@
     ///
     /// # Errors
     ///
-    /// [`LeaderError::NoAnswer`]; a response with an error status is no error.
+    /// [`LeaderError::NotReached`] and [`LeaderError::NoAnswer`]; a response with an error status is no
+    /// error.
     pub async fn call_at(
         &self,
         addr: SocketAddr,
@@ -98,7 +100,12 @@
         };
         match within(limit, exchange).await {
             None => Err(no_answer("timeout".to_owned())),
-            Some(Err(error)) => Err(no_answer(error.reason().to_owned())),
+            Some(Err(error @ (SendError::NotSent { .. } | SendError::Withheld { .. }))) => {
+                Err(LeaderError::NotReached {
+                    reason: error.reason().to_owned(),
+                })
+            }
+            Some(Err(SendError::NoAnswer { reason })) => Err(no_answer(reason)),
             Some(Ok((head, body))) => Ok((head.status, body)),
         }
     }
--- a/crates/oleander-rollout/src/peer/leader_error.rs
+++ b/crates/oleander-rollout/src/peer/leader_error.rs
@@ -14,7 +14,13 @@
     /// The leader can't answer reliably now, because it can't reach the store for example.
     #[display("the leader can't answer reliably now")]
     Unsure,
-    /// The leader was not reached, or its response was lost; the call may have taken effect.
+    /// The call was not sent, because no connection to the leader could be opened.
+    #[display("not reached: {reason}")]
+    NotReached {
+        /// What failed.
+        reason: String,
+    },
+    /// The response of the leader was lost; the call may have taken effect.
     #[display("{reason}")]
     NoAnswer {
         /// What failed, such as a timeout or a broken connection.
--- a/crates/oleander-rollout/tests/calls.rs
+++ b/crates/oleander-rollout/tests/calls.rs
@@ -358,6 +358,7 @@
     keep_watches: true,
     lose_response_every: 0,
     hang_writes: false,
+    lose_responses_of: None,
     refused_kind: None,
     config_delay: Duration::ZERO,
 };
--- a/crates/oleander-rollout/tests/failures.rs
+++ b/crates/oleander-rollout/tests/failures.rs
@@ -34,6 +34,7 @@
     keep_watches: false,
     lose_response_every: 0,
     hang_writes: false,
+    lose_responses_of: None,
     refused_kind: None,
     config_delay: Duration::ZERO,
 };
