Let agents find out themselves which jobs are open while they hear no leader

Cause: an agent went on with what it held until a leader told it otherwise, without a limit in time.

Before it is over, the agent reads the end marks of the jobs that it holds, and the configuration, from the store. Each item and each attempt of a scoring call is checked right before it is sent.

--- a/crates/oleander-rollout/src/agent/agent_process.rs
+++ b/crates/oleander-rollout/src/agent/agent_process.rs
@@ -1,16 +1,17 @@
 //! The agent process.
 
 use super::engine_client::EngineClient;
+use super::job_checks::{CheckActions, JobChecks};
 use super::score_window::ScoreWindow;
 use super::state::State;
-use super::{engine_poll, outcomes, pull};
+use super::{engine_poll, outcomes, pull, runner};
 use crate::call::caller::Caller;
 use crate::call::caller_role::CallerRole;
 use crate::call::limit_share::share_of_agent;
 use crate::http::socket::refuses_connections;
 use crate::observe::metrics::Metrics;
 use crate::peer::leader_client::LeaderClient;
-use crate::peer::messages::{ReturnReason, ReturnedItem};
+use crate::peer::messages::{ReturnReason, ReturnedItem, WorkItem};
 use crate::prelude::*;
 use crate::settings::Config;
 use crate::store::endpoint_freshness::EndpointFreshness;
@@ -23,6 +24,7 @@
 use crate::store::store_health::StoreHealth;
 use crate::store::watch::WATCH_WAIT;
 use event_listener::Event;
+use indexmap::IndexSet;
 use oleanderlock::routing::endpoint_entry::EndpointEntry;
 use oleanderlock::routing::endpoint_state::EndpointState;
 use oleanderlock::routing::stream_origin::differs;
@@ -34,6 +36,8 @@
 const RETURN_TIME: Millis = Millis(2500);
 /// Timeout of checking whether the engine refuses connections.
 const DOWN_CHECK_TIMEOUT: Millis = Millis(100);
+/// Interval at which a run that waits checks whether its job is open.
+const OPEN_CHECK_INTERVAL: Millis = Millis(200);
 /// Interval at which a stopping agent checks whether it has items left.
 const STOP_POLL_INTERVAL: Millis = Millis(50);
 
@@ -56,6 +60,8 @@
     pub score_window: ScoreWindow,
     /// Calls to the engine.
     pub engine: EngineClient,
+    /// Which jobs are still open.
+    pub job_checks: Rc<JobChecks>,
     /// Metrics.
     pub metrics: Metrics,
     /// Items and state of the engine.
@@ -114,6 +120,7 @@
                 Rc::clone(caller.limits()),
             ),
             caller,
+            job_checks: JobChecks::new(&cfg, view.clone()),
             endpoint_source: EndpointSource::open(freshness, own_watch),
             view,
             metrics,
@@ -129,9 +136,51 @@
         spawn(pull::run(Rc::clone(&agent)));
         spawn(pull::report_changes(Rc::clone(&agent)));
         spawn(outcomes::run(Rc::clone(&agent)));
+        spawn(check_jobs(Rc::clone(&agent)));
+        spawn(Rc::clone(&agent.job_checks).read_config());
         Ok(agent)
     }
 
+    /// Waits until a job is known to be open. If it has ended, its items are dropped, which ends their
+    /// runs.
+    pub async fn wait_until_open(&self, job: &str) {
+        while !self.job_checks.is_open(job) {
+            within(OPEN_CHECK_INTERVAL, self.changed.listen()).await;
+        }
+    }
+
+    /// Whether the engine's service may run an item. While a leader answers, it recalls the items whose
+    /// route has moved; otherwise the configuration that this process reads decides. A job whose route was
+    /// removed goes on.
+    pub fn is_routed_to(&self, service: &str, work: &WorkItem) -> bool {
+        if !self.job_checks.leader_is_silent() {
+            return true;
+        }
+        let view = self.view.get();
+        let routes = view.routes.as_ref();
+        let route = routes.and_then(|routes| routes.find(&work.host, &work.item.path));
+        route.is_none_or(|route| {
+            let mut targets = route.targets.iter();
+            targets.any(|target| target.weight > 0 && target.service == service)
+        })
+    }
+
+    /// Drops the items of a job that has ended.
+    fn drop_job(&self, job: &str) {
+        let mut state = self.state.borrow_mut();
+        let items = state.items.iter();
+        let of_job = items.filter(|(_, item)| item.work.key.job == job);
+        let names: Vec<String> = of_job.map(|(name, _)| name.clone()).collect();
+        event(log::Level::Info, "end-read", || {
+            format!("job={job} dropped={}", names.len())
+        });
+        for name in &names {
+            state.remove_item(name);
+        }
+        drop(state);
+        self.notify();
+    }
+
     /// Returns the entry of the engine in the endpoint list; see [`OwnEntry::find`].
     ///
     /// [`OwnEntry::find`]: oleanderlock::routing::own_entry::OwnEntry::find
@@ -309,3 +358,22 @@
         }
     }
 }
+
+/// Checks which of the held jobs are open while no leader says so, until the process ends.
+async fn check_jobs(agent: Rc<Agent>) {
+    let checks = Rc::clone(&agent.job_checks);
+    let (holder, dropper) = (Rc::clone(&agent), Rc::clone(&agent));
+    let actions = CheckActions {
+        held: move || -> IndexSet<String> {
+            let state = holder.state.borrow();
+            let items = state.items.values();
+            items.map(|item| item.work.key.job.clone()).collect()
+        },
+        ended: move |job: &str| dropper.drop_job(job),
+        confirmed: move || {
+            agent.notify();
+            runner::start_waiting(&agent);
+        },
+    };
+    checks.read_ends(actions).await;
+}
--- a/crates/oleander-rollout/src/agent/engine_client.rs
+++ b/crates/oleander-rollout/src/agent/engine_client.rs
@@ -3,6 +3,7 @@
 use crate::call::leaving_registry::LeavingRegistry;
 use crate::call::limit_registry::LimitRegistry;
 use crate::call::request_kind::RequestKind;
+use crate::call::send_condition::SendCondition;
 use crate::http::destination::Destination;
 use crate::http::exchange::Exchange;
 use crate::http::pool::Pool;
@@ -144,18 +145,25 @@
     }
 
     /// Starts a run of an item that resumes after event `last_event`, if the engine is still the
-    /// listed `endpoint`.
+    /// listed `endpoint` and `condition` holds.
     ///
     /// # Errors
     ///
-    /// Why there is no response; [`SendError::Withheld`] when the engine has said that it is leaving.
+    /// Why there is no response; [`SendError::Withheld`] when the engine has said that it is leaving, or
+    /// the condition doesn't hold.
     pub async fn run(
         &self,
         work: &WorkItem,
         endpoint: &EndpointEntry,
         last_event: u64,
+        condition: &SendCondition,
     ) -> Result<Exchange, SendError> {
         let build = || {
+            if !condition.holds() {
+                return Err(SendError::Withheld {
+                    reason: "unconfirmed",
+                });
+            }
             if self.leaving.contains(endpoint) {
                 return Err(SendError::Withheld { reason: "leaving" });
             }
--- /dev/null
+++ b/crates/oleander-rollout/src/agent/job_checks.rs
@@ -0,0 +1,136 @@
+//! Finds out which jobs are still open and where their routes lead, while no leader says so.
+
+use crate::call::send_condition::SendCondition;
+use crate::prelude::*;
+use crate::settings::Config;
+use crate::store::config_reader::ConfigReader;
+use crate::store::confirmation::Confirmation;
+use crate::store::job_objects::has_end_mark;
+use crate::store::shared_view::SharedView;
+use crate::store::store_client::StoreClient;
+use crate::store::store_error::StoreError;
+use crate::store::store_health::StoreHealth;
+use futures_util::future::join_all;
+use indexmap::IndexSet;
+use oleanderlock::batch::open_jobs::OpenJobs;
+use std::cell::RefCell;
+use std::rc::Rc;
+
+/// Interval at which the age of what is known of the jobs is checked.
+const CHECK_INTERVAL: Millis = Millis(100);
+/// Interval at which the silence of the leader is checked.
+const SILENCE_CHECK_INTERVAL: Millis = Millis(250);
+/// Timeout of reading the end mark of a job. A slow store takes 0.3 s.
+const READ_TIMEOUT: Millis = Millis(400);
+/// The configuration is read once no leader has answered for the time within which a change must be in
+/// force, divided by this.
+const SILENCE_DIVISOR: u64 = 2;
+
+/// Finds out which jobs are still open and where their routes lead, while no leader says so.
+#[derive(Debug)]
+pub struct JobChecks {
+    jobs: RefCell<OpenJobs>,
+    store: Rc<StoreClient>,
+    config_reader: Rc<ConfigReader>,
+    /// Time without an answer of a leader after which this process reads the configuration itself.
+    silence_max: Millis,
+}
+
+/// What is done with the outcome of a check.
+pub struct CheckActions<H, E, C> {
+    /// Returns the jobs whose items the agent holds.
+    pub held: H,
+    /// Called with a job that has ended.
+    pub ended: E,
+    /// Called when jobs are known to be open again.
+    pub confirmed: C,
+}
+
+impl JobChecks {
+    /// Returns checks that read the store and put configurations into force in `view`.
+    pub fn new(cfg: &Config, view: SharedView) -> Rc<Self> {
+        Rc::new(Self {
+            jobs: RefCell::new(OpenJobs::new(cfg.end_within)),
+            store: StoreClient::new(cfg.store, StoreHealth::default()),
+            config_reader: ConfigReader::new(cfg.store, view, Confirmation::default()),
+            silence_max: Millis(cfg.keys.config_within.0 / SILENCE_DIVISOR),
+        })
+    }
+
+    /// Records the response of a leader; see [`OpenJobs::record_leader`].
+    pub fn record_leader(&self, sent_at: Millis, confirmed_at: Option<Millis>) {
+        let mut jobs = self.jobs.borrow_mut();
+        jobs.record_leader(sent_at, confirmed_at);
+    }
+
+    /// Whether items and scoring calls of a job may be sent to endpoints.
+    pub fn is_open(&self, job: &str) -> bool {
+        self.jobs.borrow().is_open(now(), job)
+    }
+
+    /// Returns the condition that [`Self::is_open`] holds for a job.
+    pub fn condition(self: &Rc<Self>, job: &str) -> SendCondition {
+        let (checks, job) = (Rc::clone(self), job.to_owned());
+        SendCondition::new(move || checks.is_open(&job))
+    }
+
+    /// Whether no leader has answered for so long that this process reads the configuration itself.
+    pub fn leader_is_silent(&self) -> bool {
+        self.jobs.borrow().leader_silence(now()) >= self.silence_max
+    }
+
+    /// Reads the end marks of held jobs that no leader confirms, until the process ends.
+    pub async fn read_ends<H, E, C>(self: Rc<Self>, actions: CheckActions<H, E, C>)
+    where
+        H: Fn() -> IndexSet<String>,
+        E: Fn(&str),
+        C: Fn(),
+    {
+        loop {
+            sleep(CHECK_INTERVAL).await;
+            let held = (actions.held)();
+            let due: Vec<String> = {
+                let mut jobs = self.jobs.borrow_mut();
+                jobs.retain(|job| held.contains(job));
+                let must_read = |job: &String| jobs.must_read(now(), job);
+                held.into_iter().filter(must_read).collect()
+            };
+            let sent_at = now();
+            let read = join_all(due.iter().map(|job| self.has_ended(job))).await;
+            let mut any_open = false;
+            for (job, has_ended) in due.iter().zip(read) {
+                match has_ended {
+                    Ok(true) => (actions.ended)(job),
+                    Ok(false) => {
+                        self.jobs.borrow_mut().record_open(job, sent_at);
+                        any_open = true;
+                    }
+                    Err(err) => {
+                        event(log::Level::Info, "end-unread", || {
+                            format!("job={job} reason=\"{err}\"")
+                        });
+                        self.jobs.borrow_mut().record_failed(sent_at);
+                    }
+                }
+            }
+            if any_open {
+                (actions.confirmed)();
+            }
+        }
+    }
+
+    async fn has_ended(&self, job: &str) -> Result<bool, StoreError> {
+        let read = within(READ_TIMEOUT, has_end_mark(&self.store, job)).await;
+        read.unwrap_or_else(|| Err(StoreError::no_answer("timeout")))
+    }
+
+    /// Reads the configuration while no leader answers, until the process ends.
+    pub async fn read_config(self: Rc<Self>) {
+        loop {
+            sleep(SILENCE_CHECK_INTERVAL).await;
+            if self.leader_is_silent() {
+                self.config_reader.refresh().await;
+            }
+        }
+    }
+}
--- a/crates/oleander-rollout/src/agent/mod.rs
+++ b/crates/oleander-rollout/src/agent/mod.rs
@@ -4,6 +4,7 @@
 pub mod engine_client;
 mod engine_poll;
 pub mod held_item;
+pub mod job_checks;
 mod load;
 mod outcomes;
 mod pull;
--- a/crates/oleander-rollout/src/agent/pull.rs
+++ b/crates/oleander-rollout/src/agent/pull.rs
@@ -6,6 +6,7 @@
 use crate::peer::leader_error::LeaderError;
 use crate::peer::messages::{PULL, PullRequest, PullResponse, REPORT};
 use crate::prelude::*;
+use crate::store::confirmation::time_of;
 use crate::store::platform_update::apply_platform_update;
 use http::{Method, StatusCode};
 use oleanderlock::batch::agent_report::AgentReport;
@@ -141,6 +142,10 @@
 /// Applies the response to a report that was sent at `sent_at`; returns whether the endpoints are those
 /// of the leader.
 fn apply(agent: &Rc<Agent>, sent_at: Millis, response: PullResponse) -> bool {
+    let confirmed_at = response
+        .ends_confirmed_ms
+        .map(|offset| time_of(sent_at, offset));
+    agent.job_checks.record_leader(sent_at, confirmed_at);
     let update = (sent_at, response.platform_update);
     let update = apply_platform_update(&agent.view, agent.endpoint_source.freshness(), update);
     let from_leader = agent.endpoint_source.update(sent_at, &update);
--- a/crates/oleander-rollout/src/agent/run.rs
+++ b/crates/oleander-rollout/src/agent/run.rs
@@ -183,6 +183,7 @@
     timeout: Millis,
     progress: &mut Progress,
 ) -> RunEnd {
+    agent.wait_until_open(&work.key.job).await;
     if progress.last_event > 0 {
         // The engine may have restarted with another software version since the last poll.
         poll_report(agent).await;
@@ -190,11 +191,17 @@
     let Some(endpoint) = agent.ready_endpoint() else {
         return RunEnd::OtherInstance;
     };
+    if !agent.is_routed_to(&endpoint.service, work) {
+        return RunEnd::OtherInstance;
+    }
     let software = endpoint.software.as_deref();
     if progress.last_event > 0 && !progress.may_resume_at(software) {
         return RunEnd::OtherInstance;
     }
-    let opening = agent.engine.run(work, &endpoint, progress.last_event);
+    let condition = agent.job_checks.condition(&work.key.job);
+    let opening = agent
+        .engine
+        .run(work, &endpoint, progress.last_event, &condition);
     let opened = within(timeout, opening).await;
     if agent.caller.leaving().contains(&endpoint) {
         // Other engines run the items that have not started here.
--- a/crates/oleander-rollout/src/agent/runner.rs
+++ b/crates/oleander-rollout/src/agent/runner.rs
@@ -37,6 +37,10 @@
                 continue;
             };
             let work = item.work.clone();
+            let is_open = agent.job_checks.is_open(&key.job);
+            if !is_open || !agent.is_routed_to(&endpoint.service, &work) {
+                continue;
+            }
             if state.loading.as_ref() == Some(&work.model) {
                 continue;
             }
--- a/crates/oleander-rollout/src/agent/score.rs
+++ b/crates/oleander-rollout/src/agent/score.rs
@@ -6,6 +6,7 @@
 use crate::call::call_outcome::CallOutcome;
 use crate::call::call_request::CallRequest;
 use crate::call::not_run_reason::NotRunReason;
+use crate::call::send_condition::SendCondition;
 use crate::peer::messages::WorkItem;
 use crate::prelude::*;
 use http::header::{CONTENT_TYPE, HOST, HeaderMap, HeaderValue};
@@ -37,6 +38,7 @@
     let mut failures = 0;
     let (mut trial, mut trials, mut retries) = (false, 0, 0);
     loop {
+        agent.wait_until_open(&work.key.job).await;
         let Some((mut req, attempts)) = request(agent, call) else {
             event(log::Level::Warn, "score-no-route", || {
                 format!("request={} host={} path={}", call.id, call.host, call.path)
@@ -45,6 +47,7 @@
             continue;
         };
         req.trial = std::mem::take(&mut trial);
+        req.condition = agent.job_checks.condition(&work.key.job);
         let timeout = req.deadline.since(now());
         let running = agent.score_window.start().await;
         req.deadline = now().plus(timeout);
@@ -137,6 +140,7 @@
         workspace: None,
         usage: None,
         trial: false,
+        condition: SendCondition::default(),
         memory: CallMemory::default(),
     };
     Some((req, route.attempts))
--- a/crates/oleander-rollout/src/call/call_request.rs
+++ b/crates/oleander-rollout/src/call/call_request.rs
@@ -1,6 +1,7 @@
 //! A call to a service.
 
 use super::call_memory::CallMemory;
+use super::send_condition::SendCondition;
 use super::usage_mark::UsageMark;
 use crate::prelude::*;
 use http::header::HOST;
@@ -43,6 +44,8 @@
     pub usage: Option<Rc<UsageMark>>,
     /// Whether one attempt is made even if endpoints have crashed under the same request before.
     pub trial: bool,
+    /// Condition under which an attempt may still be sent.
+    pub condition: SendCondition,
     /// Memory that the call uses.
     pub memory: CallMemory,
 }
--- a/crates/oleander-rollout/src/call/caller.rs
+++ b/crates/oleander-rollout/src/call/caller.rs
@@ -393,7 +393,7 @@
             .update(&endpoint.instance, |load| match &outcome {
                 AttemptOutcome::Answer(_) => load.record_answer(now.since(started_at)),
                 AttemptOutcome::NotRun("full") => load.record_full(now),
-                AttemptOutcome::NotRun("leaving" | "gone" | "deadline") => {}
+                AttemptOutcome::NotRun("leaving" | "gone" | "deadline" | "unconfirmed") => {}
                 AttemptOutcome::Failure(_) => {}
                 AttemptOutcome::NotRun(_)
                 | AttemptOutcome::Lost(_)
@@ -498,6 +498,11 @@
         if req.deadline <= now() {
             return Err(SendError::Withheld { reason: "deadline" });
         }
+        if !req.condition.holds() {
+            return Err(SendError::Withheld {
+                reason: "unconfirmed",
+            });
+        }
         let message = attempt_message(req, &endpoint.instance);
         let message = message.ok_or(SendError::Withheld {
             reason: "unsendable",
--- a/crates/oleander-rollout/src/call/mod.rs
+++ b/crates/oleander-rollout/src/call/mod.rs
@@ -31,6 +31,7 @@
 pub mod request_kind;
 mod response_class;
 mod resumption_checks;
+pub mod send_condition;
 mod start_report;
 pub mod stream_failure;
 pub mod stream_limits;
--- a/crates/oleander-rollout/src/dispatch/agents_api.rs
+++ b/crates/oleander-rollout/src/dispatch/agents_api.rs
@@ -37,6 +37,8 @@
         Err(err) => return unreadable(&err),
     };
     let agent = report.agent.clone();
+    // Taken before the report is applied, which makes the agent drop the items of jobs that have ended.
+    let ends_confirmed_ms = dispatcher.ends_confirmation.relative_to(arrived);
     if let Some(duties) = &dispatcher.duties {
         duties.take_demand(&agent, report.process, demand);
     }
@@ -69,13 +71,14 @@
     dispatcher.schedule();
     let known = (caller_rank, arrived);
     let waited = within(wait, next_response(dispatcher, &report, known)).await;
-    let response = waited.unwrap_or_else(|| {
+    let mut response = waited.unwrap_or_else(|| {
         let mut state = dispatcher.state.borrow_mut();
         PullResponse {
             platform_update: platform_updates::for_agent(dispatcher, &mut state, &report, known),
-            ..PullResponse::default()
+            ..state.outbox(&agent).take()
         }
     });
+    response.ends_confirmed_ms = ends_confirmed_ms;
     to_json(&response)
 }
 
--- a/crates/oleander-rollout/src/dispatch/dispatcher.rs
+++ b/crates/oleander-rollout/src/dispatch/dispatcher.rs
@@ -62,6 +62,8 @@
     pub full_view_gate: Gate,
     /// How recent the endpoints of the view are.
     pub freshness: EndpointFreshness,
+    /// When this dispatcher last knew all ends of jobs.
+    pub ends_confirmation: Confirmation,
     /// Time until which this dispatcher does not try to lead.
     pub paused_until: Cell<Millis>,
     /// Whether the process is stopping.
@@ -108,6 +110,7 @@
             config_reader: ConfigReader::new(cfg.store, view.clone(), Confirmation::default()),
             leader_client: LeaderClient::new(view.clone()),
             freshness,
+            ends_confirmation: Confirmation::default(),
             view,
             metrics,
             state: RefCell::default(),
--- a/crates/oleander-rollout/src/dispatch/jobs.rs
+++ b/crates/oleander-rollout/src/dispatch/jobs.rs
@@ -14,6 +14,7 @@
 use oleanderlock::batch::item_key::ItemKey;
 use oleanderlock::batch::job::Job;
 use oleanderlock::batch::job_policy::JobPolicy;
+use oleanderlock::batch::open_jobs::OpenJobs;
 use oleanderlock::routing::route_table::RouteTable;
 use oleanderlock::workspaces::workspace::rank_of;
 use std::cell::Cell;
@@ -68,6 +69,7 @@
 /// Watches the end marks of jobs; sets `read` when all stored ones were read.
 async fn watch_ends(dispatcher: Rc<Dispatcher>, epoch: u64, read: Rc<Cell<bool>>) {
     let store = Rc::clone(&dispatcher.store);
+    let wait = OpenJobs::watch_wait(dispatcher.cfg.end_within);
     let apply = move |change| {
         if !holds_epoch(&dispatcher, epoch) {
             return false;
@@ -81,14 +83,12 @@
                 dispatcher.notify();
             }
             WatchEvent::Put(object) => end(&dispatcher, &object.name),
-            WatchEvent::Gone(_)
-            | WatchEvent::Current(_)
-            | WatchEvent::Regained
-            | WatchEvent::Lost => {}
+            WatchEvent::Current(at) => dispatcher.ends_confirmation.record(at),
+            WatchEvent::Gone(_) | WatchEvent::Regained | WatchEvent::Lost => {}
         }
         true
     };
-    let mode = (OnDisconnect::List, WATCH_WAIT);
+    let mode = (OnDisconnect::List, wait);
     follow(store, JOB_END_KIND, mode, Gate::open(), apply).await;
 }
 
--- a/crates/oleander-rollout/src/dispatch/outbox.rs
+++ b/crates/oleander-rollout/src/dispatch/outbox.rs
@@ -36,6 +36,7 @@
             resend_full: std::mem::take(&mut self.resend_full),
             load: self.load.take(),
             platform_update: PlatformUpdate::default(),
+            ends_confirmed_ms: None,
         }
     }
 }
--- a/crates/oleander-rollout/src/entry/calls.rs
+++ b/crates/oleander-rollout/src/entry/calls.rs
@@ -9,6 +9,7 @@
 use crate::call::call_memory::CallMemory;
 use crate::call::call_outcome::CallOutcome;
 use crate::call::call_request::CallRequest;
+use crate::call::send_condition::SendCondition;
 use crate::http::hop_headers;
 use crate::http::response::{self, FullResponse};
 use crate::prelude::*;
@@ -68,6 +69,7 @@
         workspace: head.workspace(),
         usage: None,
         trial: false,
+        condition: SendCondition::default(),
         memory,
     }
 }
--- a/crates/oleander-rollout/src/settings.rs
+++ b/crates/oleander-rollout/src/settings.rs
@@ -45,6 +45,9 @@
     pub settle: Millis,
     /// Time for which results stay readable after the submission of their job.
     pub keep_results: Millis,
+    /// Time after the acknowledgement of a job's end within which no item of it may reach an endpoint
+    /// any more.
+    pub end_within: Millis,
     /// Calls to the platform that one process at a time may make; `None` if there are none.
     pub duties: Option<DutySettings>,
     /// Check of API keys.
@@ -65,6 +68,8 @@
 const SETTLE_DEFAULT: Millis = Millis::from_secs(1);
 /// Default of [`Config::keep_results`].
 const KEEP_RESULTS_DEFAULT: Millis = Millis::from_secs(120);
+/// Default of [`Config::end_within`].
+const END_WITHIN_DEFAULT: Millis = Millis::from_secs(3);
 
 impl Config {
     /// Reads and checks a settings file.
@@ -110,6 +115,7 @@
             leave_within: settings.duration("bounds", "leave_within", LEAVE_WITHIN_DEFAULT),
             settle: settings.duration("bounds", "settle", SETTLE_DEFAULT),
             keep_results: settings.duration("bounds", "keep_results", KEEP_RESULTS_DEFAULT),
+            end_within: settings.duration("bounds", "end_within", END_WITHIN_DEFAULT),
             duties: DutySettings::read(&mut settings, platform_api),
             keys: KeySettings::read(&mut settings),
             features: FeatureSettings::read(&mut settings),
--- a/crates/oleander-rollout/src/store/job_objects.rs
+++ b/crates/oleander-rollout/src/store/job_objects.rs
@@ -207,6 +207,16 @@
     store.delete(JOB_END_KIND, id).await
 }
 
+/// Whether the store has the end mark of a job.
+///
+/// # Errors
+///
+/// [`StoreError`].
+pub async fn has_end_mark(store: &StoreClient, id: &str) -> Result<bool, StoreError> {
+    let mark = store.get(JOB_END_KIND, id).await?;
+    Ok(mark.is_some())
+}
+
 /// Appends a chunk to the result log.
 ///
 /// # Errors
--- a/crates/oleander-rollout/tests/formats.rs
+++ b/crates/oleander-rollout/tests/formats.rs
@@ -55,6 +55,7 @@
 use oleander_rollout::call::caller_role::CallerRole;
 use oleander_rollout::call::event_stream::EventStream;
 use oleander_rollout::call::limit_registry::LimitRegistry;
+use oleander_rollout::call::send_condition::SendCondition;
 use oleander_rollout::call::stream_limits::StreamLimits;
 use oleander_rollout::dispatch::leadership_state::LeadershipState;
 use oleander_rollout::duty::record_store::{DUTY_KIND, DUTY_NAME};
@@ -752,13 +753,14 @@
         let answer = engine.order_load(&listed, &order).await;
         answer.expect("an answer");
         sent("order to an engine");
-        let answer = engine.run(&work_item(), &listed, 0).await;
+        let always = SendCondition::default();
+        let answer = engine.run(&work_item(), &listed, 0, &always).await;
         answer.expect("an answer");
         sent("run");
-        let answer = engine.run(&work_item(), &listed, 3).await;
+        let answer = engine.run(&work_item(), &listed, 3, &always).await;
         answer.expect("an answer");
         sent("run that goes on");
-        let answer = engine.run(&owned_work_item(), &listed, 0).await;
+        let answer = engine.run(&owned_work_item(), &listed, 0, &always).await;
         answer.expect("an answer");
         sent("run for a workspace");
         let view = SharedView::default();
@@ -804,6 +806,7 @@
         workspace: None,
         usage: None,
         trial: false,
+        condition: Default::default(),
         memory: Default::default(),
     }
 }
--- a/crates/oleander-rollout/tests/formats_support/examples.rs
+++ b/crates/oleander-rollout/tests/formats_support/examples.rs
@@ -364,6 +364,7 @@
         resend_full: vec!["j-1/i-6".to_owned()],
         load: Some(load_work()),
         platform_update: platform_news(),
+        ends_confirmed_ms: Some(-120),
     }
 }
 
--- a/crates/oleanderlock/src/batch/mod.rs
+++ b/crates/oleanderlock/src/batch/mod.rs
@@ -27,6 +27,7 @@
 pub mod leader_watch;
 mod listed_result;
 pub mod load_grant;
+pub mod open_jobs;
 pub mod progress;
 pub mod pulse_verdict;
 pub mod recall;
--- /dev/null
+++ b/crates/oleanderlock/src/batch/open_jobs.rs
@@ -0,0 +1,110 @@
+//! Which jobs an agent may go on with.
+//!
+//! Load pattern: an agent doesn't reach the leader, or a new leader hasn't read everything yet, while a
+//! trainer ends its job elsewhere. What the agent was told before holds only for a limited time, and is
+//! then confirmed by the store, so that neither ended jobs run on nor open ones wait for a leader.
+
+use crate::prelude::*;
+use indexmap::IndexMap;
+
+/// Parts of the time within which an ended job must reach no endpoint any more, in percent: the wait of
+/// the leader's watch of ends, the age at which an agent reads the end mark of a job itself, and the age up
+/// to which a confirmation holds. The rest is for a request that is on its way to an endpoint.
+const WATCH_PERCENT: u64 = 16;
+const READ_PERCENT: u64 = 70;
+const VALID_PERCENT: u64 = 86;
+/// Time after a failed read before the store is asked again.
+const RETRY_AFTER: Millis = Millis(500);
+
+/// Which jobs an agent may go on with, by when they were last known to be open.
+///
+/// Memory is bounded by the number of jobs whose items the agent holds; see [`OpenJobs::retain`].
+#[derive(Clone, Debug)]
+pub struct OpenJobs {
+    end_within: Millis,
+    /// Time as of which a leader has told of all ends.
+    told_at: Option<Millis>,
+    /// When the last call was sent that a leader has answered, whether it knew all ends or not.
+    heard_at: Option<Millis>,
+    /// When the last read that failed was sent.
+    failed_at: Option<Millis>,
+    /// When the last read was sent that found a job open, by job.
+    read_at: IndexMap<String, Millis>,
+}
+
+impl OpenJobs {
+    /// Returns a state in which no job is known to be open; `end_within` is the time after the
+    /// acknowledgement of a job's end within which no item of it may reach an endpoint any more.
+    pub fn new(end_within: Millis) -> Self {
+        Self {
+            end_within,
+            told_at: None,
+            heard_at: None,
+            failed_at: None,
+            read_at: IndexMap::new(),
+        }
+    }
+
+    /// Returns the longest wait of a leader's call that watches the ends of jobs.
+    pub fn watch_wait(end_within: Millis) -> Millis {
+        percent(end_within, WATCH_PERCENT)
+    }
+
+    /// Records the response of a leader to a call sent at `sent_at`; it knows all ends up to
+    /// `confirmed_at`, `None` if it doesn't know up to when.
+    pub fn record_leader(&mut self, sent_at: Millis, confirmed_at: Option<Millis>) {
+        self.heard_at = self.heard_at.max(Some(sent_at));
+        self.told_at = self.told_at.max(confirmed_at.map(|at| at.min(sent_at)));
+    }
+
+    /// Records that a read sent at `sent_at` has found no end mark of a job.
+    pub fn record_open(&mut self, job: &str, sent_at: Millis) {
+        self.read_at.insert(job.to_owned(), sent_at);
+        self.failed_at = None;
+    }
+
+    /// Records that a read sent at `sent_at` has failed.
+    pub fn record_failed(&mut self, sent_at: Millis) {
+        self.failed_at = Some(sent_at);
+    }
+
+    /// Forgets all jobs but those for which `is_held` holds.
+    pub fn retain(&mut self, is_held: impl Fn(&str) -> bool) {
+        self.read_at.retain(|job, _| is_held(job));
+    }
+
+    /// Whether items and scoring calls of a job may be sent to endpoints.
+    ///
+    /// A leader that has lost the store can't tell of ends that another one has acknowledged. Without
+    /// the store, nobody can end a job there and this agent can't ask either; the word of that leader is
+    /// taken then.
+    pub fn is_open(&self, now: Millis, job: &str) -> bool {
+        let is_valid = |at: Option<Millis>| at.is_some_and(|at| now.since(at) <= self.valid_for());
+        is_valid(self.confirmed_at(job)) || (is_valid(self.failed_at) && is_valid(self.heard_at))
+    }
+
+    /// Whether the end mark of a job is to be read from the store.
+    pub fn must_read(&self, now: Millis, job: &str) -> bool {
+        let is_recent =
+            |at: Option<Millis>, limit: Millis| at.is_some_and(|at| now.since(at) < limit);
+        let read_after = percent(self.end_within, READ_PERCENT);
+        !is_recent(self.confirmed_at(job), read_after) && !is_recent(self.failed_at, RETRY_AFTER)
+    }
+
+    /// Returns the time since the last call was sent that a leader has answered.
+    pub fn leader_silence(&self, now: Millis) -> Millis {
+        self.heard_at.map_or(Millis::MAX, |at| now.since(at))
+    }
+
+    fn confirmed_at(&self, job: &str) -> Option<Millis> {
+        self.told_at.max(self.read_at.get(job).copied())
+    }
+
+    fn valid_for(&self) -> Millis {
+        percent(self.end_within, VALID_PERCENT)
+    }
+}
+
+fn percent(time: Millis, percent: u64) -> Millis {
+    Millis(time.0 * percent / 100)
+}
--- /dev/null
+++ b/crates/oleanderlock/tests/batch_open_jobs.rs
@@ -0,0 +1,90 @@
+//! Which jobs an agent may go on with while it hears no leader.
+
+use oleanderlock::batch::open_jobs::OpenJobs;
+use oleanderlock::prelude::*;
+
+/// Time after the acknowledgement of an end within which no item reaches an endpoint any more.
+const END_WITHIN: Millis = Millis(3000);
+/// Longest time between the decision to send a request and its arrival.
+const ON_THE_WAY: Millis = Millis(400);
+
+fn told(at: u64) -> OpenJobs {
+    let mut jobs = OpenJobs::new(END_WITHIN);
+    jobs.record_leader(Millis(at), Some(Millis(at)));
+    jobs
+}
+
+/// Returns the latest time at which a job counts as open.
+fn open_until(jobs: &OpenJobs, job: &str) -> Millis {
+    let times = (0..20_000).map(Millis);
+    let mut open = times.rev().filter(|now| jobs.is_open(*now, job));
+    open.next().expect("open at some time")
+}
+
+#[test]
+fn nothing_is_known_to_be_open_at_first() {
+    let jobs = OpenJobs::new(END_WITHIN);
+    assert!(!jobs.is_open(Millis(5), "a"));
+    assert!(jobs.must_read(Millis(5), "a"));
+}
+
+#[test]
+fn nothing_is_sent_too_late_for_an_end_right_after_the_leader_was_last_heard() {
+    let jobs = told(1000);
+    let last_arrival = open_until(&jobs, "a").plus(ON_THE_WAY);
+    assert!(last_arrival <= Millis(1000).plus(END_WITHIN));
+}
+
+#[test]
+fn a_job_is_read_early_enough_that_an_open_one_never_waits() {
+    let mut jobs = told(1000);
+    let mut now = Millis(1000);
+    while now < Millis(30_000) {
+        assert!(jobs.is_open(now, "a"), "at {now}");
+        if jobs.must_read(now, "a") {
+            // A slow store takes 0.3 s.
+            let answered_at = now.plus(Millis(300));
+            assert!(jobs.is_open(answered_at, "a"), "at {answered_at}");
+            jobs.record_open("a", now);
+            now = answered_at;
+        }
+        now = now.plus(Millis(100));
+    }
+}
+
+#[test]
+fn nothing_is_read_while_a_leader_confirms_the_ends() {
+    // As of the start of a watch that has just ended when the report arrives, which waits a second.
+    let age = Millis(2 * OpenJobs::watch_wait(END_WITHIN).0 + 1000);
+    let jobs = told(1000);
+    assert!(!jobs.must_read(Millis(1000).plus(age), "a"));
+}
+
+#[test]
+fn one_job_is_not_confirmed_by_a_read_of_another() {
+    let mut jobs = told(0);
+    jobs.record_open("a", Millis(5000));
+    assert!(jobs.is_open(Millis(5000), "a"));
+    assert!(!jobs.is_open(Millis(5000), "b"));
+    jobs.retain(|job| job == "b");
+    assert!(!jobs.is_open(Millis(5000), "a"), "its items are gone");
+}
+
+#[test]
+fn a_leader_without_the_store_is_trusted_only_while_this_process_can_not_ask_either() {
+    let mut jobs = told(1000);
+    jobs.record_leader(Millis(9000), Some(Millis(1000)));
+    jobs.record_leader(Millis(9500), None);
+    assert!(!jobs.is_open(Millis(9600), "a"));
+    jobs.record_failed(Millis(9600));
+    assert!(jobs.is_open(Millis(9700), "a"));
+    assert!(!jobs.is_open(Millis(13_000), "a"), "no leader either");
+}
+
+#[test]
+fn a_confirmation_counts_from_the_call_at_the_latest() {
+    // The response to another call may have been lost, and with it the end of a job after this call.
+    let mut jobs = OpenJobs::new(END_WITHIN);
+    jobs.record_leader(Millis(1000), Some(Millis(1900)));
+    assert_eq!(open_until(&jobs, "a"), open_until(&told(1000), "a"));
+}
