Take no response without a final HTTP status for an answer

Here the HTTP library stops 000, but passes on 600 to 999, and a 101 that nobody asked for; clients got them, and the head of a stream could be one.

Cause: the library takes any number from 100 to 999 for a status, and our readers took what they didn't know for an answer. For the store, a status that it never sends meant "nothing was done", so that a submission that had been stored was answered 503.

Change: the pool, which all calls use, reports such a response as lost. Of the store, only the statuses of its protocol mean that nothing was done. Reports of engines, answers about the leader and answers about jobs count only with the statuses that they have.

--- a/crates/oleander-rollout/src/agent/engine_client.rs
+++ b/crates/oleander-rollout/src/agent/engine_client.rs
@@ -85,6 +85,9 @@
         if head.status == StatusCode::MISDIRECTED_REQUEST && listed.is_some() {
             return Ok(None);
         }
+        if head.status != StatusCode::OK {
+            return Err(SendError::no_answer(head.status));
+        }
         let report = decode_report(&body).map_err(SendError::no_answer)?;
         if let Some(listed) = listed {
             let by_list = Announcer::Listed {
--- a/crates/oleander-rollout/src/dispatch/election.rs
+++ b/crates/oleander-rollout/src/dispatch/election.rs
@@ -12,7 +12,7 @@
 use crate::store::store_error::StoreError;
 use crate::store::view::View;
 use futures_util::future::join4;
-use http::Method;
+use http::{Method, StatusCode};
 use oleander_platform::stored_object::StoredObject;
 use oleanderlock::batch::leader_probe::LeaderProbe;
 use oleanderlock::batch::leader_watch::LeaderWatch;
@@ -262,7 +262,7 @@
     let answer = client
         .call_at(addr, Method::GET, HEALTH, Vec::new(), PROBE_TIMEOUT)
         .await;
-    let Ok((_, body)) = answer else {
+    let Ok((StatusCode::OK, body)) = answer else {
         return LeaderProbe::NoAnswer;
     };
     let Ok(health) = serde_json::from_slice::<DispatcherHealth>(&body) else {
--- a/crates/oleander-rollout/src/entry/job_calls.rs
+++ b/crates/oleander-rollout/src/entry/job_calls.rs
@@ -13,6 +13,12 @@
 
 /// Time for which the leader is tried, in addition to the wait that the request asks for.
 const LEADER_TIMEOUT: Millis = Millis(1500);
+/// Statuses by which a leader answers a call about a job; others leave its outcome open.
+const ANSWERS: [StatusCode; 3] = [
+    StatusCode::OK,
+    StatusCode::BAD_REQUEST,
+    StatusCode::NOT_FOUND,
+];
 /// Time for which an end whose outcome is not known is tried.
 const END_TIMEOUT: Millis = Millis(3000);
 /// Pause between two calls to the leader.
@@ -63,12 +69,14 @@
             .call(method.clone(), &path, body.clone(), limit)
             .await;
         match called {
-            Ok((status, _)) if is_end && status.is_server_error() => {
+            Ok((status, body)) if ANSWERS.contains(&status) => {
+                return client_response(head, &call, status, body);
+            }
+            Ok((status, _)) => {
                 last_error = LeaderError::NoAnswer {
                     reason: status.to_string(),
                 };
             }
-            Ok((status, body)) => return client_response(head, &call, status, body),
             Err(error) => last_error = error,
         }
         may_have_ended |= is_end && matches!(last_error, LeaderError::NoAnswer { .. });
--- a/crates/oleander-rollout/src/http/pool.rs
+++ b/crates/oleander-rollout/src/http/pool.rs
@@ -13,7 +13,7 @@
 use super::send_error::SendError;
 use super::socket::connect;
 use crate::prelude::*;
-use http::{HeaderMap, Request};
+use http::{HeaderMap, Request, StatusCode};
 use http_body_util::Full;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use smol_hyper::rt::FuturesIo;
@@ -80,7 +80,7 @@
     /// # Errors
     ///
     /// [`SendError::NotSent`] when no byte of the request was sent, and [`SendError::NoAnswer`]
-    /// when the connection broke after that.
+    /// when the connection broke after that, or the status is no final one of HTTP.
     pub async fn send(
         self: &Rc<Self>,
         to: &Destination,
@@ -119,6 +119,10 @@
                 Ok(response) => {
                     connection.head_limit.stop();
                     let (head, body) = response.into_parts();
+                    if !is_final(head.status) {
+                        let status = head.status.as_u16();
+                        return Err(SendError::no_answer(format!("the odd status {status}")));
+                    }
                     let pool = Rc::clone(self);
                     let connection = PooledConnection { pool, connection };
                     let mut exchange = Exchange::new(head, body, connection, !reused);
@@ -250,3 +254,9 @@
         Millis::from_secs(seconds).since(IDLE_MARGIN)
     })
 }
+
+/// Whether a status is a final one of HTTP. The library takes any number from 100 to 999 for a status,
+/// and passes on a switch of protocols that nobody has asked for.
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
--- a/crates/oleander-rollout/src/peer/leader_client.rs
+++ b/crates/oleander-rollout/src/peer/leader_client.rs
@@ -122,7 +122,7 @@
     async fn ask(&self, addr: SocketAddr, limit: Millis) {
         let asked = self.call_at(addr, Method::GET, HEALTH, Vec::new(), limit);
         // The caller logs that it has no leader.
-        let Ok((_, body)) = asked.await else {
+        let Ok((StatusCode::OK, body)) = asked.await else {
             return;
         };
         let Ok(health) = serde_json::from_slice::<DispatcherHealth>(&body) else {
--- a/crates/oleander-rollout/src/store/store_client.rs
+++ b/crates/oleander-rollout/src/store/store_client.rs
@@ -31,6 +31,16 @@
 const WATCH_GRACE: Millis = Millis(2000);
 /// Largest response body, in bytes; a page of a list is about 1 MB.
 const RESPONSE_MAX_BYTES: usize = 16 << 20;
+/// Statuses by which the store says that it has not carried out a call, beside those that ask for a later
+/// one. Any other status leaves the outcome open.
+const REJECTIONS: [StatusCode; 6] = [
+    StatusCode::BAD_REQUEST,
+    StatusCode::NOT_FOUND,
+    StatusCode::CONFLICT,
+    StatusCode::GONE,
+    StatusCode::PAYLOAD_TOO_LARGE,
+    StatusCode::UNPROCESSABLE_ENTITY,
+];
 /// Age of the last successful call while there has been none; longer than any limit.
 const NEVER: Millis = Millis(1 << 40);
 
@@ -280,8 +290,8 @@
             StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
                 Err(StoreError::not_done(response.0))
             }
-            status if status.is_server_error() => Err(StoreError::no_answer(status)),
-            _ => Ok(response),
+            status if status.is_success() || REJECTIONS.contains(&status) => Ok(response),
+            status => Err(StoreError::no_answer(status)),
         }
     }
 }
--- a/crates/oleander-rollout/tests/calls.rs
+++ b/crates/oleander-rollout/tests/calls.rs
@@ -359,6 +359,7 @@
     lose_response_every: 0,
     hang_writes: false,
     lose_responses_of: None,
+    odd_status_of: None,
     refused_kind: None,
     config_delay: Duration::ZERO,
 };
