oleander-daemon: take no response without a final HTTP status for an answer

Their HTTP client panics at a status that it doesn't know, 000 among them, so that the task of an attempt ends without an outcome; the entry replaced a status that its server doesn't know by 200; statuses that the store never sends meant "nothing was written".

Change: read_head sends requests and returns an error for such a status. Only the statuses of the store's protocol settle a write.

--- a/crates/oleander-daemon/src/agent/engine_client.rs
+++ b/crates/oleander-daemon/src/agent/engine_client.rs
@@ -6,6 +6,7 @@
 use crate::entry::attempt::{Attempt, AttemptEnd};
 use crate::http::engine_event::EngineEvent;
 use crate::http::event_reader::EventReader;
+use crate::http::response_head::read_head;
 use crate::prelude::*;
 use crate::process::runtime::within;
 use bytes::Bytes;
@@ -44,7 +45,7 @@
         };
         let request = self.client.post(self.url("/v1/generate"));
         let request = request.with_request_header("content-type", "application/json");
-        let Ok(mut conn) = request.with_body(body).await else {
+        let Ok(mut conn) = read_head(request.with_body(body)).await else {
             return AttemptEnd::failed(ticket, ErrorKind::EndpointFailed, Ran::Unknown);
         };
         if !conn.status().is_some_and(|status| status.is_success()) {
@@ -74,7 +75,7 @@
         let body = json!({ "request": ticket.to_string() }).to_string();
         let call = self.client.post(self.url("/v1/cancel")).with_body(body);
         // A lost cancellation wastes work but does no other harm.
-        let _ = within(CALL_TIMEOUT_MS, call).await;
+        let _ = within(CALL_TIMEOUT_MS, read_head(call)).await;
     }
 
     /// Returns the load of the engine; `None` without a valid response.
@@ -91,7 +92,7 @@
     pub async fn order_load(&self, fence: Fence, model: &str, version: Version) -> SwapOutcome {
         let body = json!({ "fence": fence.0, "model": model, "version": version.0 }).to_string();
         let call = self.client.post(self.url("/v1/weights")).with_body(body);
-        let response = within(SWAP_TIMEOUT_MS, call).await;
+        let response = within(SWAP_TIMEOUT_MS, read_head(call)).await;
         let status = response.and_then(Result::ok).and_then(|conn| conn.status());
         match status.map(|status| status as u16) {
             Some(200) => SwapOutcome::Loaded,
@@ -102,7 +103,8 @@
 
     async fn get<T: serde::de::DeserializeOwned>(&self, path: &str) -> Option<T> {
         let exchange = async {
-            let mut conn = self.client.get(self.url(path)).await.ok()?;
+            let conn = read_head(self.client.get(self.url(path))).await.ok()?;
+            let mut conn = conn.success().ok()?;
             let body = conn.response_body().read_string().await.ok()?;
             serde_json::from_str(&body).ok()
         };
--- a/crates/oleander-daemon/src/agent/service_client.rs
+++ b/crates/oleander-daemon/src/agent/service_client.rs
@@ -1,6 +1,7 @@
 //! Client of a plain service.
 
 use crate::entry::attempt::{Attempt, AttemptEnd};
+use crate::http::response_head::{HeadError, read_head};
 use crate::prelude::*;
 use bytes::Bytes;
 use oleanderlock::request_outcome::Outcome;
@@ -38,10 +39,11 @@
         }
     }
 
-    async fn exchange(&self, attempt: &Attempt) -> Result<AttemptEnd, trillium_client::Error> {
-        let mut conn = self.call(attempt).await?;
-        let status = conn.status().map_or(0, |status| status as u16);
-        let data = Bytes::from(conn.response_body().read_bytes().await?);
+    async fn exchange(&self, attempt: &Attempt) -> Result<AttemptEnd, HeadError> {
+        let mut conn = read_head(self.call(attempt)).await?;
+        let status = conn.status().ok_or(HeadError::OddStatus)? as u16;
+        let body = conn.response_body().read_bytes().await;
+        let data = Bytes::from(body.map_err(HeadError::Client)?);
         Ok(AttemptEnd {
             ticket: attempt.ticket(),
             outcome: Outcome::answered(status, data),
@@ -59,9 +61,9 @@
 }
 
 /// Returns whether the work may have run; only a refused connection proves that it did not.
-fn ran_after(error: &trillium_client::Error) -> Ran {
+fn ran_after(error: &HeadError) -> Ran {
     match error {
-        trillium_client::Error::Io(error)
+        HeadError::Client(trillium_client::Error::Io(error))
             if error.kind() == std::io::ErrorKind::ConnectionRefused =>
         {
             Ran::No
--- a/crates/oleander-daemon/src/entry/plain_calls.rs
+++ b/crates/oleander-daemon/src/entry/plain_calls.rs
@@ -50,7 +50,8 @@
     let outcome = end.outcome;
     match (outcome.error, outcome.data.clone()) {
         (None, Some(data)) => {
-            let status = Status::try_from(outcome.status).unwrap_or(Status::Ok);
+            // A status that the server doesn't know, as of a later agent, is no success.
+            let status = Status::try_from(outcome.status).unwrap_or(Status::BadGateway);
             conn.with_response_header("content-type", "application/json")
                 .with_response_header("x-request-id", id.to_string())
                 .with_status(status)
--- a/crates/oleander-daemon/src/http/mod.rs
+++ b/crates/oleander-daemon/src/http/mod.rs
@@ -9,4 +9,5 @@
 pub(crate) mod http_input;
 pub(crate) mod in_flight_guard;
 pub(crate) mod json_response;
+pub mod response_head;
 pub mod stream_error;
--- a/crates/oleander-daemon/src/steps/trainer_api.rs
+++ b/crates/oleander-daemon/src/steps/trainer_api.rs
@@ -6,6 +6,7 @@
 use crate::http::http_input;
 use crate::http::in_flight_guard::InFlightGuard;
 use crate::http::json_response::json_response;
+use crate::http::response_head::read_head;
 use crate::prelude::*;
 use crate::process::runtime::within;
 use crate::steps::pull_call::PullCall;
@@ -174,7 +175,7 @@
         call = call.with_request_header("authorization", token.to_owned());
     }
     let exchange = async {
-        let mut response = call.await.ok()?;
+        let mut response = read_head(call).await.ok()?;
         let status = response.status()? as u16;
         let body = response.response_body().read_string().await.ok()?;
         let has_step = status < 500 && status != NOT_FOUND_STATUS;
--- a/crates/oleander-daemon/src/store/instance_list.rs
+++ b/crates/oleander-daemon/src/store/instance_list.rs
@@ -1,5 +1,6 @@
 //! Client of the platform's list of instances.
 
+use crate::http::response_head::read_head;
 use crate::process::runtime::within;
 use crate::store::listed_instance::ListedInstance;
 use serde::Deserialize;
@@ -23,7 +24,8 @@
     let client = Client::new(ClientConfig::default());
     let url = format!("{}/instances", base.trim_end_matches('/'));
     let exchange = async {
-        let mut conn = client.get(url).await.ok()?;
+        let conn = read_head(client.get(url)).await.ok()?;
+        let mut conn = conn.success().ok()?;
         let body = conn.response_body().read_string().await.ok()?;
         decode(&body)
     };
--- a/crates/oleander-daemon/src/store/store_client.rs
+++ b/crates/oleander-daemon/src/store/store_client.rs
@@ -1,5 +1,6 @@
 //! Client of the platform's object store.
 
+use crate::http::response_head::read_head;
 use crate::process::runtime::within;
 use crate::store::object_list::ObjectList;
 use crate::store::store_error::StoreError;
@@ -17,6 +18,8 @@
 /// Time that a watch may take beyond its wait, in milliseconds.
 const WATCH_GRACE_MS: u64 = 2000;
 
+/// Statuses of the store that settle whether a call was carried out; any other leaves that open.
+const SETTLED: [u16; 11] = [200, 400, 401, 403, 404, 405, 410, 412, 413, 429, 503];
 /// Status that is reported for a call that is not made because this process has used up its rate.
 const RATE_LIMITED_STATUS: u16 = 429;
 
@@ -172,7 +175,7 @@
 }
 
 async fn exchange(conn: Conn) -> Result<Reply, StoreError> {
-    let mut conn = conn.await.map_err(|_| StoreError::NoAnswer)?;
+    let mut conn = read_head(conn).await.map_err(|_| StoreError::NoAnswer)?;
     let status = conn.status().ok_or(StoreError::NoAnswer)? as u16;
     let body = conn
         .response_body()
@@ -181,5 +184,9 @@
         .map_err(|_| StoreError::NoAnswer)?;
     // A connection may be reused only after its response was read to the end.
     conn.recycle().await;
-    Ok(Reply { status, body })
+    if SETTLED.contains(&status) {
+        Ok(Reply { status, body })
+    } else {
+        Err(StoreError::NoAnswer)
+    }
 }
