Read end marks once a second in place of a watch that ends twice a second

Change: it reads new marks every 35% of end_within (1.05 s). A watch is two waits old when the next one ends, a reading only one interval, so that the confirmation is as recent as before. The reading of changes is shared with the reader of the configuration.

--- a/crates/oleander-rollout/src/dispatch/jobs.rs
+++ b/crates/oleander-rollout/src/dispatch/jobs.rs
@@ -3,6 +3,7 @@
 use super::dispatcher::Dispatcher;
 use super::state::State;
 use crate::prelude::*;
+use crate::store::changes::read_changes;
 use crate::store::gate::Gate;
 use crate::store::job_objects::{JOB_END_KIND, JOB_KIND, decode_record, read_job};
 use crate::store::job_record::JobRecord;
@@ -37,7 +38,7 @@
 pub async fn watch_and_read_all(dispatcher: &Rc<Dispatcher>, epoch: u64) {
     // End marks come first, so that no items of ended jobs are read.
     let ends_read = Rc::new(Cell::new(false));
-    spawn(watch_ends(
+    spawn(read_ends(
         Rc::clone(dispatcher),
         epoch,
         Rc::clone(&ends_read),
@@ -66,30 +67,46 @@
     dispatcher.state.borrow().leadership.epoch() == Some(epoch)
 }
 
-/// Watches the end marks of jobs; sets `read` when all stored ones were read.
-async fn watch_ends(dispatcher: Rc<Dispatcher>, epoch: u64, read: Rc<Cell<bool>>) {
-    let store = Rc::clone(&dispatcher.store);
-    let wait = OpenJobs::watch_wait(dispatcher.cfg.end_within);
-    let apply = move |change| {
+/// Reads the end marks of jobs again and again, and records up to when all are known; sets `read` when all
+/// stored ones were read.
+async fn read_ends(dispatcher: Rc<Dispatcher>, epoch: u64, read: Rc<Cell<bool>>) {
+    let interval = OpenJobs::list_interval(dispatcher.cfg.end_within);
+    let mut from = None;
+    let mut failing = false;
+    while holds_epoch(&dispatcher, epoch) {
+        let started_at = now();
+        let changes = read_changes(&dispatcher.store, JOB_END_KIND, from).await;
         if !holds_epoch(&dispatcher, epoch) {
-            return false;
+            return;
         }
-        match change {
-            WatchEvent::All(objects, _) => {
-                for object in &objects {
-                    end(&dispatcher, &object.name);
+        let pause = match changes {
+            Ok((marks, revision)) => {
+                for mark in &marks {
+                    end(&dispatcher, &mark.name);
+                }
+                dispatcher.ends_confirmation.record(started_at);
+                from = Some(revision);
+                failing = false;
+                if !read.replace(true) {
+                    dispatcher.notify();
                 }
-                read.set(true);
-                dispatcher.notify();
+                interval
             }
-            WatchEvent::Put(object) => end(&dispatcher, &object.name),
-            WatchEvent::Current(at) => dispatcher.ends_confirmation.record(at),
-            WatchEvent::Gone(_) | WatchEvent::Regained | WatchEvent::Lost => {}
-        }
-        true
-    };
-    let mode = (OnDisconnect::List, wait);
-    follow(store, JOB_END_KIND, mode, Gate::open(), apply).await;
+            Err(err) => {
+                if err == StoreError::HistoryGone {
+                    from = None;
+                }
+                if !failing {
+                    event(log::Level::Warn, "ends-unread", || {
+                        format!("epoch={epoch} reason=\"{err}\"")
+                    });
+                }
+                failing = true;
+                STORE_RETRY_PAUSE
+            }
+        };
+        sleep(pause).await;
+    }
 }
 
 /// Reads all stored jobs with all their parts, then sets `read` and watches jobs; reads all again when the
--- a/crates/oleander-rollout/src/store/config_reader.rs
+++ b/crates/oleander-rollout/src/store/config_reader.rs
@@ -3,17 +3,15 @@
 //! A watch does not show that it works: its connection may have gone silent, or the store may refuse
 //! new calls of this process while a watch waits.
 
+use super::changes::read_changes;
 use super::confirmation::Confirmation;
 use super::follow::apply_config_objects;
 use super::shared_view::SharedView;
 use super::store_client::StoreClient;
 use super::store_error::StoreError;
 use super::store_health::StoreHealth;
-use super::watch::list_pages;
 use crate::prelude::*;
 use oleander_platform::object::CONFIG_KIND;
-use oleander_platform::object_change::ObjectChange;
-use oleander_platform::stored_object::StoredObject;
 use smol::lock::Mutex;
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -103,10 +101,9 @@
 
     /// Reads what has changed since the last reading, or the whole configuration.
     async fn read(&self) -> Result<(), StoreError> {
-        let (objects, revision) = match self.revision.get() {
-            None => self.list().await?,
-            Some(from) => self.changes(from).await?,
-        };
+        // A configuration stays in force until there is a newer one, also if it is deleted.
+        let from = self.revision.get();
+        let (objects, revision) = read_changes(&self.store, CONFIG_KIND, from).await?;
         if !objects.is_empty() {
             // Decoding 10,000 keys takes some milliseconds, for which this thread would serve nobody.
             let view = self.view.clone();
@@ -116,23 +113,6 @@
         Ok(())
     }
 
-    async fn list(&self) -> Result<(Vec<StoredObject>, u64), StoreError> {
-        let pages = list_pages(&self.store, CONFIG_KIND, None).await?;
-        let revision = pages.first().map_or(0, |page| page.revision);
-        let objects = pages.into_iter().flat_map(|page| page.objects);
-        Ok((objects.collect(), revision))
-    }
-
-    async fn changes(&self, from: u64) -> Result<(Vec<StoredObject>, u64), StoreError> {
-        let page = self.store.watch(CONFIG_KIND, from, Millis::ZERO).await?;
-        let objects = page.changes.into_iter().filter_map(|change| match change {
-            ObjectChange::Put(object) => Some(object),
-            // A configuration stays in force until there is a newer one.
-            ObjectChange::Gone(_) => None,
-        });
-        Ok((objects.collect(), page.revision))
-    }
-
     /// Logs the first of several failures, and their end.
     fn log(&self, error: Option<StoreError>) {
         let failed = error.is_some();
--- a/crates/oleander-rollout/src/store/mod.rs
+++ b/crates/oleander-rollout/src/store/mod.rs
@@ -1,6 +1,7 @@
 //! The platform's store: a client, watches of whole kinds, and a local copy of what they report.
 
 pub mod applied_update;
+pub mod changes;
 pub mod config_interest;
 pub mod config_reader;
 pub mod confirmation;
--- a/crates/oleanderlock/src/batch/open_jobs.rs
+++ b/crates/oleanderlock/src/batch/open_jobs.rs
@@ -7,11 +7,11 @@
 use crate::prelude::*;
 use indexmap::IndexMap;
 
-/// Parts of the time within which an ended job must reach no endpoint any more, in percent: the wait of
-/// the leader's watch of ends, the age at which an agent reads the end mark of a job itself, and the age up
-/// to which a confirmation holds. The rest is for a request that is on its way to an endpoint.
-const WATCH_PERCENT: u64 = 16;
-const READ_PERCENT: u64 = 70;
+/// Parts of the time within which an ended job must reach no endpoint any more, in percent: the interval
+/// at which the leader reads new end marks, the age at which an agent reads the end mark of a job itself,
+/// and the age up to which a confirmation holds. The rest is for a request on its way to an endpoint.
+const LIST_PERCENT: u64 = 35;
+const READ_PERCENT: u64 = 71;
 const VALID_PERCENT: u64 = 86;
 /// Time after a failed read before the store is asked again.
 const RETRY_AFTER: Millis = Millis(500);
@@ -45,9 +45,9 @@
         }
     }
 
-    /// Returns the longest wait of a leader's call that watches the ends of jobs.
-    pub fn watch_wait(end_within: Millis) -> Millis {
-        percent(end_within, WATCH_PERCENT)
+    /// Returns the interval at which a leader reads new end marks.
+    pub fn list_interval(end_within: Millis) -> Millis {
+        percent(end_within, LIST_PERCENT)
     }
 
     /// Records the response of a leader to a call sent at `sent_at`; it knows all ends up to
