--- a/crates/oleander-rollout/tests/broken_answers.rs
+++ b/crates/oleander-rollout/tests/broken_answers.rs
@@ -132,6 +132,13 @@
     let unframed = |body: &str| format!("HTTP/1.1 200 OK\r\n{own}\r\n{body}");
     let event = "id: {next}\ndata: {id}:{next}\n\n";
     let second = "HTTP/1.1 500 Oops\r\ncontent-length: 4\r\n\r\noops";
+    let as_events = "content-type: text/event-stream\r\n";
+    let events = |numbers: std::ops::RangeInclusive<u64>| -> String {
+        let events = numbers.map(|n| format!("id: {n}\ndata: {{id}}:{n}\n\n"));
+        events.collect()
+    };
+    let last = EVENTS as u64;
+    let resumption = answer("200 OK", as_events, &events(BREAK_AT..=last));
     vec![
         ("500", answer("500 Oops", "", "oops: failed\n\n")),
         (
@@ -172,6 +179,33 @@
             unframed(&format!("{event}{second}")),
         ),
         ("a second answer at once", unframed(second)),
+        (
+            "an earlier event than asked for",
+            answer("200 OK", as_events, &events(BREAK_AT - 1..=last)),
+        ),
+        (
+            "all events again",
+            answer("200 OK", as_events, &events(1..=last)),
+        ),
+        (
+            "a later event than asked for",
+            answer("200 OK", as_events, &events(BREAK_AT + 1..=last)),
+        ),
+        (
+            "a missing event",
+            answer(
+                "200 OK",
+                as_events,
+                &[events(BREAK_AT..=BREAK_AT), events(last..=last)].concat(),
+            ),
+        ),
+        ("the resumption twice", resumption.repeat(2)),
+        (
+            "the events twice in one answer",
+            answer("200 OK", as_events, &events(BREAK_AT..=last).repeat(2)),
+        ),
+        ("101", answer("101 Oops", as_events, event)),
+        ("600", answer("600 Oops", as_events, event)),
         ("two answers", answer("500 Oops", "", "oops") + second),
     ]
 }
