Believe the refusal of a report only on a new connection

Evidence: a_late_copy_of_the_refusal_of_another_entry_does_not_refuse_the_engines_own failed on the code before (a job's items never ran) and passes now.

Change: a refusal on a connection that has carried other reports is asked for again on a new one.

--- a/crates/oleander-rollout/src/agent/engine_client.rs
+++ b/crates/oleander-rollout/src/agent/engine_client.rs
@@ -76,12 +76,17 @@
             req = req.header(headers::EXPECT_INSTANCE, &listed.instance);
         }
         let req = req.body(Full::default()).map_err(SendError::not_sent)?;
-        let (sent_at, asked) = (now(), unix_ms());
+        let (mut sent_at, mut asked) = (now(), unix_ms());
         // A repeated report from before the engine named its limit would lift the limit. Otherwise, an
         // earlier report of the same process does no harm.
         let limited = listed.is_some_and(|listed| self.limits.is_limited(&listed.instance));
         let reuse = if limited { Reuse::Never } else { Reuse::Any };
-        let (head, body) = self.exchange("", req, reuse).await?;
+        let (mut head, mut body) = self.exchange("", req.clone(), reuse).await?;
+        if head.status == StatusCode::MISDIRECTED_REQUEST && reuse != Reuse::Never {
+            // It may be the late copy of the answer about another entry.
+            (sent_at, asked) = (now(), unix_ms());
+            (head, body) = self.exchange("", req, Reuse::Never).await?;
+        }
         if head.status == StatusCode::MISDIRECTED_REQUEST && listed.is_some() {
             return Ok(None);
         }
--- a/crates/oleander-rollout/tests/odd_entries.rs
+++ b/crates/oleander-rollout/tests/odd_entries.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use oleander_platform_standins::call_behavior::CallBehavior;
+use oleander_platform_standins::engine_faults::EngineFaults;
 use serde_json::{Value, json};
 use std::thread;
 use std::time::Duration;
@@ -177,3 +178,37 @@
 fn entries_of_another_writer_stop_no_items_where_no_starts_are_named() {
     check_entries_at_an_engine(false);
 }
+
+#[test]
+fn a_late_copy_of_the_refusal_of_another_entry_does_not_refuse_the_engines_own() {
+    let deployment = Deployment::start(SIZE);
+    let engine = &deployment.engines[0];
+    engine.hide_start();
+    let entry = engine.entry("llm");
+    deployment.store.put("servers", &engine.instance(), &entry);
+    engine.set_faults(EngineFaults {
+        late_copies: true,
+        ..EngineFaults::default()
+    });
+    for n in 0..5 {
+        // The own entry is draining, so that the engine is asked about the other one.
+        let mut draining = entry.clone();
+        draining["state"] = json!("draining");
+        let instance = engine.instance();
+        deployment.store.put("servers", &instance, &draining);
+        let foreign = format!("foreign-{n}");
+        deployment.store.put("servers", &foreign, &entry);
+        wait_for("the foreign entry is refused", || {
+            let log = deployment.agents[0].process().log();
+            log.contains(&format!("event=entry-refused instance={foreign} "))
+        });
+        deployment.store.put("servers", &instance, &entry);
+        let id = format!("job-{n}");
+        let body = job(n, 1, 3, 5);
+        deployment.submit(0, &id, &body);
+        check_results(&deployment.read_all(0, &id, 6), &body);
+        deployment.store.remove("servers", &foreign);
+    }
+    let log = deployment.agents[0].process().log();
+    assert!(!log.contains("event=entry-refused instance=engine-0"));
+}
