Ask a store that doesn't answer once a second, with one call

Cause: an agent that hears no leader asked for the end mark of each job that it holds twice a second while the store didn't answer, by reading the code; calls to the store are priced, refused ones too.

Change: one job is read first, the others only if the store answers, and a failed read is repeated after a second. batch_open_jobs.rs and agents_apart.rs pass.

--- a/crates/oleander-rollout/src/agent/job_checks.rs
+++ b/crates/oleander-rollout/src/agent/job_checks.rs
@@ -95,33 +95,36 @@
                 let must_read = |job: &String| jobs.must_read(now(), job);
                 held.into_iter().filter(must_read).collect()
             };
-            let sent_at = now();
-            let read = join_all(due.iter().map(|job| self.has_ended(job))).await;
-            let mut any_open = false;
-            for (job, has_ended) in due.iter().zip(read) {
-                match has_ended {
-                    Ok(true) => (actions.ended)(job),
-                    Ok(false) => {
-                        self.jobs.borrow_mut().record_open(job, sent_at);
-                        any_open = true;
-                    }
-                    Err(err) => {
-                        event(log::Level::Info, "end-unread", || {
-                            format!("job={job} reason=\"{err}\"")
-                        });
-                        self.jobs.borrow_mut().record_failed(sent_at);
-                    }
-                }
-            }
-            if any_open {
+            let Some((first, others)) = due.split_first() else {
+                continue;
+            };
+            // If the store doesn't answer, one call is enough to notice.
+            if self.check(first, &actions).await {
+                join_all(others.iter().map(|job| self.check(job, &actions))).await;
                 (actions.confirmed)();
             }
         }
     }
 
-    async fn has_ended(&self, job: &str) -> Result<bool, StoreError> {
+    /// Reads the end mark of a job and records the result; returns whether the store has answered.
+    async fn check<H, E, C>(&self, job: &str, actions: &CheckActions<H, E, C>) -> bool
+    where
+        E: Fn(&str),
+    {
+        let sent_at = now();
         let read = within(READ_TIMEOUT, has_end_mark(&self.store, job)).await;
-        read.unwrap_or_else(|| Err(StoreError::no_answer("timeout")))
+        match read.unwrap_or_else(|| Err(StoreError::no_answer("timeout"))) {
+            Ok(true) => (actions.ended)(job),
+            Ok(false) => self.jobs.borrow_mut().record_open(job, sent_at),
+            Err(err) => {
+                event(log::Level::Info, "end-unread", || {
+                    format!("job={job} reason=\"{err}\"")
+                });
+                self.jobs.borrow_mut().record_failed(sent_at);
+                return false;
+            }
+        }
+        true
     }
 
     /// Reads the configuration while no leader answers, until the process ends.
--- a/crates/oleanderlock/src/batch/open_jobs.rs
+++ b/crates/oleanderlock/src/batch/open_jobs.rs
@@ -14,7 +14,7 @@
 const READ_PERCENT: u64 = 71;
 const VALID_PERCENT: u64 = 86;
 /// Time after a failed read before the store is asked again.
-const RETRY_AFTER: Millis = Millis(500);
+const RETRY_AFTER: Millis = Millis::from_secs(1);
 
 /// Which jobs an agent may go on with, by when they were last known to be open.
 ///
