Read neither marks nor configuration while a leader answers

Cause: agents counted the silence of the leader from when they had sent the last call that it answered, up to two waits ago, and the leader confirmed ends as of the arrival of a report. On deployments with a wait of 0.9 s both passed their limits between two answers: agents read the configuration and end marks beside a leader that answers.

Change: silence counts from the last answer; the response says what the leader knows when it responds.

--- a/crates/oleander-rollout/src/agent/job_checks.rs
+++ b/crates/oleander-rollout/src/agent/job_checks.rs
@@ -60,7 +60,7 @@
     /// Records the response of a leader; see [`OpenJobs::record_leader`].
     pub fn record_leader(&self, sent_at: Millis, confirmed_at: Option<Millis>) {
         let mut jobs = self.jobs.borrow_mut();
-        jobs.record_leader(sent_at, confirmed_at);
+        jobs.record_leader(now(), sent_at, confirmed_at);
     }
 
     /// Whether items and scoring calls of a job may be sent to endpoints.
--- a/crates/oleander-rollout/src/dispatch/agents_api.rs
+++ b/crates/oleander-rollout/src/dispatch/agents_api.rs
@@ -2,11 +2,13 @@
 
 use super::dispatcher::Dispatcher;
 use super::http_api::{to_json, unreadable};
+use super::state::State;
 use super::ticks::give_up;
 use super::{checkpoints, platform_updates};
 use crate::http::response::{self, FullResponse};
 use crate::peer::messages::{
-    ItemOutcomes, KnownVersions, PullRequest, PullResponse, ReturnReason, ReturnedItem,
+    ItemOutcomes, KnownVersions, PlatformUpdate, PullRequest, PullResponse, ReturnReason,
+    ReturnedItem,
 };
 use crate::prelude::*;
 use http::StatusCode;
@@ -37,8 +39,6 @@
         Err(err) => return unreadable(&err),
     };
     let agent = report.agent.clone();
-    // Taken before the report is applied, which makes the agent drop the items of jobs that have ended.
-    let ends_confirmed_ms = dispatcher.ends_confirmation.relative_to(arrived);
     if let Some(duties) = &dispatcher.duties {
         duties.take_demand(&agent, report.process, demand);
     }
@@ -71,14 +71,11 @@
     dispatcher.schedule();
     let known = (caller_rank, arrived);
     let waited = within(wait, next_response(dispatcher, &report, known)).await;
-    let mut response = waited.unwrap_or_else(|| {
+    let response = waited.unwrap_or_else(|| {
         let mut state = dispatcher.state.borrow_mut();
-        PullResponse {
-            platform_update: platform_updates::for_agent(dispatcher, &mut state, &report, known),
-            ..state.outbox(&agent).take()
-        }
+        let update = platform_updates::for_agent(dispatcher, &mut state, &report, known);
+        take_response(dispatcher, &mut state, &agent, (update, arrived))
     });
-    response.ends_confirmed_ms = ends_confirmed_ms;
     to_json(&response)
 }
 
@@ -93,18 +90,30 @@
         {
             let mut state = dispatcher.state.borrow_mut();
             let update = platform_updates::for_agent(dispatcher, &mut state, report, known);
-            let outbox = state.outbox(&report.agent);
-            if !outbox.is_empty() || !update.is_empty() {
-                return PullResponse {
-                    platform_update: update,
-                    ..outbox.take()
-                };
+            if !state.outbox(&report.agent).is_empty() || !update.is_empty() {
+                let update = (update, known.1);
+                return take_response(dispatcher, &mut state, &report.agent, update);
             }
         }
         listener.await;
     }
 }
 
+/// Returns a response with the contents of an agent's outbox, to a report that arrived at `arrived`. All
+/// ends of jobs up to the time that it names are in it or in a response to another report before.
+fn take_response(
+    dispatcher: &Dispatcher,
+    state: &mut State,
+    agent: &str,
+    (platform_update, arrived): (PlatformUpdate, Millis),
+) -> PullResponse {
+    PullResponse {
+        platform_update,
+        ends_confirmed_ms: dispatcher.ends_confirmation.relative_to(arrived),
+        ..state.outbox(agent).take()
+    }
+}
+
 /// Answers an entry as soon as there is an update for it or the configuration has been confirmed
 /// again, or with an empty update when the age of its endpoints makes it necessary.
 ///
--- a/crates/oleander-rollout/src/peer/messages/pull_response.rs
+++ b/crates/oleander-rollout/src/peer/messages/pull_response.rs
@@ -25,8 +25,8 @@
     /// Configuration and endpoints, if the agent's are out of date.
     #[serde(rename = "news")]
     pub platform_update: PlatformUpdate,
-    /// When the leader last knew all ends of jobs, in milliseconds after the arrival of the request, of
-    /// which all that concern the agent are in this response; `None` if it doesn't know.
+    /// When the leader last knew all ends of jobs, in milliseconds after the arrival of the request; `None`
+    /// if it doesn't know.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub ends_confirmed_ms: Option<i64>,
 }
--- a/crates/oleanderlock/src/batch/open_jobs.rs
+++ b/crates/oleanderlock/src/batch/open_jobs.rs
@@ -24,7 +24,7 @@
     end_within: Millis,
     /// Time as of which a leader has told of all ends.
     told_at: Option<Millis>,
-    /// When the last call was sent that a leader has answered, whether it knew all ends or not.
+    /// When a leader last answered a call, whether it knew all ends or not.
     heard_at: Option<Millis>,
     /// When the last read that failed was sent.
     failed_at: Option<Millis>,
@@ -50,10 +50,10 @@
         percent(end_within, LIST_PERCENT)
     }
 
-    /// Records the response of a leader to a call sent at `sent_at`; it knows all ends up to
-    /// `confirmed_at`, `None` if it doesn't know up to when.
-    pub fn record_leader(&mut self, sent_at: Millis, confirmed_at: Option<Millis>) {
-        self.heard_at = self.heard_at.max(Some(sent_at));
+    /// Records the response of a leader, received at `now`, to a call sent at `sent_at`; it knows all ends
+    /// up to `confirmed_at`, `None` if it doesn't know up to when.
+    pub fn record_leader(&mut self, now: Millis, sent_at: Millis, confirmed_at: Option<Millis>) {
+        self.heard_at = self.heard_at.max(Some(now));
         self.told_at = self.told_at.max(confirmed_at.map(|at| at.min(sent_at)));
     }
 
@@ -91,7 +91,7 @@
         !is_recent(self.confirmed_at(job), read_after) && !is_recent(self.failed_at, RETRY_AFTER)
     }
 
-    /// Returns the time since the last call was sent that a leader has answered.
+    /// Returns the time since a leader last answered a call.
     pub fn leader_silence(&self, now: Millis) -> Millis {
         self.heard_at.map_or(Millis::MAX, |at| now.since(at))
     }
--- a/crates/oleanderlock/tests/batch_open_jobs.rs
+++ b/crates/oleanderlock/tests/batch_open_jobs.rs
@@ -10,7 +10,7 @@
 
 fn told(at: u64) -> OpenJobs {
     let mut jobs = OpenJobs::new(END_WITHIN);
-    jobs.record_leader(Millis(at), Some(Millis(at)));
+    jobs.record_leader(Millis(at), Millis(at), Some(Millis(at)));
     jobs
 }
 
@@ -54,10 +54,22 @@
 
 #[test]
 fn nothing_is_read_while_a_leader_confirms_the_ends() {
-    // The end marks are about to be read again when the report arrives, which waits 0.9 s.
-    let age = OpenJobs::list_interval(END_WITHIN).plus(Millis(900 + 2 * 50));
-    let jobs = told(1000);
-    assert!(!jobs.must_read(Millis(1000).plus(age), "a"));
+    // The leader answers each report after this, and reads the marks at its interval.
+    let (wait, on_the_way) = (Millis(900), Millis(20));
+    let list_interval = OpenJobs::list_interval(END_WITHIN);
+    let mut jobs = told(0);
+    let mut sent_at = Millis(0);
+    while sent_at < Millis(60_000) {
+        let answered_at = sent_at.plus(on_the_way).plus(wait);
+        let last_list = Millis(answered_at.0 / list_interval.0 * list_interval.0);
+        let received_at = answered_at.plus(on_the_way);
+        for now in (sent_at.0..received_at.0).map(Millis) {
+            assert!(!jobs.must_read(now, "a"), "at {now}");
+        }
+        assert!(jobs.leader_silence(received_at) < Millis(1000));
+        jobs.record_leader(received_at, sent_at, Some(last_list));
+        sent_at = received_at;
+    }
 }
 
 #[test]
@@ -73,8 +85,8 @@
 #[test]
 fn a_leader_without_the_store_is_trusted_only_while_this_process_can_not_ask_either() {
     let mut jobs = told(1000);
-    jobs.record_leader(Millis(9000), Some(Millis(1000)));
-    jobs.record_leader(Millis(9500), None);
+    jobs.record_leader(Millis(9100), Millis(9000), Some(Millis(1000)));
+    jobs.record_leader(Millis(9500), Millis(9400), None);
     assert!(!jobs.is_open(Millis(9600), "a"));
     jobs.record_failed(Millis(9600));
     assert!(jobs.is_open(Millis(9700), "a"));
@@ -85,6 +97,6 @@
 fn a_confirmation_counts_from_the_call_at_the_latest() {
     // The response to another call may have been lost, and with it the end of a job after this call.
     let mut jobs = OpenJobs::new(END_WITHIN);
-    jobs.record_leader(Millis(1000), Some(Millis(1900)));
+    jobs.record_leader(Millis(1900), Millis(1000), Some(Millis(1900)));
     assert_eq!(open_until(&jobs, "a"), open_until(&told(1000), "a"));
 }
