--- a/crates/oleander-rollout/src/http/body_budget.rs
+++ b/crates/oleander-rollout/src/http/body_budget.rs
@@ -13,14 +13,8 @@
 /// A body of up to this size is always read; the read buffer of its connection is no smaller.
 const MINIMAL_BYTES: usize = 8 << 10;
 
-thread_local! {
-    static OF_THREAD: BodyBudget = BodyBudget { used: Rc::default() };
-}
-
 /// Memory for the bodies of responses that are read as a whole; clones share it.
-///
-/// All connection pools of a thread have one budget, since their bodies are in the same memory.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct BodyBudget {
     used: Rc<Cell<usize>>,
 }
@@ -33,11 +27,6 @@
 }
 
 impl BodyBudget {
-    /// Returns the budget of this thread.
-    pub(super) fn of_thread() -> Self {
-        OF_THREAD.with(Self::clone)
-    }
-
     /// Returns the memory of a body that has not been read yet.
     pub(super) fn body(&self) -> BodyMemory {
         BodyMemory {
--- a/crates/oleander-rollout/src/http/pool.rs
+++ b/crates/oleander-rollout/src/http/pool.rs
@@ -70,7 +70,7 @@
             idle: RefCell::default(),
             swept_at: Cell::new(now()),
             connect_timeout,
-            bodies: BodyBudget::of_thread(),
+            bodies: BodyBudget::default(),
         })
     }
 
