Share the streams of two test files

The set-up of streams at both engines and the reading of a stream stood in broken_answers.rs and odd_statuses.rs.

--- a/crates/oleander-rollout/tests/broken_answers.rs
+++ b/crates/oleander-rollout/tests/broken_answers.rs
@@ -6,7 +6,7 @@
 use oleander_platform_standins::raw_answer::RawAnswer;
 use support::deployment::Deployment;
 use support::deployment_size::{DeploymentSize, SMALL};
-use support::{HOST, check_results, job, read_text, wait_for};
+use support::{check_results, job, wait_for};
 
 /// Events of the streams.
 const EVENTS: usize = 6;
@@ -86,21 +86,6 @@
     }
 }
 
-fn streams() -> Deployment {
-    let deployment = Deployment::start_with_streams(1, 2);
-    wait_for("the route is in force at both engines", || {
-        read(&deployment, "/talk/x", "warm", 1);
-        let mut engines = deployment.engines.iter();
-        engines.all(|engine| !engine.runs().is_empty())
-    });
-    deployment
-}
-
-fn read(deployment: &Deployment, path: &str, id: &str, events: usize) -> String {
-    let headers = [("host", HOST), ("request-id", id), ("deadline-ms", "8000")];
-    read_text(deployment.open_stream_at(path, 0, events, &headers))
-}
-
 /// Checks that a response has one head, no other bytes than its events, and is either whole or not
 /// complete.
 fn check_stream(text: &str, id: &str, case: &str) {
@@ -212,7 +197,7 @@
 
 #[test]
 fn an_error_of_the_next_endpoint_is_no_part_of_a_stream_that_has_begun() {
-    let deployment = streams();
+    let deployment = Deployment::start_with_streams_at_both();
     for (n, (case, error)) in errors().into_iter().enumerate() {
         for engine in &deployment.engines {
             engine.set_faults(EngineFaults {
@@ -222,14 +207,14 @@
             engine.set_raw_answers(&[RawAnswer::to_resumption(&error)]);
         }
         let id = format!("error-{n}");
-        let text = read(&deployment, "/chat/x", &id, EVENTS);
+        let text = deployment.read_stream("/chat/x", &id, EVENTS);
         check_stream(&text, &id, case);
     }
 }
 
 #[test]
 fn a_stream_cut_off_in_its_head_or_followed_by_another_answer_is_not_relayed_as_whole() {
-    let deployment = streams();
+    let deployment = Deployment::start_with_streams_at_both();
     let own = "request-id: {id}\r\nserver-stamp: s-{id}\r\ncontent-type: text/event-stream\r\n";
     let events: String = (1..=3)
         .map(|n| format!("id: {n}\ndata: {{id}}:{n}\n\n"))
@@ -243,7 +228,7 @@
                 engine.set_raw_answers(&[RawAnswer::new(answer)]);
             }
             let id = format!("first-{n}");
-            let text = read(&deployment, path, &id, EVENTS);
+            let text = deployment.read_stream(path, &id, EVENTS);
             // Nothing of it has been relayed yet.
             if !text.is_empty() && !text.starts_with("HTTP/1.1 502 ") {
                 check_stream(&text, &id, path);
--- a/crates/oleander-rollout/tests/odd_statuses.rs
+++ b/crates/oleander-rollout/tests/odd_statuses.rs
@@ -7,7 +7,7 @@
 use oleander_platform_standins::store_faults::StoreFaults;
 use support::deployment::Deployment;
 use support::deployment_size::{DeploymentSize, SMALL};
-use support::{HOST, check_results, job, read_text, wait_for};
+use support::{check_results, job, wait_for};
 
 /// Statuses that are none of HTTP's final ones, and some that are no status at all.
 const ODD: [&str; 12] = [
@@ -89,21 +89,6 @@
     }
 }
 
-fn streams() -> Deployment {
-    let deployment = Deployment::start_with_streams(1, 2);
-    wait_for("the route is in force at both engines", || {
-        stream(&deployment, "/talk/x", "warm", 1);
-        let mut engines = deployment.engines.iter();
-        engines.all(|engine| !engine.runs().is_empty())
-    });
-    deployment
-}
-
-fn stream(deployment: &Deployment, path: &str, id: &str, events: usize) -> String {
-    let headers = [("host", HOST), ("request-id", id), ("deadline-ms", "8000")];
-    read_text(deployment.open_stream_at(path, 0, events, &headers))
-}
-
 fn set_answers(deployment: &Deployment, answer: &RawAnswer) {
     for engine in &deployment.engines {
         engine.set_raw_answers(std::slice::from_ref(answer));
@@ -112,13 +97,13 @@
 
 #[test]
 fn a_response_with_an_odd_status_begins_no_stream() {
-    let deployment = streams();
+    let deployment = Deployment::start_with_streams_at_both();
     for status in ODD {
         set_answers(&deployment, &answer(status));
-        let text = stream(&deployment, "/talk/x", "odd", 2);
+        let text = deployment.read_stream("/talk/x", "odd", 2);
         assert!(text.starts_with("HTTP/1.1 502 "), "`{status}`: {text}");
         set_answers(&deployment, &answer(status));
-        let text = stream(&deployment, "/chat/x", "odd", 2);
+        let text = deployment.read_stream("/chat/x", "odd", 2);
         assert!(text.starts_with("HTTP/1.1 200 "), "`{status}`: {text}");
         assert!(text.contains("data: odd:2\n"), "`{status}`: {text}");
     }
@@ -126,7 +111,7 @@
 
 #[test]
 fn a_stream_goes_on_behind_a_resumption_with_an_odd_status() {
-    let deployment = streams();
+    let deployment = Deployment::start_with_streams_at_both();
     for engine in &deployment.engines {
         engine.set_faults(EngineFaults {
             break_at_event: 3,
@@ -139,7 +124,7 @@
             ..answer(status)
         };
         set_answers(&deployment, &odd);
-        let text = stream(&deployment, "/chat/x", "odd", 5);
+        let text = deployment.read_stream("/chat/x", "odd", 5);
         let lines: Vec<&str> = text
             .lines()
             .filter(|line| line.starts_with("data: "))
--- a/crates/oleander-rollout/tests/support/deployment.rs
+++ b/crates/oleander-rollout/tests/support/deployment.rs
@@ -5,7 +5,7 @@
 use super::node::Node;
 use super::process::PROGRAM;
 use super::stand_ins::StandIns;
-use super::{HOST, config_with_streams, wait_for};
+use super::{HOST, config_with_streams, read_text, wait_for};
 use oleander_platform_standins::stand_in_engine::StandInEngine;
 use oleander_platform_standins::stand_in_service::StandInService;
 use oleander_platform_standins::stand_in_store::StandInStore;
@@ -46,6 +46,24 @@
         deployment
     }
 
+    /// Does the same as [`Self::start_with_streams`] with one entry and two engines, and returns when the
+    /// entry has had a stream from both.
+    pub fn start_with_streams_at_both() -> Self {
+        let deployment = Self::start_with_streams(1, 2);
+        wait_for("the route is in force at both engines", || {
+            deployment.read_stream("/talk/x", "warm", 1);
+            let mut engines = deployment.engines.iter();
+            engines.all(|engine| !engine.runs().is_empty())
+        });
+        deployment
+    }
+
+    /// Requests a stream of `events` events below a path from the first entry and reads the response.
+    pub fn read_stream(&self, path: &str, id: &str, events: usize) -> String {
+        let headers = [("host", HOST), ("request-id", id), ("deadline-ms", "8000")];
+        read_text(self.open_stream_at(path, 0, events, &headers))
+    }
+
     /// Replaces an engine, at its address, by an instance with another software version.
     pub fn set_software(&self, engine: usize, version: &str) {
         let engine = &self.engines[engine];
