Join the small chunks of a body whose length is not known

Cause: a block of a body was as long as the chunk and what was known to follow; nothing is known of a chunked body, so that each eight bytes had an allocation and an entry of their own, many times the memory that the limits on bodies count.

Change: blocks grow with the body, up to 64 KB.

--- a/crates/oleander-rollout/src/http/blocks.rs
+++ b/crates/oleander-rollout/src/http/blocks.rs
@@ -69,8 +69,9 @@
         while !chunk.is_empty() {
             if self.open.capacity() == self.open.len() {
                 self.close_block();
-                let expected = chunk.len().saturating_add(more).min(BLOCK_BYTES);
-                self.open.reserve(expected);
+                // Blocks grow with a body whose length is not known, which may have many small chunks.
+                let expected = chunk.len().saturating_add(more).max(self.bytes);
+                self.open.reserve(expected.min(BLOCK_BYTES));
             }
             let room = self.open.capacity() - self.open.len();
             let (now, later) = chunk.split_at(room.min(chunk.len()));
