Go on with open jobs while neither a leader nor the store answers

Change: a job goes on while the store doesn't answer the agent, as before the fix: no end is acknowledged without the store. The configuration is read only while the agent holds items and the store answers. The mark is read at 69% of end_within, so that a read that takes 0.4 s ends within the term.

--- a/crates/oleander-rollout/src/agent/job_checks.rs
+++ b/crates/oleander-rollout/src/agent/job_checks.rs
@@ -13,7 +13,7 @@
 use futures_util::future::join_all;
 use indexmap::IndexSet;
 use oleanderlock::batch::open_jobs::OpenJobs;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
 /// Interval at which the age of what is known of the jobs is checked.
@@ -34,6 +34,8 @@
     config_reader: Rc<ConfigReader>,
     /// Time without an answer of a leader after which this process reads the configuration itself.
     silence_max: Millis,
+    /// Whether the agent holds items.
+    holds_items: Cell<bool>,
 }
 
 /// What is done with the outcome of a check.
@@ -54,6 +56,7 @@
             store: StoreClient::new(cfg.store, StoreHealth::default()),
             config_reader: ConfigReader::new(cfg.store, view, Confirmation::default()),
             silence_max: Millis(cfg.keys.config_within.0 / SILENCE_DIVISOR),
+            holds_items: Cell::new(false),
         })
     }
 
@@ -89,6 +92,7 @@
         loop {
             sleep(CHECK_INTERVAL).await;
             let held = (actions.held)();
+            self.holds_items.set(!held.is_empty());
             let due: Vec<String> = {
                 let mut jobs = self.jobs.borrow_mut();
                 jobs.retain(|job| held.contains(job));
@@ -127,11 +131,13 @@
         true
     }
 
-    /// Reads the configuration while no leader answers, until the process ends.
+    /// Reads the configuration while the agent holds items and no leader answers, until the process ends.
     pub async fn read_config(self: Rc<Self>) {
         loop {
             sleep(SILENCE_CHECK_INTERVAL).await;
-            if self.leader_is_silent() {
+            // A store that doesn't answer is asked for end marks alone.
+            let store_is_silent = self.jobs.borrow().store_is_silent(now());
+            if self.holds_items.get() && !store_is_silent && self.leader_is_silent() {
                 self.config_reader.refresh().await;
             }
         }
--- a/crates/oleander-rollout/tests/agents_apart.rs
+++ b/crates/oleander-rollout/tests/agents_apart.rs
@@ -148,6 +148,24 @@
     check_results(&deployment.read_all(0, "job-a", 24), &body);
 }
 
+#[test]
+fn items_of_an_open_job_go_on_while_neither_a_leader_nor_the_store_answers() {
+    let deployment = Deployment::start(SIZE);
+    submit_long_job(&deployment, "job-a");
+    deployment.dispatchers[0].process().signal("STOP");
+    deployment.store.set_faults(StoreFaults {
+        down: true,
+        ..StoreFaults::default()
+    });
+    let lost_at = Instant::now();
+    wait_for("items that waited run", || {
+        deployment.engines[0].runs().len() > 8
+    });
+    let took = lost_at.elapsed();
+    assert!(took > END_WITHIN, "the runs end after {took:?}");
+    assert!(took < Duration::from_secs(7), "{took:?}");
+}
+
 #[test]
 fn no_item_starts_at_the_old_service_of_a_route_that_moved_while_its_agent_heard_no_leader() {
     let deployment = Deployment::start(SIZE);
--- a/crates/oleanderlock/src/batch/open_jobs.rs
+++ b/crates/oleanderlock/src/batch/open_jobs.rs
@@ -11,7 +11,7 @@
 /// at which the leader reads new end marks, the age at which an agent reads the end mark of a job itself,
 /// and the age up to which a confirmation holds. The rest is for a request on its way to an endpoint.
 const LIST_PERCENT: u64 = 35;
-const READ_PERCENT: u64 = 71;
+const READ_PERCENT: u64 = 69;
 const VALID_PERCENT: u64 = 86;
 /// Time after a failed read before the store is asked again.
 const RETRY_AFTER: Millis = Millis::from_secs(1);
@@ -75,12 +75,17 @@
 
     /// Whether items and scoring calls of a job may be sent to endpoints.
     ///
-    /// A leader that has lost the store can't tell of ends that another one has acknowledged. Without
-    /// the store, nobody can end a job there and this agent can't ask either; the word of that leader is
-    /// taken then.
+    /// While the store doesn't answer this agent, a job goes on: without the store, no end is acknowledged,
+    /// and most jobs are open.
     pub fn is_open(&self, now: Millis, job: &str) -> bool {
         let is_valid = |at: Option<Millis>| at.is_some_and(|at| now.since(at) <= self.valid_for());
-        is_valid(self.confirmed_at(job)) || (is_valid(self.failed_at) && is_valid(self.heard_at))
+        is_valid(self.confirmed_at(job)) || is_valid(self.failed_at)
+    }
+
+    /// Whether the store has not answered lately.
+    pub fn store_is_silent(&self, now: Millis) -> bool {
+        self.failed_at
+            .is_some_and(|at| now.since(at) <= self.valid_for())
     }
 
     /// Whether the end mark of a job is to be read from the store.
