Replace a leader that most agents don't reach, although the store reaches it

The leader's machine was cut off from the machines of other zones; the agent of its own zone kept it leading, and its pulse in the store kept the standbys from taking over. A dispatcher that won while no agent reached it never handed over, for the same reason.

Cause: whether a leader is of use was judged by what it hears and by what the store hears of it, not by the agents (docs/incidents).

Change: an agent without an answer of the leader names that leader's epoch when it asks the other dispatchers for one, as it did before. A standby counts these agents; the pulse says for how long the leader has led and how many agents it has heard within 2 s. A standby that more agents have told takes over by the conditional write. Equal numbers change nothing and leaders count from 2 s after they began to lead, against alternating.

--- a/crates/oleander-rollout/src/agent/pull.rs
+++ b/crates/oleander-rollout/src/agent/pull.rs
@@ -4,7 +4,7 @@
 use super::held_item::HeldItem;
 use super::{load, runner};
 use crate::peer::leader_error::LeaderError;
-use crate::peer::messages::{PULL, PullRequest, PullResponse, REPORT};
+use crate::peer::messages::{LeaderUnreached, PULL, PullRequest, PullResponse, REPORT};
 use crate::prelude::*;
 use crate::store::confirmation::time_of;
 use crate::store::platform_update::apply_platform_update;
@@ -24,6 +24,7 @@
     let mut failing = false;
     loop {
         let sent_at = now();
+        let epoch = agent.leader_client.epoch();
         match pull(&agent, PULL).await {
             Ok(response) => {
                 if failing {
@@ -42,7 +43,15 @@
                     });
                     failing = true;
                 }
-                agent.leader_client.ask_for_leader(ASK_TIMEOUT).await;
+                let unreached = epoch.filter(|_| error.is_unreached());
+                let unreached = unreached.map(|epoch| LeaderUnreached {
+                    agent: agent.cfg.node.clone(),
+                    epoch,
+                });
+                let asked = agent
+                    .leader_client
+                    .ask_for_leader(ASK_TIMEOUT, unreached.as_ref());
+                asked.await;
                 sleep(RETRY_PAUSE).await;
             }
         }
--- a/crates/oleander-rollout/src/dispatch/dispatcher.rs
+++ b/crates/oleander-rollout/src/dispatch/dispatcher.rs
@@ -21,6 +21,7 @@
 use event_listener::Event;
 use oleanderlock::batch::scheduler::Scheduler;
 use oleanderlock::batch::scheduler_config::SchedulerConfig;
+use oleanderlock::batch::unreached_leader::UnreachedLeader;
 use oleanderlock::routing::stream_origins::StreamOrigins;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -64,6 +65,8 @@
     pub freshness: EndpointFreshness,
     /// When this dispatcher last knew all ends of jobs.
     pub ends_confirmation: Confirmation,
+    /// Agents that don't reach the leader.
+    pub unreached_leader: RefCell<UnreachedLeader>,
     /// Time until which this dispatcher does not try to lead.
     pub paused_until: Cell<Millis>,
     /// Whether the process is stopping.
@@ -117,6 +120,7 @@
             origins: RefCell::new(StreamOrigins::new(STREAMS_MAX)),
             changed: Event::new(),
             full_view_gate,
+            unreached_leader: RefCell::default(),
             paused_until: Cell::new(Millis::ZERO),
             stopping: Cell::new(false),
             shutdown: Rc::default(),
--- a/crates/oleander-rollout/src/dispatch/election.rs
+++ b/crates/oleander-rollout/src/dispatch/election.rs
@@ -20,6 +20,7 @@
 use oleanderlock::batch::result_log::ResultLog;
 use oleanderlock::batch::scheduler::Scheduler;
 use oleanderlock::batch::scheduler_config::SchedulerConfig;
+use oleanderlock::batch::unreached_leader::{HEARD_WITHIN, must_be_replaced};
 use serde_json::value::to_raw_value;
 use std::rc::Rc;
 
@@ -140,13 +141,11 @@
     };
     let began = now();
     let answer = probe(dispatcher, leader).await;
-    if watch.record_probe(now(), answer)
-        && is_lost(dispatcher, leader, watch).await
+    if let Some(reason) = reason_to_replace(dispatcher, leader, watch, answer).await
         && !(retiring && others_take_over(dispatcher, view.leader.as_ref()).await)
     {
         // A failed takeover does not reset the count of missed probes, so that the standby tries
         // again after the next missed probe. The first write that the store accepts wins.
-        let reason = format!("last probe {answer:?} misses={}", watch.misses());
         take_over(dispatcher, view.leader.clone(), &reason).await;
     }
     let rest = PROBE_EVERY.0.saturating_sub(now().since(began).0);
@@ -169,15 +168,46 @@
     has_changed(&dispatcher.view.get())
 }
 
-/// Reads the pulse of a leader that missed a probe; returns whether to take over.
-async fn is_lost(dispatcher: &Dispatcher, leader: &LeaderObject, watch: &mut LeaderWatch) -> bool {
-    let number = match read_pulse(dispatcher).await {
-        Ok(pulse) => pulse.number,
-        Err(err) => {
-            log_pulse_unknown(watch.misses(), &err);
-            return false;
+/// Returns why to take over from a leader after a probe; `None` if it goes on leading. Reads its pulse if
+/// it missed the probe or agents don't reach it.
+async fn reason_to_replace(
+    dispatcher: &Dispatcher,
+    leader: &LeaderObject,
+    watch: &mut LeaderWatch,
+    answer: LeaderProbe,
+) -> Option<String> {
+    let is_missed = watch.record_probe(now(), answer);
+    let unreached_by = dispatcher
+        .unreached_leader
+        .borrow()
+        .count(now(), leader.epoch);
+    if !is_missed && unreached_by == 0 {
+        return None;
+    }
+    let pulse = read_pulse(dispatcher).await;
+    let pulse = pulse
+        .inspect_err(|err| log_pulse_unknown(watch.misses(), err))
+        .ok()?;
+    if unreached_by > 0 && pulse.epoch == leader.epoch {
+        let (leads_for, heard) = (Millis(pulse.leads_ms), pulse.heard_agents);
+        event(log::Level::Info, "leader-unreached", || {
+            format!("agents={unreached_by} heard={heard} leads_for={leads_for}")
+        });
+        if must_be_replaced(unreached_by, leads_for, heard) {
+            return Some(format!("{unreached_by} agents do not reach the leader"));
         }
-    };
+    }
+    let is_lost = is_missed && is_lost(dispatcher, leader, watch, pulse.number).await;
+    is_lost.then(|| format!("last probe {answer:?} misses={}", watch.misses()))
+}
+
+/// Records the number of the pulse of a leader that missed a probe; returns whether to take over.
+async fn is_lost(
+    dispatcher: &Dispatcher,
+    leader: &LeaderObject,
+    watch: &mut LeaderWatch,
+    number: u64,
+) -> bool {
     let verdict = watch.record_pulse(now(), number);
     event(log::Level::Info, "pulse-read", || {
         format!(
@@ -228,11 +258,15 @@
     let mut number = rand::random::<u64>() >> 1;
     while dispatcher.state.borrow().leadership.epoch() == Some(epoch) {
         number += 1;
-        let needed_from = dispatcher.state.borrow().needed_from();
-        let pulse = Pulse {
-            epoch,
-            number,
-            needed_from,
+        let pulse = {
+            let state = dispatcher.state.borrow();
+            Pulse {
+                epoch,
+                number,
+                needed_from: state.needed_from(),
+                leads_ms: state.leads_since.map_or(0, |since| now().since(since).0),
+                heard_agents: state.callers.heard_agents(now(), HEARD_WITHIN),
+            }
         };
         let written = match to_raw_value(&pulse) {
             Ok(spec) => dispatcher.store.put(PULSE_KIND, PULSE_NAME, &spec).await,
@@ -391,6 +425,7 @@
         return;
     };
     state.leadership = LeadershipState::Leading { epoch };
+    state.leads_since = Some(now());
     state.log_verified_at = began;
     let (jobs, ended) = (state.jobs.len(), state.ended.len());
     if newest_chunks.has_older {
--- a/crates/oleander-rollout/src/dispatch/http_api.rs
+++ b/crates/oleander-rollout/src/dispatch/http_api.rs
@@ -6,8 +6,8 @@
 use crate::http::server::{bind, serve};
 use crate::http::server_limits::ServerLimits;
 use crate::peer::messages::{
-    CONFIG_CHECK, DispatcherHealth, HEALTH, JOBS, OUTCOMES, PLATFORM_UPDATES, PULL, REPORT,
-    STREAM_BEGUN, STREAM_ORIGIN, USAGE_COUNTS,
+    CONFIG_CHECK, DispatcherHealth, HEALTH, JOBS, LeaderUnreached, OUTCOMES, PLATFORM_UPDATES,
+    PULL, REPORT, STREAM_BEGUN, STREAM_ORIGIN, USAGE_COUNTS,
 };
 use crate::prelude::*;
 use http::{Method, Request, StatusCode};
@@ -55,7 +55,7 @@
     };
     let path = head.uri.path();
     match (&head.method, path) {
-        (_, HEALTH) => return health(dispatcher),
+        (_, HEALTH) => return health(dispatcher, &body),
         (&Method::POST, STREAM_BEGUN) => return streams_api::record(dispatcher, &body),
         (&Method::POST, STREAM_ORIGIN) => return streams_api::find(dispatcher, &body),
         (&Method::POST, CONFIG_CHECK) => return check_config(dispatcher, &body).await,
@@ -89,7 +89,16 @@
     }
 }
 
-fn health(dispatcher: &Dispatcher) -> FullResponse {
+fn health(dispatcher: &Dispatcher, body: &[u8]) -> FullResponse {
+    if !body.is_empty() {
+        match serde_json::from_slice::<LeaderUnreached>(body) {
+            Ok(LeaderUnreached { agent, epoch }) => {
+                let mut unreached = dispatcher.unreached_leader.borrow_mut();
+                unreached.record(now(), epoch, &agent);
+            }
+            Err(err) => return unreadable(&err),
+        }
+    }
     // A recovering dispatcher counts as leading too: taking over from it would restart the
     // recovery.
     let leads = dispatcher.state.borrow().leadership.epoch();
--- a/crates/oleander-rollout/src/dispatch/state.rs
+++ b/crates/oleander-rollout/src/dispatch/state.rs
@@ -50,6 +50,8 @@
     pub retirement_reported: bool,
     /// Time of the last report of any agent; `None` before the first.
     pub last_report: Option<Millis>,
+    /// When the dispatcher began to lead; `None` before.
+    pub leads_since: Option<Millis>,
     /// Processes that call endpoints.
     pub callers: CallerList,
     /// Start of the last call to the store which showed that no other dispatcher has appended a
--- a/crates/oleander-rollout/src/entry/job_calls.rs
+++ b/crates/oleander-rollout/src/entry/job_calls.rs
@@ -85,7 +85,7 @@
         } else if last_error == LeaderError::Unsure {
             break;
         }
-        entry.leader_client.ask_for_leader(ASK_TIMEOUT).await;
+        entry.leader_client.ask_for_leader(ASK_TIMEOUT, None).await;
         sleep(RETRY_PAUSE).await;
     }
     event(log::Level::Info, "job-call-refused", || {
--- a/crates/oleander-rollout/src/entry/platform_updates.rs
+++ b/crates/oleander-rollout/src/entry/platform_updates.rs
@@ -53,7 +53,7 @@
                 }
                 entry.endpoint_source.read_list();
                 sleep(RETRY_PAUSE).await;
-                entry.leader_client.ask_for_leader(ASK_TIMEOUT).await;
+                entry.leader_client.ask_for_leader(ASK_TIMEOUT, None).await;
             }
         }
     }
--- a/crates/oleander-rollout/src/peer/leader_client.rs
+++ b/crates/oleander-rollout/src/peer/leader_client.rs
@@ -1,7 +1,7 @@
 //! Client of the leading dispatcher.
 
 use super::leader_error::LeaderError;
-use super::messages::{DispatcherHealth, HEALTH};
+use super::messages::{DispatcherHealth, HEALTH, LeaderUnreached};
 use crate::http::destination::Destination;
 use crate::http::pool::Pool;
 use crate::http::send_error::SendError;
@@ -41,13 +41,22 @@
 
     /// Returns the address of the leader with the highest known epoch.
     pub fn leader(&self) -> Option<SocketAddr> {
+        self.leader_and_epoch().map(|(addr, _)| addr)
+    }
+
+    /// Returns the epoch of the leader that [`Self::call`] calls; `None` if no leader is known.
+    pub fn epoch(&self) -> Option<u64> {
+        self.leader_and_epoch().map(|(_, epoch)| epoch)
+    }
+
+    fn leader_and_epoch(&self) -> Option<(SocketAddr, u64)> {
         let view = self.view.get();
         let stored = view.leader.as_ref();
         let stored = stored.and_then(|(leader, _)| leader.addr.map(|addr| (addr, leader.epoch)));
         match (stored, self.hint.get()) {
-            (Some(stored), Some(hint)) if hint.1 > stored.1 => Some(hint.0),
-            (Some(stored), _) => Some(stored.0),
-            (None, hint) => hint.map(|(addr, _)| addr),
+            (Some(stored), Some(hint)) if hint.1 > stored.1 => Some(hint),
+            (Some(stored), _) => Some(stored),
+            (None, hint) => hint,
         }
     }
 
@@ -111,16 +120,32 @@
     }
 
     /// Asks all known dispatchers at the same time for the leader, for a process that can't read it from
-    /// the store; waits for at most `limit`.
-    pub async fn ask_for_leader(&self, limit: Millis) {
+    /// the store, and tells them of the leader that the process does not reach, if it is an agent; waits
+    /// for at most `limit`.
+    pub async fn ask_for_leader(&self, limit: Millis, unreached: Option<&LeaderUnreached>) {
         let dispatchers: Vec<SocketAddr> = self.view.get().dispatchers.values().copied().collect();
-        join_all(dispatchers.into_iter().map(|addr| self.ask(addr, limit))).await;
+        let body = match unreached.map(serde_json::to_vec).transpose() {
+            Ok(body) => body.unwrap_or_default(),
+            Err(err) => {
+                event(log::Level::Error, "unreached-unsaid", || {
+                    format!("reason=\"{err}\"")
+                });
+                Vec::new()
+            }
+        };
+        let asked = dispatchers.into_iter();
+        join_all(asked.map(|addr| self.ask(addr, body.clone(), limit))).await;
     }
 
     /// Asks one dispatcher for the leader, and records it if its epoch is later than that of the last
     /// one that was named.
-    async fn ask(&self, addr: SocketAddr, limit: Millis) {
-        let asked = self.call_at(addr, Method::GET, HEALTH, Vec::new(), limit);
+    async fn ask(&self, addr: SocketAddr, body: Vec<u8>, limit: Millis) {
+        let method = if body.is_empty() {
+            Method::GET
+        } else {
+            Method::POST
+        };
+        let asked = self.call_at(addr, method, HEALTH, body, limit);
         // The caller logs that it has no leader.
         let Ok((StatusCode::OK, body)) = asked.await else {
             return;
--- a/crates/oleander-rollout/src/peer/leader_error.rs
+++ b/crates/oleander-rollout/src/peer/leader_error.rs
@@ -27,3 +27,10 @@
         reason: String,
     },
 }
+
+impl LeaderError {
+    /// Whether the leader may not have been reached.
+    pub fn is_unreached(&self) -> bool {
+        matches!(self, Self::NotReached { .. } | Self::NoAnswer { .. })
+    }
+}
--- a/crates/oleander-rollout/src/peer/messages/mod.rs
+++ b/crates/oleander-rollout/src/peer/messages/mod.rs
@@ -4,6 +4,7 @@
 mod item_outcomes;
 mod job_caller;
 mod known_versions;
+mod leader_unreached;
 mod load_work;
 mod platform_update;
 mod pull_request;
@@ -19,6 +20,7 @@
 pub use item_outcomes::ItemOutcomes;
 pub use job_caller::JobCaller;
 pub use known_versions::KnownVersions;
+pub use leader_unreached::LeaderUnreached;
 pub use load_work::LoadWork;
 pub use platform_update::PlatformUpdate;
 pub use pull_request::PullRequest;
@@ -41,7 +43,7 @@
 pub const CONFIG_CHECK: &str = "/config-check";
 /// Path to which an agent sends [`ItemOutcomes`].
 pub const OUTCOMES: &str = "/hand-in";
-/// Path of the [`DispatcherHealth`].
+/// Path of the [`DispatcherHealth`]; the request of an agent may be [`LeaderUnreached`].
 pub const HEALTH: &str = "/health";
 /// Path below which jobs are stored, read and ended.
 pub const JOBS: &str = "/jobs/";
--- a/crates/oleander-rollout/src/store/pulse.rs
+++ b/crates/oleander-rollout/src/store/pulse.rs
@@ -18,4 +18,10 @@
     /// all.
     #[serde(default)]
     pub needed_from: u64,
+    /// Time for which the leader has led, in milliseconds; 0 while it recovers.
+    #[serde(default)]
+    pub leads_ms: u64,
+    /// Number of agents whose reports have reached the leader within the last 2 s.
+    #[serde(default)]
+    pub heard_agents: usize,
 }
--- a/crates/oleander-rollout/tests/formats.rs
+++ b/crates/oleander-rollout/tests/formats.rs
@@ -65,8 +65,8 @@
 use oleander_rollout::observe::metrics::Metrics;
 use oleander_rollout::peer::leader_error::LeaderError;
 use oleander_rollout::peer::messages::{
-    self, DispatcherHealth, ItemOutcomes, KnownVersions, PlatformUpdate, PullRequest, PullResponse,
-    UsageReceipt,
+    self, DispatcherHealth, ItemOutcomes, KnownVersions, LeaderUnreached, PlatformUpdate,
+    PullRequest, PullResponse, UsageReceipt,
 };
 use oleander_rollout::role::Role;
 use oleander_rollout::runtime;
@@ -502,6 +502,13 @@
                 ..health()
             },
         ),
+        json(
+            "leader that an agent does not reach",
+            &LeaderUnreached {
+                agent: "n-1".to_owned(),
+                epoch: 3,
+            },
+        ),
         json("relayed job", &job()),
     ]
 }
--- a/crates/oleander-rollout/tests/formats_support/examples.rs
+++ b/crates/oleander-rollout/tests/formats_support/examples.rs
@@ -182,6 +182,8 @@
         epoch: 3,
         number: 8,
         needed_from: 6,
+        leads_ms: 4000,
+        heard_agents: 3,
     }
 }
 
--- a/crates/oleanderlock/src/batch/mod.rs
+++ b/crates/oleanderlock/src/batch/mod.rs
@@ -45,3 +45,4 @@
 pub mod scheduler_loads;
 pub mod scheduler_recall;
 pub mod score_call;
+pub mod unreached_leader;
--- a/crates/oleanderlock/src/routing/caller_list.rs
+++ b/crates/oleanderlock/src/routing/caller_list.rs
@@ -34,6 +34,12 @@
         record(&mut self.agents, name, now);
     }
 
+    /// Returns the number of agents that have sent a message within `age`.
+    pub fn heard_agents(&self, now: Millis, age: Millis) -> usize {
+        let seen = self.agents.values();
+        seen.filter(|seen_at| now.since(**seen_at) <= age).count()
+    }
+
     /// Returns the rank of an entry; `None` while the list may be incomplete or the entry is not
     /// in it.
     pub fn rank_of_entry(&self, name: &str, now: Millis) -> Option<CallerRank> {
