--- a/crates/oleander-rollout/src/peer/leader_client.rs
+++ b/crates/oleander-rollout/src/peer/leader_client.rs
@@ -127,7 +127,7 @@
         let body = match unreached.map(serde_json::to_vec).transpose() {
             Ok(body) => body.unwrap_or_default(),
             Err(err) => {
-                event(log::Level::Error, "unreached-unsaid", || {
+                event(log::Level::Error, "leader-report-failed", || {
                     format!("reason=\"{err}\"")
                 });
                 Vec::new()
