Keep names that were heard lately in one type

UnreachedLeader and CallerList each kept a bounded list of names with the time of their last message.

--- a/crates/oleanderlock/src/batch/unreached_leader.rs
+++ b/crates/oleanderlock/src/batch/unreached_leader.rs
@@ -7,7 +7,7 @@
 //! one that has such reports of more agents than the leader hears takes over.
 
 use crate::prelude::*;
-use indexmap::IndexMap;
+use crate::recent_names::RecentNames;
 
 /// Time for which a report of an agent counts. An agent repeats it at least every 2.3 s: after the
 /// timeout of a call to the leader, of asking for another leader, and a pause.
@@ -15,19 +15,30 @@
 /// Time for which a leader counts an agent as heard after its last report; a waiting report is answered
 /// and sent anew within 1.8 s.
 pub const HEARD_WITHIN: Millis = Millis(2000);
-/// Most agents whose reports are kept; further ones do not count.
-const AGENTS_MAX: usize = 8192;
 
 /// Agents that don't reach the leader of an epoch, with the time of their last report.
 ///
-/// Memory is bounded by [`AGENTS_MAX`] names.
-#[derive(Clone, Debug, Default)]
+/// Memory is bounded by the names of [`RecentNames`].
+#[derive(Clone, Debug)]
 pub struct UnreachedLeader {
     epoch: u64,
-    agents: IndexMap<String, Millis>,
+    agents: RecentNames,
+}
+
+impl Default for UnreachedLeader {
+    fn default() -> Self {
+        Self::of_epoch(0)
+    }
 }
 
 impl UnreachedLeader {
+    fn of_epoch(epoch: u64) -> Self {
+        Self {
+            epoch,
+            agents: RecentNames::new(REPORT_AGE_MAX),
+        }
+    }
+
     /// Records that an agent does not reach the leader of `epoch`. Reports of the leaders before it are
     /// dropped.
     pub fn record(&mut self, now: Millis, epoch: u64, agent: &str) {
@@ -35,15 +46,9 @@
             return;
         }
         if epoch > self.epoch {
-            *self = Self::default();
-            self.epoch = epoch;
-        }
-        self.agents.retain(|_, at| now.since(*at) <= REPORT_AGE_MAX);
-        if let Some(at) = self.agents.get_mut(agent) {
-            *at = now;
-        } else if self.agents.len() < AGENTS_MAX {
-            self.agents.insert(agent.to_owned(), now);
+            *self = Self::of_epoch(epoch);
         }
+        self.agents.record(now, agent);
     }
 
     /// Returns the number of agents that don't reach the leader of `epoch`.
@@ -51,10 +56,7 @@
         if epoch != self.epoch {
             return 0;
         }
-        let recent = self.agents.values();
-        recent
-            .filter(|at| now.since(**at) <= REPORT_AGE_MAX)
-            .count()
+        self.agents.count_within(now, REPORT_AGE_MAX)
     }
 }
 
--- a/crates/oleanderlock/src/lib.rs
+++ b/crates/oleanderlock/src/lib.rs
@@ -92,6 +92,7 @@
 pub mod pull;
 pub mod quantiles;
 pub mod ran;
+mod recent_names;
 pub mod released_data;
 pub mod rendezvous;
 pub mod request_outcome;
