--- a/crates/oleanderlock/src/batch/open_jobs.rs
+++ b/crates/oleanderlock/src/batch/open_jobs.rs
@@ -78,14 +78,12 @@
     /// While the store doesn't answer this agent, a job goes on: without the store, no end is acknowledged,
     /// and most jobs are open.
     pub fn is_open(&self, now: Millis, job: &str) -> bool {
-        let is_valid = |at: Option<Millis>| at.is_some_and(|at| now.since(at) <= self.valid_for());
-        is_valid(self.confirmed_at(job)) || is_valid(self.failed_at)
+        self.is_valid(now, self.confirmed_at(job)) || self.store_is_silent(now)
     }
 
     /// Whether the store has not answered lately.
     pub fn store_is_silent(&self, now: Millis) -> bool {
-        self.failed_at
-            .is_some_and(|at| now.since(at) <= self.valid_for())
+        self.is_valid(now, self.failed_at)
     }
 
     /// Whether the end mark of a job is to be read from the store.
@@ -105,8 +103,8 @@
         self.told_at.max(self.read_at.get(job).copied())
     }
 
-    fn valid_for(&self) -> Millis {
-        percent(self.end_within, VALID_PERCENT)
+    fn is_valid(&self, now: Millis, at: Option<Millis>) -> bool {
+        at.is_some_and(|at| now.since(at) <= percent(self.end_within, VALID_PERCENT))
     }
 }
 
