--- a/crates/oleander-rollout/tests/broken_answers.rs
+++ b/crates/oleander-rollout/tests/broken_answers.rs
@@ -6,8 +6,8 @@
 use oleander_platform_standins::raw_answer::RawAnswer;
 use oleander_platform_standins::run_record::RunRecord;
 use support::deployment::Deployment;
-use support::deployment_size::{DeploymentSize, SMALL};
-use support::{check_results, job, wait_for};
+use support::deployment_size::SMALL;
+use support::{check_results, job};
 
 /// Events of the streams.
 const EVENTS: usize = 6;
@@ -39,24 +39,9 @@
     cut.map(|end| &head[..end]).collect()
 }
 
-fn calls_only() -> Deployment {
-    let deployment = Deployment::start(DeploymentSize {
-        entries: 1,
-        engines: 0,
-        dispatchers: 1,
-        services: 1,
-    });
-    let headers = [("request-id", "warm"), ("deadline-ms", "1400")];
-    wait_for("the entry knows the endpoint", || {
-        let reply = deployment.call(0, "POST", "/once/x", &headers, b"body");
-        reply.is_some_and(|reply| reply.status == 200)
-    });
-    deployment
-}
-
 #[test]
 fn an_answer_cut_off_in_its_head_is_no_answer_to_a_call() {
-    let deployment = calls_only();
+    let deployment = Deployment::start_with_one_service();
     for head in HEADS {
         for cut in cut_heads(head) {
             deployment.services[0].set_raw_answers(&[RawAnswer::new(cut)]);
@@ -74,7 +59,7 @@
 
 #[test]
 fn a_call_that_may_be_repeated_survives_an_answer_cut_off_in_its_head() {
-    let deployment = calls_only();
+    let deployment = Deployment::start_with_one_service();
     for head in HEADS {
         for cut in cut_heads(head).into_iter().step_by(5) {
             deployment.services[0].set_raw_answers(&[RawAnswer::new(cut)]);
--- a/crates/oleander-rollout/tests/odd_statuses.rs
+++ b/crates/oleander-rollout/tests/odd_statuses.rs
@@ -6,8 +6,8 @@
 use oleander_platform_standins::raw_answer::RawAnswer;
 use oleander_platform_standins::store_faults::StoreFaults;
 use support::deployment::Deployment;
-use support::deployment_size::{DeploymentSize, SMALL};
-use support::{check_results, job, wait_for};
+use support::deployment_size::SMALL;
+use support::{check_results, job};
 
 /// Statuses that are none of HTTP's final ones, and some that are no status at all.
 const ODD: [&str; 12] = [
@@ -26,19 +26,6 @@
     ))
 }
 
-fn calls_only() -> Deployment {
-    let deployment = Deployment::start(DeploymentSize {
-        entries: 1,
-        engines: 0,
-        dispatchers: 1,
-        services: 1,
-    });
-    wait_for("the entry knows the endpoint", || {
-        call(&deployment, "/once/x", "warm").is_some_and(|(status, _)| status == 200)
-    });
-    deployment
-}
-
 fn call(deployment: &Deployment, path: &str, id: &str) -> Option<(u16, Vec<u8>)> {
     let headers = [("request-id", id), ("deadline-ms", "1400")];
     let reply = deployment.call(0, "POST", path, &headers, b"body")?;
@@ -47,7 +34,7 @@
 
 #[test]
 fn a_response_with_an_odd_status_is_no_answer_to_a_call() {
-    let deployment = calls_only();
+    let deployment = Deployment::start_with_one_service();
     let service = &deployment.services[0];
     for status in ODD {
         service.set_raw_answers(&[answer(status)]);
@@ -62,7 +49,7 @@
 
 #[test]
 fn a_final_status_of_an_endpoint_is_passed_on() {
-    let deployment = calls_only();
+    let deployment = Deployment::start_with_one_service();
     for status in SELDOM {
         deployment.services[0].set_raw_answers(&[answer(&status.to_string())]);
         let got = call(&deployment, "/once/x", "seldom");
@@ -72,7 +59,7 @@
 
 #[test]
 fn a_body_behind_a_response_that_has_none_belongs_to_no_call() {
-    let deployment = calls_only();
+    let deployment = Deployment::start_with_one_service();
     let second = "HTTP/1.1 200 OK\r\nserver-stamp: s\r\ncontent-length: 6\r\n\r\nsecond";
     for status in ["204", "304"] {
         let first = format!(
--- a/crates/oleander-rollout/tests/support/deployment.rs
+++ b/crates/oleander-rollout/tests/support/deployment.rs
@@ -33,6 +33,23 @@
         Self::start_nodes(size, |node| node.more_settings = more_settings.to_owned())
     }
 
+    /// Starts a deployment without engines, with one entry and one service, and returns when the entry
+    /// knows the service.
+    pub fn start_with_one_service() -> Self {
+        let deployment = Self::start(DeploymentSize {
+            entries: 1,
+            engines: 0,
+            dispatchers: 1,
+            services: 1,
+        });
+        let headers = [("request-id", "warm"), ("deadline-ms", "1400")];
+        wait_for("the entry knows the endpoint", || {
+            let reply = deployment.call(0, "POST", "/once/x", &headers, b"body");
+            reply.is_some_and(|reply| reply.status == 200)
+        });
+        deployment
+    }
+
     /// Starts a deployment without services, with a route for streams to its engines.
     pub fn start_with_streams(entries: usize, engines: usize) -> Self {
         let deployment = Self::start(DeploymentSize {
