Move a standby's checks of the leader to a file of their own

LeaderChecks probes the leader, reads its pulse and decides whether it is replaced; it takes its clients as fields and no Dispatcher. Behaviour is unchanged; unreached_leader, failures, store_health, agents_apart and formats pass.

--- a/crates/oleander-rollout/src/dispatch/election.rs
+++ b/crates/oleander-rollout/src/dispatch/election.rs
@@ -1,10 +1,10 @@
 //! Leader election: winning an epoch, recovering the state from the store, handing over.
 
 use super::dispatcher::Dispatcher;
+use super::leader_checks::LeaderChecks;
 use super::leadership_state::LeadershipState;
 use super::state::State;
-use super::{checkpoints, cleanup, commit, history, jobs, retire, succession};
-use crate::peer::messages::{DispatcherHealth, HEALTH};
+use super::{checkpoints, cleanup, commit, history, jobs, leader_checks, retire, succession};
 use crate::prelude::*;
 use crate::store::dispatcher_object::{DISPATCHER_KIND, DispatcherObject, NODE_PREFIX};
 use crate::store::leader_object::{LEADER_NAME, LeaderObject};
@@ -12,24 +12,16 @@
 use crate::store::store_error::StoreError;
 use crate::store::view::View;
 use futures_util::future::join4;
-use http::{Method, StatusCode};
-use oleander_platform::stored_object::StoredObject;
-use oleanderlock::batch::leader_probe::LeaderProbe;
 use oleanderlock::batch::leader_watch::LeaderWatch;
-use oleanderlock::batch::pulse_verdict::PulseVerdict;
 use oleanderlock::batch::result_log::ResultLog;
 use oleanderlock::batch::scheduler::Scheduler;
 use oleanderlock::batch::scheduler_config::SchedulerConfig;
-use oleanderlock::batch::unreached_leader::{HEARD_WITHIN, must_be_replaced};
+use oleanderlock::batch::unreached_leader::HEARD_WITHIN;
 use serde_json::value::to_raw_value;
 use std::rc::Rc;
 
 /// Time between two probes of the leader.
 const PROBE_EVERY: Millis = Millis(500);
-/// Longest wait for the response to a probe.
-const PROBE_TIMEOUT: Millis = Millis(400);
-/// Longest wait for reading the leader's pulse; a slow store answers a read within 0.3 s.
-const PULSE_TIMEOUT: Millis = Millis(700);
 /// Shortest pause before the next probe, if the last one and reading the pulse took long.
 const PROBE_PAUSE_MIN: Millis = Millis(50);
 /// Pause between two checks of the leadership: of a leader whether it must step down, of a standby
@@ -140,8 +132,15 @@
         return;
     };
     let began = now();
-    let answer = probe(dispatcher, leader).await;
-    if let Some(reason) = reason_to_replace(dispatcher, leader, watch, answer).await
+    let unreached_by = || {
+        let unreached = dispatcher.unreached_leader.borrow();
+        unreached.count(now(), leader.epoch)
+    };
+    let checks = LeaderChecks {
+        client: &dispatcher.leader_client,
+        store: &dispatcher.store,
+    };
+    if let Some(reason) = checks.reason_to_replace(leader, watch, unreached_by).await
         && !(retiring && others_take_over(dispatcher, view.leader.as_ref()).await)
     {
         // A failed takeover does not reset the count of missed probes, so that the standby tries
@@ -168,91 +167,6 @@
     has_changed(&dispatcher.view.get())
 }
 
-/// Returns why to take over from a leader after a probe; `None` if it goes on leading. Reads its pulse if
-/// it missed the probe or agents don't reach it.
-async fn reason_to_replace(
-    dispatcher: &Dispatcher,
-    leader: &LeaderObject,
-    watch: &mut LeaderWatch,
-    answer: LeaderProbe,
-) -> Option<String> {
-    let is_missed = watch.record_probe(now(), answer);
-    let unreached_by = dispatcher
-        .unreached_leader
-        .borrow()
-        .count(now(), leader.epoch);
-    if !is_missed && unreached_by == 0 {
-        return None;
-    }
-    let pulse = read_pulse(dispatcher).await;
-    let pulse = pulse
-        .inspect_err(|err| log_pulse_unknown(watch.misses(), err))
-        .ok()?;
-    if unreached_by > 0 && pulse.epoch == leader.epoch {
-        let (leads_for, heard) = (Millis(pulse.leads_ms), pulse.heard_agents);
-        event(log::Level::Info, "leader-unreached", || {
-            format!("agents={unreached_by} heard={heard} leads_for={leads_for}")
-        });
-        if must_be_replaced(unreached_by, leads_for, heard) {
-            return Some(format!("{unreached_by} agents do not reach the leader"));
-        }
-    }
-    let is_lost = is_missed && is_lost(dispatcher, leader, watch, pulse.number).await;
-    is_lost.then(|| format!("last probe {answer:?} misses={}", watch.misses()))
-}
-
-/// Records the number of the pulse of a leader that missed a probe; returns whether to take over.
-async fn is_lost(
-    dispatcher: &Dispatcher,
-    leader: &LeaderObject,
-    watch: &mut LeaderWatch,
-    number: u64,
-) -> bool {
-    let verdict = watch.record_pulse(now(), number);
-    event(log::Level::Info, "pulse-read", || {
-        format!(
-            "misses={} number={number} verdict={verdict:?}",
-            watch.misses()
-        )
-    });
-    match verdict {
-        PulseVerdict::Wait => false,
-        PulseVerdict::ProbeAgain => {
-            let answer = probe(dispatcher, leader).await;
-            watch.record_probe(now(), answer);
-            !matches!(answer, LeaderProbe::Leading { .. })
-        }
-        PulseVerdict::TakeOver => true,
-    }
-}
-
-/// Reads the last pulse that a leader wrote.
-async fn read_pulse(dispatcher: &Dispatcher) -> Result<Pulse, StoreError> {
-    let read = dispatcher.store.get(PULSE_KIND, PULSE_NAME);
-    let found = within(PULSE_TIMEOUT, read).await;
-    let found = found.unwrap_or_else(|| Err(StoreError::no_answer("timeout")))?;
-    Ok(decode_pulse(found))
-}
-
-fn log_pulse_unknown(misses: u32, err: &StoreError) {
-    event(log::Level::Info, "pulse-unknown", || {
-        format!("misses={misses} reason=\"{err}\"")
-    });
-}
-
-/// Decodes a pulse; one that is missing or unreadable counts as a pulse with all numbers 0.
-fn decode_pulse(found: Option<StoredObject>) -> Pulse {
-    let Some(object) = found else {
-        return Pulse::default();
-    };
-    serde_json::from_str(object.spec.get()).unwrap_or_else(|err| {
-        event(log::Level::Warn, "pulse-unreadable", || {
-            format!("reason=\"{err}\"")
-        });
-        Pulse::default()
-    })
-}
-
 /// Writes a pulse every [`PULSE_EVERY`] for as long as this dispatcher holds `epoch`.
 async fn write_pulses(dispatcher: Rc<Dispatcher>, epoch: u64) {
     let mut number = rand::random::<u64>() >> 1;
@@ -287,29 +201,6 @@
     leader.is_none_or(|leader| leader.node.is_empty() || leader.node == node)
 }
 
-/// Asks the leader for its health.
-async fn probe(dispatcher: &Dispatcher, leader: &LeaderObject) -> LeaderProbe {
-    let Some(addr) = leader.addr else {
-        return LeaderProbe::NoAnswer;
-    };
-    let client = &dispatcher.leader_client;
-    let answer = client
-        .call_at(addr, Method::GET, HEALTH, Vec::new(), PROBE_TIMEOUT)
-        .await;
-    let Ok((StatusCode::OK, body)) = answer else {
-        return LeaderProbe::NoAnswer;
-    };
-    let Ok(health) = serde_json::from_slice::<DispatcherHealth>(&body) else {
-        return LeaderProbe::NoAnswer;
-    };
-    if !health.leads || health.epoch < leader.epoch {
-        return LeaderProbe::NotLeading;
-    }
-    LeaderProbe::Leading {
-        store_age: Millis(health.store_age_ms),
-    }
-}
-
 /// Tries to win the next epoch; fails if the leader object in the store is no longer `expected`, a
 /// leader object with its revision.
 async fn take_over(
@@ -344,9 +235,9 @@
     };
     dispatcher.notify();
     // The stored pulse is still the previous leader's: this dispatcher has not written one yet.
-    match read_pulse(dispatcher).await {
+    match leader_checks::read_pulse(&dispatcher.store).await {
         Ok(previous) => dispatcher.state.borrow_mut().read_from_chunk = previous.needed_from,
-        Err(err) => log_pulse_unknown(0, &err),
+        Err(err) => leader_checks::log_pulse_unknown(0, &err),
     }
     spawn(write_pulses(Rc::clone(dispatcher), epoch));
 }
--- a/crates/oleander-rollout/src/dispatch/mod.rs
+++ b/crates/oleander-rollout/src/dispatch/mod.rs
@@ -19,6 +19,7 @@
 mod http_api;
 mod jobs;
 mod jobs_api;
+mod leader_checks;
 pub mod leadership_state;
 mod newest_chunks;
 mod outbox;
