Wake only those whom a result or an assignment concerns

Cause: one event wakes all that wait: each result that arrives, each report while results wait to be listed, and each assignment woke every waiting report, result and read, and each of them polled its connection.

Change: an agent's outbox, results that wait to be listed, and listed results have events of their own. The common event is left to what concerns all: leadership, configuration, endpoints, and new callers, which it now also tells of (ranks were noticed at any other wake before).

--- a/crates/oleander-rollout/src/dispatch/agents_api.rs
+++ b/crates/oleander-rollout/src/dispatch/agents_api.rs
@@ -16,6 +16,7 @@
 use oleanderlock::batch::item_key::ItemKey;
 use oleanderlock::batch::sample_end::SampleEnd;
 use oleanderlock::routing::caller_rank::CallerRank;
+use smol::future::FutureExt as _;
 
 /// Time since the last successful call to the store after which a leader sends no platform updates
 /// to entries.
@@ -45,7 +46,9 @@
     {
         let mut state = dispatcher.state.borrow_mut();
         state.last_report = Some(now());
-        state.callers.record_agent(&agent, now());
+        if state.callers.record_agent(&agent, now()) {
+            dispatcher.notify();
+        }
         let undelivered = state.outbox(&agent).work.iter();
         let undelivered: Vec<String> = undelivered.map(|work| work.key.to_string()).collect();
         report.items.extend(undelivered);
@@ -86,16 +89,18 @@
     known: (Option<CallerRank>, Millis),
 ) -> PullResponse {
     loop {
-        let listener = dispatcher.changed.listen();
+        let changed = dispatcher.changed.listen();
+        let filled;
         {
             let mut state = dispatcher.state.borrow_mut();
+            filled = state.outbox(&report.agent).filled.listen();
             let update = platform_updates::for_agent(dispatcher, &mut state, report, known);
             if !state.outbox(&report.agent).is_empty() || !update.is_empty() {
                 let update = (update, known.1);
                 return take_response(dispatcher, &mut state, &report.agent, update);
             }
         }
-        listener.await;
+        changed.or(filled).await;
     }
 }
 
@@ -129,7 +134,9 @@
     let confirmed_at = confirmation.at();
     if !known.node.is_empty() {
         let mut state = dispatcher.state.borrow_mut();
-        state.callers.record_entry(&known.node, now());
+        if state.callers.record_entry(&known.node, now()) {
+            dispatcher.notify();
+        }
     }
     let wait = async {
         loop {
@@ -192,7 +199,6 @@
         requeue(dispatcher, &outcomes.agent, item);
     }
     dispatcher.schedule();
-    dispatcher.notify();
     if within(LIST_WAIT, wait_until_listed(dispatcher, &keys)).await == Some(true) {
         response::status(StatusCode::OK)
     } else {
@@ -203,7 +209,8 @@
 /// Waits until all items are listed; returns false when this dispatcher no longer leads.
 async fn wait_until_listed(dispatcher: &Dispatcher, keys: &[ItemKey]) -> bool {
     loop {
-        let listener = dispatcher.changed.listen();
+        let changed = dispatcher.changed.listen();
+        let listed = dispatcher.listed.listen();
         {
             let state = dispatcher.state.borrow();
             if state.leading_epoch().is_none() {
@@ -215,7 +222,7 @@
                 return true;
             }
         }
-        listener.await;
+        changed.or(listed).await;
     }
 }
 
--- a/crates/oleander-rollout/src/dispatch/commit.rs
+++ b/crates/oleander-rollout/src/dispatch/commit.rs
@@ -7,6 +7,7 @@
 use crate::store::job_objects::{create_chunk, read_chunk};
 use crate::store::store_error::StoreError;
 use oleanderlock::batch::result_chunk::ResultChunk;
+use smol::future::FutureExt as _;
 use std::rc::Rc;
 
 /// Time for which results are collected before they are written as one chunk.
@@ -19,9 +20,10 @@
 /// Appends waiting results for as long as this dispatcher leads in `epoch`.
 pub async fn run(dispatcher: Rc<Dispatcher>, epoch: u64) {
     while dispatcher.leads_in(epoch) {
-        let listener = dispatcher.changed.listen();
+        let changed = dispatcher.changed.listen();
+        let staged = dispatcher.staged.listen();
         if !dispatcher.state.borrow().log.has_unlisted() {
-            listener.await;
+            changed.or(staged).await;
             continue;
         }
         sleep(BATCH_TIME).await;
@@ -112,7 +114,7 @@
             items.join(",")
         )
     });
-    dispatcher.notify();
+    dispatcher.listed.notify(usize::MAX);
 }
 
 /// Applies a chunk that is in the store to the result log and marks its items as done.
--- a/crates/oleander-rollout/src/dispatch/dispatcher.rs
+++ b/crates/oleander-rollout/src/dispatch/dispatcher.rs
@@ -56,8 +56,13 @@
     pub origins: RefCell<StreamOrigins>,
     /// Duties of the leader; `None` if there are none.
     pub duties: Option<Rc<Duties>>,
-    /// Notified when results, outboxes or the leadership change.
+    /// Notified when the leadership, the configuration, the endpoints or the callers change, which
+    /// concerns all that wait.
     pub changed: Event,
+    /// Notified when results wait to be listed.
+    pub staged: Event,
+    /// Notified when results were listed or a job has ended.
+    pub listed: Event,
     /// Gate of the watches on the store that only a leader needs: open while this dispatcher leads
     /// or recovers. A standby watches only the objects about dispatchers.
     pub full_view_gate: Gate,
@@ -119,6 +124,8 @@
             state: RefCell::default(),
             origins: RefCell::new(StreamOrigins::new(STREAMS_MAX)),
             changed: Event::new(),
+            staged: Event::new(),
+            listed: Event::new(),
             full_view_gate,
             unreached_leader: RefCell::default(),
             paused_until: Cell::new(Millis::ZERO),
--- a/crates/oleander-rollout/src/dispatch/jobs.rs
+++ b/crates/oleander-rollout/src/dispatch/jobs.rs
@@ -360,6 +360,7 @@
         state.outbox(&agent).drop.push(key.to_string());
     }
     drop(state);
+    dispatcher.listed.notify(usize::MAX);
     dispatcher.schedule();
 }
 
--- a/crates/oleander-rollout/src/dispatch/jobs_api.rs
+++ b/crates/oleander-rollout/src/dispatch/jobs_api.rs
@@ -16,6 +16,7 @@
 use oleanderlock::batch::job::Job;
 use oleanderlock::workspaces::job_access::may_use_job;
 use serde_json::value::RawValue;
+use smol::future::FutureExt as _;
 use std::fmt::Display;
 
 /// Largest sum of results in one response, in bytes.
@@ -153,14 +154,15 @@
 /// Waits until a job has more than `count` results, or this dispatcher no longer leads.
 async fn wait_for_results(dispatcher: &Dispatcher, job: &str, count: usize) {
     loop {
-        let listener = dispatcher.changed.listen();
+        let changed = dispatcher.changed.listen();
+        let listed = dispatcher.listed.listen();
         {
             let state = dispatcher.state.borrow();
             if state.leading_epoch().is_none() || state.log.listed_count(job) > count {
                 return;
             }
         }
-        listener.await;
+        changed.or(listed).await;
     }
 }
 
--- a/crates/oleander-rollout/src/dispatch/outbox.rs
+++ b/crates/oleander-rollout/src/dispatch/outbox.rs
@@ -1,6 +1,7 @@
 //! Work and orders for an agent, until its next report.
 
 use crate::peer::messages::{LoadWork, PlatformUpdate, PullResponse, WorkItem};
+use event_listener::Event;
 
 /// Work and orders for an agent, until its next report.
 #[derive(Debug, Default)]
@@ -17,6 +18,8 @@
     pub resend_full: Vec<String>,
     /// Weights to load now.
     pub load: Option<LoadWork>,
+    /// Notified when there is something for the agent.
+    pub filled: Event,
 }
 
 impl Outbox {
--- a/crates/oleander-rollout/src/dispatch/ticks.rs
+++ b/crates/oleander-rollout/src/dispatch/ticks.rs
@@ -36,8 +36,8 @@
 }
 
 impl Dispatcher {
-    /// Assigns waiting items and loads of weights to agents, and wakes the agents that wait for
-    /// them.
+    /// Assigns waiting items and loads of weights to agents, and wakes those that there is something
+    /// for.
     pub fn schedule(&self) {
         let mut state = self.state.borrow_mut();
         if state.leading_epoch().is_none() {
@@ -63,11 +63,12 @@
                 version: grant.version,
             });
         }
-        let waiting = state.outboxes.values().any(|outbox| !outbox.is_empty());
-        let unlisted = state.log.has_unlisted();
-        drop(state);
-        if waiting || unlisted {
-            self.notify();
+        let filled = state.outboxes.values().filter(|outbox| !outbox.is_empty());
+        for outbox in filled {
+            outbox.filled.notify(usize::MAX);
+        }
+        if state.log.has_unlisted() {
+            self.staged.notify(usize::MAX);
         }
     }
 }
--- a/crates/oleanderlock/src/recent_names.rs
+++ b/crates/oleanderlock/src/recent_names.rs
@@ -24,15 +24,21 @@
         }
     }
 
-    /// Records a name, and removes those whose time is over.
-    pub(crate) fn record(&mut self, now: Millis, name: &str) {
+    /// Records a name, and removes those whose time is over; returns whether the names have changed.
+    pub(crate) fn record(&mut self, now: Millis, name: &str) -> bool {
         let keep = self.keep;
+        let before = self.recorded_at.len();
         self.recorded_at.retain(|_, at| now.since(*at) <= keep);
+        let removed = self.recorded_at.len() < before;
         if let Some(at) = self.recorded_at.get_mut(name) {
             *at = now;
-        } else if self.recorded_at.len() < NAMES_MAX {
+            return removed;
+        }
+        if self.recorded_at.len() < NAMES_MAX {
             self.recorded_at.insert(name.to_owned(), now);
+            return true;
         }
+        removed
     }
 
     /// Returns the number of names recorded within `age`, which is at most the time for which names are
--- a/crates/oleanderlock/src/routing/caller_list.rs
+++ b/crates/oleanderlock/src/routing/caller_list.rs
@@ -30,16 +30,16 @@
 }
 
 impl CallerList {
-    /// Records a message of an entry.
-    pub fn record_entry(&mut self, name: &str, now: Millis) {
+    /// Records a message of an entry; returns whether ranks may have changed.
+    pub fn record_entry(&mut self, name: &str, now: Millis) -> bool {
         self.complete_from.get_or_insert(now.plus(SETTLE));
-        self.entries.record(now, name);
+        self.entries.record(now, name)
     }
 
-    /// Records a message of an agent.
-    pub fn record_agent(&mut self, name: &str, now: Millis) {
+    /// Records a message of an agent; returns whether ranks may have changed.
+    pub fn record_agent(&mut self, name: &str, now: Millis) -> bool {
         self.complete_from.get_or_insert(now.plus(SETTLE));
-        self.agents.record(now, name);
+        self.agents.record(now, name)
     }
 
     /// Returns the number of agents that have sent a message within `age`.
