Look results up by item, and count the results of each chunk

Results of a job were a list that was searched by item for each result that was applied, reloaded, unloaded or waited for; the end of a job's keeping searched all kept results of all jobs; and each cleaning collected the chunks of all kept results before it looked whether any chunk was old.

Change: results by item in their order, known items by job, and the number of listed results of each chunk. Items of removed jobs leave the list of results in memory once they are half of it.

--- a/crates/oleander-rollout/src/dispatch/cleanup.rs
+++ b/crates/oleander-rollout/src/dispatch/cleanup.rs
@@ -108,11 +108,10 @@
 async fn delete_chunks(dispatcher: &Dispatcher, epoch: u64) -> Result<(), StoreError> {
     let old: Vec<u64> = {
         let state = dispatcher.state.borrow();
-        let needed = state.log.needed_chunks();
         // The newest chunk stays, because the next leader continues its number.
         let newest = state.log.next_chunk_index().saturating_sub(1);
         let old = state.chunks.iter().filter(|(index, at)| {
-            **index < newest && !needed.contains(*index) && is_old(dispatcher, **at)
+            **index < newest && is_old(dispatcher, **at) && !state.log.is_needed(**index)
         });
         old.take(CHUNKS_MAX).map(|(index, _)| *index).collect()
     };
--- a/crates/oleanderlock/src/batch/listed_result.rs
+++ b/crates/oleanderlock/src/batch/listed_result.rs
@@ -6,8 +6,6 @@
 /// A listed result, in memory or only in its chunk.
 #[derive(Clone, Debug)]
 pub(super) struct ListedResult {
-    /// Id of the item.
-    pub item: String,
     /// Number of the chunk that holds the result.
     pub chunk: u64,
     /// Approximate size of the result in bytes.
@@ -20,7 +18,6 @@
     /// Returns a result of chunk number `chunk` that is in memory.
     pub fn new(chunk: u64, sample: &Sample) -> Self {
         Self {
-            item: sample.key.item.clone(),
             chunk,
             bytes: sample.size_bytes(),
             sample: Some(Arc::new(sample.clone())),
--- a/crates/oleanderlock/src/batch/result_log.rs
+++ b/crates/oleanderlock/src/batch/result_log.rs
@@ -14,6 +14,7 @@
 use super::listed_result::ListedResult;
 use super::result_chunk::ResultChunk;
 use super::sample::Sample;
+use indexmap::map::Slice;
 use indexmap::{IndexMap, IndexSet};
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -24,13 +25,18 @@
     /// Number of the chunk that follows the last one applied.
     next_chunk_index: u64,
     listed: IndexMap<String, JobResults>,
-    /// Items with a result, listed or staged.
-    known: IndexSet<ItemKey>,
+    /// Items with a result, listed or staged, by job.
+    known: IndexMap<String, IndexSet<String>>,
     staged: VecDeque<Sample>,
+    /// Number of listed results in each chunk that has any.
+    results_by_chunk: IndexMap<u64, usize>,
     /// Chunk whose write has not been confirmed.
     pending_chunk: Option<Arc<ResultChunk>>,
-    /// Items whose listed results are in memory, those that were loaded first at the front.
+    /// Items whose listed results are in memory, those that were loaded first at the front; also items of
+    /// removed jobs, at most as many.
     loaded: VecDeque<ItemKey>,
+    /// Number of items of removed jobs in `loaded`.
+    loaded_removed: usize,
     /// Size of the listed results that are in memory, in bytes.
     loaded_bytes: usize,
     /// Most bytes of listed results that are kept in memory; `None` for all.
@@ -42,13 +48,8 @@
 struct JobResults {
     /// Number of the first chunk with a result of the job.
     first_chunk: u64,
-    results: Vec<ListedResult>,
-}
-
-impl JobResults {
-    fn get_mut(&mut self, item: &str) -> Option<&mut ListedResult> {
-        self.results.iter_mut().find(|result| result.item == item)
-    }
+    /// Results by item, in the order of the log.
+    results: IndexMap<String, ListedResult>,
 }
 
 impl ResultLog {
@@ -62,22 +63,33 @@
 
     /// Stages a result for listing; returns false if its item already has a result.
     pub fn stage(&mut self, sample: Sample) -> bool {
-        if !self.known.insert(sample.key.clone()) {
+        if !self.know(&sample.key) {
             return false;
         }
         self.staged.push_back(sample);
         true
     }
 
+    /// Records that an item has a result; returns whether it had none.
+    fn know(&mut self, key: &ItemKey) -> bool {
+        if let Some(of_job) = self.known.get_mut(&key.job) {
+            return of_job.insert(key.item.clone());
+        }
+        let of_job = IndexSet::from([key.item.clone()]);
+        self.known.insert(key.job.clone(), of_job);
+        true
+    }
+
     /// Whether an item has a result, listed or staged.
     pub fn is_known(&self, key: &ItemKey) -> bool {
-        self.known.contains(key)
+        let of_job = self.known.get(&key.job);
+        of_job.is_some_and(|of_job| of_job.contains(&key.item))
     }
 
     /// Whether the result of an item is listed.
     pub fn is_listed(&self, key: &ItemKey) -> bool {
         let of_job = self.listed.get(&key.job);
-        of_job.is_some_and(|of_job| of_job.results.iter().any(|result| result.item == key.item))
+        of_job.is_some_and(|of_job| of_job.results.contains_key(&key.item))
     }
 
     /// Returns the size of the listed results that are in memory, in bytes.
@@ -89,7 +101,7 @@
     pub fn reload(&mut self, chunk: &ResultChunk) {
         for sample in &chunk.samples {
             let of_job = self.listed.get_mut(&sample.key.job);
-            let listed = of_job.and_then(|of_job| of_job.get_mut(&sample.key.item));
+            let listed = of_job.and_then(|of_job| of_job.results.get_mut(&sample.key.item));
             if let Some(listed) = listed
                 && listed.chunk == chunk.index
                 && listed.sample.is_none()
@@ -112,8 +124,12 @@
             let Some(key) = self.loaded.pop_front() else {
                 return;
             };
-            let of_job = self.listed.get_mut(&key.job);
-            let listed = of_job.and_then(|of_job| of_job.get_mut(&key.item));
+            let Some(of_job) = self.listed.get_mut(&key.job) else {
+                // An item that two parts of the log list is in `loaded` twice, but counted once.
+                self.loaded_removed = self.loaded_removed.saturating_sub(1);
+                continue;
+            };
+            let listed = of_job.results.get_mut(&key.item);
             if let Some(listed) = listed.filter(|listed| listed.sample.is_some()) {
                 listed.sample = None;
                 self.loaded_bytes -= listed.bytes;
@@ -183,17 +199,18 @@
         self.next_chunk_index = chunk.index + 1;
         let own = self.pending_chunk.take();
         for sample in &chunk.samples {
-            self.known.insert(sample.key.clone());
+            self.know(&sample.key);
             if !self.is_listed(&sample.key) {
                 let listed = self.listed.entry(sample.key.job.clone());
                 let listed = listed.or_insert_with(|| JobResults {
                     first_chunk: chunk.index,
-                    results: Vec::new(),
+                    results: IndexMap::new(),
                 });
                 let result = ListedResult::new(chunk.index, sample);
                 self.loaded_bytes += result.bytes;
                 self.loaded.push_back(sample.key.clone());
-                listed.results.push(result);
+                listed.results.insert(sample.key.item.clone(), result);
+                *self.results_by_chunk.entry(chunk.index).or_default() += 1;
             }
         }
         self.keep_budget();
@@ -205,7 +222,7 @@
         let listed = &self.listed;
         self.staged.retain(|sample| {
             let of_job = listed.get(&sample.key.job);
-            of_job.is_none_or(|all| all.results.iter().all(|one| one.item != sample.key.item))
+            of_job.is_none_or(|of_job| !of_job.results.contains_key(&sample.key.item))
         });
         true
     }
@@ -236,11 +253,20 @@
         jobs.map(|(job, listed)| (job.as_str(), listed.first_chunk))
     }
 
-    /// Returns the numbers of the chunks that hold a listed result of a job that has not been removed; the
-    /// others are needed by nobody.
-    pub fn needed_chunks(&self) -> IndexSet<u64> {
-        let results = self.listed.values().flat_map(|listed| &listed.results);
-        results.map(|result| result.chunk).collect()
+    /// Whether a chunk holds a listed result of a job that has not been removed; the others are needed by
+    /// nobody.
+    pub fn is_needed(&self, chunk: u64) -> bool {
+        self.results_by_chunk.contains_key(&chunk)
+    }
+
+    /// Records that a result listed from a chunk is no longer needed.
+    fn release_chunk(&mut self, chunk: u64) {
+        if let Some(results) = self.results_by_chunk.get_mut(&chunk) {
+            *results -= 1;
+            if *results == 0 {
+                self.results_by_chunk.swap_remove(&chunk);
+            }
+        }
     }
 
     /// Inserts the results of an older part of the log, in order, before those that are already listed.
@@ -251,20 +277,29 @@
         for job in jobs.iter().filter(|job| !is_kept(job)) {
             older.remove_job(job);
         }
+        for (chunk, results) in older.results_by_chunk {
+            *self.results_by_chunk.entry(chunk).or_default() += results;
+        }
         for (job, mut of_job) in older.listed {
             let later = self.listed.swap_remove(&job);
-            for result in later.into_iter().flat_map(|later| later.results) {
-                match of_job.get_mut(&result.item) {
-                    // The older one counts; the later copy leaves the memory.
-                    Some(_) if result.sample.is_some() => self.loaded_bytes -= result.bytes,
-                    Some(_) => {}
-                    None => of_job.results.push(result),
+            for (item, result) in later.into_iter().flat_map(|later| later.results) {
+                if !of_job.results.contains_key(&item) {
+                    of_job.results.insert(item, result);
+                    continue;
+                }
+                // The older one counts; the later copy leaves the memory.
+                if result.sample.is_some() {
+                    self.loaded_bytes -= result.bytes;
                 }
+                self.release_chunk(result.chunk);
             }
             self.listed.insert(job, of_job);
         }
-        self.known.extend(older.known);
+        for (job, items) in older.known {
+            self.known.entry(job).or_default().extend(items);
+        }
         self.loaded_bytes += older.loaded_bytes;
+        self.loaded_removed += older.loaded_removed;
         // Older results leave the memory first.
         older.loaded.append(&mut self.loaded);
         self.loaded = older.loaded;
@@ -275,14 +310,14 @@
     /// `max_bytes`, or a single one that is larger, and none from the first one on that is not in memory. An
     /// unknown job has none.
     pub fn read(&self, job: &str, after: usize, max_bytes: usize) -> Vec<Arc<Sample>> {
-        let page = self.page(job, after, max_bytes).iter();
+        let page = self.page(job, after, max_bytes).values();
         page.map_while(|result| result.sample.clone()).collect()
     }
 
     /// Returns the numbers of the chunks that must be [reloaded](Self::reload) before
     /// [`read`](Self::read) returns all results that fit.
     pub fn missing_chunks(&self, job: &str, after: usize, max_bytes: usize) -> Vec<u64> {
-        let page = self.page(job, after, max_bytes).iter();
+        let page = self.page(job, after, max_bytes).values();
         let missing = page.filter(|result| result.sample.is_none());
         let mut chunks: Vec<u64> = missing.map(|result| result.chunk).collect();
         chunks.sort_unstable();
@@ -290,17 +325,17 @@
         chunks
     }
 
-    fn page(&self, job: &str, after: usize, max_bytes: usize) -> &[ListedResult] {
+    fn page(&self, job: &str, after: usize, max_bytes: usize) -> &Slice<String, ListedResult> {
         let listed = self.listed.get(job);
-        let listed = listed.map_or(&[][..], |listed| &listed.results);
-        let rest = listed.get(after..).unwrap_or_default();
+        let rest = listed.and_then(|listed| listed.results.get_range(after..));
+        let rest = rest.unwrap_or_default();
         let mut bytes = 0;
-        let fitting = rest.iter().take_while(|result| {
+        let fitting = rest.values().take_while(|result| {
             bytes += result.bytes;
             bytes <= max_bytes
         });
         let count = fitting.count().max(usize::from(!rest.is_empty()));
-        &rest[..count]
+        rest.get_range(..count).unwrap_or_default()
     }
 
     /// Returns the number of listed results of a job.
@@ -313,12 +348,21 @@
     /// Removes the results of a job, listed and staged.
     pub fn remove_job(&mut self, job: &str) {
         if let Some(removed) = self.listed.swap_remove(job) {
-            let loaded = removed.results.iter();
-            let loaded = loaded.filter(|result| result.sample.is_some());
-            self.loaded_bytes -= loaded.map(|result| result.bytes).sum::<usize>();
-            self.loaded.retain(|key| key.job != job);
+            for result in removed.results.values() {
+                if result.sample.is_some() {
+                    self.loaded_bytes -= result.bytes;
+                    self.loaded_removed += 1;
+                }
+                self.release_chunk(result.chunk);
+            }
+            // Searching them for each job would cost more the more results are kept.
+            if self.loaded_removed * 2 > self.loaded.len() {
+                let listed = &self.listed;
+                self.loaded.retain(|key| listed.contains_key(&key.job));
+                self.loaded_removed = 0;
+            }
         }
-        self.known.retain(|key| key.job != job);
+        self.known.swap_remove(job);
         self.staged.retain(|sample| sample.key.job != job);
     }
 }
