Plan loads and assignments by what is open and what has changed

Change: ended jobs are kept apart, the engine sets are divided anew only after a change of the jobs, engines or versions that they depend on, and only engines that may load are sorted. The decisions are the same.

All batch tests of oleanderlock, and batch_jobs, failures, ends, item_versions, duties, model_services and leaving pass.

--- a/crates/oleander-rollout/src/dispatch/jobs.rs
+++ b/crates/oleander-rollout/src/dispatch/jobs.rs
@@ -285,7 +285,7 @@
         return;
     }
     state.policies_version = Some(routes.config.version);
-    let open = state.scheduler.jobs().filter(|job| !job.ended);
+    let open = state.scheduler.open_jobs();
     let policies = open.filter_map(|job| {
         let policy = policy_by_route(routes, &job.host, &job.path, job.workspace.as_deref())?;
         (policy != job.policy).then(|| (job.id.clone(), policy))
--- a/crates/oleander-rollout/src/dispatch/ticks.rs
+++ b/crates/oleander-rollout/src/dispatch/ticks.rs
@@ -155,8 +155,8 @@
     let now = now();
     let old = state
         .scheduler
-        .jobs()
-        .filter(|job| !job.ended && now.since(job.kept_from) > job.policy.keep);
+        .open_jobs()
+        .filter(|job| now.since(job.kept_from) > job.policy.keep);
     let keys: Vec<ItemKey> = old.flat_map(|job| job.unfinished()).collect();
     for key in keys {
         give_up(&mut state, key, "kept too long");
--- a/crates/oleanderlock/src/batch/scheduler.rs
+++ b/crates/oleanderlock/src/batch/scheduler.rs
@@ -33,10 +33,16 @@
 #[derive(Clone, Debug, Default)]
 pub struct Scheduler {
     pub(super) cfg: SchedulerConfig,
+    /// Open jobs, in the order of their acceptance.
     pub(super) jobs: IndexMap<String, JobState>,
+    /// Ended jobs that have not been removed. They are apart, so that no decision costs more the more there
+    /// are.
+    pub(super) ended_jobs: IndexMap<String, JobState>,
     pub(super) agents: IndexMap<String, AgentState>,
     /// The set of engines of each model, by service.
     pub(super) engine_sets: IndexMap<Option<String>, EngineSets>,
+    /// Whether anything has changed that the engine sets depend on.
+    pub(super) engine_sets_due: bool,
     /// Newest announced weight version of each model.
     pub(super) target_versions: IndexMap<String, u64>,
     /// Moving average of the expected tokens per step, by model.
@@ -57,9 +63,10 @@
 
     /// Adds a job; returns false if a job with the same id exists.
     pub fn accept(&mut self, job: Job, policy: JobPolicy, submitted: Millis) -> bool {
-        if self.jobs.contains_key(&job.id) {
+        if self.job(&job.id).is_some() {
             return false;
         }
+        self.engine_sets_due = true;
         self.update_mean_step_tokens(&job);
         let oldest = self
             .max_required_version
@@ -89,6 +96,7 @@
     pub fn set_policy(&mut self, id: &str, policy: JobPolicy) {
         if let Some(job) = self.jobs.get_mut(id) {
             job.policy = policy;
+            self.engine_sets_due = true;
         }
     }
 
@@ -102,11 +110,11 @@
 
     /// Returns a job by id, ended or not.
     pub fn job(&self, id: &str) -> Option<&JobState> {
-        self.jobs.get(id)
+        self.jobs.get(id).or_else(|| self.ended_jobs.get(id))
     }
 
-    /// Returns all jobs that have not been removed, in the order of their acceptance.
-    pub fn jobs(&self) -> impl Iterator<Item = &JobState> {
+    /// Returns the open jobs, in the order of their acceptance.
+    pub fn open_jobs(&self) -> impl Iterator<Item = &JobState> {
         self.jobs.values()
     }
 
@@ -125,11 +133,13 @@
 
     /// Ends a job; returns its running items, each with the name of its agent.
     pub fn end(&mut self, id: &str) -> Vec<(String, ItemKey)> {
-        let Some(job) = self.jobs.get_mut(id) else {
+        let Some(mut job) = self.jobs.shift_remove(id) else {
             return Vec::new();
         };
         let running = job.running();
         job.end();
+        self.ended_jobs.insert(id.to_owned(), job);
+        self.engine_sets_due = true;
         for (agent, key) in &running {
             self.unassign(agent, key);
         }
@@ -139,13 +149,20 @@
     /// Ends a job if it is open, and removes it.
     pub fn remove_job(&mut self, id: &str) {
         self.end(id);
-        self.jobs.shift_remove(id);
+        self.ended_jobs.swap_remove(id);
+        self.engine_sets_due = true;
     }
 
     /// Raises the target version of a model; an older version than the current target is ignored.
     pub fn set_target_version(&mut self, model: &str, version: u64) {
-        let target = self.target_versions.entry(model.to_owned()).or_default();
-        *target = version.max(*target);
+        if self
+            .target_versions
+            .get(model)
+            .is_none_or(|target| *target < version)
+        {
+            self.target_versions.insert(model.to_owned(), version);
+            self.engine_sets_due = true;
+        }
     }
 
     /// Marks an item as finished and frees its slot.
@@ -251,6 +268,13 @@
     pub fn apply_report(&mut self, now: Millis, report: AgentReport) -> ReportOutcome {
         let mut outcome = ReportOutcome::default();
         let known = self.agents.shift_remove(&report.agent);
+        let is_same_engine = known.as_ref().is_some_and(|known| {
+            let before = &known.report;
+            before.service == report.service
+                && before.weights == report.weights
+                && before.leaving == report.leaving
+        });
+        self.engine_sets_due |= !is_same_engine;
         let before = known.as_ref().map(|known| known.report.process);
         let restarted = before.is_some_and(|process| process != report.process);
         let (mut assigned, mut granted) = match known {
@@ -326,6 +350,7 @@
             let Some(agent) = self.agents.shift_remove(name) else {
                 continue;
             };
+            self.engine_sets_due = true;
             for key in agent.assigned.keys() {
                 if let Some(item) = self.item_mut(key) {
                     item.phase = ItemPhase::Waiting;
--- a/crates/oleanderlock/src/batch/scheduler_assign.rs
+++ b/crates/oleanderlock/src/batch/scheduler_assign.rs
@@ -31,9 +31,7 @@
 impl Scheduler {
     /// Assigns waiting items to agents that have capacity for them.
     pub fn assign(&mut self, now: Millis) -> Vec<Assignment> {
-        let mut order: Vec<usize> = (0..self.jobs.len())
-            .filter(|index| !self.jobs[*index].ended)
-            .collect();
+        let mut order: Vec<usize> = (0..self.jobs.len()).collect();
         order.sort_by_key(|index| {
             let job = &self.jobs[*index];
             (job.due(), job.policy.rank)
--- a/crates/oleanderlock/src/batch/scheduler_loads.rs
+++ b/crates/oleanderlock/src/batch/scheduler_loads.rs
@@ -23,23 +23,24 @@
     /// Rebalances the engine sets of the models, and returns the loads that may start now. Loads that
     /// open jobs wait for come first.
     pub fn plan_loads(&mut self, now: Millis) -> Vec<LoadGrant> {
-        self.balance_engine_sets();
+        if std::mem::take(&mut self.engine_sets_due) {
+            self.balance_engine_sets();
+        }
         let loading = self.agents.values().filter(|agent| agent.is_loading(now));
-        let mut free = self.concurrent_loads_max().saturating_sub(loading.count());
-        let mut names: Vec<String> = self.agents.keys().cloned().collect();
-        names.sort_by_cached_key(|name| {
-            (!self.is_blocking_job(name), self.agents[name].outstanding())
+        let free = self.concurrent_loads_max().saturating_sub(loading.count());
+        if free == 0 {
+            return Vec::new();
+        }
+        let agents = self.agents.values();
+        let due = agents.filter_map(|agent| self.load_grant_for(now, agent));
+        let mut grants: Vec<LoadGrant> = due.collect();
+        grants.sort_by_cached_key(|grant| {
+            let agent = &self.agents[&grant.agent];
+            (!self.is_blocking_job(agent), agent.outstanding())
         });
-        let mut grants = Vec::new();
-        for name in names {
-            if free == 0 {
-                return grants;
-            }
-            if let Some(grant) = self.load_grant_for(now, &name) {
-                free -= 1;
-                self.agents[&name].load_granted_until = now.plus(LOAD_GRANT_TIMEOUT);
-                grants.push(grant);
-            }
+        grants.truncate(free);
+        for grant in &grants {
+            self.agents[&grant.agent].load_granted_until = now.plus(LOAD_GRANT_TIMEOUT);
         }
         grants
     }
@@ -51,18 +52,20 @@
         share.max(self.cfg.concurrent_loads_min)
     }
 
-    fn load_grant_for(&self, now: Millis, name: &str) -> Option<LoadGrant> {
-        let agent = &self.agents[name];
+    fn load_grant_for(&self, now: Millis, agent: &AgentState) -> Option<LoadGrant> {
         if agent.is_loading(now) || agent.report.slots == 0 {
             return None;
         }
         let model = self.set_of(agent)?;
         let version = *self.target_versions.get(model)?;
         let held = *agent.report.weights.get(model)?;
-        let is_due = self.is_blocking_job(name)
-            || (self.may_load_now(agent, model) && self.is_outdated_next(model, held));
-        (held < version && is_due).then(|| LoadGrant {
-            agent: name.to_owned(),
+        if held >= version {
+            return None;
+        }
+        let is_due = self.is_blocking_job(agent)
+            || (self.is_outdated_next(model, held) && self.may_load_now(agent, model));
+        is_due.then(|| LoadGrant {
+            agent: agent.report.agent.clone(),
             model: model.to_owned(),
             version,
         })
@@ -82,12 +85,11 @@
     }
 
     /// Whether the engine's weights are too old for an open job of its model.
-    fn is_blocking_job(&self, name: &str) -> bool {
-        let held = self.set_of(&self.agents[name]).and_then(|model| {
-            let held = self.agents[name].report.weights.get(model)?;
-            Some(*held < self.needed_version(&self.agents[name], model))
-        });
-        held == Some(true)
+    fn is_blocking_job(&self, agent: &AgentState) -> bool {
+        self.set_of(agent).is_some_and(|model| {
+            let held = agent.report.weights.get(model);
+            held.is_some_and(|held| *held < self.needed_version(agent, model))
+        })
     }
 
     /// Whether the next step of a model can't run on version `held`. The announcement of a version
@@ -103,18 +105,18 @@
     /// Returns the oldest version that all open jobs of a model accept which the engine of an agent
     /// may run; 0 without such jobs.
     fn needed_version(&self, agent: &AgentState, model: &str) -> u64 {
-        let open = self.open_jobs(agent, model);
+        let open = self.jobs_for(agent, model);
         open.map(|job| job.oldest_version).max().unwrap_or_default()
     }
 
     /// Returns the open jobs of a model whose route leads to the service of an agent's engine.
-    fn open_jobs(&self, agent: &AgentState, model: &str) -> impl Iterator<Item = &JobState> {
+    fn jobs_for(&self, agent: &AgentState, model: &str) -> impl Iterator<Item = &JobState> {
         let open = self.jobs.values();
-        open.filter(move |job| !job.ended && job.model == model && agent.serves(job))
+        open.filter(move |job| job.model == model && agent.serves(job))
     }
 
     fn has_waiting_items(&self, agent: &AgentState, model: &str) -> bool {
-        let mut open = self.open_jobs(agent, model);
+        let mut open = self.jobs_for(agent, model);
         open.any(|job| {
             let mut items = job.items.values();
             items.any(|item| item.phase == ItemPhase::Waiting)
@@ -163,11 +165,8 @@
     /// Returns the work of a model at the service of an agent's engine: its mean tokens per step, or 1
     /// if it has none or the routes of its jobs lead to other services.
     fn work_of(&self, agent: &AgentState, model: &str) -> u64 {
-        let mut of_model = self
-            .jobs
-            .values()
-            .filter(|job| job.model == model)
-            .peekable();
+        let known = self.jobs.values().chain(self.ended_jobs.values());
+        let mut of_model = known.filter(|job| job.model == model).peekable();
         let is_elsewhere = of_model.peek().is_some() && !of_model.any(|job| agent.serves(job));
         let tokens = self.mean_step_tokens.get(model).copied();
         tokens.filter(|_| !is_elsewhere).unwrap_or(1)
