--- a/crates/oleanderlock/src/batch/scheduler_recall.rs
+++ b/crates/oleanderlock/src/batch/scheduler_recall.rs
@@ -204,9 +204,9 @@
         taken: &IndexMap<&str, usize>,
     ) -> bool {
         let taken = taken.get(name.as_str()).copied().unwrap_or_default();
-        self.set_of(agent) == Some(&job.model)
+        agent.free_slots() > taken
+            && self.set_of(agent) == Some(&job.model)
             && agent.may_run(now, job)
-            && agent.free_slots() > taken
     }
 
     /// Returns the free slots of engines that are much faster than `slow` and have the job's model in
@@ -214,10 +214,11 @@
     fn free_slots_of_faster_engines(&self, slow: &AgentState, job: &JobState) -> FreeSlots {
         let fits = |agent: &&AgentState| {
             let loading = agent.report.loading.as_ref() == Some(&job.model);
-            agent.suits(job)
+            agent.free_slots() > 0
+                && agent.event_interval_us() * SLOW_ENGINE_RATIO < slow.event_interval_us()
+                && agent.suits(job)
                 && agent.report.service == slow.report.service
                 && !loading
-                && agent.event_interval_us() * SLOW_ENGINE_RATIO < slow.event_interval_us()
         };
         let mut free = FreeSlots::default();
         for agent in self.agents.values().filter(fits) {
