--- a/crates/oleander-rollout/src/dispatch/ticks.rs
+++ b/crates/oleander-rollout/src/dispatch/ticks.rs
@@ -12,6 +12,7 @@
 use oleanderlock::batch::recall_reason::RecallReason;
 use oleanderlock::batch::sample::Sample;
 use oleanderlock::batch::sample_end::SampleEnd;
+use oleanderlock::pressure::lag_meter::{LagChange, LagMeter};
 use std::rc::Rc;
 
 /// Time between two ticks.
@@ -21,8 +22,11 @@
 
 /// Does the periodic work until the process stops.
 pub async fn run(dispatcher: Rc<Dispatcher>) {
+    let mut lag = LagMeter::default();
     while !dispatcher.stopping.get() {
+        let due = now().plus(TICK);
         sleep(TICK).await;
+        record_lag(&dispatcher, &mut lag, now().since(due));
         if dispatcher.state.borrow().leading_epoch().is_none() {
             continue;
         }
@@ -35,6 +39,19 @@
     }
 }
 
+/// Records by how much a tick was late; logs when this process gets too little processor time, and when it
+/// gets enough again.
+fn record_lag(dispatcher: &Dispatcher, meter: &mut LagMeter, lag: Millis) {
+    let change = meter.record(lag);
+    dispatcher.metrics.set_lag(meter.mean());
+    let (kind, level) = match change {
+        Some(LagChange::Late) => ("timers-late", log::Level::Warn),
+        Some(LagChange::InTime) => ("timers-in-time", log::Level::Info),
+        None => return,
+    };
+    event(level, kind, || format!("lag={}", meter.mean()));
+}
+
 impl Dispatcher {
     /// Assigns waiting items and loads of weights to agents, and wakes those that there is something
     /// for.
--- a/crates/oleander-rollout/src/observe/metrics.rs
+++ b/crates/oleander-rollout/src/observe/metrics.rs
@@ -3,7 +3,8 @@
 use crate::observe::log_sink;
 use crate::prelude::*;
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    TextEncoder,
 };
 
 /// Upper bounds of latency buckets, in seconds.
@@ -22,6 +23,7 @@
     latency: HistogramVec,
     memory: IntGaugeVec,
     kept: IntGaugeVec,
+    lag: IntGauge,
 }
 
 impl Default for Metrics {
@@ -51,6 +53,11 @@
                 "part",
             ),
             kept: gauges("oleanderlock_kept", "Things that are kept, by kind", "kind"),
+            lag: IntGauge::new(
+                "oleanderlock_lag_milliseconds",
+                "How late timers fire, mean",
+            )
+            .expect("a valid metric name"),
         };
         let registered = [
             metrics
@@ -64,6 +71,7 @@
             metrics.registry.register(Box::new(metrics.latency.clone())),
             metrics.registry.register(Box::new(metrics.memory.clone())),
             metrics.registry.register(Box::new(metrics.kept.clone())),
+            metrics.registry.register(Box::new(metrics.lag.clone())),
         ];
         assert!(
             registered.iter().all(Result::is_ok),
@@ -112,6 +120,11 @@
         set(&self.kept, kind, count);
     }
 
+    /// Sets by how much timers of the process fire late.
+    pub fn set_lag(&self, lag: Millis) {
+        self.lag.set(i64::try_from(lag.0).unwrap_or(i64::MAX));
+    }
+
     /// Records the latency of one piece of work, by the kind `work`.
     pub fn record_latency(&self, work: &str, length: Millis) {
         let seconds = length.0 as f64 / 1000.0;
