--- a/crates/oleander-link/src/dialer.rs
+++ b/crates/oleander-link/src/dialer.rs
@@ -1,7 +1,7 @@
 //! Keeps a connection to one peer and sends the buffered frames on it.
 
 use crate::peer_state::PeerState;
-use crate::sp::{self, SocketType, within};
+use crate::sp::{self, BUFFER_BYTES, SocketType, within};
 use smol::Timer;
 use smol::channel::Receiver;
 use smol::future::FutureExt;
@@ -58,7 +58,7 @@
 
     /// Sends frames until the connection breaks or the peer is removed.
     async fn send_all(&self, stream: &TcpStream) -> io::Result<()> {
-        let mut stream = BufWriter::new(stream.clone());
+        let mut stream = BufWriter::with_capacity(BUFFER_BYTES, stream.clone());
         while let Ok(frame) = self.frames.recv().await {
             sp::write_message(&mut stream, &frame).await?;
             while let Ok(frame) = self.frames.try_recv() {
--- a/crates/oleander-link/src/mailbox.rs
+++ b/crates/oleander-link/src/mailbox.rs
@@ -4,7 +4,7 @@
 use crate::link_address;
 use crate::link_error::LinkError;
 use crate::link_keys::LinkKeys;
-use crate::sp::{self, SocketType};
+use crate::sp::{self, BUFFER_BYTES, SocketType};
 use bytes::Bytes;
 use smol::channel::{Receiver, Sender};
 use smol::future::FutureExt;
@@ -97,7 +97,7 @@
 /// Reads messages until the connection breaks or sends what is no message.
 async fn read_all(mut stream: TcpStream, open: &impl Fn(Vec<u8>)) -> io::Result<()> {
     sp::greet(&mut stream, SocketType::Pull, SocketType::Push).await?;
-    let mut stream = BufReader::new(stream);
+    let mut stream = BufReader::with_capacity(BUFFER_BYTES, stream);
     loop {
         open(sp::read_message(&mut stream).await?);
         // A connection that always has a message must not keep the others from being read.
--- a/crates/oleander-link/src/peers.rs
+++ b/crates/oleander-link/src/peers.rs
@@ -11,11 +11,11 @@
 use oleanderlock::prelude::*;
 use parking_lot::Mutex;
 use smol::Task;
-use smol::channel::{Sender, TrySendError, bounded};
+use smol::channel::{Sender, unbounded};
 use std::collections::HashMap;
 use std::sync::Arc;
 
-/// Frames that are buffered for one peer.
+/// Frames that are buffered for one peer, and one more for each thread that sends at the same time.
 const SEND_BUFFER_FRAMES: usize = 4096;
 
 /// A dialled peer; dropping it closes its connection.
@@ -116,14 +116,17 @@
                 peer: peer.to_owned(),
             });
         };
-        frames.try_send(message).map_err(|error| match error {
-            TrySendError::Full(_) => LinkError::Backlog {
+        // A bounded channel would have the memory of a full buffer from its start.
+        if frames.len() >= SEND_BUFFER_FRAMES {
+            return Err(LinkError::Backlog {
                 peer: peer.to_owned(),
-            },
-            TrySendError::Closed(_) => LinkError::NotConnected {
+            });
+        }
+        frames
+            .try_send(message)
+            .map_err(|_| LinkError::NotConnected {
                 peer: peer.to_owned(),
-            },
-        })
+            })
     }
 
     fn buffer_of(&self, peer: &str) -> Option<Sender<Vec<u8>>> {
@@ -133,7 +136,7 @@
 
     fn open(&self, peer: &str) -> Result<Peer, LinkError> {
         let address = link_address::parse(peer)?;
-        let (frames, buffered) = bounded(SEND_BUFFER_FRAMES);
+        let (frames, buffered) = unbounded();
         let state = Arc::new(PeerState::new(peer, Arc::clone(&self.on_change)));
         let dialer = Dialer {
             address,
--- a/crates/oleander-link/src/sp.rs
+++ b/crates/oleander-link/src/sp.rs
@@ -12,6 +12,8 @@
 /// Longest wait for the other side's greeting.
 const GREETING_TIMEOUT: Duration = Duration::from_secs(10);
 const GREETING_BYTES: usize = 8;
+/// Bytes that a connection reads or writes at a time; larger messages bypass the buffer.
+pub(crate) const BUFFER_BYTES: usize = 2 << 10;
 
 /// Type of a socket, by its number in the greeting.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
