--- a/crates/oleanderlock/src/batch/json_text.rs
+++ b/crates/oleanderlock/src/batch/json_text.rs
@@ -2,7 +2,7 @@
 
 use serde::de::Error;
 use serde::{Deserialize, Deserializer, Serialize};
-use serde_json::value::RawValue;
+use serde_json::value::{RawValue, to_raw_value};
 
 /// A text as a JSON string, in the form in which it is sent and stored, so that a process through which it
 /// only passes neither decodes nor encodes it.
@@ -19,8 +19,7 @@
 
 impl From<&str> for JsonText {
     fn from(text: &str) -> Self {
-        let json = serde_json::Value::from(text).to_string();
-        Self(RawValue::from_string(json).expect("a JSON string"))
+        Self(to_raw_value(text).expect("a string has a JSON form"))
     }
 }
 
