--- a/crates/oleander-rollout/src/dispatch/ticks.rs
+++ b/crates/oleander-rollout/src/dispatch/ticks.rs
@@ -80,6 +80,12 @@
                 version: grant.version,
             });
         }
+        for (service, sets) in state.scheduler.take_resized_sets() {
+            event(log::Level::Info, "engine-sets", || {
+                let service = service.as_deref().unwrap_or_default();
+                format!("service={service} engines={:?}", sets.sizes())
+            });
+        }
         let filled = state.outboxes.values().filter(|outbox| !outbox.is_empty());
         for outbox in filled {
             outbox.filled.notify(usize::MAX);
--- a/crates/oleanderlock/src/batch/engine_sets.rs
+++ b/crates/oleanderlock/src/batch/engine_sets.rs
@@ -25,6 +25,16 @@
         self.model_by_agent.get(agent).map(String::as_str)
     }
 
+    /// Returns the number of engines in the set of each model that has one.
+    pub fn sizes(&self) -> IndexMap<&str, usize> {
+        let mut sizes = IndexMap::new();
+        for model in self.model_by_agent.values() {
+            *sizes.entry(model.as_str()).or_default() += 1;
+        }
+        sizes.sort_keys();
+        sizes
+    }
+
     /// Assigns each agent to a model, in proportion to the work of the models.
     ///
     /// `work` is the relative work of each model; agents of other models are reassigned. `agents`
--- a/crates/oleanderlock/src/batch/scheduler.rs
+++ b/crates/oleanderlock/src/batch/scheduler.rs
@@ -19,7 +19,7 @@
 use super::report_outcome::ReportOutcome;
 use super::scheduler_config::SchedulerConfig;
 use crate::prelude::*;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use std::collections::HashSet;
 
 /// Weight of the newest step in the moving average of a model's tokens per step, in eighths.
@@ -41,6 +41,8 @@
     pub(super) agents: IndexMap<String, AgentState>,
     /// The set of engines of each model, by service.
     pub(super) engine_sets: IndexMap<Option<String>, EngineSets>,
+    /// Services whose sets have changed in size since [`Scheduler::take_resized_sets`].
+    pub(super) resized_sets: IndexSet<Option<String>>,
     /// Whether anything has changed that the engine sets depend on.
     pub(super) engine_sets_due: bool,
     /// Newest announced weight version of each model.
--- a/crates/oleanderlock/src/batch/scheduler_loads.rs
+++ b/crates/oleanderlock/src/batch/scheduler_loads.rs
@@ -9,6 +9,7 @@
 //! is just time enough for each engine to load each version.
 
 use super::agent_state::AgentState;
+use super::engine_sets::EngineSets;
 use super::item_phase::ItemPhase;
 use super::job_state::JobState;
 use super::load_grant::LoadGrant;
@@ -151,11 +152,25 @@
         self.engine_sets
             .retain(|service, _| by_service.contains_key(service));
         for (name, service) in by_service {
-            let sets = self.engine_sets.entry(name).or_default();
+            let sets = self.engine_sets.entry(name.clone()).or_default();
+            let before = sets.clone();
             sets.balance(&service.work, &service.agents);
+            if sets.sizes() != before.sizes() {
+                self.resized_sets.insert(name);
+            }
         }
     }
 
+    /// Returns the sets of each service in which one has changed in size since the last call.
+    pub fn take_resized_sets(&mut self) -> Vec<(Option<String>, EngineSets)> {
+        let resized = std::mem::take(&mut self.resized_sets).into_iter();
+        let sets = resized.filter_map(|service| {
+            let sets = self.engine_sets.get(&service)?.clone();
+            Some((service, sets))
+        });
+        sets.collect()
+    }
+
     /// Returns the model to whose set the engine of an agent belongs.
     pub(super) fn set_of(&self, agent: &AgentState) -> Option<&str> {
         let sets = self.engine_sets.get(&agent.report.service)?;
