Give each model with work an engine before sizes are balanced

Cause: loads are granted only to engines of a model's set. Shares of small models were raised to one engine without lowering the others, and an engine moved only from a set with an excess of 0.75, so that an empty set stayed empty.

Change: shares add up to the engines; an empty set is refilled first; engines belong only to sets of models that they hold; a model that is blocked all the same (fewer engines than models, an engine that fails its loads) gets its version on another engine. This holds whatever engines are lost, since the floor no longer depends on an excess elsewhere.

--- a/crates/oleanderlock/src/batch/agent_state.rs
+++ b/crates/oleanderlock/src/batch/agent_state.rs
@@ -27,6 +27,8 @@
     pub assigned: IndexMap<ItemKey, Millis>,
     /// Time until which a granted weight load counts as running without a report of it.
     pub load_granted_until: Millis,
+    /// Model of the last weight load that was granted.
+    pub load_granted: Option<String>,
 }
 
 impl AgentState {
@@ -64,6 +66,14 @@
         self.report.loading.is_some() || self.load_granted_until > now
     }
 
+    /// Whether its engine loads weights of a model or has been granted to.
+    pub fn is_loading_model(&self, now: Millis, model: &str) -> bool {
+        let granted = self.load_granted.as_ref();
+        let granted = granted.filter(|_| self.load_granted_until > now);
+        let loading = self.report.loading.as_ref().or(granted);
+        loading.is_some_and(|loading| loading == model)
+    }
+
     /// Returns the mean time between two events of a run's output stream in microseconds, or a
     /// default if the last report gives it as unknown (0).
     pub fn event_interval_us(&self) -> u64 {
--- a/crates/oleanderlock/src/batch/scheduler.rs
+++ b/crates/oleanderlock/src/batch/scheduler.rs
@@ -45,6 +45,8 @@
     pub(super) resized_sets: IndexSet<Option<String>>,
     /// Whether anything has changed that the engine sets depend on.
     pub(super) engine_sets_due: bool,
+    /// When each model became [blocked](super::scheduler_blocked) at a service.
+    pub(super) blocked_since: IndexMap<(Option<String>, String), Millis>,
     /// Newest announced weight version of each model.
     pub(super) target_versions: IndexMap<String, u64>,
     /// Moving average of the expected tokens per step, by model.
@@ -275,13 +277,14 @@
             before.service == report.service
                 && before.weights == report.weights
                 && before.leaving == report.leaving
+                && (before.slots == 0) == (report.slots == 0)
         });
         self.engine_sets_due |= !is_same_engine;
         let before = known.as_ref().map(|known| known.report.process);
         let restarted = before.is_some_and(|process| process != report.process);
-        let (mut assigned, mut granted) = match known {
-            Some(known) => (known.assigned, known.load_granted_until),
-            None => (IndexMap::new(), Millis::ZERO),
+        let (mut assigned, mut granted, load_granted) = match known {
+            Some(known) => (known.assigned, known.load_granted_until, known.load_granted),
+            None => (IndexMap::new(), Millis::ZERO, None),
         };
         if report.loading.is_some() {
             // From now on the reports show when the load ends.
@@ -314,6 +317,7 @@
             last_report_at: now,
             assigned,
             load_granted_until: granted,
+            load_granted,
             report,
         };
         self.agents.insert(state.report.agent.clone(), state);
--- a/crates/oleanderlock/src/batch/scheduler_loads.rs
+++ b/crates/oleanderlock/src/batch/scheduler_loads.rs
@@ -14,6 +14,7 @@
 use super::job_state::JobState;
 use super::load_grant::LoadGrant;
 use super::scheduler::Scheduler;
+use super::set_engine::SetEngine;
 use crate::prelude::*;
 use indexmap::IndexMap;
 
@@ -21,27 +22,37 @@
 const LOAD_GRANT_TIMEOUT: Millis = Millis(1500);
 
 impl Scheduler {
-    /// Rebalances the engine sets of the models, and returns the loads that may start now. Loads that
-    /// open jobs wait for come first.
+    /// Rebalances the engine sets of the models, and returns the loads that may start now. Loads of models
+    /// that no engine can run come first, then others that open jobs wait for.
     pub fn plan_loads(&mut self, now: Millis) -> Vec<LoadGrant> {
         if std::mem::take(&mut self.engine_sets_due) {
             self.balance_engine_sets();
         }
+        self.update_blocked_models(now);
         let loading = self.agents.values().filter(|agent| agent.is_loading(now));
         let free = self.concurrent_loads_max().saturating_sub(loading.count());
-        if free == 0 {
-            return Vec::new();
+        let mut grants = self.loads_of_blocked_models(now);
+        if free > 0 {
+            let agents = self.agents.values();
+            let due = agents.filter_map(|agent| self.load_grant_for(now, agent));
+            let due = due.filter(|due| grants.iter().all(|grant| grant.agent != due.agent));
+            let mut due: Vec<LoadGrant> = due.collect();
+            due.sort_by_cached_key(|grant| {
+                let agent = &self.agents[&grant.agent];
+                let is_urgent = self.is_model_blocked(agent, &grant.model);
+                (
+                    !is_urgent,
+                    !self.is_blocking_job(agent),
+                    agent.outstanding(),
+                )
+            });
+            due.truncate(free.saturating_sub(grants.len()));
+            grants.extend(due);
         }
-        let agents = self.agents.values();
-        let due = agents.filter_map(|agent| self.load_grant_for(now, agent));
-        let mut grants: Vec<LoadGrant> = due.collect();
-        grants.sort_by_cached_key(|grant| {
-            let agent = &self.agents[&grant.agent];
-            (!self.is_blocking_job(agent), agent.outstanding())
-        });
-        grants.truncate(free);
         for grant in &grants {
-            self.agents[&grant.agent].load_granted_until = now.plus(LOAD_GRANT_TIMEOUT);
+            let agent = &mut self.agents[&grant.agent];
+            agent.load_granted_until = now.plus(LOAD_GRANT_TIMEOUT);
+            agent.load_granted = Some(grant.model.clone());
         }
         grants
     }
@@ -111,7 +122,11 @@
     }
 
     /// Returns the open jobs of a model whose route leads to the service of an agent's engine.
-    fn jobs_for(&self, agent: &AgentState, model: &str) -> impl Iterator<Item = &JobState> {
+    pub(super) fn jobs_for(
+        &self,
+        agent: &AgentState,
+        model: &str,
+    ) -> impl Iterator<Item = &JobState> {
         let open = self.jobs.values();
         open.filter(move |job| job.model == model && agent.serves(job))
     }
@@ -141,20 +156,26 @@
                         .insert(model.clone(), self.work_of(agent, model));
                 }
             }
-            service
-                .agents
-                .insert(name.clone(), self.least_outdated_model(agent));
+            service.engines.insert(
+                name.clone(),
+                SetEngine {
+                    models: agent.report.weights.keys().cloned().collect(),
+                    least_outdated: self.least_outdated_model(agent),
+                    takes_work: agent.report.slots > 0,
+                },
+            );
         }
         for service in by_service.values_mut() {
+            service.drop_unused_models();
             service.work.sort_keys();
-            service.agents.sort_keys();
+            service.engines.sort_keys();
         }
         self.engine_sets
             .retain(|service, _| by_service.contains_key(service));
         for (name, service) in by_service {
             let sets = self.engine_sets.entry(name.clone()).or_default();
             let before = sets.clone();
-            sets.balance(&service.work, &service.agents);
+            sets.balance(&service.work, &service.engines);
             if sets.sizes() != before.sizes() {
                 self.resized_sets.insert(name);
             }
@@ -177,14 +198,18 @@
         sets.model_of(&agent.report.agent)
     }
 
-    /// Returns the work of a model at the service of an agent's engine: its mean tokens per step, or 1
-    /// if it has none or the routes of its jobs lead to other services.
+    /// Returns the work of a model at the service of an agent's engine: its mean tokens per step; 1 if it
+    /// has a version but no step yet; 0 if it has neither, or the routes of its jobs lead elsewhere.
     fn work_of(&self, agent: &AgentState, model: &str) -> u64 {
         let known = self.jobs.values().chain(self.ended_jobs.values());
         let mut of_model = known.filter(|job| job.model == model).peekable();
         let is_elsewhere = of_model.peek().is_some() && !of_model.any(|job| agent.serves(job));
-        let tokens = self.mean_step_tokens.get(model).copied();
-        tokens.filter(|_| !is_elsewhere).unwrap_or(1)
+        if is_elsewhere {
+            return 0;
+        }
+        let without_steps = u64::from(self.target_versions.contains_key(model));
+        let tokens = self.mean_step_tokens.get(model);
+        tokens.map_or(without_steps, |tokens| (*tokens).max(1))
     }
 
     /// Returns the model whose version on the engine is least behind its target version.
@@ -204,6 +229,15 @@
 struct ServiceEngines {
     /// Work of each model.
     work: IndexMap<String, u64>,
-    /// The model whose version is least behind on the engine of each agent.
-    agents: IndexMap<String, Option<String>>,
+    /// The engine of each agent.
+    engines: IndexMap<String, SetEngine>,
+}
+
+impl ServiceEngines {
+    /// Drops the models that no job asks for, unless it is all of them.
+    fn drop_unused_models(&mut self) {
+        if self.work.values().any(|work| *work > 0) {
+            self.work.retain(|_, work| *work > 0);
+        }
+    }
 }
--- a/crates/oleanderlock/tests/batch_scheduler.rs
+++ b/crates/oleanderlock/tests/batch_scheduler.rs
@@ -13,6 +13,7 @@
 use oleanderlock::batch::recall_reason::RecallReason;
 use oleanderlock::batch::scheduler::Scheduler;
 use oleanderlock::batch::scheduler_config::SchedulerConfig;
+use oleanderlock::batch::set_engine::SetEngine;
 use oleanderlock::prelude::*;
 use oleanderlock::routing::route_target::RouteTarget;
 use std::sync::LazyLock;
@@ -595,8 +596,14 @@
 #[test]
 fn engines_are_divided_in_proportion_to_the_work_of_models() {
     let mut sets = EngineSets::default();
-    let agents: IndexMap<String, Option<String>> =
-        (0..9).map(|n| (format!("agent-{n}"), None)).collect();
+    let engine = SetEngine {
+        models: ["m", "n", "o"].map(str::to_owned).into(),
+        least_outdated: None,
+        takes_work: true,
+    };
+    let agents: IndexMap<String, SetEngine> = (0..9)
+        .map(|n| (format!("agent-{n}"), engine.clone()))
+        .collect();
     let work =
         |m, n, o| IndexMap::from([("m", m), ("n", n), ("o", o)].map(|(k, v)| (k.to_owned(), v)));
     let counts = |sets: &EngineSets| {
