Let no wait or cost grow with dispatchers that are gone, and remove their entries

Cause: stand_by waited for each registered name before its own. Entries of replaced machines are never removed, and each reader of the list took a name for a process that is there.

It works since no reader waits for a name, and a list that can't be trimmed costs a bound.

The health of a dispatcher names its node, which earlier builds neither send nor read.

--- a/crates/oleander-rollout/src/dispatch/election.rs
+++ b/crates/oleander-rollout/src/dispatch/election.rs
@@ -6,7 +6,9 @@
 use super::state::State;
 use super::{checkpoints, cleanup, commit, history, jobs, leader_checks, retire, succession};
 use crate::prelude::*;
-use crate::store::dispatcher_object::{DISPATCHER_KIND, DispatcherObject, NODE_PREFIX};
+use crate::registry::registration::keep_registered;
+use crate::registry::sweep::Sweep;
+use crate::store::dispatcher_object::DISPATCHER_KIND;
 use crate::store::leader_object::{LEADER_NAME, LeaderObject};
 use crate::store::pulse::{PULSE_KIND, PULSE_NAME, Pulse};
 use crate::store::store_error::StoreError;
@@ -17,6 +19,7 @@
 use oleanderlock::batch::scheduler::Scheduler;
 use oleanderlock::batch::scheduler_config::SchedulerConfig;
 use oleanderlock::batch::unreached_leader::HEARD_WITHIN;
+use oleanderlock::dispatchers::candidacy::candidacy_delay;
 use serde_json::value::to_raw_value;
 use std::rc::Rc;
 
@@ -35,8 +38,6 @@
 const CANDIDACY_PAUSE: Millis = Millis(5000);
 /// Pause after a failed call to the store.
 const STORE_RETRY_PAUSE: Millis = Millis(200);
-/// Extra delay of each standby behind the one before it in name order, if there is no leader.
-const RANK_DELAY: Millis = Millis(120);
 
 /// Listed results take at most the memory of the process divided by this; they are encoded beside that.
 const RESULTS_MEMORY_DIVISOR: usize = 4;
@@ -45,7 +46,12 @@
 
 /// Registers this dispatcher, then leads or stands by until the process ends.
 pub async fn run(dispatcher: Rc<Dispatcher>) {
-    spawn(register(Rc::clone(&dispatcher)));
+    spawn(keep_registered(
+        Rc::clone(&dispatcher.store),
+        dispatcher.view.clone(),
+        dispatcher.cfg.node.clone(),
+        dispatcher.cfg.told,
+    ));
     let mut watch = LeaderWatch::default();
     while !dispatcher.stopping.get() {
         let leadership = dispatcher.state.borrow().leadership;
@@ -59,43 +65,6 @@
     }
 }
 
-/// Publishes the address of this dispatcher in the store.
-async fn register(dispatcher: Rc<Dispatcher>) {
-    let name = format!("{NODE_PREFIX}{}", dispatcher.cfg.node);
-    let addr = dispatcher.cfg.told;
-    let spec = match to_raw_value(&DispatcherObject { addr }) {
-        Ok(spec) => spec,
-        Err(err) => {
-            event(log::Level::Error, "register-failed", || {
-                format!("reason=\"{err}\"")
-            });
-            return;
-        }
-    };
-    loop {
-        let store = &dispatcher.store;
-        let written = match store.create(DISPATCHER_KIND, &name, &spec).await {
-            Err(StoreError::Conflict) => match store.get(DISPATCHER_KIND, &name).await {
-                Ok(Some(object)) if object.spec.get() == spec.get() => Ok(()),
-                Ok(Some(object)) => {
-                    let revision = object.revision;
-                    store.replace(DISPATCHER_KIND, &name, revision, &spec).await
-                }
-                Ok(None) => Err(StoreError::Conflict),
-                Err(err) => Err(err),
-            },
-            other => other,
-        };
-        match written {
-            Ok(()) => return,
-            Err(err) => event(log::Level::Warn, "register-failed", || {
-                format!("reason=\"{err}\"")
-            }),
-        }
-        sleep(STORE_RETRY_PAUSE).await;
-    }
-}
-
 /// Probes the leader once, or takes over if there is none or it is lost.
 async fn stand_by(dispatcher: &Rc<Dispatcher>, watch: &mut LeaderWatch) {
     let view = dispatcher.view.get();
@@ -107,11 +76,6 @@
     }
     let retiring = view.retiring.contains(node);
     if is_vacant(&view, node) {
-        let rank = view
-            .dispatchers
-            .keys()
-            .filter(|other| *other < node)
-            .count() as u64;
         let led_before = view
             .leader
             .as_ref()
@@ -119,7 +83,7 @@
         sleep(match (retiring, led_before) {
             (true, _) => RETIRING_DELAY,
             (false, true) => Millis::ZERO,
-            (false, false) => Millis(RANK_DELAY.0 * rank),
+            (false, false) => candidacy_delay(node, view.dispatchers.keys().map(String::as_str)),
         })
         .await;
         let expected = dispatcher.view.get().leader.clone();
@@ -339,6 +303,7 @@
     spawn(commit::run(Rc::clone(dispatcher), epoch));
     spawn(checkpoints::run(Rc::clone(dispatcher), epoch));
     spawn(cleanup::run(Rc::clone(dispatcher), epoch));
+    spawn(sweep(dispatcher, epoch).run());
     if newest_chunks.has_older {
         spawn(history::read_older(
             Rc::clone(dispatcher),
@@ -349,6 +314,25 @@
     dispatcher.notify();
 }
 
+/// Returns the sweep of the registered dispatchers in `epoch`.
+fn sweep(
+    dispatcher: &Rc<Dispatcher>,
+    epoch: u64,
+) -> Sweep<impl Fn() -> bool + use<>, impl Fn() -> bool + use<>> {
+    let (leader, hearer) = (Rc::clone(dispatcher), Rc::clone(dispatcher));
+    Sweep {
+        node: dispatcher.cfg.node.clone(),
+        client: Rc::clone(&dispatcher.leader_client),
+        store: Rc::clone(&dispatcher.store),
+        view: dispatcher.view.clone(),
+        leads: move || leader.leads_in(epoch),
+        is_heard: move || {
+            let state = hearer.state.borrow();
+            state.callers.heard_agents(now(), HEARD_WITHIN) > 0
+        },
+    }
+}
+
 /// Reads the configuration; retries until the store answers or this dispatcher no longer holds
 /// `epoch`. Until then the terms of the jobs are not known, or are those of an earlier time at which
 /// this dispatcher led.
--- a/crates/oleander-rollout/src/dispatch/http_api.rs
+++ b/crates/oleander-rollout/src/dispatch/http_api.rs
@@ -109,6 +109,7 @@
         epoch: leads.or(known.map(|known| known.epoch)).unwrap_or_default(),
         store_age_ms: dispatcher.store.last_success_age().0,
         leader: known.and_then(|known| known.addr),
+        node: dispatcher.cfg.node.clone(),
     };
     to_json(&health)
 }
--- a/crates/oleander-rollout/src/dispatch/succession.rs
+++ b/crates/oleander-rollout/src/dispatch/succession.rs
@@ -1,24 +1,21 @@
 //! Whether another dispatcher can lead when this one hands over.
 
 use crate::peer::leader_client::LeaderClient;
-use crate::peer::messages::HEALTH;
-use crate::prelude::*;
 use crate::store::view::View;
 use futures_util::StreamExt as _;
 use futures_util::stream::FuturesUnordered;
-use http::{Method, StatusCode};
-use std::net::SocketAddr;
-
-/// Longest wait for the answers of the other dispatchers.
-const ANSWER_TIMEOUT: Millis = Millis(400);
 
 /// Whether a dispatcher other than `node` answers whose machine is not to be retired.
 ///
 /// A registered dispatcher need not be there: its machine may have been removed.
 pub async fn has_successor(client: &LeaderClient, view: &View, node: &str) -> bool {
-    let others = view.dispatchers.iter().filter(|(name, _)| *name != node);
-    let others = others.filter(|(name, _)| !view.retiring.contains(*name));
-    let mut asked: FuturesUnordered<_> = others.map(|(_, addr)| answers(client, *addr)).collect();
+    let may_lead = |name: &str| name != node && !view.retiring.contains(name);
+    let candidates = client.dispatchers().into_iter().filter_map(|addr| {
+        let mut named = view.dispatchers.iter().rev().filter(|(_, at)| **at == addr);
+        let (name, _) = named.find(|(name, _)| may_lead(name))?;
+        Some(client.is_dispatcher(addr, name))
+    });
+    let mut asked: FuturesUnordered<_> = candidates.collect();
     while let Some(answered) = asked.next().await {
         if answered {
             return true;
@@ -26,8 +23,3 @@
     }
     false
 }
-
-async fn answers(client: &LeaderClient, addr: SocketAddr) -> bool {
-    let call = client.call_at(addr, Method::GET, HEALTH, Vec::new(), ANSWER_TIMEOUT);
-    matches!(call.await, Ok((StatusCode::OK, _)))
-}
--- a/crates/oleander-rollout/src/entry/config_guard.rs
+++ b/crates/oleander-rollout/src/entry/config_guard.rs
@@ -1,7 +1,7 @@
 //! Keeps the configuration of an entry confirmed while its keys depend on it.
 //!
 //! The leading dispatcher confirms the configuration once a second. While it does not, the entry
-//! reads the store itself and asks all dispatchers, because the store may refuse some instances and
+//! reads the store itself and asks the dispatchers, because the store may refuse some instances and
 //! the leader may be among them.
 
 use crate::peer::leader_client::LeaderClient;
@@ -82,13 +82,12 @@
         }
     }
 
-    /// Reads the store and asks all dispatchers, until one of them confirms the configuration;
+    /// Reads the store and asks the dispatchers, until one of them confirms the configuration;
     /// returns whether one did.
     async fn ask(&self) -> bool {
-        let dispatchers: Vec<SocketAddr> = self.view.get().dispatchers.values().copied().collect();
         let mut asked: FuturesUnordered<LocalBoxFuture<'_, ()>> = FuturesUnordered::new();
         asked.push(Box::pin(self.reader.refresh()));
-        for addr in dispatchers {
+        for addr in self.client.dispatchers() {
             asked.push(Box::pin(self.ask_dispatcher(addr)));
         }
         while asked.next().await.is_some() {
--- a/crates/oleander-rollout/src/entry/origin_registry.rs
+++ b/crates/oleander-rollout/src/entry/origin_registry.rs
@@ -4,7 +4,7 @@
 //! began the stream may be gone by then, so each stream is recorded at several dispatchers before
 //! its first event is relayed. Nothing is guessed: a stream that no one knows is not resumed.
 
-use crate::peer::leader_client::LeaderClient;
+use crate::peer::leader_client::{ASKED_MAX, LeaderClient};
 use crate::peer::messages::{STREAM_BEGUN, STREAM_ORIGIN, StreamQuery, StreamRecord};
 use crate::prelude::*;
 use crate::store::shared_view::SharedView;
@@ -21,8 +21,7 @@
 /// Dispatchers at which a stream is recorded, the first ones for its id that answer: two may be lost
 /// at once.
 const KEEPERS: usize = 3;
-/// Dispatchers that are asked for a stream, and at most tried when it is recorded: some of those that
-/// are listed may be gone.
+/// Dispatchers that are asked for a stream: some of those that are listed may be gone.
 const ASKED: usize = 8;
 /// Streams of this entry that are remembered.
 const OWN_RECORDS_MAX: usize = 8192;
@@ -64,7 +63,7 @@
         };
         let (recorded, confirmed) = smol::channel::bounded(1);
         let this = Rc::clone(self);
-        let keepers = self.dispatchers(stream, ASKED);
+        let keepers = self.dispatchers(stream, ASKED_MAX);
         spawn(async move {
             let mut calls = keepers.into_iter().map(|addr| this.record_at(addr, &body));
             let mut running: FuturesUnordered<_> = calls.by_ref().take(KEEPERS).collect();
@@ -143,11 +142,16 @@
         }
     }
 
-    /// Returns the `count` dispatchers that come first for a stream.
+    /// Returns the `count` dispatchers that come first for a stream; those that have failed lately come last.
     fn dispatchers(&self, stream: &str, count: usize) -> Vec<SocketAddr> {
         let view = self.view.get();
-        let chosen = top(stream, view.dispatchers.keys(), String::as_str, count);
-        chosen.iter().map(|name| view.dispatchers[*name]).collect()
+        let names = view.dispatchers.keys();
+        let ranked = top(stream, names, String::as_str, view.dispatchers.len());
+        let mut addrs: Vec<SocketAddr> =
+            ranked.iter().map(|name| view.dispatchers[*name]).collect();
+        addrs.sort_by_key(|addr| self.client.has_failed(addr));
+        addrs.truncate(count);
+        addrs
     }
 }
 
--- a/crates/oleander-rollout/src/lib.rs
+++ b/crates/oleander-rollout/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod peer;
 pub mod prelude;
 pub mod process;
+pub mod registry;
 pub mod role;
 pub mod runtime;
 pub mod settings;
--- a/crates/oleander-rollout/src/peer/leader_client.rs
+++ b/crates/oleander-rollout/src/peer/leader_client.rs
@@ -11,7 +11,8 @@
 use http::header::{CONTENT_TYPE, HOST};
 use http::{Method, Request, StatusCode};
 use http_body_util::Full;
-use std::cell::Cell;
+use oleanderlock::dispatchers::peer_reach::PeerReach;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -20,6 +21,11 @@
 /// Largest response body, in bytes.
 const RESPONSE_MAX_BYTES: usize = 8 << 20;
 
+/// Dispatchers that are asked at the same time, however many are registered.
+pub const ASKED_MAX: usize = 32;
+/// Longest wait for the answer of a dispatcher that is probed.
+const PROBE_TIMEOUT: Millis = Millis(400);
+
 /// Client of the leading dispatcher, for the tasks of one thread.
 #[derive(Debug)]
 pub struct LeaderClient {
@@ -27,6 +33,7 @@
     pool: Rc<Pool>,
     // Leader that another dispatcher named, with its epoch. It bridges a time without the store.
     hint: Cell<Option<(SocketAddr, u64)>>,
+    reach: RefCell<PeerReach>,
 }
 
 impl LeaderClient {
@@ -36,6 +43,7 @@
             view,
             pool: Pool::new(CONNECT_TIMEOUT),
             hint: Cell::new(None),
+            reach: RefCell::default(),
         })
     }
 
@@ -107,7 +115,10 @@
             let exchange = self.pool.send(&Destination::any(addr), req).await?;
             exchange.collect(RESPONSE_MAX_BYTES).await
         };
-        match within(limit, exchange).await {
+        let ended = within(limit, exchange).await;
+        let answered = matches!(&ended, Some(Ok(_)));
+        self.reach.borrow_mut().record(now(), addr, answered);
+        match ended {
             None => Err(no_answer("timeout".to_owned())),
             Some(Err(error @ (SendError::NotSent { .. } | SendError::Withheld { .. }))) => {
                 Err(LeaderError::NotReached {
@@ -119,11 +130,51 @@
         }
     }
 
-    /// Asks all known dispatchers at the same time for the leader, for a process that can't read it from
-    /// the store, and tells them of the leader that the process does not reach, if it is an agent; waits
-    /// for at most `limit`.
+    /// Returns the registered dispatchers to ask when any of them will do, at most [`ASKED_MAX`]; those that
+    /// have answered lately come first.
+    pub fn dispatchers(&self) -> Vec<SocketAddr> {
+        let view = self.view.get();
+        let registered = view.dispatchers.values().copied();
+        self.reach.borrow().order(now(), registered, ASKED_MAX)
+    }
+
+    /// Whether the last call to a dispatcher has failed lately.
+    pub fn has_failed(&self, addr: &SocketAddr) -> bool {
+        self.reach.borrow().has_failed(now(), addr)
+    }
+
+    /// Whether the dispatcher `node` answers at `addr`. Another one may be there by now.
+    pub async fn is_dispatcher(&self, addr: SocketAddr, node: &str) -> bool {
+        let health = self.health(addr, Vec::new(), PROBE_TIMEOUT).await;
+        health.is_some_and(|health| health.node.is_empty() || health.node == node)
+    }
+
+    /// Returns the health of the dispatcher at `addr`; `None` if none answers there within `limit`.
+    async fn health(
+        &self,
+        addr: SocketAddr,
+        body: Vec<u8>,
+        limit: Millis,
+    ) -> Option<DispatcherHealth> {
+        let method = if body.is_empty() {
+            Method::GET
+        } else {
+            Method::POST
+        };
+        let answer = self.call_at(addr, method, HEALTH, body, limit).await.ok()?;
+        let health = Some(answer).filter(|(status, _)| *status == StatusCode::OK);
+        let health = health.and_then(|(_, body)| serde_json::from_slice(&body).ok());
+        if health.is_none() {
+            // What answers is no dispatcher.
+            self.reach.borrow_mut().record(now(), addr, false);
+        }
+        health
+    }
+
+    /// Asks [dispatchers](Self::dispatchers) at the same time for the leader, for a process that can't
+    /// read it from the store, and tells them of the leader that the process does not reach, if it is
+    /// an agent; waits for at most `limit`.
     pub async fn ask_for_leader(&self, limit: Millis, unreached: Option<&LeaderUnreached>) {
-        let dispatchers: Vec<SocketAddr> = self.view.get().dispatchers.values().copied().collect();
         let body = match unreached.map(serde_json::to_vec).transpose() {
             Ok(body) => body.unwrap_or_default(),
             Err(err) => {
@@ -133,24 +184,15 @@
                 Vec::new()
             }
         };
-        let asked = dispatchers.into_iter();
+        let asked = self.dispatchers().into_iter();
         join_all(asked.map(|addr| self.ask(addr, body.clone(), limit))).await;
     }
 
     /// Asks one dispatcher for the leader, and records it if its epoch is later than that of the last
     /// one that was named.
     async fn ask(&self, addr: SocketAddr, body: Vec<u8>, limit: Millis) {
-        let method = if body.is_empty() {
-            Method::GET
-        } else {
-            Method::POST
-        };
-        let asked = self.call_at(addr, method, HEALTH, body, limit);
         // The caller logs that it has no leader.
-        let Ok((StatusCode::OK, body)) = asked.await else {
-            return;
-        };
-        let Ok(health) = serde_json::from_slice::<DispatcherHealth>(&body) else {
+        let Some(health) = self.health(addr, body, limit).await else {
             return;
         };
         let named = if health.leads {
--- a/crates/oleander-rollout/src/peer/messages/dispatcher_health.rs
+++ b/crates/oleander-rollout/src/peer/messages/dispatcher_health.rs
@@ -14,4 +14,7 @@
     pub store_age_ms: u64,
     /// Address of the leader, if it knows one.
     pub leader: Option<SocketAddr>,
+    /// Name of its node, as the address may be another one's by now; empty in answers of earlier builds.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub node: String,
 }
--- a/crates/oleander-rollout/src/store/follow.rs
+++ b/crates/oleander-rollout/src/store/follow.rs
@@ -17,6 +17,7 @@
 use super::watch_event::WatchEvent;
 use crate::prelude::*;
 use crate::runtime::spawn_thread;
+use indexmap::IndexSet;
 use oleander_platform::config::decode_config;
 use oleander_platform::object::{
     CONFIG_KIND, CONFIG_NAME, ENDPOINT_KIND, RETIREMENT_KIND, VERSION_KIND,
@@ -251,7 +252,20 @@
             view.dispatchers.shift_remove(node);
         });
     }
-    for object in objects_of(watch_event) {
+    let is_complete = matches!(watch_event, WatchEvent::All(..));
+    let mut objects = objects_of(watch_event);
+    objects.sort_by_key(|object| object.revision);
+    if is_complete {
+        let names = objects.iter().map(|object| object.name.as_str());
+        let listed: IndexSet<&str> = names
+            .filter_map(|name| name.strip_prefix(NODE_PREFIX))
+            .collect();
+        view.update(|view| {
+            view.dispatchers
+                .retain(|node, _| listed.contains(node.as_str()));
+        });
+    }
+    for object in objects {
         view.update(|view| apply_dispatcher_object(view, &object));
     }
     if !view.get().dispatchers_known {
@@ -276,6 +290,7 @@
     } else if let Some(node) = object.name.strip_prefix(NODE_PREFIX) {
         match serde_json::from_str::<DispatcherObject>(spec) {
             Ok(dispatcher) => {
+                view.dispatchers.shift_remove(node);
                 view.dispatchers.insert(node.to_owned(), dispatcher.addr);
             }
             Err(err) => event(log::Level::Warn, "dispatcher-unreadable", || {
--- a/crates/oleander-rollout/src/store/view.rs
+++ b/crates/oleander-rollout/src/store/view.rs
@@ -23,7 +23,7 @@
     pub leader: Option<(LeaderObject, u64)>,
     /// Whether the objects about dispatchers have been read at least once.
     pub dispatchers_known: bool,
-    /// Addresses of the dispatchers, by node.
+    /// Addresses of the registered dispatchers, by node, in the order of their registration. Each may be gone.
     pub dispatchers: IndexMap<String, SocketAddr>,
     /// Names of the nodes that are to be retired and are not empty yet.
     pub retiring: IndexSet<String>,
--- a/crates/oleander-rollout/tests/formats.rs
+++ b/crates/oleander-rollout/tests/formats.rs
@@ -502,6 +502,13 @@
                 ..health()
             },
         ),
+        json(
+            "health with a node",
+            &DispatcherHealth {
+                node: "dispatcher-1".to_owned(),
+                ..health()
+            },
+        ),
         json(
             "leader that an agent does not reach",
             &LeaderUnreached {
--- a/crates/oleander-rollout/tests/formats_support/examples.rs
+++ b/crates/oleander-rollout/tests/formats_support/examples.rs
@@ -410,6 +410,7 @@
         epoch: 3,
         store_age_ms: 40,
         leader: Some(addr()),
+        node: String::new(),
     }
 }
 
--- a/crates/oleanderlock/src/lib.rs
+++ b/crates/oleanderlock/src/lib.rs
@@ -45,6 +45,7 @@
 mod contract_section;
 pub mod cursor;
 pub mod cursor_error;
+pub mod dispatchers;
 pub mod duties;
 pub mod ejection;
 pub mod endpoint;
