Send an item only where the newest known configuration leads, asked before each send

Cause: the leader kept the last services of a job without a route, and the agent, which sends, looked at no route while a leader answered.

Change: Placement, one function of routes, host, path of the job and service; the scheduler uses the same rule of targets, and the agent asks right before each send. Items of a removed route that have not begun are given up after 2 s in which the leader has known no route for them and has heard of the store; runs go on. It works since no send is left that isn't decided by the newest version.

--- a/crates/oleander-rollout/src/agent/agent_process.rs
+++ b/crates/oleander-rollout/src/agent/agent_process.rs
@@ -27,6 +27,7 @@
 use indexmap::IndexSet;
 use oleanderlock::routing::endpoint_entry::EndpointEntry;
 use oleanderlock::routing::endpoint_state::EndpointState;
+use oleanderlock::routing::placement::Placement;
 use oleanderlock::routing::stream_origin::differs;
 use std::cell::{Cell, RefCell};
 use std::io::ErrorKind as IoErrorKind;
@@ -149,20 +150,16 @@
         }
     }
 
-    /// Whether the engine's service may run an item. While a leader answers, it recalls the items whose
-    /// route has moved; otherwise the configuration that this process reads decides. A job whose route was
-    /// removed goes on.
-    pub fn is_routed_to(&self, service: &str, work: &WorkItem) -> bool {
-        if !self.job_checks.leader_is_silent() {
-            return true;
-        }
+    /// Returns whether an item may be sent to an engine of a service, by the newest configuration that this
+    /// process knows: with work the leader sends its own, and while it is silent the store is read.
+    pub fn placement(&self, service: &str, work: &WorkItem) -> Placement {
         let view = self.view.get();
-        let routes = view.routes.as_ref();
-        let route = routes.and_then(|routes| routes.find(&work.host, &work.item.path));
-        route.is_none_or(|route| {
-            let mut targets = route.targets.iter();
-            targets.any(|target| target.weight > 0 && target.service == service)
-        })
+        let path = if work.job_path.is_empty() {
+            &work.item.path
+        } else {
+            &work.job_path
+        };
+        Placement::of(view.routes.as_deref(), &work.host, path, service)
     }
 
     /// Drops the items of a job that has ended.
--- a/crates/oleander-rollout/src/agent/run.rs
+++ b/crates/oleander-rollout/src/agent/run.rs
@@ -18,6 +18,7 @@
 use oleanderlock::batch::progress::Progress;
 use oleanderlock::batch::sample::Sample;
 use oleanderlock::batch::sample_end::SampleEnd;
+use oleanderlock::routing::placement::Placement;
 use oleanderlock::routing::stall_clock::StallClock;
 use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
@@ -86,6 +87,7 @@
         | RunEnd::Unreachable
         | RunEnd::Broken
         | RunEnd::Stalled
+        | RunEnd::NotRouted
         | RunEnd::OtherInstance => {
             return_item(&agent, &work, ReturnReason::EngineLost, progress);
         }
@@ -191,8 +193,15 @@
     let Some(endpoint) = agent.ready_endpoint() else {
         return RunEnd::OtherInstance;
     };
-    if !agent.is_routed_to(&endpoint.service, work) {
-        return RunEnd::OtherInstance;
+    let placement = agent.placement(&endpoint.service, work);
+    if placement != Placement::Here {
+        event(log::Level::Info, "run-not-routed", || {
+            format!(
+                "request={} service={} placement={placement:?}",
+                work.key.item, endpoint.service
+            )
+        });
+        return RunEnd::NotRouted;
     }
     let software = endpoint.software.as_deref();
     if progress.last_event > 0 && !progress.may_resume_at(software) {
--- a/crates/oleander-rollout/src/agent/run_end.rs
+++ b/crates/oleander-rollout/src/agent/run_end.rs
@@ -19,6 +19,8 @@
     Impossible,
     /// The weights are too old, or changed although a single version is required.
     WrongWeights,
+    /// The route of the item's job does not lead to the engine's service, or has been removed.
+    NotRouted,
     /// The engine is draining or gone, or another instance or another version of its software uses
     /// its address.
     OtherInstance,
--- a/crates/oleander-rollout/src/agent/runner.rs
+++ b/crates/oleander-rollout/src/agent/runner.rs
@@ -7,13 +7,15 @@
 use crate::peer::messages::{ReturnReason, ReturnedItem};
 use crate::prelude::*;
 use crate::runtime::spawn_task;
+use oleanderlock::routing::placement::Placement;
 use std::rc::Rc;
 
 /// Longest pause after which the engine's rate limit is checked again.
 const LIMIT_RETRY_PAUSE: Millis = Millis(1000);
 
 /// Starts waiting items while the engine has free slots and its rate limit allows. Items of a model
-/// whose weights are being loaded wait; those that need newer weights than the engine has are returned.
+/// whose weights are being loaded wait, and those whose route does not lead here until the leader
+/// recalls them; those that need newer weights than the engine has are returned.
 pub fn start_waiting(agent: &Rc<Agent>) {
     let Some(endpoint) = agent.ready_endpoint() else {
         return;
@@ -38,7 +40,7 @@
             };
             let work = item.work.clone();
             let is_open = agent.job_checks.is_open(&key.job);
-            if !is_open || !agent.is_routed_to(&endpoint.service, &work) {
+            if !is_open || agent.placement(&endpoint.service, &work) != Placement::Here {
                 continue;
             }
             if state.loading.as_ref() == Some(&work.model) {
--- a/crates/oleander-rollout/src/dispatch/jobs.rs
+++ b/crates/oleander-rollout/src/dispatch/jobs.rs
@@ -236,7 +236,12 @@
 pub fn accept(dispatcher: &Dispatcher, job: Job) {
     let unix_ms = unix_ms();
     let age = Millis(unix_ms.saturating_sub(job.submitted_unix_ms));
-    let policy = policy_of(dispatcher, &job);
+    let routes = dispatcher.view.get().routes.clone();
+    let workspace = job.workspace.as_deref();
+    let policy = routes
+        .as_ref()
+        .and_then(|routes| policy_by_route(routes, &job.host, &job.path, workspace));
+    let without_route = routes.filter(|_| policy.is_none());
     let record = JobRecord {
         total: job.items.len(),
         submitted_unix_ms: job.submitted_unix_ms,
@@ -255,7 +260,11 @@
         )
     });
     let keys: Vec<String> = job.items.iter().map(|item| item.id.clone()).collect();
+    let policy = policy.unwrap_or_else(policy_without_route);
     state.scheduler.accept(job, policy, now().since(age));
+    if let Some(routes) = without_route {
+        remove_route(&mut state, &id, &routes);
+    }
     let age_min = age.since(CLOCK_DIFFERENCE_MAX);
     state.scheduler.keep_from(&id, now().since(age_min));
     for item in keys {
@@ -275,7 +284,7 @@
 }
 
 /// Takes the terms of all open jobs from the configuration, if it has changed since the last call. A
-/// job whose route was removed keeps its terms.
+/// job whose route was removed loses its services.
 pub fn refresh_policies(dispatcher: &Dispatcher, state: &mut State) {
     let view = dispatcher.view.get();
     let Some(routes) = &view.routes else {
@@ -286,12 +295,20 @@
     }
     state.policies_version = Some(routes.config.version);
     let open = state.scheduler.open_jobs();
-    let policies = open.filter_map(|job| {
-        let policy = policy_by_route(routes, &job.host, &job.path, job.workspace.as_deref())?;
-        (policy != job.policy).then(|| (job.id.clone(), policy))
+    let terms = open.map(|job| {
+        let policy = policy_by_route(routes, &job.host, &job.path, job.workspace.as_deref());
+        (job.id.clone(), policy)
     });
-    let policies: Vec<(String, JobPolicy)> = policies.collect();
-    for (id, policy) in policies {
+    let terms: Vec<(String, Option<JobPolicy>)> = terms.collect();
+    for (id, policy) in terms {
+        let Some(policy) = policy else {
+            remove_route(state, &id, routes);
+            continue;
+        };
+        let job = state.scheduler.job(&id);
+        if job.is_some_and(|job| job.policy == policy && job.route_gone_since.is_none()) {
+            continue;
+        }
         event(log::Level::Info, "job-terms-changed", || {
             let version = routes.config.version;
             format!("job={id} config={version} policy={policy:?}")
@@ -300,14 +317,20 @@
     }
 }
 
-/// Returns the terms of a job. Without a configuration or route it has no service, so that its items
-/// wait until [`refresh_policies`] finds its route.
-fn policy_of(dispatcher: &Dispatcher, job: &Job) -> JobPolicy {
-    let view = dispatcher.view.get();
-    let workspace = job.workspace.as_deref();
-    let routes = view.routes.as_ref();
-    let known = routes.and_then(|routes| policy_by_route(routes, &job.host, &job.path, workspace));
-    known.unwrap_or(JobPolicy {
+fn remove_route(state: &mut State, id: &str, routes: &RouteTable) {
+    let job = state.scheduler.job(id);
+    if job.is_some_and(|job| job.route_gone_since.is_none()) {
+        event(log::Level::Warn, "job-route-gone", || {
+            format!("job={id} config={}", routes.config.version)
+        });
+    }
+    state.scheduler.remove_route(id, now());
+}
+
+/// Returns the terms of a job whose route is not known or was removed. It has no service, so that its items
+/// wait.
+fn policy_without_route() -> JobPolicy {
+    JobPolicy {
         targets: Vec::new(),
         attempts: ATTEMPTS_DEFAULT,
         due_after: DUE_DEFAULT,
@@ -315,7 +338,7 @@
         single_version: true,
         rank: 0,
         workspace_rank: None,
-    })
+    }
 }
 
 /// Returns the terms of jobs that are submitted to a host and path; `None` without a route.
--- a/crates/oleander-rollout/src/dispatch/ticks.rs
+++ b/crates/oleander-rollout/src/dispatch/ticks.rs
@@ -20,6 +20,10 @@
 /// Fewest scoring attempts of an item, whatever its route allows.
 const SCORE_ATTEMPTS_MIN: u32 = 3;
 
+/// Time without a route after which the items of a job are given up. The configuration may be taken back
+/// within a moment; a trainer that waits for items which never run gives up much later.
+const ROUTE_END_GRACE: Millis = Millis(2000);
+
 /// Does the periodic work until the process stops.
 pub async fn run(dispatcher: Rc<Dispatcher>) {
     let mut lag = LagMeter::default();
@@ -34,6 +38,7 @@
         publish_updates(&dispatcher);
         recall_items(&dispatcher);
         give_up_expired(&dispatcher);
+        give_up_without_route(&dispatcher);
         dispatcher.schedule();
         retire::run(&dispatcher).await;
     }
@@ -116,6 +121,7 @@
     };
     let work = WorkItem {
         host: job.host.clone(),
+        job_path: job.path.clone(),
         model: job.model.clone(),
         oldest_version: job.oldest_version,
         single_version: job.policy.single_version,
@@ -187,6 +193,24 @@
     }
 }
 
+/// Gives up the items of jobs whose route was removed, except those that run. A route that comes back within
+/// [`ROUTE_END_GRACE`] is not an end, and while the store doesn't answer nobody knows whether it has.
+fn give_up_without_route(dispatcher: &Dispatcher) {
+    if dispatcher.store.last_success_age() > ROUTE_END_GRACE {
+        return;
+    }
+    let mut state = dispatcher.state.borrow_mut();
+    let now = now();
+    let is_over = |since: Millis| now.since(since) > ROUTE_END_GRACE;
+    let open = state.scheduler.open_jobs();
+    let ended = open.filter(|job| job.route_gone_since.is_some_and(is_over));
+    let keys: Vec<ItemKey> = ended.flat_map(|job| job.idle(now)).collect();
+    for key in keys {
+        give_up(&mut state, key, "its route was removed");
+        dispatcher.metrics.record_refusal("route-removed");
+    }
+}
+
 /// Ends an item without a result: it is listed as given up.
 pub fn give_up(state: &mut State, key: ItemKey, reason: &str) {
     event(log::Level::Warn, "item-given-up", || {
--- a/crates/oleander-rollout/src/peer/messages/work_item.rs
+++ b/crates/oleander-rollout/src/peer/messages/work_item.rs
@@ -14,6 +14,10 @@
     pub item: JobItem,
     /// Host header of the request to the engine: that of the request that submitted the job.
     pub host: String,
+    /// Path to which the job was submitted, which with the host selects its route; empty from an earlier
+    /// build, whose agents went by the path of the item.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub job_path: String,
     /// Model that must generate the text.
     pub model: String,
     /// Oldest weight version that may generate it.
--- a/crates/oleander-rollout/tests/formats.rs
+++ b/crates/oleander-rollout/tests/formats.rs
@@ -425,6 +425,7 @@
         ),
         json("answer to a report", &pull_answer()),
         json("work of a workspace", &owned_work_item()),
+        json("work with the path of its job", &routed_work_item()),
         json("workspace", &workspace()),
         json(
             "caller about a job",
@@ -883,6 +884,7 @@
         RunEnd::Impossible,
         RunEnd::WrongWeights,
         RunEnd::OtherInstance,
+        RunEnd::NotRouted,
         RunEnd::Unreachable,
     ];
     let stored = [
--- a/crates/oleander-rollout/tests/formats_support/examples.rs
+++ b/crates/oleander-rollout/tests/formats_support/examples.rs
@@ -220,6 +220,7 @@
         key: key("i-1"),
         item: job_item(),
         host: "desk.example".to_owned(),
+        job_path: String::new(),
         model: "advisor".to_owned(),
         oldest_version: 4,
         single_version: true,
@@ -230,6 +231,13 @@
     }
 }
 
+pub fn routed_work_item() -> WorkItem {
+    WorkItem {
+        job_path: "/rollout/j-1".to_owned(),
+        ..work_item()
+    }
+}
+
 pub fn owned_work_item() -> WorkItem {
     WorkItem {
         workspace: Some("acme".to_owned()),
--- a/crates/oleander-rollout/tests/run_reports.rs
+++ b/crates/oleander-rollout/tests/run_reports.rs
@@ -37,6 +37,7 @@
 /// Returns the state of an agent with an item that runs, with the output of an earlier run.
 fn running(earlier: Option<Progress>) -> State {
     let work = WorkItem {
+        job_path: String::new(),
         key: key(),
         item: JobItem {
             id: "i".to_owned(),
--- a/crates/oleanderlock/src/batch/job_policy.rs
+++ b/crates/oleanderlock/src/batch/job_policy.rs
@@ -1,14 +1,14 @@
 //! Limits and priorities of a batch job.
 
 use crate::prelude::*;
-use crate::routing::route_target::{RouteTarget, pick_service, takes_calls};
+use crate::routing::route_target::{RouteTarget, leads_to, pick_service};
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 /// Limits and rules for a batch job, taken from the configuration of its route and workspace.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct JobPolicy {
-    /// Services of the route, each with its weight; empty while the route is not known, so that no
-    /// engine runs the items.
+    /// Services of the route, each with its weight; empty while the route is not known or has been
+    /// removed, so that no engine runs the items.
     pub targets: Vec<RouteTarget>,
     /// Number of failed runs after which an item is given up.
     pub attempts: u32,
@@ -27,14 +27,11 @@
 impl JobPolicy {
     /// Whether engines of a service may run items of the job.
     pub fn allows(&self, service: Option<&str>) -> bool {
-        let mut targets = self.targets.iter();
-        targets.any(|target| {
-            Some(target.service.as_str()) == service && takes_calls(&self.targets, target)
-        })
+        service.is_some_and(|service| leads_to(&self.targets, service))
     }
 
     /// Returns the service that an item gets by the weights of the route: always the same one for the
-    /// same item and targets. `None` while the route is not known.
+    /// same item and targets. `None` without targets.
     pub fn service_of(&self, item: &str) -> Option<&str> {
         if let [only] = self.targets.as_slice() {
             return Some(&only.service);
--- a/crates/oleanderlock/src/batch/job_state.rs
+++ b/crates/oleanderlock/src/batch/job_state.rs
@@ -30,6 +30,9 @@
     pub kept_from: Millis,
     /// Limits and rules of its route.
     pub policy: JobPolicy,
+    /// Since when the newest known configuration has no route for it; `None` while there is one, or none
+    /// is known.
+    pub route_gone_since: Option<Millis>,
     /// Items by id, in the order of the submission; none once the job has ended.
     pub items: IndexMap<String, ItemState>,
     /// Indices of the items, most expected tokens first: a step completes sooner if its longest runs start
@@ -60,6 +63,7 @@
             submitted,
             kept_from: submitted,
             policy,
+            route_gone_since: None,
             items,
             longest_first,
             size_bytes,
@@ -78,6 +82,17 @@
         item.phase == ItemPhase::Waiting && item.hold_until <= now
     }
 
+    /// Returns the items that no agent has and none may still run.
+    pub fn idle(&self, now: Millis) -> Vec<ItemKey> {
+        let idle = self.items.iter().enumerate();
+        let idle = idle.filter(|(index, _)| self.may_start(*index, now));
+        let keys = idle.map(|(_, (id, _))| ItemKey {
+            job: self.id.clone(),
+            item: id.clone(),
+        });
+        keys.collect()
+    }
+
     /// Returns the running items, each with the name of its agent.
     pub fn running(&self) -> Vec<(String, ItemKey)> {
         let running = self.items.iter().filter_map(|(id, item)| {
--- a/crates/oleanderlock/src/batch/recall_reason.rs
+++ b/crates/oleanderlock/src/batch/recall_reason.rs
@@ -12,6 +12,6 @@
     Straggler,
     /// It waits for a slot while another engine has a free one.
     NoSlot,
-    /// It waits for a slot of a service to which its route no longer leads.
+    /// It waits for a slot of a service to which its route no longer leads, or its route was removed.
     OtherService,
 }
--- a/crates/oleanderlock/src/batch/scheduler.rs
+++ b/crates/oleanderlock/src/batch/scheduler.rs
@@ -96,10 +96,21 @@
         *mean = (*mean * (8 - NEW_STEP_WEIGHT_EIGHTHS) + tokens * NEW_STEP_WEIGHT_EIGHTHS) / 8;
     }
 
-    /// Replaces the limits and rules of a job, as after a change of its route.
+    /// Replaces the limits and rules of a job by those of its route, as after a change of the route.
     pub fn set_policy(&mut self, id: &str, policy: JobPolicy) {
         if let Some(job) = self.jobs.get_mut(id) {
             job.policy = policy;
+            job.route_gone_since = None;
+            self.engine_sets_due = true;
+        }
+    }
+
+    /// Takes the services from a job whose route the newest configuration no longer has, so that its items
+    /// wait. Its other limits and rules stay, as does the time of an earlier call.
+    pub fn remove_route(&mut self, id: &str, now: Millis) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.policy.targets.clear();
+            job.route_gone_since.get_or_insert(now);
             self.engine_sets_due = true;
         }
     }
--- a/crates/oleanderlock/src/batch/scheduler_recall.rs
+++ b/crates/oleanderlock/src/batch/scheduler_recall.rs
@@ -72,14 +72,18 @@
         recalls
     }
 
-    /// Returns items that wait for a slot of a service to which their route no longer leads.
+    /// Returns items that wait for a slot of a service to which their route no longer leads, or whose route
+    /// was removed.
     fn recalls_of_other_services(&self) -> Vec<Recall> {
         let mut recalls = Vec::new();
         for (name, agent) in &self.agents {
             let waiting = agent.report.waiting.iter();
             for key in waiting.filter_map(|item| ItemKey::parse(item)) {
                 let job = self.jobs.get(&key.job);
-                let moved = |job: &&JobState| !job.policy.targets.is_empty() && !agent.serves(job);
+                let is_known = |job: &JobState| {
+                    !job.policy.targets.is_empty() || job.route_gone_since.is_some()
+                };
+                let moved = |job: &&JobState| is_known(job) && !agent.serves(job);
                 if agent.assigned.contains_key(&key) && job.filter(moved).is_some() {
                     recalls.push(Recall {
                         agent: name.clone(),
--- a/crates/oleanderlock/src/routing/mod.rs
+++ b/crates/oleanderlock/src/routing/mod.rs
@@ -30,6 +30,7 @@
 pub mod leaving_endpoints;
 pub mod list_age;
 pub mod own_entry;
+pub mod placement;
 pub mod rate_limits;
 pub mod request_content;
 pub mod request_rate;
--- a/crates/oleanderlock/src/routing/route_target.rs
+++ b/crates/oleanderlock/src/routing/route_target.rs
@@ -34,3 +34,9 @@
     let all_zero = targets.iter().all(|to| to.weight == 0);
     target.weight > 0 || (all_zero && targets.first() == Some(target))
 }
+
+/// Whether a route with these targets leads to a service.
+pub fn leads_to(targets: &[RouteTarget], service: &str) -> bool {
+    let mut of_service = targets.iter().filter(|target| target.service == service);
+    of_service.any(|target| takes_calls(targets, target))
+}
--- a/crates/oleanderlock/tests/batch_services.rs
+++ b/crates/oleanderlock/tests/batch_services.rs
@@ -156,3 +156,33 @@
     let agents: Vec<&str> = grants.iter().map(|grant| grant.agent.as_str()).collect();
     assert_eq!(agents, ["agent-b"]);
 }
+
+// Guards against items that stay at an engine, or are sent to one, after their route was removed (review/15).
+#[test]
+fn items_of_a_removed_route_are_recalled_and_not_assigned() {
+    let mut scheduler = scheduler(2);
+    scheduler.accept(job("j", 6), policy(&[("a", 1)]), Millis(0));
+    assert_eq!(assigned(&mut scheduler, 0), (4, 0));
+    scheduler.remove_route("j", Millis(10));
+    let names: Vec<String> = (0..4).map(|n| format!("j/{n}")).collect();
+    let held = AgentReport {
+        items: names.clone(),
+        waiting: names[2..].to_vec(),
+        ..report("agent-a", "a", 2)
+    };
+    scheduler.apply_report(Millis(20), held);
+    let recalled = scheduler.recalls(Millis(20));
+    let recalled: Vec<&str> = recalled
+        .iter()
+        .map(|recall| recall.key.item.as_str())
+        .collect();
+    assert_eq!(recalled, ["2", "3"]);
+    assert_eq!(assigned(&mut scheduler, 30), (0, 0));
+    let idle = |scheduler: &Scheduler| scheduler.job("j").map(|job| job.idle(Millis(30)).len());
+    assert_eq!(idle(&scheduler), Some(2));
+    // The route comes back.
+    scheduler.set_policy("j", policy(&[("b", 1)]));
+    assert_eq!(assigned(&mut scheduler, 40), (0, 2));
+    let job = scheduler.job("j");
+    assert!(job.is_some_and(|job| job.route_gone_since.is_none()));
+}
