--- a/crates/oleander-rollout/src/registry/sweep.rs
+++ b/crates/oleander-rollout/src/registry/sweep.rs
@@ -1,6 +1,6 @@
 //! Removes the entries of dispatchers that are gone: a machine that is replaced doesn't remove its own.
 //!
-//! The leader probes a few registered dispatchers at a time, in turn. One that has not answered for
+//! The leader probes up to [`PROBED_AT_ONCE`] registered dispatchers at a time, in turn. One that has not answered for
 //! [`GONE_AFTER`](oleanderlock::dispatchers::absences::GONE_AFTER) is removed, unless no agent reaches this
 //! process and no dispatcher answers it: then it may be the one that is cut off.
 
--- a/crates/oleanderlock/src/batch/scheduler_loads.rs
+++ b/crates/oleanderlock/src/batch/scheduler_loads.rs
@@ -122,11 +122,7 @@
     }
 
     /// Returns the open jobs of a model whose route leads to the service of an agent's engine.
-    pub(super) fn jobs_for(
-        &self,
-        agent: &AgentState,
-        model: &str,
-    ) -> impl Iterator<Item = &JobState> {
+    fn jobs_for(&self, agent: &AgentState, model: &str) -> impl Iterator<Item = &JobState> {
         let open = self.jobs.values();
         open.filter(move |job| job.model == model && agent.serves(job))
     }
