Let a shutdown last until waiting connections are served

Cause: a connection counted as open only when its task first ran, and a server that accepts did not count at all. Entry::stop looked right after it had requested the shutdown, found none open, and the process ended 120 ms later.

Change: a shutdown is over when the server has stopped accepting and all connections that it accepted have ended; each counts from when it is accepted. Shutdown::is_over takes the place of open_connections.

Measured: the new test of http_server.rs on the code before (with open_connections): 0 requests of 8 when the shutdown counted as over; after: all of 8 at 0, 100, 300 and 600 ms.

--- a/crates/oleander-rollout/src/entry/entry_process.rs
+++ b/crates/oleander-rollout/src/entry/entry_process.rs
@@ -260,7 +260,7 @@
         sleep(UNREADY_DELAY.min(end.since(now()))).await;
         self.stop_clock.end_of_arrivals();
         self.shutdown.request();
-        while self.shutdown.open_connections() > 0 && now() < end {
+        while !self.shutdown.is_over() && now() < end {
             sleep(STOP_POLL_INTERVAL).await;
         }
         if let Some(usage) = &self.usage {
--- a/crates/oleander-rollout/src/http/server.rs
+++ b/crates/oleander-rollout/src/http/server.rs
@@ -2,7 +2,7 @@
 
 use super::paced_stream::PacedStream;
 use super::server_limits::ServerLimits;
-use super::shutdown::Shutdown;
+use super::shutdown::{Shutdown, ShutdownGuard};
 use super::socket::{bound_send_buffer, set_options};
 use crate::prelude::*;
 use futures_util::FutureExt as _;
@@ -46,6 +46,8 @@
 
 /// Serves connections until `shutdown` is requested. A handler that returns an error closes its
 /// connection without a response. `limits` is read for each new connection.
+///
+/// Connections that wait to be accepted when the shutdown is requested are served as well.
 pub async fn serve<H, F, B, E>(
     listener: TcpListener,
     limits: impl Fn() -> ServerLimits,
@@ -59,8 +61,10 @@
     B::Error: Into<Box<dyn Error + Send + Sync>>,
     E: Into<Box<dyn Error + Send + Sync>> + 'static,
 {
+    let accepting = shutdown.guard();
     loop {
-        let requested = shutdown.requested();
+        let requested = accepting.requested();
+        // Polls the listener first, which has no more connections when the shutdown is seen.
         let accepted = match select(pin!(listener.accept()), pin!(requested)).await {
             Either::Left((accepted, _)) => accepted,
             Either::Right(_) => return,
@@ -72,9 +76,8 @@
                 if limits.bounded {
                     bound_send_buffer(&stream);
                 }
-                let shutdown = Rc::clone(&shutdown);
                 let handler = Rc::clone(&handler);
-                spawn(connection(stream, limits, shutdown, handler));
+                spawn(connection(stream, limits, shutdown.guard(), handler));
             }
             Err(error) => {
                 event(log::Level::Warn, "accept-failed", || {
@@ -89,7 +92,7 @@
 async fn connection<H, F, B, E>(
     stream: TcpStream,
     limits: ServerLimits,
-    shutdown: Rc<Shutdown>,
+    shutdown: ShutdownGuard,
     handler: Rc<H>,
 ) where
     H: Fn(Request<Incoming>) -> F + 'static,
@@ -99,7 +102,6 @@
     B::Error: Into<Box<dyn Error + Send + Sync>>,
     E: Into<Box<dyn Error + Send + Sync>> + 'static,
 {
-    shutdown.open.set(shutdown.open.get() + 1);
     let opened_at = now();
     let has_request = Rc::new(Cell::new(false));
     let received = Rc::clone(&has_request);
@@ -135,7 +137,6 @@
         }
     };
     let ended = AssertUnwindSafe(served).catch_unwind().await;
-    shutdown.open.set(shutdown.open.get() - 1);
     match ended {
         Ok(Ok(())) => {}
         Ok(Err(error)) => event(log::Level::Debug, "connection-ended", || {
--- a/crates/oleander-rollout/tests/http_server.rs
+++ b/crates/oleander-rollout/tests/http_server.rs
@@ -8,12 +8,16 @@
 use oleander_rollout::http::send_error::SendError;
 use oleander_rollout::http::server::{bind, serve};
 use oleander_rollout::http::server_limits::ServerLimits;
+use oleander_rollout::http::shutdown::Shutdown;
 use oleander_rollout::prelude::*;
 use oleander_rollout::runtime;
 use std::cell::Cell;
 use std::convert::Infallible;
-use std::net::SocketAddr;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
+use std::thread;
+use std::time::Duration;
 
 const LIMITS: ServerLimits = ServerLimits {
     head_bytes: 16 << 10,
@@ -24,6 +28,11 @@
 
 /// Starts a server that panics at the path `/panic`; returns its address and a count of requests.
 fn start() -> (SocketAddr, Rc<Cell<usize>>) {
+    start_until(Rc::default())
+}
+
+/// Starts such a server, which ends when `shutdown` is requested.
+fn start_until(shutdown: Rc<Shutdown>) -> (SocketAddr, Rc<Cell<usize>>) {
     let listener = bind("127.0.0.1:0".parse().expect("an address")).expect("a free port");
     let addr = listener.local_addr().expect("a bound address");
     let requests = Rc::new(Cell::new(0));
@@ -36,7 +45,7 @@
             Ok::<_, Infallible>(Response::new(Full::new(Bytes::from_static(b"sound"))))
         }
     });
-    spawn(serve(listener, || LIMITS, Rc::default(), handler));
+    spawn(serve(listener, || LIMITS, shutdown, handler));
     (addr, requests)
 }
 
@@ -124,3 +133,40 @@
         }
     });
 }
+
+/// Sends a request after `delay` and returns what the server answers until it closes.
+fn answer_after(delay: Duration, mut stream: TcpStream) -> std::io::Result<String> {
+    thread::sleep(delay);
+    stream.write_all(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")?;
+    let mut text = String::new();
+    stream.read_to_string(&mut text)?;
+    Ok(text)
+}
+
+// Guards against a process that ends while connections wait to be accepted: it was paused when they
+// came, found none open when it went on, and left their requests without an answer.
+#[test]
+fn connections_that_wait_to_be_accepted_are_served_before_a_shutdown_is_over() {
+    for delay in [0, 100, 300, 600].map(Duration::from_millis) {
+        runtime::run(async {
+            let shutdown = Rc::new(Shutdown::default());
+            let (addr, requests) = start_until(Rc::clone(&shutdown));
+            sleep(Millis(20)).await;
+            // Without an await in between, the server doesn't run until the shutdown is requested.
+            let connect = |_| TcpStream::connect(addr).expect("a connection");
+            let streams: Vec<TcpStream> = (0..8).map(connect).collect();
+            let ask = |stream| thread::spawn(move || answer_after(delay, stream));
+            let clients: Vec<_> = streams.into_iter().map(ask).collect();
+            shutdown.request();
+            while !shutdown.is_over() {
+                sleep(Millis(5)).await;
+            }
+            assert_eq!(requests.get(), 8, "requests {delay:?} after the shutdown");
+            for client in clients {
+                let text = client.join().expect("a client").expect("an answer");
+                assert!(text.starts_with("HTTP/1.1 200 "), "{text:?}");
+            }
+            assert!(TcpStream::connect(addr).is_err());
+        });
+    }
+}
