--- a/crates/oleanderlock/src/batch/scheduler_blocked.rs
+++ b/crates/oleanderlock/src/batch/scheduler_blocked.rs
@@ -62,49 +62,58 @@
             self.blocked_since.iter().collect();
         longest_first.sort_by_key(|(_, since)| **since);
         let mut grants: Vec<LoadGrant> = Vec::new();
-        for ((service, model), since) in longest_first {
-            let Some(version) = self.target_versions.get(model) else {
-                continue;
-            };
-            let at_service = || {
-                let agents = self.agents.values();
-                agents.filter(|agent| agent.report.service == *service)
-            };
-            let is_own = |agent: &&AgentState| self.set_of(agent) == Some(model);
-            let own_set_works = at_service()
-                .filter(is_own)
-                .any(|agent| agent.report.slots > 0);
-            let waited = now.since(*since).0 / OWN_SET_TIME.0;
-            let allowed = waited as usize + usize::from(!own_set_works);
-            let others = || at_service().filter(|agent| !is_own(agent));
-            let loading = others().filter(|agent| agent.is_loading_model(now, model));
-            if loading.count() >= allowed {
-                continue;
-            }
-            let could_load = |agent: &&AgentState| {
-                let held = agent.report.weights.get(model);
-                agent.report.slots > 0
-                    && !agent.report.leaving
-                    && !agent.is_loading(now)
-                    && held.is_some_and(|held| held < version)
-                    && grants.iter().all(|grant| grant.agent != agent.report.agent)
-            };
-            let candidates = others().filter(could_load);
-            let least_loaded = candidates.min_by_key(|agent| {
-                let breaks_runs = self.runs_with_single_version(agent, model);
-                (breaks_runs, agent.outstanding())
-            });
-            if let Some(agent) = least_loaded {
-                grants.push(LoadGrant {
-                    agent: agent.report.agent.clone(),
-                    model: model.clone(),
-                    version: *version,
-                });
-            }
+        for (blocked, since) in longest_first {
+            let grant = self.load_of_blocked_model(now, blocked, *since, &grants);
+            grants.extend(grant);
         }
         grants
     }
 
+    /// Returns the load of one blocked model beside the loads `granted`; `None` if enough engines of other
+    /// sets load it, or none could.
+    fn load_of_blocked_model(
+        &self,
+        now: Millis,
+        (service, model): &ModelAtService,
+        since: Millis,
+        granted: &[LoadGrant],
+    ) -> Option<LoadGrant> {
+        let version = self.target_versions.get(model)?;
+        let at_service = self.agents.values();
+        let at_service = at_service.filter(|agent| agent.report.service == *service);
+        let (own, others): (Vec<_>, Vec<_>) =
+            at_service.partition(|agent| self.set_of(agent) == Some(model));
+        let own_set_works = own.iter().any(|agent| agent.report.slots > 0);
+        let waited = now.since(since).0 / OWN_SET_TIME.0;
+        let allowed = waited as usize + usize::from(!own_set_works);
+        let loading = others
+            .iter()
+            .filter(|agent| agent.is_loading_model(now, model));
+        if loading.count() >= allowed {
+            return None;
+        }
+        let could_load = |agent: &&AgentState| {
+            let held = agent.report.weights.get(model);
+            agent.report.slots > 0
+                && !agent.report.leaving
+                && !agent.is_loading(now)
+                && held.is_some_and(|held| held < version)
+                && granted
+                    .iter()
+                    .all(|grant| grant.agent != agent.report.agent)
+        };
+        let candidates = others.into_iter().filter(could_load);
+        let least_loaded = candidates.min_by_key(|agent| {
+            let breaks_runs = self.runs_with_single_version(agent, model);
+            (breaks_runs, agent.outstanding())
+        })?;
+        Some(LoadGrant {
+            agent: least_loaded.report.agent.clone(),
+            model: model.clone(),
+            version: *version,
+        })
+    }
+
     /// Whether an agent has items of a model whose text must come from a single version.
     fn runs_with_single_version(&self, agent: &AgentState, model: &str) -> bool {
         let mut jobs = agent.assigned.keys().map(|key| self.jobs.get(&key.job));
