--- a/crates/oleander-load/tests/contracts_in_force.rs
+++ b/crates/oleander-load/tests/contracts_in_force.rs
@@ -146,6 +146,25 @@
         .join("config.snapshot")
 }
 
+/// Waits until the snapshots of all entries hold the amendment to `share`. They are written in the
+/// background, which takes longer while the disk is busy.
+async fn wait_for_snapshots(deployment: &Deployment, share: u32) {
+    let until = Instant::now() + HANG;
+    let amended = format!("share = {share}%");
+    for entry in 0..deployment.entries.len() {
+        let file = snapshot_of(deployment, entry);
+        let is_written = || {
+            let text = std::fs::read(&file).unwrap_or_default();
+            let mut parts = text.windows(amended.len());
+            parts.any(|part| part == amended.as_bytes())
+        };
+        while !is_written() {
+            assert!(Instant::now() < until, "no snapshot with {amended}");
+            pause(20).await;
+        }
+    }
+}
+
 #[test]
 fn a_cold_start_of_everything_in_an_outage_works_from_snapshots() {
     smol::block_on(async {
@@ -155,7 +174,7 @@
             .await
             .expect("accepted");
         wait_in_force(&deployment, generation).await;
-        pause(300).await;
+        wait_for_snapshots(&deployment, 30).await;
         restart_all_in_an_outage(&mut deployment, |_| ()).await;
         wait_in_force(&deployment, generation).await;
         let told = support::Quote::new(1)
@@ -174,7 +193,7 @@
             .await
             .expect("accepted");
         wait_in_force(&deployment, generation).await;
-        pause(300).await;
+        wait_for_snapshots(&deployment, 30).await;
         restart_all_in_an_outage(&mut deployment, |deployment| {
             let file = snapshot_of(deployment, 0);
             let mut bytes = std::fs::read(&file).expect("a snapshot");
@@ -204,7 +223,7 @@
         let old = deployment.put_contract(&amended(20), 1).await;
         let old = old.expect("accepted");
         wait_in_force(&deployment, old).await;
-        pause(300).await;
+        wait_for_snapshots(&deployment, 20).await;
         deployment.entry_mut("entry-2").expect("an entry").crash();
         let new = deployment.put_contract(&amended(30), old).await;
         let new = new.expect("accepted");
@@ -229,7 +248,7 @@
         let generation = deployment.put_contract(&amended(30), 1).await;
         let generation = generation.expect("accepted");
         wait_in_force(&deployment, generation).await;
-        pause(300).await;
+        wait_for_snapshots(&deployment, 30).await;
         restart_all_in_an_outage(&mut deployment, |deployment| {
             for entry in 0..deployment.entries.len() {
                 let file = snapshot_of(deployment, entry);
