--- a/crates/oleanderlock/tests/batch_engine_sets.rs
+++ b/crates/oleanderlock/tests/batch_engine_sets.rs
@@ -135,6 +135,15 @@
         self.scheduler.accept(job, POLICY.clone(), now);
     }
 
+    /// Lets all trainers ask their next step, and passes the time until the one after.
+    fn play_steps(&mut self) {
+        let models: Vec<&'static str> = self.items.keys().copied().collect();
+        for model in models {
+            self.ask_step(model);
+        }
+        self.run(STEP_MS);
+    }
+
     /// Lets another dispatcher lead, which knows the open jobs and hears the agents in a given order.
     fn change_leader(&mut self, order: impl Fn(&str) -> u64) {
         self.scheduler = Scheduler::new(SchedulerConfig::default());
@@ -243,10 +252,7 @@
 fn a_model_whose_only_engine_is_lost_gets_another_one() {
     let mut fleet = Fleet::new(7, &[24, 4, 4]);
     for _ in 0..4 {
-        for model in ["ma", "mb", "mc"] {
-            fleet.ask_step(model);
-        }
-        fleet.run(STEP_MS);
+        fleet.play_steps();
     }
     fleet.ask_step("mb");
     fleet.run(1500);
@@ -281,10 +287,7 @@
 fn models_take_turns_at_an_engine_that_serves_all() {
     let mut fleet = Fleet::new(1, &[2, 1, 1]);
     for _ in 0..6 {
-        for model in ["ma", "mb", "mc"] {
-            fleet.ask_step(model);
-        }
-        fleet.run(STEP_MS);
+        fleet.play_steps();
     }
 }
 
@@ -293,10 +296,7 @@
 fn a_model_whose_only_engine_fails_its_loads_gets_another_one() {
     let mut fleet = Fleet::new(4, &[24, 2, 2]);
     for number in 0..4 {
-        for model in ["ma", "mb", "mc"] {
-            fleet.ask_step(model);
-        }
-        fleet.run(STEP_MS);
+        fleet.play_steps();
         if number == 1 {
             let holder = fleet.only_holder("mb").expect("one engine has the version");
             fleet.engines[&holder].loads = Loads::Refuses;
