Let the new code call what was there, and write each rule once

Checked: clippy; batch_engine_sets, dispatchers_gone, route_changes, shared_view, unreached_leader, http_server, formats, all passed.

--- a/crates/oleander-rollout/src/dispatch/jobs.rs
+++ b/crates/oleander-rollout/src/dispatch/jobs.rs
@@ -1,6 +1,7 @@
 //! Jobs and their end marks, as read from the store.
 
 use super::dispatcher::Dispatcher;
+use super::job_terms::{policy_by_route, policy_without_route};
 use super::state::State;
 use crate::prelude::*;
 use crate::store::changes::read_changes;
@@ -17,7 +18,6 @@
 use oleanderlock::batch::job_policy::JobPolicy;
 use oleanderlock::batch::open_jobs::OpenJobs;
 use oleanderlock::routing::route_table::RouteTable;
-use oleanderlock::workspaces::workspace::rank_of;
 use std::cell::Cell;
 use std::rc::Rc;
 
@@ -25,12 +25,6 @@
 const STORE_RETRY_PAUSE: Millis = Millis(100);
 /// Pause before jobs are read again that could not be read.
 const UNREAD_RETRY_PAUSE: Millis = Millis(500);
-/// Failures after which an item of a job without a route is given up.
-const ATTEMPTS_DEFAULT: u32 = 3;
-/// Time within which the results of a job without a route are due.
-const DUE_DEFAULT: Millis = Millis::from_secs(10);
-/// Time after which items of a job without a route may be given up.
-const KEEP_DEFAULT: Millis = Millis::from_secs(60);
 /// Largest difference between the wall clocks of two processes.
 const CLOCK_DIFFERENCE_MAX: Millis = Millis::from_secs(60);
 
@@ -327,43 +321,6 @@
     state.scheduler.remove_route(id, now());
 }
 
-/// Returns the terms of a job whose route is not known or was removed. It has no service, so that its items
-/// wait.
-fn policy_without_route() -> JobPolicy {
-    JobPolicy {
-        targets: Vec::new(),
-        attempts: ATTEMPTS_DEFAULT,
-        due_after: DUE_DEFAULT,
-        keep: KEEP_DEFAULT,
-        single_version: true,
-        rank: 0,
-        workspace_rank: None,
-    }
-}
-
-/// Returns the terms of jobs that are submitted to a host and path; `None` without a route.
-fn policy_by_route(
-    routes: &RouteTable,
-    host: &str,
-    path: &str,
-    workspace: Option<&str>,
-) -> Option<JobPolicy> {
-    let route = routes.find(host, path)?;
-    // Without workspaces, priorities have no effect on jobs.
-    let workspaces = routes.config.workspaces.as_deref();
-    let workspace_rank = workspace.and_then(|name| rank_of(workspaces?, name));
-    let route_rank = workspaces.map(|_| route.rank);
-    Some(JobPolicy {
-        targets: route.targets.clone(),
-        attempts: route.attempts,
-        due_after: route.run_objective,
-        keep: route.keep,
-        single_version: route.single_version,
-        rank: workspace_rank.or(route_rank).unwrap_or_default(),
-        workspace_rank,
-    })
-}
-
 /// Ends a job: its items are no longer scheduled, and agents drop them.
 pub fn end(dispatcher: &Dispatcher, id: &str) {
     let mut state = dispatcher.state.borrow_mut();
--- a/crates/oleander-rollout/src/dispatch/mod.rs
+++ b/crates/oleander-rollout/src/dispatch/mod.rs
@@ -17,6 +17,7 @@
 mod endpoint_summary;
 mod history;
 mod http_api;
+mod job_terms;
 mod jobs;
 mod jobs_api;
 mod leader_checks;
--- a/crates/oleander-rollout/src/registry/registration.rs
+++ b/crates/oleander-rollout/src/registry/registration.rs
@@ -5,6 +5,7 @@
 use crate::store::shared_view::SharedView;
 use crate::store::store_client::StoreClient;
 use crate::store::store_error::StoreError;
+use crate::store::view::View;
 use serde_json::value::{RawValue, to_raw_value};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -35,14 +36,9 @@
     };
     loop {
         register(&store, &format!("{NODE_PREFIX}{node}"), &spec).await;
-        view.wait_until(SEEN_WITHIN, |view| view.dispatchers.contains_key(&node))
-            .await;
-        while view.get().dispatchers.contains_key(&node) {
-            let listener = view.listen();
-            if view.get().dispatchers.contains_key(&node) {
-                listener.await;
-            }
-        }
+        let is_listed = |view: &View| view.dispatchers.contains_key(&node);
+        view.wait_until(SEEN_WITHIN, is_listed).await;
+        view.wait_for(|view| !is_listed(view)).await;
         event(log::Level::Warn, "registration-gone", || {
             format!("node={node}")
         });
--- a/crates/oleander-rollout/src/registry/sweep.rs
+++ b/crates/oleander-rollout/src/registry/sweep.rs
@@ -1,10 +1,10 @@
 //! Removes the entries of dispatchers that are gone: a machine that is replaced doesn't remove its own.
 //!
-//! The leader probes up to [`PROBED_AT_ONCE`] registered dispatchers at a time, in turn. One that has not answered for
+//! The leader probes up to [`ASKED_MAX`] registered dispatchers at a time, in turn. One that has not answered for
 //! [`GONE_AFTER`](oleanderlock::dispatchers::absences::GONE_AFTER) is removed, unless no agent reaches this
 //! process and no dispatcher answers it: then it may be the one that is cut off.
 
-use crate::peer::leader_client::LeaderClient;
+use crate::peer::leader_client::{ASKED_MAX, LeaderClient};
 use crate::prelude::*;
 use crate::store::dispatcher_object::{DISPATCHER_KIND, NODE_PREFIX};
 use crate::store::shared_view::SharedView;
@@ -16,8 +16,6 @@
 
 /// Time between two rounds of probes.
 const ROUND_EVERY: Millis = Millis::from_secs(4);
-/// Dispatchers that are probed in a round.
-const PROBED_AT_ONCE: usize = 32;
 /// Entries that are removed in a round.
 const REMOVED_AT_ONCE: usize = 4;
 
@@ -51,7 +49,7 @@
             let others = self.others();
             absences.retain(|name| others.iter().any(|(other, _)| other == name));
             let in_turn = others.iter().cycle().skip(next);
-            let probed: Vec<_> = in_turn.take(others.len().min(PROBED_AT_ONCE)).collect();
+            let probed: Vec<_> = in_turn.take(others.len().min(ASKED_MAX)).collect();
             next = (next + probed.len()) % others.len().max(1);
             let probes = probed
                 .iter()
--- a/crates/oleander-rollout/src/store/follow.rs
+++ b/crates/oleander-rollout/src/store/follow.rs
@@ -240,37 +240,33 @@
     if !watch_event.is_change() {
         return;
     }
-    if let WatchEvent::All(_, revision) = &watch_event
-        && view.get().first_revision == 0
-    {
-        view.update(|view| view.first_revision = *revision);
-    }
-    if let WatchEvent::Gone(name) = &watch_event
-        && let Some(node) = name.strip_prefix(NODE_PREFIX)
-    {
-        view.update(|view| {
-            view.dispatchers.shift_remove(node);
-        });
-    }
-    let is_complete = matches!(watch_event, WatchEvent::All(..));
-    let mut objects = objects_of(watch_event);
-    objects.sort_by_key(|object| object.revision);
-    if is_complete {
-        let names = objects.iter().map(|object| object.name.as_str());
-        let listed: IndexSet<&str> = names
-            .filter_map(|name| name.strip_prefix(NODE_PREFIX))
-            .collect();
-        view.update(|view| {
-            view.dispatchers
-                .retain(|node, _| listed.contains(node.as_str()));
-        });
-    }
-    for object in objects {
-        view.update(|view| apply_dispatcher_object(view, &object));
-    }
-    if !view.get().dispatchers_known {
-        view.update(|view| view.dispatchers_known = true);
-    }
+    view.update(|view| {
+        match &watch_event {
+            WatchEvent::All(objects, revision) => {
+                if view.first_revision == 0 {
+                    view.first_revision = *revision;
+                }
+                let names = objects.iter().map(|object| object.name.as_str());
+                let listed: IndexSet<&str> = names
+                    .filter_map(|name| name.strip_prefix(NODE_PREFIX))
+                    .collect();
+                let dispatchers = &mut view.dispatchers;
+                dispatchers.retain(|node, _| listed.contains(node.as_str()));
+            }
+            WatchEvent::Gone(name) => {
+                if let Some(node) = name.strip_prefix(NODE_PREFIX) {
+                    view.dispatchers.shift_remove(node);
+                }
+            }
+            _ => {}
+        }
+        let mut objects = objects_of(watch_event);
+        objects.sort_by_key(|object| object.revision);
+        for object in &objects {
+            apply_dispatcher_object(view, object);
+        }
+        view.dispatchers_known = true;
+    });
 }
 
 fn apply_dispatcher_object(view: &mut View, object: &StoredObject) {
--- a/crates/oleander-rollout/src/store/shared_view.rs
+++ b/crates/oleander-rollout/src/store/shared_view.rs
@@ -39,15 +39,17 @@
 
     /// Waits until `ready` holds, for at most `limit`; returns whether it does.
     pub async fn wait_until(&self, limit: Millis, ready: impl Fn(&View) -> bool) -> bool {
-        let wait = async {
-            loop {
-                let listener = self.listen();
-                if ready(&self.get()) {
-                    return;
-                }
-                listener.await;
+        within(limit, self.wait_for(ready)).await.is_some()
+    }
+
+    /// Waits until `ready` holds.
+    pub async fn wait_for(&self, ready: impl Fn(&View) -> bool) {
+        loop {
+            let listener = self.listen();
+            if ready(&self.get()) {
+                return;
             }
-        };
-        within(limit, wait).await.is_some()
+            listener.await;
+        }
     }
 }
--- a/crates/oleanderlock/src/batch/agent_state.rs
+++ b/crates/oleanderlock/src/batch/agent_state.rs
@@ -1,6 +1,7 @@
 //! The scheduler's view of an agent and its engine.
 
 use super::agent_report::AgentReport;
+use super::granted_load::GrantedLoad;
 use super::item_key::ItemKey;
 use super::job_state::JobState;
 use crate::prelude::*;
@@ -25,10 +26,8 @@
     /// Items that are assigned to it, with the time of the assignment; the time is zero for items
     /// that it already had when this dispatcher became leader.
     pub assigned: IndexMap<ItemKey, Millis>,
-    /// Time until which a granted weight load counts as running without a report of it.
-    pub load_granted_until: Millis,
-    /// Model of the last weight load that was granted.
-    pub load_granted: Option<String>,
+    /// The last weight load that was granted; `None` once a report shows a load.
+    pub granted_load: Option<GrantedLoad>,
 }
 
 impl AgentState {
@@ -46,7 +45,7 @@
     /// Whether its engine may run items of a job now, regardless of free slots.
     pub fn may_run(&self, now: Millis, job: &JobState) -> bool {
         let loading =
-            self.report.loading.as_ref() == Some(&job.model) || self.load_granted_until > now;
+            self.report.loading.as_ref() == Some(&job.model) || self.expected_load(now).is_some();
         !self.report.leaving && !loading && self.suits(job)
     }
 
@@ -63,17 +62,21 @@
 
     /// Whether its engine loads weights or has been granted a load.
     pub fn is_loading(&self, now: Millis) -> bool {
-        self.report.loading.is_some() || self.load_granted_until > now
+        self.report.loading.is_some() || self.expected_load(now).is_some()
     }
 
     /// Whether its engine loads weights of a model or has been granted to.
     pub fn is_loading_model(&self, now: Millis, model: &str) -> bool {
-        let granted = self.load_granted.as_ref();
-        let granted = granted.filter(|_| self.load_granted_until > now);
-        let loading = self.report.loading.as_ref().or(granted);
+        let expected = self.expected_load(now).map(|load| &load.model);
+        let loading = self.report.loading.as_ref().or(expected);
         loading.is_some_and(|loading| loading == model)
     }
 
+    /// Returns the granted load that counts as running without a report of it.
+    fn expected_load(&self, now: Millis) -> Option<&GrantedLoad> {
+        self.granted_load.as_ref().filter(|load| load.until > now)
+    }
+
     /// Returns the mean time between two events of a run's output stream in microseconds, or a
     /// default if the last report gives it as unknown (0).
     pub fn event_interval_us(&self) -> u64 {
--- a/crates/oleanderlock/src/batch/job_state.rs
+++ b/crates/oleanderlock/src/batch/job_state.rs
@@ -86,11 +86,7 @@
     pub fn idle(&self, now: Millis) -> Vec<ItemKey> {
         let idle = self.items.iter().enumerate();
         let idle = idle.filter(|(index, _)| self.may_start(*index, now));
-        let keys = idle.map(|(_, (id, _))| ItemKey {
-            job: self.id.clone(),
-            item: id.clone(),
-        });
-        keys.collect()
+        idle.map(|(_, (id, _))| self.key(id)).collect()
     }
 
     /// Returns the running items, each with the name of its agent.
@@ -99,11 +95,7 @@
             let ItemPhase::Running { agent } = &item.phase else {
                 return None;
             };
-            let key = ItemKey {
-                job: self.id.clone(),
-                item: id.clone(),
-            };
-            Some((agent.clone(), key))
+            Some((agent.clone(), self.key(id)))
         });
         running.collect()
     }
@@ -114,11 +106,20 @@
             .items
             .iter()
             .filter(|(_, item)| item.phase != ItemPhase::Finished);
-        let keys = unfinished.map(|(id, _)| ItemKey {
+        unfinished.map(|(id, _)| self.key(id)).collect()
+    }
+
+    /// Whether an item waits to be assigned.
+    pub fn has_waiting_items(&self) -> bool {
+        let mut items = self.items.values();
+        items.any(|item| item.phase == ItemPhase::Waiting)
+    }
+
+    fn key(&self, item: &str) -> ItemKey {
+        ItemKey {
             job: self.id.clone(),
-            item: id.clone(),
-        });
-        keys.collect()
+            item: item.to_owned(),
+        }
     }
 
     /// Ends the job and drops its items; those without a result get none.
--- a/crates/oleanderlock/src/batch/mod.rs
+++ b/crates/oleanderlock/src/batch/mod.rs
@@ -16,6 +16,7 @@
 pub mod checkpoint_page;
 pub mod engine_sets;
 pub mod event_pace;
+pub mod granted_load;
 pub mod item_key;
 pub mod item_phase;
 pub mod item_state;
--- a/crates/oleanderlock/src/batch/scheduler.rs
+++ b/crates/oleanderlock/src/batch/scheduler.rs
@@ -293,13 +293,13 @@
         self.engine_sets_due |= !is_same_engine;
         let before = known.as_ref().map(|known| known.report.process);
         let restarted = before.is_some_and(|process| process != report.process);
-        let (mut assigned, mut granted, load_granted) = match known {
-            Some(known) => (known.assigned, known.load_granted_until, known.load_granted),
-            None => (IndexMap::new(), Millis::ZERO, None),
+        let (mut assigned, mut granted_load) = match known {
+            Some(known) => (known.assigned, known.granted_load),
+            None => (IndexMap::new(), None),
         };
         if report.loading.is_some() {
             // From now on the reports show when the load ends.
-            granted = Millis::ZERO;
+            granted_load = None;
         }
         let held: HashSet<&str> = report.items.iter().map(String::as_str).collect();
         let grace = self.cfg.assignment_grace;
@@ -327,8 +327,7 @@
         let state = AgentState {
             last_report_at: now,
             assigned,
-            load_granted_until: granted,
-            load_granted,
+            granted_load,
             report,
         };
         self.agents.insert(state.report.agent.clone(), state);
--- a/crates/oleanderlock/src/batch/scheduler_blocked.rs
+++ b/crates/oleanderlock/src/batch/scheduler_blocked.rs
@@ -7,7 +7,6 @@
 //! [`OWN_SET_TIME`], and one more each time that passes.
 
 use super::agent_state::AgentState;
-use super::item_phase::ItemPhase;
 use super::job_state::JobState;
 use super::load_grant::LoadGrant;
 use super::scheduler::Scheduler;
@@ -42,11 +41,7 @@
         let could_run = |agent: &AgentState| {
             agent.report.slots > 0 && !agent.report.leaving && agent.suits(job)
         };
-        !self.agents.values().any(could_run)
-            && job
-                .items
-                .values()
-                .any(|item| item.phase == ItemPhase::Waiting)
+        !self.agents.values().any(could_run) && job.has_waiting_items()
     }
 
     /// Whether a model is blocked at the service of an agent's engine.
@@ -115,7 +110,7 @@
     }
 
     /// Whether an agent has items of a model whose text must come from a single version.
-    fn runs_with_single_version(&self, agent: &AgentState, model: &str) -> bool {
+    pub(super) fn runs_with_single_version(&self, agent: &AgentState, model: &str) -> bool {
         let mut jobs = agent.assigned.keys().map(|key| self.jobs.get(&key.job));
         jobs.any(|job| job.is_some_and(|job| job.model == model && job.policy.single_version))
     }
--- a/crates/oleanderlock/src/batch/scheduler_loads.rs
+++ b/crates/oleanderlock/src/batch/scheduler_loads.rs
@@ -10,7 +10,7 @@
 
 use super::agent_state::AgentState;
 use super::engine_sets::EngineSets;
-use super::item_phase::ItemPhase;
+use super::granted_load::GrantedLoad;
 use super::job_state::JobState;
 use super::load_grant::LoadGrant;
 use super::scheduler::Scheduler;
@@ -51,8 +51,10 @@
         }
         for grant in &grants {
             let agent = &mut self.agents[&grant.agent];
-            agent.load_granted_until = now.plus(LOAD_GRANT_TIMEOUT);
-            agent.load_granted = Some(grant.model.clone());
+            agent.granted_load = Some(GrantedLoad {
+                model: grant.model.clone(),
+                until: now.plus(LOAD_GRANT_TIMEOUT),
+            });
         }
         grants
     }
@@ -89,11 +91,9 @@
         if agent.outstanding() == 0 {
             return true;
         }
-        let may_change_version = |job: &JobState| job.model != model || !job.policy.single_version;
-        let mut jobs = agent.assigned.keys().map(|key| self.jobs.get(&key.job));
         agent.report.waiting.is_empty()
             && !self.has_waiting_items(agent, model)
-            && jobs.all(|job| job.is_none_or(may_change_version))
+            && !self.runs_with_single_version(agent, model)
     }
 
     /// Whether the engine's weights are too old for an open job of its model.
@@ -129,10 +129,7 @@
 
     fn has_waiting_items(&self, agent: &AgentState, model: &str) -> bool {
         let mut open = self.jobs_for(agent, model);
-        open.any(|job| {
-            let mut items = job.items.values();
-            items.any(|item| item.phase == ItemPhase::Waiting)
-        })
+        open.any(JobState::has_waiting_items)
     }
 
     /// Divides the engines of each service among the models that they hold.
