Begin the streams of two tests at engines with a fault

Cause: the test has four engines, two of them with the fault, and reads eight streams. The entry chooses at random among engines that it expects to be as fast, so that all eight may begin at the other two: 1 of 256 runs, and more often while one of the two is avoided. Ruled out: an engine that is preferred for its answer times; streams don't record any.

Change: all engines have the fault, in streams that start at the first event only. Each of the eight streams is now interrupted and checked for its one resumption, where a part of them was before.

--- a/crates/oleander-rollout/tests/stream_resumption.rs
+++ b/crates/oleander-rollout/tests/stream_resumption.rs
@@ -4,6 +4,7 @@
 
 use oleander_platform_standins::engine_faults::EngineFaults;
 use oleander_platform_standins::run_record::RunRecord;
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
 use support::deployment::Deployment;
 use support::{HOST, read_text, wait_for};
@@ -122,22 +123,21 @@
     let deployment = deployment();
     let faults = EngineFaults {
         crash_after_event: FAULT_AT,
+        only_at_starts: true,
         ..EngineFaults::default()
     };
-    set_faults(&deployment, 0..2, faults);
-    let mut crashes = 0;
+    set_faults(&deployment, 0..ENGINES, faults);
     for n in 0..8 {
         let id = format!("crash-{n}");
         check_whole(&read_stream(&deployment, &id, EVENTS), &id);
-        if runs(&deployment, &id).len() > 1 {
-            check_resumed_once(&deployment, &id, FAULT_AT);
-            crashes += 1;
-        }
-        for engine in &deployment.engines[..2] {
+        check_resumed_once(&deployment, &id, FAULT_AT);
+        for engine in &deployment.engines {
             engine.listen_again();
+            wait_for("the engine listens again", || {
+                TcpStream::connect(engine.addr()).is_ok()
+            });
         }
     }
-    assert!(crashes > 0);
 }
 
 #[test]
@@ -145,21 +145,17 @@
     let deployment = deployment();
     let faults = EngineFaults {
         drip_after_event: FAULT_AT,
+        only_at_starts: true,
         ..EngineFaults::default()
     };
-    set_faults(&deployment, 0..2, faults);
-    let mut stalls = 0;
+    set_faults(&deployment, 0..ENGINES, faults);
     for n in 0..8 {
         let id = format!("stall-{n}");
         let started_at = Instant::now();
         check_whole(&read_stream(&deployment, &id, EVENTS), &id);
-        if runs(&deployment, &id).len() > 1 {
-            check_resumed_once(&deployment, &id, FAULT_AT);
-            assert!(started_at.elapsed() < PATIENCE + Duration::from_secs(1));
-            stalls += 1;
-        }
+        check_resumed_once(&deployment, &id, FAULT_AT);
+        assert!(started_at.elapsed() < PATIENCE + Duration::from_secs(1));
     }
-    assert!(stalls > 0);
     wait_for("no engine works on a stream that was left", || {
         deployment.running() == 0
     });
