Count only readings of the configuration that have ended

Cause: a dispatcher reads the store for entries at most once a second, and noted the time of a reading when it began. When the caller that had begun it left, which an entry does as soon as its own reading succeeds, the reading was cancelled, and for the rest of that second the dispatcher answered others without a configuration or a confirmation. An entry that waits for its own silent store asks again only after 1.4 s, too late.

Change: the time is noted when a reading has ended. The next caller reads by itself if the one before it left.

--- a/crates/oleander-rollout/src/store/config_reader.rs
+++ b/crates/oleander-rollout/src/store/config_reader.rs
@@ -33,6 +33,7 @@
     confirmation: Confirmation,
     /// Revision of the store up to which changes were read; `None` before the first reading.
     revision: Cell<Option<u64>>,
+    /// Start of the last reading that ended; one whose caller has left is cancelled and does not.
     tried_at: Cell<Option<Millis>>,
     failing: Cell<bool>,
     /// Held during a reading; others wait for its result.
@@ -59,7 +60,7 @@
         &self.confirmation
     }
 
-    /// Reads the configuration, unless a reading began less than a second ago.
+    /// Reads the configuration, unless a reading that has ended began less than a second ago.
     pub async fn refresh(&self) {
         let reading = self.reading.lock().await;
         let tried_at = self.tried_at.get();
@@ -79,7 +80,7 @@
     }
 
     async fn attempt(&self) -> bool {
-        self.tried_at.set(Some(now()));
+        let tried_at = now();
         let mut result = Ok(());
         for _ in 0..ATTEMPTS {
             let started_at = now();
@@ -94,6 +95,7 @@
                 Err(_) => {}
             }
         }
+        self.tried_at.set(Some(tried_at));
         let is_read = result.is_ok();
         self.log(result.err());
         is_read
