Wait until entries know the dispatchers in the tests of key changes

Cause: the tests cut an entry off from the store as soon as a dispatcher leads, about 10 ms after the dispatchers have registered.

Change: the new event `dispatchers-known` says how many dispatchers are registered as far as a process knows; the tests wait for it at each entry. Their bounds are unchanged.

--- a/crates/oleander-rollout/src/store/follow.rs
+++ b/crates/oleander-rollout/src/store/follow.rs
@@ -240,6 +240,7 @@
     if !watch_event.is_change() {
         return;
     }
+    let registered = view.get().dispatchers.len();
     view.update(|view| {
         match &watch_event {
             WatchEvent::All(objects, revision) => {
@@ -266,6 +267,11 @@
             apply_dispatcher_object(view, object);
         }
         view.dispatchers_known = true;
+        if view.dispatchers.len() != registered {
+            event(log::Level::Info, "dispatchers-known", || {
+                format!("registered={}", view.dispatchers.len())
+            });
+        }
     });
 }
 
--- a/crates/oleander-rollout/tests/key_changes.rs
+++ b/crates/oleander-rollout/tests/key_changes.rs
@@ -80,10 +80,23 @@
             wait_for("the configuration is confirmed", || {
                 relayed.status(entry, "unknown") == Some(401)
             });
+            // One that the store refuses before asks nobody.
+            wait_for("the entry knows all dispatchers", || {
+                relayed.knows_dispatchers(entry, size.dispatchers)
+            });
         }
         relayed
     }
 
+    /// Whether this number of dispatchers is registered, as far as an entry knows.
+    fn knows_dispatchers(&self, entry: usize, number: usize) -> bool {
+        let log = self.deployment.entries[entry].process().log();
+        let known = log
+            .lines()
+            .rfind(|line| line.contains("event=dispatchers-known"));
+        known.is_some_and(|line| line.ends_with(&format!(" registered={number}")))
+    }
+
     fn status(&self, entry: usize, key: &str) -> Option<u16> {
         let token = format!("Token {key}");
         let headers = [("authorization", token.as_str())];
